--- a/bergamotdrift/admission.py
+++ b/bergamotdrift/admission.py
@@ -14,7 +14,9 @@
         self._zone = zone
         self._clock = clock
         self._out_since_ms: float | None = None
+        # While an entry stops it is unready, but takes requests until it is closed.
         self.stopping = False
+        self.closed = False
 
     def note_settings(self, settings: SiteSettings) -> None:
         """Take note of new settings."""
@@ -30,7 +32,7 @@
 
     def refusal(self) -> Refusal | None:
         """Return why all new work is refused, or None."""
-        if self.stopping:
+        if self.closed:
             return Refusal(ErrorKind.SHUTTING_DOWN)
         since_ms = self._out_since_ms
         if since_ms is None:
--- a/bergamotdrift/attempts.py
+++ b/bergamotdrift/attempts.py
@@ -1,5 +1,6 @@
 """Permits in use and the attempts that run under them."""
 
+from bergamotdrift.dialect import AnswerLoad
 from bergamotdrift.messages import RunningPermit
 from bergamotdrift.request import Permit
 from bergamotdrift.upstream_connections import UpstreamConnection
@@ -13,6 +14,8 @@
         self.workspace = workspace
         self.conn: UpstreamConnection | None = None
         self.cancel_reason = ""
+        # The load that the upstream stated in its answer, if it did.
+        self.load: AnswerLoad | None = None
 
     def cancel(self, reason: str) -> None:
         """Close the connection; the attempt ends with an unknown outcome."""
--- a/bergamotdrift/commands_log.py
+++ b/bergamotdrift/commands_log.py
@@ -5,7 +5,13 @@
 
 from bergamotdrift.config.schema import SiteSettings
 from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.messages import NodeRow, PartitionRef, UpstreamRow, message
+from bergamotdrift.messages import (
+    NodeRow,
+    PartitionRef,
+    RangeRow,
+    UpstreamRow,
+    message,
+)
 
 
 class Hold(StrEnum):
@@ -62,6 +68,7 @@
     """Replace the settings of `base_revision`; `at_ms` is Unix time.
 
     `mapping` is the JSON that the operator sent and that `settings` was made from.
+    `revision` is the number that the operator chose, or 0 for the next one.
     """
 
     request: str
@@ -71,6 +78,28 @@
     fingerprint: str
     settings: SiteSettings
     mapping: bytes
+    revision: int = 0
+
+
+@message
+class SetEvacuation(NamedTuple):
+    """Send nothing more to the upstreams of an availability zone, or take that back."""
+
+    zone: str
+    evacuated: bool
+
+
+@message
+class ReplaceRanges(NamedTuple):
+    """Replace rows of a ranged service by others that cover the same keys.
+
+    Nothing changes unless all `expected` rows are in place. Rows of `replacement`
+    with an owner and epoch 0 get the log index as their epoch.
+    """
+
+    service: str
+    expected: list[RangeRow]
+    replacement: list[RangeRow]
 
 
 @message
--- a/bergamotdrift/config/process.py
+++ b/bergamotdrift/config/process.py
@@ -12,7 +12,9 @@
 )
 from bergamotdrift.config.options import (
     Address,
+    Choice,
     Digest,
+    Flag,
     Integer,
     Name,
     Number,
@@ -23,10 +25,12 @@
 from bergamotdrift.config.schema import (
     ArbiterSettings,
     ControlSettings,
+    Dispatch,
     EntrySettings,
     NodeSettings,
     ReplicaAddress,
 )
+from bergamotdrift.constants import SESSION_TTL_MS
 
 _NODE_OPTIONS: dict[str, Option] = {
     "cluster": Name(),
@@ -63,6 +67,10 @@
     idle_timeout_s=Number(0.1, 3600, "s", default=30.0),
     drain_s=Number(0, 600, "s", default=10.0),
     max_connections=Integer(1, 100_000, default=1000),
+    dispatch=Choice(Dispatch, default=Dispatch.ARBITER),
+    unready_s=Number(0, 600, "s", default=0.0),
+    retry_ratio=Number(0, 1, default=0.1),
+    retry_fleet_per_s=Number(0, 10_000, "per_s", default=3.0),
 )
 
 ARBITER = Section(
@@ -82,6 +90,8 @@
     voters=NamedValues(ReplicaAddress, Address(), minimum=1),
     operator_key_digests=ListOf(Digest(), minimum=1),
     snapshot_entries=Integer(16, 10_000_000, default=4096),
+    upstream_ttl_ms=Integer(1000, 600_000, "ms", default=SESSION_TTL_MS),
+    open_group=Flag(default=False),
 )
 
 
--- a/bergamotdrift/config/rules.py
+++ b/bergamotdrift/config/rules.py
@@ -35,6 +35,9 @@
     """Refuse options of a service that contradict its kind."""
     for _, service, path in _entries(values, "services"):
         partitions = service.get("partitions")
+        if service.get("kind") is ServiceKind.RANGED:
+            message = "'ranged' needs upstreams that are granted keys by calls"
+            report.error((*path, "kind"), message)
         if service.get("kind") is ServiceKind.KEYED and partitions == 0:
             message = "must be at least 1 for a keyed service"
             report.error((*path, "partitions"), message)
--- a/bergamotdrift/config/schema.py
+++ b/bergamotdrift/config/schema.py
@@ -9,6 +9,8 @@
 
     KEYED = "keyed"
     POOL = "pool"
+    # Divided into contiguous ranges of a numeric key, which upstreams hold by grant.
+    RANGED = "ranged"
 
 
 class Fencing(StrEnum):
@@ -33,10 +35,14 @@
 
 
 class ColdStartSettings(NamedTuple):
-    """Describe how an upstream warms up; `ramp_s` in seconds."""
+    """Describe how an upstream warms up; `ramp_s` in seconds.
+
+    `per_s` bounds its requests per second while it is cold; 0 sets no such bound.
+    """
 
     initial_slots: int
     ramp_s: float
+    per_s: float = 0.0
 
 
 class ServiceSettings(NamedTuple):
@@ -53,8 +59,21 @@
     queue_limit: int
 
 
+class SplitShare(NamedTuple):
+    """Give a service a share of a route's requests, in proportion to its weight."""
+
+    service: str
+    weight: int
+
+
 class RouteSettings(NamedTuple):
-    """Describe a route; `key` names the path variable that is the routing key."""
+    """Describe a route; `key` names the path variable that is the routing key.
+
+    A path that ends in `/*` accepts any further segments. `host` restricts the route
+    to requests for that host. `split` replaces `service` where it is not empty.
+    `timeout_ms` and `attempts` are 0 where only the service's bounds apply; `rank` is
+    0 for the most urgent requests.
+    """
 
     path: str
     methods: tuple[str, ...]
@@ -64,6 +83,12 @@
     urgent: bool
     idempotent: bool
     max_body_bytes: int
+    name: str = ""
+    host: str = ""
+    split: tuple[SplitShare, ...] = ()
+    timeout_ms: int = 0
+    attempts: int = 0
+    rank: int = 0
 
 
 class WorkspaceSettings(NamedTuple):
@@ -74,6 +99,8 @@
     burst: int
     key_digests: tuple[str, ...]
     services: tuple[str, ...]
+    # None leaves the rank of a request to its route.
+    rank: int | None = None
 
 
 class ReplicaAddress(NamedTuple):
@@ -83,8 +110,20 @@
     address: str
 
 
+class CallerLimits(NamedTuple):
+    """Bound what a caller may send, and how long it may take or stay idle."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
 class SiteSettings(NamedTuple):
-    """Hold everything that operators state about a site."""
+    """Hold everything that operators state about a site.
+
+    `limits` is None where the process settings of the entries apply.
+    """
 
     site: str
     zones: tuple[ZoneSettings, ...]
@@ -92,6 +131,7 @@
     routes: tuple[RouteSettings, ...]
     workspaces: tuple[WorkspaceSettings, ...]
     replicas: tuple[ReplicaAddress, ...] = ()
+    limits: CallerLimits | None = None
 
     def zone_is_out(self, zone: str) -> bool:
         """Tell whether an availability zone is known and taken out."""
@@ -117,8 +157,20 @@
     admin_listen: str
 
 
+class Dispatch(StrEnum):
+    """Tell who chooses the upstream of a request: its arbiter, or the entry itself."""
+
+    ARBITER = "arbiter"
+    DIRECT = "direct"
+
+
 class EntrySettings(NamedTuple):
-    """Hold the process settings of an entry."""
+    """Hold the process settings of an entry.
+
+    After the start of a shutdown the entry still takes requests for `unready_s`. With
+    direct dispatch, each service gets `retry_ratio` repeats per request, and all
+    entries together `retry_fleet_per_s` more.
+    """
 
     node: NodeSettings
     listen: str
@@ -127,6 +179,10 @@
     idle_timeout_s: float
     drain_s: float
     max_connections: int
+    dispatch: Dispatch = Dispatch.ARBITER
+    unready_s: float = 0.0
+    retry_ratio: float = 0.1
+    retry_fleet_per_s: float = 3.0
 
 
 class ArbiterSettings(NamedTuple):
@@ -151,3 +207,8 @@
     voters: tuple[ReplicaAddress, ...]
     operator_key_digests: tuple[str, ...]
     snapshot_entries: int
+    # After how many ms without announcement an upstream is removed; None for sessions'
+    # time to live.
+    upstream_ttl_ms: int | None = None
+    # Whether replicas join without being listed.
+    open_group: bool = False
--- a/bergamotdrift/contacts.py
+++ b/bergamotdrift/contacts.py
@@ -23,11 +23,16 @@
     since the previous leader may have renewed it up to then.
     """
 
-    def __init__(self, opened_at_ms: float):
+    def __init__(self, opened_at_ms: float, ttl_ms: float | None = None):
         self._opened_at_ms = opened_at_ms
+        self._own_ttl_ms = ttl_ms
         self._contacts: dict[K, Contact] = {}
         self._expiring: set[tuple[K, str]] = set()
 
+    @property
+    def _ttl_ms(self) -> float:
+        return SESSION_TTL_MS if self._own_ttl_ms is None else self._own_ttl_ms
+
     def renew(self, key: K, incarnation: str, now_ms: float) -> bool:
         """Renew a registered holder and tell whether its lease is extended."""
         if (key, incarnation) in self._expiring:
@@ -35,7 +40,7 @@
         if self.has_expired(key, incarnation, now_ms):
             self.start_expiry(key, incarnation)
             return False
-        self._contacts[key] = Contact(incarnation, GrantedLease(now_ms, SESSION_TTL_MS))
+        self._contacts[key] = Contact(incarnation, GrantedLease(now_ms, self._ttl_ms))
         return True
 
     def last_seen_ms(self, key: K, incarnation: str) -> float:
@@ -48,7 +53,7 @@
     def has_expired(self, key: K, incarnation: str, now_ms: float) -> bool:
         """Tell whether a holder's lease has run out."""
         seen_at_ms = self.last_seen_ms(key, incarnation)
-        return GrantedLease(seen_at_ms, SESSION_TTL_MS).has_expired(now_ms)
+        return GrantedLease(seen_at_ms, self._ttl_ms).has_expired(now_ms)
 
     def start_expiry(self, key: K, incarnation: str) -> None:
         """Refuse renewals from now on, since the removal may already be logged."""
@@ -72,4 +77,4 @@
 
     def register(self, key: K, incarnation: str, now_ms: float) -> None:
         """Count a holder that is being registered as seen now."""
-        self._contacts[key] = Contact(incarnation, GrantedLease(now_ms, SESSION_TTL_MS))
+        self._contacts[key] = Contact(incarnation, GrantedLease(now_ms, self._ttl_ms))
--- a/bergamotdrift/control.py
+++ b/bergamotdrift/control.py
@@ -42,7 +42,8 @@
         )
         self.streams = StreamServer(cfg.listen, hello, self.server)
         self.admin = HttpServer(node.admin_listen, admin_app(self.server.is_ready))
-        self.replica.follow_allowed(self._listed_replicas)
+        if not cfg.open_group:
+            self.replica.follow_allowed(self._listed_replicas)
 
     def start(self) -> None:
         """Start to take part in the group and to serve; raises StorageError."""
@@ -90,12 +91,12 @@
     except StorageError as exc:
         log_event("start_refused", reason=str(exc))
         sys.exit(EXIT_FAILED)
-    if not _wait(stop, control.replica.failed):
+    if not wait_for_end(stop, control.replica.failed):
         sys.exit(EXIT_FAILED)
     control.stop()
 
 
-def _wait(stop: Event, failed: Event) -> bool:
+def wait_for_end(stop: Event, failed: Event) -> bool:
     """Return True at a planned stop, and False when the replica failed."""
     gevent.wait([stop, failed], count=1)
     return not failed.is_set()
--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -1,7 +1,7 @@
 """Session of a node with the control leader: pings, feed and calls."""
 
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import gevent
@@ -22,11 +22,14 @@
     Farewell,
     FeedUpdate,
     Hello,
+    KeyLoad,
     Message,
     NodeRow,
     NotLeader,
     Ping,
     Pong,
+    RateLot,
+    RateNeed,
 )
 from bergamotdrift.streams import Connection, StreamClient
 from bergamotdrift.tables import Tables
@@ -43,6 +46,22 @@
         ...
 
 
+class PingLoad(Protocol):
+    """Exchange rate tokens and load reports with the leader's pings."""
+
+    def rate_needs(self) -> list[RateNeed]:
+        """Return the rate tokens that are needed or returned."""
+        ...
+
+    def key_loads(self) -> list[KeyLoad]:
+        """Return the requests by key since the last call."""
+        ...
+
+    def take_rates(self, lots: list[RateLot], asked_at_ms: float) -> None:
+        """Take leased rate tokens, counted from before they were asked for."""
+        ...
+
+
 class ControlClient:
     """Keep a node's session with whichever control replica leads.
 
@@ -56,12 +75,15 @@
         describe: Callable[[], NodeRow],
         clock: Clock,
         observer: SessionObserver,
+        load: PingLoad | None = None,
     ):
-        self._replicas = replicas
+        self._replicas = list(replicas)
         self._hello = hello
         self._describe = describe
         self._clock = clock
         self._observer = observer
+        self._load = load
+        self._nudged = Event()
         self._client: StreamClient | None = None
         self._next_replica = 0
         self._confirmed_at_ms = float("-inf")
@@ -89,6 +111,14 @@
             self._client.call(farewell, _CALL_TIMEOUT_MS)
         self._client.stop()
 
+    def add_replicas(self, addresses: Iterable[str]) -> None:
+        """Look for the leader at further addresses too."""
+        self._replicas += [a for a in addresses if a not in self._replicas]
+
+    def ping_now(self) -> None:
+        """Send the next ping without waiting for the interval."""
+        self._nudged.set()
+
     def call(self, msg: Message, timeout_ms: float = _CALL_TIMEOUT_MS) -> Message:
         """Return the leader's reply.
 
@@ -124,6 +154,7 @@
 
     def _run(self) -> None:
         while True:
+            self._nudged.clear()
             started_ms = self._clock.now_ms()
             if not self._ping():
                 self._drop_client()
@@ -131,15 +162,14 @@
                 continue
             spent_ms = self._clock.now_ms() - started_ms
             pause_ms = max(10.0, constants.PING_INTERVAL_MS - spent_ms)
-            gevent.sleep(pause_ms / 1000.0)
+            self._nudged.wait(pause_ms / 1000.0)
 
     def _ping(self) -> bool:
         client = self._client or self._connect(self._pick_replica())
         asked_at_ms = self._clock.now_ms()
         try:
             client.ready_connection(_CONNECT_WAIT_MS)
-            ping = Ping(self._describe(), self.tables.index, self._unreachable)
-            answer = client.call(ping, _CALL_TIMEOUT_MS)
+            answer = client.call(self._next_ping(), _CALL_TIMEOUT_MS)
         except (StreamClosedError, CallError, ProtocolError, gevent.Timeout):
             if client.address == self._leader_address:
                 self._unreachable = client.address
@@ -149,8 +179,18 @@
         if not isinstance(answer, Pong) or answer.term < self._term:
             return False
         self._confirm(answer, asked_at_ms)
+        if self._load is not None:
+            self._load.take_rates(answer.rates, asked_at_ms)
         return True
 
+    def _next_ping(self) -> Ping:
+        ping = Ping(self._describe(), self.tables.index, self._unreachable)
+        if self._load is None:
+            return ping
+        return ping._replace(
+            rates=self._load.rate_needs(), loads=self._load.key_loads()
+        )
+
     def _confirm(self, pong: Pong, asked_at_ms: float) -> None:
         self._term = pong.term
         self._leader_address = self._client.address if self._client else ""
@@ -180,6 +220,9 @@
             return False
         self._drop_client()
         self._connect(hint)
+        # The listed replicas may all have been replaced by the time they are needed.
+        if hint not in self._replicas:
+            self._replicas.append(hint)
         return True
 
     def _pick_replica(self) -> str:
--- a/bergamotdrift/control_log_events.py
+++ b/bergamotdrift/control_log_events.py
@@ -80,6 +80,8 @@
 
 
 def _rows(command: Message) -> list[Any]:
+    if isinstance(command, cmd.ReplaceRanges):
+        return command.replacement
     first = command[0]
     return first if isinstance(first, list) else [command]
 
@@ -99,4 +101,6 @@
     cmd.RemoveShards: "shard_removed",
     cmd.IsolateKey: "key_isolated",
     cmd.RestoreKey: "key_restored",
+    cmd.SetEvacuation: "zone_evacuation_changed",
+    cmd.ReplaceRanges: "ranges_changed",
 }
--- a/bergamotdrift/control_rows.py
+++ b/bergamotdrift/control_rows.py
@@ -8,6 +8,7 @@
     NodeRow,
     PartitionRow,
     PartitionState,
+    RangeRow,
     RemovedRow,
     Role,
     ShardRow,
@@ -15,7 +16,7 @@
     UpstreamState,
 )
 from bergamotdrift.row_table import RowTable
-from bergamotdrift.tables import IsolatedKeyId, PartitionId, UpstreamId
+from bergamotdrift.tables import IsolatedKeyId, PartitionId, RangeId, UpstreamId
 
 INCARNATIONS_KEPT = 8
 INCARNATION_LISTS_KEPT = 10_000
@@ -36,6 +37,7 @@
         self.isolated: RowTable[IsolatedKeyId, IsolatedKeyRow] = RowTable(
             "isolated", _all_fields
         )
+        self.ranges: RowTable[RangeId, RangeRow] = RowTable("ranges", _all_fields)
         # Partitions that are vacant or under release.
         self.unowned: set[PartitionId] = set()
         # What vacant partitions wait for; absent means Hold.NONE.
@@ -99,6 +101,27 @@
         vacant = row._replace(upstream="", state=PartitionState.VACANT)
         return self.put_partition(index, vacant)
 
+    def ranges_of(self, service: str) -> list[RangeRow]:
+        """Return the ranges of a service in the order of their keys."""
+        return sorted(row for row in self.ranges.rows() if row.service == service)
+
+    def replace_ranges(
+        self, index: int, expected: list[RangeRow], replacement: list[RangeRow]
+    ) -> bool:
+        """Replace ranges if they are as expected, and tell whether they were."""
+        for row in expected:
+            if self.ranges.get(RangeId(row.service, row.first)) != row:
+                return False
+        starts = {row.first for row in replacement}
+        for row in expected:
+            if row.first not in starts:
+                self.ranges.remove(RangeId(row.service, row.first), index)
+        for row in replacement:
+            is_new = bool(row.upstream) and not row.epoch
+            stored = row._replace(epoch=index) if is_new else row
+            self.ranges.put(RangeId(row.service, row.first), stored, index)
+        return True
+
     def removed_since(self, index: int) -> list[RemovedRow]:
         """Return the tombstones after an index."""
         return [row for table in self._tables() for row in table.removed_since(index)]
@@ -125,6 +148,7 @@
         self.partitions.load(tables[2], _partition_key, _partition)
         self.shards.load(tables[3], str, _shard)
         self.isolated.load(tables[4], _isolated_key, _isolated)
+        self.ranges.load(tables[5], _range_key, _range)
         self.holds = {PartitionId(*key): Hold(hold) for key, hold in holds}
         self._incarnations = {UpstreamId(*key): names for key, names in incarnations}
         self._owned = {}
@@ -158,6 +182,7 @@
             self.partitions,
             self.shards,
             self.isolated,
+            self.ranges,
         )
 
 
@@ -177,6 +202,10 @@
     return PartitionId(*fields)
 
 
+def _range_key(fields: list[Any]) -> RangeId:
+    return RangeId(*fields)
+
+
 def _isolated_key(fields: list[Any]) -> IsolatedKeyId:
     return IsolatedKeyId(*fields)
 
@@ -192,9 +221,9 @@
 
 
 def _upstream(fields: list[Any]) -> UpstreamRow:
-    service, upstream, address, zone, incarnation, state = fields
+    service, upstream, address, zone, incarnation, state, *rest = fields
     return UpstreamRow(
-        service, upstream, address, zone, incarnation, _UPSTREAM_STATES[state]
+        service, upstream, address, zone, incarnation, _UPSTREAM_STATES[state], *rest
     )
 
 
@@ -203,6 +232,12 @@
     return PartitionRow(service, partition, upstream, epoch, _PARTITION_STATES[state])
 
 
+def _range(fields: list[Any]) -> RangeRow:
+    service, first, last, upstream, incarnation, epoch, state, handover = fields
+    known = _PARTITION_STATES[state]
+    return RangeRow(service, first, last, upstream, incarnation, epoch, known, handover)
+
+
 def _shard(fields: list[Any]) -> ShardRow:
     return ShardRow(*fields)
 
--- a/bergamotdrift/control_server.py
+++ b/bergamotdrift/control_server.py
@@ -17,12 +17,13 @@
 from bergamotdrift.messages import Failure, Hello, Message
 from bergamotdrift.node_streams import NodeStreams
 from bergamotdrift.operator_desk import OperatorDesk, SettingsCheck, refusal
-from bergamotdrift.operator_messages import OperatorAnswer, OperatorCall
+from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer, OperatorCall
 from bergamotdrift.operator_resources import operator_app
 from bergamotdrift.replication import Replicator
 from bergamotdrift.streams import Connection, StreamClient
 
 FORWARD_TIMEOUT_MS = 2000
+_NO_LEADER = refusal(ErrorKind.NO_QUORUM, "the leader did not answer")
 
 
 class PeerHandler(Protocol):
@@ -33,6 +34,22 @@
         ...
 
 
+class CallDesk(Protocol):
+    """Answer calls at the leader that any replica takes from outside."""
+
+    def answer(self, call: LeaderCall) -> OperatorAnswer:
+        """Return the answer; NOT_LEADER unless this replica leads."""
+        ...
+
+
+class LeaderCaller(Protocol):
+    """Call the leader on a stream that is kept open."""
+
+    def call_leader(self, msg: Message, timeout_ms: float) -> Message:
+        """Return the leader's reply, or raise CallError."""
+        ...
+
+
 class _SilentHandler:
     """Ignore what arrives on a stream that is opened for one call."""
 
@@ -62,7 +79,9 @@
         self._hello = hello
         self._replicator = replicator
         self._peers = peers
-        self.nodes = NodeStreams(state, replicator, clock)
+        # Set by a program that takes further calls from outside.
+        self.calls: CallDesk | None = None
+        self.nodes = NodeStreams(state, replicator, clock, cfg.upstream_ttl_ms)
         self._desk = OperatorDesk(
             state,
             self.nodes.leadership,
@@ -96,6 +115,17 @@
             return refusal(ErrorKind.NO_QUORUM, "no leader is known")
         return self._forward(address, call)
 
+    def call_leader(self, call: LeaderCall, leader: LeaderCaller) -> OperatorAnswer:
+        """Return the answer of the leader's desk, here or on another replica."""
+        if self._replicator.is_leader():
+            return self._answer_here(call)
+        try:
+            answer = leader.call_leader(call, FORWARD_TIMEOUT_MS)
+        except CallError as exc:
+            # A change may have been logged before the stream was lost.
+            return refusal(ErrorKind.NO_QUORUM, exc.refusal.detail)
+        return answer if isinstance(answer, OperatorAnswer) else _NO_LEADER
+
     def on_open(self, conn: Connection) -> None:
         """Wait for the first message."""
 
@@ -107,6 +137,8 @@
             return
         if isinstance(msg, OperatorCall):
             gevent.spawn(self._answer_forwarded, conn, number, msg)
+        elif isinstance(msg, LeaderCall):
+            gevent.spawn(lambda: conn.reply(number, self._answer_here(msg)))
         elif number:
             conn.reply(number, Failure(ErrorKind.MALFORMED_REQUEST, "unexpected"))
 
@@ -114,6 +146,11 @@
         """Drop what is kept for a stream."""
         self.nodes.on_close(conn)
 
+    def _answer_here(self, call: LeaderCall) -> OperatorAnswer:
+        if self.calls is None:
+            return refusal(ErrorKind.INTERNAL, "this program takes no such calls")
+        return self.calls.answer(call)
+
     def _answer_forwarded(
         self, conn: Connection, number: int, call: OperatorCall
     ) -> None:
--- a/bergamotdrift/control_state.py
+++ b/bergamotdrift/control_state.py
@@ -17,6 +17,7 @@
     Message,
     PartitionRow,
     PartitionState,
+    RangeRow,
     ShardRow,
     UpstreamRow,
 )
@@ -34,6 +35,8 @@
         self.feed_index = 0
         self.settings = SettingsLog()
         self.rows = ControlRows()
+        self.evacuated: set[str] = set()
+        self._evacuated_at = 0
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply the command at a log index and return its encoded outcome."""
@@ -52,12 +55,16 @@
             self.feed_index,
             self.settings.dump(),
             self.rows.dump(),
+            sorted(self.evacuated),
+            self._evacuated_at,
         ])
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state by that of a snapshot."""
         parts = msgpack.unpackb(data, strict_map_key=False)
-        self.applied_index, self.feed_index, settings, rows = parts
+        self.applied_index, self.feed_index, settings, rows, *zones = parts
+        evacuated, self._evacuated_at = zones or ([], 0)
+        self.evacuated = set(evacuated)
         self.settings.load(settings)
         self.rows.load(rows)
 
@@ -78,6 +85,10 @@
             shards=rows.shards.rows_since(since),
             isolated=rows.isolated.rows_since(since),
             removed=[] if full else rows.removed_since(since),
+            ranges=rows.ranges.rows_since(since),
+            evacuated=sorted(self.evacuated)
+            if full or self._evacuated_at > since
+            else None,
         )
 
     def service(self, name: str) -> ServiceSettings | None:
@@ -133,15 +144,44 @@
         if service is None or self.rows.is_superseded(key, row.incarnation):
             return False
         before = self.rows.upstreams.get(key)
+        if row.born_ms:
+            self._remove_predecessors(index, row)
         if before is None:
             return self.rows.put_upstream(index, row)
         if before.incarnation == row.incarnation:
-            return self.rows.put_upstream(index, before._replace(state=row.state))
+            changed = before._replace(state=row.state, slots=row.slots)
+            return self.rows.put_upstream(index, changed)
+        if row.born_ms < before.born_ms:
+            return False
         if service.kind is ServiceKind.KEYED:
             # The earlier incarnation may still hold a lease; it must expire first.
             return False
         return self.rows.put_upstream(index, row)
 
+    def _remove_predecessors(self, index: int, row: UpstreamRow) -> None:
+        """Remove upstreams whose address a later start has taken over."""
+        for other in list(self.rows.upstreams.rows()):
+            key = UpstreamId(other.service, other.upstream)
+            same = key == UpstreamId(row.service, row.upstream)
+            if same or other.address != row.address:
+                continue
+            if 0 < other.born_ms < row.born_ms:
+                self.rows.upstreams.remove(key, index)
+
+    def _set_evacuation(self, index: int, command: cmd.SetEvacuation) -> Applied:
+        if command.evacuated == (command.zone in self.evacuated):
+            return Applied(0)
+        change = self.evacuated.add if command.evacuated else self.evacuated.discard
+        change(command.zone)
+        self._evacuated_at = index
+        return self._changed(index, 1)
+
+    def _replace_ranges(self, index: int, command: cmd.ReplaceRanges) -> Applied:
+        if self.service(command.service) is None or not _covers_alike(command):
+            return Applied(0)
+        done = self.rows.replace_ranges(index, command.expected, command.replacement)
+        return self._changed(index, len(command.replacement) if done else 0)
+
     def _expire_upstreams(self, index: int, command: cmd.ExpireUpstreams) -> Applied:
         changed = 0
         for item in command.items:
@@ -301,6 +341,25 @@
     return PartitionId(service.name, number)
 
 
+def _covers_alike(command: cmd.ReplaceRanges) -> bool:
+    """Tell whether the replacement covers the same keys without gap or overlap."""
+    if any(row.service != command.service for row in command.replacement):
+        return False
+    expected = _spans(command.expected)
+    return not command.expected or expected == _spans(command.replacement)
+
+
+def _spans(rows: list[RangeRow]) -> list[tuple[int, int]]:
+    """Return the merged spans of keys that rows cover, in order."""
+    spans: list[tuple[int, int]] = []
+    for row in sorted(rows):
+        if spans and spans[-1][1] + 1 == row.first:
+            spans[-1] = (spans[-1][0], row.last)
+        else:
+            spans.append((row.first, row.last))
+    return spans
+
+
 def _divides_otherwise(before: ServiceSettings, after: ServiceSettings) -> bool:
     return (before.kind, before.partitions) != (after.kind, after.partitions)
 
@@ -319,4 +378,6 @@
     cmd.RemoveShards: ControlState._remove_shards,
     cmd.IsolateKey: ControlState._isolate_key,
     cmd.RestoreKey: ControlState._restore_key,
+    cmd.SetEvacuation: ControlState._set_evacuation,
+    cmd.ReplaceRanges: ControlState._replace_ranges,
 }
--- /dev/null
+++ b/bergamotdrift/direct_choice.py
@@ -0,0 +1,156 @@
+"""Choice of an upstream by a single entry, from its own view of all upstreams."""
+
+import random
+from collections.abc import Callable, Collection
+from typing import NamedTuple
+
+from bergamotdrift.cold_share import ColdShare
+from bergamotdrift.config.schema import ServiceKind, ServiceSettings
+from bergamotdrift.direct_load import DirectLoad
+from bergamotdrift.messages import PartitionState, RangeRow, UpstreamState
+from bergamotdrift.request import RoutedRequest
+from bergamotdrift.tables import Tables, UpstreamId
+
+# Costs of leaving the entry's availability zone, in units of a usual answer's time.
+ZONE_COST = 0.8
+ZONE_COST_PER_KB = 0.03
+_NOISE = 0.05
+
+
+class Blocked(NamedTuple):
+    """Tell why a request can't be sent now; it may wait if `may_wait` is true."""
+
+    reason: str
+    may_wait: bool = True
+
+
+class Chosen(NamedTuple):
+    """Hold the upstream chosen for a request, and the range that holds its key."""
+
+    load: DirectLoad
+    held: RangeRow | None = None
+
+
+class DirectChoice:
+    """Follow the tables and choose upstreams."""
+
+    def __init__(self, node: str, zone: str, rng: random.Random):
+        self._zone = zone
+        self._rng = rng
+        self.cold = ColdShare(node)
+        self.loads: dict[UpstreamId, DirectLoad] = {}
+        self._by_service: dict[str, list[DirectLoad]] = {}
+        self._entries = 1
+        self._evacuated: frozenset[str] = frozenset()
+
+    def update(self, tables: Tables, entries: frozenset[str], now_ms: float) -> None:
+        """Take changed tables; `entries` are the live entries."""
+        self._entries = max(1, len(entries))
+        self.cold.set_members(entries)
+        self._take_upstreams(tables, now_ms)
+        self._take_evacuations(tables, now_ms)
+        self.cold.forget({key.upstream for key in self.loads})
+        self._by_service = {}
+        for key, load in self.loads.items():
+            self._by_service.setdefault(key.service, []).append(load)
+
+    def _take_upstreams(self, tables: Tables, now_ms: float) -> None:
+        for key in self.loads.keys() - tables.upstreams.keys():
+            del self.loads[key]
+        for key, row in tables.upstreams.items():
+            service = tables.settings.service(key.service) if tables.settings else None
+            if service is None:
+                continue
+            load = self.loads.get(key)
+            if load is None:
+                self.loads[key] = DirectLoad(row, service.slots)
+            elif load.row != row:
+                load.replace_row(row, cold_ms(service), now_ms)
+
+    def _take_evacuations(self, tables: Tables, now_ms: float) -> None:
+        """Treat upstreams of a zone that is taken back as cold, which they may be."""
+        returned = self._evacuated - tables.evacuated
+        self._evacuated = tables.evacuated
+        for key, load in self.loads.items():
+            service = tables.settings.service(key.service) if tables.settings else None
+            if load.row.zone in returned and service is not None:
+                load.suspect_cold(cold_ms(service), now_ms)
+
+    def choose(
+        self,
+        routed: RoutedRequest,
+        tables: Tables,
+        excluded: Collection[str],
+        now_ms: float,
+    ) -> Chosen | Blocked:
+        """Return an upstream for a request, or why none may get it now."""
+        if routed.service.kind is ServiceKind.RANGED:
+            return self._choose_holder(routed, tables, now_ms)
+        return self._choose_free(routed, excluded, now_ms)
+
+    def _choose_holder(
+        self, routed: RoutedRequest, tables: Tables, now_ms: float
+    ) -> Chosen | Blocked:
+        row = tables.range_of(routed.service.name, int(routed.routing_key))
+        if row is None:
+            return Blocked("no upstream holds the key")
+        if row.state is not PartitionState.OWNED:
+            return Blocked("the key is changing its upstream")
+        load = self.loads.get(UpstreamId(row.service, row.upstream))
+        if load is None or load.row.incarnation != row.incarnation:
+            return Blocked("the upstream that holds the key is gone")
+        reason = self._obstacle(load, routed.service, now_ms)
+        return Blocked(reason) if reason else Chosen(load, row)
+
+    def _choose_free(
+        self, routed: RoutedRequest, excluded: Collection[str], now_ms: float
+    ) -> Chosen | Blocked:
+        known = self._by_service.get(routed.service.name, [])
+        if not known:
+            return Blocked("no upstream is known", may_wait=False)
+        others = [load for load in known if load.row.upstream not in excluded]
+        reasons: set[str] = set()
+        free = []
+        for load in others or known:
+            reason = self._obstacle(load, routed.service, now_ms)
+            if reason:
+                reasons.add(reason)
+            else:
+                free.append(load)
+        if not free:
+            return Blocked("; ".join(sorted(reasons)))
+        return Chosen(min(free, key=self._cost(routed, now_ms)))
+
+    def _cost(
+        self, routed: RoutedRequest, now_ms: float
+    ) -> Callable[[DirectLoad], float]:
+        length = routed.req.body.length or 0
+        away = ZONE_COST + ZONE_COST_PER_KB * length / 1024.0
+
+        def cost(load: DirectLoad) -> float:
+            noise = 1.0 + _NOISE * self._rng.random()
+            far = away if load.row.zone != self._zone else 0.0
+            return load.expected(now_ms) * noise + far
+
+        return cost
+
+    def _obstacle(
+        self, load: DirectLoad, service: ServiceSettings, now_ms: float
+    ) -> str:
+        """Return why an upstream may not get a request now, or an empty string."""
+        if load.row.state is UpstreamState.LEAVING:
+            return "leaving"
+        if load.row.zone in self._evacuated:
+            return "evacuated"
+        if not load.has_room(self._entries, now_ms):
+            return "down" if load.is_down else "full"
+        if load.is_cold(now_ms) and service.cold_start.per_s > 0:
+            per_s = service.cold_start.per_s
+            if not self.cold.has_room(load.row.upstream, per_s, now_ms):
+                return "cold"
+        return ""
+
+
+def cold_ms(service: ServiceSettings) -> float:
+    """Return how long an upstream of a service stays cold."""
+    return service.cold_start.ramp_s * 1000.0
--- /dev/null
+++ b/bergamotdrift/direct_dispatch.py
@@ -0,0 +1,65 @@
+"""What an entry needs to decide by itself which upstream runs a request."""
+
+import random
+from collections.abc import Callable
+
+from bergamotdrift.attempts import AttemptRegistry
+from bergamotdrift.clock import Clock
+from bergamotdrift.config.schema import EntrySettings
+from bergamotdrift.direct_choice import DirectChoice
+from bergamotdrift.direct_permits import DirectPermits
+from bergamotdrift.messages import FeedUpdate, KeyLoad, RateLot, RateNeed, Role
+from bergamotdrift.rate_allowance import RateAllowance
+from bergamotdrift.retry_policy import SharedRetryBudget
+from bergamotdrift.tables import Tables
+
+
+class DirectDispatch:
+    """Join the entry's own choice, its rate tokens and its share of retries."""
+
+    def __init__(
+        self,
+        cfg: EntrySettings,
+        tables: Callable[[], Tables],
+        registry: AttemptRegistry,
+        clock: Clock,
+    ):
+        self._cfg = cfg
+        self._tables = tables
+        self._clock = clock
+        rng = random.Random()
+        self._choice = DirectChoice(cfg.node.node, cfg.node.zone, rng)
+        self.permits = DirectPermits(tables, self._choice, registry, clock)
+        self.tokens = RateAllowance(clock, self._rate_of)
+        self._entries = 1
+
+    def on_tables_changed(self, update: FeedUpdate) -> None:
+        """Follow the feed."""
+        tables = self._tables()
+        entries = frozenset(row.node for row in tables.nodes_of(Role.ENTRY))
+        self._entries = max(1, len(entries))
+        self._choice.update(tables, entries, self._clock.now_ms())
+        self.permits.notify()
+
+    def new_budget(self) -> SharedRetryBudget:
+        """Return this entry's share of the retry budget of one service."""
+        return SharedRetryBudget(
+            self._cfg.retry_ratio, lambda: self._cfg.retry_fleet_per_s / self._entries
+        )
+
+    def rate_needs(self) -> list[RateNeed]:
+        """Return the rate tokens that are needed or returned."""
+        return self.tokens.rate_needs()
+
+    def key_loads(self) -> list[KeyLoad]:
+        """Return the requests by key since the last call."""
+        return self.permits.key_loads()
+
+    def take_rates(self, lots: list[RateLot], asked_at_ms: float) -> None:
+        """Take leased rate tokens."""
+        self.tokens.take_rates(lots, asked_at_ms)
+
+    def _rate_of(self, workspace: str) -> float:
+        settings = self._tables().settings
+        found = settings.workspace(workspace) if settings is not None else None
+        return found.rate_per_s if found is not None else 0.0
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -5,12 +5,14 @@
 
 import gevent
 
-from bergamotdrift.admission import Admission
+from bergamotdrift.admission import Admission, is_stale
 from bergamotdrift.arbiter_client import ArbiterClient
 from bergamotdrift.attempts import AttemptRegistry, RunningAttempt
 from bergamotdrift.clock import Clock
-from bergamotdrift.config.schema import EntrySettings
+from bergamotdrift.config.schema import CallerLimits, Dispatch, EntrySettings
 from bergamotdrift.control_client import ControlClient
+from bergamotdrift.dialect import NATIVE, Dialect
+from bergamotdrift.direct_dispatch import DirectDispatch
 from bergamotdrift.entry_server import EntryApp
 from bergamotdrift.feed_signal import FeedSignal
 from bergamotdrift.http_input import HttpLimits
@@ -32,9 +34,10 @@
 from bergamotdrift.pipeline import Pipeline, SettingsView, Stages
 from bergamotdrift.record_book import RecordBook
 from bergamotdrift.shard_view import is_workspace_shard
-from bergamotdrift.stages.claim import ClaimStage
+from bergamotdrift.stages.claim import ClaimStage, NoClaims
 from bergamotdrift.stages.forward import ForwardStage
 from bergamotdrift.stages.permit import PermitStage
+from bergamotdrift.tables import Tables
 from bergamotdrift.token_cache import spent_window_ms
 from bergamotdrift.token_client import TokenClient
 from bergamotdrift.upstream_connections import UpstreamConnections
@@ -45,13 +48,15 @@
 # run instead of meeting a closed port.
 _UNREADY_GRACE_S = 1.0
 _DRAIN_POLL_S = 0.02
+_IDLE_MARGIN_S = 1.0
 
 
 class Entry:
     """Wire an entry together and run it."""
 
-    def __init__(self, cfg: EntrySettings, clock: Clock):
+    def __init__(self, cfg: EntrySettings, clock: Clock, dialect: Dialect = NATIVE):
         self._cfg = cfg
+        self._dialect = dialect
         self._clock = clock
         hello = Hello(cfg.node.cluster, cfg.node.node, Role.ENTRY, secrets.token_hex(8))
         self._hello = hello
@@ -61,14 +66,19 @@
         self.registry = AttemptRegistry()
         self._book = RecordBook(clock)
         self._connections = UpstreamConnections(clock, self._on_dropped)
+        self._direct: DirectDispatch | None = None
+        if cfg.dispatch is Dispatch.DIRECT:
+            self._direct = DirectDispatch(
+                cfg, lambda: self.control.tables, self.registry, clock
+            )
         self.control = ControlClient(
-            cfg.node.control, hello, self._describe, clock, self
+            cfg.node.control, hello, self._describe, clock, self, self._direct
         )
         self.arbiters = ArbiterClient(
             hello, lambda: self.control.tables, self, self._on_revoke
         )
         self._tokens = TokenClient(self.arbiters, clock, self._rate_of)
-        self.app = EntryApp(self._pipeline(), clock)
+        self.app = EntryApp(self._pipeline(), clock, dialect)
         limits = HttpLimits(
             cfg.header_timeout_s,
             cfg.body_timeout_s,
@@ -93,8 +103,12 @@
         self._admission.stopping = True
         self.server.drain()
         log_event("entry_draining", running=self.app.running)
-        gevent.sleep(min(_UNREADY_GRACE_S, self._cfg.drain_s))
-        finished = self._wait_until_idle()
+        serving_s = min(self._cfg.unready_s, self._cfg.drain_s)
+        gevent.sleep(serving_s)
+        self._admission.closed = True
+        left_s = self._cfg.drain_s - serving_s
+        gevent.sleep(min(_UNREADY_GRACE_S, left_s))
+        finished = self._wait_until_idle(max(0.0, left_s - _UNREADY_GRACE_S))
         self.server.stop()
         self._wait_until_idle(_UNREADY_GRACE_S)
         gevent.killall(self._greenlets)
@@ -131,10 +145,15 @@
         if settings is not None and (
             self._view is None or self._view.revision != tables.revision
         ):
-            self._view = SettingsView(tables.revision, settings)
+            self._view = SettingsView(tables.revision, settings, self._dialect)
             self._admission.note_settings(settings)
+            if settings.limits is not None:
+                self.server.set_limits(_http_limits(settings.limits, self._cfg))
             log_event("settings_applied", revision=tables.revision)
-        self.arbiters.on_tables_changed(update)
+        if self._direct is not None:
+            self._direct.on_tables_changed(update)
+        else:
+            self.arbiters.on_tables_changed(update)
         if update.full or update.upstreams or update.removed:
             addresses = {row.address for row in tables.upstreams.values()}
             self._connections.drop_unknown(addresses)
@@ -164,36 +183,47 @@
         return self._tokens.spent(limits.name, window_ms)
 
     def _pipeline(self) -> Pipeline:
-        def tables():
-            return self.control.tables
-
-        stages = Stages(
-            self._tokens,
-            ClaimStage(
-                self.arbiters,
-                self._book,
-                tables,
-                self._feed,
-                self._clock,
-                self._cfg.node.vm,
-            ),
-            PermitStage(tables, self.arbiters, self.registry, self._feed, self._clock),
-            ForwardStage(
-                self._connections,
-                self._release,
-                self._clock,
-                f"1.1 {self._cfg.node.node}",
-                self._holds_permits,
-            ),
-        )
         return Pipeline(
-            stages,
+            self._stages(),
             self._admission,
             self._current_view,
             self.control.settings_age_ms,
             self._feed,
             self._clock,
+            self._direct.new_budget if self._direct is not None else None,
+            self._dialect,
+        )
+
+    def _stages(self) -> Stages:
+        forward = ForwardStage(
+            self._connections,
+            self._release,
+            self._clock,
+            f"1.1 {self._cfg.node.node}",
+            self._may_send,
+            self._dialect,
+        )
+        if self._direct is not None:
+            self._direct.tokens.ask_now = self.control.ping_now
+            return Stages(
+                self._direct.tokens, NoClaims(), self._direct.permits, forward
+            )
+
+        def tables() -> Tables:
+            return self.control.tables
+
+        claims = ClaimStage(
+            self.arbiters,
+            self._book,
+            tables,
+            self._feed,
+            self._clock,
+            self._cfg.node.vm,
         )
+        permits = PermitStage(
+            tables, self.arbiters, self.registry, self._feed, self._clock
+        )
+        return Stages(self._tokens, claims, permits, forward)
 
     def _current_view(self) -> SettingsView | None:
         return self._view if self.control.ready.is_set() else None
@@ -210,6 +240,9 @@
         )
 
     def _release(self, running: RunningAttempt, msg: PermitRelease) -> None:
+        if self._direct is not None:
+            self._direct.permits.release(running, msg)
+            return
         self.registry.remove(running)
         self.arbiters.send(msg.shard, msg)
 
@@ -221,8 +254,16 @@
         self._connections.drop(msg.shard, msg.upstream)
         log_event("revoked", shard=msg.shard, upstream=msg.upstream, attempts=count)
 
+    def _may_send(self, shard: str) -> bool:
+        """Tell whether a request may be sent now under a permit of a shard."""
+        if self._direct is not None:
+            return not is_stale(self.control.settings_age_ms())
+        return self._holds_permits(shard)
+
     def _holds_permits(self, shard: str) -> bool:
         """Tell whether the permits of a shard are surely still this entry's."""
+        if self._direct is not None:
+            return True
         return self.control.session_is_valid() or self.arbiters.is_reachable(shard)
 
     def _watch_loop(self) -> None:
@@ -246,3 +287,15 @@
             while self.app.running:
                 gevent.sleep(_DRAIN_POLL_S)
         return not self.app.running
+
+
+def _http_limits(limits: CallerLimits, cfg: EntrySettings) -> HttpLimits:
+    """Return the bounds of the server under the limits of the settings."""
+    return HttpLimits(
+        limits.header_timeout_s,
+        cfg.body_timeout_s,
+        # A caller may use a connection again just before its time is over.
+        limits.idle_timeout_s + _IDLE_MARGIN_S,
+        cfg.max_connections,
+        limits.max_header_bytes,
+    )
--- a/bergamotdrift/entry_server.py
+++ b/bergamotdrift/entry_server.py
@@ -7,6 +7,7 @@
 from bergamotdrift import entry_metrics
 from bergamotdrift.caller import CallerBody, CallerWatch
 from bergamotdrift.clock import Clock
+from bergamotdrift.dialect import NATIVE, Dialect
 from bergamotdrift.exceptions import (
     CallerGoneError,
     ErrorKind,
@@ -14,6 +15,7 @@
     RequestError,
     TruncatedAnswerError,
 )
+from bergamotdrift.http_input import RequestHead
 from bergamotdrift.log import log_event
 from bergamotdrift.pipeline import Pipeline
 from bergamotdrift.refusals import status_line
@@ -21,14 +23,16 @@
 from bergamotdrift.stages.answer import refusal_reply
 
 _REQUEST_ID_BYTES = 12
+_REQUEST_ID_MAX_CHARS = 128
 
 
 class EntryApp:
     """Answer each HTTP request through the pipeline and count what runs."""
 
-    def __init__(self, pipeline: Pipeline, clock: Clock):
+    def __init__(self, pipeline: Pipeline, clock: Clock, dialect: Dialect = NATIVE):
         self._pipeline = pipeline
         self._clock = clock
+        self._dialect = dialect
         self.running = 0
 
     def __call__(
@@ -52,7 +56,7 @@
         raw = environ["bergamotdrift.body"]
         head = environ["bergamotdrift.head"]
         req = IncomingRequest(
-            secrets.token_hex(_REQUEST_ID_BYTES),
+            self._request_id(head),
             environ["REQUEST_METHOD"],
             environ["RAW_URI"],
             head.headers,
@@ -64,12 +68,21 @@
         try:
             return self._pipeline.handle(req)
         except RequestError as exc:
-            return refusal_reply(exc.refusal, req.request_id)
+            return refusal_reply(exc.refusal, req.request_id, self._dialect)
         except (CallerGoneError, TruncatedAnswerError):
             raise
         except Exception as exc:
             log_event("request_crashed", request=req.request_id, error=repr(exc))
-            return refusal_reply(Refusal(ErrorKind.INTERNAL), req.request_id)
+            refusal = Refusal(ErrorKind.INTERNAL)
+            return refusal_reply(refusal, req.request_id, self._dialect)
+
+    def _request_id(self, head: RequestHead) -> str:
+        """Return the caller's request id where it is passed on, else a new one."""
+        if self._dialect.keeps_request_id:
+            stated = head.fields.get(self._dialect.request_id.lower())
+            if stated and 0 < len(stated[0]) <= _REQUEST_ID_MAX_CHARS:
+                return stated[0]
+        return secrets.token_hex(_REQUEST_ID_BYTES)
 
 
 class _ReplyBody:
--- a/bergamotdrift/http_handler.py
+++ b/bergamotdrift/http_handler.py
@@ -49,10 +49,13 @@
 
     def __init__(self, sock: Any, address: Any, server: Any):
         super().__init__(sock, address, server, rfile=io.BytesIO())
-        self._limits: HttpLimits = server.limits
         self._reader = SocketReader(sock)
         self._aborted = False
 
+    @property
+    def _limits(self) -> HttpLimits:
+        return self.server.limits
+
     def handle(self) -> None:
         """Serve requests until the connection ends."""
         timeout_s = self._limits.header_timeout_s
--- a/bergamotdrift/http_server.py
+++ b/bergamotdrift/http_server.py
@@ -95,6 +95,10 @@
         # the body back until the delayed ACK of the headers, about 40 ms.
         self._server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Apply changed bounds, from the next request on."""
+        self._server.limits = limits
+
     def drain(self) -> None:
         """Close each connection after its current or next answer."""
         self._server.draining = True
@@ -130,6 +134,13 @@
         resp.media = {"ready": ready}
 
 
+def ready_app(path: str, is_ready: Callable[[], bool]) -> falcon.App:
+    """Return an application that only tells a balancer whether to send new work."""
+    app = falcon.App()
+    app.add_route(path, ReadyResource(is_ready))
+    return app
+
+
 def admin_app(is_ready: Callable[[], bool]) -> falcon.App:
     """Return an application with `/metrics`, `/live` and `/ready`."""
     app = falcon.App()
--- a/bergamotdrift/leader_duties.py
+++ b/bergamotdrift/leader_duties.py
@@ -1,6 +1,6 @@
 """Duties of the control leader: what it answers and which commands it logs."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.handover import Handover
@@ -12,9 +12,13 @@
     NodeRow,
     PartitionRef,
     PartitionState,
+    RateLot,
+    RateNeed,
 )
 from bergamotdrift.node_sessions import NodeSessions, PingVerdict
 from bergamotdrift.partition_planner import PartitionPlanner
+from bergamotdrift.range_planner import RangePlanner
+from bergamotdrift.rate_desk import RateDesk
 from bergamotdrift.shard_planner import ShardPlanner
 from bergamotdrift.shards import upstream_shard
 from bergamotdrift.tables import PartitionId, UpstreamId
@@ -37,11 +41,17 @@
         state: ControlState,
         opened_at_ms: float,
         pause: Callable[[], None] = _no_pause,
+        upstream_ttl_ms: float | None = None,
     ):
         self._state = state
         self._handover = Handover(state, pause)
         self.nodes = NodeSessions(state, opened_at_ms)
-        self.upstreams = UpstreamSessions(state, self._handover, opened_at_ms)
+        self.upstreams = UpstreamSessions(
+            state, self._handover, opened_at_ms, upstream_ttl_ms
+        )
+        self.ranges = RangePlanner(state, self.upstreams, opened_at_ms)
+        self._rates = RateDesk()
+        self._rates.open(state.settings.current, opened_at_ms)
         self._partitions = PartitionPlanner(
             state, self.upstreams, self._handover, opened_at_ms, pause
         )
@@ -80,6 +90,15 @@
         """Take in an arbiter's load report."""
         self._partitions.add_loads(report, now_ms)
 
+    def lease_rates(
+        self, node: str, needs: Sequence[RateNeed], now_ms: float
+    ) -> list[RateLot]:
+        """Return the rate tokens that an entry may use."""
+        settings = self._state.settings.current
+        if settings is None:
+            return []
+        return self._rates.answer(node, needs, settings, now_ms)
+
     def commands(self, now_ms: float) -> list[Message]:
         """Return the commands that are due, in the order in which to log them."""
         return [
@@ -87,4 +106,5 @@
             *self.upstreams.commands(now_ms),
             *self._partitions.commands(self.nodes.acknowledged(), now_ms),
             *self._shards.commands(now_ms),
+            *self.ranges.commands(now_ms),
         ]
--- a/bergamotdrift/leadership.py
+++ b/bergamotdrift/leadership.py
@@ -44,11 +44,13 @@
         replicator: Replicator,
         clock: Clock,
         observer: RoundObserver,
+        upstream_ttl_ms: float | None = None,
     ):
         self._state = state
         self._replicator = replicator
         self._clock = clock
         self._observer = observer
+        self._upstream_ttl_ms = upstream_ttl_ms
         self._duties: LeaderDuties | None = None
         self._term = 0
         self._last_step_ms = 0.0
@@ -123,7 +125,10 @@
             return
         self._term = status.term
         self._duties = LeaderDuties(
-            self._state, self._clock.now_ms(), lambda: gevent.sleep(0)
+            self._state,
+            self._clock.now_ms(),
+            lambda: gevent.sleep(0),
+            self._upstream_ttl_ms,
         )
         log_event("leadership_opened", term=self._term, replica=status.replica)
 
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -45,6 +45,11 @@
     return msgpack.packb(pack_body(msg))
 
 
+def encode_plain(value: Any) -> bytes:
+    """Return a value of known type as msgpack bytes, without its name."""
+    return msgpack.packb(value)
+
+
 def decode(data: bytes) -> Message:
     """Return the message held by msgpack bytes, or raise ProtocolError."""
     if len(data) > STREAM_MAX_FRAME_BYTES:
@@ -134,7 +139,11 @@
 
 
 class UpstreamRow(NamedTuple):
-    """Hold a live upstream; `address` is host:port of its HTTP server."""
+    """Hold a live upstream; `address` is host:port of its HTTP server.
+
+    `slots` is 0 where the service's settings name them. `born_ms` is the Unix time of
+    its start, 0 if it does not say.
+    """
 
     service: str
     upstream: str
@@ -142,6 +151,8 @@
     zone: str
     incarnation: str
     state: UpstreamState
+    slots: int = 0
+    born_ms: int = 0
 
 
 class PartitionRow(NamedTuple):
@@ -170,6 +181,26 @@
     partition: int
 
 
+# The highest key of a service that is divided into ranges of a numeric key.
+LAST_KEY = 65535
+
+
+class RangeRow(NamedTuple):
+    """Hold the owner of the keys `first` to `last`, both included.
+
+    `handover` is the state token of the last holder, empty if there is none.
+    """
+
+    service: str
+    first: int
+    last: int
+    upstream: str
+    incarnation: str
+    epoch: int
+    state: PartitionState
+    handover: str = ""
+
+
 class RemovedRow(NamedTuple):
     """Name a row that no longer exists; `key` holds its key fields as text."""
 
@@ -192,11 +223,42 @@
     shards: list[ShardRow]
     isolated: list[IsolatedKeyRow]
     removed: list[RemovedRow]
+    ranges: list[RangeRow] = []
+    evacuated: list[str] | None = None
 
 
 # Nodes and control
 
 
+class RateNeed(NamedTuple):
+    """Ask for rate tokens of a workspace, and give unused ones back.
+
+    `held` counts the tokens that the entry keeps, without those wanted and returned.
+    """
+
+    workspace: str
+    wanted: int
+    returned: int = 0
+    held: int = 0
+
+
+class RateLot(NamedTuple):
+    """Lease rate tokens of a workspace; `wait_ms` tells when one may be had."""
+
+    workspace: str
+    tokens: int
+    lease_ms: int
+    wait_ms: int
+
+
+class KeyLoad(NamedTuple):
+    """Count the requests for a numeric key since the last report."""
+
+    service: str
+    key: int
+    requests: int
+
+
 @message
 class Ping(NamedTuple):
     """Renew a node's session; `unreachable` is a leader that does not answer it."""
@@ -204,6 +266,8 @@
     row: NodeRow
     feed_index: int
     unreachable: str = ""
+    rates: list[RateNeed] = []
+    loads: list[KeyLoad] = []
 
 
 @message
@@ -214,6 +278,7 @@
     term: int
     feed_index: int
     ttl_ms: int
+    rates: list[RateLot] = []
 
 
 @message
@@ -256,6 +321,11 @@
     incarnation: str
     state: UpstreamState
     released: list[PartitionEpoch] = []
+    slots: int = 0
+    born_ms: int = 0
+    # Rises with each announcement of one run, so that a late one can be told.
+    sequence: int = 0
+    cold_ms: int = 0
 
 
 class AnnouncementReply(NamedTuple):
--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -75,11 +75,17 @@
 class NodeStreams:
     """Answer nodes as long as this replica leads, and push them the feed."""
 
-    def __init__(self, state: ControlState, replicator: Replicator, clock: Clock):
+    def __init__(
+        self,
+        state: ControlState,
+        replicator: Replicator,
+        clock: Clock,
+        upstream_ttl_ms: float | None = None,
+    ):
         self._state = state
         self._replicator = replicator
         self._clock = clock
-        self.leadership = Leadership(state, replicator, clock, self)
+        self.leadership = Leadership(state, replicator, clock, self, upstream_ttl_ms)
         self._positions: dict[Connection, FeedPosition] = {}
         self._complaints = LeaderComplaints()
         self._waiting: list[WaitingPing] = []
@@ -171,6 +177,8 @@
                 number, Failure(ErrorKind.FORBIDDEN, "not the node of the hello")
             )
             return
+        if msg.loads:
+            duties.ranges.add_loads(msg.loads, self._clock.now_ms())
         if msg.feed_index > self._state.feed_index:
             # Can only follow the loss of the cluster's data; the node must not go on.
             detail = "the node applied a later feed than this cluster has"
@@ -198,6 +206,8 @@
         if not self._push(conn) or not number:
             return
         status = self._replicator.status()
+        now_ms = self._clock.now_ms()
+        rates = duties.lease_rates(msg.row.node, msg.rates, now_ms)
         conn.reply(
             number,
             Pong(
@@ -205,6 +215,7 @@
                 self.leadership.term(),
                 self._positions[conn].sent_index,
                 SESSION_TTL_MS,
+                rates,
             ),
         )
 
--- a/bergamotdrift/operator_messages.py
+++ b/bergamotdrift/operator_messages.py
@@ -31,3 +31,12 @@
 
     status: int
     body: bytes
+
+
+@message
+class LeaderCall(NamedTuple):
+    """Carry a call from any control replica to the leader's desk for such calls."""
+
+    action: str
+    subject: str = ""
+    body: bytes = b""
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -10,6 +10,7 @@
 from bergamotdrift.body_source import BodySource, open_body
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import SiteSettings
+from bergamotdrift.dialect import NATIVE, Dialect
 from bergamotdrift.exceptions import (
     ANSWERS,
     ErrorKind,
@@ -21,16 +22,16 @@
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import AttemptOutcome
 from bergamotdrift.request import IncomingRequest, Reply, RoutedRequest
-from bergamotdrift.retry_policy import Attempt, RetryBudget, may_repeat
+from bergamotdrift.retry_policy import Attempt, Budget, RetryBudget, may_repeat
 from bergamotdrift.stages import answer as answers
 from bergamotdrift.stages.authenticate import KeyIndex, authenticate
-from bergamotdrift.stages.claim import Claim, ClaimStage
+from bergamotdrift.stages.claim import Claim, Claims
 from bergamotdrift.stages.forward import AttemptFailure, ForwardStage, UpstreamAnswer
-from bergamotdrift.stages.permit import AttemptNumbers, PermitStage
-from bergamotdrift.stages.rate import take_rate_token
+from bergamotdrift.stages.permit import AttemptNumbers, Permits
+from bergamotdrift.stages.rate import RateTokens, take_rate_token
 from bergamotdrift.stages.route import RouteTable, route
-from bergamotdrift.token_client import TokenClient
 
+_AGE_SHOWN_MAX_MS = 1e9
 # A keyed service has no other upstream to turn to; a short pause gives the owner
 # or the feed time to change.
 _KEYED_RETRY_PAUSE_MS = 50
@@ -39,19 +40,21 @@
 class SettingsView:
     """Hold the look-up tables of one settings revision."""
 
-    def __init__(self, revision: int, settings: SiteSettings):
+    def __init__(
+        self, revision: int, settings: SiteSettings, dialect: Dialect = NATIVE
+    ):
         self.revision = revision
         self.settings = settings
         self.keys = KeyIndex(settings)
-        self.routes = RouteTable(settings)
+        self.routes = RouteTable(settings, dialect)
 
 
 class Stages(NamedTuple):
     """Hold the stages that use other processes."""
 
-    tokens: TokenClient
-    claims: ClaimStage
-    permits: PermitStage
+    tokens: RateTokens
+    claims: Claims
+    permits: Permits
     forward: ForwardStage
 
 
@@ -73,6 +76,8 @@
         settings_age_ms: Callable[[], float],
         feed: FeedSignal,
         clock: Clock,
+        new_budget: Callable[[], Budget] | None = None,
+        dialect: Dialect = NATIVE,
     ):
         self._stages = stages
         self._admission = admission
@@ -80,7 +85,11 @@
         self._settings_age_ms = settings_age_ms
         self._feed = feed
         self._clock = clock
-        self._budget = RetryBudget()
+        self._dialect = dialect
+        # Without a budget for each service, all services share one.
+        self._new_budget = new_budget
+        self._budget: Budget = RetryBudget()
+        self._budgets: dict[str, Budget] = {}
 
     def handle(self, req: IncomingRequest) -> Reply:
         """Return the reply; raises CallerGoneError and TruncatedAnswerError."""
@@ -99,16 +108,18 @@
         stopped = outcome.failure()
         kind = stopped.refusal.kind
         entry_metrics.count_refused(service, stopped.stage, kind.value)
-        if not ANSWERS[kind].not_run:
-            log_event(
-                "outcome_not_known",
-                request=req.request_id,
-                service=service,
-                stage=stopped.stage,
-                kind=kind.value,
-                detail=stopped.refusal.detail,
-            )
-        return answers.refusal_reply(stopped.refusal, req.request_id)
+        not_run = ANSWERS[kind].not_run
+        log_event(
+            "request_refused" if not_run else "outcome_not_known",
+            request=req.request_id,
+            service=service,
+            stage=stopped.stage,
+            kind=kind.value,
+            detail=stopped.refusal.detail,
+            after_ms=round(self._clock.now_ms() - req.received_ms),
+            settings_age_ms=round(min(self._settings_age_ms(), _AGE_SHOWN_MAX_MS)),
+        )
+        return answers.refusal_reply(stopped.refusal, req.request_id, self._dialect)
 
     def _admit(self, req: IncomingRequest) -> Result[RoutedRequest, Stopped]:
         refusal = self._admission.refusal()
@@ -190,7 +201,7 @@
         numbers = AttemptNumbers()
         earlier: Stopped | None = None
         unknown: Stopped | None = None
-        self._budget.count_request(self._clock.now_ms())
+        self._budget_of(routed).count_request(self._clock.now_ms())
         while True:
             result = self._attempt(routed, body, numbers)
             if isinstance(result, Success):
@@ -198,8 +209,14 @@
             stopped, failure = result.failure()
             if failure is not None and not failure.not_run:
                 unknown = stopped
+            if failure is not None:
+                _log_failure(routed, stopped, failure, numbers)
             is_first = earlier is None
-            if failure is None or not self._may_repeat(routed, body, failure, is_first):
+            if (
+                failure is None
+                or _used_up(routed, numbers)
+                or not self._may_repeat(routed, body, failure, is_first)
+            ):
                 return Failure(unknown or _most_telling(earlier, stopped))
             earlier = stopped
             entry_metrics.RETRIES.labels(routed.service.name, failure.outcome).inc()
@@ -218,6 +235,8 @@
             self._stages.forward.give_back(running)
             return Failure((Stopped("permit", refusal), None))
         result = self._stages.forward.attempt(routed, running, body)
+        if running.conn is not None and running.conn.bytes_left:
+            numbers.sent += 1
         if isinstance(result, Success):
             self._stages.permits.note_outcome(routed, running, fenced=False)
             result = self._receive(routed, result.unwrap())
@@ -226,6 +245,7 @@
         failure = result.failure()
         if failure.outcome is AttemptOutcome.FENCED:
             self._stages.permits.note_outcome(routed, running, fenced=True)
+        failure = failure._replace(upstream=running.permit.upstream)
         if not routed.is_keyed:
             numbers.excluded.append(running.permit.upstream)
         return Failure((Stopped("forward", failure.refusal), failure))
@@ -280,7 +300,39 @@
         # more than the budget holds; one retry each costs no upstream any work.
         if is_first and failure.outcome is AttemptOutcome.CONNECT_FAILED:
             return True
-        return self._budget.take(now_ms)
+        return self._budget_of(routed).take(now_ms)
+
+    def _budget_of(self, routed: RoutedRequest) -> Budget:
+        if self._new_budget is None:
+            return self._budget
+        name = routed.service.name
+        if name not in self._budgets:
+            self._budgets[name] = self._new_budget()
+        return self._budgets[name]
+
+
+def _used_up(routed: RoutedRequest, numbers: AttemptNumbers) -> bool:
+    """Tell whether the route allows no further attempt."""
+    return 0 < routed.route.attempts <= numbers.sent
+
+
+def _log_failure(
+    routed: RoutedRequest,
+    stopped: Stopped,
+    failure: AttemptFailure,
+    numbers: AttemptNumbers,
+) -> None:
+    log_event(
+        "attempt_failed",
+        request=routed.req.request_id,
+        service=routed.service.name,
+        upstream=failure.upstream,
+        outcome=failure.outcome.value,
+        not_run=failure.not_run,
+        detail=stopped.refusal.detail,
+        attempt=numbers.last,
+        sent=numbers.sent,
+    )
 
 
 def _most_telling(earlier: Stopped | None, last: Stopped) -> Stopped:
--- /dev/null
+++ b/bergamotdrift/platform/control.py
@@ -0,0 +1,58 @@
+"""The control replica on the platform."""
+
+import sys
+
+from bergamotdrift.clock import BootClock
+from bergamotdrift.control import Control, wait_for_end
+from bergamotdrift.exceptions import StorageError
+from bergamotdrift.http_server import HttpServer
+from bergamotdrift.log import log_event
+from bergamotdrift.platform import programs
+from bergamotdrift.platform.boot import Boot, control_settings, stream_addresses
+from bergamotdrift.platform.control_api import LeaderCalls, control_app
+from bergamotdrift.platform.desk import LeaderDesk
+from bergamotdrift.platform.orders import PlatformOrders
+from bergamotdrift.program import EXIT_FAILED
+from bergamotdrift.range_orders import RangeOrders
+from bergamotdrift.shutdown import shutdown_event
+
+
+def main() -> None:
+    """Run a control replica until SIGTERM."""
+    boot = programs.start("control")
+    stop = shutdown_event()
+    clock = BootClock()
+    control = Control(control_settings(boot), clock)
+    nodes = control.server.nodes
+    control.server.calls = LeaderDesk(
+        control.state,
+        nodes.leadership,
+        nodes.settings_changed,
+        clock,
+        boot.zones,
+        boot.control,
+    )
+    orders = RangeOrders(nodes.leadership, control.state, clock, PlatformOrders(clock))
+    calls = LeaderCalls(control.server, control.replica)
+    http = HttpServer(boot.control, control_app(calls))
+
+    def apply(changed: Boot) -> None:
+        control.replica.add_candidates(stream_addresses(changed))
+
+    programs.on_reload(apply)
+    try:
+        control.start()
+    except StorageError as exc:
+        log_event("start_refused", reason=str(exc))
+        sys.exit(EXIT_FAILED)
+    orders.start()
+    http.start()
+    if not wait_for_end(stop, control.replica.failed):
+        sys.exit(EXIT_FAILED)
+    orders.stop()
+    control.stop()
+    http.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bergamotdrift/platform/entry.py
@@ -0,0 +1,31 @@
+"""The entry on the platform."""
+
+from bergamotdrift.clock import BootClock
+from bergamotdrift.entry_node import Entry
+from bergamotdrift.http_server import HttpServer, ready_app
+from bergamotdrift.platform import names, programs
+from bergamotdrift.platform.boot import Boot, entry_settings, stream_addresses
+from bergamotdrift.platform.wire_dialect import PLATFORM
+from bergamotdrift.shutdown import shutdown_event
+
+
+def main() -> None:
+    """Run the entry until SIGTERM."""
+    boot = programs.start("entry")
+    stop = shutdown_event()
+    entry = Entry(entry_settings(boot), BootClock(), PLATFORM)
+    readiness = HttpServer(boot.ready, ready_app(names.READY, entry.is_ready))
+
+    def apply(changed: Boot) -> None:
+        entry.control.add_replicas(stream_addresses(changed))
+
+    programs.on_reload(apply)
+    readiness.start()
+    entry.start()
+    stop.wait()
+    entry.stop()
+    readiness.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bergamotdrift/platform/orders.py
@@ -0,0 +1,100 @@
+"""Grants and releases of key ranges as calls to the platform's upstreams."""
+
+import json
+from typing import Any, NamedTuple
+
+from geventhttpclient.response import HTTPParseError
+
+from bergamotdrift.clock import Clock
+from bergamotdrift.messages import UpstreamRow
+from bergamotdrift.platform import names
+from bergamotdrift.range_orders import GrantOrder, GrantResult, ReleaseOrder
+from bergamotdrift.stages.forward import header_of
+from bergamotdrift.upstream_connections import (
+    UpstreamConnection,
+    UpstreamConnections,
+    read_head,
+)
+
+_POOL = "orders"
+_RESULTS = {200: GrantResult.ACCEPTED, 409: GrantResult.FENCED}
+
+
+class _Answer(NamedTuple):
+    """Hold the status and state token of an upstream's answer."""
+
+    status: int
+    token: str
+
+
+class PlatformOrders:
+    """Call upstreams at their own addresses, on connections that are kept."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._connections = UpstreamConnections(clock, lambda *_: None)
+
+    def grant(
+        self, upstream: UpstreamRow, order: GrantOrder, timeout_ms: float
+    ) -> GrantResult:
+        """Return how the upstream answered a grant."""
+        body: dict[str, Any] = {
+            "from": order.first,
+            "target": order.last,
+            "fence": order.epoch,
+            "hold_time": f"{order.hold_ms}ms",
+        }
+        if order.handover:
+            body["handover"] = order.handover
+        answer = self._call(upstream, names.GRANT, body, timeout_ms)
+        if answer is None:
+            return GrantResult.NO_ANSWER
+        return _RESULTS.get(answer.status, GrantResult.REFUSED)
+
+    def release(
+        self, upstream: UpstreamRow, order: ReleaseOrder, timeout_ms: float
+    ) -> str | None:
+        """Return the state token, or None if the upstream did not answer."""
+        body = {"from": order.first, "target": order.last, "fence": order.epoch}
+        answer = self._call(upstream, names.RELEASE, body, timeout_ms)
+        return answer.token if answer is not None and answer.status == 200 else None
+
+    def forget(self, upstream: str) -> None:
+        """Close the connections to an upstream."""
+        self._connections.drop(_POOL, upstream)
+
+    def _call(
+        self, upstream: UpstreamRow, path: str, body: dict[str, Any], timeout_ms: float
+    ) -> _Answer | None:
+        conn = self._connections.take(_POOL, upstream.upstream, upstream.address)
+        conn.begin(self._clock.now_ms() + timeout_ms)
+        try:
+            if not conn.reused:
+                conn.connect()
+            conn.send(_request(upstream, path, json.dumps(body).encode()))
+            return self._receive(conn)
+        except (OSError, HTTPParseError):
+            # Bytes still on their way would otherwise be carried out later.
+            conn.abort()
+            return None
+
+    def _receive(self, conn: UpstreamConnection) -> _Answer:
+        parser = read_head(conn, "POST")
+        while not parser.message_complete:
+            conn.receive_into(parser)
+        token = header_of(parser)(names.STATE_TOKEN) or ""
+        reusable = not (parser.should_close() or parser.extra_data)
+        if not (reusable and self._connections.keep(conn)):
+            conn.close()
+        return _Answer(parser.status, token)
+
+
+def _request(upstream: UpstreamRow, path: str, body: bytes) -> bytes:
+    lines = (
+        f"POST {path} HTTP/1.1",
+        f"Host: {upstream.address}",
+        f"{names.EXPECTED_UPSTREAM}: {upstream.upstream}",
+        "Content-Type: application/json",
+        f"Content-Length: {len(body)}",
+    )
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- /dev/null
+++ b/bergamotdrift/platform/programs.py
@@ -0,0 +1,46 @@
+"""Start of our programs on the platform."""
+
+import signal
+import sys
+from collections.abc import Callable
+
+import gevent
+
+from bergamotdrift.clock import BootClock
+from bergamotdrift.exceptions import ConfigurationError
+from bergamotdrift.log import log_event, start_logging
+from bergamotdrift.metrics import watch_event_loop
+from bergamotdrift.platform.boot import Boot, read_boot
+from bergamotdrift.program import EXIT_SETTINGS
+
+_USAGE = "usage: python -m bergamotdrift.platform.{program} SETTINGS"
+
+
+def start(program: str) -> Boot:
+    """Return the settings and start logging, or exit with 2."""
+    if len(sys.argv) != 2:
+        print(_USAGE.format(program=program), file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    try:
+        boot = read_boot(sys.argv[1])
+    except ConfigurationError as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    start_logging(program, boot.node)
+    watch_event_loop(BootClock())
+    return boot
+
+
+def on_reload(apply: Callable[[Boot], None]) -> None:
+    """Apply the settings file again at each SIGHUP; one that can't be read is kept."""
+
+    def reload() -> None:
+        try:
+            boot = read_boot(sys.argv[1])
+        except ConfigurationError as exc:
+            log_event("reload_refused", reason=str(exc))
+            return
+        apply(boot)
+        log_event("reloaded", seeds=",".join(boot.seeds))
+
+    gevent.signal_handler(signal.SIGHUP, reload)
--- a/bergamotdrift/raft_membership.py
+++ b/bergamotdrift/raft_membership.py
@@ -41,8 +41,17 @@
     order, losing the learner between both steps would leave two dead votes of four.
     """
 
-    def __init__(self, raft: Raft, bootstrap: Iterable[str], address: str):
+    def __init__(
+        self,
+        raft: Raft,
+        bootstrap: Iterable[str],
+        address: str,
+        is_open: bool = False,
+    ):
         self._raft = raft
+        # An open group lists no names: any replica may join it, and one that caught
+        # up takes the place of a voter that is silent.
+        self._is_open = is_open
         self._address = address
         self._allowed = frozenset(bootstrap)
         self._may_remove = False
@@ -62,7 +71,7 @@
         lead = self._raft.leadership
         if lead is None:
             return Refusal(ErrorKind.NOT_LEADER)
-        if req.name not in self._allowed:
+        if not self._is_open and req.name not in self._allowed:
             return Refusal(ErrorKind.FORBIDDEN, f"replica {req.name!r} is not listed")
         for member in self._raft.state.log.members:
             if member.name != req.name or member.replica == req.replica:
@@ -153,10 +162,12 @@
         return [*others, learner._replace(voter=True)]
 
     def _is_barred(self, member: Member) -> bool:
+        if self._is_open:
+            return True
         return self._may_remove and not self._is_listed(member)
 
     def _is_listed(self, member: Member) -> bool:
-        return member.name in self._allowed
+        return self._is_open or member.name in self._allowed
 
     def _removals(self, members: list[Member]) -> list[list[Member]]:
         """Return the members without one that is no longer wanted, for each."""
@@ -173,7 +184,7 @@
             m
             for m in members
             if m.replica in self._removing
-            or (self._is_barred(m) and (complete or not m.voter))
+            or (not self._is_open and self._is_barred(m) and (complete or not m.voter))
         ]
 
     def _leave_if_unwanted(self, lead: Leadership, now_ms: float) -> None:
--- /dev/null
+++ b/bergamotdrift/range_leases.py
@@ -0,0 +1,122 @@
+"""How long upstreams may still act on the key ranges that they were granted.
+
+A grant runs from its arrival, which the sender does not see. The leader therefore
+counts it from the end of the call, whether the call was answered or abandoned. Grants
+of earlier leaders count from the start of the present leader's term.
+"""
+
+from typing import NamedTuple
+
+from bergamotdrift.messages import RangeRow
+
+HOLD_MS = 3000
+RENEW_INTERVAL_MS = 900
+# Upstreams measure the hold by clocks that may run this much slow.
+CLOCK_DRIFT = 0.02
+# Covers timers that fire late on either side.
+HOLD_MARGIN_MS = 150.0
+# An upstream that left grants unanswered for this long, and did not announce itself
+# meanwhile, counts as lost: its grants are no longer renewed.
+LOST_AFTER_MS = 1000.0
+
+
+class Holder(NamedTuple):
+    """Name one run of an upstream and the epoch of its grant."""
+
+    service: str
+    upstream: str
+    incarnation: str
+    epoch: int
+
+
+class UpstreamRun(NamedTuple):
+    """Name one run of an upstream."""
+
+    service: str
+    upstream: str
+    incarnation: str
+
+
+def holder_of(row: RangeRow) -> Holder:
+    """Return the holder of an owned range."""
+    return Holder(row.service, row.upstream, row.incarnation, row.epoch)
+
+
+def run_of(row: RangeRow) -> UpstreamRun:
+    """Return the run of the upstream that owns a range."""
+    return UpstreamRun(row.service, row.upstream, row.incarnation)
+
+
+def hold_bound_ms() -> float:
+    """Return the longest time in ms that a grant may run after its call ended."""
+    return HOLD_MS * (1 + CLOCK_DRIFT) + HOLD_MARGIN_MS
+
+
+class RangeLeases:
+    """Account for the grants of one leader's term; pure, with the time passed in."""
+
+    def __init__(self, opened_at_ms: float):
+        self._opened_until_ms = opened_at_ms + hold_bound_ms()
+        self._until_ms: dict[Holder, float] = {}
+        self._calling: dict[Holder, int] = {}
+        self._released: dict[RangeRow, str] = {}
+        self._accepted: set[RangeRow] = set()
+        self._failing_since_ms: dict[UpstreamRun, float] = {}
+
+    def begin_grant(self, holder: Holder) -> None:
+        """Count a grant as running from before it is sent."""
+        self._calling[holder] = self._calling.get(holder, 0) + 1
+
+    def end_grant(self, holder: Holder, answered: bool, now_ms: float) -> None:
+        """Bound a grant whose call has ended; its hold can't have begun later."""
+        self._calling[holder] -= 1
+        if not self._calling[holder]:
+            del self._calling[holder]
+        self._until_ms[holder] = now_ms + hold_bound_ms()
+        run = UpstreamRun(*holder[:3])
+        if answered:
+            self._failing_since_ms.pop(run, None)
+        else:
+            self._failing_since_ms.setdefault(run, now_ms)
+
+    def note_released(self, row: RangeRow, handover: str) -> None:
+        """Take note that the upstream gave a range back, with its state token."""
+        self._released[row] = handover
+
+    def note_accepted(self, row: RangeRow) -> None:
+        """Take note that the upstream accepted a new grant."""
+        self._accepted.add(row)
+
+    def is_accepted(self, row: RangeRow) -> bool:
+        """Tell whether the upstream accepted a new grant."""
+        return row in self._accepted
+
+    def handover_of(self, row: RangeRow) -> str | None:
+        """Return the state token of a released range, None if it was not released."""
+        return self._released.get(row)
+
+    def is_failing(self, run: UpstreamRun, seen_ms: float, now_ms: float) -> bool:
+        """Tell whether an upstream last seen at `seen_ms` leaves grants unanswered."""
+        since_ms = self._failing_since_ms.get(run)
+        if since_ms is None or seen_ms > since_ms:
+            return False
+        return now_ms - since_ms >= LOST_AFTER_MS
+
+    def has_ended(self, row: RangeRow, now_ms: float) -> bool:
+        """Tell whether the last owner of a range surely acts on it no more."""
+        if row in self._released:
+            return True
+        holder = holder_of(row)
+        if holder in self._calling:
+            return False
+        return now_ms >= self._until_ms.get(holder, self._opened_until_ms)
+
+    def forget(self, rows: set[RangeRow], runs: set[UpstreamRun]) -> None:
+        """Drop what is kept of ranges and upstreams that no longer exist."""
+        self._released = {r: h for r, h in self._released.items() if r in rows}
+        self._accepted &= rows
+        holders = {holder_of(row) for row in rows}
+        self._until_ms = {h: t for h, t in self._until_ms.items() if h in holders}
+        self._failing_since_ms = {
+            run: since for run, since in self._failing_since_ms.items() if run in runs
+        }
--- /dev/null
+++ b/bergamotdrift/range_planner.py
@@ -0,0 +1,301 @@
+"""Commands that give key ranges their owners and take them away."""
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple, Protocol
+
+from bergamotdrift import commands_log as cmd
+from bergamotdrift.config.schema import ServiceKind, ServiceSettings
+from bergamotdrift.control_state import ControlState
+from bergamotdrift.key_loads import KeyLoads
+from bergamotdrift.messages import (
+    LAST_KEY,
+    KeyLoad,
+    Message,
+    PartitionState,
+    RangeRow,
+    UpstreamRow,
+    UpstreamState,
+)
+from bergamotdrift.range_balance import RowLoad, choose_cuts, loads_of
+from bergamotdrift.range_leases import RangeLeases, UpstreamRun, run_of
+from bergamotdrift.tables import UpstreamId
+
+# Upstreams that start together share the keys if the first one waits for them.
+FIRST_PLACEMENT_DELAY_MS = 1500.0
+BALANCE_INTERVAL_MS = 500.0
+# A moved range stays for this long, so that noise in loads does not move it back.
+REST_MS = 4000.0
+MOVES_PER_BALANCE = 3
+# Each range is renewed by a call of its own, so their number is bounded.
+RANGES_PER_UPSTREAM = 12
+# Announcements come about every second, and may be late.
+RECENT_MS = 4000.0
+# The keys of an upstream that leaves go to this many others at the most.
+_PIECES = 4
+
+
+class Presence(Protocol):
+    """Tell when upstreams were last heard of."""
+
+    def last_seen_ms(self, row: UpstreamRow) -> float:
+        """Return when an upstream announced itself last."""
+        ...
+
+
+class _Moved(NamedTuple):
+    service: str
+    first: int
+
+
+class RangePlanner:
+    """Plan the next steps of all ranged services; pure, with the time passed in."""
+
+    def __init__(self, state: ControlState, presence: Presence, opened_at_ms: float):
+        self._state = state
+        self._presence = presence
+        self.leases = RangeLeases(opened_at_ms)
+        self._loads: dict[str, KeyLoads] = {}
+        self._first_seen_ms: dict[str, float] = {}
+        self._moved_ms: dict[_Moved, float] = {}
+        self._takers: dict[_Moved, str] = {}
+        self._balanced_ms = opened_at_ms
+
+    def add_loads(self, loads: Sequence[KeyLoad], now_ms: float) -> None:
+        """Take in an entry's report of requests by key."""
+        for name in {item.service for item in loads}:
+            known = self._loads.setdefault(name, KeyLoads())
+            known.add((item for item in loads if item.service == name), now_ms)
+
+    def commands(self, now_ms: float) -> list[Message]:
+        """Return the changes of ranges that are due."""
+        commands: list[Message] = []
+        balance = now_ms - self._balanced_ms >= BALANCE_INTERVAL_MS
+        if balance:
+            self._balanced_ms = now_ms
+        for service in self._services():
+            steps = _Steps(self, service, now_ms)
+            commands += steps.due()
+            if balance and not commands:
+                commands += steps.balance()
+        self._forget(now_ms)
+        return commands
+
+    def is_lost(self, run: UpstreamRun, now_ms: float) -> bool:
+        """Tell whether the grants of an upstream are no longer renewed."""
+        row = self.row_of(run)
+        if row is None:
+            return True
+        seen_ms = self._presence.last_seen_ms(row)
+        return self.leases.is_failing(run, seen_ms, now_ms)
+
+    def row_of(self, run: UpstreamRun) -> UpstreamRow | None:
+        """Return the row of a registered run of an upstream, or None."""
+        key = UpstreamId(run.service, run.upstream)
+        row = self._state.rows.upstreams.get(key)
+        return row if row is not None and row.incarnation == run.incarnation else None
+
+    def was_replaced(self, run: UpstreamRun) -> bool:
+        """Tell whether a later run of the same upstream is registered."""
+        key = UpstreamId(run.service, run.upstream)
+        row = self._state.rows.upstreams.get(key)
+        return row is not None and row.incarnation != run.incarnation
+
+    def _services(self) -> list[ServiceSettings]:
+        current = self._state.settings.current
+        services = current.services if current is not None else ()
+        return [s for s in services if s.kind is ServiceKind.RANGED]
+
+    def _forget(self, now_ms: float) -> None:
+        rows = set(self._state.rows.ranges.rows())
+        self.leases.forget(rows, {run_of(row) for row in rows})
+        self._moved_ms = {
+            key: at for key, at in self._moved_ms.items() if now_ms - at < REST_MS
+        }
+
+
+class _Steps:
+    """Plan one service in one round."""
+
+    def __init__(self, planner: RangePlanner, service: ServiceSettings, now_ms: float):
+        self._planner = planner
+        self._state = planner._state
+        self._service = service.name
+        self._now_ms = now_ms
+        self._rows = self._state.rows.ranges_of(service.name)
+        known = planner._loads.setdefault(service.name, KeyLoads())
+        self._loads = loads_of(self._rows, known.rates(now_ms))
+        # Loads given to upstreams in this round.
+        self._assigned: dict[str, float] = {}
+        self._able = self._able_upstreams()
+
+    def due(self) -> list[Message]:
+        """Return first placements, forced releases and next owners."""
+        if not self._able:
+            return []
+        if not self._rows:
+            return self._first_placement()
+        commands: list[Message] = []
+        for row in self._rows:
+            commands += self._step(row)
+        return commands
+
+    def balance(self) -> list[Message]:
+        """Return releases of keys that should move to less loaded upstreams."""
+        if not self._able or not self._is_settled():
+            return []
+        owned: dict[str, list[RowLoad]] = {name: [] for name in self._able}
+        for row in self._rows:
+            if row.upstream in owned:
+                owned[row.upstream].append(self._loads[row])
+        moved = self._planner._moved_ms
+        resting = frozenset(
+            row for row in self._rows if _Moved(row.service, row.first) in moved
+        )
+        room = RANGES_PER_UPSTREAM * len(self._able) - len(self._rows)
+        limit = min(MOVES_PER_BALANCE, room // 2)
+        commands: list[Message] = []
+        for cut in choose_cuts(owned, limit, resting):
+            key = _Moved(self._service, cut.first)
+            self._planner._takers[key] = cut.taker
+            self._planner._moved_ms[key] = self._now_ms
+            commands.append(self._replace(cut.row, _cut_out(cut.row, *cut[1:3])))
+        return commands
+
+    def _is_settled(self) -> bool:
+        return all(row.state is PartitionState.OWNED for row in self._rows)
+
+    def _first_placement(self) -> list[Message]:
+        first_ms = self._planner._first_seen_ms.setdefault(self._service, self._now_ms)
+        if self._now_ms - first_ms < FIRST_PLACEMENT_DELAY_MS:
+            return []
+        rows = []
+        count = len(self._able)
+        # Spreading by zone keeps neighbouring ranges in different zones.
+        owners = sorted(self._able.values(), key=lambda row: (row.upstream, row.zone))
+        for number, owner in enumerate(owners):
+            first = number * (LAST_KEY + 1) // count
+            last = (number + 1) * (LAST_KEY + 1) // count - 1
+            rows.append(self._owned(first, last, owner, ""))
+        return [cmd.ReplaceRanges(self._service, [], rows)]
+
+    def _step(self, row: RangeRow) -> list[Message]:
+        planner = self._planner
+        if row.state is PartitionState.RELEASING:
+            handover = planner.leases.handover_of(row)
+            if handover is not None or self._has_ended(row):
+                return [self._assign(row, handover or "")]
+            return []
+        owner = planner.row_of(run_of(row))
+        if owner is None or planner.is_lost(run_of(row), self._now_ms):
+            return [self._assign(row, "")] if self._has_ended(row) else []
+        if row.state is PartitionState.VACANT:
+            if not planner.leases.is_accepted(row):
+                return []
+            return [self._replace(row, [row._replace(state=PartitionState.OWNED)])]
+        if self._must_leave(owner):
+            return [self._replace(row, self._pieces(row))]
+        return []
+
+    def _has_ended(self, row: RangeRow) -> bool:
+        if self._planner.was_replaced(run_of(row)):
+            # The earlier run of the process is over, and its grants with it.
+            return True
+        return self._planner.leases.has_ended(row, self._now_ms)
+
+    def _assign(self, row: RangeRow, handover: str) -> Message:
+        key = _Moved(row.service, row.first)
+        wanted = self._planner._takers.pop(key, "")
+        owner = self._able.get(wanted) or self._least_loaded()
+        self._planner._moved_ms[key] = self._now_ms
+        self._assigned[owner.upstream] = self._assigned.get(
+            owner.upstream, 0.0
+        ) + self._weight(row)
+        return self._replace(row, [self._owned(row.first, row.last, owner, handover)])
+
+    def _least_loaded(self) -> UpstreamRow:
+        return min(
+            self._able.values(),
+            key=lambda up: (self._load_of(up.upstream), up.upstream),
+        )
+
+    def _load_of(self, upstream: str) -> float:
+        owned = [row for row in self._rows if row.upstream == upstream]
+        releasing = PartitionState.RELEASING
+        own = sum(self._weight(row) for row in owned if row.state is not releasing)
+        return own + self._assigned.get(upstream, 0.0)
+
+    def _weight(self, row: RangeRow) -> float:
+        """Return the load of a range; idle keys count a little, by their number."""
+        span = (row.last - row.first + 1) / (LAST_KEY + 1)
+        return self._loads[row].per_s + span
+
+    def _pieces(self, row: RangeRow) -> list[RangeRow]:
+        """Return a range under release, in pieces of about equal load."""
+        rates = self._loads[row].rates
+        count = min(_PIECES, len(self._able), row.last - row.first + 1)
+        total = self._loads[row].per_s
+        if count < 2 or total <= 0.0:
+            return [row._replace(state=PartitionState.RELEASING)]
+        starts = [row.first]
+        sent = 0.0
+        for rate in rates:
+            sent += rate.per_s
+            due = len(starts) * total / count
+            if sent >= due and len(starts) < count and rate.key < row.last:
+                starts.append(rate.key + 1)
+        ends = [start - 1 for start in starts[1:]] + [row.last]
+        return [
+            row._replace(first=first, last=last, state=PartitionState.RELEASING)
+            for first, last in zip(starts, ends, strict=True)
+        ]
+
+    def _replace(self, row: RangeRow, rows: Iterable[RangeRow]) -> Message:
+        return cmd.ReplaceRanges(self._service, [row], list(rows))
+
+    def _owned(
+        self, first: int, last: int, owner: UpstreamRow, handover: str
+    ) -> RangeRow:
+        return RangeRow(
+            self._service,
+            first,
+            last,
+            owner.upstream,
+            owner.incarnation,
+            0,
+            # Requests are sent to it only once it has accepted the grant.
+            PartitionState.VACANT,
+            handover,
+        )
+
+    def _must_leave(self, owner: UpstreamRow) -> bool:
+        leaving = owner.state is UpstreamState.LEAVING
+        return leaving or owner.zone in self._state.evacuated
+
+    def _able_upstreams(self) -> dict[str, UpstreamRow]:
+        """Return the upstreams that may get keys, cold ones only if all are."""
+        rows = [
+            row
+            for row in self._state.rows.upstreams.rows()
+            if row.service == self._service
+            and not self._must_leave(row)
+            and not self._planner.is_lost(
+                UpstreamRun(row.service, row.upstream, row.incarnation), self._now_ms
+            )
+            and self._is_recent(row)
+        ]
+        warm = [row for row in rows if row.state is UpstreamState.READY]
+        return {row.upstream: row for row in sorted(warm or rows)}
+
+    def _is_recent(self, row: UpstreamRow) -> bool:
+        seen_ms = self._planner._presence.last_seen_ms(row)
+        return self._now_ms - seen_ms < RECENT_MS
+
+
+def _cut_out(row: RangeRow, first: int, last: int) -> list[RangeRow]:
+    """Return a range with the keys `first` to `last` under release."""
+    rows = [row._replace(first=first, last=last, state=PartitionState.RELEASING)]
+    if row.first < first:
+        rows.append(row._replace(last=first - 1))
+    if last < row.last:
+        rows.append(row._replace(first=last + 1))
+    return rows
--- /dev/null
+++ b/bergamotdrift/rate_allowance.py
@@ -0,0 +1,135 @@
+"""Rate tokens that an entry holds under the control leader's leases."""
+
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from gevent.event import Event
+from returns.result import Failure, Result, Success
+
+from bergamotdrift.clock import Clock
+from bergamotdrift.constants import DRIFT_MARGIN_MS
+from bergamotdrift.exceptions import ErrorKind, Refusal
+from bergamotdrift.messages import RateLot, RateNeed
+
+# An entry keeps tokens for this long a time of its recent demand, so that a new
+# leader's election does not stop it.
+_STOCK_MS = 1200.0
+_DEMAND_WINDOW_MS = 1000.0
+# A request within its workspace's rate may find all tokens on their way for a moment.
+_WAIT_MAX_MS = 400.0
+
+
+@dataclass
+class _Lot:
+    ends_ms: float
+    tokens: int
+
+
+@dataclass
+class _Account:
+    """Hold the tokens and recent demand of one workspace."""
+
+    lots: deque[_Lot] = field(default_factory=deque)
+    used_ms: deque[float] = field(default_factory=deque)
+    waiting: int = 0
+    wait_ms: float = 0.0
+    changed: Event = field(default_factory=Event)
+
+    def held(self, now_ms: float) -> int:
+        """Return the tokens whose lease still runs."""
+        while self.lots and self.lots[0].ends_ms <= now_ms:
+            self.lots.popleft()
+        return sum(lot.tokens for lot in self.lots)
+
+    def take(self, now_ms: float) -> bool:
+        """Use a token and tell whether there was one."""
+        if not self.held(now_ms):
+            return False
+        for lot in self.lots:
+            if lot.tokens:
+                lot.tokens -= 1
+                break
+        return True
+
+    def give(self, count: int) -> int:
+        """Take out up to `count` tokens, those with the longest lease first."""
+        left = count
+        for lot in reversed(self.lots):
+            taken = min(left, lot.tokens)
+            lot.tokens -= taken
+            left -= taken
+        return count - left
+
+    def demand_per_s(self, now_ms: float) -> float:
+        """Return the tokens asked for in the last second."""
+        while self.used_ms and self.used_ms[0] <= now_ms - _DEMAND_WINDOW_MS:
+            self.used_ms.popleft()
+        return len(self.used_ms) * 1000.0 / _DEMAND_WINDOW_MS
+
+
+class RateAllowance:
+    """Take tokens for requests, and state what the next ping should ask for."""
+
+    def __init__(self, clock: Clock, rate_of: Callable[[str], float]):
+        self._clock = clock
+        self._rate_of = rate_of
+        self._accounts: dict[str, _Account] = {}
+        # Set by the owner of the session, to ask without waiting for the next ping.
+        self.ask_now: Callable[[], None] = lambda: None
+
+    def acquire(self, workspace: str, deadline_ms: float) -> Result[None, Refusal]:
+        """Use a token, after a short wait if need be (RATE_EXCEEDED)."""
+        if self._rate_of(workspace) <= 0:
+            return Success(None)
+        account = self._accounts.setdefault(workspace, _Account())
+        now_ms = self._clock.now_ms()
+        account.used_ms.append(now_ms)
+        if account.take(now_ms):
+            return Success(None)
+        end_ms = min(deadline_ms, now_ms + _WAIT_MAX_MS)
+        account.waiting += 1
+        try:
+            return self._wait(account, end_ms)
+        finally:
+            account.waiting -= 1
+
+    def rate_needs(self) -> list[RateNeed]:
+        """Return what each workspace lacks or holds too much of."""
+        now_ms = self._clock.now_ms()
+        needs = []
+        for name, account in self._accounts.items():
+            held = account.held(now_ms)
+            stock = account.demand_per_s(now_ms) * _STOCK_MS / 1000.0
+            target = math.ceil(stock) + account.waiting
+            returned = account.give(held - target) if held > target else 0
+            wanted = max(0, target - held)
+            if held or wanted:
+                needs.append(RateNeed(name, wanted, returned, held - returned))
+        return needs
+
+    def take_rates(self, lots: list[RateLot], asked_at_ms: float) -> None:
+        """Take leased tokens and wake the requests that wait for them."""
+        for item in lots:
+            account = self._accounts.setdefault(item.workspace, _Account())
+            account.wait_ms = item.wait_ms
+            if item.tokens:
+                ends_ms = asked_at_ms + item.lease_ms - DRIFT_MARGIN_MS
+                account.lots.append(_Lot(ends_ms, item.tokens))
+            changed, account.changed = account.changed, Event()
+            changed.set()
+
+    def _wait(self, account: _Account, end_ms: float) -> Result[None, Refusal]:
+        while True:
+            self.ask_now()
+            now_ms = self._clock.now_ms()
+            left_ms = end_ms - now_ms
+            if left_ms <= 0 or account.wait_ms > left_ms:
+                wait_s = max(account.wait_ms, 100.0) / 1000.0
+                refusal = Refusal(ErrorKind.RATE_EXCEEDED, "no tokens left", wait_s)
+                account.wait_ms = 0.0
+                return Failure(refusal)
+            account.changed.wait(left_ms / 1000.0)
+            if account.take(self._clock.now_ms()):
+                return Success(None)
--- a/bergamotdrift/refusals.py
+++ b/bergamotdrift/refusals.py
@@ -4,6 +4,7 @@
 import json
 import math
 
+from bergamotdrift.dialect import NATIVE, Dialect
 from bergamotdrift.exceptions import ANSWERS, Refusal
 
 
@@ -28,7 +29,7 @@
 
 
 def refusal_headers(
-    refusal: Refusal, body: bytes, request_id: str
+    refusal: Refusal, body: bytes, request_id: str, dialect: Dialect = NATIVE
 ) -> list[tuple[str, str]]:
     """Return the headers of a refusal, with Retry-After where it applies."""
     headers = [
@@ -37,10 +38,12 @@
         ("X-Error-Kind", refusal.kind.value),
     ]
     if request_id:
-        headers.append(("X-Request-Id", request_id))
+        headers.append((dialect.request_id, request_id))
     retry_after_s = refusal.retry_after_s
     if retry_after_s is None:
         retry_after_s = ANSWERS[refusal.kind].retry_after_s
     if retry_after_s > 0:
-        headers.append(("Retry-After", str(math.ceil(retry_after_s))))
+        fine = f"{retry_after_s:.3f}"
+        whole = str(math.ceil(retry_after_s))
+        headers.append(("Retry-After", fine if dialect.fine_retry_after else whole))
     return headers
--- a/bergamotdrift/replica.py
+++ b/bergamotdrift/replica.py
@@ -103,7 +103,9 @@
         if loaded.snapshot.log_index:
             self._restore(loaded.snapshot)
         names = [v.replica for v in self._cfg.voters]
-        self._membership = Membership(self._raft, names, self._address)
+        self._membership = Membership(
+            self._raft, names, self._address, self._cfg.open_group
+        )
         node = self._cfg.node
         hello = Hello(node.cluster, node.node, Role.CONTROL, self.replica)
         self._peers = ReplicaPeers(hello, self._address, self.handle_message)
@@ -138,6 +140,10 @@
         """
         self._allowed_source = source
 
+    def add_candidates(self, addresses: Iterable[str]) -> None:
+        """Look for the group at further addresses too."""
+        self._joiner.add_candidates(addresses)
+
     def on_founded(self) -> None:
         """Sync the first entry of a new group."""
         self._wake.set()
@@ -191,6 +197,10 @@
             raise CallError(Refusal(ErrorKind.NO_QUORUM, "unexpected answer"))
         return answer.outcome
 
+    def call_leader(self, msg: Message, timeout_ms: float) -> Message:
+        """Return the leader's reply to a message; raises CallError."""
+        return self._peers.request(self.leader_address(), msg, timeout_ms)
+
     def add_learner(self, replica: str, address: str, timeout_ms: float) -> None:
         """Add a replica without a vote; it is promoted once it caught up.
 
--- a/bergamotdrift/replica_join.py
+++ b/bergamotdrift/replica_join.py
@@ -1,6 +1,7 @@
 """How a replica finds its group, or founds one from the bootstrap voters."""
 
 import secrets
+from collections.abc import Iterable
 from typing import Protocol
 
 import gevent
@@ -52,6 +53,10 @@
         self._listed = tuple({*cfg.node.control, *(v.address for v in cfg.voters)})
         self._hint = ""
 
+    def add_candidates(self, addresses: Iterable[str]) -> None:
+        """Look for the group at further addresses too."""
+        self._listed = tuple(dict.fromkeys((*self._listed, *addresses)))
+
     @property
     def candidates(self) -> tuple[str, ...]:
         """Return the addresses at which the group may be found."""
--- a/bergamotdrift/request.py
+++ b/bergamotdrift/request.py
@@ -48,7 +48,8 @@
 class RoutedRequest(NamedTuple):
     """Hold a request with its workspace, route, routing key and deadline.
 
-    `revision` is that of the settings under which it was admitted.
+    `revision` is that of the settings under which it was admitted. `rank` is that of
+    its workspace, None to use the route's.
     """
 
     req: IncomingRequest
@@ -58,11 +59,12 @@
     routing_key: str
     deadline_ms: float
     revision: int = 0
+    rank: int | None = None
 
     @property
     def is_keyed(self) -> bool:
         """Tell whether the service is divided by key."""
-        return self.service.kind is ServiceKind.KEYED
+        return self.service.kind is not ServiceKind.POOL
 
 
 class Permit(NamedTuple):
--- a/bergamotdrift/retry_policy.py
+++ b/bergamotdrift/retry_policy.py
@@ -1,11 +1,13 @@
 """Rules and budget for repeating a request."""
 
 from collections import deque
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
 
 from bergamotdrift.constants import RETRY_BUDGET_MIN_PER_S, RETRY_BUDGET_RATIO
 
 _WINDOW_MS = 1000.0
+_STOCK_MAX = 4.0
 
 
 class Attempt(NamedTuple):
@@ -49,6 +51,47 @@
         return True
 
 
+class Budget(Protocol):
+    """Bound the repeats of requests."""
+
+    def count_request(self, now_ms: float) -> None:
+        """Count a first attempt."""
+        ...
+
+    def take(self, now_ms: float) -> bool:
+        """Use one retry if the budget has one left and tell whether it had."""
+        ...
+
+
+class SharedRetryBudget:
+    """Hold this entry's share of a budget over all entries, for one service.
+
+    Each request adds `ratio` of a retry, and `per_s` more come with time. A stock of a
+    few lets the retries of one lost upstream happen together.
+    """
+
+    def __init__(self, ratio: float, per_s: Callable[[], float]):
+        self._ratio = ratio
+        self._per_s = per_s
+        self._level = 1.0
+        self._filled_ms: float | None = None
+
+    def count_request(self, now_ms: float) -> None:
+        """Count a first attempt."""
+        self._level = min(_STOCK_MAX, self._level + self._ratio)
+
+    def take(self, now_ms: float) -> bool:
+        """Use one retry if there is one left and tell whether there was."""
+        since_ms = now_ms if self._filled_ms is None else self._filled_ms
+        self._filled_ms = now_ms
+        gained = self._per_s() * (now_ms - since_ms) / 1000.0
+        self._level = min(_STOCK_MAX, self._level + gained)
+        if self._level < 1.0:
+            return False
+        self._level -= 1.0
+        return True
+
+
 def _forget(times_ms: deque[float], now_ms: float) -> None:
     while times_ms and times_ms[0] <= now_ms - _WINDOW_MS:
         times_ms.popleft()
--- a/bergamotdrift/settings_log.py
+++ b/bergamotdrift/settings_log.py
@@ -39,12 +39,16 @@
     def apply(self, index: int, command: ApplySettings) -> ChangeOutcome:
         """Replace the settings, or refuse with REVISION_CONFLICT."""
         earlier = self.first_outcome(command.request, command.fingerprint)
-        if earlier is not None:
+        # A change that lost a race may fit later, if its base is accepted then.
+        is_final = not command.revision or earlier is None or not earlier.kind
+        if earlier is not None and is_final:
             return earlier
         if command.base_revision != self.revision:
             return self._refuse(command, ErrorKind.REVISION_CONFLICT, self._winner())
+        if command.revision and command.revision <= self.revision:
+            return self._refuse(command, ErrorKind.REVISION_CONFLICT, self._winner())
         changes = summarize(self.current, command.settings)
-        self.revision += 1
+        self.revision = command.revision or self.revision + 1
         self.author = command.author
         self.changed_at = index
         self.current = command.settings
--- a/bergamotdrift/stages/answer.py
+++ b/bergamotdrift/stages/answer.py
@@ -1,5 +1,6 @@
 """Build the reply to the caller from an answer or a refusal."""
 
+from bergamotdrift.dialect import NATIVE, Dialect
 from bergamotdrift.exceptions import ANSWERS, Refusal
 from bergamotdrift.http_input import connection_tokens
 from bergamotdrift.messages import Header, SavedAnswer
@@ -18,10 +19,12 @@
 _NO_BODY_STATUS = frozenset({204, 304})
 
 
-def refusal_reply(refusal: Refusal, request_id: str) -> Reply:
+def refusal_reply(
+    refusal: Refusal, request_id: str, dialect: Dialect = NATIVE
+) -> Reply:
     """Return the reply that states a refusal."""
     body = refusal_body(refusal, request_id)
-    headers = refusal_headers(refusal, body, request_id)
+    headers = refusal_headers(refusal, body, request_id, dialect)
     return Reply(ANSWERS[refusal.kind].status, headers, iter((body,)))
 
 
--- a/bergamotdrift/stages/claim.py
+++ b/bergamotdrift/stages/claim.py
@@ -2,7 +2,7 @@
 
 import hashlib
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import gevent
 from returns.result import Failure, Result, Success
@@ -65,6 +65,40 @@
     saved: SavedAnswer | None = None
 
 
+class Claims(Protocol):
+    """Make sure that a request with an idempotency key runs at most once."""
+
+    def begin(
+        self, routed: RoutedRequest, body: BodySource
+    ) -> Result[Claimed, Refusal]:
+        """Claim the key of a request that must not run twice."""
+        ...
+
+    def end(self, claim: Claim, answer: SavedAnswer | None) -> None:
+        """Close a claim with its answer, or as unknown."""
+        ...
+
+    def forget(self, claim: Claim) -> None:
+        """Give a claim up because the request was not run."""
+        ...
+
+
+class NoClaims:
+    """Pass idempotency keys on to the upstreams, which alone act on them."""
+
+    def begin(
+        self, routed: RoutedRequest, body: BodySource
+    ) -> Result[Claimed, Refusal]:
+        """Claim nothing."""
+        return Success(Claimed())
+
+    def end(self, claim: Claim, answer: SavedAnswer | None) -> None:
+        """Do nothing: no claim was made."""
+
+    def forget(self, claim: Claim) -> None:
+        """Do nothing: no claim was made."""
+
+
 class ClaimStage:
     """Begin and end idempotency records at the arbiter and in the entry's book."""
 
--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -10,6 +10,7 @@
 from bergamotdrift.attempts import RunningAttempt
 from bergamotdrift.body_source import BodySource
 from bergamotdrift.clock import Clock
+from bergamotdrift.dialect import NATIVE, AnswerLoad, Dialect, HeaderOf
 from bergamotdrift.exceptions import (
     CallerGoneError,
     ErrorKind,
@@ -19,8 +20,7 @@
 )
 from bergamotdrift.http_input import HeaderLine, connection_tokens
 from bergamotdrift.messages import NO_PARTITION, AttemptOutcome, PermitRelease
-from bergamotdrift.request import RoutedRequest
-from bergamotdrift.stages.route import DEADLINE_HEADER
+from bergamotdrift.request import IncomingRequest, RoutedRequest
 from bergamotdrift.upstream_connections import (
     ResponseParser,
     UpstreamConnection,
@@ -46,16 +46,10 @@
     "expect",
     "host",
     "via",
-    "x-deadline-ms",
-    "x-epoch",
     "x-forwarded-for",
-    "x-partition",
-    "x-request-id",
-    "x-workspace",
 })
-_NOT_FORWARDED = HOP_BY_HOP | _OWN_HEADERS
+NATIVE_WITHHELD = HOP_BY_HOP | _OWN_HEADERS | NATIVE.own_headers()
 _ABSOLUTE_FORM = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
-_NOT_RUN_HEADER = "x-not-run"
 _PIECE_BYTES = 64 * 1024
 _OUTCOME_OF_STATUS = 500
 
@@ -66,6 +60,7 @@
     refusal: Refusal
     outcome: AttemptOutcome
     not_run: bool
+    upstream: str = ""
 
 
 class UpstreamAnswer:
@@ -118,9 +113,11 @@
         if self._ended:
             return
         self._ended = True
-        whole = self._conn.request_sent and not self._parser.should_close()
+        parser = self._parser
+        closes = parser.ends_with_connection or parser.should_close()
+        whole = self._conn.request_sent and not closes
         reusable = may_reuse and whole
-        self._on_end(outcome, reusable and not self._parser.extra_data)
+        self._on_end(outcome, reusable and not parser.extra_data)
 
     def _receive(self) -> None:
         try:
@@ -147,12 +144,15 @@
         clock: Clock,
         via: str,
         may_send: Callable[[str], bool],
+        dialect: Dialect = NATIVE,
     ):
         self._connections = connections
         self._release = release
         self._clock = clock
         self._via = via
         self._may_send = may_send
+        self._dialect = dialect
+        self._withheld = HOP_BY_HOP | _OWN_HEADERS | dialect.own_headers()
 
     def attempt(
         self, routed: RoutedRequest, running: RunningAttempt, body: BodySource
@@ -172,8 +172,13 @@
                 return Failure(failure)
             raise
         assert running.conn is not None
+        running.load = self._stated_load(parser)
         answer = UpstreamAnswer(parser, running.conn, on_end)
-        return _judge(answer, parser)
+        return _judge(answer, parser, self._dialect)
+
+    def _stated_load(self, parser: ResponseParser) -> AnswerLoad | None:
+        stated = header_of(parser)(self._dialect.load) if self._dialect.load else None
+        return self._dialect.parse_load(stated) if stated else None
 
     def give_back(self, running: RunningAttempt) -> None:
         """Release a permit under which nothing was sent."""
@@ -187,10 +192,19 @@
         if body.read is not None:
             self._send_rest(conn, body)
         parser = read_head(conn, routed.req.method)
-        if not parser.has_framing():
-            raise HTTPParseError("the answer's end can't be told from a loss")
+        self._check_answer(routed, parser)
         return parser
 
+    def _check_answer(self, routed: RoutedRequest, parser: ResponseParser) -> None:
+        """Refuse an answer without an end, or that belongs to an earlier request."""
+        if not (self._dialect.takes_unframed or parser.has_framing()):
+            raise HTTPParseError("the answer's end can't be told from a loss")
+        if not self._dialect.keeps_request_id:
+            return
+        echoed = header_of(parser)(self._dialect.request_id)
+        if echoed is not None and echoed != routed.req.request_id:
+            raise HTTPParseError("the answer belongs to another request")
+
     def _send_first(
         self,
         routed: RoutedRequest,
@@ -267,7 +281,8 @@
         req = routed.req
         target = _ABSOLUTE_FORM.sub("", req.target, count=1) or "/"
         lines = [f"{req.method} {target} HTTP/1.1"]
-        lines += end_to_end(req.headers, connection_tokens(req.fields))
+        named = connection_tokens(req.fields)
+        lines += end_to_end(req.headers, named, self._withheld)
         lines += self._own_headers(routed, running)
         if body.length is None:
             lines.append("Transfer-Encoding: chunked")
@@ -278,30 +293,43 @@
     def _own_headers(self, routed: RoutedRequest, running: RunningAttempt) -> list[str]:
         req = routed.req
         permit = running.permit
+        names = self._dialect
         left_ms = max(1, int(routed.deadline_ms - self._clock.now_ms()))
-        forwarded = req.fields.get("x-forwarded-for", [])
-        via = req.fields.get("via", [])
         lines = [
             f"Host: {req.header('host') or permit.address}",
-            f"X-Request-Id: {req.request_id}",
-            f"{DEADLINE_HEADER}: {left_ms}",
-            f"X-Forwarded-For: {', '.join([*forwarded, req.remote])}",
-            f"Via: {', '.join([*via, self._via])}",
+            f"{names.request_id}: {req.request_id}",
+            f"{names.deadline}: {left_ms}",
         ]
+        if names.forwarded_headers:
+            lines += self._forwarded_headers(req)
         if routed.workspace:
-            lines.append(f"X-Workspace: {routed.workspace}")
-        if permit.partition != NO_PARTITION:
-            lines.append(f"X-Partition: {permit.partition}")
-            lines.append(f"X-Epoch: {permit.partition_epoch}")
+            lines.append(f"{names.workspace}: {routed.workspace}")
+        if names.expected_upstream:
+            lines.append(f"{names.expected_upstream}: {permit.upstream}")
+        if permit.partition != NO_PARTITION and names.partition:
+            lines.append(f"{names.partition}: {permit.partition}")
+            lines.append(f"{names.epoch}: {permit.partition_epoch}")
         return lines
 
+    def _forwarded_headers(self, req: IncomingRequest) -> list[str]:
+        forwarded = req.fields.get("x-forwarded-for", [])
+        via = req.fields.get("via", [])
+        return [
+            f"X-Forwarded-For: {', '.join([*forwarded, req.remote])}",
+            f"Via: {', '.join([*via, self._via])}",
+        ]
+
 
-def end_to_end(headers: list[HeaderLine], named: set[str]) -> list[str]:
+def end_to_end(
+    headers: list[HeaderLine],
+    named: set[str],
+    withheld: frozenset[str] = NATIVE_WITHHELD,
+) -> list[str]:
     """Return the header lines for an upstream; `named` are declared hop-by-hop."""
     return [
         f"{name}: {value}"
         for name, value in headers
-        if (lower := name.lower()) not in _NOT_FORWARDED and lower not in named
+        if (lower := name.lower()) not in withheld and lower not in named
     ]
 
 
@@ -336,16 +364,21 @@
     return AttemptFailure(refusal, AttemptOutcome.CANCELLED, False)
 
 
+def header_of(parser: ResponseParser) -> HeaderOf:
+    """Return a function that returns the first value of an answer's header, or None."""
+
+    def value(name: str) -> str | None:
+        found = parser.get(name)
+        return found[0] if isinstance(found, list) else found
+
+    return value
+
+
 def _judge(
-    answer: UpstreamAnswer, parser: ResponseParser
+    answer: UpstreamAnswer, parser: ResponseParser, dialect: Dialect
 ) -> Result[UpstreamAnswer, AttemptFailure]:
     """Turn an answer that states "not run" into a failure."""
-    stated = parser.get(_NOT_RUN_HEADER)
-    outcome = None
-    if answer.status == 503 and stated == "shed":
-        outcome = AttemptOutcome.SHED
-    elif answer.status == 409 and stated == "fenced":
-        outcome = AttemptOutcome.FENCED
+    outcome = dialect.not_run(answer.status, header_of(parser))
     if outcome is None:
         return Success(answer)
     answer.end(outcome, may_reuse=parser.message_complete)
--- a/bergamotdrift/stages/permit.py
+++ b/bergamotdrift/stages/permit.py
@@ -1,7 +1,7 @@
 """Obtain a permit for an attempt from the arbiter of the upstream."""
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import gevent
 from returns.result import Failure, Result, Success
@@ -47,6 +47,22 @@
     epoch: int = 0
 
 
+class Permits(Protocol):
+    """Give permits for attempts at upstreams."""
+
+    def acquire(
+        self, routed: RoutedRequest, numbers: "AttemptNumbers"
+    ) -> Result[RunningAttempt, Refusal]:
+        """Return a registered permit, or why there is none."""
+        ...
+
+    def note_outcome(
+        self, routed: RoutedRequest, running: RunningAttempt, fenced: bool
+    ) -> None:
+        """Learn whether an upstream accepted the owner's epoch."""
+        ...
+
+
 class PermitStage:
     """Ask arbiters for permits, once at a time per request."""
 
@@ -207,6 +223,8 @@
 
     def __init__(self) -> None:
         self.last = 0
+        # Attempts of which an upstream may have received something.
+        self.sent = 0
         self.excluded: list[str] = []
 
     def next(self) -> int:
--- a/bergamotdrift/stages/route.py
+++ b/bergamotdrift/stages/route.py
@@ -1,6 +1,7 @@
 """Find the route, service and routing key of a request."""
 
 import re
+from collections.abc import Iterable
 from typing import NamedTuple
 from urllib.parse import unquote_to_bytes
 
@@ -11,8 +12,11 @@
     ServiceKind,
     ServiceSettings,
     SiteSettings,
+    SplitShare,
 )
+from bergamotdrift.dialect import NATIVE, Dialect
 from bergamotdrift.exceptions import ErrorKind, Refusal
+from bergamotdrift.messages import LAST_KEY
 from bergamotdrift.request import ANONYMOUS, IncomingRequest, RoutedRequest
 
 _BAD_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
@@ -20,7 +24,13 @@
 _PLAIN_PATH = re.compile(r"(?:/[A-Za-z0-9_~-][A-Za-z0-9._~-]*)+")
 _ABSOLUTE_FORM = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
 _DEADLINE = re.compile(r"[0-9]{1,9}")
-DEADLINE_HEADER = "X-Deadline-Ms"
+_NUMERIC_KEY = re.compile(r"[0-9]{1,5}")
+_ANY_FURTHER = "*"
+# Stands for every service in the list that a workspace may use.
+ALL_SERVICES = "*"
+
+
+_SEGMENT_RANKS = {"{": 1, _ANY_FURTHER: 2}
 
 
 class _Template(NamedTuple):
@@ -31,19 +41,24 @@
 
     def match(self, segments: list[str]) -> dict[str, str] | None:
         """Return the path variables, or None if the path does not match."""
-        if len(segments) != len(self.segments):
+        patterns = self.segments
+        if patterns[-1] == _ANY_FURTHER:
+            patterns = patterns[:-1]
+            if len(segments) <= len(patterns):
+                return None
+        elif len(segments) != len(patterns):
             return None
         variables = {}
-        for pattern, segment in zip(self.segments, segments, strict=True):
+        for pattern, segment in zip(patterns, segments, strict=False):
             if pattern.startswith("{"):
                 variables[pattern[1:-1]] = segment
             elif pattern != segment:
                 return None
         return variables
 
-    def rank(self) -> tuple[bool, ...]:
-        """Return a sort key that puts literal segments before variables."""
-        return tuple(part.startswith("{") for part in self.segments)
+    def rank(self) -> tuple[int, ...]:
+        """Return a sort key: literal segments first, then variables, then `*`."""
+        return tuple(_SEGMENT_RANKS.get(part[:1], 0) for part in self.segments)
 
 
 class _Match(NamedTuple):
@@ -84,21 +99,33 @@
 class RouteTable:
     """Match paths against the routes of one settings revision."""
 
-    def __init__(self, settings: SiteSettings):
+    def __init__(self, settings: SiteSettings, dialect: Dialect = NATIVE):
+        self.dialect = dialect
         self._templates = sorted(
-            (_template(route) for route in settings.routes), key=_Template.rank
+            (_template(route) for route in settings.routes if not route.host),
+            key=_Template.rank,
         )
+        self._of_hosts = _HostRoutes(settings.routes)
+        self._splits = {
+            route: SplitTurns(route.split) for route in settings.routes if route.split
+        }
+        self._ranks = {w.name: w.rank for w in settings.workspaces}
         self._services = {service.name: service for service in settings.services}
         self._allowed = {
             workspace.name: frozenset(workspace.services)
             for workspace in settings.workspaces
         }
 
-    def match(self, method: str, target: str) -> Result[_Match, Refusal]:
+    def match(
+        self, method: str, target: str, host: str = ""
+    ) -> Result[_Match, Refusal]:
         """Return the route with the longest literal match.
 
         Kinds: MALFORMED_REQUEST, NO_ROUTE, METHOD_NOT_ALLOWED.
         """
+        of_host = self._of_hosts.match(host, target)
+        if of_host is not None:
+            return Success(_Match(of_host, {}))
         segments = split_path(target)
         if segments is None:
             return Failure(Refusal(ErrorKind.MALFORMED_REQUEST, "unsafe path"))
@@ -115,11 +142,63 @@
 
     def service_of(self, route: RouteSettings) -> ServiceSettings:
         """Return the service of a route."""
-        return self._services[route.service]
+        turns = self._splits.get(route)
+        return self._services[turns.next() if turns is not None else route.service]
+
+    def rank_of(self, workspace: str) -> int | None:
+        """Return the rank of a workspace's requests, None to use the route's."""
+        return self._ranks.get(workspace)
 
     def may_use(self, workspace: str, service: str) -> bool:
         """Tell whether a workspace may use a service."""
-        return service in self._allowed.get(workspace, frozenset())
+        allowed = self._allowed.get(workspace, frozenset())
+        return service in allowed or ALL_SERVICES in allowed
+
+
+class _HostRoutes:
+    """Find the route of a host whose prefix is the longest one of a path."""
+
+    def __init__(self, routes: Iterable[RouteSettings]):
+        self._routes = {
+            (route.host, route.path.removesuffix(_ANY_FURTHER)): route
+            for route in routes
+            if route.host
+        }
+
+    def match(self, host: str, target: str) -> RouteSettings | None:
+        """Return the route of a host and request target, or None."""
+        if not self._routes:
+            return None
+        path = _ABSOLUTE_FORM.sub("", target, count=1).partition("?")[0]
+        name = host.partition(":")[0].lower()
+        end = path.rfind("/")
+        while end >= 0:
+            route = self._routes.get((name, path[: end + 1]))
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+class SplitTurns:
+    """Divide requests between services in proportion to their weights.
+
+    Each service gains its weight with each request, and the one with the most gives
+    the sum of all weights back. So every stretch of requests is divided evenly.
+    """
+
+    def __init__(self, split: tuple[SplitShare, ...]):
+        self._split = split
+        self._sum = sum(share.weight for share in split)
+        self._levels = {share.service: 0 for share in split}
+
+    def next(self) -> str:
+        """Return the service of the next request."""
+        for share in self._split:
+            self._levels[share.service] += share.weight
+        chosen = max(self._levels, key=lambda name: self._levels[name])
+        self._levels[chosen] -= self._sum
+        return chosen
 
 
 def _template(route: RouteSettings) -> _Template:
@@ -130,7 +209,8 @@
     req: IncomingRequest, identity: Result[str, Refusal], table: RouteTable
 ) -> Result[RoutedRequest, Refusal]:
     """Return the routed request (UNAUTHENTICATED, FORBIDDEN, MALFORMED_REQUEST)."""
-    return table.match(req.method, req.target).bind(
+    host = req.header("host") or ""
+    return table.match(req.method, req.target, host).bind(
         lambda match: _admit(req, identity, table, match)
     )
 
@@ -150,14 +230,18 @@
             return Failure(Refusal(ErrorKind.FORBIDDEN))
     elif not table.may_use(workspace, service.name):
         workspace = ANONYMOUS
-    return _with_deadline(req, workspace, match, service)
+    return _with_deadline(req, workspace, match, service, table)
 
 
 def _with_deadline(
-    req: IncomingRequest, workspace: str, match: _Match, service: ServiceSettings
+    req: IncomingRequest,
+    workspace: str,
+    match: _Match,
+    service: ServiceSettings,
+    table: RouteTable,
 ) -> Result[RoutedRequest, Refusal]:
-    timeout_ms = service.request_timeout_ms
-    stated = req.header(DEADLINE_HEADER.lower())
+    timeout_ms = match.route.timeout_ms or service.request_timeout_ms
+    stated = req.header(table.dialect.deadline.lower())
     if stated is not None:
         if not _DEADLINE.fullmatch(stated):
             return Failure(Refusal(ErrorKind.MALFORMED_REQUEST, "invalid deadline"))
@@ -165,9 +249,9 @@
     length = req.body.length
     if length is not None and length > match.route.max_body_bytes:
         return Failure(Refusal(ErrorKind.BODY_TOO_LARGE))
-    routing_key = match.variables.get(match.route.key, "")
-    if service.kind is ServiceKind.KEYED and not routing_key:
-        return Failure(Refusal(ErrorKind.MALFORMED_REQUEST, "empty routing key"))
+    routing_key = _routing_key(req, match, service, table.dialect)
+    if routing_key is None:
+        return Failure(Refusal(ErrorKind.MALFORMED_REQUEST, "no valid routing key"))
     return Success(
         RoutedRequest(
             req,
@@ -176,5 +260,18 @@
             service,
             routing_key,
             req.received_ms + timeout_ms,
+            rank=table.rank_of(workspace),
         )
     )
+
+
+def _routing_key(
+    req: IncomingRequest, match: _Match, service: ServiceSettings, dialect: Dialect
+) -> str | None:
+    """Return the routing key, empty in a pool, or None if there is no valid one."""
+    if service.kind is ServiceKind.RANGED:
+        stated = req.header(dialect.routing_key.lower()) or ""
+        is_valid = _NUMERIC_KEY.fullmatch(stated) and int(stated) <= LAST_KEY
+        return stated if is_valid else None
+    found = match.variables.get(match.route.key, "")
+    return None if service.kind is ServiceKind.KEYED and not found else found
--- a/bergamotdrift/tables.py
+++ b/bergamotdrift/tables.py
@@ -1,5 +1,6 @@
 """Replica of control's state that entries and arbiters keep from the feed."""
 
+from bisect import bisect_right
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -10,6 +11,7 @@
     IsolatedKeyRow,
     NodeRow,
     PartitionRow,
+    RangeRow,
     RemovedRow,
     Role,
     ShardRow,
@@ -38,6 +40,13 @@
     key_hash: int
 
 
+class RangeId(NamedTuple):
+    """Identify a key range by its service and first key."""
+
+    service: str
+    first: int
+
+
 class Tables:
     """Hold settings and rows up to a feed index; revisions never fall."""
 
@@ -50,6 +59,9 @@
         self.partitions: dict[PartitionId, PartitionRow] = {}
         self.shards: dict[str, ShardRow] = {}
         self.isolated: dict[IsolatedKeyId, IsolatedKeyRow] = {}
+        self.ranges: dict[RangeId, RangeRow] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self._range_starts: dict[str, list[int]] = {}
 
     def apply(self, update: FeedUpdate) -> bool:
         """Apply an update and tell whether it was newer and contiguous."""
@@ -63,6 +75,9 @@
         self._apply_rows(update)
         for row in update.removed:
             self._remove(row)
+        self._apply_ranges(update)
+        if update.evacuated is not None:
+            self.evacuated = frozenset(update.evacuated)
         self.index = update.to_index
         return True
 
@@ -73,6 +88,15 @@
             return isolated.partition
         return partition_of(routing_key, partitions)
 
+    def range_of(self, service: str, key: int) -> RangeRow | None:
+        """Return the range that holds a numeric key, or None."""
+        starts = self._range_starts.get(service, ())
+        place = bisect_right(starts, key)
+        if not place:
+            return None
+        row = self.ranges[RangeId(service, starts[place - 1])]
+        return row if key <= row.last else None
+
     def arbiter_of(self, shard: str) -> NodeRow | None:
         """Return the live arbiter that a shard is assigned to, or None."""
         row = self.shards.get(shard)
@@ -103,6 +127,16 @@
         for key in update.isolated:
             self.isolated[IsolatedKeyId(key.service, key.key_hash)] = key
 
+    def _apply_ranges(self, update: FeedUpdate) -> None:
+        for row in update.ranges:
+            self.ranges[RangeId(row.service, row.first)] = row
+        removed = any(row.table == "ranges" for row in update.removed)
+        if update.full or update.ranges or removed:
+            starts: dict[str, list[int]] = {}
+            for key in sorted(self.ranges):
+                starts.setdefault(key.service, []).append(key.first)
+            self._range_starts = starts
+
     def _remove(self, row: RemovedRow) -> None:
         table = self._tables().get(row.table)
         if table is not None:
@@ -115,14 +149,20 @@
             "partitions": self.partitions,
             "shards": self.shards,
             "isolated": self.isolated,
+            "ranges": self.ranges,
         }
 
 
-def _key_of(row: RemovedRow) -> str | UpstreamId | PartitionId | IsolatedKeyId:
+_Key = str | UpstreamId | PartitionId | IsolatedKeyId | RangeId
+
+
+def _key_of(row: RemovedRow) -> _Key:
     if row.table == "upstreams":
         return UpstreamId(*row.key)
     if row.table == "partitions":
         return PartitionId(row.key[0], int(row.key[1]))
     if row.table == "isolated":
         return IsolatedKeyId(row.key[0], int(row.key[1]))
+    if row.table == "ranges":
+        return RangeId(row.key[0], int(row.key[1]))
     return row.key[0]
--- a/bergamotdrift/upstream_connections.py
+++ b/bergamotdrift/upstream_connections.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import select
+import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -18,6 +19,7 @@
 # Upstreams commonly close idle connections after 5 s; reuse stops well before.
 IDLE_MAX_MS = 3000
 _MAX_HEAD_BYTES = 64 * 1024
+_ABORT = struct.pack("ii", 1, 0)
 
 
 class ResponseParser(HTTPResponse):
@@ -27,6 +29,8 @@
         super().__init__(method=method)
         self.status = 0
         self.extra_data = False
+        # An answer without framing is complete once the upstream has closed in order.
+        self.ends_with_connection = False
 
     def _on_message_begin(self) -> None:
         if self.message_complete and self.status >= 200:
@@ -111,7 +115,7 @@
         self._sock.settimeout(self._remaining_ms() / 1000.0)
         data = self._sock.recv(_RECEIVE_BYTES)
         if not data:
-            raise ConnectionResetError("the upstream closed the connection")
+            return self._take_end(parser)
         try:
             parser.feed(data)
         except HTTPParseError:
@@ -119,6 +123,23 @@
                 raise
         return len(data)
 
+    def _take_end(self, parser: ResponseParser) -> int:
+        """Complete an answer that has no framing; any other one is truncated."""
+        if not parser.head_is_final or parser.has_framing():
+            raise ConnectionResetError("the upstream closed the connection")
+        parser.ends_with_connection = True
+        parser.message_complete = True
+        return 0
+
+    def abort(self) -> None:
+        """Reset the connection, so that nothing still on its way takes effect."""
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(
+                gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, _ABORT
+            )
+        self._closed = True
+        self._sock.close()
+
     def is_usable(self) -> bool:
         """Tell whether an idle connection is still open and silent."""
         return not self._closed and peer_has_closed(self._sock) is False
--- a/bergamotdrift/upstream_sessions.py
+++ b/bergamotdrift/upstream_sessions.py
@@ -32,11 +32,19 @@
     The caller must hold the leadership when it passes an announcement on.
     """
 
-    def __init__(self, state: ControlState, handover: Handover, opened_at_ms: float):
+    def __init__(
+        self,
+        state: ControlState,
+        handover: Handover,
+        opened_at_ms: float,
+        ttl_ms: float | None = None,
+    ):
         self._state = state
         self._handover = handover
-        self._contacts: Contacts[UpstreamId] = Contacts(opened_at_ms)
+        self._contacts: Contacts[UpstreamId] = Contacts(opened_at_ms, ttl_ms)
         self._changes: dict[UpstreamId, UpstreamRow] = {}
+        self._sequences: dict[cmd.UpstreamIncarnation, int] = {}
+        self._cold_until_ms: dict[cmd.UpstreamIncarnation, float] = {}
 
     def announce(self, item: Announcement, now_ms: float) -> AnnouncementReply:
         """Return the grants of an upstream, or an error that changes nothing."""
@@ -46,6 +54,11 @@
         key = UpstreamId(item.service, item.upstream)
         if self._state.rows.is_superseded(key, item.incarnation):
             return _refusal(item, "a later incarnation has registered")
+        if self._is_predecessor(item):
+            return _refusal(item, "a later upstream has registered this address")
+        if self._is_late(item):
+            return _without_grants(item)
+        self._note_cold(item, now_ms)
         row = self._state.rows.upstreams.get(key)
         if row is None:
             return self._register(key, item, now_ms)
@@ -59,6 +72,11 @@
         self._note_state(key, row, item)
         return self._grant(key, item, now_ms)
 
+    def last_seen_ms(self, row: UpstreamRow) -> float:
+        """Return when an upstream announced itself last, at least the term's start."""
+        key = UpstreamId(row.service, row.upstream)
+        return self._contacts.last_seen_ms(key, row.incarnation)
+
     def has_changes(self) -> bool:
         """Tell whether a registration or change of state waits to be logged."""
         return bool(self._changes)
@@ -86,6 +104,7 @@
     def commands(self, now_ms: float) -> list[Message]:
         """Return registrations, changes of state and removals to log."""
         self._contacts.forget_removed(self._is_known, now_ms)
+        self._end_cold_starts(now_ms)
         commands: list[Message] = []
         expired = self._expired(now_ms)
         if expired:
@@ -113,6 +132,8 @@
     def _replace(
         self, key: UpstreamId, row: UpstreamRow, item: Announcement, now_ms: float
     ) -> AnnouncementReply:
+        if item.born_ms < row.born_ms:
+            return _refusal(item, "a later incarnation has registered")
         service = self._state.service(item.service)
         assert service is not None
         if service.kind is ServiceKind.KEYED:
@@ -125,9 +146,44 @@
         self, key: UpstreamId, row: UpstreamRow, item: Announcement
     ) -> None:
         # A delayed announcement must not undo that an upstream started to leave.
-        if row.state is not item.state and row.state is not UpstreamState.LEAVING:
+        if row.state is UpstreamState.LEAVING:
+            return
+        if row.state is not item.state or row.slots != item.slots:
             self._changes[key] = _row(item)
 
+    def _is_predecessor(self, item: Announcement) -> bool:
+        """Tell whether a later start than the announcer's has its address."""
+        return any(
+            row.address == item.address and row.born_ms > item.born_ms > 0
+            for row in self._state.rows.upstreams.rows()
+        )
+
+    def _is_late(self, item: Announcement) -> bool:
+        """Tell whether a later announcement of the same run has arrived before."""
+        if not item.sequence:
+            return False
+        key = cmd.UpstreamIncarnation(item.service, item.upstream, item.incarnation)
+        last = self._sequences.get(key, 0)
+        self._sequences[key] = max(last, item.sequence)
+        return item.sequence < last
+
+    def _note_cold(self, item: Announcement, now_ms: float) -> None:
+        if item.cold_ms:
+            key = cmd.UpstreamIncarnation(item.service, item.upstream, item.incarnation)
+            self._cold_until_ms[key] = now_ms + item.cold_ms
+
+    def _end_cold_starts(self, now_ms: float) -> None:
+        """Count upstreams as ready once the cold start that they announced is over."""
+        over = [k for k, until_ms in self._cold_until_ms.items() if until_ms <= now_ms]
+        for run in over:
+            del self._cold_until_ms[run]
+            key = UpstreamId(run.service, run.upstream)
+            row = self._state.rows.upstreams.get(key)
+            if row is None or row.incarnation != run.incarnation:
+                continue
+            if row.state is UpstreamState.COLD and key not in self._changes:
+                self._changes[key] = row._replace(state=UpstreamState.READY)
+
     def _grant(
         self, key: UpstreamId, item: Announcement, now_ms: float
     ) -> AnnouncementReply:
@@ -169,6 +225,8 @@
         item.zone,
         item.incarnation,
         item.state,
+        item.slots,
+        item.born_ms,
     )
 
 
