--- a/bergamotdrift/platform/boot.py
+++ b/bergamotdrift/platform/boot.py
@@ -46,6 +46,8 @@
     retry_ratio: float = 0.2
     retry_slack: float = 0.0
     retry_window_s: float = 10.0
+    rate_overage: float = 0.0
+    rate_slack: float = 0.0
 
 
 class Boot(NamedTuple):
@@ -113,6 +115,8 @@
         float(fields.get("retry_budget_ratio", usual.retry_ratio)),
         float(fields.get("retry_budget_slack", usual.retry_slack)),
         duration_ms(window) / 1000.0 if window else usual.retry_window_s,
+        float(fields.get("quota_overage", usual.rate_overage)),
+        float(fields.get("quota_slack", usual.rate_slack)),
     )
 
 
--- a/bergamotdrift/platform/control.py
+++ b/bergamotdrift/platform/control.py
@@ -12,6 +12,7 @@
 from bergamotdrift.platform.control_api import LeaderCalls, control_app
 from bergamotdrift.platform.desk import LeaderDesk
 from bergamotdrift.platform.orders import PlatformOrders
+from bergamotdrift.platform.site_config import RateTolerance
 from bergamotdrift.program import EXIT_FAILED
 from bergamotdrift.range_orders import RangeOrders
 from bergamotdrift.shutdown import shutdown_event
@@ -31,6 +32,7 @@
         clock,
         boot.zones,
         boot.control,
+        RateTolerance(boot.bounds.rate_overage, boot.bounds.rate_slack),
     )
     orders = RangeOrders(nodes.leadership, control.state, clock, PlatformOrders(clock))
     calls = LeaderCalls(control.server, control.replica)
--- a/bergamotdrift/platform/desk.py
+++ b/bergamotdrift/platform/desk.py
@@ -54,6 +54,7 @@
         clock: Clock,
         zones: Iterable[str],
         heartbeat_address: str,
+        tolerance: site_config.RateTolerance,
     ):
         self._state = state
         self._leadership = leadership
@@ -61,6 +62,7 @@
         self._clock = clock
         self._zones = frozenset(zones)
         self._heartbeat_address = heartbeat_address
+        self._tolerance = tolerance
 
     def answer(self, call: LeaderCall) -> OperatorAnswer:
         """Return the answer to a call; 503 unless this replica leads."""
@@ -103,7 +105,7 @@
             if patch.base_version != log.revision or not log.revision:
                 return self._lost_race(patch.version, patch.base_version)
             config = site_config.patched(site_config.load(log.mapping), patch)
-        settings = site_config.to_settings(config, self._zones)
+        settings = site_config.to_settings(config, self._zones, self._tolerance)
         if config.base_version != log.revision or config.version <= log.revision:
             return self._lost_race(config.version, config.base_version)
         outcome = self._leadership.propose(
--- a/bergamotdrift/platform/site_config.py
+++ b/bergamotdrift/platform/site_config.py
@@ -39,6 +39,7 @@
 _SLOTS = 2
 _QUEUE_LIMIT = 1000
 _COLD_SLOTS = 1
+_TOLERANCE_USED = 0.5
 _METHODS = tuple(method.value for method in Method)
 
 Fields = dict[str, Any]
@@ -129,7 +130,21 @@
     return msgspec.json.encode(body)
 
 
-def to_settings(config: WireConfig, zones: Iterable[str]) -> SiteSettings:
+class RateTolerance(NamedTuple):
+    """Hold how far workspaces may pass their limits: a share, and a count at once."""
+
+    overage: float = 0.0
+    slack: float = 0.0
+
+
+NO_TOLERANCE = RateTolerance()
+
+
+def to_settings(
+    config: WireConfig,
+    zones: Iterable[str],
+    tolerance: RateTolerance = NO_TOLERANCE,
+) -> SiteSettings:
     """Return the settings that a configuration stands for, or raise WireError."""
     services = [_service(item) for item in config.sections["services"].values()]
     limits = _limits(config.limits)
@@ -138,7 +153,8 @@
         _route(item, known, limits) for item in config.sections["routes"].values()
     ]
     _check_places(routes)
-    workspaces = [_workspace(item) for item in config.sections["tenants"].values()]
+    tenants = config.sections["tenants"].values()
+    workspaces = [_workspace(item, tolerance) for item in tenants]
     _check_keys(workspaces)
     return SiteSettings(
         _SITE,
@@ -265,15 +281,19 @@
     return tuple(shares)
 
 
-def _workspace(item: Fields) -> WorkspaceSettings:
+def _workspace(item: Fields, tolerance: RateTolerance) -> WorkspaceSettings:
     keys = item.get("api_keys") or []
     if not isinstance(keys, list):
         raise WireError("api_keys must be a list")
     rank = item.get("priority")
+    # Part of the tolerance makes up for tokens that lie unused at some entries.
+    factor = 1.0 + tolerance.overage * _TOLERANCE_USED
+    rate_per_s = number(item.get("rate_per_s", 0), "rate_per_s") * factor
+    burst = number(item.get("burst", 0), "burst") * factor
     return WorkspaceSettings(
         text(item.get("name"), "name"),
-        number(item.get("rate_per_s", 0), "rate_per_s"),
-        int(number(item.get("burst", 0), "burst")),
+        rate_per_s,
+        int(burst + tolerance.slack * _TOLERANCE_USED),
         tuple(key_digest(text(key, "a key")) for key in keys),
         (ALL_SERVICES,),
         None if rank is None else whole(rank, "priority"),
--- a/bergamotdrift/rate_allowance.py
+++ b/bergamotdrift/rate_allowance.py
@@ -1,6 +1,5 @@
 """Rate tokens that an entry holds under the control leader's leases."""
 
-import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -19,6 +18,7 @@
 _DEMAND_WINDOW_MS = 1000.0
 # A request within its workspace's rate may find all tokens on their way for a moment.
 _WAIT_MAX_MS = 400.0
+_RETRY_AFTER_MIN_MS = 100.0
 
 
 @dataclass
@@ -91,7 +91,7 @@
         end_ms = min(deadline_ms, now_ms + _WAIT_MAX_MS)
         account.waiting += 1
         try:
-            return self._wait(account, end_ms)
+            return self._wait(workspace, account, end_ms)
         finally:
             account.waiting -= 1
 
@@ -102,7 +102,8 @@
         for name, account in self._accounts.items():
             held = account.held(now_ms)
             stock = account.demand_per_s(now_ms) * _STOCK_MS / 1000.0
-            target = math.ceil(stock) + account.waiting
+            # Rounded up, the stocks of many entries would hold a small burst.
+            target = int(stock) + account.waiting
             returned = account.give(held - target) if held > target else 0
             wanted = max(0, target - held)
             if held or wanted:
@@ -113,23 +114,26 @@
         """Take leased tokens and wake the requests that wait for them."""
         for item in lots:
             account = self._accounts.setdefault(item.workspace, _Account())
-            account.wait_ms = item.wait_ms
+            account.wait_ms = item.wait_ms if not item.tokens else 0.0
             if item.tokens:
                 ends_ms = asked_at_ms + item.lease_ms - DRIFT_MARGIN_MS
                 account.lots.append(_Lot(ends_ms, item.tokens))
             changed, account.changed = account.changed, Event()
             changed.set()
 
-    def _wait(self, account: _Account, end_ms: float) -> Result[None, Refusal]:
-        while True:
+    def _wait(
+        self, workspace: str, account: _Account, end_ms: float
+    ) -> Result[None, Refusal]:
+        """Wait for the leader's next answers, until one states that none is left."""
+        while (left_ms := end_ms - self._clock.now_ms()) > 0:
             self.ask_now()
-            now_ms = self._clock.now_ms()
-            left_ms = end_ms - now_ms
-            if left_ms <= 0 or account.wait_ms > left_ms:
-                wait_s = max(account.wait_ms, 100.0) / 1000.0
-                refusal = Refusal(ErrorKind.RATE_EXCEEDED, "no tokens left", wait_s)
-                account.wait_ms = 0.0
-                return Failure(refusal)
-            account.changed.wait(left_ms / 1000.0)
+            if not account.changed.wait(left_ms / 1000.0):
+                break
             if account.take(self._clock.now_ms()):
                 return Success(None)
+            if account.wait_ms > 0:
+                break
+        rate = self._rate_of(workspace)
+        detail = f"no tokens left for {workspace} at {rate:g}/s"
+        wait_s = max(account.wait_ms, _RETRY_AFTER_MIN_MS) / 1000.0
+        return Failure(Refusal(ErrorKind.RATE_EXCEEDED, detail, wait_s))
