Move keys of a lost upstream sooner, and end attempts that get no answer

Change: grants run for 2 s instead of 3; keys of an upstream whose address a later start took are free at once; a repeatable attempt in a pool is given up for another one; a request is refused soon where its obstacle lasts; shutdown keeps one end time; control starts without the command-line library.

--- a/bergamotdrift/attempts.py
+++ b/bergamotdrift/attempts.py
@@ -14,6 +14,8 @@
         self.workspace = workspace
         self.conn: UpstreamConnection | None = None
         self.cancel_reason = ""
+        # When the attempt is given up for another one; None for the request's deadline.
+        self.limit_ms: float | None = None
         # The load that the upstream stated in its answer, if it did.
         self.load: AnswerLoad | None = None
 
--- a/bergamotdrift/config/schema.py
+++ b/bergamotdrift/config/schema.py
@@ -72,7 +72,8 @@
     A path that ends in `/*` accepts any further segments. `host` restricts the route
     to requests for that host. `split` replaces `service` where it is not empty.
     `timeout_ms` and `attempts` are 0 where only the service's bounds apply; `rank` is
-    0 for the most urgent requests.
+    0 for the most urgent requests. `target_ms` is the time within which an answer has
+    its full worth, 0 if there is none.
     """
 
     path: str
@@ -89,6 +90,7 @@
     timeout_ms: int = 0
     attempts: int = 0
     rank: int = 0
+    target_ms: int = 0
 
 
 class WorkspaceSettings(NamedTuple):
--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -36,6 +36,7 @@
 
 _CALL_TIMEOUT_MS = 1000
 _CONNECT_WAIT_MS = 300
+_FAREWELL_TIMEOUT_MS = 300
 
 
 class SessionObserver(Protocol):
@@ -108,7 +109,7 @@
         farewell = Farewell(self._hello.node, self._hello.incarnation)
         # Control expires the session by its time-to-live if this fails.
         with contextlib.suppress(StreamClosedError, CallError, gevent.Timeout):
-            self._client.call(farewell, _CALL_TIMEOUT_MS)
+            self._client.call(farewell, _FAREWELL_TIMEOUT_MS)
         self._client.stop()
 
     def add_replicas(self, addresses: Iterable[str]) -> None:
--- a/bergamotdrift/control_rows.py
+++ b/bergamotdrift/control_rows.py
@@ -122,6 +122,16 @@
             self.ranges.put(RangeId(row.service, row.first), stored, index)
         return True
 
+    def free_ranges(self, index: int, upstream: UpstreamRow) -> None:
+        """Take the ranges of an upstream whose process has surely ended."""
+        for row in self.ranges_of(upstream.service):
+            run = (row.upstream, row.incarnation)
+            if run == (upstream.upstream, upstream.incarnation):
+                free = row._replace(
+                    upstream="", incarnation="", state=PartitionState.VACANT
+                )
+                self.ranges.put(RangeId(row.service, row.first), free, index)
+
     def removed_since(self, index: int) -> list[RemovedRow]:
         """Return the tombstones after an index."""
         return [row for table in self._tables() for row in table.removed_since(index)]
--- a/bergamotdrift/control_state.py
+++ b/bergamotdrift/control_state.py
@@ -166,6 +166,8 @@
             if same or other.address != row.address:
                 continue
             if 0 < other.born_ms < row.born_ms:
+                # Its process has ended, and its grants with it.
+                self.rows.free_ranges(index, other)
                 self.rows.upstreams.remove(key, index)
 
     def _set_evacuation(self, index: int, command: cmd.SetEvacuation) -> Applied:
--- a/bergamotdrift/direct_choice.py
+++ b/bergamotdrift/direct_choice.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Collection
+from enum import StrEnum
 from typing import NamedTuple
 
 from bergamotdrift.cold_share import ColdShare
@@ -15,13 +16,24 @@
 ZONE_COST = 0.8
 ZONE_COST_PER_KB = 0.03
 _NOISE = 0.05
+_HANDOVER_USUAL_MS = 400.0
+
+
+class Patience(StrEnum):
+    """Tell for how long a request that can't be sent should wait."""
+
+    NONE = "none"
+    # The obstacle may last for seconds.
+    SHORT = "short"
+    # The obstacle passes soon.
+    LONG = "long"
 
 
 class Blocked(NamedTuple):
-    """Tell why a request can't be sent now; it may wait if `may_wait` is true."""
+    """Tell why a request can't be sent now, and how long to wait for a change."""
 
     reason: str
-    may_wait: bool = True
+    patience: Patience = Patience.LONG
 
 
 class Chosen(NamedTuple):
@@ -42,6 +54,8 @@
         self._by_service: dict[str, list[DirectLoad]] = {}
         self._entries = 1
         self._evacuated: frozenset[str] = frozenset()
+        # Ranges without a settled owner, and since when this entry knows.
+        self._changing_since_ms: dict[RangeRow, float] = {}
 
     def update(self, tables: Tables, entries: frozenset[str], now_ms: float) -> None:
         """Take changed tables; `entries` are the live entries."""
@@ -50,6 +64,11 @@
         self._take_upstreams(tables, now_ms)
         self._take_evacuations(tables, now_ms)
         self.cold.forget({key.upstream for key in self.loads})
+        self._changing_since_ms = {
+            row: self._changing_since_ms.get(row, now_ms)
+            for row in tables.ranges.values()
+            if row.state is not PartitionState.OWNED
+        }
         self._by_service = {}
         for key, load in self.loads.items():
             self._by_service.setdefault(key.service, []).append(load)
@@ -93,21 +112,28 @@
     ) -> Chosen | Blocked:
         row = tables.range_of(routed.service.name, int(routed.routing_key))
         if row is None:
-            return Blocked("no upstream holds the key")
+            return Blocked("no upstream holds the key", Patience.SHORT)
         if row.state is not PartitionState.OWNED:
-            return Blocked("the key is changing its upstream")
+            return self._changing(row, now_ms)
         load = self.loads.get(UpstreamId(row.service, row.upstream))
         if load is None or load.row.incarnation != row.incarnation:
-            return Blocked("the upstream that holds the key is gone")
+            return Blocked("the upstream that holds the key is gone", Patience.SHORT)
         reason = self._obstacle(load, routed.service, now_ms)
-        return Blocked(reason) if reason else Chosen(load, row)
+        return _blocked({reason}) if reason else Chosen(load, row)
+
+    def _changing(self, row: RangeRow, now_ms: float) -> Blocked:
+        """Wait for a hand-over, unless it already takes longer than one does."""
+        since_ms = self._changing_since_ms.setdefault(row, now_ms)
+        is_late = now_ms - since_ms > _HANDOVER_USUAL_MS
+        patience = Patience.SHORT if is_late else Patience.LONG
+        return Blocked("the key is changing its upstream", patience)
 
     def _choose_free(
         self, routed: RoutedRequest, excluded: Collection[str], now_ms: float
     ) -> Chosen | Blocked:
         known = self._by_service.get(routed.service.name, [])
         if not known:
-            return Blocked("no upstream is known", may_wait=False)
+            return Blocked("no upstream is known", Patience.NONE)
         others = [load for load in known if load.row.upstream not in excluded]
         reasons: set[str] = set()
         free = []
@@ -118,9 +144,19 @@
             else:
                 free.append(load)
         if not free:
-            return Blocked("; ".join(sorted(reasons)))
+            return _blocked(reasons)
         return Chosen(min(free, key=self._cost(routed, now_ms)))
 
+    def has_other(self, service: str, upstream: str) -> bool:
+        """Tell whether another upstream of a pool may run requests."""
+        return any(
+            load.row.upstream != upstream
+            and not load.is_down
+            and load.row.state is not UpstreamState.LEAVING
+            and load.row.zone not in self._evacuated
+            for load in self._by_service.get(service, ())
+        )
+
     def _cost(
         self, routed: RoutedRequest, now_ms: float
     ) -> Callable[[DirectLoad], float]:
@@ -151,6 +187,13 @@
         return ""
 
 
+def _blocked(reasons: set[str]) -> Blocked:
+    """Return why no upstream can get a request; full and cold ones soon can."""
+    soon = reasons & {"full", "cold"}
+    patience = Patience.LONG if soon else Patience.SHORT
+    return Blocked("; ".join(sorted(reasons)), patience)
+
+
 def cold_ms(service: ServiceSettings) -> float:
     """Return how long an upstream of a service stays cold."""
     return service.cold_start.ramp_s * 1000.0
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -11,7 +11,13 @@
 from bergamotdrift.attempts import AttemptRegistry, RunningAttempt
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import ServiceKind
-from bergamotdrift.direct_choice import Blocked, Chosen, DirectChoice, cold_ms
+from bergamotdrift.direct_choice import (
+    Blocked,
+    Chosen,
+    DirectChoice,
+    Patience,
+    cold_ms,
+)
 from bergamotdrift.direct_load import DirectLoad
 from bergamotdrift.exceptions import ErrorKind, Refusal
 from bergamotdrift.fence_guard import FenceGuard
@@ -28,9 +34,15 @@
 
 # Time alone may make room: a probe that is due, or the next second of a cold start.
 _RECHECK_MS = 40.0
-# A request that can't be sent is refused while its caller has time to come back.
-_WAIT_RATIO = 0.45
-_RETRY_AFTER_S = 0.2
+# A request that can't be sent is refused while its caller has time to come back: soon
+# where the obstacle may last, with a later time to come back.
+_WAIT_RATIO = {Patience.NONE: 0.0, Patience.SHORT: 0.04, Patience.LONG: 0.4}
+_RETRY_AFTER_S = {Patience.NONE: 0.5, Patience.SHORT: 0.5, Patience.LONG: 0.1}
+# An attempt without an answer for this many times the mean, and this part of the time
+# that is left, is given up for one at another upstream.
+_ATTEMPT_MEANS = 5.0
+_ATTEMPT_RATIO = 0.45
+_ATTEMPTS_USUAL = 2
 _MEAN_STEP = 0.05
 
 
@@ -73,10 +85,10 @@
             self._keys[routed.service.name, int(routed.routing_key)] += 1
         found = self._try(routed, numbers.excluded)
         if isinstance(found, Chosen) and not self._is_behind(routed):
-            return Success(self._start(routed, found))
-        if isinstance(found, Blocked) and not found.may_wait:
+            return Success(self._limited(self._start(routed, found), routed, numbers))
+        if isinstance(found, Blocked) and found.patience is Patience.NONE:
             return Failure(_refusal(found))
-        return self._wait(routed, numbers.excluded)
+        return self._wait(routed, numbers)
 
     def release(self, running: RunningAttempt, msg: PermitRelease) -> None:
         """End a permit, learn from its outcome and let others run."""
@@ -139,29 +151,55 @@
         return found
 
     def _wait(
-        self, routed: RoutedRequest, excluded: list[str]
+        self, routed: RoutedRequest, numbers: AttemptNumbers
     ) -> Result[RunningAttempt, Refusal]:
         started_ms = self._clock.now_ms()
-        end_ms = started_ms + _WAIT_RATIO * (routed.deadline_ms - started_ms)
-        waiter = _Waiter(rank_of(routed), next(self._numbers), routed, excluded)
+        waiter = _Waiter(rank_of(routed), next(self._numbers), routed, numbers.excluded)
         self._waiters.append(waiter)
         try:
-            while (left_ms := end_ms - self._clock.now_ms()) > 0:
-                if waiter.fut.wait(min(left_ms, _RECHECK_MS) / 1000.0) is not None:
-                    return Success(waiter.fut.get())
-                self.notify()
-            if waiter.fut.ready():
-                return Success(waiter.fut.get())
+            blocked = self._await_turn(waiter, started_ms)
         except BaseException:
             self._give_back(waiter)
             raise
         finally:
             self._waiters.remove(waiter)
-        found = self._try(routed, excluded)
-        if isinstance(found, Chosen):
-            return Success(self._start(routed, found))
+        if blocked is None:
+            return Success(self._limited(waiter.fut.get(), routed, numbers))
         waited_ms = self._clock.now_ms() - started_ms
-        return Failure(_refusal(found, f" for {waited_ms:.0f} ms"))
+        return Failure(_refusal(blocked, f" for {waited_ms:.0f} ms"))
+
+    def _await_turn(self, waiter: _Waiter, started_ms: float) -> Blocked | None:
+        """Wait until the waiter has a permit, or return why it should give up."""
+        while True:
+            self.notify()
+            if waiter.fut.ready():
+                return None
+            found = self._try(waiter.routed, waiter.excluded)
+            if isinstance(found, Chosen):
+                # A more urgent request took its turn before.
+                found = Blocked("full")
+            end_ms = _wait_end_ms(waiter.routed, found.patience, started_ms)
+            left_ms = end_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                return found
+            waiter.fut.wait(min(left_ms, _RECHECK_MS) / 1000.0)
+
+    def _limited(
+        self, running: RunningAttempt, routed: RoutedRequest, numbers: AttemptNumbers
+    ) -> RunningAttempt:
+        """Bound an attempt that can be made again elsewhere if it gets no answer."""
+        is_last = numbers.sent + 1 >= (routed.route.attempts or _ATTEMPTS_USUAL)
+        if is_last or routed.is_keyed or not routed.route.idempotent:
+            return running
+        if not self._choice.has_other(routed.service.name, running.permit.upstream):
+            return running
+        now_ms = self._clock.now_ms()
+        mean_ms = self._means_ms.get(_name_of(routed), 0.0)
+        left_ms = routed.deadline_ms - now_ms
+        limit_ms = max(_ATTEMPT_MEANS * mean_ms, _ATTEMPT_RATIO * left_ms)
+        if limit_ms < left_ms:
+            running.limit_ms = now_ms + limit_ms
+        return running
 
     def _give_back(self, waiter: _Waiter) -> None:
         """Return a permit that was given to a caller who left meanwhile."""
@@ -208,7 +246,7 @@
         load.note_outcome(msg.outcome, cold_ms(routed.service), now_ms)
         if msg.outcome is not AttemptOutcome.ANSWERED:
             return
-        name = routed.route.name or routed.route.path
+        name = _name_of(routed)
         mean = self._means_ms.get(name, msg.latency_ms)
         self._means_ms[name] = mean + _MEAN_STEP * (msg.latency_ms - mean)
         load.note_speed(msg.latency_ms / max(1.0, mean))
@@ -221,6 +259,15 @@
     return routed.route.rank
 
 
+def _name_of(routed: RoutedRequest) -> str:
+    return routed.route.name or routed.route.path
+
+
+def _wait_end_ms(routed: RoutedRequest, patience: Patience, started_ms: float) -> float:
+    """Return until when a request may wait that has waited since `started_ms`."""
+    return started_ms + _WAIT_RATIO[patience] * (routed.deadline_ms - started_ms)
+
+
 def _refusal(blocked: Blocked, suffix: str = "") -> Refusal:
     kind = ErrorKind.QUEUE_FULL if "full" in blocked.reason else ErrorKind.NO_UPSTREAM
-    return Refusal(kind, blocked.reason + suffix, _RETRY_AFTER_S)
+    return Refusal(kind, blocked.reason + suffix, _RETRY_AFTER_S[blocked.patience])
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -103,14 +103,13 @@
         self._admission.stopping = True
         self.server.drain()
         log_event("entry_draining", running=self.app.running)
-        serving_s = min(self._cfg.unready_s, self._cfg.drain_s)
-        gevent.sleep(serving_s)
+        end_ms = self._clock.now_ms() + self._cfg.drain_s * 1000.0
+        gevent.sleep(min(self._cfg.unready_s, self._cfg.drain_s))
         self._admission.closed = True
-        left_s = self._cfg.drain_s - serving_s
-        gevent.sleep(min(_UNREADY_GRACE_S, left_s))
-        finished = self._wait_until_idle(max(0.0, left_s - _UNREADY_GRACE_S))
+        gevent.sleep(min(_UNREADY_GRACE_S, self._left_s(end_ms)))
+        finished = self._wait_until_idle(self._left_s(end_ms))
         self.server.stop()
-        self._wait_until_idle(_UNREADY_GRACE_S)
+        self._wait_until_idle(min(_UNREADY_GRACE_S, self._left_s(end_ms)))
         gevent.killall(self._greenlets)
         self._tokens.stop()
         self._connections.drop_all()
@@ -281,9 +280,11 @@
             gevent.sleep(_SWEEP_INTERVAL_S)
             self._connections.drop_old()
 
-    def _wait_until_idle(self, limit_s: float | None = None) -> bool:
-        end_s = self._cfg.drain_s if limit_s is None else limit_s
-        with contextlib.suppress(gevent.Timeout), gevent.Timeout(end_s):
+    def _left_s(self, end_ms: float) -> float:
+        return max(0.0, end_ms - self._clock.now_ms()) / 1000.0
+
+    def _wait_until_idle(self, limit_s: float) -> bool:
+        with contextlib.suppress(gevent.Timeout), gevent.Timeout(limit_s):
             while self.app.running:
                 gevent.sleep(_DRAIN_POLL_S)
         return not self.app.running
--- a/bergamotdrift/platform/boot.py
+++ b/bergamotdrift/platform/boot.py
@@ -29,9 +29,9 @@
 _BODY_TIMEOUT_S = 5.0
 _IDLE_TIMEOUT_S = 15.0
 # The balancer takes a node out after two probes, one a second.
-_UNREADY_S = 2.6
-# Time of the grace that is left to close connections and to exit.
-_EXIT_S = 0.8
+_UNREADY_S = 2.4
+# Time of the grace that is left to end the session and to exit.
+_EXIT_S = 0.9
 # Upstreams that can't reach control may still serve, so they stay listed for long.
 _UPSTREAM_TTL_MS = 30_000
 _SNAPSHOT_ENTRIES = 2048
--- a/bergamotdrift/platform/control.py
+++ b/bergamotdrift/platform/control.py
@@ -3,7 +3,7 @@
 import sys
 
 from bergamotdrift.clock import BootClock
-from bergamotdrift.control import Control, wait_for_end
+from bergamotdrift.control_node import Control, wait_for_end
 from bergamotdrift.exceptions import StorageError
 from bergamotdrift.http_server import HttpServer
 from bergamotdrift.log import log_event
@@ -13,9 +13,8 @@
 from bergamotdrift.platform.desk import LeaderDesk
 from bergamotdrift.platform.orders import PlatformOrders
 from bergamotdrift.platform.site_config import RateTolerance
-from bergamotdrift.program import EXIT_FAILED
 from bergamotdrift.range_orders import RangeOrders
-from bergamotdrift.shutdown import shutdown_event
+from bergamotdrift.shutdown import EXIT_FAILED, shutdown_event
 
 
 def main() -> None:
--- a/bergamotdrift/platform/programs.py
+++ b/bergamotdrift/platform/programs.py
@@ -11,7 +11,7 @@
 from bergamotdrift.log import log_event, start_logging
 from bergamotdrift.metrics import watch_event_loop
 from bergamotdrift.platform.boot import Boot, read_boot
-from bergamotdrift.program import EXIT_SETTINGS
+from bergamotdrift.shutdown import EXIT_SETTINGS
 
 _USAGE = "usage: python -m bergamotdrift.platform.{program} SETTINGS"
 
--- a/bergamotdrift/platform/site_config.py
+++ b/bergamotdrift/platform/site_config.py
@@ -258,6 +258,7 @@
         timeout_ms=int(timeout_ms),
         attempts=whole(item.get("max_attempts", 1), "max_attempts", 1),
         rank=rank,
+        target_ms=int(duration_ms(item.get("target_latency", "0ms"))),
     )
 
 
--- a/bergamotdrift/program.py
+++ b/bergamotdrift/program.py
@@ -14,9 +14,7 @@
 from bergamotdrift.config.schema import ArbiterSettings, ControlSettings, EntrySettings
 from bergamotdrift.log import start_logging
 from bergamotdrift.metrics import watch_event_loop
-
-EXIT_FAILED = 1
-EXIT_SETTINGS = 2
+from bergamotdrift.shutdown import EXIT_SETTINGS
 
 _Settings = TypeVar("_Settings", EntrySettings, ArbiterSettings, ControlSettings)
 
--- a/bergamotdrift/range_leases.py
+++ b/bergamotdrift/range_leases.py
@@ -9,15 +9,17 @@
 
 from bergamotdrift.messages import RangeRow
 
-HOLD_MS = 3000
-RENEW_INTERVAL_MS = 900
+# A lost upstream keeps its keys from others for this long; a new leader must renew
+# the grants of the last one within it.
+HOLD_MS = 2000
+RENEW_INTERVAL_MS = 650
 # Upstreams measure the hold by clocks that may run this much slow.
 CLOCK_DRIFT = 0.02
 # Covers timers that fire late on either side.
 HOLD_MARGIN_MS = 150.0
 # An upstream that left grants unanswered for this long, and did not announce itself
 # meanwhile, counts as lost: its grants are no longer renewed.
-LOST_AFTER_MS = 1000.0
+LOST_AFTER_MS = 800.0
 
 
 class Holder(NamedTuple):
--- a/bergamotdrift/range_orders.py
+++ b/bergamotdrift/range_orders.py
@@ -19,7 +19,7 @@
     run_of,
 )
 
-CALL_TIMEOUT_MS = 500.0
+CALL_TIMEOUT_MS = 400.0
 # A release is answered once the work on its keys has ended.
 RELEASE_TIMEOUT_MS = 1500.0
 # A call without an answer is repeated after this pause.
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -180,6 +180,8 @@
 
     def _step(self, row: RangeRow) -> list[Message]:
         planner = self._planner
+        if not row.upstream:
+            return [self._assign(row, "")]
         if row.state is PartitionState.RELEASING:
             handover = planner.leases.handover_of(row)
             if handover is not None or self._has_ended(row):
--- a/bergamotdrift/shutdown.py
+++ b/bergamotdrift/shutdown.py
@@ -5,6 +5,10 @@
 import gevent
 from gevent.event import Event
 
+# Exit codes of the daemons.
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
 
 def shutdown_event() -> Event:
     """Return an event that is set by SIGTERM or SIGINT, however often they come."""
--- a/bergamotdrift/stages/answer.py
+++ b/bergamotdrift/stages/answer.py
@@ -46,6 +46,9 @@
 
 def is_small(answer: UpstreamAnswer, limit: int = WHOLE_ANSWER_BYTES) -> bool:
     """Tell whether the answer is complete or known to be small."""
+    if answer.is_unframed:
+        # Its end tells whether it is whole, so nothing is sent on before.
+        return True
     length = answer.length
     return answer.is_complete or (length is not None and length <= limit)
 
--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -84,6 +84,11 @@
         """Return the stated length of the body, or None."""
         return self._parser.content_length
 
+    @property
+    def is_unframed(self) -> bool:
+        """Tell whether only the end of the connection ends the body."""
+        return not self._parser.has_framing()
+
     @property
     def is_complete(self) -> bool:
         """Tell whether the whole answer has been received."""
@@ -216,7 +221,7 @@
         while True:
             conn = self._connections.take(permit.shard, permit.upstream, permit.address)
             running.conn = conn
-            conn.begin(routed.deadline_ms)
+            conn.begin(running.limit_ms or routed.deadline_ms)
             try:
                 if not conn.reused:
                     conn.connect()
--- /dev/null
+++ b/bergamotdrift/tests/test_cold_share.py
@@ -0,0 +1,39 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bergamotdrift.cold_share import ColdShare
+
+
+class ColdShareTests(unittest.TestCase):
+    """Guards a cold upstream against requests of all entries together."""
+
+    def shares(self, entries):
+        members = frozenset(f"e{n}" for n in range(entries))
+        shares = [ColdShare(name) for name in members]
+        for share in shares:
+            share.set_members(members)
+        return shares
+
+    @given(st.integers(1, 100), st.integers(0, 40))
+    def test_shares_add_up_to_the_bound(self, entries, per_s):
+        sent = 0
+        for share in self.shares(entries):
+            while share.has_room("u", per_s, 0.0):
+                share.note_sent("u", 0.0)
+                sent += 1
+        self.assertEqual(sent, per_s)
+
+    def test_room_comes_back_after_a_second(self):
+        (share,) = self.shares(1)
+        share.note_sent("u", 0.0)
+        self.assertFalse(share.has_room("u", 1, 999.0))
+        self.assertTrue(share.has_room("u", 1, 1000.0))
+
+    def test_entry_that_knows_no_member_counts_itself(self):
+        self.assertTrue(ColdShare("e1").has_room("u", 1, 0.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/bergamotdrift/tests/test_operator_api.py
+++ b/bergamotdrift/tests/test_operator_api.py
@@ -8,7 +8,7 @@
 from bergamotdrift.clock import BootClock
 from bergamotdrift.commands.arguments import CONTROL_VARIABLE, KEY_VARIABLE
 from bergamotdrift.config.schema import ControlSettings, NodeSettings, ReplicaAddress
-from bergamotdrift.control import Control
+from bergamotdrift.control_node import Control
 from bergamotdrift.hashing import key_digest
 from bergamotdrift.tests.fake_control import OPERATOR_KEY
 from bergamotdrift.tests.test_cli import BASE, OVERLAY, Run
--- /dev/null
+++ b/bergamotdrift/tests/test_platform_answers.py
@@ -0,0 +1,312 @@
+import socket
+import struct
+import unittest
+
+import gevent
+
+from bergamotdrift.clock import BootClock
+from bergamotdrift.config.schema import (
+    ColdStartSettings,
+    Dispatch,
+    Fencing,
+    RouteSettings,
+    ServiceKind,
+    ServiceSettings,
+    SiteSettings,
+    SplitShare,
+    WorkspaceSettings,
+    ZoneSettings,
+    ZoneState,
+)
+from bergamotdrift.dialect import AnswerLoad
+from bergamotdrift.entry_node import Entry
+from bergamotdrift.hashing import key_digest
+from bergamotdrift.messages import (
+    FeedUpdate,
+    PartitionState,
+    Ping,
+    Pong,
+    RangeRow,
+    RateLot,
+    UpstreamRow,
+    UpstreamState,
+)
+from bergamotdrift.platform.wire_dialect import PLATFORM, parse_load
+from bergamotdrift.tests.entry_fakes import (
+    KEY,
+    OK_BODY,
+    Caller,
+    FakeControl,
+    FakeUpstream,
+    entry_settings,
+)
+
+ALL = ("GET", "POST")
+OK = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nBackend-Load: 1,0,2,100\r\n\r\n" + OK_BODY
+)
+BUSY = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+WRONG = b"HTTP/1.1 421 No\r\nInstance-Id: i9\r\nContent-Length: 0\r\n\r\n"
+
+
+def service(name, kind):
+    return ServiceSettings(
+        name, kind, 0, Fencing.NONE, 2, 40, ColdStartSettings(1, 3.0, 10.0), 5000, 100
+    )
+
+
+def route(prefix, name, idempotent, **changes):
+    found = RouteSettings(
+        f"{prefix}*", ALL, name, "", False, False, idempotent, 1 << 20, prefix, "test"
+    )
+    return found._replace(timeout_ms=1000, attempts=2, **changes)
+
+
+SETTINGS = SiteSettings(
+    "s",
+    (ZoneSettings("a", ZoneState.IN),),
+    (service("pool", ServiceKind.POOL), service("keys", ServiceKind.RANGED)),
+    (
+        route("/look/", "pool", True),
+        route("/order/", "pool", False),
+        route("/keys/", "keys", True),
+        route("/open/", "pool", True, open=True),
+        route("/look/deep/", "keys", True),
+        route("/split/", "pool", True, split=(SplitShare("pool", 1),)),
+    ),
+    (WorkspaceSettings("w1", 1000, 1000, (key_digest(KEY),), ("*",)),),
+)
+
+
+class RateControl(FakeControl):
+    """Grants the rate tokens that pings ask for."""
+
+    def on_message(self, conn, number, msg):
+        if isinstance(msg, Ping):
+            lots = [RateLot(n.workspace, n.wanted, 1500, 0) for n in msg.rates]
+            self.received.append(msg)
+            if not self.silent:
+                conn.reply(number, Pong("c1", 1, self.update.to_index, 1500, lots))
+            return
+        super().on_message(conn, number, msg)
+
+
+class DirectEntryTestCase(unittest.TestCase):
+    """Runs an entry that decides by itself against two upstreams."""
+
+    def setUp(self):
+        self.control = RateControl()
+        self.upstreams = [FakeUpstream(lambda data: OK) for _ in range(2)]
+        self.control.update = self.tables()
+        cfg = entry_settings(self.control.server.address, dispatch=Dispatch.DIRECT)
+        self.entry = Entry(cfg, BootClock(), PLATFORM)
+        self.entry.start()
+        self.addCleanup(self.tear_down)
+        self.assertTrue(self.entry.control.ready.wait(5))
+
+    def tear_down(self):
+        self.entry.abort()
+        self.control.server.stop()
+        for upstream in self.upstreams:
+            upstream.server.stop(timeout=0)
+
+    def tables(self, **changes):
+        rows = [
+            UpstreamRow(
+                "pool", f"i{n}", up.address, "a", "1", UpstreamState.READY, 2, 1
+            )
+            for n, up in enumerate(self.upstreams)
+        ]
+        held = self.upstreams[0].address
+        rows.append(
+            UpstreamRow("keys", "k0", held, "a", "1", UpstreamState.READY, 2, 1)
+        )
+        ranges = [RangeRow("keys", 0, 999, "k0", "1", 4, PartitionState.OWNED)]
+        update = FeedUpdate(
+            0, 1, True, 1, SETTINGS, [], rows, [], [], [], [], ranges, []
+        )
+        return update._replace(**changes)
+
+    def answer_all(self, script):
+        for upstream in self.upstreams:
+            upstream.script = script
+
+    def requests(self):
+        return [data for up in self.upstreams for data in up.requests]
+
+    def ask(self, target, method="GET", headers=(), body=b"", key=KEY):
+        caller = Caller(self.entry.server.address)
+        self.addCleanup(caller.sock.close)
+        named = [("Attempt-Id", "a1"), ("Deadline-Ms", "900"), *headers]
+        return caller.ask(method, target, named, body, key)
+
+
+class ForwardingTests(DirectEntryTestCase):
+    """Guards what upstreams receive, and for whom."""
+
+    def test_request_names_upstream_workspace_and_time_left(self):
+        self.assertEqual(self.ask("/look/1?q=%20").body, OK_BODY)
+        (data,) = self.requests()
+        head = data.decode().split("\r\n")
+        self.assertEqual(head[0], "GET /look/1?q=%20 HTTP/1.1")
+        fields = dict(line.split(": ", 1) for line in head[1:] if line)
+        self.assertIn(fields["Expect-Instance"], ("i0", "i1"))
+        self.assertEqual(fields["Tenant-Id"], "w1")
+        self.assertEqual(fields["Attempt-Id"], "a1")
+        self.assertTrue(0 < int(fields["Deadline-Ms"]) <= 900)
+        self.assertNotIn(KEY, data.decode())
+
+    def test_stated_workspace_of_a_caller_is_not_passed_on(self):
+        self.ask("/look/1", headers=[("Tenant-Id", "other")])
+        self.assertNotIn(b"other", self.requests()[0])
+
+    def test_unknown_key_and_unknown_route(self):
+        self.assertEqual(self.ask("/look/1", key="no").status, 401)
+        self.assertEqual(self.ask("/none/1").status, 404)
+        self.assertEqual(self.ask("/open/1", key=None).status, 200)
+
+    def test_longest_prefix_selects_the_route(self):
+        self.ask("/look/deep/1", headers=[("Shard-Key", "7")])
+        self.assertIn(b"Expect-Instance: k0", self.requests()[0])
+
+    def test_request_without_a_valid_key_number_is_malformed(self):
+        for value in ("", "x", "65536", "-1"):
+            answer = self.ask("/keys/1", headers=[("Shard-Key", value)])
+            self.assertEqual(answer.status, 400)
+        self.assertEqual(self.requests(), [])
+
+
+class RepeatTests(DirectEntryTestCase):
+    """Guards against requests that run twice, and refusals that are not true."""
+
+    def test_unsafe_request_is_repeated_only_after_not_run(self):
+        self.answer_all(lambda data: BUSY)
+        answer = self.ask("/order/1", "POST", body=b"x")
+        self.assertEqual((answer.status, len(self.requests())), (503, 2))
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+
+    def test_unsafe_request_without_an_answer_is_not_repeated(self):
+        self.answer_all(lambda data: None)
+        answer = self.ask("/order/1", "POST", body=b"x")
+        self.assertEqual((answer.status, len(self.requests())), (502, 1))
+
+    def test_safe_request_is_sent_to_no_more_upstreams_than_its_route_allows(self):
+        self.answer_all(lambda data: None)
+        self.assertEqual(self.ask("/look/1").status, 502)
+        self.assertEqual(len(self.requests()), 2)
+
+    def test_refusal_after_an_unknown_outcome_promises_nothing(self):
+        answers = [None, BUSY]
+        self.answer_all(lambda data: answers.pop(0))
+        self.assertEqual(self.ask("/look/1").status, 502)
+
+    def test_misdirected_request_goes_to_another_upstream(self):
+        answers = [WRONG, OK]
+        self.answer_all(lambda data: answers.pop(0))
+        self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 200)
+
+    def test_answer_comes_at_the_deadline(self):
+        for upstream in self.upstreams:
+            upstream.hold_s = 3.0
+        with gevent.Timeout(1.5):
+            answer = self.ask("/order/1", "POST", body=b"x")
+        self.assertEqual(answer.status, 504)
+
+
+class OddAnswerTests(DirectEntryTestCase):
+    """Guards callers against bytes that are not the answer to their request."""
+
+    def test_unframed_answer_is_whole_after_an_orderly_end(self):
+        self.answer_all(lambda data: b"HTTP/1.1 200 OK\r\nX-Close: 1\r\n\r\nall of it")
+        answer = self.ask("/look/1")
+        self.assertEqual((answer.status, answer.body), (200, b"all of it"))
+
+    def test_unframed_answer_that_is_reset_is_not_whole(self):
+        def serve(sock, _address):
+            sock.recv(65536)
+            sock.sendall(b"HTTP/1.1 200 OK\r\n\r\npart")
+            gevent.sleep(0.05)
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            sock.close()
+
+        for upstream in self.upstreams:
+            upstream.server.set_handle(serve)
+        answer = self.ask("/order/1", "POST", body=b"x")
+        self.assertEqual(answer.status, 502)
+
+    def test_answer_to_an_earlier_request_is_not_passed_on(self):
+        late = OK.replace(b"Backend-Load", b"Attempt-Id: old\r\nBackend-Load")
+        self.answer_all(lambda data: late)
+        answer = self.ask("/order/1", "POST", body=b"x")
+        self.assertEqual((answer.status, answer.body == OK_BODY), (502, False))
+
+    def test_second_answer_is_not_given_to_the_next_request(self):
+        self.answer_all(lambda data: OK + OK.replace(b"done", b"evil"))
+        for _ in range(4):
+            self.assertEqual(self.ask("/look/1").body, OK_BODY)
+
+    def test_load_is_read_and_nonsense_is_not(self):
+        self.assertEqual(parse_load("3,1,2,250"), AnswerLoad(3, 1, 2, 2.5))
+        self.assertEqual(parse_load("3,1,2"), AnswerLoad(3, 1, 2, 1.0))
+        for value in ("", "x", "1,2", "1,2,-3"):
+            self.assertIsNone(parse_load(value))
+
+
+class HeldKeyTests(DirectEntryTestCase):
+    """Guards keys whose upstream changes, leaves or refuses them."""
+
+    def ask_key(self, key=7):
+        return self.ask("/keys/1", headers=[("Shard-Key", str(key))])
+
+    def push(self, **changes):
+        update = self.tables()._replace(to_index=self.control.update.to_index + 1)
+        self.control.update = update._replace(**changes)
+        for conn in self.control.server.connections:
+            conn.send(self.control.update)
+
+    def test_request_waits_for_the_next_holder(self):
+        held = RangeRow("keys", 0, 999, "k0", "1", 4, PartitionState.RELEASING)
+        self.push(ranges=[held])
+        job = gevent.spawn(self.ask_key)
+        gevent.sleep(0.15)
+        self.assertEqual(self.requests(), [])
+        self.push(ranges=[held._replace(state=PartitionState.OWNED, epoch=5)])
+        self.assertEqual(job.get(timeout=1).status, 200)
+
+    def test_key_without_a_holder_is_refused_in_time_to_come_back(self):
+        started = gevent.get_hub().loop.now()
+        answer = self.ask_key(5000)
+        self.assertEqual(answer.status, 503)
+        self.assertLess(gevent.get_hub().loop.now() - started, 0.6)
+
+    def test_key_is_not_sent_to_a_later_life_of_its_holder(self):
+        later = [
+            row._replace(incarnation="2") if row.service == "keys" else row
+            for row in self.tables().upstreams
+        ]
+        self.push(upstreams=later)
+        gevent.sleep(0.05)
+        self.assertEqual(self.ask_key().status, 503)
+        self.assertEqual(self.requests(), [])
+
+    def test_leaving_and_evacuated_upstreams_get_nothing(self):
+        leaving = [
+            row._replace(state=UpstreamState.LEAVING) for row in self.tables().upstreams
+        ]
+        for changes in ({"upstreams": leaving}, {"evacuated": ["a"]}):
+            self.push(**changes)
+            gevent.sleep(0.05)
+            self.assertEqual(self.ask("/look/1").status, 503)
+            self.assertEqual(self.ask_key().status, 503)
+        self.assertEqual(self.requests(), [])
+
+    def test_requests_by_key_are_reported(self):
+        self.ask_key(7)
+        gevent.sleep(0.4)
+        loads = [item for ping in self.control.received for item in ping.loads]
+        self.assertIn(("keys", 7, 1), [tuple(item) for item in loads])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/bergamotdrift/tests/test_range_planner.py
@@ -0,0 +1,347 @@
+import itertools
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bergamotdrift import commands_log as cmd
+from bergamotdrift.config.schema import (
+    ColdStartSettings,
+    Fencing,
+    ServiceKind,
+    ServiceSettings,
+    SiteSettings,
+    ZoneSettings,
+    ZoneState,
+)
+from bergamotdrift.control_state import ControlState
+from bergamotdrift.key_loads import KeyRate
+from bergamotdrift.messages import (
+    LAST_KEY,
+    KeyLoad,
+    PartitionState,
+    RangeRow,
+    UpstreamRow,
+    UpstreamState,
+)
+from bergamotdrift.range_balance import RowLoad, choose_cuts
+from bergamotdrift.range_leases import (
+    CLOCK_DRIFT,
+    HOLD_MS,
+    RangeLeases,
+    holder_of,
+    run_of,
+)
+from bergamotdrift.range_planner import RangePlanner
+
+SERVICE = ServiceSettings(
+    "cases",
+    ServiceKind.RANGED,
+    0,
+    Fencing.EPOCH,
+    2,
+    40,
+    ColdStartSettings(1, 3.0, 10.0),
+    2000,
+    100,
+)
+SETTINGS = SiteSettings("s", (ZoneSettings("a", ZoneState.IN),), (SERVICE,), (), ())
+
+
+def row(first=0, last=LAST_KEY, upstream="u1", epoch=5, state=PartitionState.OWNED):
+    return RangeRow("cases", first, last, upstream, "1", epoch, state)
+
+
+class Backend:
+    """An upstream that keeps its grants by a clock that may run slow."""
+
+    def __init__(self, name, born, slow):
+        self.name, self.born, self.slow = name, born, slow
+        self.alive = self.reachable = True
+        self.holds = []  # first, last, epoch, end
+
+    def grant(self, first, last, epoch, now):
+        end = now + HOLD_MS * (1 + self.slow)
+        for held in self.holds:
+            if held[2] > epoch and held[0] <= last and first <= held[1]:
+                return False
+        self.holds = [h for h in self.holds if h[:3] != (first, last, epoch)]
+        self.holds.append((first, last, epoch, end))
+        return True
+
+    def release(self, first, last, now):
+        kept = []
+        for low, high, epoch, end in self.holds:
+            if low < first:
+                kept.append((low, min(high, first - 1), epoch, end))
+            if last < high:
+                kept.append((max(low, last + 1), high, epoch, end))
+        self.holds = [h for h in kept if h[0] <= h[1]]
+
+    def keys(self, now):
+        return [(h[0], h[1]) for h in self.holds if h[3] > now and self.alive]
+
+
+class Fleet:
+    """Runs a planner against backends, with calls that fail or come late."""
+
+    def __init__(self, seed, count=4):
+        self.rng = random.Random(seed)
+        self.state = ControlState()
+        self.state.settings.current = SETTINGS
+        self.index, self.now = 1, 0.0
+        self.seen = {}
+        self.backends = {}
+        self.planner = RangePlanner(self.state, self, 0.0)
+        self.late = []  # time, call
+        self.due = {}
+        for number in range(count):
+            self.start(f"u{number}")
+
+    def last_seen_ms(self, up):
+        return self.seen.get(up.upstream, 0.0)
+
+    def apply(self, command):
+        self.index += 1
+        return self.state.apply_command(self.index, command)
+
+    def start(self, name, state=UpstreamState.READY):
+        born = int(self.now) + 1
+        self.backends[name] = Backend(name, born, self.rng.choice((0.0, CLOCK_DRIFT)))
+        self.put(name, state)
+
+    def put(self, name, state):
+        born = self.backends[name].born
+        up = UpstreamRow(
+            "cases", name, f"10.0.0.1:{name[1:]}", "a", str(born), state, 2, born
+        )
+        self.apply(cmd.PutUpstreams([up]))
+
+    def new_leader(self):
+        self.planner = RangePlanner(self.state, self, self.now)
+        self.due = {}
+
+    def run(self, ms, fault=0.0):
+        end = self.now + ms
+        while self.now < end:
+            self.now += 50.0
+            for name, backend in self.backends.items():
+                if backend.alive and backend.reachable:
+                    self.seen[name] = self.now
+            for at, call in [c for c in self.late if c[0] <= self.now]:
+                self.late.remove((at, call))
+                call()
+            for command in self.planner.commands(self.now):
+                self.apply(command)
+            for held in self.state.rows.ranges_of("cases"):
+                self.order(held, fault)
+            self.check()
+
+    def order(self, held, fault):
+        run = run_of(held)
+        if self.planner.row_of(run) is None or self.planner.is_lost(run, self.now):
+            return
+        key = (held.first, held.last, held.epoch, held.state)
+        if self.due.get(key, 0.0) > self.now:
+            return
+        self.due[key] = self.now + 900
+        backend = self.backends[held.upstream]
+        answers = backend.alive and backend.reachable and self.rng.random() >= fault
+        if held.state is PartitionState.RELEASING:
+            if answers:
+                backend.release(held.first, held.last, self.now)
+                self.planner.leases.note_released(held, "token")
+            return
+        leases = self.planner.leases
+        leases.begin_grant(holder_of(held))
+        if backend.alive and backend.reachable:
+            backend.grant(held.first, held.last, held.epoch, self.now)
+        leases.end_grant(holder_of(held), answers, self.now)
+        if answers and held.state is PartitionState.VACANT:
+            leases.note_accepted(held)
+
+    def check(self):
+        spans = sorted(
+            (low, high, name)
+            for name, backend in self.backends.items()
+            for low, high in backend.keys(self.now)
+        )
+        for (_, high, one), (low, _, two) in itertools.pairwise(spans):
+            if one != two:
+                assert low > high, (self.now, one, two, low, high)
+
+    def owned(self):
+        rows = self.state.rows.ranges_of("cases")
+        return sum(
+            r.last - r.first + 1 for r in rows if r.state is PartitionState.OWNED
+        )
+
+
+class OwnershipTests(unittest.TestCase):
+    """Guards sole ownership of keys through losses, lost answers and new leaders."""
+
+    def test_keys_of_a_lost_upstream_are_served_again(self):
+        fleet = Fleet(1)
+        fleet.run(3000)
+        self.assertEqual(fleet.owned(), LAST_KEY + 1)
+        fleet.backends["u1"].alive = False
+        fleet.run(HOLD_MS + 2500)
+        self.assertEqual(fleet.owned(), LAST_KEY + 1)
+        owners = {r.upstream for r in fleet.state.rows.ranges_of("cases")}
+        self.assertNotIn("u1", owners)
+
+    def test_upstream_that_can_not_be_called_keeps_its_keys_until_they_run_out(self):
+        fleet = Fleet(2)
+        fleet.run(3000)
+        fleet.backends["u1"].reachable = False
+        held = fleet.state.rows.ranges_of("cases")
+        fleet.run(1500)
+        self.assertEqual(fleet.state.rows.ranges_of("cases"), held)
+
+    def test_leaving_upstream_hands_its_keys_over_with_their_state(self):
+        fleet = Fleet(3)
+        fleet.run(3000)
+        fleet.put("u1", UpstreamState.LEAVING)
+        fleet.run(600)
+        rows = fleet.state.rows.ranges_of("cases")
+        self.assertEqual(fleet.owned(), LAST_KEY + 1)
+        self.assertNotIn("u1", {r.upstream for r in rows})
+        self.assertIn("token", {r.handover for r in rows})
+
+    def test_evacuated_zone_holds_no_keys(self):
+        fleet = Fleet(4)
+        other = UpstreamRow(
+            "cases", "u9", "10.0.0.9:1", "b", "1", UpstreamState.READY, 2, 1
+        )
+        fleet.backends["u9"] = Backend("u9", 1, 0.0)
+        fleet.apply(cmd.PutUpstreams([other]))
+        fleet.run(3000)
+        fleet.apply(cmd.SetEvacuation("a", True))
+        fleet.run(1500)
+        rows = fleet.state.rows.ranges_of("cases")
+        self.assertEqual({r.upstream for r in rows}, {"u9"})
+
+    def test_restarted_upstream_gets_a_higher_epoch(self):
+        fleet = Fleet(5)
+        fleet.run(3000)
+        before = {r.first: r.epoch for r in fleet.state.rows.ranges_of("cases")}
+        fleet.start("u1")
+        fleet.run(1500)
+        for held in fleet.state.rows.ranges_of("cases"):
+            if held.upstream == "u1":
+                self.assertGreater(held.epoch, max(before.values()))
+
+    @given(st.integers(0, 10_000))
+    def test_no_key_has_two_owners_under_random_faults(self, seed):
+        fleet = Fleet(seed)
+        fleet.run(2500)
+        for _ in range(4):
+            name = fleet.rng.choice(list(fleet.backends))
+            fault = fleet.rng.choice(("kill", "cut", "heal", "leave", "leader", "load"))
+            if fault == "kill":
+                fleet.backends[name].alive = False
+            elif fault == "cut":
+                fleet.backends[name].reachable = False
+            elif fault == "heal":
+                fleet.backends[name].reachable = True
+            elif fault == "leave" and fleet.backends[name].alive:
+                fleet.put(name, UpstreamState.LEAVING)
+            elif fault == "leader":
+                fleet.new_leader()
+            else:
+                start = fleet.rng.randrange(60_000)
+                loads = [KeyLoad("cases", start + n, 20) for n in range(0, 40, 4)]
+                fleet.planner.add_loads(loads, fleet.now)
+            fleet.run(fleet.rng.choice((300, 1500, 4000)), fleet.rng.choice((0, 0.4)))
+
+
+class RangeLeaseTests(unittest.TestCase):
+    """Guards the accounting of grants whose arrival the leader does not see."""
+
+    def test_unanswered_grant_counts_from_the_end_of_its_call(self):
+        leases = RangeLeases(0.0)
+        held = row()
+        leases.begin_grant(holder_of(held))
+        self.assertFalse(leases.has_ended(held, 1e9))
+        leases.end_grant(holder_of(held), False, 10_000.0)
+        self.assertFalse(leases.has_ended(held, 10_000.0 + HOLD_MS * 1.02))
+        self.assertTrue(leases.has_ended(held, 10_000.0 + HOLD_MS * 1.02 + 151))
+
+    def test_new_leader_waits_for_grants_of_earlier_leaders(self):
+        leases = RangeLeases(5000.0)
+        self.assertFalse(leases.has_ended(row(), 5000.0 + HOLD_MS))
+        self.assertTrue(leases.has_ended(row(), 5000.0 + HOLD_MS * 1.02 + 151))
+
+    def test_announcement_during_failing_grants_shows_that_it_lives(self):
+        leases = RangeLeases(0.0)
+        leases.begin_grant(holder_of(row()))
+        leases.end_grant(holder_of(row()), False, 1000.0)
+        run = run_of(row())
+        self.assertTrue(leases.is_failing(run, 900.0, 2000.0))
+        self.assertFalse(leases.is_failing(run, 1500.0, 2000.0))
+
+
+class BalanceTests(unittest.TestCase):
+    """Guards against hot neighbours that stay together, and against needless moves."""
+
+    def test_hot_neighbours_are_split_into_a_narrow_range(self):
+        hot = [KeyRate(1000 + n, 5.0) for n in range(20)]
+        idle = row(40_000, LAST_KEY, "u2")
+        owned = {
+            "u1": [RowLoad(row(0, 39_999), hot)],
+            "u2": [RowLoad(idle, [])],
+        }
+        (cut,) = choose_cuts(owned, 3, frozenset())
+        self.assertEqual(cut.taker, "u2")
+        self.assertLessEqual(cut.last - cut.first, 12)
+
+    def test_even_loads_stay(self):
+        owned = {
+            name: [RowLoad(row(n * 100, n * 100 + 99, name), [KeyRate(n * 100, 10.0)])]
+            for n, name in enumerate(("u1", "u2", "u3"))
+        }
+        self.assertEqual(choose_cuts(owned, 3, frozenset()), [])
+
+    def test_single_hot_key_is_not_passed_around(self):
+        owned = {
+            "u1": [RowLoad(row(0, 99), [KeyRate(7, 50.0)])],
+            "u2": [RowLoad(row(100, LAST_KEY, "u2"), [])],
+        }
+        self.assertEqual(choose_cuts(owned, 3, frozenset()), [])
+
+
+class ReplaceRangesTests(unittest.TestCase):
+    """Guards the log's rows against changes that were planned on older rows."""
+
+    def setUp(self):
+        self.state = ControlState()
+        self.state.settings.current = SETTINGS
+        first = row(epoch=0, state=PartitionState.VACANT)
+        self.state.apply_command(7, cmd.ReplaceRanges("cases", [], [first]))
+        (self.row,) = self.state.rows.ranges_of("cases")
+
+    def test_new_owner_gets_the_log_index_as_epoch(self):
+        self.assertEqual(self.row.epoch, 7)
+
+    def test_change_of_an_outdated_row_does_nothing(self):
+        old = self.row._replace(epoch=3)
+        new = self.row._replace(upstream="u2", epoch=0)
+        outcome = self.state.apply_command(8, cmd.ReplaceRanges("cases", [old], [new]))
+        self.assertEqual(outcome.changed, 0)
+
+    def test_keys_are_never_lost_or_covered_twice(self):
+        for parts in ([row(0, 99)], [row(0, 99), row(50, LAST_KEY)], []):
+            change = cmd.ReplaceRanges("cases", [self.row], parts)
+            self.assertEqual(self.state.apply_command(8, change).changed, 0)
+
+    def test_snapshot_keeps_ranges_and_evacuations(self):
+        self.state.apply_command(9, cmd.SetEvacuation("a", True))
+        other = ControlState()
+        other.restore(self.state.snapshot())
+        self.assertEqual(other.rows.ranges_of("cases"), [self.row])
+        self.assertEqual(other.update_since(0).evacuated, ["a"])
+
+
+if __name__ == "__main__":
+    unittest.main()
