Weigh keys by the speed of their upstreams, and bridge elections at the standby rate

Change: entries report slowness with pings and the planner balances rate times slowness; a rate lot carries a standby rate that the leader counts as used while an entry is silent; 0.85 of the allowed repeats per request are used.

--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -30,6 +30,7 @@
     Pong,
     RateLot,
     RateNeed,
+    UpstreamSpeed,
 )
 from bergamotdrift.streams import Connection, StreamClient
 from bergamotdrift.tables import Tables
@@ -58,6 +59,10 @@
         """Return the requests by key since the last call."""
         ...
 
+    def speeds(self) -> list[UpstreamSpeed]:
+        """Return how long upstreams take, where that has changed."""
+        ...
+
     def take_rates(self, lots: list[RateLot], asked_at_ms: float) -> None:
         """Take leased rate tokens, counted from before they were asked for."""
         ...
@@ -189,7 +194,9 @@
         if self._load is None:
             return ping
         return ping._replace(
-            rates=self._load.rate_needs(), loads=self._load.key_loads()
+            rates=self._load.rate_needs(),
+            loads=self._load.key_loads(),
+            speeds=self._load.speeds(),
         )
 
     def _confirm(self, pong: Pong, asked_at_ms: float) -> None:
--- a/bergamotdrift/direct_choice.py
+++ b/bergamotdrift/direct_choice.py
@@ -8,7 +8,12 @@
 from bergamotdrift.cold_share import ColdShare
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.direct_load import DirectLoad
-from bergamotdrift.messages import PartitionState, RangeRow, UpstreamState
+from bergamotdrift.messages import (
+    PartitionState,
+    RangeRow,
+    UpstreamSpeed,
+    UpstreamState,
+)
 from bergamotdrift.request import RoutedRequest
 from bergamotdrift.tables import Tables, UpstreamId
 
@@ -17,6 +22,8 @@
 ZONE_COST_PER_KB = 0.03
 _NOISE = 0.05
 _HANDOVER_USUAL_MS = 400.0
+# A change of an upstream's speed by this part is reported.
+_SPEED_CHANGE = 0.15
 
 
 class Patience(StrEnum):
@@ -56,6 +63,8 @@
         self._evacuated: frozenset[str] = frozenset()
         # Ranges without a settled owner, and since when this entry knows.
         self._changing_since_ms: dict[RangeRow, float] = {}
+        self._ranged: frozenset[str] = frozenset()
+        self._stated_speeds: dict[UpstreamId, float] = {}
 
     def update(self, tables: Tables, entries: frozenset[str], now_ms: float) -> None:
         """Take changed tables; `entries` are the live entries."""
@@ -63,6 +72,15 @@
         self.cold.set_members(entries)
         self._take_upstreams(tables, now_ms)
         self._take_evacuations(tables, now_ms)
+        services = tables.settings.services if tables.settings else ()
+        self._ranged = frozenset(
+            s.name for s in services if s.kind is ServiceKind.RANGED
+        )
+        self._stated_speeds = {
+            key: speed
+            for key, speed in self._stated_speeds.items()
+            if key in self.loads
+        }
         self.cold.forget({key.upstream for key in self.loads})
         self._changing_since_ms = {
             row: self._changing_since_ms.get(row, now_ms)
@@ -95,6 +113,18 @@
             if load.row.zone in returned and service is not None:
                 load.suspect_cold(cold_ms(service), now_ms)
 
+    def changed_speeds(self) -> list[UpstreamSpeed]:
+        """Return the slowness of keyed upstreams that differs from what was stated."""
+        changed = []
+        for key, load in self.loads.items():
+            stated = self._stated_speeds.get(key, 1.0)
+            if key.service not in self._ranged:
+                continue
+            if abs(load.speed - stated) > _SPEED_CHANGE * stated:
+                self._stated_speeds[key] = load.speed
+                changed.append(UpstreamSpeed(*key, round(load.speed, 2)))
+        return changed
+
     def choose(
         self,
         routed: RoutedRequest,
--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -8,7 +8,14 @@
 from bergamotdrift.config.schema import EntrySettings
 from bergamotdrift.direct_choice import DirectChoice
 from bergamotdrift.direct_permits import DirectPermits
-from bergamotdrift.messages import FeedUpdate, KeyLoad, RateLot, RateNeed, Role
+from bergamotdrift.messages import (
+    FeedUpdate,
+    KeyLoad,
+    RateLot,
+    RateNeed,
+    Role,
+    UpstreamSpeed,
+)
 from bergamotdrift.rate_allowance import RateAllowance
 from bergamotdrift.retry_policy import SharedRetryBudget
 from bergamotdrift.tables import Tables
@@ -55,6 +62,10 @@
         """Return the requests by key since the last call."""
         return self.permits.key_loads()
 
+    def speeds(self) -> list[UpstreamSpeed]:
+        """Return how long upstreams take, where that has changed."""
+        return self._choice.changed_speeds()
+
     def take_rates(self, lots: list[RateLot], asked_at_ms: float) -> None:
         """Take leased rate tokens."""
         self.tokens.take_rates(lots, asked_at_ms)
--- a/bergamotdrift/key_loads.py
+++ b/bergamotdrift/key_loads.py
@@ -7,7 +7,7 @@
 from bergamotdrift.messages import KeyLoad
 
 # Rates follow a change to two thirds within this time.
-SMOOTHING_MS = 2500.0
+SMOOTHING_MS = 1800.0
 # Keys below this rate are forgotten.
 _LEAST_PER_S = 0.02
 _TRIM_INTERVAL_MS = 2000.0
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -243,12 +243,25 @@
 
 
 class RateLot(NamedTuple):
-    """Lease rate tokens of a workspace; `wait_ms` tells when one may be had."""
+    """Lease rate tokens of a workspace; `wait_ms` tells when one may be had.
+
+    An entry that then reaches no leader may use `standby_per_s` tokens per second for
+    a while.
+    """
 
     workspace: str
     tokens: int
     lease_ms: int
     wait_ms: int
+    standby_per_s: float = 0.0
+
+
+class UpstreamSpeed(NamedTuple):
+    """Report how long an upstream takes, relative to the others of its service."""
+
+    service: str
+    upstream: str
+    slowness: float
 
 
 class KeyLoad(NamedTuple):
@@ -268,6 +281,7 @@
     unreachable: str = ""
     rates: list[RateNeed] = []
     loads: list[KeyLoad] = []
+    speeds: list[UpstreamSpeed] = []
 
 
 @message
--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -179,6 +179,8 @@
             return
         if msg.loads:
             duties.ranges.add_loads(msg.loads, self._clock.now_ms())
+        if msg.speeds:
+            duties.ranges.add_speeds(msg.row.node, msg.speeds)
         if msg.feed_index > self._state.feed_index:
             # Can only follow the loss of the cluster's data; the node must not go on.
             detail = "the node applied a later feed than this cluster has"
--- a/bergamotdrift/platform/boot.py
+++ b/bergamotdrift/platform/boot.py
@@ -35,8 +35,10 @@
 # Upstreams that can't reach control may still serve, so they stay listed for long.
 _UPSTREAM_TTL_MS = 30_000
 _SNAPSHOT_ENTRIES = 2048
-# Part of the platform's bounds on repeats that is planned for.
-_RETRY_SHARE = 0.6
+# Parts of the platform's bounds on repeats that are planned for; the rest covers the
+# stock that each entry may hold.
+_RETRY_RATIO_SHARE = 0.85
+_RETRY_SLACK_SHARE = 0.35
 
 
 class Bounds(NamedTuple):
@@ -134,8 +136,8 @@
         max(100, boot.max_fds - _RESERVED_FDS),
         Dispatch.DIRECT,
         _UNREADY_S,
-        bounds.retry_ratio * _RETRY_SHARE,
-        bounds.retry_slack / bounds.retry_window_s * _RETRY_SHARE,
+        bounds.retry_ratio * _RETRY_RATIO_SHARE,
+        bounds.retry_slack / bounds.retry_window_s * _RETRY_SLACK_SHARE,
     )
 
 
--- a/bergamotdrift/range_balance.py
+++ b/bergamotdrift/range_balance.py
@@ -50,35 +50,41 @@
 
 
 def choose_cuts(
-    owned: Mapping[str, Sequence[RowLoad]], limit: int, resting: frozenset[RangeRow]
+    owned: Mapping[str, Sequence[RowLoad]],
+    slowness: Mapping[str, float],
+    limit: int,
+    resting: frozenset[RangeRow],
 ) -> list[Cut]:
     """Return up to `limit` cuts that bring the upstreams' loads closer together.
 
-    `owned` maps each upstream that may own keys to its ranges. `resting` ranges moved
-    lately and stay.
+    `owned` maps each upstream that may own keys to its ranges. A load is a rate times
+    the upstream's slowness. `resting` ranges moved lately and stay.
     """
-    loads = {name: sum(r.per_s for r in rows) for name, rows in owned.items()}
+    loads = {
+        name: slowness[name] * sum(r.per_s for r in rows)
+        for name, rows in owned.items()
+    }
     cuts: list[Cut] = []
     if len(loads) < 2:
         return cuts
     mean = sum(loads.values()) / len(loads)
     taken: set[RangeRow] = set(resting)
-    donors = sorted(loads, key=lambda name: -loads[name])
-    for donor in donors:
+    for donor in sorted(loads, key=lambda name: -loads[name]):
         if len(cuts) >= limit or mean < LEAST_MEAN_PER_S:
             break
         if loads[donor] <= mean * OVERLOAD_RATIO:
             break
         taker = min(loads, key=lambda name: (loads[name], name))
-        wanted = min(loads[donor] - mean, mean - loads[taker])
+        gap = loads[donor] - loads[taker]
+        wanted = gap / (slowness[donor] + slowness[taker])
         rows = [r for r in owned[donor] if r.row not in taken]
-        cut = _best_cut(rows, wanted, loads[donor] - loads[taker], taker)
-        if cut is None or cut[1] < mean * LEAST_MOVE_RATIO:
+        cut = _best_cut(rows, wanted, gap / slowness[taker], taker)
+        if cut is None or cut[1] * slowness[donor] < mean * LEAST_MOVE_RATIO:
             continue
         cuts.append(cut[0])
         taken.add(cut[0].row)
-        loads[donor] -= cut[1]
-        loads[taker] += cut[1]
+        loads[donor] -= cut[1] * slowness[donor]
+        loads[taker] += cut[1] * slowness[taker]
     return cuts
 
 
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -14,6 +14,7 @@
     PartitionState,
     RangeRow,
     UpstreamRow,
+    UpstreamSpeed,
     UpstreamState,
 )
 from bergamotdrift.range_balance import RowLoad, choose_cuts, loads_of
@@ -24,8 +25,11 @@
 FIRST_PLACEMENT_DELAY_MS = 1500.0
 BALANCE_INTERVAL_MS = 500.0
 # A moved range stays for this long, so that noise in loads does not move it back.
-REST_MS = 4000.0
-MOVES_PER_BALANCE = 3
+REST_MS = 2500.0
+MOVES_PER_BALANCE = 5
+# Bounds of what a few slow or quick answers may make of an upstream.
+_SPEED_MIN = 0.4
+_SPEED_MAX = 3.0
 # Each range is renewed by a call of its own, so their number is bounded.
 RANGES_PER_UPSTREAM = 12
 # Announcements come about every second, and may be late.
@@ -58,6 +62,7 @@
         self._first_seen_ms: dict[str, float] = {}
         self._moved_ms: dict[_Moved, float] = {}
         self._takers: dict[_Moved, str] = {}
+        self._speeds: dict[UpstreamId, dict[str, float]] = {}
         self._balanced_ms = opened_at_ms
 
     def add_loads(self, loads: Sequence[KeyLoad], now_ms: float) -> None:
@@ -66,6 +71,19 @@
             known = self._loads.setdefault(name, KeyLoads())
             known.add((item for item in loads if item.service == name), now_ms)
 
+    def add_speeds(self, node: str, speeds: Sequence[UpstreamSpeed]) -> None:
+        """Take in how long upstreams take, as one entry sees it."""
+        for item in speeds:
+            of_nodes = self._speeds.setdefault(
+                UpstreamId(item.service, item.upstream), {}
+            )
+            of_nodes[node] = min(max(item.slowness, _SPEED_MIN), _SPEED_MAX)
+
+    def slowness(self, key: UpstreamId) -> float:
+        """Return how long an upstream takes; 1.0 is usual, also if nothing is known."""
+        known = self._speeds.get(key)
+        return sum(known.values()) / len(known) if known else 1.0
+
     def commands(self, now_ms: float) -> list[Message]:
         """Return the changes of ranges that are due."""
         commands: list[Message] = []
@@ -108,6 +126,8 @@
     def _forget(self, now_ms: float) -> None:
         rows = set(self._state.rows.ranges.rows())
         self.leases.forget(rows, {run_of(row) for row in rows})
+        known = self._state.rows.upstreams
+        self._speeds = {key: of for key, of in self._speeds.items() if key in known}
         self._moved_ms = {
             key: at for key, at in self._moved_ms.items() if now_ms - at < REST_MS
         }
@@ -154,7 +174,11 @@
         room = RANGES_PER_UPSTREAM * len(self._able) - len(self._rows)
         limit = min(MOVES_PER_BALANCE, room // 2)
         commands: list[Message] = []
-        for cut in choose_cuts(owned, limit, resting):
+        slowness = {
+            name: self._planner.slowness(UpstreamId(self._service, name))
+            for name in owned
+        }
+        for cut in choose_cuts(owned, slowness, limit, resting):
             key = _Moved(self._service, cut.first)
             self._planner._takers[key] = cut.taker
             self._planner._moved_ms[key] = self._now_ms
@@ -224,7 +248,8 @@
         owned = [row for row in self._rows if row.upstream == upstream]
         releasing = PartitionState.RELEASING
         own = sum(self._weight(row) for row in owned if row.state is not releasing)
-        return own + self._assigned.get(upstream, 0.0)
+        slowness = self._planner.slowness(UpstreamId(self._service, upstream))
+        return (own + self._assigned.get(upstream, 0.0)) * slowness
 
     def _weight(self, row: RangeRow) -> float:
         """Return the load of a range; idle keys count a little, by their number."""
--- a/bergamotdrift/rate_desk.py
+++ b/bergamotdrift/rate_desk.py
@@ -1,7 +1,8 @@
 """Rate tokens of all workspaces, leased to entries by the control leader; pure."""
 
+import math
 from collections.abc import Iterable
-from typing import NamedTuple
+from dataclasses import dataclass
 
 from bergamotdrift.config.schema import SiteSettings, WorkspaceSettings
 from bergamotdrift.messages import RateLot, RateNeed
@@ -14,11 +15,36 @@
 _WAIT_MIN_MS = 50
 
 
-class _Holding(NamedTuple):
-    """Hold the tokens that an entry may still use, and until when."""
+# An entry without a leader uses its standby rate in this span after its last ping.
+STANDBY_FROM_MS = 500.0
+STANDBY_UNTIL_MS = 2500.0
+# Weight of the tokens of the last second in the standby rate of an entry.
+_STANDBY_SPAN_MS = 1500.0
 
-    tokens: int
-    ends_ms: float
+
+@dataclass(slots=True)
+class _Holding:
+    """Hold what an entry may still use: its tokens, and its standby rate later."""
+
+    tokens: int = 0
+    ends_ms: float = 0.0
+    seen_ms: float = 0.0
+    per_s: float = 0.0
+
+    def standby(self, since_ms: float, now_ms: float) -> float:
+        """Return the tokens that the standby rate yields in a span of time."""
+        first_ms = max(since_ms, self.seen_ms + STANDBY_FROM_MS)
+        last_ms = min(now_ms, self.seen_ms + STANDBY_UNTIL_MS)
+        return self.per_s * max(0.0, last_ms - first_ms) / 1000.0
+
+    def renew(self, held: int, granted: int, now_ms: float) -> None:
+        """Take what an entry states to hold, and what it is given."""
+        passed_ms = max(1.0, now_ms - self.seen_ms)
+        keep = math.exp(-passed_ms / _STANDBY_SPAN_MS)
+        self.per_s = self.per_s * keep + (1 - keep) * granted * 1000.0 / passed_ms
+        self.tokens = held + granted
+        self.seen_ms = now_ms
+        self.ends_ms = now_ms + RATE_LEASE_MS + _RETURN_GRACE_MS
 
 
 class RateBucket:
@@ -44,29 +70,28 @@
 
     def lease(self, node: str, need: RateNeed, now_ms: float) -> RateLot:
         """Take returned tokens back and lease up to what is wanted."""
-        ends_ms = now_ms + RATE_LEASE_MS + _RETURN_GRACE_MS
-        self._held.pop(node, None)
-        self._level += max(0, need.returned)
-        self._held[node] = _Holding(max(0, need.held), ends_ms)
         self._fill(now_ms)
+        self._level += max(0, need.returned)
         tokens = max(0, min(need.wanted, int(self._level)))
         self._level -= tokens
-        self._held[node] = _Holding(max(0, need.held) + tokens, ends_ms)
+        holding = self._held.setdefault(node, _Holding(seen_ms=now_ms - 1000.0))
+        holding.renew(max(0, need.held), tokens, now_ms)
         short = max(0, min(need.wanted, 1) - tokens)
         wait_ms = short * max(_WAIT_MIN_MS, self._next_token_ms())
-        return RateLot(need.workspace, tokens, RATE_LEASE_MS, int(wait_ms))
+        standby = min(holding.per_s, self._limits.rate_per_s)
+        return RateLot(need.workspace, tokens, RATE_LEASE_MS, int(wait_ms), standby)
 
     def _next_token_ms(self) -> float:
         rate = self._limits.rate_per_s
         return (1.0 - self._level) * 1000.0 / rate if rate > 0 else 1000.0
 
     def _fill(self, now_ms: float) -> None:
-        over = [n for n, holding in self._held.items() if holding.ends_ms <= now_ms]
-        for node in over:
-            del self._held[node]
-        held = sum(holding.tokens for holding in self._held.values())
-        gained = self._limits.rate_per_s * (now_ms - self._filled_ms) / 1000.0
-        self._filled_ms = now_ms
+        since_ms, self._filled_ms = self._filled_ms, now_ms
+        standby = sum(h.standby(since_ms, now_ms) for h in self._held.values())
+        over_ms = now_ms - STANDBY_UNTIL_MS
+        self._held = {n: h for n, h in self._held.items() if h.seen_ms > over_ms}
+        held = sum(h.tokens for h in self._held.values() if h.ends_ms > now_ms)
+        gained = self._limits.rate_per_s * (now_ms - since_ms) / 1000.0 - standby
         # A bucket holds at least one token, however much of the burst is leased.
         room = max(1.0, float(self._limits.burst - held))
         self._level = min(self._level + gained, room)
--- a/bergamotdrift/retry_policy.py
+++ b/bergamotdrift/retry_policy.py
@@ -7,7 +7,7 @@
 from bergamotdrift.constants import RETRY_BUDGET_MIN_PER_S, RETRY_BUDGET_RATIO
 
 _WINDOW_MS = 1000.0
-_STOCK_MAX = 4.0
+_STOCK_MAX = 2.0
 
 
 class Attempt(NamedTuple):
--- a/bergamotdrift/tests/test_range_planner.py
+++ b/bergamotdrift/tests/test_range_planner.py
@@ -282,6 +282,10 @@
         self.assertFalse(leases.is_failing(run, 1500.0, 2000.0))
 
 
+def even(owned):
+    return dict.fromkeys(owned, 1.0)
+
+
 class BalanceTests(unittest.TestCase):
     """Guards against hot neighbours that stay together, and against needless moves."""
 
@@ -292,7 +296,7 @@
             "u1": [RowLoad(row(0, 39_999), hot)],
             "u2": [RowLoad(idle, [])],
         }
-        (cut,) = choose_cuts(owned, 3, frozenset())
+        (cut,) = choose_cuts(owned, even(owned), 3, frozenset())
         self.assertEqual(cut.taker, "u2")
         self.assertLessEqual(cut.last - cut.first, 12)
 
@@ -301,14 +305,26 @@
             name: [RowLoad(row(n * 100, n * 100 + 99, name), [KeyRate(n * 100, 10.0)])]
             for n, name in enumerate(("u1", "u2", "u3"))
         }
-        self.assertEqual(choose_cuts(owned, 3, frozenset()), [])
+        self.assertEqual(choose_cuts(owned, even(owned), 3, frozenset()), [])
 
     def test_single_hot_key_is_not_passed_around(self):
         owned = {
             "u1": [RowLoad(row(0, 99), [KeyRate(7, 50.0)])],
             "u2": [RowLoad(row(100, LAST_KEY, "u2"), [])],
         }
-        self.assertEqual(choose_cuts(owned, 3, frozenset()), [])
+        self.assertEqual(choose_cuts(owned, even(owned), 3, frozenset()), [])
+
+    def test_slow_upstream_gives_keys_away_to_a_quick_one(self):
+        rates = [KeyRate(n, 2.0) for n in range(10)]
+        owned = {
+            "u1": [RowLoad(row(0, 99), rates)],
+            "u2": [
+                RowLoad(row(100, 199, "u2"), [KeyRate(100 + n, 2.0) for n in range(10)])
+            ],
+        }
+        self.assertEqual(choose_cuts(owned, even(owned), 3, frozenset()), [])
+        (cut,) = choose_cuts(owned, {"u1": 2.0, "u2": 0.5}, 3, frozenset())
+        self.assertEqual((cut.row.upstream, cut.taker), ("u1", "u2"))
 
 
 class ReplaceRangesTests(unittest.TestCase):
--- a/bergamotdrift/tests/test_rate_desk.py
+++ b/bergamotdrift/tests/test_rate_desk.py
@@ -7,7 +7,7 @@
 from bergamotdrift.clock import ManualClock
 from bergamotdrift.config.schema import WorkspaceSettings
 from bergamotdrift.messages import RateLot, RateNeed
-from bergamotdrift.rate_allowance import RateAllowance
+from bergamotdrift.rate_allowance import Account, RateAllowance
 from bergamotdrift.rate_desk import RATE_LEASE_MS, RateBucket
 
 LIMITS = WorkspaceSettings("w", 20.0, 20, (), ())
@@ -66,6 +66,48 @@
             self.assertLessEqual(inside, 20 * 5 + 20 + 1 + 5)
 
 
+class StandbyTests(unittest.TestCase):
+    """Guards service and limits while no leader answers for a moment."""
+
+    def spend(self, ms):
+        """Return the tokens used in a time without a leader, after a steady use."""
+        clock = ManualClock(0.0)
+        allowance = RateAllowance(clock, lambda name: 20.0)
+        bucket = RateBucket(LIMITS, -5000.0)
+        account = Account()
+        for _ in range(40):
+            clock.advance(250)
+            now = clock.now_ms()
+            lots = [bucket.lease("e1", need, now) for need in allowance.rate_needs()]
+            allowance.take_rates(lots, now)
+            account = allowance._accounts.setdefault("w", Account())
+            for _ in range(3):
+                account.used_ms.append(now)
+                account.take(now)
+        used = 0
+        for _ in range(ms // 50):
+            clock.advance(50)
+            used += account.take(clock.now_ms())
+        return bucket, clock.now_ms(), used
+
+    def test_entry_goes_on_at_its_rate_through_an_election(self):
+        _, _, used = self.spend(2400)
+        self.assertGreaterEqual(used, 0.8 * 2.4 * 12)
+
+    def test_entry_stops_when_no_leader_comes(self):
+        _, _, short = self.spend(2600)
+        _, _, long = self.spend(9000)
+        self.assertEqual(short, long)
+
+    def test_leader_gives_others_no_more_than_a_silent_entry_leaves(self):
+        bucket, now, used = self.spend(2400)
+        start = now - 2400
+        got = 0
+        for step in range(0, 2400, 100):
+            got += bucket.lease("e2", RateNeed("w", 50, 0, 0), start + step).tokens
+        self.assertLessEqual(got + used, 20 * 2.4 + 20 + 8)
+
+
 class RateAllowanceTests(unittest.TestCase):
     """Guards against requests over the limit that wait, and against hoarded tokens."""
 
