Log to standard output within a stated volume, and name what decided a request

Cause: operators have only logs and metrics to explain a failed request; refusals did not name route and workspace, and a flood of refusals had no bound on its volume. Change: daemons write to standard output; each event and each process has a budget of lines, and what is left out is counted; late or repeated answers have a line.

--- a/bergamotdrift/log.py
+++ b/bergamotdrift/log.py
@@ -2,14 +2,16 @@
 
 import re
 import sys
+import time
 from collections.abc import Mapping
 from typing import Any
 
 import eliot
 from logfmter import Logfmter
 
+from bergamotdrift.log_budget import LogBudget
 from bergamotdrift.log_writer import LineSink, LineWriter
-from bergamotdrift.metrics import EVENTS
+from bergamotdrift.metrics import EVENTS, LOG_LINES_SUPPRESSED
 
 # Fields of eliot's own that say nothing to an operator.
 _HIDDEN_FIELDS = frozenset({"task_uuid", "task_level", "message_type", "timestamp"})
@@ -47,19 +49,36 @@
 
 
 class LineDestination:
-    """Write eliot messages as lines to a sink."""
+    """Write eliot messages as lines to a sink, within a budget."""
 
     def __init__(self, sink: LineSink):
         self._sink = sink
+        self._budget = LogBudget(time.monotonic())
 
     def __call__(self, record: Mapping[str, Any]) -> None:
-        """Write one message as a line."""
-        self._sink.write(format_event(record) + "\n")
+        """Write one message as a line; say now and then what was left out."""
+        now_s = time.monotonic()
+        if self._budget.allows(str(record.get("message_type")), now_s):
+            self._sink.write(format_event(record) + "\n")
+        suppressed = self._budget.take_report(now_s)
+        if suppressed:
+            LOG_LINES_SUPPRESSED.inc(sum_of(suppressed))
+            report = {
+                "timestamp": record["timestamp"],
+                "message_type": "log_lines_suppressed",
+                "events": suppressed,
+            }
+            self._sink.write(format_event(report) + "\n")
+
+
+def sum_of(report: str) -> int:
+    """Return how many lines a report of suppressed lines counts."""
+    return sum(int(part.rpartition(":")[2]) for part in report.split(","))
 
 
 def start_logging(program: str, node: str) -> None:
-    """Send all events to standard error, with program and process in each line."""
-    writer = LineWriter(sys.stderr)
+    """Send all events to standard output, with program and process in each line."""
+    writer = LineWriter(sys.stdout)
     writer.start()
     # Events logged so far are written when the destination is added.
     # Events name other nodes as `node`.
--- a/bergamotdrift/metrics.py
+++ b/bergamotdrift/metrics.py
@@ -18,6 +18,9 @@
 LOG_LINES_DROPPED = Counter(
     "bergamotdrift_log_lines_dropped", "Log lines that could not be written."
 )
+LOG_LINES_SUPPRESSED = Counter(
+    "bergamotdrift_log_lines_suppressed", "Log lines left out to bound their volume."
+)
 LOOP_DELAY = Gauge(
     "bergamotdrift_event_loop_delay_seconds",
     "Delay of the last timer of the event loop; high when the process is overloaded.",
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -32,6 +32,7 @@
 from bergamotdrift.stages.route import RouteTable, route
 
 _AGE_SHOWN_MAX_MS = 1e9
+_FAILED_STATUS = 500
 # A keyed service has no other upstream to turn to; a short pause gives the owner
 # or the feed time to change.
 _KEYED_RETRY_PAUSE_MS = 50
@@ -95,8 +96,8 @@
         """Return the reply; raises CallerGoneError and TruncatedAnswerError."""
         result = self._admit(req)
         service = entry_metrics.UNROUTED
-        if isinstance(result, Success):
-            routed = result.unwrap()
+        routed = result.value_or(None)
+        if routed is not None:
             service = routed.service.name
             outcome = self._run(routed)
         else:
@@ -112,6 +113,8 @@
         log_event(
             "request_refused" if not_run else "outcome_not_known",
             request=req.request_id,
+            route=routed.route.name if routed is not None else "",
+            workspace=routed.workspace if routed is not None else "",
             service=service,
             stage=stopped.stage,
             kind=kind.value,
@@ -205,6 +208,7 @@
         while True:
             result = self._attempt(routed, body, numbers)
             if isinstance(result, Success):
+                self._log_answer(routed, result.unwrap(), numbers)
                 return result
             stopped, failure = result.failure()
             if failure is not None and not failure.not_run:
@@ -230,6 +234,7 @@
         if isinstance(permit, Failure):
             return Failure((Stopped("permit", permit.failure()), None))
         running = permit.unwrap()
+        numbers.upstream = running.permit.upstream
         refusal = self._refusal_by_new_settings(routed)
         if refusal is not None:
             self._stages.forward.give_back(running)
@@ -302,6 +307,28 @@
             return True
         return self._budget_of(routed).take(now_ms)
 
+    def _log_answer(
+        self, routed: RoutedRequest, reply: Reply, numbers: AttemptNumbers
+    ) -> None:
+        """Log an answer that is late, failed or took several attempts."""
+        took_ms = self._clock.now_ms() - routed.req.received_ms
+        is_late = 0 < routed.route.target_ms < took_ms
+        if not is_late and numbers.sent < 2 and reply.status < _FAILED_STATUS:
+            return
+        log_event(
+            "request_answered",
+            request=routed.req.request_id,
+            route=routed.route.name,
+            workspace=routed.workspace,
+            service=routed.service.name,
+            upstream=numbers.upstream,
+            status=reply.status,
+            took_ms=round(took_ms),
+            target_ms=routed.route.target_ms,
+            sent=numbers.sent,
+            revision=routed.revision,
+        )
+
     def _budget_of(self, routed: RoutedRequest) -> Budget:
         if self._new_budget is None:
             return self._budget
--- a/bergamotdrift/stages/permit.py
+++ b/bergamotdrift/stages/permit.py
@@ -225,6 +225,8 @@
         self.last = 0
         # Attempts of which an upstream may have received something.
         self.sent = 0
+        # The upstream of the last attempt.
+        self.upstream = ""
         self.excluded: list[str] = []
 
     def next(self) -> int:
--- a/bergamotdrift/tests/test_control.py
+++ b/bergamotdrift/tests/test_control.py
@@ -56,7 +56,9 @@
         path.write_text(json.dumps(cfg))
         args = ["-m", "bergamotdrift.control", "--settings", str(path)]
         log = (self.folder / f"{name}.log").open("a")
-        self.processes[name] = subprocess.Popen([sys.executable, *args], stderr=log)
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, *args], stdout=log, stderr=subprocess.STDOUT
+        )
         log.close()
 
     def close(self):
--- a/bergamotdrift/tests/test_entry.py
+++ b/bergamotdrift/tests/test_entry.py
@@ -62,12 +62,12 @@
         child = subprocess.Popen(
             [sys.executable, "-m", "bergamotdrift.entry", "--settings", str(path)],
             cwd=_ROOT,
-            stderr=subprocess.PIPE,
+            stdout=subprocess.PIPE,
             text=True,
         )
-        assert child.stderr is not None
-        self.child, self.stderr = child, child.stderr
-        self.addCleanup(self.stderr.close)
+        assert child.stdout is not None
+        self.child, self.stdout = child, child.stdout
+        self.addCleanup(self.stdout.close)
         self.addCleanup(child.kill)
         self.log = []
         self.address = self.wait_for_event("entry_started")["listen"]
@@ -78,7 +78,7 @@
         pool = get_hub().threadpool
         with gevent.Timeout(10):
             while True:
-                line = pool.apply(self.stderr.readline)
+                line = pool.apply(self.stdout.readline)
                 self.log.append(line)
                 fields = dict(p.split("=", 1) for p in line.split() if "=" in p)
                 if fields.get("event") == event:
--- a/bergamotdrift/tests/test_log.py
+++ b/bergamotdrift/tests/test_log.py
@@ -10,6 +10,12 @@
 from prometheus_client import REGISTRY
 
 from bergamotdrift.log import LineDestination, format_event, log_event
+from bergamotdrift.log_budget import (
+    EVENT_LINES_BURST,
+    EVENT_LINES_PER_S,
+    PROCESS_LINES_BURST,
+    LogBudget,
+)
 from bergamotdrift.log_writer import LineWriter
 from bergamotdrift.metrics import LOG_LINES_DROPPED
 
@@ -75,6 +81,29 @@
         self.assertEqual(REGISTRY.get_sample_value(name, {"event": "test_counted"}), 2)
 
 
+class BudgetTests(unittest.TestCase):
+    """Guards against a flood of one event that fills the disk or hides others."""
+
+    def test_flood_is_bounded_and_counted(self):
+        budget = LogBudget(0.0)
+        allowed = sum(budget.allows("a", n / 10_000) for n in range(100_000))
+        bound = EVENT_LINES_BURST + 10 * EVENT_LINES_PER_S
+        self.assertLessEqual(allowed, bound + 1)
+        self.assertEqual(budget.take_report(10.0), f"a:{100_000 - allowed}")
+        self.assertEqual(budget.take_report(20.0), "")
+
+    def test_other_events_are_written_during_a_flood(self):
+        budget = LogBudget(0.0)
+        for n in range(50_000):
+            budget.allows("a", n / 10_000)
+        self.assertTrue(budget.allows("b", 5.0))
+
+    def test_process_has_a_bound_over_all_events(self):
+        budget = LogBudget(0.0)
+        allowed = sum(budget.allows(str(n % 500), 0.0) for n in range(50_000))
+        self.assertLessEqual(allowed, PROCESS_LINES_BURST)
+
+
 class LineWriterTests(unittest.TestCase):
     """Guards against a reader of the log that stops the process."""
 
@@ -117,7 +146,7 @@
         done = subprocess.run(
             [sys.executable, "-c", code], capture_output=True, text=True, timeout=20
         )
-        lines = done.stderr.splitlines()
+        lines = done.stdout.splitlines()
         self.assertEqual(len(lines), 501)
         self.assertRegex(
             lines[0], r"^ts=\d+\.\d+ event=early program=entry process=e1$"
--- a/scripts/measure_entry.py
+++ b/scripts/measure_entry.py
@@ -158,12 +158,11 @@
 class Process:
     """Run this script or a program as a child and read its first output."""
 
-    def __init__(self, *args: str, stderr: Any = None):
+    def __init__(self, *args: str):
         env = {**os.environ, "PYTHONPATH": str(ROOT)}
         self.child: Any = subprocess.Popen(
             [sys.executable, *args],
             stdout=subprocess.PIPE,
-            stderr=stderr,
             text=True,
             env=env,
         )
@@ -189,9 +188,7 @@
         """End the child."""
         self.child.terminate()
         self.child.wait(timeout=10)
-        for stream in (self.child.stdout, self.child.stderr):
-            if stream is not None:
-                stream.close()
+        self.child.stdout.close()
 
 
 def start_role(*args: str) -> Process:
@@ -217,18 +214,16 @@
     }
     path = Path(folder) / "entry.json"
     path.write_text(json.dumps(settings))
-    entry = Process(
-        "-m", "bergamotdrift.entry", "--settings", str(path), stderr=subprocess.PIPE
-    )
+    entry = Process("-m", "bergamotdrift.entry", "--settings", str(path))
     fields: dict[str, str] = {}
     while fields.get("event") != "arbiter_connected":
-        line = entry.child.stderr.readline()
+        line = entry.child.stdout.readline()
         if not line:
             raise RuntimeError("the entry ended")
         fields = dict(p.split("=", 1) for p in line.split() if "=" in p)
         if fields.get("event") == "entry_started":
             address = fields["listen"]
-    gevent.spawn(_drain, entry.child.stderr.fileno())
+    gevent.spawn(_drain, entry.child.stdout.fileno())
     time.sleep(0.5)
     return entry, address
 
