--- a/bergamotdrift/range_balance.py
+++ b/bergamotdrift/range_balance.py
@@ -13,6 +13,8 @@
 LEAST_MEAN_PER_S = 1.5
 # A move of less than this share of the mean is not worth a hand-over.
 LEAST_MOVE_RATIO = 0.12
+# A single hot key moves where it makes at most this part of the present load.
+HOT_KEY_GAIN = 0.85
 
 
 class Cut(NamedTuple):
@@ -24,6 +26,13 @@
     taker: str
 
 
+class _Found(NamedTuple):
+    """Hold a cut and the requests per second that it moves."""
+
+    cut: Cut
+    per_s: float
+
+
 class RowLoad(NamedTuple):
     """Hold a range and the rates of the keys within it, in the order of the keys."""
 
@@ -78,21 +87,43 @@
         gap = loads[donor] - loads[taker]
         wanted = gap / (slowness[donor] + slowness[taker])
         rows = [r for r in owned[donor] if r.row not in taken]
-        cut = _best_cut(rows, wanted, gap / slowness[taker], taker)
-        if cut is None or cut[1] * slowness[donor] < mean * LEAST_MOVE_RATIO:
+        found = _best_cut(rows, wanted, gap / slowness[taker], taker)
+        if found is None or found.per_s * slowness[donor] < mean * LEAST_MOVE_RATIO:
+            found = _hot_key_cut(rows, donor, loads, slowness)
+        if found is None:
             continue
-        cuts.append(cut[0])
-        taken.add(cut[0].row)
-        loads[donor] -= cut[1] * slowness[donor]
-        loads[taker] += cut[1] * slowness[taker]
+        cuts.append(found.cut)
+        taken.add(found.cut.row)
+        loads[donor] -= found.per_s * slowness[donor]
+        loads[found.cut.taker] += found.per_s * slowness[found.cut.taker]
     return cuts
 
 
+def _hot_key_cut(
+    rows: Sequence[RowLoad],
+    donor: str,
+    loads: Mapping[str, float],
+    slowness: Mapping[str, float],
+) -> _Found | None:
+    """Return the move of a key that no split can spread, to a quicker upstream."""
+    rated = [(rate.per_s, rate.key, item.row) for item in rows for rate in item.rates]
+    if not rated:
+        return None
+    per_s, key, row = max(rated, key=lambda found: found[0])
+    others = [name for name in loads if name != donor]
+    taker = min(others, key=lambda name: loads[name] + per_s * slowness[name])
+    after = loads[taker] + per_s * slowness[taker]
+    if after > loads[donor] * HOT_KEY_GAIN or slowness[taker] >= slowness[donor]:
+        return None
+    return _Found(Cut(row, key, key, taker), per_s)
+
+
 def _best_cut(
     rows: Sequence[RowLoad], wanted: float, gap: float, taker: str
-) -> tuple[Cut, float] | None:
-    """Return the narrowest window of keys with about the wanted load, and its load."""
-    best: tuple[int, float, Cut] | None = None
+) -> _Found | None:
+    """Return the narrowest window of keys with about the wanted load."""
+    best: _Found | None = None
+    best_rank = (0, 0)
     for item in rows:
         for first, last, per_s in _windows(item.rates, wanted):
             if not 0.0 < per_s < gap:
@@ -100,10 +131,10 @@
             # The window with most of the wanted load wins, then the narrowest.
             shortfall = int(4 * abs(wanted - per_s) / max(wanted, 0.001))
             rank = (shortfall, last - first)
-            if best is None or rank < (best[0], best[1]):
-                best = (shortfall, last - first, Cut(item.row, first, last, taker))
-                best_load = per_s
-    return None if best is None else (best[2], best_load)
+            if best is None or rank < best_rank:
+                best = _Found(Cut(item.row, first, last, taker), per_s)
+                best_rank = rank
+    return best
 
 
 def _windows(rates: Sequence[KeyRate], wanted: float) -> list[tuple[int, int, float]]:
--- a/bergamotdrift/tests/test_range_planner.py
+++ b/bergamotdrift/tests/test_range_planner.py
@@ -326,6 +326,16 @@
         (cut,) = choose_cuts(owned, {"u1": 2.0, "u2": 0.5}, 3, frozenset())
         self.assertEqual((cut.row.upstream, cut.taker), ("u1", "u2"))
 
+    def test_single_hot_key_goes_to_the_quickest_upstream(self):
+        owned = {
+            "u1": [RowLoad(row(0, 99), [KeyRate(7, 40.0)])],
+            "u2": [RowLoad(row(100, 199, "u2"), [KeyRate(150, 3.0)])],
+            "u3": [RowLoad(row(200, LAST_KEY, "u3"), [])],
+        }
+        slowness = {"u1": 1.4, "u2": 0.7, "u3": 1.4}
+        (cut,) = choose_cuts(owned, slowness, 3, frozenset())
+        self.assertEqual((cut.first, cut.last, cut.taker), (7, 7, "u2"))
+
 
 class ReplaceRangesTests(unittest.TestCase):
     """Guards the log's rows against changes that were planned on older rows."""
