Move keys only away from upstreams that are busy

Change: entries report how long a request keeps a slot busy, the planner balances the part of each upstream that is in use, and moves keys away only above 0.4.

--- a/bergamotdrift/direct_choice.py
+++ b/bergamotdrift/direct_choice.py
@@ -23,7 +23,7 @@
 _NOISE = 0.05
 _HANDOVER_USUAL_MS = 400.0
 # A change of an upstream's speed by this part is reported.
-_SPEED_CHANGE = 0.15
+_SPEED_CHANGE = 0.25
 
 
 class Patience(StrEnum):
@@ -114,15 +114,15 @@
                 load.suspect_cold(cold_ms(service), now_ms)
 
     def changed_speeds(self) -> list[UpstreamSpeed]:
-        """Return the slowness of keyed upstreams that differs from what was stated."""
+        """Return the speeds of keyed upstreams that differ from what was stated."""
         changed = []
         for key, load in self.loads.items():
-            stated = self._stated_speeds.get(key, 1.0)
-            if key.service not in self._ranged:
+            stated = self._stated_speeds.get(key, 0.0)
+            if key.service not in self._ranged or not load.busy_ms:
                 continue
-            if abs(load.speed - stated) > _SPEED_CHANGE * stated:
-                self._stated_speeds[key] = load.speed
-                changed.append(UpstreamSpeed(*key, round(load.speed, 2)))
+            if abs(load.busy_ms - stated) > _SPEED_CHANGE * stated:
+                self._stated_speeds[key] = load.busy_ms
+                changed.append(UpstreamSpeed(*key, round(load.busy_ms)))
         return changed
 
     def choose(
--- a/bergamotdrift/direct_load.py
+++ b/bergamotdrift/direct_load.py
@@ -45,6 +45,8 @@
         self.in_flight = 0
         # Latency of its answers relative to those of the same route elsewhere.
         self.speed = 1.0
+        # How long an answer takes when nothing waits, 0 if that is unknown.
+        self.busy_ms = 0.0
         self._error_rate = 0.0
         self._stated: StatedLoad | None = None
         self._paused_until_ms = 0.0
@@ -117,10 +119,12 @@
         if load.slots > 0:
             self.slots = load.slots
 
-    def note_speed(self, ratio: float) -> None:
-        """Take the latency of an answer relative to its route's mean."""
-        bounded = min(max(ratio, 0.2), 5.0)
-        self.speed += _SPEED_STEP * (bounded - self.speed)
+    def note_speed(self, latency_ms: float, route_mean_ms: float) -> None:
+        """Take the latency of an answer that did not wait, and its route's mean."""
+        ratio = min(max(latency_ms / max(1.0, route_mean_ms), 0.2), 5.0)
+        self.speed += _SPEED_STEP * (ratio - self.speed)
+        step = _SPEED_STEP if self.busy_ms else 1.0
+        self.busy_ms += step * (latency_ms - self.busy_ms)
 
     def note_outcome(
         self, outcome: AttemptOutcome, cold_ms: float, now_ms: float
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -251,8 +251,7 @@
         self._means_ms[name] = mean + _MEAN_STEP * (msg.latency_ms - mean)
         # Time in the upstream's queue says nothing about its speed.
         if running.load is None or not running.load.waiting:
-            slowness = running.load.slowness if running.load is not None else 1.0
-            load.note_speed(msg.latency_ms / max(1.0, mean) / max(0.5, slowness))
+            load.note_speed(msg.latency_ms, mean)
 
 
 def rank_of(routed: RoutedRequest) -> int:
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -257,11 +257,11 @@
 
 
 class UpstreamSpeed(NamedTuple):
-    """Report how long an upstream takes, relative to the others of its service."""
+    """Report how long a request keeps a slot of an upstream busy, in milliseconds."""
 
     service: str
     upstream: str
-    slowness: float
+    busy_ms: float
 
 
 class KeyLoad(NamedTuple):
--- a/bergamotdrift/range_balance.py
+++ b/bergamotdrift/range_balance.py
@@ -8,11 +8,11 @@
 from bergamotdrift.messages import RangeRow
 
 # An upstream with this much more than the mean load gives keys away.
-OVERLOAD_RATIO = 1.25
-# Below this mean no upstream is busy enough for a move to pay.
-LEAST_MEAN_PER_S = 1.5
-# A move of less than this share of the mean is not worth a hand-over.
-LEAST_MOVE_RATIO = 0.12
+OVERLOAD_RATIO = 1.3
+# Below this load an upstream has hardly a queue, and each move holds requests up.
+LEAST_BUSY = 0.4
+# A move of a smaller load is not worth a hand-over.
+LEAST_MOVE = 0.05
 # A single hot key moves where it makes at most this part of the present load.
 HOT_KEY_GAIN = 0.85
 
@@ -60,17 +60,18 @@
 
 def choose_cuts(
     owned: Mapping[str, Sequence[RowLoad]],
-    slowness: Mapping[str, float],
+    busy_shares: Mapping[str, float],
     limit: int,
     resting: frozenset[RangeRow],
 ) -> list[Cut]:
     """Return up to `limit` cuts that bring the upstreams' loads closer together.
 
-    `owned` maps each upstream that may own keys to its ranges. A load is a rate times
-    the upstream's slowness. `resting` ranges moved lately and stay.
+    `owned` maps each upstream that may own keys to its ranges. `busy_shares` tells
+    which part of an upstream one request per second keeps busy, so that a load of 1
+    fills it. `resting` ranges moved lately and stay.
     """
     loads = {
-        name: slowness[name] * sum(r.per_s for r in rows)
+        name: busy_shares[name] * sum(r.per_s for r in rows)
         for name, rows in owned.items()
     }
     cuts: list[Cut] = []
@@ -79,23 +80,21 @@
     mean = sum(loads.values()) / len(loads)
     taken: set[RangeRow] = set(resting)
     for donor in sorted(loads, key=lambda name: -loads[name]):
-        if len(cuts) >= limit or mean < LEAST_MEAN_PER_S:
-            break
-        if loads[donor] <= mean * OVERLOAD_RATIO:
+        if len(cuts) >= limit or loads[donor] <= max(LEAST_BUSY, mean * OVERLOAD_RATIO):
             break
         taker = min(loads, key=lambda name: (loads[name], name))
         gap = loads[donor] - loads[taker]
-        wanted = gap / (slowness[donor] + slowness[taker])
+        wanted = gap / (busy_shares[donor] + busy_shares[taker])
         rows = [r for r in owned[donor] if r.row not in taken]
-        found = _best_cut(rows, wanted, gap / slowness[taker], taker)
-        if found is None or found.per_s * slowness[donor] < mean * LEAST_MOVE_RATIO:
-            found = _hot_key_cut(rows, donor, loads, slowness)
+        found = _best_cut(rows, wanted, gap / busy_shares[taker], taker)
+        if found is None or found.per_s * busy_shares[donor] < LEAST_MOVE:
+            found = _hot_key_cut(rows, donor, loads, busy_shares)
         if found is None:
             continue
         cuts.append(found.cut)
         taken.add(found.cut.row)
-        loads[donor] -= found.per_s * slowness[donor]
-        loads[found.cut.taker] += found.per_s * slowness[found.cut.taker]
+        loads[donor] -= found.per_s * busy_shares[donor]
+        loads[found.cut.taker] += found.per_s * busy_shares[found.cut.taker]
     return cuts
 
 
@@ -103,7 +102,7 @@
     rows: Sequence[RowLoad],
     donor: str,
     loads: Mapping[str, float],
-    slowness: Mapping[str, float],
+    busy_shares: Mapping[str, float],
 ) -> _Found | None:
     """Return the move of a key that no split can spread, to a quicker upstream."""
     rated = [(rate.per_s, rate.key, item.row) for item in rows for rate in item.rates]
@@ -111,9 +110,9 @@
         return None
     per_s, key, row = max(rated, key=lambda found: found[0])
     others = [name for name in loads if name != donor]
-    taker = min(others, key=lambda name: loads[name] + per_s * slowness[name])
-    after = loads[taker] + per_s * slowness[taker]
-    if after > loads[donor] * HOT_KEY_GAIN or slowness[taker] >= slowness[donor]:
+    taker = min(others, key=lambda name: loads[name] + per_s * busy_shares[name])
+    after = loads[taker] + per_s * busy_shares[taker]
+    if after > loads[donor] * HOT_KEY_GAIN or busy_shares[taker] >= busy_shares[donor]:
         return None
     return _Found(Cut(row, key, key, taker), per_s)
 
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -1,6 +1,6 @@
 """Commands that give key ranges their owners and take them away."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple, Protocol
 
 from bergamotdrift import commands_log as cmd
@@ -28,8 +28,9 @@
 REST_MS = 2500.0
 MOVES_PER_BALANCE = 5
 # Bounds of what a few slow or quick answers may make of an upstream.
-_SPEED_MIN = 0.4
-_SPEED_MAX = 3.0
+_BUSY_MIN_MS = 5.0
+_BUSY_MAX_MS = 2000.0
+_BUSY_UNKNOWN_MS = 100.0
 # Each range is renewed by a call of its own, so their number is bounded.
 RANGES_PER_UPSTREAM = 12
 # Announcements come about every second, and may be late.
@@ -77,12 +78,19 @@
             of_nodes = self._speeds.setdefault(
                 UpstreamId(item.service, item.upstream), {}
             )
-            of_nodes[node] = min(max(item.slowness, _SPEED_MIN), _SPEED_MAX)
+            of_nodes[node] = min(max(item.busy_ms, _BUSY_MIN_MS), _BUSY_MAX_MS)
 
-    def slowness(self, key: UpstreamId) -> float:
-        """Return how long an upstream takes; 1.0 is usual, also if nothing is known."""
-        known = self._speeds.get(key)
-        return sum(known.values()) / len(known) if known else 1.0
+    def busy_share(self, key: UpstreamId) -> float:
+        """Return which part of an upstream one request per second keeps busy."""
+        row = self._state.rows.upstreams.get(key)
+        slots = max(1, row.slots) if row is not None else 1
+        busy_ms = _mean_of(self._speeds.get(key, {}).values()) or self._usual_busy_ms()
+        return busy_ms / 1000.0 / slots
+
+    def _usual_busy_ms(self) -> float:
+        """Return the mean of all upstreams, for one that is not known yet."""
+        known = [_mean_of(of_nodes.values()) for of_nodes in self._speeds.values()]
+        return _mean_of(known) or _BUSY_UNKNOWN_MS
 
     def commands(self, now_ms: float) -> list[Message]:
         """Return the changes of ranges that are due."""
@@ -174,11 +182,11 @@
         room = RANGES_PER_UPSTREAM * len(self._able) - len(self._rows)
         limit = min(MOVES_PER_BALANCE, room // 2)
         commands: list[Message] = []
-        slowness = {
-            name: self._planner.slowness(UpstreamId(self._service, name))
+        shares = {
+            name: self._planner.busy_share(UpstreamId(self._service, name))
             for name in owned
         }
-        for cut in choose_cuts(owned, slowness, limit, resting):
+        for cut in choose_cuts(owned, shares, limit, resting):
             key = _Moved(self._service, cut.first)
             self._planner._takers[key] = cut.taker
             self._planner._moved_ms[key] = self._now_ms
@@ -248,8 +256,8 @@
         owned = [row for row in self._rows if row.upstream == upstream]
         releasing = PartitionState.RELEASING
         own = sum(self._weight(row) for row in owned if row.state is not releasing)
-        slowness = self._planner.slowness(UpstreamId(self._service, upstream))
-        return (own + self._assigned.get(upstream, 0.0)) * slowness
+        share = self._planner.busy_share(UpstreamId(self._service, upstream))
+        return (own + self._assigned.get(upstream, 0.0)) * share
 
     def _weight(self, row: RangeRow) -> float:
         """Return the load of a range; idle keys count a little, by their number."""
@@ -318,6 +326,11 @@
         return self._now_ms - seen_ms < RECENT_MS
 
 
+def _mean_of(values: Collection[float]) -> float:
+    """Return the mean, or 0 without values."""
+    return sum(values) / len(values) if values else 0.0
+
+
 def _cut_out(row: RangeRow, first: int, last: int) -> list[RangeRow]:
     """Return a range with the keys `first` to `last` under release."""
     rows = [row._replace(first=first, last=last, state=PartitionState.RELEASING)]
--- a/bergamotdrift/tests/test_range_planner.py
+++ b/bergamotdrift/tests/test_range_planner.py
@@ -300,6 +300,14 @@
         self.assertEqual(cut.taker, "u2")
         self.assertLessEqual(cut.last - cut.first, 12)
 
+    def test_uneven_loads_without_queues_stay(self):
+        owned = {
+            "u1": [RowLoad(row(0, 99), [KeyRate(n, 1.0) for n in range(12)])],
+            "u2": [RowLoad(row(100, LAST_KEY, "u2"), [])],
+        }
+        shares = dict.fromkeys(owned, 0.03)
+        self.assertEqual(choose_cuts(owned, shares, 3, frozenset()), [])
+
     def test_even_loads_stay(self):
         owned = {
             name: [RowLoad(row(n * 100, n * 100 + 99, name), [KeyRate(n * 100, 10.0)])]
@@ -333,8 +341,11 @@
             "u3": [RowLoad(row(200, LAST_KEY, "u3"), [])],
         }
         slowness = {"u1": 1.4, "u2": 0.7, "u3": 1.4}
-        (cut,) = choose_cuts(owned, slowness, 3, frozenset())
-        self.assertEqual((cut.first, cut.last, cut.taker), (7, 7, "u2"))
+        cuts = choose_cuts(owned, slowness, 3, frozenset())
+        hot = [cut for cut in cuts if cut.first <= 7 <= cut.last]
+        self.assertEqual([(c.first, c.last, c.taker) for c in hot], [(7, 7, "u2")])
+        # The quickest upstream gives its other keys away in turn.
+        self.assertEqual([c.taker for c in cuts if c not in hot], ["u3"])
 
 
 class ReplaceRangesTests(unittest.TestCase):
