Fill rate buckets from the settings on, and say where a request found no room

Change: buckets are made when settings name their workspaces; refusals name upstream and load; an attempt that its caller left is logged. Result: test_bucket_fills_from_the_settings_on failed before (0 of 9 tokens), and passes.

--- a/bergamotdrift/direct_choice.py
+++ b/bergamotdrift/direct_choice.py
@@ -149,7 +149,10 @@
         if load is None or load.row.incarnation != row.incarnation:
             return Blocked("the upstream that holds the key is gone", Patience.SHORT)
         reason = self._obstacle(load, routed.service, now_ms)
-        return _blocked({reason}) if reason else Chosen(load, row)
+        if not reason:
+            return Chosen(load, row)
+        blocked = _blocked({reason})
+        return blocked._replace(reason=f"{reason} at {load.describe(now_ms)}")
 
     def _changing(self, row: RangeRow, now_ms: float) -> Blocked:
         """Wait for a hand-over, unless it already takes longer than one does."""
--- a/bergamotdrift/direct_load.py
+++ b/bergamotdrift/direct_load.py
@@ -113,6 +113,15 @@
         slow = self.speed * self._slowness(now_ms) * (1.0 + busy + queued)
         return slow * (1.0 + _ERROR_PENALTY * self._error_rate)
 
+    def describe(self, now_ms: float) -> str:
+        """Return the upstream with what is known of its load, for the log."""
+        text = f"{self.row.upstream}, {self.in_flight} of this entry"
+        stated = self._stated
+        if stated is None:
+            return text
+        load, age_ms = stated.load, now_ms - stated.at_ms
+        return f"{text}, {load.running}+{load.waiting} stated {age_ms:.0f} ms ago"
+
     def note_load(self, load: AnswerLoad, now_ms: float) -> None:
         """Take the load that an answer stated."""
         self._stated = StatedLoad(load, now_ms, self.in_flight)
--- a/bergamotdrift/rate_desk.py
+++ b/bergamotdrift/rate_desk.py
@@ -111,15 +111,14 @@
         now_ms: float,
     ) -> list[RateLot]:
         """Return a lot for each need; unknown workspaces get none."""
+        self.open(settings, now_ms)
         limits = {item.name: item for item in settings.workspaces}
         lots = []
         for need in needs:
             known = limits.get(need.workspace)
             if known is None:
                 continue
-            bucket = self._buckets.get(need.workspace)
-            if bucket is None:
-                bucket = self._buckets[need.workspace] = RateBucket(known, now_ms)
+            bucket = self._buckets[need.workspace]
             bucket.configure(known, now_ms)
             lots.append(bucket.lease(node, need, now_ms))
         return lots
--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -19,6 +19,7 @@
     TruncatedAnswerError,
 )
 from bergamotdrift.http_input import HeaderLine, connection_tokens
+from bergamotdrift.log import log_event
 from bergamotdrift.messages import NO_PARTITION, AttemptOutcome, PermitRelease
 from bergamotdrift.request import IncomingRequest, RoutedRequest
 from bergamotdrift.upstream_connections import (
@@ -173,6 +174,14 @@
         except BaseException as exc:
             failure = _failure_of(exc, running)
             on_end(failure.outcome, False)
+            if isinstance(exc, CallerGoneError):
+                log_event(
+                    "attempt_cancelled",
+                    request=routed.req.request_id,
+                    service=routed.service.name,
+                    upstream=running.permit.upstream,
+                    after_ms=round(self._clock.now_ms() - started_ms),
+                )
             if isinstance(exc, (OSError, HTTPParseError, RequestError)):
                 return Failure(failure)
             raise
--- a/bergamotdrift/tests/test_rate_desk.py
+++ b/bergamotdrift/tests/test_rate_desk.py
@@ -5,10 +5,10 @@
 from hypothesis import strategies as st
 
 from bergamotdrift.clock import ManualClock
-from bergamotdrift.config.schema import WorkspaceSettings
+from bergamotdrift.config.schema import SiteSettings, WorkspaceSettings
 from bergamotdrift.messages import RateLot, RateNeed
 from bergamotdrift.rate_allowance import Account, RateAllowance
-from bergamotdrift.rate_desk import RATE_LEASE_MS, RateBucket
+from bergamotdrift.rate_desk import RATE_LEASE_MS, RateBucket, RateDesk
 
 LIMITS = WorkspaceSettings("w", 20.0, 20, (), ())
 STEP = st.tuples(
@@ -66,6 +66,22 @@
             self.assertLessEqual(inside, 20 * 5 + 20 + 1 + 5)
 
 
+class RateDeskTests(unittest.TestCase):
+    """Guards the first requests of workspaces that settings have just named."""
+
+    def test_bucket_fills_from_the_settings_on(self):
+        settings = SiteSettings("s", (), (), (), (LIMITS,))
+        desk = RateDesk()
+        desk.open(None, 0.0)
+        self.assertEqual(desk.answer("e1", [], settings, 1000.0), [])
+        (lot,) = desk.answer("e1", [RateNeed("w", 9)], settings, 5000.0)
+        self.assertEqual(lot.tokens, 9)
+
+    def test_unknown_workspace_gets_none(self):
+        settings = SiteSettings("s", (), (), (), ())
+        self.assertEqual(RateDesk().answer("e1", [RateNeed("x", 1)], settings, 0.0), [])
+
+
 class StandbyTests(unittest.TestCase):
     """Guards service and limits while no leader answers for a moment."""
 
