--- a/bergamotdrift/streams.py
+++ b/bergamotdrift/streams.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import time
+import zlib
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -26,6 +27,8 @@
 
 _RECEIVE_BYTES = 64 * 1024
 _BATCH_FRAMES = 256
+_COMPRESSED_FROM_BYTES = 2048
+_COMPRESSION_LEVEL = 1
 _BACKOFF_MIN_S = 0.05
 _BACKOFF_MAX_S = 1.0
 _HEARTBEAT_FRAME = msgpack.packb([0, 0, *messages.pack_body(Heartbeat())])
@@ -63,9 +66,9 @@
 class Connection:
     """Exchange frames with one peer until either side closes.
 
-    A frame is `[number, flag, name, fields]`. Heartbeats keep the stream alive;
-    silence for the read deadline closes it, since a TCP connection may go dead
-    without a reset.
+    A frame is `[number, flag, name, fields]`, compressed if it is large. Heartbeats
+    keep the stream alive; silence for the read deadline closes it, since a TCP
+    connection may go dead without a reset.
     """
 
     def __init__(self, sock: Any, hello: Hello, handler: Handler):
@@ -160,7 +163,7 @@
             raise StreamClosedError(self.close_reason)
         self._sent_lately = True
         try:
-            self._outgoing.put_nowait(msgpack.packb([number, int(flag), *body]))
+            self._outgoing.put_nowait(_pack_frame([number, int(flag), *body]))
         except queue.Full:
             # A peer that does not drain its queue would receive stale messages.
             self.close("the outgoing queue is full")
@@ -223,7 +226,28 @@
                 raise ProtocolError("the frame is too large") from exc
 
 
+def _pack_frame(parts: list[Any]) -> bytes:
+    """Return a frame, compressed if it is large: settings compress to a tenth."""
+    data = msgpack.packb(parts)
+    if len(data) < _COMPRESSED_FROM_BYTES:
+        return data
+    return msgpack.packb(zlib.compress(data, _COMPRESSION_LEVEL))
+
+
+def _unpack_compressed(data: bytes) -> Any:
+    unpacker = zlib.decompressobj()
+    try:
+        plain = unpacker.decompress(data, constants.STREAM_MAX_FRAME_BYTES)
+        if not unpacker.eof:
+            raise ProtocolError("the compressed frame is too large or cut short")
+        return msgpack.unpackb(plain)
+    except (zlib.error, ValueError, msgpack.UnpackException) as exc:
+        raise ProtocolError(f"invalid compressed frame: {exc}") from exc
+
+
 def _parse_frame(frame: Any) -> tuple[int, int, Message]:
+    if isinstance(frame, bytes):
+        frame = _unpack_compressed(frame)
     if not isinstance(frame, list) or len(frame) != 4:
         raise ProtocolError("a frame must have four parts")
     number, flag, name, fields = frame
--- a/bergamotdrift/tests/test_streams.py
+++ b/bergamotdrift/tests/test_streams.py
@@ -1,11 +1,26 @@
 import unittest
+from unittest import mock
 
 import gevent
+import msgpack
 from gevent import socket
 
-from bergamotdrift import streams
-from bergamotdrift.exceptions import CallError, ErrorKind, StreamClosedError
-from bergamotdrift.messages import Done, Failure, Hello, NotLeader, Role, TokenRequest
+from bergamotdrift import constants, streams
+from bergamotdrift.exceptions import (
+    CallError,
+    ErrorKind,
+    ProtocolError,
+    StreamClosedError,
+)
+from bergamotdrift.messages import (
+    Done,
+    Failure,
+    Hello,
+    NotLeader,
+    Role,
+    TokenRequest,
+    pack_body,
+)
 from bergamotdrift.streams import StreamClient, StreamServer, parse_address
 
 
@@ -34,6 +49,32 @@
     return Hello(cluster, node, Role.ENTRY, "i1")
 
 
+class FrameTests(unittest.TestCase):
+    """Guards against settings that fill the links, and frames that fill the memory."""
+
+    def parse(self, data):
+        return streams._parse_frame(msgpack.unpackb(data))
+
+    def test_large_frame_is_compressed_and_read_back(self):
+        msg = NotLeader("10.0.0.1:80 " * 2000)
+        data = streams._pack_frame([7, 0, *pack_body(msg)])
+        self.assertLess(len(data), 1000)
+        self.assertEqual(self.parse(data), (7, 0, msg))
+
+    def test_compressed_frame_above_the_limit_is_refused(self):
+        with mock.patch.object(constants, "STREAM_MAX_FRAME_BYTES", 10_000):
+            data = streams._pack_frame([7, 0, *pack_body(NotLeader("x" * 20_000))])
+            with self.assertRaises(ProtocolError):
+                self.parse(data)
+
+    def test_damaged_compressed_frame_is_refused(self):
+        data = streams._pack_frame([7, 0, *pack_body(NotLeader("x" * 20_000))])
+        whole = msgpack.unpackb(data)
+        for part in (whole[:-3], b"", b"no frame", whole[:10] + b"\0\0" + whole[12:]):
+            with self.assertRaises(ProtocolError):
+                streams._parse_frame(part)
+
+
 class StreamTestCase(unittest.TestCase):
     def setUp(self):
         self.handler = EchoHandler()
