--- a/bergamotdrift/arbiter_client.py
+++ b/bergamotdrift/arbiter_client.py
@@ -6,21 +6,23 @@
 
 import gevent
 
+from bergamotdrift.arbiter_messages import (
+    KeptConnections,
+    RecordRow,
+    Resume,
+    Revoke,
+    RunningPermit,
+    TokensSpent,
+)
 from bergamotdrift.constants import STREAM_HEARTBEAT_MS
 from bergamotdrift.exceptions import StreamClosedError
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
     FeedUpdate,
     Hello,
-    KeptConnections,
     Message,
-    RecordRow,
-    Resume,
-    Revoke,
     Role,
-    RunningPermit,
     ShardRow,
-    TokensSpent,
 )
 from bergamotdrift.streams import Connection, StreamClient
 from bergamotdrift.tables import Tables
--- a/bergamotdrift/arbiter_metrics.py
+++ b/bergamotdrift/arbiter_metrics.py
@@ -4,16 +4,18 @@
 
 from prometheus_client import Counter, Gauge
 
-from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.messages import (
-    Failure,
-    Message,
+from bergamotdrift.arbiter_messages import (
     PermitGrant,
     PermitRefusal,
     RecordReply,
     RecordState,
     TokenGrant,
 )
+from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.messages import (
+    Failure,
+    Message,
+)
 from bergamotdrift.outputs import Output, Reply
 
 _GRANTS = Counter("bergamotdrift_arbiter_permits_granted_total", "Permits granted")
--- a/bergamotdrift/arbiter_server.py
+++ b/bergamotdrift/arbiter_server.py
@@ -8,6 +8,7 @@
 
 from bergamotdrift import arbiter_metrics
 from bergamotdrift.announcements import AnnouncementRelay, announce_app
+from bergamotdrift.arbiter_messages import RecordMirror
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import ArbiterSettings
 from bergamotdrift.constants import DRIFT_MARGIN_MS, SESSION_TTL_MS
@@ -22,7 +23,6 @@
     Message,
     NodeRow,
     PartitionsDrained,
-    RecordMirror,
     Role,
 )
 from bergamotdrift.observations import LoadHint
--- a/bergamotdrift/arbitration.py
+++ b/bergamotdrift/arbitration.py
@@ -29,14 +29,9 @@
 import random
 from collections.abc import Callable
 
-from bergamotdrift.clock import Clock
-from bergamotdrift.constants import PERMIT_WAIT_MS
-from bergamotdrift.entry_reports import EntryReports
-from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.messages import (
+from bergamotdrift.arbiter_messages import (
     AttemptOutcome,
     ConnectionDropped,
-    PartitionRef,
     PermitCancel,
     PermitGrant,
     PermitRefusal,
@@ -44,6 +39,13 @@
     PermitRequest,
     Resume,
     Revoke,
+)
+from bergamotdrift.clock import Clock
+from bergamotdrift.constants import PERMIT_WAIT_MS
+from bergamotdrift.entry_reports import EntryReports
+from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.messages import (
+    PartitionRef,
     UpstreamRow,
 )
 from bergamotdrift.observations import DecayingMean, LoadHint
--- a/bergamotdrift/attempts.py
+++ b/bergamotdrift/attempts.py
@@ -1,7 +1,7 @@
 """Permits in use and the attempts that run under them."""
 
+from bergamotdrift.arbiter_messages import RunningPermit
 from bergamotdrift.dialect import AnswerLoad
-from bergamotdrift.messages import RunningPermit
 from bergamotdrift.request import Permit
 from bergamotdrift.upstream_connections import UpstreamConnection
 
--- a/bergamotdrift/control_node.py
+++ b/bergamotdrift/control_node.py
@@ -13,7 +13,10 @@
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.http_server import HttpServer, admin_app
 from bergamotdrift.log import log_event
-from bergamotdrift.messages import Hello, Role
+from bergamotdrift.messages import (
+    Hello,
+    Role,
+)
 from bergamotdrift.replica import Replica
 from bergamotdrift.streams import StreamServer
 
--- a/bergamotdrift/control_server.py
+++ b/bergamotdrift/control_server.py
@@ -14,7 +14,11 @@
     StreamClosedError,
 )
 from bergamotdrift.http_server import HttpServer
-from bergamotdrift.messages import Failure, Hello, Message
+from bergamotdrift.messages import (
+    Failure,
+    Hello,
+    Message,
+)
 from bergamotdrift.node_streams import NodeStreams
 from bergamotdrift.operator_desk import OperatorDesk, SettingsCheck, refusal
 from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer, OperatorCall
--- a/bergamotdrift/dialect.py
+++ b/bergamotdrift/dialect.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from bergamotdrift.messages import AttemptOutcome
+from bergamotdrift.arbiter_messages import AttemptOutcome
 
 
 class AnswerLoad(NamedTuple):
--- a/bergamotdrift/direct_load.py
+++ b/bergamotdrift/direct_load.py
@@ -3,8 +3,12 @@
 import math
 from typing import NamedTuple
 
+from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.dialect import AnswerLoad
-from bergamotdrift.messages import AttemptOutcome, UpstreamRow, UpstreamState
+from bergamotdrift.messages import (
+    UpstreamRow,
+    UpstreamState,
+)
 from bergamotdrift.probe_pause import ProbePause
 
 # A stated load says little about the present after this time.
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -8,6 +8,11 @@
 from gevent.event import AsyncResult
 from returns.result import Failure, Result, Success
 
+from bergamotdrift.arbiter_messages import (
+    NO_PARTITION,
+    AttemptOutcome,
+    PermitRelease,
+)
 from bergamotdrift.attempts import AttemptRegistry, RunningAttempt
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import ServiceKind
@@ -21,12 +26,7 @@
 from bergamotdrift.direct_load import DirectLoad
 from bergamotdrift.exceptions import ErrorKind, Refusal
 from bergamotdrift.fence_guard import FenceGuard
-from bergamotdrift.messages import (
-    NO_PARTITION,
-    AttemptOutcome,
-    KeyLoad,
-    PermitRelease,
-)
+from bergamotdrift.messages import KeyLoad
 from bergamotdrift.request import Permit, RoutedRequest
 from bergamotdrift.shards import pool_shard, upstream_shard
 from bergamotdrift.stages.permit import AttemptNumbers
--- a/bergamotdrift/early_messages.py
+++ b/bergamotdrift/early_messages.py
@@ -4,14 +4,14 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from bergamotdrift.messages import (
-    Message,
+from bergamotdrift.arbiter_messages import (
     PermitCancel,
     PermitRequest,
     RecordBegin,
     Resume,
     TokenRequest,
 )
+from bergamotdrift.messages import Message
 from bergamotdrift.outputs import Ticket
 from bergamotdrift.takeover import EntryId
 
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -7,6 +7,15 @@
 
 from bergamotdrift.admission import Admission, is_stale
 from bergamotdrift.arbiter_client import ArbiterClient
+from bergamotdrift.arbiter_messages import (
+    ConnectionDropped,
+    KeptConnections,
+    PermitRelease,
+    RecordRow,
+    Revoke,
+    RunningPermit,
+    TokensSpent,
+)
 from bergamotdrift.attempts import AttemptRegistry, RunningAttempt
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import CallerLimits, Dispatch, EntrySettings
@@ -19,17 +28,10 @@
 from bergamotdrift.http_server import HttpServer, admin_app
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
-    ConnectionDropped,
     FeedUpdate,
     Hello,
-    KeptConnections,
     NodeRow,
-    PermitRelease,
-    RecordRow,
-    Revoke,
     Role,
-    RunningPermit,
-    TokensSpent,
 )
 from bergamotdrift.pipeline import Pipeline, SettingsView, Stages
 from bergamotdrift.record_book import RecordBook
--- a/bergamotdrift/entry_reports.py
+++ b/bergamotdrift/entry_reports.py
@@ -1,6 +1,6 @@
 """What entries report of a permit shard: running permits and idle connections."""
 
-from bergamotdrift.messages import Resume
+from bergamotdrift.arbiter_messages import Resume
 from bergamotdrift.permit_table import PermitTable
 from bergamotdrift.takeover import EntryId
 from bergamotdrift.upstream_pool import UpstreamPool
--- a/bergamotdrift/handover.py
+++ b/bergamotdrift/handover.py
@@ -7,7 +7,11 @@
 from bergamotdrift.config.schema import Fencing, SiteSettings
 from bergamotdrift.constants import SESSION_TTL_MS
 from bergamotdrift.control_state import ControlState, parent_of
-from bergamotdrift.messages import PartitionRef, PartitionRow, PartitionState
+from bergamotdrift.messages import (
+    PartitionRef,
+    PartitionRow,
+    PartitionState,
+)
 from bergamotdrift.tables import IsolatedKeyId, PartitionId
 
 # A fencing upstream that reported a release serves it no more. The drain report only
--- a/bergamotdrift/hot_keys.py
+++ b/bergamotdrift/hot_keys.py
@@ -2,7 +2,12 @@
 
 import heapq
 
-from bergamotdrift.messages import NO_PARTITION, KeyCount, LoadReport, PartitionLoad
+from bergamotdrift.arbiter_messages import NO_PARTITION
+from bergamotdrift.messages import (
+    KeyCount,
+    LoadReport,
+    PartitionLoad,
+)
 
 _KEYS_MAX = 256
 _KEYS_REPORTED = 32
--- a/bergamotdrift/idempotency.py
+++ b/bergamotdrift/idempotency.py
@@ -7,10 +7,7 @@
 
 from cachetools import TTLCache
 
-from bergamotdrift.clock import Clock
-from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.messages import (
-    Failure,
+from bergamotdrift.arbiter_messages import (
     RecordBegin,
     RecordEnd,
     RecordReply,
@@ -18,6 +15,9 @@
     RecordState,
     SavedAnswer,
 )
+from bergamotdrift.clock import Clock
+from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.messages import Failure
 from bergamotdrift.outputs import Output, Reply, Ticket
 from bergamotdrift.takeover import EntryId
 
--- a/bergamotdrift/node_sessions.py
+++ b/bergamotdrift/node_sessions.py
@@ -7,7 +7,11 @@
 from bergamotdrift.contacts import Contacts
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.handover import Acknowledged
-from bergamotdrift.messages import Message, NodeRow, Role
+from bergamotdrift.messages import (
+    Message,
+    NodeRow,
+    Role,
+)
 
 
 class PingVerdict(Enum):
--- a/bergamotdrift/observations.py
+++ b/bergamotdrift/observations.py
@@ -3,7 +3,8 @@
 import math
 from typing import NamedTuple
 
-from bergamotdrift.messages import AttemptOutcome, UpstreamState
+from bergamotdrift.arbiter_messages import AttemptOutcome
+from bergamotdrift.messages import UpstreamState
 
 _FAST_MS = 1000.0
 _SLOW_MS = 30_000.0
--- a/bergamotdrift/outputs.py
+++ b/bergamotdrift/outputs.py
@@ -2,7 +2,8 @@
 
 from typing import Any, NamedTuple
 
-from bergamotdrift.messages import Message, RecordRow
+from bergamotdrift.arbiter_messages import RecordRow
+from bergamotdrift.messages import Message
 from bergamotdrift.takeover import EntryId
 
 # What a driver passes in with a request, to find the asker again.
--- a/bergamotdrift/parked_requests.py
+++ b/bergamotdrift/parked_requests.py
@@ -3,8 +3,12 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from bergamotdrift.arbiter_messages import (
+    NO_PARTITION,
+    AttemptOutcome,
+    PermitRequest,
+)
 from bergamotdrift.fenced_partitions import FencedPartitions
-from bergamotdrift.messages import NO_PARTITION, AttemptOutcome, PermitRequest
 from bergamotdrift.partition_guard import PartitionGuard
 from bergamotdrift.permit_queue import Waiter, WaiterKey
 from bergamotdrift.permit_table import Permit
--- a/bergamotdrift/partition_guard.py
+++ b/bergamotdrift/partition_guard.py
@@ -1,11 +1,13 @@
 """Check that a permit is asked for a partition that the upstream owns."""
 
-from bergamotdrift.messages import (
+from bergamotdrift.arbiter_messages import (
     NO_PARTITION,
+    PermitRequest,
+)
+from bergamotdrift.messages import (
     PartitionRef,
     PartitionRow,
     PartitionState,
-    PermitRequest,
 )
 from bergamotdrift.shard_view import ShardView
 
--- a/bergamotdrift/permit_queue.py
+++ b/bergamotdrift/permit_queue.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
-from bergamotdrift.messages import PermitRequest
+from bergamotdrift.arbiter_messages import PermitRequest
 from bergamotdrift.takeover import EntryId
 
 # Of four permits granted while both classes wait, three are urgent.
--- a/bergamotdrift/permit_table.py
+++ b/bergamotdrift/permit_table.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from bergamotdrift.arbiter_messages import RunningPermit
 from bergamotdrift.connection_count import NEW_CONNECTION, ConnectionUse
-from bergamotdrift.messages import RunningPermit
 from bergamotdrift.permit_queue import Waiter, WaiterKey
 from bergamotdrift.takeover import EntryId
 
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -7,6 +7,7 @@
 
 from bergamotdrift import entry_metrics
 from bergamotdrift.admission import Admission, is_stale, may_run_stale
+from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.body_source import BodySource, open_body
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import SiteSettings
@@ -20,7 +21,6 @@
 )
 from bergamotdrift.feed_signal import FeedSignal
 from bergamotdrift.log import log_event
-from bergamotdrift.messages import AttemptOutcome
 from bergamotdrift.request import IncomingRequest, Reply, RoutedRequest
 from bergamotdrift.retry_policy import Attempt, Budget, RetryBudget, may_repeat
 from bergamotdrift.stages import answer as answers
--- a/bergamotdrift/platform/desk.py
+++ b/bergamotdrift/platform/desk.py
@@ -16,7 +16,11 @@
 from bergamotdrift.leader_duties import LeaderDuties
 from bergamotdrift.leadership import Leadership
 from bergamotdrift.log import log_event
-from bergamotdrift.messages import Announcement, UpstreamRow, UpstreamState
+from bergamotdrift.messages import (
+    Announcement,
+    UpstreamRow,
+    UpstreamState,
+)
 from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer
 from bergamotdrift.platform import site_config
 from bergamotdrift.platform.decoding import WireError
--- a/bergamotdrift/platform/heartbeats.py
+++ b/bergamotdrift/platform/heartbeats.py
@@ -2,7 +2,10 @@
 
 from typing import Any
 
-from bergamotdrift.messages import Announcement, UpstreamState
+from bergamotdrift.messages import (
+    Announcement,
+    UpstreamState,
+)
 from bergamotdrift.platform.decoding import WireError, duration_ms, text, whole
 from bergamotdrift.platform.site_config import parse_json
 
--- a/bergamotdrift/platform/wire_dialect.py
+++ b/bergamotdrift/platform/wire_dialect.py
@@ -1,7 +1,7 @@
 """The headers of the platform's callers and upstreams, as a dialect of the entry."""
 
+from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.dialect import AnswerLoad, Dialect, HeaderOf
-from bergamotdrift.messages import AttemptOutcome
 from bergamotdrift.platform import names
 
 _MISDIRECTED = 421
--- a/bergamotdrift/raft_messages.py
+++ b/bergamotdrift/raft_messages.py
@@ -4,7 +4,11 @@
 from typing import NamedTuple
 
 from bergamotdrift.exceptions import ProtocolError
-from bergamotdrift.messages import decode, encode, message
+from bergamotdrift.messages import (
+    decode,
+    encode,
+    message,
+)
 
 
 class EntryKind(IntEnum):
--- a/bergamotdrift/range_orders.py
+++ b/bergamotdrift/range_orders.py
@@ -10,7 +10,11 @@
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.leader_duties import LeaderDuties
 from bergamotdrift.log import log_event
-from bergamotdrift.messages import PartitionState, RangeRow, UpstreamRow
+from bergamotdrift.messages import (
+    PartitionState,
+    RangeRow,
+    UpstreamRow,
+)
 from bergamotdrift.range_leases import (
     HOLD_MS,
     RENEW_INTERVAL_MS,
--- a/bergamotdrift/rate_allowance.py
+++ b/bergamotdrift/rate_allowance.py
@@ -10,7 +10,10 @@
 from bergamotdrift.clock import Clock
 from bergamotdrift.constants import DRIFT_MARGIN_MS
 from bergamotdrift.exceptions import ErrorKind, Refusal
-from bergamotdrift.messages import RateLot, RateNeed
+from bergamotdrift.messages import (
+    RateLot,
+    RateNeed,
+)
 from bergamotdrift.rate_desk import STANDBY_FROM_MS, STANDBY_UNTIL_MS
 
 # An entry keeps tokens for this long a time of its recent demand, so that a new
--- a/bergamotdrift/rate_desk.py
+++ b/bergamotdrift/rate_desk.py
@@ -5,7 +5,10 @@
 from dataclasses import dataclass
 
 from bergamotdrift.config.schema import SiteSettings, WorkspaceSettings
-from bergamotdrift.messages import RateLot, RateNeed
+from bergamotdrift.messages import (
+    RateLot,
+    RateNeed,
+)
 
 # Long enough for entries to bridge the election of a new leader.
 RATE_LEASE_MS = 1500
--- a/bergamotdrift/record_book.py
+++ b/bergamotdrift/record_book.py
@@ -4,8 +4,12 @@
 
 from cachetools import FIFOCache, TTLCache
 
+from bergamotdrift.arbiter_messages import (
+    RecordRow,
+    RecordState,
+    SavedAnswer,
+)
 from bergamotdrift.clock import Clock
-from bergamotdrift.messages import RecordRow, RecordState, SavedAnswer
 from bergamotdrift.shards import workspace_shard
 
 # A resume carries all records of a workspace in one frame of at most 16 MiB.
--- a/bergamotdrift/record_mirror.py
+++ b/bergamotdrift/record_mirror.py
@@ -4,9 +4,13 @@
 
 from cachetools import TTLCache
 
+from bergamotdrift.arbiter_messages import (
+    RecordEnd,
+    RecordRow,
+    RecordState,
+)
 from bergamotdrift.clock import Clock
 from bergamotdrift.idempotency import RECORD_TTL_MS
-from bergamotdrift.messages import RecordEnd, RecordRow, RecordState
 from bergamotdrift.takeover import EntryId
 
 _ROWS_MAX = 100_000
--- a/bergamotdrift/record_sender.py
+++ b/bergamotdrift/record_sender.py
@@ -5,10 +5,16 @@
 import gevent
 from gevent.event import Event
 
+from bergamotdrift.arbiter_messages import RecordMirror
 from bergamotdrift.exceptions import CallError, StreamClosedError
 from bergamotdrift.hashing import rendezvous
 from bergamotdrift.log import log_event
-from bergamotdrift.messages import Hello, Message, NodeRow, RecordMirror, Role
+from bergamotdrift.messages import (
+    Hello,
+    Message,
+    NodeRow,
+    Role,
+)
 from bergamotdrift.outputs import Mirror
 from bergamotdrift.streams import Connection, StreamClient
 from bergamotdrift.tables import Tables
--- a/bergamotdrift/replica_peers.py
+++ b/bergamotdrift/replica_peers.py
@@ -10,7 +10,10 @@
     Refusal,
     StreamClosedError,
 )
-from bergamotdrift.messages import Hello, Message
+from bergamotdrift.messages import (
+    Hello,
+    Message,
+)
 from bergamotdrift.raft_messages import Member, RaftMessage
 from bergamotdrift.streams import Connection, StreamClient
 
--- a/bergamotdrift/request.py
+++ b/bergamotdrift/request.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple, Protocol
 
+from bergamotdrift.arbiter_messages import NO_PARTITION
 from bergamotdrift.config.schema import (
     RouteSettings,
     ServiceKind,
     ServiceSettings,
 )
 from bergamotdrift.http_input import HeaderLine
-from bergamotdrift.messages import NO_PARTITION
 
 ANONYMOUS = ""
 
--- a/bergamotdrift/shard_planner.py
+++ b/bergamotdrift/shard_planner.py
@@ -5,7 +5,10 @@
 from bergamotdrift import commands_log as cmd
 from bergamotdrift.config.schema import ServiceKind, SiteSettings
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.messages import Message, Role
+from bergamotdrift.messages import (
+    Message,
+    Role,
+)
 from bergamotdrift.node_sessions import NodeSessions
 from bergamotdrift.placement import ShardOwner, choose_shard_owners
 from bergamotdrift.shards import pool_shard, upstream_shard, workspace_shard
--- a/bergamotdrift/shard_set.py
+++ b/bergamotdrift/shard_set.py
@@ -8,29 +8,31 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
+from bergamotdrift.arbiter_messages import (
+    ConnectionDropped,
+    PermitCancel,
+    PermitRefusal,
+    PermitRelease,
+    PermitRequest,
+    RecordBegin,
+    RecordEnd,
+    RecordMirror,
+    Resume,
+    TokenRequest,
+    TokenReturn,
+)
 from bergamotdrift.arbitration import Arbitration
 from bergamotdrift.clock import Clock
 from bergamotdrift.early_messages import EARLY_WAIT_MS, EarlyMessage, EarlyMessages
 from bergamotdrift.exceptions import ErrorKind
 from bergamotdrift.hot_keys import LoadCounter
 from bergamotdrift.messages import (
-    ConnectionDropped,
     Done,
     Failure,
     LoadReport,
     Message,
     PartitionRef,
-    PermitCancel,
-    PermitRefusal,
-    PermitRelease,
-    PermitRequest,
-    RecordBegin,
-    RecordEnd,
-    RecordMirror,
-    Resume,
     ShardRow,
-    TokenRequest,
-    TokenReturn,
 )
 from bergamotdrift.outputs import Output, Reply, Ticket
 from bergamotdrift.record_mirror import MirroredRecord, RecordMirrors
--- a/bergamotdrift/stages/answer.py
+++ b/bergamotdrift/stages/answer.py
@@ -1,9 +1,12 @@
 """Build the reply to the caller from an answer or a refusal."""
 
+from bergamotdrift.arbiter_messages import (
+    Header,
+    SavedAnswer,
+)
 from bergamotdrift.dialect import NATIVE, Dialect
 from bergamotdrift.exceptions import ANSWERS, Refusal
 from bergamotdrift.http_input import connection_tokens
-from bergamotdrift.messages import Header, SavedAnswer
 from bergamotdrift.refusals import refusal_body, refusal_headers
 from bergamotdrift.request import Reply
 from bergamotdrift.stages.forward import (
--- a/bergamotdrift/stages/claim.py
+++ b/bergamotdrift/stages/claim.py
@@ -8,6 +8,14 @@
 from returns.result import Failure, Result, Success
 
 from bergamotdrift.arbiter_client import ArbiterClient
+from bergamotdrift.arbiter_messages import (
+    RecordBegin,
+    RecordEnd,
+    RecordMirror,
+    RecordReply,
+    RecordState,
+    SavedAnswer,
+)
 from bergamotdrift.body_source import BodySource
 from bergamotdrift.clock import Clock
 from bergamotdrift.exceptions import (
@@ -20,13 +28,7 @@
 from bergamotdrift.hashing import key_digest, rendezvous
 from bergamotdrift.messages import (
     Done,
-    RecordBegin,
-    RecordEnd,
-    RecordMirror,
-    RecordReply,
-    RecordState,
     Role,
-    SavedAnswer,
 )
 from bergamotdrift.record_book import RecordBook, RecordId
 from bergamotdrift.request import RoutedRequest
--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -7,6 +7,11 @@
 from geventhttpclient.response import HTTPParseError
 from returns.result import Failure, Result, Success
 
+from bergamotdrift.arbiter_messages import (
+    NO_PARTITION,
+    AttemptOutcome,
+    PermitRelease,
+)
 from bergamotdrift.attempts import RunningAttempt
 from bergamotdrift.body_source import BodySource
 from bergamotdrift.clock import Clock
@@ -20,7 +25,6 @@
 )
 from bergamotdrift.http_input import HeaderLine, connection_tokens
 from bergamotdrift.log import log_event
-from bergamotdrift.messages import NO_PARTITION, AttemptOutcome, PermitRelease
 from bergamotdrift.request import IncomingRequest, RoutedRequest
 from bergamotdrift.upstream_connections import (
     ResponseParser,
--- a/bergamotdrift/stages/permit.py
+++ b/bergamotdrift/stages/permit.py
@@ -8,6 +8,13 @@
 
 from bergamotdrift import constants
 from bergamotdrift.arbiter_client import ArbiterCall, ArbiterClient
+from bergamotdrift.arbiter_messages import (
+    NO_PARTITION,
+    PermitCancel,
+    PermitGrant,
+    PermitRefusal,
+    PermitRequest,
+)
 from bergamotdrift.attempts import AttemptRegistry, RunningAttempt
 from bergamotdrift.clock import Clock
 from bergamotdrift.exceptions import (
@@ -19,14 +26,7 @@
 from bergamotdrift.feed_signal import FeedSignal
 from bergamotdrift.fence_guard import FenceGuard
 from bergamotdrift.hashing import key_hash
-from bergamotdrift.messages import (
-    NO_PARTITION,
-    PartitionState,
-    PermitCancel,
-    PermitGrant,
-    PermitRefusal,
-    PermitRequest,
-)
+from bergamotdrift.messages import PartitionState
 from bergamotdrift.request import Permit, RoutedRequest
 from bergamotdrift.shards import pool_shard, upstream_shard
 from bergamotdrift.tables import PartitionId, Tables
--- a/bergamotdrift/streams.py
+++ b/bergamotdrift/streams.py
@@ -23,7 +23,13 @@
     Refusal,
     StreamClosedError,
 )
-from bergamotdrift.messages import Failure, FrameFlag, Heartbeat, Hello, Message
+from bergamotdrift.messages import (
+    Failure,
+    FrameFlag,
+    Heartbeat,
+    Hello,
+    Message,
+)
 
 _RECEIVE_BYTES = 64 * 1024
 _BATCH_FRAMES = 256
--- a/bergamotdrift/tests/arbiter_schedule.py
+++ b/bergamotdrift/tests/arbiter_schedule.py
@@ -8,14 +8,10 @@
 import random
 from collections import Counter, deque
 
-from bergamotdrift.arbitration import Arbitration
-from bergamotdrift.clock import ManualClock
-from bergamotdrift.messages import (
+from bergamotdrift.arbiter_messages import (
     AttemptOutcome,
     ConnectionDropped,
     KeptConnections,
-    PartitionRow,
-    PartitionState,
     PermitCancel,
     PermitGrant,
     PermitRelease,
@@ -23,6 +19,12 @@
     Revoke,
     RunningPermit,
 )
+from bergamotdrift.arbitration import Arbitration
+from bergamotdrift.clock import ManualClock
+from bergamotdrift.messages import (
+    PartitionRow,
+    PartitionState,
+)
 from bergamotdrift.outputs import Notice
 from bergamotdrift.shards import upstream_shard
 from bergamotdrift.tests import arbiter_support as support
--- a/bergamotdrift/tests/arbiter_support.py
+++ b/bergamotdrift/tests/arbiter_support.py
@@ -1,5 +1,9 @@
 """Settings, rows and a control stand-in shared by the arbiter's tests."""
 
+from bergamotdrift.arbiter_messages import (
+    PermitRequest,
+    Resume,
+)
 from bergamotdrift.config.schema import (
     ColdStartSettings,
     Fencing,
@@ -18,11 +22,9 @@
     Hello,
     NodeRow,
     PartitionEpoch,
-    PermitRequest,
     Ping,
     Pong,
     RelayAnnouncements,
-    Resume,
     Role,
     ShardRow,
     UpstreamRow,
--- a/bergamotdrift/tests/entry_fakes.py
+++ b/bergamotdrift/tests/entry_fakes.py
@@ -10,6 +10,16 @@
 from gevent.server import StreamServer as RawServer
 from geventhttpclient.response import HTTPResponse
 
+from bergamotdrift.arbiter_messages import (
+    PermitGrant,
+    PermitRequest,
+    RecordBegin,
+    RecordMirror,
+    RecordReply,
+    RecordState,
+    TokenGrant,
+    TokenRequest,
+)
 from bergamotdrift.clock import BootClock
 from bergamotdrift.config.schema import (
     ColdStartSettings,
@@ -33,18 +43,10 @@
     NodeRow,
     PartitionRow,
     PartitionState,
-    PermitGrant,
-    PermitRequest,
     Ping,
     Pong,
-    RecordBegin,
-    RecordMirror,
-    RecordReply,
-    RecordState,
     Role,
     ShardRow,
-    TokenGrant,
-    TokenRequest,
     UpstreamRow,
     UpstreamState,
 )
--- a/bergamotdrift/tests/replica_group.py
+++ b/bergamotdrift/tests/replica_group.py
@@ -11,7 +11,11 @@
 from bergamotdrift.clock import BootClock
 from bergamotdrift.config.schema import ControlSettings, NodeSettings, ReplicaAddress
 from bergamotdrift.exceptions import CallError, ErrorKind
-from bergamotdrift.messages import Failure, Hello, Role
+from bergamotdrift.messages import (
+    Failure,
+    Hello,
+    Role,
+)
 from bergamotdrift.replica import Replica
 from bergamotdrift.streams import StreamServer
 
--- a/bergamotdrift/tests/test_arbiter_server.py
+++ b/bergamotdrift/tests/test_arbiter_server.py
@@ -4,14 +4,8 @@
 import gevent
 from geventhttpclient import HTTPClient
 
-from bergamotdrift.arbiter_server import ArbiterServer
-from bergamotdrift.clock import BootClock
-from bergamotdrift.config.schema import ArbiterSettings, NodeSettings
-from bergamotdrift.exceptions import CallError, ErrorKind
-from bergamotdrift.messages import (
+from bergamotdrift.arbiter_messages import (
     AttemptOutcome,
-    Farewell,
-    Hello,
     PermitGrant,
     PermitRefusal,
     PermitRelease,
@@ -19,13 +13,21 @@
     RecordEnd,
     RecordReply,
     RecordState,
-    RelayAnnouncements,
     Revoke,
-    Role,
     RunningPermit,
     SavedAnswer,
     TokenRequest,
 )
+from bergamotdrift.arbiter_server import ArbiterServer
+from bergamotdrift.clock import BootClock
+from bergamotdrift.config.schema import ArbiterSettings, NodeSettings
+from bergamotdrift.exceptions import CallError, ErrorKind
+from bergamotdrift.messages import (
+    Farewell,
+    Hello,
+    RelayAnnouncements,
+    Role,
+)
 from bergamotdrift.streams import StreamClient, parse_address
 from bergamotdrift.tests import arbiter_support as support
 
--- a/bergamotdrift/tests/test_entry_node.py
+++ b/bergamotdrift/tests/test_entry_node.py
@@ -4,13 +4,8 @@
 import gevent
 
 from bergamotdrift import constants
-from bergamotdrift.config.schema import ZoneSettings, ZoneState
-from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.hashing import key_digest
-from bergamotdrift.messages import (
+from bergamotdrift.arbiter_messages import (
     ConnectionDropped,
-    Farewell,
-    NodeRow,
     PermitCancel,
     PermitGrant,
     PermitRefusal,
@@ -18,11 +13,18 @@
     PermitRequest,
     Resume,
     Revoke,
-    Role,
     TokenGrant,
     TokenRequest,
     TokenReturn,
 )
+from bergamotdrift.config.schema import ZoneSettings, ZoneState
+from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.hashing import key_digest
+from bergamotdrift.messages import (
+    Farewell,
+    NodeRow,
+    Role,
+)
 from bergamotdrift.shards import pool_shard, upstream_shard, workspace_shard
 from bergamotdrift.tests.entry_fakes import (
     KEY,
--- a/bergamotdrift/tests/test_forward.py
+++ b/bergamotdrift/tests/test_forward.py
@@ -4,8 +4,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bergamotdrift.arbiter_messages import PermitRelease
 from bergamotdrift.http_input import HeaderLine, connection_tokens
-from bergamotdrift.messages import PermitRelease
 from bergamotdrift.stages.forward import end_to_end
 from bergamotdrift.tests.entry_fakes import OK_ANSWER, OK_BODY, EntryTestCase
 
--- a/bergamotdrift/tests/test_hot_keys.py
+++ b/bergamotdrift/tests/test_hot_keys.py
@@ -5,8 +5,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bergamotdrift.arbiter_messages import NO_PARTITION
 from bergamotdrift.hot_keys import LoadCounter, TopKeys
-from bergamotdrift.messages import NO_PARTITION, KeyCount, PartitionLoad
+from bergamotdrift.messages import (
+    KeyCount,
+    PartitionLoad,
+)
 
 
 class TopKeysTests(unittest.TestCase):
--- a/bergamotdrift/tests/test_idempotency.py
+++ b/bergamotdrift/tests/test_idempotency.py
@@ -3,11 +3,7 @@
 from collections import Counter
 from unittest import mock
 
-from bergamotdrift.clock import ManualClock
-from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.idempotency import RECORD_TTL_MS, RecordStore
-from bergamotdrift.messages import (
-    Failure,
+from bergamotdrift.arbiter_messages import (
     RecordBegin,
     RecordEnd,
     RecordMirror,
@@ -16,6 +12,10 @@
     RecordState,
     SavedAnswer,
 )
+from bergamotdrift.clock import ManualClock
+from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.idempotency import RECORD_TTL_MS, RecordStore
+from bergamotdrift.messages import Failure
 from bergamotdrift.outputs import Mirror, Reply
 from bergamotdrift.record_mirror import MirroredRecord, RecordMirrors
 from bergamotdrift.shard_view import WorkspaceView
--- a/bergamotdrift/tests/test_pipeline.py
+++ b/bergamotdrift/tests/test_pipeline.py
@@ -6,10 +6,7 @@
 import gevent
 
 from bergamotdrift import constants
-from bergamotdrift.exceptions import ANSWERS, ErrorKind
-from bergamotdrift.messages import (
-    NodeRow,
-    PartitionState,
+from bergamotdrift.arbiter_messages import (
     PermitCancel,
     PermitRefusal,
     PermitRelease,
@@ -19,11 +16,16 @@
     RecordMirror,
     RecordReply,
     RecordState,
-    Role,
     SavedAnswer,
     TokenGrant,
     TokenRequest,
 )
+from bergamotdrift.exceptions import ANSWERS, ErrorKind
+from bergamotdrift.messages import (
+    NodeRow,
+    PartitionState,
+    Role,
+)
 from bergamotdrift.tests.entry_fakes import (
     OK_ANSWER,
     OK_BODY,
--- a/bergamotdrift/tests/test_rate_desk.py
+++ b/bergamotdrift/tests/test_rate_desk.py
@@ -6,7 +6,10 @@
 
 from bergamotdrift.clock import ManualClock
 from bergamotdrift.config.schema import SiteSettings, WorkspaceSettings
-from bergamotdrift.messages import RateLot, RateNeed
+from bergamotdrift.messages import (
+    RateLot,
+    RateNeed,
+)
 from bergamotdrift.rate_allowance import Account, RateAllowance
 from bergamotdrift.rate_desk import RATE_LEASE_MS, RateBucket, RateDesk
 
--- a/bergamotdrift/tests/test_record_book.py
+++ b/bergamotdrift/tests/test_record_book.py
@@ -1,7 +1,10 @@
 import unittest
 
+from bergamotdrift.arbiter_messages import (
+    RecordState,
+    SavedAnswer,
+)
 from bergamotdrift.clock import ManualClock
-from bergamotdrift.messages import RecordState, SavedAnswer
 from bergamotdrift.record_book import RecordBook, RecordId
 from bergamotdrift.shards import upstream_shard, workspace_shard
 
--- a/bergamotdrift/tests/test_shard_set.py
+++ b/bergamotdrift/tests/test_shard_set.py
@@ -2,11 +2,8 @@
 import unittest
 from typing import Any
 
-from bergamotdrift.clock import ManualClock
-from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.messages import (
+from bergamotdrift.arbiter_messages import (
     AttemptOutcome,
-    Done,
     PermitCancel,
     PermitGrant,
     PermitRefusal,
@@ -20,6 +17,9 @@
     RunningPermit,
     TokenRequest,
 )
+from bergamotdrift.clock import ManualClock
+from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.messages import Done
 from bergamotdrift.outputs import Mirror, Notice, Reply
 from bergamotdrift.shard_set import ShardSet
 from bergamotdrift.tables import Tables
--- a/bergamotdrift/tests/test_streams.py
+++ b/bergamotdrift/tests/test_streams.py
@@ -6,6 +6,7 @@
 from gevent import socket
 
 from bergamotdrift import constants, streams
+from bergamotdrift.arbiter_messages import TokenRequest
 from bergamotdrift.exceptions import (
     CallError,
     ErrorKind,
@@ -18,7 +19,6 @@
     Hello,
     NotLeader,
     Role,
-    TokenRequest,
     pack_body,
 )
 from bergamotdrift.streams import StreamClient, StreamServer, parse_address
--- a/bergamotdrift/tests/test_token_bucket.py
+++ b/bergamotdrift/tests/test_token_bucket.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bergamotdrift.messages import TokensSpent
+from bergamotdrift.arbiter_messages import TokensSpent
 from bergamotdrift.tests import arbiter_support as support
 from bergamotdrift.token_bucket import TokenBucket
 
--- a/bergamotdrift/tests/test_token_cache.py
+++ b/bergamotdrift/tests/test_token_cache.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bergamotdrift.messages import TokensSpent
+from bergamotdrift.arbiter_messages import TokensSpent
 from bergamotdrift.token_cache import PREFETCH_WINDOW_MS, TokenCache, TokenLease
 
 LEASE_MS = 200
--- a/bergamotdrift/tests/test_token_client.py
+++ b/bergamotdrift/tests/test_token_client.py
@@ -3,8 +3,13 @@
 
 import gevent
 
+from bergamotdrift.arbiter_messages import (
+    TokenGrant,
+    TokenRequest,
+    TokenReturn,
+)
 from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.messages import Failure, TokenGrant, TokenRequest, TokenReturn
+from bergamotdrift.messages import Failure
 from bergamotdrift.tests.entry_fakes import EntryTestCase
 
 
--- a/bergamotdrift/tests/test_upstream_connections.py
+++ b/bergamotdrift/tests/test_upstream_connections.py
@@ -2,8 +2,8 @@
 
 import gevent
 
+from bergamotdrift.arbiter_messages import KeptConnections
 from bergamotdrift.clock import ManualClock
-from bergamotdrift.messages import KeptConnections
 from bergamotdrift.tests.entry_fakes import OK_ANSWER, EntryTestCase, FakeUpstream
 from bergamotdrift.upstream_connections import IDLE_MAX_MS, UpstreamConnections
 
--- a/bergamotdrift/tests/test_upstream_pool.py
+++ b/bergamotdrift/tests/test_upstream_pool.py
@@ -3,17 +3,19 @@
 from collections import Counter
 from typing import Any
 
+from bergamotdrift.arbiter_messages import (
+    AttemptOutcome,
+    PermitGrant,
+    PermitRelease,
+    Revoke,
+)
 from bergamotdrift.arbitration import Arbitration
 from bergamotdrift.clock import ManualClock
 from bergamotdrift.config.schema import ServiceKind
 from bergamotdrift.exceptions import ErrorKind
 from bergamotdrift.messages import (
-    AttemptOutcome,
     PartitionRow,
     PartitionState,
-    PermitGrant,
-    PermitRelease,
-    Revoke,
     UpstreamState,
 )
 from bergamotdrift.observations import LoadHint
--- a/bergamotdrift/tests/test_workspace_arbitration.py
+++ b/bergamotdrift/tests/test_workspace_arbitration.py
@@ -1,8 +1,12 @@
 import unittest
 from typing import Any
 
+from bergamotdrift.arbiter_messages import (
+    TokenGrant,
+    TokenRequest,
+    TokensSpent,
+)
 from bergamotdrift.clock import ManualClock
-from bergamotdrift.messages import TokenGrant, TokenRequest, TokensSpent
 from bergamotdrift.shard_view import WorkspaceView
 from bergamotdrift.tests import arbiter_support as support
 from bergamotdrift.workspace_arbitration import WorkspaceArbitration
--- a/bergamotdrift/token_bucket.py
+++ b/bergamotdrift/token_bucket.py
@@ -9,8 +9,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from bergamotdrift.arbiter_messages import (
+    TokenGrant,
+    TokensSpent,
+)
 from bergamotdrift.constants import TOKEN_LEASE_MS
-from bergamotdrift.messages import TokenGrant, TokensSpent
 from bergamotdrift.takeover import EntryId
 
 # Entries return unused tokens within 50 ms of the lease's end. A return that comes
--- a/bergamotdrift/token_cache.py
+++ b/bergamotdrift/token_cache.py
@@ -4,8 +4,8 @@
 from collections import deque
 from typing import NamedTuple
 
+from bergamotdrift.arbiter_messages import TokensSpent
 from bergamotdrift.config.schema import WorkspaceSettings
-from bergamotdrift.messages import TokensSpent
 
 # Tokens are fetched ahead for this much of recent use; more would only keep them
 # from other entries.
--- a/bergamotdrift/token_client.py
+++ b/bergamotdrift/token_client.py
@@ -10,6 +10,12 @@
 
 from bergamotdrift import constants
 from bergamotdrift.arbiter_client import ArbiterClient
+from bergamotdrift.arbiter_messages import (
+    TokenGrant,
+    TokenRequest,
+    TokenReturn,
+    TokensSpent,
+)
 from bergamotdrift.clock import Clock
 from bergamotdrift.exceptions import (
     CallError,
@@ -17,7 +23,6 @@
     Refusal,
     StreamClosedError,
 )
-from bergamotdrift.messages import TokenGrant, TokenRequest, TokenReturn, TokensSpent
 from bergamotdrift.shards import workspace_shard
 from bergamotdrift.token_cache import TokenCache, TokenLease
 
--- a/bergamotdrift/upstream_ages.py
+++ b/bergamotdrift/upstream_ages.py
@@ -4,7 +4,10 @@
 from typing import NamedTuple
 
 from bergamotdrift.config.schema import WorkspaceSettings
-from bergamotdrift.messages import UpstreamRow, UpstreamState
+from bergamotdrift.messages import (
+    UpstreamRow,
+    UpstreamState,
+)
 from bergamotdrift.tables import UpstreamId
 
 
--- a/bergamotdrift/upstream_connections.py
+++ b/bergamotdrift/upstream_connections.py
@@ -9,9 +9,9 @@
 import gevent.socket
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
+from bergamotdrift.arbiter_messages import KeptConnections
 from bergamotdrift.clock import Clock
 from bergamotdrift.http_input import peer_has_closed
-from bergamotdrift.messages import KeptConnections
 from bergamotdrift.streams import parse_address, set_stream_options
 
 _RECEIVE_BYTES = 64 * 1024
--- a/bergamotdrift/upstream_load.py
+++ b/bergamotdrift/upstream_load.py
@@ -1,9 +1,13 @@
 """One upstream as its arbiter sees it: slots, ramp, connections and health."""
 
+from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.cold_start import ColdStart
 from bergamotdrift.config.schema import ServiceSettings
 from bergamotdrift.connection_count import ConnectionCount
-from bergamotdrift.messages import AttemptOutcome, UpstreamRow, UpstreamState
+from bergamotdrift.messages import (
+    UpstreamRow,
+    UpstreamState,
+)
 from bergamotdrift.observations import LoadHint, Observations
 from bergamotdrift.probe_pause import ProbePause
 
--- a/bergamotdrift/upstream_pool.py
+++ b/bergamotdrift/upstream_pool.py
@@ -3,9 +3,10 @@
 import random
 from collections.abc import Collection, Iterable, Iterator
 
+from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.config.schema import ServiceKind
 from bergamotdrift.connection_count import ConnectionUse
-from bergamotdrift.messages import AttemptOutcome, UpstreamRow
+from bergamotdrift.messages import UpstreamRow
 from bergamotdrift.observations import LoadHint
 from bergamotdrift.permit_queue import Waiter
 from bergamotdrift.permit_table import Permit
--- a/bergamotdrift/workspace_arbitration.py
+++ b/bergamotdrift/workspace_arbitration.py
@@ -10,12 +10,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from bergamotdrift.clock import Clock
-from bergamotdrift.constants import TOKEN_LEASE_MS
-from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.idempotency import RECORDS_MAX, RecordStore
-from bergamotdrift.messages import (
-    Failure,
+from bergamotdrift.arbiter_messages import (
     RecordBegin,
     RecordEnd,
     Resume,
@@ -23,6 +18,11 @@
     TokenReturn,
     TokensSpent,
 )
+from bergamotdrift.clock import Clock
+from bergamotdrift.constants import TOKEN_LEASE_MS
+from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.idempotency import RECORDS_MAX, RecordStore
+from bergamotdrift.messages import Failure
 from bergamotdrift.outputs import Mirror, Output, Reply, Ticket
 from bergamotdrift.record_mirror import MirroredRecord
 from bergamotdrift.shard_view import WorkspaceView
--- a/scripts/measure_arbiter.py
+++ b/scripts/measure_arbiter.py
@@ -12,6 +12,15 @@
 from tabulate import tabulate
 
 from bergamotdrift import messages
+from bergamotdrift.arbiter_messages import (
+    AttemptOutcome,
+    PermitGrant,
+    PermitRelease,
+    PermitRequest,
+    RecordBegin,
+    Resume,
+    TokenRequest,
+)
 from bergamotdrift.arbitration import Arbitration
 from bergamotdrift.clock import ManualClock
 from bergamotdrift.config.schema import (
@@ -22,15 +31,8 @@
     WorkspaceSettings,
 )
 from bergamotdrift.messages import (
-    AttemptOutcome,
     PartitionRow,
     PartitionState,
-    PermitGrant,
-    PermitRelease,
-    PermitRequest,
-    RecordBegin,
-    Resume,
-    TokenRequest,
     UpstreamRow,
     UpstreamState,
 )
--- a/scripts/measure_attempts.py
+++ b/scripts/measure_attempts.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Callable
 
+from bergamotdrift.arbiter_messages import (
+    NO_PARTITION,
+    AttemptOutcome,
+)
 from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.messages import NO_PARTITION, AttemptOutcome
 from bergamotdrift.retry_policy import Attempt, RetryBudget, may_repeat
 from scripts.measure_loop import Loop
 from scripts.measure_report import Ledger
--- a/scripts/measure_naive.py
+++ b/scripts/measure_naive.py
@@ -3,9 +3,13 @@
 from collections import deque
 from collections.abc import Callable
 
+from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.messages import Announcement, AttemptOutcome, UpstreamState
+from bergamotdrift.messages import (
+    Announcement,
+    UpstreamState,
+)
 from bergamotdrift.retry_policy import RetryBudget
 from bergamotdrift.tests.naive import NaiveEntry, NaiveUpstream
 from scripts.measure_attempts import Connections, Job, send
--- a/scripts/measure_routers.py
+++ b/scripts/measure_routers.py
@@ -4,17 +4,10 @@
 from typing import NamedTuple
 
 from bergamotdrift import constants
-from bergamotdrift.config.schema import ServiceKind, ServiceSettings, WorkspaceSettings
-from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.fence_guard import FenceGuard
-from bergamotdrift.hashing import key_hash
-from bergamotdrift.messages import (
+from bergamotdrift.arbiter_messages import (
     NO_PARTITION,
     AttemptOutcome,
-    FeedUpdate,
     KeptConnections,
-    Message,
-    PartitionState,
     PermitCancel,
     PermitGrant,
     PermitRefusal,
@@ -23,12 +16,21 @@
     Resume,
     Revoke,
     RunningPermit,
-    ShardRow,
     TokenGrant,
     TokenRequest,
     TokenReturn,
     TokensSpent,
 )
+from bergamotdrift.config.schema import ServiceKind, ServiceSettings, WorkspaceSettings
+from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.fence_guard import FenceGuard
+from bergamotdrift.hashing import key_hash
+from bergamotdrift.messages import (
+    FeedUpdate,
+    Message,
+    PartitionState,
+    ShardRow,
+)
 from bergamotdrift.retry_policy import RetryBudget
 from bergamotdrift.shard_view import is_workspace_shard, split_shard
 from bergamotdrift.shards import pool_shard, upstream_shard, workspace_shard
--- a/scripts/measure_streams.py
+++ b/scripts/measure_streams.py
@@ -13,7 +13,14 @@
 
 from bergamotdrift import messages
 from bergamotdrift.constants import PING_INTERVAL_MS, STREAM_HEARTBEAT_MS
-from bergamotdrift.messages import Heartbeat, Hello, NodeRow, Ping, Pong, Role
+from bergamotdrift.messages import (
+    Heartbeat,
+    Hello,
+    NodeRow,
+    Ping,
+    Pong,
+    Role,
+)
 from bergamotdrift.streams import Connection, StreamClient, StreamServer
 
 # Each frame travels in one segment: IP and TCP headers with timestamps.
--- a/scripts/measure_upstreams.py
+++ b/scripts/measure_upstreams.py
@@ -4,6 +4,10 @@
 from collections import deque
 from collections.abc import Callable
 
+from bergamotdrift.arbiter_messages import (
+    NO_PARTITION,
+    AttemptOutcome,
+)
 from bergamotdrift.config.schema import (
     Fencing,
     ServiceKind,
@@ -11,10 +15,8 @@
     ZoneState,
 )
 from bergamotdrift.messages import (
-    NO_PARTITION,
     Announcement,
     AnnouncementReply,
-    AttemptOutcome,
     PartitionEpoch,
     UpstreamState,
 )
