Keep keys from a next owner while an unanswered grant may still run

A grant that got no answer was carried out after the release of its keys and their grant to another upstream; a killed worker closed its connection in order, so the kernel delivered its grant once the cut had healed; and a range could be granted from an outdated list.

Change: released keys stay without an owner until every unanswered grant that covers them has run out, grants of earlier leaders included; moves wait until no such grant is known. A call that is killed is reset. A range is looked up again right before its grant.

--- a/bergamotdrift/platform/orders.py
+++ b/bergamotdrift/platform/orders.py
@@ -74,9 +74,13 @@
             conn.send(_request(upstream, path, json.dumps(body).encode()))
             return self._receive(conn)
         except (OSError, HTTPParseError):
-            # Bytes still on their way would otherwise be carried out later.
             conn.abort()
             return None
+        except BaseException:
+            # A worker is killed when the leadership is lost. After an orderly close the
+            # kernel would deliver the order once a partition heals.
+            conn.abort()
+            raise
 
     def _receive(self, conn: UpstreamConnection) -> _Answer:
         parser = read_head(conn, "POST")
--- a/bergamotdrift/range_leases.py
+++ b/bergamotdrift/range_leases.py
@@ -3,6 +3,9 @@
 A grant runs from its arrival, which the sender does not see. The leader therefore
 counts it from the end of the call, whether the call was answered or abandoned. Grants
 of earlier leaders count from the start of the present leader's term.
+
+An upstream may carry out an unanswered grant after a later release of the same keys.
+Released keys are therefore free only when no such grant can run any more.
 """
 
 from typing import NamedTuple
@@ -31,6 +34,14 @@
     epoch: int
 
 
+class GrantedSpan(NamedTuple):
+    """Name the keys that one grant covers."""
+
+    holder: Holder
+    first: int
+    last: int
+
+
 class UpstreamRun(NamedTuple):
     """Name one run of an upstream."""
 
@@ -44,6 +55,11 @@
     return Holder(row.service, row.upstream, row.incarnation, row.epoch)
 
 
+def span_of(row: RangeRow) -> GrantedSpan:
+    """Return the keys of an owned range and their holder."""
+    return GrantedSpan(holder_of(row), row.first, row.last)
+
+
 def run_of(row: RangeRow) -> UpstreamRun:
     """Return the run of the upstream that owns a range."""
     return UpstreamRun(row.service, row.upstream, row.incarnation)
@@ -60,22 +76,34 @@
     def __init__(self, opened_at_ms: float):
         self._opened_until_ms = opened_at_ms + hold_bound_ms()
         self._until_ms: dict[Holder, float] = {}
-        self._calling: dict[Holder, int] = {}
+        self._calling: dict[GrantedSpan, int] = {}
+        self._unsettled_until_ms: dict[GrantedSpan, float] = {}
         self._released: dict[RangeRow, str] = {}
         self._accepted: set[RangeRow] = set()
         self._failing_since_ms: dict[UpstreamRun, float] = {}
 
-    def begin_grant(self, holder: Holder) -> None:
+    def begin_grant(self, row: RangeRow) -> None:
         """Count a grant as running from before it is sent."""
-        self._calling[holder] = self._calling.get(holder, 0) + 1
-
-    def end_grant(self, holder: Holder, answered: bool, now_ms: float) -> None:
-        """Bound a grant whose call has ended; its hold can't have begun later."""
-        self._calling[holder] -= 1
-        if not self._calling[holder]:
-            del self._calling[holder]
-        self._until_ms[holder] = now_ms + hold_bound_ms()
-        run = UpstreamRun(*holder[:3])
+        span = span_of(row)
+        self._calling[span] = self._calling.get(span, 0) + 1
+
+    def end_grant(
+        self, row: RangeRow, answered: bool, current: bool, now_ms: float
+    ) -> None:
+        """Bound a grant whose call has ended; its hold can't have begun later.
+
+        `current` tells that the range did not change during the call. A grant that was
+        answered beside a release may have been carried out after it.
+        """
+        span = span_of(row)
+        self._calling[span] -= 1
+        if not self._calling[span]:
+            del self._calling[span]
+        until_ms = now_ms + hold_bound_ms()
+        self._until_ms[span.holder] = until_ms
+        if not (answered and current):
+            self._unsettled_until_ms[span] = until_ms
+        run = run_of(row)
         if answered:
             self._failing_since_ms.pop(run, None)
         else:
@@ -104,12 +132,27 @@
             return False
         return now_ms - since_ms >= LOST_AFTER_MS
 
+    def is_settled(self, row: RangeRow, now_ms: float) -> bool:
+        """Tell whether a release of a range would surely end all its grants."""
+        if now_ms < self._opened_until_ms:
+            return False
+        if any(_overlaps(span, row) for span in self._calling):
+            return False
+        return not any(
+            now_ms < until_ms and _overlaps(span, row)
+            for span, until_ms in self._unsettled_until_ms.items()
+        )
+
+    def knows_grants(self, now_ms: float) -> bool:
+        """Tell whether all grants of earlier leaders have run out."""
+        return now_ms >= self._opened_until_ms
+
     def has_ended(self, row: RangeRow, now_ms: float) -> bool:
         """Tell whether the last owner of a range surely acts on it no more."""
-        if row in self._released:
+        if row in self._released and self.is_settled(row, now_ms):
             return True
         holder = holder_of(row)
-        if holder in self._calling:
+        if any(span.holder == holder for span in self._calling):
             return False
         return now_ms >= self._until_ms.get(holder, self._opened_until_ms)
 
@@ -119,6 +162,16 @@
         self._accepted &= rows
         holders = {holder_of(row) for row in rows}
         self._until_ms = {h: t for h, t in self._until_ms.items() if h in holders}
+        self._unsettled_until_ms = {
+            span: until_ms
+            for span, until_ms in self._unsettled_until_ms.items()
+            if span.holder in holders
+        }
         self._failing_since_ms = {
             run: since for run, since in self._failing_since_ms.items() if run in runs
         }
+
+
+def _overlaps(span: GrantedSpan, row: RangeRow) -> bool:
+    same = span.holder == holder_of(row)
+    return same and span.first <= row.last and row.first <= span.last
--- a/bergamotdrift/range_orders.py
+++ b/bergamotdrift/range_orders.py
@@ -19,7 +19,6 @@
     HOLD_MS,
     RENEW_INTERVAL_MS,
     UpstreamRun,
-    holder_of,
     run_of,
 )
 
@@ -216,9 +215,18 @@
                 self._start_release(upstream, row)
         for row in sorted(rows, key=_unconfirmed_first):
             is_due = self._due_ms.get(_grant_of(row), 0.0) <= self._now_ms()
-            if is_due and row.state is not PartitionState.RELEASING:
+            # The calls before this one take time, in which the range may change.
+            if is_due and self._is_granted(row):
                 self._grant(upstream, row)
 
+    def _is_granted(self, row: RangeRow) -> bool:
+        """Tell whether a range still has this owner and is not under release."""
+        grant = _grant_of(row)
+        return any(
+            _grant_of(now) == grant and now.state is not PartitionState.RELEASING
+            for now in self._rows()
+        )
+
     def _is_lost(self) -> bool:
         lost = self._ranges.is_lost(self._run, self._now_ms())
         if lost is not self._lost:
@@ -232,17 +240,17 @@
 
     def _grant(self, upstream: UpstreamRow, row: RangeRow) -> None:
         leases = self._ranges.leases
-        holder = holder_of(row)
         order = GrantOrder(row.first, row.last, row.epoch, HOLD_MS, row.handover)
         started_ms = self._now_ms()
-        leases.begin_grant(holder)
+        leases.begin_grant(row)
         result = GrantResult.NO_ANSWER
         try:
             if self._may_act():
                 result = self._owner._orders.grant(upstream, order, CALL_TIMEOUT_MS)
         finally:
             answered = result is not GrantResult.NO_ANSWER
-            leases.end_grant(holder, answered, self._now_ms())
+            current = self._is_granted(row)
+            leases.end_grant(row, answered, current, self._now_ms())
         accepted = result is GrantResult.ACCEPTED
         if accepted and row.state is PartitionState.VACANT:
             leases.note_accepted(row)
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -176,8 +176,12 @@
             if row.upstream in owned:
                 owned[row.upstream].append(self._loads[row])
         moved = self._planner._moved_ms
+        leases = self._planner.leases
         resting = frozenset(
-            row for row in self._rows if _Moved(row.service, row.first) in moved
+            row
+            for row in self._rows
+            if _Moved(row.service, row.first) in moved
+            or not leases.is_settled(row, self._now_ms)
         )
         room = RANGES_PER_UPSTREAM * len(self._able) - len(self._rows)
         limit = min(MOVES_PER_BALANCE, room // 2)
@@ -215,9 +219,8 @@
         if not row.upstream:
             return [self._assign(row, "")]
         if row.state is PartitionState.RELEASING:
-            handover = planner.leases.handover_of(row)
-            if handover is not None or self._has_ended(row):
-                return [self._assign(row, handover or "")]
+            if self._has_ended(row):
+                return [self._assign(row, planner.leases.handover_of(row) or "")]
             return []
         owner = planner.row_of(run_of(row))
         if owner is None or planner.is_lost(run_of(row), self._now_ms):
@@ -226,7 +229,8 @@
             if not planner.leases.is_accepted(row):
                 return []
             return [self._replace(row, [row._replace(state=PartitionState.OWNED)])]
-        if self._must_leave(owner):
+        # Keys that are released earlier would have no owner until then.
+        if self._must_leave(owner) and planner.leases.knows_grants(self._now_ms):
             return [self._replace(row, self._pieces(row))]
         return []
 
--- a/bergamotdrift/tests/test_range_orders.py
+++ b/bergamotdrift/tests/test_range_orders.py
@@ -13,6 +13,7 @@
     UpstreamRow,
     UpstreamState,
 )
+from bergamotdrift.range_leases import RangeLeases
 from bergamotdrift.range_orders import GrantResult, RangeOrders
 from bergamotdrift.tests.test_range_planner import SETTINGS
 
@@ -24,9 +25,11 @@
         self.result = GrantResult.ACCEPTED
         self.handover: str | None = "token"
         self.grants, self.releases = [], []
+        self.during_grant = lambda: None
 
     def grant(self, upstream, order, timeout_ms):
         self.grants.append(order)
+        self.during_grant()
         return self.result
 
     def release(self, upstream, order, timeout_ms):
@@ -62,9 +65,14 @@
         pass
 
     def put(self, state):
+        self.replace([self.row(0, LAST_KEY, state)])
+
+    def row(self, first, last, state):
+        return RangeRow("cases", first, last, "u1", "1", 5, state)
+
+    def replace(self, rows):
         before = self.state.rows.ranges_of("cases")
-        row = RangeRow("cases", 0, LAST_KEY, "u1", "1", 5, state)
-        change = cmd.ReplaceRanges("cases", before, [row])
+        change = cmd.ReplaceRanges("cases", before, rows)
         self.state.apply_command(self.state.applied_index + 1, change)
 
     def test_grant_is_renewed_before_it_runs_out(self):
@@ -98,6 +106,28 @@
         gevent.sleep(0.5)
         self.assertEqual(len(self.upstreams.grants), 1)
 
+    def test_range_that_is_released_during_another_grant_is_not_granted(self):
+        first = self.row(0, 99, PartitionState.OWNED)
+        second = self.row(100, LAST_KEY, PartitionState.OWNED)
+        self.replace([first, second])
+        released = [first, second._replace(state=PartitionState.RELEASING)]
+        self.upstreams.during_grant = lambda: self.replace(released)
+        self.orders.start()
+        gevent.sleep(0.2)
+        self.assertEqual([order.first for order in self.upstreams.grants], [0])
+
+    def test_grant_that_was_answered_beside_a_release_counts_until_its_hold_ends(self):
+        first = self.row(0, LAST_KEY, PartitionState.OWNED)
+        self.replace([first])
+        released = first._replace(state=PartitionState.RELEASING)
+        self.upstreams.during_grant = lambda: self.replace([released])
+        self.term.ranges.leases = RangeLeases(-10_000.0)
+        self.orders.start()
+        gevent.sleep(0.2)
+        leases = self.term.ranges.leases
+        self.assertEqual(leases.handover_of(released), "token")
+        self.assertFalse(leases.has_ended(released, self.clock.now_ms()))
+
     def test_replica_that_lost_the_lead_sends_nothing(self):
         self.orders.start()
         gevent.sleep(0.05)
--- a/bergamotdrift/tests/test_range_planner.py
+++ b/bergamotdrift/tests/test_range_planner.py
@@ -30,7 +30,6 @@
     CLOCK_DRIFT,
     HOLD_MS,
     RangeLeases,
-    holder_of,
     run_of,
 )
 from bergamotdrift.range_planner import RangePlanner
@@ -154,10 +153,16 @@
                 self.planner.leases.note_released(held, "token")
             return
         leases = self.planner.leases
-        leases.begin_grant(holder_of(held))
+        leases.begin_grant(held)
         if backend.alive and backend.reachable:
-            backend.grant(held.first, held.last, held.epoch, self.now)
-        leases.end_grant(holder_of(held), answers, self.now)
+            arrived = self.now
+            late_ms = 0.0 if answers else self.rng.choice((0.0, 1200.0, 2500.0))
+            grant = (held.first, held.last, held.epoch, arrived)
+            if late_ms:
+                self.late.append((arrived + late_ms, lambda: backend.grant(*grant)))
+            else:
+                backend.grant(*grant)
+        leases.end_grant(held, answers, True, self.now)
         if answers and held.state is PartitionState.VACANT:
             leases.note_accepted(held)
 
@@ -262,9 +267,9 @@
     def test_unanswered_grant_counts_from_the_end_of_its_call(self):
         leases = RangeLeases(0.0)
         held = row()
-        leases.begin_grant(holder_of(held))
+        leases.begin_grant(held)
         self.assertFalse(leases.has_ended(held, 1e9))
-        leases.end_grant(holder_of(held), False, 10_000.0)
+        leases.end_grant(held, False, True, 10_000.0)
         self.assertFalse(leases.has_ended(held, 10_000.0 + HOLD_MS * 1.02))
         self.assertTrue(leases.has_ended(held, 10_000.0 + HOLD_MS * 1.02 + 151))
 
@@ -273,10 +278,44 @@
         self.assertFalse(leases.has_ended(row(), 5000.0 + HOLD_MS))
         self.assertTrue(leases.has_ended(row(), 5000.0 + HOLD_MS * 1.02 + 151))
 
+    def test_released_keys_wait_for_an_unanswered_grant_of_a_wider_range(self):
+        leases = RangeLeases(0.0)
+        leases.begin_grant(row())
+        leases.end_grant(row(), False, True, 10_000.0)
+        leases.begin_grant(row())
+        leases.end_grant(row(), True, True, 10_200.0)
+        part = row(40, 60, state=PartitionState.RELEASING)
+        leases.note_released(part, "token")
+        self.assertFalse(leases.has_ended(part, 10_000.0 + HOLD_MS))
+        self.assertTrue(leases.has_ended(part, 10_000.0 + HOLD_MS * 1.02 + 151))
+
+    def test_released_keys_wait_for_a_grant_that_was_answered_beside_the_release(self):
+        leases = RangeLeases(0.0)
+        part = row(40, 60, state=PartitionState.RELEASING)
+        leases.begin_grant(row())
+        leases.note_released(part, "token")
+        self.assertFalse(leases.has_ended(part, 10_000.0))
+        leases.end_grant(row(), True, False, 10_000.0)
+        self.assertFalse(leases.has_ended(part, 10_000.0 + HOLD_MS))
+
+    def test_renewals_of_the_remaining_keys_do_not_delay_released_ones(self):
+        leases = RangeLeases(0.0)
+        part = row(40, 60, state=PartitionState.RELEASING)
+        leases.note_released(part, "token")
+        leases.begin_grant(row(0, 39))
+        leases.end_grant(row(0, 39), False, True, 10_000.0)
+        self.assertTrue(leases.has_ended(part, 10_000.0))
+
+    def test_released_keys_wait_for_unanswered_grants_of_earlier_leaders(self):
+        leases = RangeLeases(5000.0)
+        leases.note_released(row(), "token")
+        self.assertFalse(leases.has_ended(row(), 5000.0 + HOLD_MS))
+        self.assertTrue(leases.has_ended(row(), 5000.0 + HOLD_MS * 1.02 + 151))
+
     def test_announcement_during_failing_grants_shows_that_it_lives(self):
         leases = RangeLeases(0.0)
-        leases.begin_grant(holder_of(row()))
-        leases.end_grant(holder_of(row()), False, 1000.0)
+        leases.begin_grant(row())
+        leases.end_grant(row(), False, True, 1000.0)
         run = run_of(row())
         self.assertTrue(leases.is_failing(run, 900.0, 2000.0))
         self.assertFalse(leases.is_failing(run, 1500.0, 2000.0))
