Cancel requests in the stand-in upstream whose connection was closed

A reset does not help: the kernel still delivers the bytes (tried).

The ownership check is unchanged, but names requests, epochs and times. Streams to IP numbers connect without gevent's resolver, whose first use imports modules for seconds on a busy machine (the traced cause of the known red documentation test).

--- a/bergamotdrift/streams.py
+++ b/bergamotdrift/streams.py
@@ -5,7 +5,6 @@
 import socket
 import time
 import zlib
-from collections.abc import Callable
 from typing import Any, Protocol
 
 import gevent
@@ -64,6 +63,29 @@
     return host, int(port)
 
 
+def new_socket(address: str) -> Any:
+    """Return an unconnected socket of the family of an IP number."""
+    host = parse_address(address)[0]
+    return gevent.socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+
+
+def connect_to(address: str, timeout_ms: float) -> Any:
+    """Return a socket connected to an IP number and port, or raise OSError.
+
+    It goes without the resolver, whose first use imports modules for seconds on a
+    busy machine.
+    """
+    sock = new_socket(address)
+    try:
+        sock.settimeout(timeout_ms / 1000.0)
+        sock.connect(parse_address(address))
+        set_stream_options(sock)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def set_stream_options(sock: Any) -> None:
     """Disable Nagle's algorithm, which delays small frames by up to 40 ms."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -304,12 +326,10 @@
         address: str,
         hello: Hello,
         handler: Handler,
-        connect: Callable[..., Any] = gevent.socket.create_connection,
     ):
         self.address = address
         self._hello = hello
         self._handler = handler
-        self._connect = connect
         self._greenlet: gevent.Greenlet | None = None
         self._backoff_s = _BACKOFF_MIN_S
         self._ready = gevent.event.Event()
@@ -362,13 +382,9 @@
 
     def _run_connection(self) -> None:
         try:
-            sock = self._connect(
-                parse_address(self.address),
-                timeout=constants.STREAM_CONNECT_TIMEOUT_MS / 1000.0,
-            )
+            sock = connect_to(self.address, constants.STREAM_CONNECT_TIMEOUT_MS)
         except OSError:
             return
-        set_stream_options(sock)
         self.conn = Connection(sock, self._hello, self)
         try:
             self.conn.run()
--- a/bergamotdrift/tests/test_stand_in_upstream.py
+++ b/bergamotdrift/tests/test_stand_in_upstream.py
@@ -5,6 +5,7 @@
 import gevent
 from geventhttpclient import HTTPClient
 
+from bergamotdrift.streams import parse_address
 from scripts.stand_in_upstream import Grant, Options, start_upstream
 
 
@@ -82,6 +83,25 @@
         self.assertEqual((self.upstream.state(), self.upstream.bearable()), ("cold", 1))
 
 
+class CancellationTests(StandInTestCase):
+    """Guards against runs for callers that left while the process was frozen."""
+
+    def test_request_is_not_run_after_its_connection_was_closed(self):
+        self.start(fencing="none")
+        self.control(freeze=True)
+        sock = gevent.socket.create_connection(
+            parse_address(self.upstream.options.listen)
+        )
+        sock.sendall(b"GET /cases/1 HTTP/1.1\r\nHost: x\r\n\r\n")
+        gevent.sleep(0.1)
+        sock.close()
+        self.control(freeze=False)
+        with gevent.Timeout(2.0):
+            while not self.upstream.cancelled:
+                gevent.sleep(0.01)
+        self.assertEqual(self.executions(), [])
+
+
 class FencingTests(StandInTestCase):
     def test_only_a_valid_grant_of_the_same_epoch_runs(self):
         self.start()
--- a/bergamotdrift/tests/test_streams.py
+++ b/bergamotdrift/tests/test_streams.py
@@ -121,6 +121,23 @@
             fut.get(timeout=2)
 
 
+class ConnectTests(StreamTestCase):
+    """Guards against a first connection that waits for imports of the resolver."""
+
+    def test_ip_numbers_are_connected_without_the_resolver(self):
+        hub = gevent.get_hub()
+        resolver = mock.Mock()
+        resolver.getaddrinfo.side_effect = AssertionError("the resolver was used")
+        with mock.patch.object(type(hub), "resolver", resolver):
+            client = self.connect()
+            self.assertEqual(client.call(TokenRequest("w", 1, 1), 2000), Done())
+
+    def test_port_without_a_listener_is_an_error(self):
+        self.server.stop()
+        with self.assertRaises(OSError):
+            streams.connect_to(self.server.address, 500)
+
+
 class ConnectionLossTests(StreamTestCase):
     def test_client_reconnects_on_a_new_connection(self):
         client = self.connect()
--- a/bergamotdrift/upstream_connections.py
+++ b/bergamotdrift/upstream_connections.py
@@ -12,7 +12,7 @@
 from bergamotdrift.arbiter_messages import KeptConnections
 from bergamotdrift.clock import Clock
 from bergamotdrift.http_input import peer_has_closed
-from bergamotdrift.streams import parse_address, set_stream_options
+from bergamotdrift.streams import new_socket, parse_address, set_stream_options
 
 _RECEIVE_BYTES = 64 * 1024
 _CONNECT_TIMEOUT_MS = 500
@@ -75,9 +75,7 @@
         self._clock = clock
         self._deadline_ms = 0.0
         self._closed = False
-        host = parse_address(address)[0]
-        family = gevent.socket.AF_INET6 if ":" in host else gevent.socket.AF_INET
-        self._sock = gevent.socket.socket(family)
+        self._sock = new_socket(address)
 
     def begin(self, deadline_ms: float) -> None:
         """Prepare for a request that must end by the deadline."""
--- a/scripts/load.py
+++ b/scripts/load.py
@@ -222,12 +222,20 @@
                     break
                 if second.upstream != first.upstream:
                     found.append(
-                        f"partition {partition} at {first.upstream} and "
-                        f"{second.upstream} at {second.started:.3f}"
+                        f"partition {partition}: {_describe(first)} and "
+                        f"{_describe(second)}"
                     )
     return found
 
 
+def _describe(run: Run) -> str:
+    """Return what finds a run in the records of callers and the logs."""
+    return (
+        f"{run.tag} at {run.upstream} epoch {run.epoch} "
+        f"from {run.started:.3f} to {run.ended:.3f}"
+    )
+
+
 def longest_gap_s(records: list[CallRecord], key_path: str = "") -> float:
     """Return the longest time in seconds without a served request."""
     times = sorted(
--- a/scripts/stand_in_upstream.py
+++ b/scripts/stand_in_upstream.py
@@ -20,12 +20,15 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
+from bergamotdrift.http_input import peer_has_closed
+
 # The least time between announcements, also when there is news.
 EARLY_ANNOUNCE_S = 0.05
 ANNOUNCE_S = 0.5
 _DEADLINE_MS = 60_000
 _CALL_TIMEOUT_S = 1.0
 _PIECE = b"x" * 65536
+_SOCKET = "stand_in.socket"
 
 
 @dataclass
@@ -91,6 +94,7 @@
     executions: list[Execution] = field(default_factory=list)
     shed: int = 0
     fenced: int = 0
+    cancelled: int = 0
     samples: collections.deque = field(
         default_factory=lambda: collections.deque(maxlen=200)
     )
@@ -195,6 +199,10 @@
         up = self._up
         while up.frozen:
             gevent.sleep(0.05)
+        if peer_has_closed(environ[_SOCKET]) is True:
+            # A frozen process finds requests whose caller has left long ago.
+            up.cancelled += 1
+            return _refuse(start_response, "503 Service Unavailable", "cancelled")
         partition = _number(environ, "HTTP_X_PARTITION", -1)
         epoch = _number(environ, "HTTP_X_EPOCH", 0)
         if up.is_fenced(partition, epoch):
@@ -288,6 +296,15 @@
     return [body]
 
 
+class _Handler(pywsgi.WSGIHandler):
+    """Hand the connection's socket to the application."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environ = super().get_environ()
+        environ[_SOCKET] = self.socket
+        return environ
+
+
 class LoadResource:
     """Report a load that lags."""
 
@@ -319,6 +336,7 @@
             "incarnation": self._up.incarnation,
             "shed": self._up.shed,
             "fenced": self._up.fenced,
+            "cancelled": self._up.cancelled,
             "executions": [vars(run) for run in self._up.executions],
         }
 
@@ -411,6 +429,7 @@
         log=None,
         error_log=None,
         spawn=options.connections,
+        handler_class=_Handler,
     )
     server.start()
     server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
