Share pool upstreams among the entries of their zone, and spread the rate tolerance over time

Cause: a far upstream counted a chunked upload as empty, and an entry shared the near upstreams with entries that hardly use them; 3 of 55 logged choices of uploads left the zone.

Change: entries of one zone share the places of its pool upstreams; a body sent in chunks counts as 64 KB; the used half of the slack raises the rate over the platform's window, the bound of any window stays.

--- a/bergamotdrift/direct_choice.py
+++ b/bergamotdrift/direct_choice.py
@@ -11,6 +11,7 @@
 from bergamotdrift.messages import (
     PartitionState,
     RangeRow,
+    Role,
     UpstreamSpeed,
     UpstreamState,
 )
@@ -20,6 +21,8 @@
 # Costs of leaving the entry's availability zone, in units of a usual answer's time.
 ZONE_COST = 0.8
 ZONE_COST_PER_KB = 0.03
+# A body sent in chunks does not state its length; it is taken to be this large.
+CHUNKED_BODY_BYTES = 64 * 1024
 _NOISE = 0.05
 _HANDOVER_USUAL_MS = 400.0
 # A change of an upstream's speed by this part is reported.
@@ -60,16 +63,21 @@
         self.loads: dict[UpstreamId, DirectLoad] = {}
         self._by_service: dict[str, list[DirectLoad]] = {}
         self._entries = 1
+        # Live entries in this entry's availability zone, itself included.
+        self._entries_near = 1
         self._evacuated: frozenset[str] = frozenset()
         # Ranges without a settled owner, and since when this entry knows.
         self._changing_since_ms: dict[RangeRow, float] = {}
         self._ranged: frozenset[str] = frozenset()
         self._stated_speeds: dict[UpstreamId, float] = {}
 
-    def update(self, tables: Tables, entries: frozenset[str], now_ms: float) -> None:
-        """Take changed tables; `entries` are the live entries."""
+    def update(self, tables: Tables, now_ms: float) -> None:
+        """Take changed tables."""
+        entries = list(tables.nodes_of(Role.ENTRY))
+        near = sum(row.zone == self._zone for row in entries)
         self._entries = max(1, len(entries))
-        self.cold.set_members(entries)
+        self._entries_near = max(1, near)
+        self.cold.set_members(frozenset(row.node for row in entries))
         self._take_upstreams(tables, now_ms)
         self._take_evacuations(tables, now_ms)
         services = tables.settings.services if tables.settings else ()
@@ -193,8 +201,9 @@
     def _cost(
         self, routed: RoutedRequest, now_ms: float
     ) -> Callable[[DirectLoad], float]:
-        length = routed.req.body.length or 0
-        away = ZONE_COST + ZONE_COST_PER_KB * length / 1024.0
+        length = routed.req.body.length
+        size = CHUNKED_BODY_BYTES if length is None else length
+        away = ZONE_COST + ZONE_COST_PER_KB * size / 1024.0
 
         def cost(load: DirectLoad) -> float:
             noise = 1.0 + _NOISE * self._rng.random()
@@ -211,7 +220,7 @@
             return "leaving"
         if load.row.zone in self._evacuated:
             return "evacuated"
-        if not load.has_room(self._entries, now_ms):
+        if not load.has_room(self._sharers(load, service), now_ms):
             return "down" if load.is_down else "full"
         if load.is_cold(now_ms) and service.cold_start.per_s > 0:
             per_s = service.cold_start.per_s
@@ -220,6 +229,17 @@
         return ""
 
 
+    def _sharers(self, load: DirectLoad, service: ServiceSettings) -> int:
+        """Return how many entries share the places of an upstream.
+
+        Those of a pool are mainly used by the entries of their own availability zone.
+        """
+        is_near = load.row.zone == self._zone
+        if service.kind is ServiceKind.POOL and is_near:
+            return self._entries_near
+        return self._entries
+
+
 def _blocked(reasons: set[str]) -> Blocked:
     """Return why no upstream can get a request; full and cold ones soon can."""
     soon = reasons & {"full", "cold"}
--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -43,9 +43,8 @@
     def on_tables_changed(self, update: FeedUpdate) -> None:
         """Follow the feed."""
         tables = self._tables()
-        entries = frozenset(row.node for row in tables.nodes_of(Role.ENTRY))
-        self._entries = max(1, len(entries))
-        self._choice.update(tables, entries, self._clock.now_ms())
+        self._entries = max(1, len(list(tables.nodes_of(Role.ENTRY))))
+        self._choice.update(tables, self._clock.now_ms())
         self.permits.notify()
 
     def new_budget(self) -> SharedRetryBudget:
--- a/bergamotdrift/platform/control.py
+++ b/bergamotdrift/platform/control.py
@@ -22,6 +22,7 @@
     boot = programs.start("control")
     stop = shutdown_event()
     clock = BootClock()
+    bounds = boot.bounds
     control = Control(control_settings(boot), clock)
     nodes = control.server.nodes
     control.server.calls = LeaderDesk(
@@ -31,7 +32,7 @@
         clock,
         boot.zones,
         boot.control,
-        RateTolerance(boot.bounds.rate_overage, boot.bounds.rate_slack),
+        RateTolerance(bounds.rate_overage, bounds.rate_slack, bounds.rate_window_s),
     )
     orders = RangeOrders(nodes.leadership, control.state, clock, PlatformOrders(clock))
     nodes.on_changed = orders.wake
