--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -367,7 +367,7 @@
         if running.cancel_reason or isinstance(exc, CallerGoneError):
             outcome = AttemptOutcome.CANCELLED
         return AttemptFailure(
-            Refusal(ErrorKind.NO_UPSTREAM, "connect failed"), outcome, True
+            Refusal(ErrorKind.NO_UPSTREAM, f"connect failed: {exc}"), outcome, True
         )
     if running.cancel_reason:
         refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, running.cancel_reason)
@@ -376,7 +376,7 @@
         refusal = Refusal(ErrorKind.UPSTREAM_TIMEOUT)
         return AttemptFailure(refusal, AttemptOutcome.TIMEOUT, False)
     if isinstance(exc, (OSError, HTTPParseError)):
-        refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, "the connection broke")
+        refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, f"the connection broke: {exc}")
         return AttemptFailure(refusal, AttemptOutcome.BROKEN, False)
     refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, "the request was cut off")
     return AttemptFailure(refusal, AttemptOutcome.CANCELLED, False)
