--- a/bergamotdrift/platform/boot.py
+++ b/bergamotdrift/platform/boot.py
@@ -37,7 +37,7 @@
 _SNAPSHOT_ENTRIES = 2048
 # Parts of the platform's bounds on repeats that are planned for; the rest covers the
 # stock that each entry may hold.
-_RETRY_RATIO_SHARE = 0.85
+_RETRY_RATIO_SHARE = 0.95
 _RETRY_SLACK_SHARE = 0.35
 
 
@@ -50,7 +50,6 @@
     retry_window_s: float = 10.0
     rate_overage: float = 0.0
     rate_slack: float = 0.0
-    rate_window_s: float = 5.0
 
 
 class Boot(NamedTuple):
@@ -113,7 +112,6 @@
     usual = Bounds()
     grace = fields.get("grace")
     window = fields.get("budget_window")
-    rate_window = fields.get("quota_window")
     return Bounds(
         duration_ms(grace) / 1000.0 if grace else usual.grace_s,
         float(fields.get("retry_budget_ratio", usual.retry_ratio)),
@@ -121,7 +119,6 @@
         duration_ms(window) / 1000.0 if window else usual.retry_window_s,
         float(fields.get("quota_overage", usual.rate_overage)),
         float(fields.get("quota_slack", usual.rate_slack)),
-        duration_ms(rate_window) / 1000.0 if rate_window else usual.rate_window_s,
     )
 
 
--- a/bergamotdrift/platform/control.py
+++ b/bergamotdrift/platform/control.py
@@ -22,7 +22,6 @@
     boot = programs.start("control")
     stop = shutdown_event()
     clock = BootClock()
-    bounds = boot.bounds
     control = Control(control_settings(boot), clock)
     nodes = control.server.nodes
     control.server.calls = LeaderDesk(
@@ -32,7 +31,7 @@
         clock,
         boot.zones,
         boot.control,
-        RateTolerance(bounds.rate_overage, bounds.rate_slack, bounds.rate_window_s),
+        RateTolerance(boot.bounds.rate_overage, boot.bounds.rate_slack),
     )
     orders = RangeOrders(nodes.leadership, control.state, clock, PlatformOrders(clock))
     nodes.on_changed = orders.wake
--- a/bergamotdrift/platform/site_config.py
+++ b/bergamotdrift/platform/site_config.py
@@ -131,14 +131,10 @@
 
 
 class RateTolerance(NamedTuple):
-    """Hold how far workspaces may pass their limits in any window.
-
-    `overage` is a share of what rate and burst allow, `slack` a count of requests.
-    """
+    """Hold how far workspaces may pass their limits: a share, and a count at once."""
 
     overage: float = 0.0
     slack: float = 0.0
-    window_s: float = 5.0
 
 
 NO_TOLERANCE = RateTolerance()
@@ -294,13 +290,11 @@
     # Part of the tolerance makes up for tokens that lie unused at some entries.
     factor = 1.0 + tolerance.overage * _TOLERANCE_USED
     rate_per_s = number(item.get("rate_per_s", 0), "rate_per_s") * factor
-    if rate_per_s > 0:
-        rate_per_s += tolerance.slack / tolerance.window_s * _TOLERANCE_USED
     burst = number(item.get("burst", 0), "burst") * factor
     return WorkspaceSettings(
         text(item.get("name"), "name"),
         rate_per_s,
-        int(burst),
+        int(burst + tolerance.slack * _TOLERANCE_USED),
         tuple(key_digest(text(key, "a key")) for key in keys),
         (ALL_SERVICES,),
         None if rank is None else whole(rank, "priority"),
