Learn slow upstreams from queued and unanswered attempts

An entry learned the time of an upstream only from answers without a queue, which a slow upstream does not give, and one lost answer at one entry moved the mean that the leader plans with.

Change: an answer counts without its stated queue, an attempt that ended later than usual without an answer counts as well, and the leader takes the median over the entries. The watch over permits of an entry wakes at the end of its session, not up to 50 ms later.

--- a/bergamotdrift/direct_choice.py
+++ b/bergamotdrift/direct_choice.py
@@ -228,7 +228,6 @@
                 return "cold"
         return ""
 
-
     def _sharers(self, load: DirectLoad, service: ServiceSettings) -> int:
         """Return how many entries share the places of an upstream.
 
--- a/bergamotdrift/direct_load.py
+++ b/bergamotdrift/direct_load.py
@@ -25,6 +25,8 @@
 _SILENT_TIMEOUTS = 2
 # Weight of the last observation in the moving averages.
 _SPEED_STEP = 0.2
+# The leader smooths further over all entries, each of which sees few of the answers.
+_BUSY_STEP = 0.4
 _ERROR_STEP = 0.1
 # An upstream that fails every request looks this much slower.
 _ERROR_PENALTY = 6.0
@@ -136,8 +138,25 @@
         """Take the latency of an answer that did not wait, and its route's mean."""
         ratio = min(max(latency_ms / max(1.0, route_mean_ms), 0.2), 5.0)
         self.speed += _SPEED_STEP * (ratio - self.speed)
-        step = _SPEED_STEP if self.busy_ms else 1.0
-        self.busy_ms += step * (latency_ms - self.busy_ms)
+
+    def note_busy(self, latency_ms: float) -> None:
+        """Take the latency of an answer, whether or not it waited."""
+        step = _BUSY_STEP if self.busy_ms else 1.0
+        self.busy_ms += step * (self._without_queue(latency_ms) - self.busy_ms)
+
+    def note_unanswered(self, waited_ms: float) -> None:
+        """Take that an attempt ended without an answer after a time.
+
+        A slow upstream whose callers leave before it answers would never look slow.
+        """
+        if self.busy_ms and self._without_queue(waited_ms) > self.busy_ms:
+            self.note_busy(waited_ms)
+
+    def _without_queue(self, latency_ms: float) -> float:
+        """Return how long an attempt would have taken without the stated queue."""
+        if self._stated is None:
+            return latency_ms
+        return latency_ms / (1.0 + max(0, self._stated.load.waiting) / self.slots)
 
     def note_outcome(
         self, outcome: AttemptOutcome, cold_ms: float, now_ms: float
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -44,6 +44,7 @@
 _ATTEMPT_RATIO = 0.45
 _ATTEMPTS_USUAL = 2
 _MEAN_STEP = 0.05
+_UNANSWERED = frozenset({AttemptOutcome.TIMEOUT, AttemptOutcome.CANCELLED})
 
 
 class _Waiter:
@@ -244,11 +245,14 @@
         if running.load is not None:
             load.note_load(running.load, now_ms)
         load.note_outcome(msg.outcome, cold_ms(routed.service), now_ms)
+        if msg.outcome in _UNANSWERED:
+            load.note_unanswered(msg.latency_ms)
         if msg.outcome is not AttemptOutcome.ANSWERED:
             return
         name = _name_of(routed)
         mean = self._means_ms.get(name, msg.latency_ms)
         self._means_ms[name] = mean + _MEAN_STEP * (msg.latency_ms - mean)
+        load.note_busy(msg.latency_ms)
         # Time in the upstream's queue says nothing about its speed.
         if running.load is None or not running.load.waiting:
             load.note_speed(msg.latency_ms, mean)
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -270,13 +270,18 @@
     def _watch_loop(self) -> None:
         """Cancel attempts whose permits may have been given to others."""
         while True:
-            gevent.sleep(_WATCH_INTERVAL_S)
+            gevent.sleep(self._until_watch_s())
             for shard in self.registry.shards():
                 if self._holds_permits(shard):
                     continue
                 count = self.registry.cancel(shard, "the entry lost its session")
                 log_event("attempts_cancelled", shard=shard, attempts=count)
 
+    def _until_watch_s(self) -> float:
+        """Return the pause before the next look, which the session's end cuts short."""
+        left_s = self.control.session.remaining_ms(self._clock.now_ms()) / 1000.0
+        return min(_WATCH_INTERVAL_S, left_s) if left_s > 0 else _WATCH_INTERVAL_S
+
     def _sweep(self) -> None:
         while True:
             gevent.sleep(_SWEEP_INTERVAL_S)
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -84,13 +84,14 @@
         """Return which part of an upstream one request per second keeps busy."""
         row = self._state.rows.upstreams.get(key)
         slots = max(1, row.slots) if row is not None else 1
-        busy_ms = _mean_of(self._speeds.get(key, {}).values()) or self._usual_busy_ms()
+        busy_ms = _median_of(self._speeds.get(key, {}).values())
+        busy_ms = busy_ms or self._usual_busy_ms()
         return busy_ms / 1000.0 / slots
 
     def _usual_busy_ms(self) -> float:
-        """Return the mean of all upstreams, for one that is not known yet."""
-        known = [_mean_of(of_nodes.values()) for of_nodes in self._speeds.values()]
-        return _mean_of(known) or _BUSY_UNKNOWN_MS
+        """Return what is usual for all upstreams, for one that is not known yet."""
+        known = [_median_of(of_nodes.values()) for of_nodes in self._speeds.values()]
+        return _median_of(known) or _BUSY_UNKNOWN_MS
 
     def commands(self, now_ms: float) -> list[Message]:
         """Return the changes of ranges that are due."""
@@ -330,9 +331,12 @@
         return self._now_ms - seen_ms < RECENT_MS
 
 
-def _mean_of(values: Collection[float]) -> float:
-    """Return the mean, or 0 without values."""
-    return sum(values) / len(values) if values else 0.0
+def _median_of(values: Collection[float]) -> float:
+    """Return the lower median, or 0 without values.
+
+    An answer that was lost at one entry does not make an upstream look slow.
+    """
+    return sorted(values)[(len(values) - 1) // 2] if values else 0.0
 
 
 def _cut_out(row: RangeRow, first: int, last: int) -> list[RangeRow]:
--- a/bergamotdrift/tests/test_range_planner.py
+++ b/bergamotdrift/tests/test_range_planner.py
@@ -23,6 +23,7 @@
     PartitionState,
     RangeRow,
     UpstreamRow,
+    UpstreamSpeed,
     UpstreamState,
 )
 from bergamotdrift.range_balance import RowLoad, choose_cuts
@@ -33,6 +34,7 @@
     run_of,
 )
 from bergamotdrift.range_planner import RangePlanner
+from bergamotdrift.tables import UpstreamId
 
 SERVICE = ServiceSettings(
     "cases",
@@ -339,6 +341,17 @@
         self.assertEqual(cut.taker, "u2")
         self.assertLessEqual(cut.last - cut.first, 12)
 
+    def test_answer_lost_at_one_entry_does_not_make_an_upstream_slow(self):
+        planner = RangePlanner(ControlState(), None, 0.0)
+        for number in range(5):
+            planner.add_speeds(f"e{number}", [UpstreamSpeed("cases", "u1", 60)])
+        usual = planner.busy_share(UpstreamId("cases", "u1"))
+        planner.add_speeds("e0", [UpstreamSpeed("cases", "u1", 800)])
+        self.assertEqual(planner.busy_share(UpstreamId("cases", "u1")), usual)
+        for number in range(3):
+            planner.add_speeds(f"e{number}", [UpstreamSpeed("cases", "u1", 300)])
+        self.assertGreater(planner.busy_share(UpstreamId("cases", "u1")), 4 * usual)
+
     def test_uneven_loads_without_queues_stay(self):
         owned = {
             "u1": [RowLoad(row(0, 99), [KeyRate(n, 1.0) for n in range(12)])],
