Keep requests of a split route in their zone within its weights

The turns also began anew with every change of the settings.

Change: route_split.py keeps the turns of a route through changes and prefers a service with an upstream in the entry's zone while the shares stay within 18 requests of the weights, all entries together; bodies smaller than usual have no preference. Numeric routing keys are parsed in one place.

--- a/bergamotdrift/direct_choice.py
+++ b/bergamotdrift/direct_choice.py
@@ -16,6 +16,7 @@
     UpstreamState,
 )
 from bergamotdrift.request import RoutedRequest
+from bergamotdrift.routing_key import key_number
 from bergamotdrift.tables import Tables, UpstreamId
 
 # Costs of leaving the entry's availability zone, in units of a usual answer's time.
@@ -188,6 +189,27 @@
             return _blocked(reasons)
         return Chosen(min(free, key=self._cost(routed, now_ms)))
 
+    def is_near(
+        self, service: ServiceSettings, routing_key: str, tables: Tables
+    ) -> bool:
+        """Tell whether an upstream of the entry's zone would run a request."""
+        if service.kind is not ServiceKind.RANGED:
+            known = self._by_service.get(service.name, ())
+            return any(self._may_run_near(load) for load in known)
+        key = key_number(routing_key)
+        if key is None:
+            return False
+        row = tables.range_of(service.name, key)
+        if row is None or row.state is not PartitionState.OWNED:
+            return False
+        load = self.loads.get(UpstreamId(row.service, row.upstream))
+        return load is not None and self._may_run_near(load)
+
+    def _may_run_near(self, load: DirectLoad) -> bool:
+        open_here = load.row.zone == self._zone and self._zone not in self._evacuated
+        leaves = load.row.state is UpstreamState.LEAVING
+        return open_here and not leaves and not load.is_down
+
     def has_other(self, service: str, upstream: str) -> bool:
         """Tell whether another upstream of a pool may run requests."""
         return any(
--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -5,7 +5,7 @@
 
 from bergamotdrift.attempts import AttemptRegistry
 from bergamotdrift.clock import Clock
-from bergamotdrift.config.schema import EntrySettings
+from bergamotdrift.config.schema import EntrySettings, ServiceSettings
 from bergamotdrift.direct_choice import DirectChoice
 from bergamotdrift.direct_permits import DirectPermits
 from bergamotdrift.messages import (
@@ -20,6 +20,10 @@
 from bergamotdrift.retry_policy import SharedRetryBudget
 from bergamotdrift.tables import Tables
 
+# Requests by which all entries together may depart from the weights of a split, so
+# that requests stay in their zone. A share is judged over some hundred requests.
+_SPLIT_LEEWAY = 18.0
+
 
 class DirectDispatch:
     """Join the entry's own choice, its rate tokens and its share of retries."""
@@ -47,6 +51,14 @@
         self._choice.update(tables, self._clock.now_ms())
         self.permits.notify()
 
+    def is_near(self, service: ServiceSettings, routing_key: str) -> bool:
+        """Tell whether an upstream of the own availability zone may run a request."""
+        return self._choice.is_near(service, routing_key, self._tables())
+
+    def leeway(self) -> float:
+        """Return by how many requests this entry may depart from a split's weights."""
+        return _SPLIT_LEEWAY / self._entries
+
     def new_budget(self) -> SharedRetryBudget:
         """Return this entry's share of the retry budget of one service."""
         return SharedRetryBudget(
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -35,6 +35,7 @@
 )
 from bergamotdrift.pipeline import Pipeline, SettingsView, Stages
 from bergamotdrift.record_book import RecordBook
+from bergamotdrift.route_split import RouteSplits
 from bergamotdrift.shard_view import is_workspace_shard
 from bergamotdrift.stages.claim import ClaimStage, NoClaims
 from bergamotdrift.stages.forward import ForwardStage
@@ -63,6 +64,7 @@
         hello = Hello(cfg.node.cluster, cfg.node.node, Role.ENTRY, secrets.token_hex(8))
         self._hello = hello
         self._view: SettingsView | None = None
+        self._splits = RouteSplits()
         self._feed = FeedSignal()
         self._admission = Admission(cfg.node.zone, clock)
         self.registry = AttemptRegistry()
@@ -73,6 +75,7 @@
             self._direct = DirectDispatch(
                 cfg, lambda: self.control.tables, self.registry, clock
             )
+            self._splits = RouteSplits(self._direct)
         self.control = ControlClient(
             cfg.node.control, hello, self._describe, clock, self, self._direct
         )
@@ -146,7 +149,9 @@
         if settings is not None and (
             self._view is None or self._view.revision != tables.revision
         ):
-            self._view = SettingsView(tables.revision, settings, self._dialect)
+            self._view = SettingsView(
+                tables.revision, settings, self._dialect, self._splits
+            )
             self._admission.note_settings(settings)
             if settings.limits is not None:
                 self.server.set_limits(_http_limits(settings.limits, self._cfg))
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -23,6 +23,7 @@
 from bergamotdrift.log import log_event
 from bergamotdrift.request import IncomingRequest, Reply, RoutedRequest
 from bergamotdrift.retry_policy import Attempt, Budget, RetryBudget, may_repeat
+from bergamotdrift.route_split import RouteSplits
 from bergamotdrift.stages import answer as answers
 from bergamotdrift.stages.authenticate import KeyIndex, authenticate
 from bergamotdrift.stages.claim import Claim, Claims
@@ -42,12 +43,16 @@
     """Hold the look-up tables of one settings revision."""
 
     def __init__(
-        self, revision: int, settings: SiteSettings, dialect: Dialect = NATIVE
+        self,
+        revision: int,
+        settings: SiteSettings,
+        dialect: Dialect = NATIVE,
+        splits: RouteSplits | None = None,
     ):
         self.revision = revision
         self.settings = settings
         self.keys = KeyIndex(settings)
-        self.routes = RouteTable(settings, dialect)
+        self.routes = RouteTable(settings, dialect, splits)
 
 
 class Stages(NamedTuple):
--- a/bergamotdrift/stages/route.py
+++ b/bergamotdrift/stages/route.py
@@ -12,19 +12,18 @@
     ServiceKind,
     ServiceSettings,
     SiteSettings,
-    SplitShare,
 )
 from bergamotdrift.dialect import NATIVE, Dialect
 from bergamotdrift.exceptions import ErrorKind, Refusal
-from bergamotdrift.messages import LAST_KEY
 from bergamotdrift.request import ANONYMOUS, IncomingRequest, RoutedRequest
+from bergamotdrift.route_split import RouteSplits
+from bergamotdrift.routing_key import key_number
 
 _BAD_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
 # Most paths need no decoding and no checks.
 _PLAIN_PATH = re.compile(r"(?:/[A-Za-z0-9_~-][A-Za-z0-9._~-]*)+")
 _ABSOLUTE_FORM = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
 _DEADLINE = re.compile(r"[0-9]{1,9}")
-_NUMERIC_KEY = re.compile(r"[0-9]{1,5}")
 _ANY_FURTHER = "*"
 # Stands for every service in the list that a workspace may use.
 ALL_SERVICES = "*"
@@ -99,16 +98,20 @@
 class RouteTable:
     """Match paths against the routes of one settings revision."""
 
-    def __init__(self, settings: SiteSettings, dialect: Dialect = NATIVE):
+    def __init__(
+        self,
+        settings: SiteSettings,
+        dialect: Dialect = NATIVE,
+        splits: RouteSplits | None = None,
+    ):
         self.dialect = dialect
         self._templates = sorted(
             (_template(route) for route in settings.routes if not route.host),
             key=_Template.rank,
         )
         self._of_hosts = _HostRoutes(settings.routes)
-        self._splits = {
-            route: SplitTurns(route.split) for route in settings.routes if route.split
-        }
+        self._splits = RouteSplits() if splits is None else splits
+        self._splits.follow(settings.routes)
         self._ranks = {w.name: w.rank for w in settings.workspaces}
         self._services = {service.name: service for service in settings.services}
         self._allowed = {
@@ -140,10 +143,12 @@
         kind = ErrorKind.METHOD_NOT_ALLOWED if found else ErrorKind.NO_ROUTE
         return Failure(Refusal(kind))
 
-    def service_of(self, route: RouteSettings) -> ServiceSettings:
-        """Return the service of a route."""
-        turns = self._splits.get(route)
-        return self._services[turns.next() if turns is not None else route.service]
+    def service_of(self, route: RouteSettings, req: IncomingRequest) -> ServiceSettings:
+        """Return the service of a route that gets a request."""
+        if not route.split:
+            return self._services[route.service]
+        stated = req.header(self.dialect.routing_key.lower()) or ""
+        return self._splits.next(route, self._services, stated, req.body.length)
 
     def rank_of(self, workspace: str) -> int | None:
         """Return the rank of a workspace's requests, None to use the route's."""
@@ -180,27 +185,6 @@
         return None
 
 
-class SplitTurns:
-    """Divide requests between services in proportion to their weights.
-
-    Each service gains its weight with each request, and the one with the most gives
-    the sum of all weights back. So every stretch of requests is divided evenly.
-    """
-
-    def __init__(self, split: tuple[SplitShare, ...]):
-        self._split = split
-        self._sum = sum(share.weight for share in split)
-        self._levels = {share.service: 0 for share in split}
-
-    def next(self) -> str:
-        """Return the service of the next request."""
-        for share in self._split:
-            self._levels[share.service] += share.weight
-        chosen = max(self._levels, key=lambda name: self._levels[name])
-        self._levels[chosen] -= self._sum
-        return chosen
-
-
 def _template(route: RouteSettings) -> _Template:
     return _Template(route, tuple(route.path[1:].split("/")))
 
@@ -221,7 +205,7 @@
     table: RouteTable,
     match: _Match,
 ) -> Result[RoutedRequest, Refusal]:
-    service = table.service_of(match.route)
+    service = table.service_of(match.route, req)
     workspace = identity.value_or(ANONYMOUS)
     if not match.route.open:
         if not workspace:
@@ -271,7 +255,6 @@
     """Return the routing key, empty in a pool, or None if there is no valid one."""
     if service.kind is ServiceKind.RANGED:
         stated = req.header(dialect.routing_key.lower()) or ""
-        is_valid = _NUMERIC_KEY.fullmatch(stated) and int(stated) <= LAST_KEY
-        return stated if is_valid else None
+        return stated if key_number(stated) is not None else None
     found = match.variables.get(match.route.key, "")
     return None if service.kind is ServiceKind.KEYED and not found else found
--- a/bergamotdrift/tests/test_range_planner.py
+++ b/bergamotdrift/tests/test_range_planner.py
@@ -342,7 +342,7 @@
         self.assertLessEqual(cut.last - cut.first, 12)
 
     def test_answer_lost_at_one_entry_does_not_make_an_upstream_slow(self):
-        planner = RangePlanner(ControlState(), None, 0.0)
+        planner = Fleet(1).planner
         for number in range(5):
             planner.add_speeds(f"e{number}", [UpstreamSpeed("cases", "u1", 60)])
         usual = planner.busy_share(UpstreamId("cases", "u1"))
