--- a/bergamotdrift/platform/control_api.py
+++ b/bergamotdrift/platform/control_api.py
@@ -3,6 +3,7 @@
 import falcon
 
 from bergamotdrift.control_server import ControlServer, LeaderCaller
+from bergamotdrift.log import log_event
 from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer
 from bergamotdrift.platform import names
 from bergamotdrift.platform.decoding import WireError
@@ -43,7 +44,7 @@
         try:
             self._calls.fill(resp, self._action, body=read_body(req))
         except WireError as exc:
-            refuse(resp, exc)
+            refuse(req, resp, exc)
 
 
 class ReadResource:
@@ -82,7 +83,7 @@
         try:
             item = decode_heartbeat(upstream, read_body(req))
         except WireError as exc:
-            refuse(resp, exc)
+            refuse(req, resp, exc)
             return
         self._calls.fill(resp, Action.ANNOUNCE, upstream, pack(item))
 
@@ -100,7 +101,7 @@
         try:
             born_ms = decode_departure(read_body(req))
         except WireError as exc:
-            refuse(resp, exc)
+            refuse(req, resp, exc)
             return
         body = b"" if born_ms is None else str(born_ms).encode()
         self._calls.fill(resp, Action.LEAVE, upstream, body)
@@ -129,8 +130,9 @@
     return body
 
 
-def refuse(resp: falcon.Response, exc: WireError) -> None:
+def refuse(req: falcon.Request, resp: falcon.Response, exc: WireError) -> None:
     """Answer that a call can't be read."""
+    log_event("platform_call_invalid", action=req.path, reason=str(exc))
     resp.status = falcon.code_to_http_status(INVALID)
     resp.media = {"error": str(exc)}
 
