--- a/bergamotdrift/tests/test_platform_control_api.py
+++ b/bergamotdrift/tests/test_platform_control_api.py
@@ -23,12 +23,14 @@
         return OperatorAnswer(200, b"{}")
 
 
+def client_of(server: Any, leader: Any) -> testing.TestClient:
+    return testing.TestClient(control_app(LeaderCalls(server, leader)))
+
+
 class ControlApiTestCase(unittest.TestCase):
     def setUp(self):
-        self.server: Any = FakeServer()
-        leader: Any = None
-        calls = LeaderCalls(self.server, leader)
-        self.client = testing.TestClient(control_app(calls))
+        self.server = FakeServer()
+        self.client = client_of(self.server, None)
 
     def post(self, path, body=b"", **headers):
         return self.client.simulate_post(path, body=body, headers=headers).status_code
