Send a lone frame without the writer's greenlet

Cause: each frame waited for a switch to the stream's writer, on both sides of a permit's call, though the socket could take it at once. Change: a frame is written to the socket directly when nothing is queued before it. The writer takes what the socket's buffer does not; an error closes the stream as before.

--- a/bergamotdrift/streams.py
+++ b/bergamotdrift/streams.py
@@ -1,6 +1,7 @@
 """Message streams over TCP between the system's processes."""
 
 import contextlib
+import os
 import random
 import socket
 import time
@@ -113,6 +114,7 @@
         self.closed = False
         self.close_reason = ""
         self._sent_lately = False
+        self._writer_sends = False
         self.received_at_s = time.monotonic()
 
     def send(self, msg: Message) -> None:
@@ -190,8 +192,28 @@
         if self.closed:
             raise StreamClosedError(self.close_reason)
         self._sent_lately = True
+        data = _pack_frame([number, int(flag), *body])
+        if self._outgoing.empty() and not self._writer_sends:
+            data = self._send_at_once(data)
+        if data:
+            self._queue_for_writer(data)
+
+    def _send_at_once(self, data: bytes) -> bytes:
+        """Return what the socket's buffer did not take; an error closes the stream.
+
+        It spares the switch to the writer's greenlet, which a lone frame waits for.
+        """
+        try:
+            return data[os.write(self._sock.fileno(), data) :]
+        except BlockingIOError:
+            return data
+        except OSError as exc:
+            self.close(str(exc))
+            return b""
+
+    def _queue_for_writer(self, data: bytes) -> None:
         try:
-            self._outgoing.put_nowait(_pack_frame([number, int(flag), *body]))
+            self._outgoing.put_nowait(data)
         except queue.Full:
             # A peer that does not drain its queue would receive stale messages.
             self.close("the outgoing queue is full")
@@ -200,12 +222,14 @@
     def _write_loop(self) -> None:
         while not self.closed:
             frames = [self._outgoing.get()]
+            self._writer_sends = True
             while len(frames) < _BATCH_FRAMES and not self._outgoing.empty():
                 frames.append(self._outgoing.get_nowait())
             try:
                 self._sock.sendall(b"".join(frames))
             except OSError as exc:
                 self.close(str(exc))
+            self._writer_sends = False
 
     def _heartbeat_loop(self) -> None:
         while not self.closed:
--- a/bergamotdrift/tests/test_streams.py
+++ b/bergamotdrift/tests/test_streams.py
@@ -1,3 +1,4 @@
+import random
 import unittest
 from unittest import mock
 
@@ -121,6 +122,40 @@
             fut.get(timeout=2)
 
 
+class SendTests(StreamTestCase):
+    """Guards against frames that wait for a greenlet, are lost or out of order."""
+
+    def test_lone_frame_is_sent_before_the_caller_goes_on(self):
+        conn = self.connect().ready_connection(2000)
+        gevent.sleep(0.05)
+        with mock.patch.object(conn, "_queue_for_writer") as queued:
+            conn.send(TokenRequest("w", 1, 1))
+        queued.assert_not_called()
+        self.wait_until(lambda: self.handler.received)
+        self.assertEqual(self.handler.received, [TokenRequest("w", 1, 1)])
+
+    def test_frames_beyond_the_socket_buffer_arrive_whole_and_in_order(self):
+        conn = self.connect().ready_connection(2000)
+        text = random.Random(1).randbytes(100_000).hex()
+        sent = [NotLeader(f"{n} {text}") for n in range(60)]
+        for msg in sent:
+            conn.send(msg)
+        self.assertFalse(conn._outgoing.empty())
+        self.wait_until(lambda: len(self.handler.received) == len(sent))
+        self.assertEqual(self.handler.received, sent)
+
+    def test_waiting_calls_fail_when_the_socket_refuses_a_frame(self):
+        conn = self.connect().ready_connection(2000)
+        gevent.sleep(0.05)
+        with mock.patch.object(
+            streams.os, "write", side_effect=BrokenPipeError("gone")
+        ):
+            fut = conn.request(TokenRequest("w", 1, 1))
+        with self.assertRaises(StreamClosedError):
+            fut.get(timeout=2)
+        self.assertEqual(conn.close_reason, "gone")
+
+
 class ConnectTests(StreamTestCase):
     """Guards against a first connection that waits for imports of the resolver."""
 
