Sort key ranges once for each change

Cause: each worker of an upstream sorted all ranges of all services whenever it woke, and twice more for each grant, so the leader's work grew with the square of the upstreams. Change: the rows keep the ordered ranges of the table's last version, by service and by the run that owns them.

--- a/bergamotdrift/control_rows.py
+++ b/bergamotdrift/control_rows.py
@@ -1,6 +1,7 @@
 """Rows of the control state: live nodes, upstreams and what each one owns."""
 
-from typing import Any
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
 
 from bergamotdrift.commands_log import Hold
 from bergamotdrift.messages import (
@@ -22,6 +23,14 @@
 INCARNATION_LISTS_KEPT = 10_000
 
 
+class _OrderedRanges(NamedTuple):
+    """Hold the ranges of one version of their table, in the order of the keys."""
+
+    version: int
+    by_service: Mapping[str, Sequence[RangeRow]]
+    by_run: Mapping[tuple[str, str, str], Sequence[RangeRow]]
+
+
 class ControlRows:
     """Hold the tables that the feed carries, and what only control knows of them."""
 
@@ -48,6 +57,7 @@
         # Incarnations of each upstream in the order of their first registration.
         self._incarnations: dict[UpstreamId, list[str]] = {}
         self._owned: dict[UpstreamId, set[PartitionId]] = {}
+        self._ordered_ranges = _order_ranges(self.ranges)
 
     def partitions_of(self, upstream: UpstreamId) -> list[PartitionRow]:
         """Return the partitions that an upstream owns or is releasing."""
@@ -101,9 +111,22 @@
         vacant = row._replace(upstream="", state=PartitionState.VACANT)
         return self.put_partition(index, vacant)
 
-    def ranges_of(self, service: str) -> list[RangeRow]:
+    def ranges_of(self, service: str) -> Sequence[RangeRow]:
         """Return the ranges of a service in the order of their keys."""
-        return sorted(row for row in self.ranges.rows() if row.service == service)
+        return self._ordered().by_service.get(service, ())
+
+    def ranges_held(
+        self, service: str, upstream: str, incarnation: str
+    ) -> Sequence[RangeRow]:
+        """Return the ranges that one run of an upstream owns, by their keys."""
+        run = (service, upstream, incarnation)
+        return self._ordered().by_run.get(run, ())
+
+    def _ordered(self) -> "_OrderedRanges":
+        """Return all ranges in order, sorted once for each change."""
+        if self._ordered_ranges.version != self.ranges.version:
+            self._ordered_ranges = _order_ranges(self.ranges)
+        return self._ordered_ranges
 
     def replace_ranges(
         self, index: int, expected: list[RangeRow], replacement: list[RangeRow]
@@ -124,13 +147,11 @@
 
     def free_ranges(self, index: int, upstream: UpstreamRow) -> None:
         """Take the ranges of an upstream whose process has surely ended."""
-        for row in self.ranges_of(upstream.service):
-            run = (row.upstream, row.incarnation)
-            if run == (upstream.upstream, upstream.incarnation):
-                free = row._replace(
-                    upstream="", incarnation="", state=PartitionState.VACANT
-                )
-                self.ranges.put(RangeId(row.service, row.first), free, index)
+        for row in self.ranges_held(*_run_fields(upstream)):
+            free = row._replace(
+                upstream="", incarnation="", state=PartitionState.VACANT
+            )
+            self.ranges.put(RangeId(row.service, row.first), free, index)
 
     def removed_since(self, index: int) -> list[RemovedRow]:
         """Return the tombstones after an index."""
@@ -254,3 +275,16 @@
 
 def _isolated(fields: list[Any]) -> IsolatedKeyRow:
     return IsolatedKeyRow(*fields)
+
+
+def _run_fields(row: RangeRow | UpstreamRow) -> tuple[str, str, str]:
+    return row.service, row.upstream, row.incarnation
+
+
+def _order_ranges(table: RowTable[RangeId, RangeRow]) -> _OrderedRanges:
+    by_service: dict[str, list[RangeRow]] = {}
+    by_run: dict[tuple[str, str, str], list[RangeRow]] = {}
+    for row in sorted(table.rows()):
+        by_service.setdefault(row.service, []).append(row)
+        by_run.setdefault(_run_fields(row), []).append(row)
+    return _OrderedRanges(table.version, by_service, by_run)
--- a/bergamotdrift/range_orders.py
+++ b/bergamotdrift/range_orders.py
@@ -1,5 +1,6 @@
 """Sends the leader's grants and releases of key ranges to the upstreams."""
 
+from collections.abc import Sequence
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -192,9 +193,8 @@
         """Tell whether this replica still leads; a stalled one must send nothing."""
         return self._owner._leader.duties() is self._duties
 
-    def _rows(self) -> list[RangeRow]:
-        rows = self._owner._state.rows.ranges_of(self._run.service)
-        return [row for row in rows if run_of(row) == self._run]
+    def _rows(self) -> Sequence[RangeRow]:
+        return self._owner._state.rows.ranges_held(*self._run)
 
     def _next_due_ms(self) -> float:
         due_ms = [*self._due_ms.values(), *self._release_due_ms.values()]
--- a/bergamotdrift/row_table.py
+++ b/bergamotdrift/row_table.py
@@ -28,6 +28,8 @@
     def __init__(self, name: str, key_text: Callable[[K], tuple[str, ...]]):
         self.name = name
         self.floor = 0
+        # Changes with each row that is stored or removed.
+        self.version = 0
         self._key_text = key_text
         self._stored: dict[K, Stored[R]] = {}
         self._removed: dict[K, int] = {}
@@ -64,6 +66,7 @@
         self._stored.pop(key, None)
         self._removed.pop(key, None)
         self._stored[key] = Stored(row, index)
+        self.version += 1
         return True
 
     def remove(self, key: K, index: int) -> bool:
@@ -71,6 +74,7 @@
         if self._stored.pop(key, None) is None:
             return False
         self._removed[key] = index
+        self.version += 1
         while len(self._removed) > TOMBSTONES_KEPT:
             oldest = next(iter(self._removed))
             self.floor = self._removed.pop(oldest)
@@ -113,3 +117,4 @@
         self.floor, stored, removed = data
         self._stored = {make_key(k): Stored(make_row(r), i) for k, r, i in stored}
         self._removed = {make_key(k): i for k, i in removed}
+        self.version += 1
--- a/bergamotdrift/tests/test_range_orders.py
+++ b/bergamotdrift/tests/test_range_orders.py
@@ -71,7 +71,7 @@
         return RangeRow("cases", first, last, "u1", "1", 5, state)
 
     def replace(self, rows):
-        before = self.state.rows.ranges_of("cases")
+        before = [*self.state.rows.ranges_of("cases")]
         change = cmd.ReplaceRanges("cases", before, rows)
         self.state.apply_command(self.state.applied_index + 1, change)
 
