--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -1,6 +1,7 @@
 """Commands that give key ranges their owners and take them away."""
 
 from collections.abc import Collection, Iterable, Sequence
+from functools import cached_property
 from typing import NamedTuple, Protocol
 
 from bergamotdrift import commands_log as cmd
@@ -151,12 +152,16 @@
         self._service = service.name
         self._now_ms = now_ms
         self._rows = self._state.rows.ranges_of(service.name)
-        known = planner._loads.setdefault(service.name, KeyLoads())
-        self._loads = loads_of(self._rows, known.rates(now_ms))
         # Loads given to upstreams in this round.
         self._assigned: dict[str, float] = {}
         self._able = self._able_upstreams()
 
+    @cached_property
+    def _loads(self) -> dict[RangeRow, RowLoad]:
+        """Return the load of each range; most rounds need none."""
+        known = self._planner._loads.setdefault(self._service, KeyLoads())
+        return loads_of(self._rows, known.rates(self._now_ms))
+
     def due(self) -> list[Message]:
         """Return first placements, forced releases and next owners."""
         if not self._able:
