--- a/bergamotdrift/exceptions.py
+++ b/bergamotdrift/exceptions.py
@@ -114,6 +114,10 @@
     """Report a data folder that is damaged or can't be written."""
 
 
+class DiskFullError(StorageError):
+    """Report a write that a full disk refused, which changed nothing."""
+
+
 class CallError(BergamotdriftError):
     """Report a call that the other side refused, with its error kind."""
 
--- a/bergamotdrift/raft_log.py
+++ b/bergamotdrift/raft_log.py
@@ -1,5 +1,6 @@
 """Storage of the replicated log in one data folder."""
 
+import errno
 import fcntl
 import os
 import secrets
@@ -9,7 +10,7 @@
 import msgspec
 
 from bergamotdrift import raft_records
-from bergamotdrift.exceptions import StorageError
+from bergamotdrift.exceptions import DiskFullError, StorageError
 from bergamotdrift.raft_messages import (
     EMPTY_HARD_STATE,
     EMPTY_SNAPSHOT,
@@ -25,6 +26,7 @@
 _IDENTITY = "identity"
 _LOG = "log"
 _SNAPSHOT = "snapshot"
+_DISK_FULL = frozenset({errno.ENOSPC, errno.EDQUOT})
 _T = TypeVar("_T")
 
 
@@ -70,7 +72,7 @@
 
     All calls block on the disk. Every method raises StorageError; after a failed
     write the log must not be used again, since the kernel may have dropped the
-    data.
+    data. Only a DiskFullError leaves it as it was, so that the write can be repeated.
     """
 
     def __init__(self, folder: str | Path, name: str):
@@ -78,6 +80,7 @@
         self._name = name
         self._lock_fd = -1
         self._log_fd = -1
+        self._log_bytes = 0
         self._sequence = 0
         self.replica = ""
 
@@ -179,6 +182,7 @@
     def _open_log(self, end: int, size: int, count: int) -> None:
         flags = os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC
         self._log_fd = os.open(self._folder / _LOG, flags)
+        self._log_bytes = end
         self._sequence = count
         if end < size:
             os.ftruncate(self._log_fd, end)
@@ -186,8 +190,16 @@
 
     def _append(self, hard: HardState, entries: list[Entry]) -> None:
         payload = msgspec.msgpack.encode(_logged(hard, entries))
-        _write_all(self._log_fd, raft_records.frame(self._sequence, payload))
+        record = raft_records.frame(self._sequence, payload)
+        try:
+            _write_all(self._log_fd, record)
+        except OSError as exc:
+            _require_disk_full(exc)
+            # What was written of the record would hide the next one.
+            os.ftruncate(self._log_fd, self._log_bytes)
+            raise DiskFullError(f"{self._folder}: {exc}") from exc
         os.fsync(self._log_fd)
+        self._log_bytes += len(record)
         self._sequence += 1
 
     def _write_snapshot(self, snapshot: Snapshot) -> None:
@@ -210,14 +222,19 @@
     def _replace(self, name: str, data: bytes) -> None:
         """Put a file into place whole or not at all."""
         temporary = self._folder / f"{name}.tmp"
-        fd = os.open(
-            temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600
-        )
         try:
-            _write_all(fd, data)
-            os.fsync(fd)
-        finally:
-            os.close(fd)
+            fd = os.open(
+                temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600
+            )
+            try:
+                _write_all(fd, data)
+                os.fsync(fd)
+            finally:
+                os.close(fd)
+        except OSError as exc:
+            _require_disk_full(exc)
+            temporary.unlink(missing_ok=True)
+            raise DiskFullError(f"{temporary}: {exc}") from exc
         temporary.rename(self._folder / name)
         _sync_folder(self._folder)
 
@@ -282,6 +299,12 @@
         view = view[os.write(fd, view) :]
 
 
+def _require_disk_full(exc: OSError) -> None:
+    """Raise any other error than that of a full disk."""
+    if exc.errno not in _DISK_FULL:
+        raise exc
+
+
 def _sync_folder(folder: Path) -> None:
     fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
     try:
--- a/bergamotdrift/tests/test_raft_log.py
+++ b/bergamotdrift/tests/test_raft_log.py
@@ -1,12 +1,15 @@
+import errno
+import os
 import shutil
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bergamotdrift.exceptions import StorageError
+from bergamotdrift.exceptions import DiskFullError, StorageError
 from bergamotdrift.raft_log import RaftLog
 from bergamotdrift.raft_messages import (
     Entry,
@@ -17,6 +20,8 @@
     SyncBatch,
 )
 
+_WRITE = os.write
+
 
 def entry(index, term=1, data=b"x"):
     return Entry(index, term, EntryKind.COMMAND, data)
@@ -97,6 +102,65 @@
         self.assertEqual(self.load().entries, expected)
 
 
+class FullDiskTests(StorageTestCase):
+    """Guards against a log that a full disk leaves with half a record."""
+
+    def setUp(self):
+        super().setUp()
+        self.room = 0
+
+    def write_within_room(self, fd, data):
+        """Write as a full disk does: what fits, then an error."""
+        if not self.room:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        taken = bytes(data[: self.room])
+        self.room -= len(taken)
+        return _WRITE(fd, taken)
+
+    def fill_disk(self, room):
+        self.room = room
+        return mock.patch.object(os, "write", self.write_within_room)
+
+    def test_refused_batch_can_be_written_later(self):
+        log = RaftLog(self.folder, "c1")
+        log.open()
+        log.write(batch([entry(1)]))
+        for room in (0, 5):
+            with self.fill_disk(room), self.assertRaises(DiskFullError):
+                log.write(batch([entry(2)]))
+        log.write(batch([entry(2)]))
+        log.write(batch([entry(3)]))
+        log.close()
+        self.assertEqual(self.load().entries, [entry(1), entry(2), entry(3)])
+
+    def test_refused_snapshot_leaves_the_log_and_can_be_written_later(self):
+        snapshot = Snapshot(2, 1, [Member("c1-1", "c1", "a", True)], b"state")
+        change = batch([entry(3)], snapshot=snapshot)
+        log = RaftLog(self.folder, "c1")
+        log.open()
+        log.write(batch([entry(1), entry(2)]))
+        # Room for the snapshot, but not for the log after it, in the second case.
+        for room in (3, 120):
+            with self.fill_disk(room), self.assertRaises(DiskFullError):
+                log.write(change)
+        log.write(change)
+        log.close()
+        loaded = self.load()
+        self.assertEqual((loaded.snapshot, loaded.entries), (snapshot, [entry(3)]))
+
+    def test_other_errors_still_end_the_log(self):
+        log = RaftLog(self.folder, "c1")
+        log.open()
+        self.addCleanup(log.close)
+        error = OSError(errno.EIO, "bad disk")
+        with (
+            mock.patch.object(os, "write", side_effect=error),
+            self.assertRaises(StorageError) as caught,
+        ):
+            log.write(batch([entry(1)]))
+        self.assertNotIsInstance(caught.exception, DiskFullError)
+
+
 class DamageTests(StorageTestCase):
     def test_torn_last_record_is_cut_off_at_every_byte(self):
         self.write(batch([entry(1)], 1), batch([entry(2)], 2, "c2-1"))
--- a/bergamotdrift/tests/test_replica.py
+++ b/bergamotdrift/tests/test_replica.py
@@ -5,7 +5,13 @@
 
 import gevent
 
-from bergamotdrift.exceptions import CallError, ErrorKind, StorageError
+from bergamotdrift.exceptions import (
+    CallError,
+    DiskFullError,
+    ErrorKind,
+    StorageError,
+)
+from bergamotdrift.replica_sync import DISK_FULL_RETRY_S
 from bergamotdrift.tests.replica_group import Group
 
 
@@ -168,6 +174,37 @@
             others = [n for n in group.running() if n is not leader]
             group.wait_until(lambda: any(n.replica.is_leader() for n in others), 3.0)
 
+    def test_full_disk_holds_a_follower_up_until_it_has_room(self):
+        # A replica that ended would start again on the same full disk, and end again.
+        group = self.make_group(3)
+        group.propose(b"a")
+        follower = next(n for n in group.running() if not n.replica.is_leader())
+        storage = follower.replica._storage
+        with mock.patch.object(storage, "write", side_effect=DiskFullError("full")):
+            group.propose(b"b")
+            gevent.sleep(3 * DISK_FULL_RETRY_S)
+            self.assertFalse(follower.replica.failed.is_set())
+        self.assert_equal_commands(group, [b"a", b"b"])
+
+    def test_full_disk_of_the_leader_stops_no_commits(self):
+        group = self.make_group(3)
+        leader = group.leader()
+        storage = leader.replica._storage
+        with mock.patch.object(storage, "write", side_effect=DiskFullError("full")):
+            group.propose(b"a")
+            self.assertFalse(leader.replica.failed.is_set())
+        self.assert_equal_commands(group, [b"a"])
+
+    def test_replica_with_a_full_disk_can_be_stopped(self):
+        group = self.make_group(3)
+        leader = group.leader()
+        storage = leader.replica._storage
+        with mock.patch.object(storage, "write", side_effect=DiskFullError("full")):
+            group.propose(b"a")
+            gevent.sleep(DISK_FULL_RETRY_S / 2)
+            with gevent.Timeout(3.0):
+                leader.kill()
+
 
 class MembershipTests(GroupTestCase):
     def test_listed_replica_joins_and_an_unlisted_one_leaves(self):
