Pack each feed update once for all nodes

Cause: the leader packed and compressed every change again for each node. Change: the update is kept as a frame, and sent on each stream as it is. Result: a test counts the packed frames; before, each stream packed its own.

--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
 import gevent
 from gevent.event import Event
@@ -23,7 +23,6 @@
     Done,
     Failure,
     Farewell,
-    FeedUpdate,
     LoadReport,
     Message,
     NodeRow,
@@ -36,12 +35,12 @@
 )
 from bergamotdrift.node_sessions import PingVerdict
 from bergamotdrift.replication import Replicator
-from bergamotdrift.streams import Connection
+from bergamotdrift.streams import Connection, pack_one_way
 
 # A node that has still not applied an update after this time is sent it again.
 RESEND_AFTER_MS = 2000
 ANNOUNCEMENTS_PER_BATCH = 2000
-# An update is packed for each stream, which takes up to 2 ms for 1,000 rows.
+# A full update of 1,000 rows takes up to 2 ms to pack.
 _PUSHES_PER_PAUSE = 16
 _ANNOUNCEMENTS_PER_PAUSE = 64
 
@@ -54,6 +53,13 @@
     sent_at_ms: float
 
 
+class PackedUpdate(NamedTuple):
+    """Hold an update as a frame, and the feed index that it leads to."""
+
+    to_index: int
+    frame: bytes
+
+
 @dataclass
 class WaitingPing:
     """Hold a ping whose registration is being logged."""
@@ -90,7 +96,7 @@
         self._complaints = LeaderComplaints()
         self._waiting: list[WaitingPing] = []
         self._held: list[HeldBatch] = []
-        self._updates: dict[int, FeedUpdate] = {}
+        self._updates: dict[int, PackedUpdate] = {}
         self._updates_index = -1
         self._changed = Event()
         self._pusher: gevent.Greenlet | None = None
@@ -350,20 +356,21 @@
             return True
         update = self._update_since(position.sent_index)
         try:
-            conn.send(update)
+            conn.send_packed(update.frame)
         except StreamClosedError:
             return False
         position.sent_index = update.to_index
         position.sent_at_ms = self._clock.now_ms()
         return True
 
-    def _update_since(self, index: int) -> FeedUpdate:
+    def _update_since(self, index: int) -> PackedUpdate:
         # Most streams lack the same rows.
         if self._updates_index != self._state.feed_index:
             self._updates_index = self._state.feed_index
             self._updates.clear()
         if index not in self._updates:
-            self._updates[index] = self._state.update_since(index)
+            update = self._state.update_since(index)
+            self._updates[index] = PackedUpdate(update.to_index, pack_one_way(update))
         return self._updates[index]
 
 
--- a/bergamotdrift/streams.py
+++ b/bergamotdrift/streams.py
@@ -119,7 +119,17 @@
 
     def send(self, msg: Message) -> None:
         """Queue a one-way message, or raise StreamClosedError."""
-        self._enqueue(0, FrameFlag.ONE_WAY, messages.pack_body(msg))
+        self.send_packed(pack_one_way(msg))
+
+    def send_packed(self, frame: bytes) -> None:
+        """Queue a message from `pack_one_way`, or raise StreamClosedError."""
+        if self.closed:
+            raise StreamClosedError(self.close_reason)
+        self._sent_lately = True
+        if self._outgoing.empty() and not self._writer_sends:
+            frame = self._send_at_once(frame)
+        if frame:
+            self._queue_for_writer(frame)
 
     def reply(self, number: int, msg: Message) -> None:
         """Queue the reply to a request; a closed connection drops it."""
@@ -189,14 +199,7 @@
             fut.set_exception(StreamClosedError(reason))
 
     def _enqueue(self, number: int, flag: FrameFlag, body: list[Any]) -> None:
-        if self.closed:
-            raise StreamClosedError(self.close_reason)
-        self._sent_lately = True
-        data = _pack_frame([number, int(flag), *body])
-        if self._outgoing.empty() and not self._writer_sends:
-            data = self._send_at_once(data)
-        if data:
-            self._queue_for_writer(data)
+        self.send_packed(_pack_frame([number, int(flag), *body]))
 
     def _send_at_once(self, data: bytes) -> bytes:
         """Return what the socket's buffer did not take; an error closes the stream.
@@ -278,6 +281,11 @@
                 raise ProtocolError("the frame is too large") from exc
 
 
+def pack_one_way(msg: Message) -> bytes:
+    """Return a message that is sent on several streams, packed once."""
+    return _pack_frame([0, int(FrameFlag.ONE_WAY), *messages.pack_body(msg)])
+
+
 def _pack_frame(parts: list[Any]) -> bytes:
     """Return a frame, compressed if it is large: settings compress to a tenth."""
     data = msgpack.packb(parts)
--- a/bergamotdrift/tests/test_control_server.py
+++ b/bergamotdrift/tests/test_control_server.py
@@ -6,7 +6,7 @@
 from geventhttpclient import HTTPClient
 from returns.result import Failure, Success
 
-from bergamotdrift import messages
+from bergamotdrift import messages, node_streams
 from bergamotdrift.clock import BootClock
 from bergamotdrift.config.schema import ControlSettings, NodeSettings
 from bergamotdrift.control_client import ControlClient
@@ -120,6 +120,22 @@
         return self.http("POST", "/v1/settings", body, replica=replica, **kwargs)
 
 
+class FeedTests(ServerTestCase):
+    """Guards against a leader that packs each change once for every node."""
+
+    def test_change_is_packed_once_and_reaches_all_nodes(self):
+        clients = [self.client(f"x{n}") for n in range(12)]
+        nodes = self.leader.state.rows.nodes
+        self.wait_until(lambda: len(nodes) == len(clients))
+        self.wait_until(lambda: all(c.session_is_valid() for c in clients))
+        with mock.patch.object(
+            node_streams, "pack_one_way", wraps=node_streams.pack_one_way
+        ) as packed:
+            self.assertEqual(self.apply(0, "r1")[0], 200)
+            self.wait_until(lambda: all(c.tables.settings for c in clients))
+        self.assertLess(packed.call_count, len(clients))
+
+
 class SessionTests(ServerTestCase):
     """Guards sessions and the feed, above all under a leader without quorum."""
 
