Check a waiting request against new settings without a turn of its route

Cause: the check of a request that waited routed it anew, which took a turn of the route's split and could judge the workspace by another service. Change: the check names the service that the request was routed to. The size of a body is counted apart from the question whether it is small. Result: a test that failed before.

--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -266,7 +266,7 @@
         if view is None or view.revision == routed.revision:
             return None
         identity = authenticate(routed.req, view.keys)
-        result = route(routed.req, identity, view.routes)
+        result = route(routed.req, identity, view.routes, routed.service.name)
         if isinstance(result, Failure):
             return result.failure()
         # An open route admits a request whose key was withdrawn only as anonymous.
--- a/bergamotdrift/route_split.py
+++ b/bergamotdrift/route_split.py
@@ -40,15 +40,16 @@
         self._mean_bytes = 0.0
 
     def is_small(self, body_bytes: int | None) -> bool:
-        """Take the size of a body and tell whether most of the route are larger.
+        """Tell whether a body is smaller than the mean of the route.
 
         A chunked body has no stated size and counts as large.
         """
-        if body_bytes is None:
-            return False
-        mean = self._mean_bytes
-        self._mean_bytes = mean + _SIZE_STEP * (body_bytes - mean)
-        return body_bytes < mean
+        return body_bytes is not None and body_bytes < self._mean_bytes
+
+    def count_body(self, body_bytes: int | None) -> None:
+        """Include the size of a body in the mean of the route."""
+        if body_bytes is not None:
+            self._mean_bytes += _SIZE_STEP * (body_bytes - self._mean_bytes)
 
     def next(
         self, is_near: Callable[[str], bool] = lambda service: False, leeway: float = 0
@@ -112,6 +113,7 @@
             return services[turns.next()]
 
         is_small = turns.is_small(body_bytes)
+        turns.count_body(body_bytes)
 
         def is_near(name: str) -> bool:
             return is_small or locality.is_near(services[name], routing_key)
--- a/bergamotdrift/stages/route.py
+++ b/bergamotdrift/stages/route.py
@@ -143,10 +143,17 @@
         kind = ErrorKind.METHOD_NOT_ALLOWED if found else ErrorKind.NO_ROUTE
         return Failure(Refusal(kind))
 
-    def service_of(self, route: RouteSettings, req: IncomingRequest) -> ServiceSettings:
-        """Return the service of a route that gets a request."""
+    def service_of(
+        self, route: RouteSettings, req: IncomingRequest, present: str = ""
+    ) -> ServiceSettings:
+        """Return the service of a route that gets a request.
+
+        One that was already routed stays with its `present` service if it can.
+        """
         if not route.split:
             return self._services[route.service]
+        if any(share.service == present for share in route.split):
+            return self._services[present]
         stated = req.header(self.dialect.routing_key.lower()) or ""
         return self._splits.next(route, self._services, stated, req.body.length)
 
@@ -190,13 +197,22 @@
 
 
 def route(
-    req: IncomingRequest, identity: Result[str, Refusal], table: RouteTable
+    req: IncomingRequest,
+    identity: Result[str, Refusal],
+    table: RouteTable,
+    present: str = "",
 ) -> Result[RoutedRequest, Refusal]:
-    """Return the routed request (UNAUTHENTICATED, FORBIDDEN, MALFORMED_REQUEST)."""
+    """Return the routed request (UNAUTHENTICATED, FORBIDDEN, MALFORMED_REQUEST).
+
+    `present` names the service of a request that is checked against new settings.
+    """
     host = req.header("host") or ""
-    return table.match(req.method, req.target, host).bind(
-        lambda match: _admit(req, identity, table, match)
-    )
+
+    def admit(match: _Match) -> Result[RoutedRequest, Refusal]:
+        service = table.service_of(match.route, req, present)
+        return _admit(req, identity, table, match, service)
+
+    return table.match(req.method, req.target, host).bind(admit)
 
 
 def _admit(
@@ -204,8 +220,8 @@
     identity: Result[str, Refusal],
     table: RouteTable,
     match: _Match,
+    service: ServiceSettings,
 ) -> Result[RoutedRequest, Refusal]:
-    service = table.service_of(match.route, req)
     workspace = identity.value_or(ANONYMOUS)
     if not match.route.open:
         if not workspace:
--- a/bergamotdrift/tests/test_route_split.py
+++ b/bergamotdrift/tests/test_route_split.py
@@ -2,9 +2,14 @@
 import unittest
 from collections import Counter
 
-from bergamotdrift.config.schema import RouteSettings, SplitShare
+from returns.result import Success
+
+from bergamotdrift.config.schema import RouteSettings, ServiceKind, SplitShare
+from bergamotdrift.request import IncomingRequest
 from bergamotdrift.route_split import RouteSplits, SplitTurns
-from bergamotdrift.tests.entry_fakes import site_settings
+from bergamotdrift.stages.route import RouteTable
+from bergamotdrift.stages.route import route as find_route
+from bergamotdrift.tests.entry_fakes import service, site_settings
 
 SPLIT = (SplitShare("cases", 7), SplitShare("archive", 3))
 SERVICES = {item.name: item for item in site_settings().services}
@@ -14,6 +19,19 @@
     return RouteSettings(path, ("GET",), "", "", False, False, True, 100, split=SPLIT)
 
 
+class NoBody:
+    length: int | None = 0
+
+    def read(self, size):
+        return b""
+
+
+def routed(table, present):
+    """Return the service that a request is routed to."""
+    req = IncomingRequest("r1", "GET", "/x/1", [], {}, "127.0.0.1", 0.0, NoBody())
+    return find_route(req, Success("w1"), table, present).unwrap().service.name
+
+
 class Near:
     """Finds the services of `names` near."""
 
@@ -80,6 +98,18 @@
         means = {name: sum(of) / len(of) for name, of in sizes.items()}
         self.assertGreater(means["archive"], 1.5 * means["cases"])
 
+    def test_check_against_new_settings_takes_no_turn_and_keeps_the_service(self):
+        split = (SplitShare("cases", 1), SplitShare("archive", 1))
+        place = route("/x/*")._replace(open=True, split=split)
+        pools = tuple(service(name, ServiceKind.POOL) for name in SERVICES)
+        table = RouteTable(site_settings(routes=(place,), services=pools))
+        counts: Counter[str] = Counter()
+        for _ in range(20):
+            first = routed(table, "")
+            counts[first] += 1
+            self.assertEqual(routed(table, first), first)
+        self.assertEqual(counts, {"cases": 10, "archive": 10})
+
 
 if __name__ == "__main__":
     unittest.main()
