Keep the control leader's rounds running after an error

Cause of the known red UnfencedLossTests.test_upstream_freezes_and_returns: when one upstream owned all partitions and was silent, the planner weighed an empty list and divided by zero. The greenlet of the leader's rounds ended, while the leader went on to answer pings: it expired and assigned nothing any more. Change: no partitions have no weights. An unexpected error in a round is logged as leader_round_failed, and the duties of the term are opened anew after 200 ms.

--- a/bergamotdrift/leadership.py
+++ b/bergamotdrift/leadership.py
@@ -21,6 +21,8 @@
 # After a longer stall of this process nothing could renew its lease here, so all
 # holders get a fresh time-to-live.
 STALL_MS = 500
+# The duties of the term are opened anew after this pause.
+_FAILED_PAUSE_S = 0.2
 
 
 class RoundObserver(Protocol):
@@ -53,6 +55,7 @@
         self._upstream_ttl_ms = upstream_ttl_ms
         self._duties: LeaderDuties | None = None
         self._term = 0
+        self._replica = ""
         self._last_step_ms = 0.0
         self._greenlet: gevent.Greenlet | None = None
         self._wake = Event()
@@ -76,12 +79,16 @@
         duties = self._duties
         if duties is None or not self._replicator.is_leader():
             return None
-        return duties if self._replicator.status().term == self._term else None
+        return duties if self._replicator.term() == self._term else None
 
     def term(self) -> int:
         """Return the term whose duties were opened last."""
         return self._term
 
+    def replica(self) -> str:
+        """Return this replica's identity in the term that was opened last."""
+        return self._replica
+
     def propose(self, command: Message) -> Message:
         """Return the outcome of a command.
 
@@ -100,6 +107,11 @@
                 self._step()
             except CallError as exc:
                 log_event("command_not_confirmed", reason=str(exc))
+            except Exception as exc:
+                # A leader without rounds would go on to answer and expire nobody.
+                log_event("leader_round_failed", term=self._term, error=repr(exc))
+                self._close("a round failed")
+                gevent.sleep(_FAILED_PAUSE_S)
             # Lets streams and heartbeats run between rounds that follow at once.
             gevent.sleep(0)
 
@@ -110,7 +122,7 @@
         now_ms = self._clock.now_ms()
         if self._duties is not None and now_ms - self._last_step_ms > STALL_MS:
             self._close("the process stalled")
-        if self._duties is None or self._replicator.status().term != self._term:
+        if self._duties is None or self._replicator.term() != self._term:
             self._open()
         self._last_step_ms = self._clock.now_ms()
         if self._duties is not None:
@@ -121,9 +133,10 @@
         self._duties = None
         # Its outcome shows that the commands of earlier terms are applied here.
         self.propose(cmd.OpenTerm(status.replica, status.term))
-        if self._replicator.status().term != status.term:
+        if self._replicator.term() != status.term:
             return
         self._term = status.term
+        self._replica = status.replica
         self._duties = LeaderDuties(
             self._state,
             self._clock.now_ms(),
--- a/bergamotdrift/partition_loads.py
+++ b/bergamotdrift/partition_loads.py
@@ -65,7 +65,7 @@
         """Return weights with a mean of about 1; equal ones if nothing is known."""
         rates = {number: self.rate_of(number, now_ms) for number in partitions}
         total = sum(rates.values())
-        if total < len(partitions) * 0.01:
+        if total <= len(partitions) * 0.01:
             return dict.fromkeys(partitions, 1.0)
         scale = (1.0 - _IDLE_WEIGHT) * len(partitions) / total
         return {number: _IDLE_WEIGHT + rate * scale for number, rate in rates.items()}
--- /dev/null
+++ b/bergamotdrift/tests/test_leadership.py
@@ -0,0 +1,50 @@
+import unittest
+from unittest import mock
+
+import gevent
+
+from bergamotdrift.clock import BootClock
+from bergamotdrift.control_state import ControlState
+from bergamotdrift.leader_duties import LeaderDuties
+from bergamotdrift.leadership import Leadership
+from bergamotdrift.tests.fake_replicator import FakeLog, FakeReplicator
+
+
+class Observer:
+    def __init__(self):
+        self.lost = 0
+
+    def on_round(self, changed):
+        pass
+
+    def on_leadership_lost(self):
+        self.lost += 1
+
+
+class FailedRoundTests(unittest.TestCase):
+    """Guards against a leader that answers nodes, but expires and assigns nothing."""
+
+    def setUp(self):
+        state = ControlState()
+        replicator = FakeReplicator(FakeLog(), "c1", state)
+        replicator.lead()
+        self.observer = Observer()
+        self.leadership = Leadership(state, replicator, BootClock(), self.observer)
+        self.addCleanup(self.leadership.stop)
+
+    def wait_until(self, condition):
+        with gevent.Timeout(3.0):
+            while not condition():
+                gevent.sleep(0.01)
+
+    def test_duties_are_opened_anew_after_an_error(self):
+        error = mock.patch.object(
+            LeaderDuties, "commands", side_effect=ZeroDivisionError("test")
+        )
+        with error, mock.patch("bergamotdrift.leadership.log_event") as log:
+            self.leadership.start()
+            self.wait_until(lambda: self.observer.lost)
+        logged = {call.args[0]: call.kwargs for call in log.call_args_list}
+        self.assertIn("ZeroDivisionError", logged["leader_round_failed"]["error"])
+        self.wait_until(self.leadership.duties)
+        self.assertEqual(self.observer.lost, 1)
