Ask for the term and the quorum's answers only as often as they change

Change: the term is asked for by itself. The time of the quorum's answers is computed again only when the last one no longer confirms the leader.

--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -216,13 +216,12 @@
         # The stream keeps the order, so a node that got the pong got the update.
         if not self._push(conn) or not number:
             return
-        status = self._replicator.status()
         now_ms = self._clock.now_ms()
         rates = duties.lease_rates(msg.row.node, msg.rates, now_ms)
         conn.reply(
             number,
             Pong(
-                status.replica,
+                self.leadership.replica(),
                 self.leadership.term(),
                 self._positions[conn].sent_index,
                 SESSION_TTL_MS,
--- a/bergamotdrift/raft_leader.py
+++ b/bergamotdrift/raft_leader.py
@@ -39,6 +39,8 @@
         self._progress: dict[str, Progress] = {}
         self._first_index = state.log.last_index + 1
         self._transfer_until_ms = _NEVER
+        # A time up to which a quorum surely answered this leader.
+        self._confirmed_ms = _NEVER
         self.transferee = ""
         self._align_progress()
         self._append([(EntryKind.NOOP, b"")], now_ms)
@@ -74,7 +76,11 @@
     def is_confirmed(self, now_ms: float) -> bool:
         """Tell whether a quorum's promises still keep others from leading."""
         lease_ms = self._timings.election_min_ms - self._timings.drift_margin_ms
-        return now_ms < self._quorum_acked_ms(now_ms) + lease_ms
+        if now_ms < self._confirmed_ms + lease_ms:
+            return True
+        # Answers only make it later, so it is computed again when it is too old.
+        self._confirmed_ms = self._quorum_acked_ms(now_ms)
+        return now_ms < self._confirmed_ms + lease_ms
 
     def has_lost_quorum(self, now_ms: float) -> bool:
         """Tell whether no quorum answered within the election timeout."""
@@ -187,6 +193,7 @@
 
     def _align_progress(self) -> None:
         """Track exactly the other members."""
+        self._confirmed_ms = _NEVER
         others = self._state.others
         next_index = self._state.log.last_index + 1
         self._progress = {
--- a/bergamotdrift/replica.py
+++ b/bergamotdrift/replica.py
@@ -156,6 +156,10 @@
             return False
         return self._raft.is_confirmed_leader(self._clock.now_ms())
 
+    def term(self) -> int:
+        """Return the present term."""
+        return self._raft.state.term
+
     def leader_address(self) -> str:
         """Return the leader's stream address, or an empty string."""
         state = self._raft.state
--- a/bergamotdrift/replication.py
+++ b/bergamotdrift/replication.py
@@ -47,6 +47,10 @@
         """Tell whether this replica leads and a quorum confirmed it recently."""
         ...
 
+    def term(self) -> int:
+        """Return the present term; cheaper than the whole status."""
+        ...
+
     def leader_address(self) -> str:
         """Return the leader's stream address, or an empty string."""
         ...
--- a/bergamotdrift/tests/fake_replicator.py
+++ b/bergamotdrift/tests/fake_replicator.py
@@ -39,6 +39,9 @@
     def is_leader(self):
         return self.leads
 
+    def term(self):
+        return self.log.term
+
     def leader_address(self):
         return self.address
 
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -57,6 +57,10 @@
         """Always lead."""
         return True
 
+    def term(self) -> int:
+        """Return the only term."""
+        return 1
+
     def leader_address(self) -> str:
         """Return no address."""
         return ""
