Log a line for each greenlet that ends with an error

Cause: a greenlet that ended left a traceback on standard error only, so the lines of the process did not show why it stopped acting. Change: greenlet_failed names the greenlet and the error; the traceback stays.

--- a/bergamotdrift/log.py
+++ b/bergamotdrift/log.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import eliot
+import gevent
 from logfmter import Logfmter
 
 from bergamotdrift.log_budget import LogBudget
@@ -84,6 +85,20 @@
     # Events name other nodes as `node`.
     eliot.add_global_fields(program=program, process=node)
     eliot.add_destinations(LineDestination(writer))
+    _log_greenlet_errors()
+
+
+def _log_greenlet_errors() -> None:
+    """Log a line for each greenlet that ends with an error, before its traceback."""
+    hub: Any = gevent.get_hub()
+    print_error = hub.handle_error
+
+    def handle_error(context: Any, kind: Any, value: Any, tb: Any) -> None:
+        if not issubclass(kind, hub.NOT_ERROR):
+            log_event("greenlet_failed", greenlet=context, error=repr(value))
+        print_error(context, kind, value, tb)
+
+    hub.handle_error = handle_error
 
 
 def _text(value: Any) -> str:
--- a/bergamotdrift/tests/test_log.py
+++ b/bergamotdrift/tests/test_log.py
@@ -152,3 +152,21 @@
             lines[0], r"^ts=\d+\.\d+ event=early program=entry process=e1$"
         )
         self.assertIn("event=step n=499 program=entry process=e1", lines[-1])
+
+    def test_greenlet_that_ends_with_an_error_is_logged(self):
+        code = (
+            "import gevent\n"
+            "from bergamotdrift.log import start_logging\n"
+            "start_logging('control', 'c1')\n"
+            "def step(): raise ZeroDivisionError('no rows')\n"
+            "gevent.spawn(step).join()\n"
+            "gevent.spawn(step).kill()\n"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, timeout=20
+        )
+        (line,) = done.stdout.splitlines()
+        self.assertIn("event=greenlet_failed", line)
+        self.assertIn("ZeroDivisionError('no rows')", line)
+        self.assertIn("process=c1", line)
+        self.assertIn("Traceback", done.stderr)
