--- a/scripts/load.py
+++ b/scripts/load.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
+from bergamotdrift.dialect import NATIVE
 from scripts.http_calls import NO_ANSWER
 from scripts.local_cluster import LocalCluster
 
@@ -53,6 +54,8 @@
     kind: str
     not_run: bool
     answered_key: str
+    # The id under which the entry logs the request, empty without an answer.
+    request_id: str = ""
 
 
 class LoadRun:
@@ -115,11 +118,12 @@
         conn = connections.pop(entry, None) or self._connect(entry)
         body = b"x" if plan.method == "POST" else None
         started = time.time()
-        status, answer = NO_ANSWER, {}
+        status, answer, request_id = NO_ANSWER, {}, ""
         try:
             conn.request(plan.method, path, body, headers)
             reply = conn.getresponse()
             status, answer = reply.status, json.loads(reply.read())
+            request_id = reply.getheader(NATIVE.request_id, "")
             connections[entry] = conn
         except (OSError, http.client.HTTPException, ValueError):
             conn.close()
@@ -134,6 +138,7 @@
             answer.get("error", ""),
             bool(answer.get("not_run")),
             answer.get("key", ""),
+            request_id,
         )
 
     def _connect(self, entry: str) -> http.client.HTTPConnection:
