Grant no range that is being given to another upstream

The leader decides that a lost holder's grants have ended, and logs the change; until that is committed the holder may announce itself again, and its worker renewed the grant. Change: the decision marks the range as given up. Its grants are refused, it is not balanced, and a change that was not confirmed is proposed again.

--- a/bergamotdrift/range_leases.py
+++ b/bergamotdrift/range_leases.py
@@ -80,12 +80,16 @@
         self._unsettled_until_ms: dict[GrantedSpan, float] = {}
         self._released: dict[RangeRow, str] = {}
         self._accepted: set[RangeRow] = set()
+        self._given_up: set[RangeRow] = set()
         self._failing_since_ms: dict[UpstreamRun, float] = {}
 
-    def begin_grant(self, row: RangeRow) -> None:
-        """Count a grant as running from before it is sent."""
+    def begin_grant(self, row: RangeRow) -> bool:
+        """Count a grant as running from before it is sent, or refuse it."""
+        if row in self._given_up:
+            return False
         span = span_of(row)
         self._calling[span] = self._calling.get(span, 0) + 1
+        return True
 
     def end_grant(
         self, row: RangeRow, answered: bool, current: bool, now_ms: float
@@ -109,6 +113,18 @@
         else:
             self._failing_since_ms.setdefault(run, now_ms)
 
+    def give_up(self, row: RangeRow) -> None:
+        """Refuse further grants of a range whose last ones have ended.
+
+        A command that gives it to another upstream may already be logged, while the
+        holder is heard of again before the command takes effect.
+        """
+        self._given_up.add(row)
+
+    def is_given_up(self, row: RangeRow) -> bool:
+        """Tell whether a range is surely going to another upstream."""
+        return row in self._given_up
+
     def note_released(self, row: RangeRow, handover: str) -> None:
         """Take note that the upstream gave a range back, with its state token."""
         self._released[row] = handover
@@ -160,6 +176,7 @@
         """Drop what is kept of ranges and upstreams that no longer exist."""
         self._released = {r: h for r, h in self._released.items() if r in rows}
         self._accepted &= rows
+        self._given_up &= rows
         holders = {holder_of(row) for row in rows}
         self._until_ms = {h: t for h, t in self._until_ms.items() if h in holders}
         self._unsettled_until_ms = {
--- a/bergamotdrift/range_orders.py
+++ b/bergamotdrift/range_orders.py
@@ -242,7 +242,9 @@
         leases = self._ranges.leases
         order = GrantOrder(row.first, row.last, row.epoch, HOLD_MS, row.handover)
         started_ms = self._now_ms()
-        leases.begin_grant(row)
+        if not leases.begin_grant(row):
+            self._due_ms[_grant_of(row)] = started_ms + _RETRY_MS
+            return
         result = GrantResult.NO_ANSWER
         try:
             if self._may_act():
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -198,6 +198,7 @@
             for row in self._rows
             if row.state is not PartitionState.OWNED
             or _Moved(row.service, row.first) in moved
+            or leases.is_given_up(row)
             or not leases.is_settled(row, self._now_ms)
         )
         room = RANGES_PER_UPSTREAM * len(self._able) - len(self._rows)
@@ -238,7 +239,7 @@
 
     def _step(self, row: RangeRow) -> list[Message]:
         planner = self._planner
-        if not row.upstream:
+        if not row.upstream or planner.leases.is_given_up(row):
             return [self._assign(row, "")]
         if row.state is PartitionState.RELEASING:
             if self._has_ended(row):
@@ -246,7 +247,10 @@
             return []
         owner = planner.row_of(run_of(row))
         if owner is None or planner.is_lost(run_of(row), self._now_ms):
-            return [self._assign(row, "")] if self._has_ended(row) else []
+            if not self._has_ended(row):
+                return []
+            planner.leases.give_up(row)
+            return [self._assign(row, "")]
         if row.state is PartitionState.VACANT:
             if not planner.leases.is_accepted(row):
                 return []
--- a/bergamotdrift/tests/test_range_orders.py
+++ b/bergamotdrift/tests/test_range_orders.py
@@ -1,4 +1,5 @@
 import unittest
+from unittest import mock
 
 import gevent
 
@@ -116,6 +117,19 @@
         gevent.sleep(0.2)
         self.assertEqual([order.first for order in self.upstreams.grants], [0])
 
+    def test_range_that_is_given_up_is_not_granted_and_not_asked_for_without_pause(
+        self,
+    ):
+        (row,) = self.state.rows.ranges_of("cases")
+        leases = self.term.ranges.leases
+        leases.give_up(row)
+        refused = mock.Mock(wraps=leases.begin_grant)
+        with mock.patch.object(leases, "begin_grant", refused):
+            self.orders.start()
+            gevent.sleep(0.55)
+        self.assertEqual(self.upstreams.grants, [])
+        self.assertIn(refused.call_count, range(3, 8))
+
     def test_grant_that_was_answered_beside_a_release_counts_until_its_hold_ends(self):
         first = self.row(0, LAST_KEY, PartitionState.OWNED)
         self.replace([first])
--- a/bergamotdrift/tests/test_range_planner.py
+++ b/bergamotdrift/tests/test_range_planner.py
@@ -86,9 +86,15 @@
 
 
 class Fleet:
-    """Runs a planner against backends, with calls that fail or come late."""
+    """Runs a planner against backends, with calls that fail or come late.
 
-    def __init__(self, seed, count=4):
+    A round's commands take effect `commit_ms` after it, and the next round follows.
+    """
+
+    def __init__(self, seed, count=4, commit_ms=0.0):
+        self.commit_ms = commit_ms
+        self.proposed = []
+        self.committed_at = 0.0
         self.rng = random.Random(seed)
         self.state = ControlState()
         self.state.settings.current = SETTINGS
@@ -123,6 +129,7 @@
     def new_leader(self):
         self.planner = RangePlanner(self.state, self, self.now)
         self.due = {}
+        self.proposed = []
 
     def run(self, ms, fault=0.0):
         end = self.now + ms
@@ -134,12 +141,23 @@
             for at, call in [c for c in self.late if c[0] <= self.now]:
                 self.late.remove((at, call))
                 call()
-            for command in self.planner.commands(self.now):
-                self.apply(command)
+            self.round()
             for held in self.state.rows.ranges_of("cases"):
                 self.order(held, fault)
             self.check()
 
+    def round(self):
+        if self.proposed and self.now < self.committed_at:
+            return
+        for command in self.proposed:
+            self.apply(command)
+        self.proposed = self.planner.commands(self.now)
+        self.committed_at = self.now + self.commit_ms
+        if not self.commit_ms:
+            for command in self.proposed:
+                self.apply(command)
+            self.proposed = []
+
     def order(self, held, fault):
         run = run_of(held)
         if self.planner.row_of(run) is None or self.planner.is_lost(run, self.now):
@@ -156,7 +174,8 @@
                 self.planner.leases.note_released(held, "token")
             return
         leases = self.planner.leases
-        leases.begin_grant(held)
+        if not leases.begin_grant(held):
+            return
         if backend.alive and backend.reachable:
             arrived = self.now
             late_ms = 0.0 if answers else self.rng.choice((0.0, 1200.0, 2500.0))
@@ -244,6 +263,28 @@
     def test_no_key_has_two_owners_under_random_faults(self, seed):
         self.run_random_faults(Fleet(seed))
 
+    @given(st.integers(0, 10_000))
+    def test_no_key_has_two_owners_while_commands_are_being_committed(self, seed):
+        self.run_random_faults(Fleet(seed, commit_ms=150.0))
+
+    def test_upstream_that_returns_while_its_keys_are_given_away_gets_no_grant(self):
+        fleet = Fleet(8, commit_ms=200.0)
+        fleet.run(3000)
+        lost = fleet.backends["u1"]
+        lost.reachable = False
+        while not self.gives_away(fleet, "u1"):
+            fleet.run(50)
+            self.assertLess(fleet.now, 12_000)
+        # It answers again before the command takes effect.
+        lost.reachable = True
+        fleet.run(100)
+        self.assertEqual(lost.keys(fleet.now), [])
+        fleet.run(1500)
+        self.assertEqual(fleet.owned(), LAST_KEY + 1)
+
+    def gives_away(self, fleet, name):
+        return any(row.upstream == name for c in fleet.proposed for row in c.expected)
+
     @given(st.integers(0, 10_000))
     @settings(max_examples=10)
     def test_no_key_of_a_large_service_has_two_owners_under_random_faults(self, seed):
