--- a/bergamotdrift/tests/__main__.py
+++ b/bergamotdrift/tests/__main__.py
@@ -4,7 +4,9 @@
 processes come last, since their timing suffers on a busy machine.
 """
 
+import os
 import re
+import signal
 import subprocess
 import sys
 import unittest
@@ -57,21 +59,24 @@
 
 def run_module_apart(name: str) -> Counts:
     """Run one module in a process of its own and print its output."""
+    proc = subprocess.Popen(
+        [sys.executable, "-m", "bergamotdrift.tests", name],
+        cwd=_ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        start_new_session=True,
+    )
     try:
-        proc = subprocess.run(
-            [sys.executable, "-m", "bergamotdrift.tests", name],
-            cwd=_ROOT,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-            text=True,
-            check=False,
-            timeout=_MODULE_TIMEOUT_S,
-        )
-    except subprocess.TimeoutExpired as exc:
-        print(exc.stdout, f"{name} did not end within {_MODULE_TIMEOUT_S} s")
+        output, _ = proc.communicate(timeout=_MODULE_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        # The programs that the module started would go on beside later tests.
+        os.killpg(proc.pid, signal.SIGKILL)
+        output, _ = proc.communicate()
+        print(output, f"{name} did not end within {_MODULE_TIMEOUT_S} s")
         return Counts(0, 1, 0)
-    print(proc.stdout, flush=True)
-    found = _COUNTS.findall(proc.stdout)
+    print(output, flush=True)
+    found = _COUNTS.findall(output)
     if not found:
         print(f"{name} ended with {proc.returncode} and no count")
         return Counts(0, 1, 0)
