Count the wait for a rate token from the first grant that is too small

Cause: a request that waited 200 ms for a token was refused with rate_exceeded, also when the arbiter's reply was slow, so that its tokens had expired, or when the next token was due in a few ms. Change: the wait counts from the first reply that grants too few tokens. A reply that grants all that is wanted refuses nobody.

--- a/bergamotdrift/tests/test_token_client.py
+++ b/bergamotdrift/tests/test_token_client.py
@@ -8,6 +8,7 @@
     TokenRequest,
     TokenReturn,
 )
+from bergamotdrift.constants import TOKEN_LEASE_MS
 from bergamotdrift.exceptions import ErrorKind
 from bergamotdrift.messages import Failure
 from bergamotdrift.tests.entry_fakes import EntryTestCase
@@ -56,6 +57,35 @@
         self.arbiter.answer = answer
         self.assertEqual(self.ask("GET", "/status/1").status, 200)
 
+    def test_wait_for_a_slow_reply_is_not_refused_by_rate(self):
+        """A stalled machine would refuse requests whose tokens were granted."""
+
+        def answer(msg):
+            if not isinstance(msg, TokenRequest):
+                return None
+            if len(self.arbiter.of_type(TokenRequest)) == 1:
+                # Longer than the lease of the tokens and the wait for due ones.
+                gevent.sleep((TOKEN_LEASE_MS + 50) / 1000)
+            return TokenGrant(msg.wanted, TOKEN_LEASE_MS, 0)
+
+        self.arbiter.answer = answer
+        reply = self.ask("GET", "/status/1")
+        self.assertEqual((reply.status, reply.kind), (200, None))
+
+    def test_wait_after_a_slow_reply_that_grants_too_few_counts_from_the_reply(self):
+        """Tokens that are due in a moment would be refused after a stall."""
+
+        def answer(msg):
+            if not isinstance(msg, TokenRequest):
+                return None
+            if len(self.arbiter.of_type(TokenRequest)) == 1:
+                gevent.sleep((TOKEN_LEASE_MS + 50) / 1000)
+                return TokenGrant(0, TOKEN_LEASE_MS, 5)
+            return TokenGrant(msg.wanted, TOKEN_LEASE_MS, 0)
+
+        self.arbiter.answer = answer
+        self.assertEqual(self.ask("GET", "/status/1").status, 200)
+
     def test_requests_beyond_the_granted_tokens_are_refused(self):
         self.grant(TokenGrant(3, 200, 500), TokenGrant(0, 200, 500))
         jobs = [gevent.spawn(self.ask, "GET", "/status/1") for _ in range(8)]
--- a/bergamotdrift/token_client.py
+++ b/bergamotdrift/token_client.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple
+from dataclasses import dataclass, field
 
 import gevent
 from gevent.event import AsyncResult
@@ -31,17 +31,20 @@
 # The arbiter credits a return until a quarter of the lease after its end.
 _RETURN_INTERVAL_S = 0.02
 # A token that another entry returns or that is due soon is worth a short wait; it
-# saves refusals of requests that are within the workspace's rate.
+# saves refusals of requests that are within the workspace's rate. The wait counts from
+# the first reply that grants too few, since a slow or lost reply says nothing about
+# the rate.
 _MAX_WAIT_MS = constants.TOKEN_LEASE_MS
 _MAX_WAITING = 1024
 
 
-class _Waiter(NamedTuple):
-    """Hold a request that waits for a token."""
+@dataclass(eq=False, slots=True)
+class _Waiter:
+    """Hold a request that waits for a token; `end_ms` is set by a short grant."""
 
-    fut: AsyncResult
-    end_ms: float
     deadline_ms: float
+    end_ms: float = float("inf")
+    fut: AsyncResult = field(default_factory=AsyncResult)
 
 
 class _Workspace:
@@ -52,9 +55,6 @@
         self.cache = TokenCache()
         self.waiters: deque[_Waiter] = deque()
         self.fetching = False
-        # Since when the arbiter answers; the wait for a token counts from then.
-        self.answered_since_ms = float("-inf")
-        self.is_answered = True
 
 
 class TokenClient:
@@ -91,7 +91,7 @@
             return Success(None)
         if len(state.waiters) >= _MAX_WAITING:
             return Failure(Refusal(ErrorKind.RATE_EXCEEDED))
-        waiter = _Waiter(AsyncResult(), now_ms + _MAX_WAIT_MS, deadline_ms)
+        waiter = _Waiter(deadline_ms)
         state.waiters.append(waiter)
         self._ensure_fetching(state)
         try:
@@ -132,13 +132,9 @@
                 _CALL_TIMEOUT_MS,
             )
         except (StreamClosedError, CallError, gevent.Timeout):
-            state.is_answered = False
             return _RETRY_PAUSE_S
         if not isinstance(call.reply, TokenGrant):
             return _RETRY_PAUSE_S
-        if not state.is_answered:
-            state.is_answered = True
-            state.answered_since_ms = self._clock.now_ms()
         if self._arbiters.assignment(workspace_shard(state.name)) != call.row:
             # The new arbiter counts only what this entry has reported to it.
             return _RETRY_PAUSE_S
@@ -146,7 +142,7 @@
         end_ms = asked_at_ms + min(grant.lease_ms, constants.TOKEN_LEASE_MS)
         state.cache.add(TokenLease(grant.tokens, end_ms, call.row.epoch))
         self._serve(state)
-        if not state.waiters:
+        if not state.waiters or grant.tokens >= wanted:
             return 0.0
         self._refuse_late(state, grant.retry_after_ms)
         return max(0.001, min(grant.retry_after_ms, _MAX_WAIT_MS) / 1000.0)
@@ -163,8 +159,8 @@
         staying: deque[_Waiter] = deque()
         for waiter in state.waiters:
             due_ms = now_ms + retry_after_ms + len(staying) * per_token_ms
-            end_ms = max(waiter.end_ms, state.answered_since_ms + _MAX_WAIT_MS)
-            if due_ms <= min(end_ms, waiter.deadline_ms):
+            waiter.end_ms = min(waiter.end_ms, now_ms + _MAX_WAIT_MS)
+            if due_ms <= min(waiter.end_ms, waiter.deadline_ms):
                 staying.append(waiter)
                 continue
             refusal = Refusal(
