Freeze the upstream of the joined lines test while a request runs there

Cause: the test froze an upstream at any moment and needed a request to fail. None did if no POST ran there just then: the arbiter holds later requests back until the keys have a new owner, and they are served. Change: requests take 150 ms, and the upstream is frozen while one runs there.

--- a/bergamotdrift/tests/test_cluster_lines.py
+++ b/bergamotdrift/tests/test_cluster_lines.py
@@ -1,25 +1,39 @@
 """Failed requests of a running site are explained by the lines of its processes."""
 
+import math
 import re
 import time
 
 from bergamotdrift.tests.cluster_case import SERVED_AGAIN_S, ClusterTestCase
+from scripts.load import RequestPlan
+from scripts.local_cluster import small_plan, wait_until
 
+_RUNNING_S = 10.0
 _UPSTREAM = re.compile(r"\bupstream=([\w-]+)")
 
 
 class JoinedLinesTests(ClusterTestCase):
     """Guards against failures whose cause no process has written down."""
 
+    # Requests run long enough to be found running when their upstream is paused.
+    plan = small_plan("iroda", vms=3, per_service=3)._replace(service_ms=150.0)
+    notes = RequestPlan("POST", "/cases/{key}/notes", "press-desk")
+
     def lines(self) -> list[str]:
         names = self.cluster.processes
         return [
             line for name in names for line in self.cluster.log_of(name).split("\n")
         ]
 
+    def is_running_at(self, upstream: str) -> bool:
+        runs = self.runs()
+        return any(r.upstream == upstream and r.ended == math.inf for r in runs)
+
     def test_lines_lead_from_a_request_to_the_loss_of_its_upstream(self):
-        run = self.start_load()
+        run = self.start_load(callers=24, plans=(self.notes,))
         lost = f"{self.keyed}-1"
+        # A request that can't be repeated fails if its upstream freezes while it runs.
+        wait_until(lambda: self.is_running_at(lost), _RUNNING_S, "a request runs", 0.0)
         self.cluster.pause(lost)
         time.sleep(SERVED_AGAIN_S + 1.0)
         self.cluster.resume(lost)
