Count grants of the last leader from the latest end of its calls

Cause: a call may last 400 ms, and its grant may arrive at its end. A new leader counted the grants of the last one from its own start, so that for about 130 ms two upstreams could own keys if a grant was delayed just as the lead was lost. Found by reasoning, not seen in a run. Change: the new leader adds the call's timeout.

--- a/bergamotdrift/range_leases.py
+++ b/bergamotdrift/range_leases.py
@@ -1,8 +1,9 @@
 """How long upstreams may still act on the key ranges that they were granted.
 
 A grant runs from its arrival, which the sender does not see. The leader therefore
-counts it from the end of the call, whether the call was answered or abandoned. Grants
-of earlier leaders count from the start of the present leader's term.
+counts it from the end of the call, whether the call was answered or abandoned. A call
+of an earlier leader may have begun just before the present leader's term, so its grants
+count from the latest end of such a call.
 
 An upstream may carry out an unanswered grant after a later release of the same keys.
 Released keys are therefore free only when no such grant can run any more.
@@ -16,6 +17,8 @@
 # the grants of the last one within it.
 HOLD_MS = 2000
 RENEW_INTERVAL_MS = 650
+# A grant's call is abandoned and reset after this time.
+CALL_TIMEOUT_MS = 400.0
 # Upstreams measure the hold by clocks that may run this much slow.
 CLOCK_DRIFT = 0.02
 # Covers timers that fire late on either side.
@@ -74,7 +77,7 @@
     """Account for the grants of one leader's term; pure, with the time passed in."""
 
     def __init__(self, opened_at_ms: float):
-        self._opened_until_ms = opened_at_ms + hold_bound_ms()
+        self._opened_until_ms = opened_at_ms + CALL_TIMEOUT_MS + hold_bound_ms()
         self._until_ms: dict[Holder, float] = {}
         self._calling: dict[GrantedSpan, int] = {}
         self._unsettled_until_ms: dict[GrantedSpan, float] = {}
--- a/bergamotdrift/range_orders.py
+++ b/bergamotdrift/range_orders.py
@@ -17,13 +17,13 @@
     UpstreamRow,
 )
 from bergamotdrift.range_leases import (
+    CALL_TIMEOUT_MS,
     HOLD_MS,
     RENEW_INTERVAL_MS,
     UpstreamRun,
     run_of,
 )
 
-CALL_TIMEOUT_MS = 400.0
 # A release is answered once the work on its keys has ended.
 RELEASE_TIMEOUT_MS = 1500.0
 # A call without an answer is repeated after this pause.
