Renew the grants of key ranges after a short lapse of the lead

Cause: the worker that renews an upstream's grants ended when the lead had lapsed. A lapse shorter than the owner's poll of 0.1 s went unnoticed there, so nobody started the worker again; the upstream's grants ran out after 2 s and it answered 421 to all requests for its keys. Change: a worker waits through a lapse; its owner ends it. A grant that was not sent no longer counts as unanswered.

--- a/bergamotdrift/range_orders.py
+++ b/bergamotdrift/range_orders.py
@@ -180,8 +180,13 @@
         self._greenlet.kill(block=False)
 
     def _loop(self) -> None:
-        while self._may_act():
+        # The owner of the workers ends them. The lead may lapse for less time than it
+        # takes the owner to notice; then the renewals must go on afterwards.
+        while True:
             self.wake.clear()
+            if not self._may_act():
+                self.wake.wait(_POLL_S)
+                continue
             self._send_due()
             wait_ms = self._next_due_ms() - self._now_ms()
             self.wake.wait(min(max(wait_ms, 5.0), _IDLE_WAIT_MS) / 1000.0)
@@ -242,13 +247,14 @@
         leases = self._ranges.leases
         order = GrantOrder(row.first, row.last, row.epoch, HOLD_MS, row.handover)
         started_ms = self._now_ms()
+        if not self._may_act():
+            return
         if not leases.begin_grant(row):
             self._due_ms[_grant_of(row)] = started_ms + _RETRY_MS
             return
         result = GrantResult.NO_ANSWER
         try:
-            if self._may_act():
-                result = self._owner._orders.grant(upstream, order, CALL_TIMEOUT_MS)
+            result = self._owner._orders.grant(upstream, order, CALL_TIMEOUT_MS)
         finally:
             answered = result is not GrantResult.NO_ANSWER
             current = self._is_granted(row)
--- a/bergamotdrift/tests/test_range_orders.py
+++ b/bergamotdrift/tests/test_range_orders.py
@@ -14,7 +14,7 @@
     UpstreamRow,
     UpstreamState,
 )
-from bergamotdrift.range_leases import RangeLeases
+from bergamotdrift.range_leases import RENEW_INTERVAL_MS, RangeLeases
 from bergamotdrift.range_orders import GrantResult, RangeOrders
 from bergamotdrift.tests.test_range_planner import SETTINGS
 
@@ -151,6 +151,22 @@
         gevent.sleep(0.9)
         self.assertEqual(len(self.upstreams.grants), sent)
 
+    def test_renewals_go_on_after_a_lapse_that_the_owner_did_not_see(self):
+        """Upstreams lost their keys while the leader went on to lead."""
+        self.orders.start()
+        gevent.sleep(0.05)
+        # The worker of the upstream looks during the lapse, the owner before and after.
+        self.leads = False
+        for worker in self.orders._workers.values():
+            worker.wake.set()
+        gevent.sleep(0.01)
+        self.leads = True
+        sent = len(self.upstreams.grants)
+        gevent.sleep(RENEW_INTERVAL_MS / 1000.0 + 0.2)
+        self.assertGreater(len(self.upstreams.grants), sent)
+        run = next(iter(self.orders._workers))
+        self.assertFalse(self.term.ranges.leases.is_failing(run, 0.0, 1e12))
+
 
 if __name__ == "__main__":
     unittest.main()
