Count misdirected repeats against the budget, and deny only by recent settings

Cause: a repeat after 421 drew on no budget, though it reaches an upstream. Change: with a budget for each service it does. The product's own budget stays as it is: there the fence guard bounds these repeats. Cause: an entry whose pings were late used settings up to 3 s old. Change: it states that a route or key is absent only by settings confirmed within 1.8 s, and answers settings_stale (503) otherwise. Result: two new tests fail before and pass after; 63 tests of the touched modules pass.

--- a/bergamotdrift/admission.py
+++ b/bergamotdrift/admission.py
@@ -48,6 +48,14 @@
     return settings_age_ms > constants.SETTINGS_STALE_MS
 
 
+def may_deny(settings_age_ms: float) -> bool:
+    """Tell whether settings are recent enough to state that a route or key is absent.
+
+    A newer revision, in force elsewhere, may have added it.
+    """
+    return settings_age_ms <= constants.DENIAL_AGE_MAX_MS
+
+
 def may_run_stale(routed: RoutedRequest) -> bool:
     """Tell whether a request may run under settings that can't be confirmed."""
     return routed.route.open and routed.service.kind is ServiceKind.POOL
--- a/bergamotdrift/constants.py
+++ b/bergamotdrift/constants.py
@@ -17,6 +17,8 @@
 STREAM_MAX_FRAME_BYTES = 16 * 1024 * 1024
 
 SETTINGS_STALE_MS = 3000
+# A change is in force within 2 s; before, an unknown route or key may be a new one.
+DENIAL_AGE_MAX_MS = 1800
 PERMIT_WAIT_MS = 2500
 TOKEN_LEASE_MS = 200
 ZONE_OUT_GRACE_MS = 3000
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from bergamotdrift import entry_metrics
-from bergamotdrift.admission import Admission, is_stale, may_run_stale
+from bergamotdrift.admission import Admission, is_stale, may_deny, may_run_stale
 from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.body_source import BodySource, open_body
 from bergamotdrift.clock import Clock
@@ -145,6 +145,9 @@
         result = route(req, identity, view.routes).map(
             lambda routed: routed._replace(revision=view.revision)
         )
+        denied = isinstance(result, Failure)
+        if denied and not may_deny(self._settings_age_ms()):
+            return Failure(Stopped("admit", Refusal(ErrorKind.SETTINGS_STALE)))
         if stale and not result.map(may_run_stale).value_or(False):
             return Failure(Stopped("admit", Refusal(ErrorKind.SETTINGS_STALE)))
         return result.alt(lambda refusal: Stopped("route", refusal))
@@ -303,8 +306,9 @@
         if not may_repeat(attempt):
             return False
         # The fence guard already bounds these to one per partition and interval; a
-        # share of the budget would refuse work each time many partitions move.
-        if failure.outcome is AttemptOutcome.FENCED:
+        # share of the budget would refuse work each time many partitions move. A budget
+        # for each service, though, counts all that reaches the upstreams.
+        if failure.outcome is AttemptOutcome.FENCED and self._new_budget is None:
             return True
         # All requests that were on their way when an upstream was lost fail at once,
         # more than the budget holds; one retry each costs no upstream any work.
--- a/bergamotdrift/tests/test_pipeline.py
+++ b/bergamotdrift/tests/test_pipeline.py
@@ -142,6 +142,18 @@
         self.upstream.server.stop()
         self.assert_not_run(self.ask("POST", "/cases/1", SHORT), "no_upstream")
 
+    def test_unconfirmed_settings_deny_neither_routes_nor_keys(self):
+        """A route that was added elsewhere would be refused for good with 404."""
+        self.assert_not_run(self.ask("GET", "/else"), "no_route")
+        self.control.silent = True
+        age_ms = self.entry.control.settings_age_ms
+        self.wait_until(lambda: age_ms() > constants.DENIAL_AGE_MAX_MS)
+        self.assertLess(age_ms(), constants.SETTINGS_STALE_MS)
+        self.assert_not_run(self.ask("GET", "/else"), "settings_stale")
+        answer = self.ask("GET", "/cases/1", key="withdrawn")
+        self.assert_not_run(answer, "settings_stale")
+        self.assertEqual(self.ask("GET", "/status/1").status, 200)
+
     def test_stale_settings_refuse_all_but_open_pool_routes(self):
         self.control.silent = True
         age_ms = self.entry.control.settings_age_ms
--- a/bergamotdrift/tests/test_platform_answers.py
+++ b/bergamotdrift/tests/test_platform_answers.py
@@ -1,5 +1,6 @@
 import socket
 import struct
+import time
 import unittest
 
 import gevent
@@ -8,7 +9,7 @@
 from bergamotdrift.messages import PartitionState, RangeRow, UpstreamState
 from bergamotdrift.platform.wire_dialect import parse_load
 from bergamotdrift.tests.direct_entry import BUSY, OK, WRONG, DirectEntryTestCase
-from bergamotdrift.tests.entry_fakes import KEY, OK_BODY
+from bergamotdrift.tests.entry_fakes import KEY, OK_BODY, entry_settings
 
 
 class ForwardingTests(DirectEntryTestCase):
@@ -70,6 +71,18 @@
         self.answer_all(lambda data: answers.pop(0))
         self.assertEqual(self.ask("/look/1").status, 502)
 
+    def test_repeats_of_misdirected_requests_draw_on_the_budget(self):
+        """Each one reaches an upstream, and counts there as a repeat."""
+        self.answer_all(lambda data: WRONG)
+        started_s = time.monotonic()
+        sent = 40
+        for _ in range(sent):
+            self.ask("/order/1", "POST", body=b"x")
+        took_s = time.monotonic() - started_s
+        cfg = entry_settings("")
+        allowed = 1 + cfg.retry_ratio * sent + cfg.retry_fleet_per_s * took_s
+        self.assertLessEqual(len(self.requests()) - sent, allowed)
+
     def test_misdirected_request_goes_to_another_upstream(self):
         answers = [WRONG, OK]
         self.answer_all(lambda data: answers.pop(0))
