Give a slow attempt up only for a repeat that the budget allows

Cause: a safe request is given up at its attempt's limit, to be sent to another upstream. If the budget then had no repeat left, the caller got 504 at once while the upstream was at work, long before the deadline. The limit came before the repeat was asked for. Change: at the limit the repeat is taken from the budget first; without one, without a body that can be sent again, or while the entry stops, the attempt goes on to the deadline.

--- a/bergamotdrift/attempts.py
+++ b/bergamotdrift/attempts.py
@@ -1,5 +1,7 @@
 """Permits in use and the attempts that run under them."""
 
+from collections.abc import Callable
+
 from bergamotdrift.arbiter_messages import RunningPermit
 from bergamotdrift.dialect import AnswerLoad
 from bergamotdrift.request import Permit
@@ -16,6 +18,8 @@
         self.cancel_reason = ""
         # When the attempt is given up for another one; None for the request's deadline.
         self.limit_ms: float | None = None
+        # Asked at the limit; without another attempt, this one goes on.
+        self.may_give_up: Callable[[], bool] = lambda: True
         # The load that the upstream stated in its answer, if it did.
         self.load: AnswerLoad | None = None
 
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -1,6 +1,7 @@
 """Pass a request through the stages, with retries within rules and budget."""
 
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
@@ -227,7 +228,7 @@
             if (
                 failure is None
                 or _used_up(routed, numbers)
-                or not self._may_repeat(routed, body, failure, is_first)
+                or not self._may_repeat(routed, body, failure, numbers, is_first)
             ):
                 return Failure(unknown or _most_telling(earlier, stopped))
             earlier = stopped
@@ -247,6 +248,7 @@
         if refusal is not None:
             self._stages.forward.give_back(running)
             return Failure((Stopped("permit", refusal), None))
+        running.may_give_up = partial(self._take_repeat, routed, body, numbers)
         result = self._stages.forward.attempt(routed, running, body)
         if running.conn is not None and running.conn.bytes_left:
             numbers.sent += 1
@@ -294,8 +296,10 @@
         routed: RoutedRequest,
         body: BodySource,
         failure: AttemptFailure,
+        numbers: AttemptNumbers,
         is_first: bool,
     ) -> bool:
+        taken, numbers.repeat_taken = numbers.repeat_taken, False
         now_ms = self._clock.now_ms()
         attempt = Attempt(
             failure.not_run,
@@ -305,6 +309,8 @@
         )
         if not may_repeat(attempt):
             return False
+        if taken:
+            return True
         # The fence guard already bounds these to one per partition and interval; a
         # share of the budget would refuse work each time many partitions move. A budget
         # for each service, though, counts all that reaches the upstreams.
@@ -316,6 +322,18 @@
             return True
         return self._budget_of(routed).take(now_ms)
 
+    def _take_repeat(
+        self, routed: RoutedRequest, body: BodySource, numbers: AttemptNumbers
+    ) -> bool:
+        """Take a repeat for an attempt that is slow, unless the entry stops.
+
+        Without one, the request would fail while its upstream is at work on it.
+        """
+        if self._admission.stopping or not body.can_be_resent:
+            return False
+        numbers.repeat_taken = self._budget_of(routed).take(self._clock.now_ms())
+        return numbers.repeat_taken
+
     def _log_answer(
         self, routed: RoutedRequest, reply: Reply, numbers: AttemptNumbers
     ) -> None:
--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -234,7 +234,7 @@
         while True:
             conn = self._connections.take(permit.shard, permit.upstream, permit.address)
             running.conn = conn
-            conn.begin(running.limit_ms or routed.deadline_ms)
+            conn.begin(routed.deadline_ms, running.limit_ms, running.may_give_up)
             try:
                 if not conn.reused:
                     conn.connect()
--- a/bergamotdrift/stages/permit.py
+++ b/bergamotdrift/stages/permit.py
@@ -228,6 +228,8 @@
         # The upstream of the last attempt.
         self.upstream = ""
         self.excluded: list[str] = []
+        # A repeat that was taken from the budget before its attempt began.
+        self.repeat_taken = False
 
     def next(self) -> int:
         """Return the number of the next permit request."""
--- a/bergamotdrift/tests/direct_entry.py
+++ b/bergamotdrift/tests/direct_entry.py
@@ -1,6 +1,7 @@
 """An entry that decides by itself, with fakes of control and of upstreams."""
 
 import unittest
+from typing import Any, ClassVar
 
 from bergamotdrift.clock import BootClock
 from bergamotdrift.config.schema import (
@@ -95,11 +96,17 @@
 class DirectEntryTestCase(unittest.TestCase):
     """Runs an entry that decides by itself against two upstreams."""
 
+    entry_changes: ClassVar[dict[str, Any]] = {}
+
     def setUp(self):
         self.control = RateControl()
         self.upstreams = [FakeUpstream(lambda data: OK) for _ in range(2)]
         self.control.update = self.tables()
-        cfg = entry_settings(self.control.server.address, dispatch=Dispatch.DIRECT)
+        cfg = entry_settings(
+            self.control.server.address,
+            dispatch=Dispatch.DIRECT,
+            **self.entry_changes,
+        )
         self.entry = Entry(cfg, BootClock(), PLATFORM)
         self.entry.start()
         self.addCleanup(self.tear_down)
--- a/bergamotdrift/tests/test_platform_answers.py
+++ b/bergamotdrift/tests/test_platform_answers.py
@@ -2,6 +2,7 @@
 import struct
 import time
 import unittest
+from typing import Any, ClassVar
 
 import gevent
 
@@ -88,6 +89,22 @@
         self.answer_all(lambda data: answers.pop(0))
         self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 200)
 
+    def hold_answers(self, hold_s):
+        for upstream in self.upstreams:
+            upstream.hold_s = hold_s
+
+    def test_slow_attempt_is_repeated_elsewhere(self):
+        self.hold_answers(0.6)
+        self.ask("/look/1")
+        self.assertEqual(len(self.requests()), 2)
+
+    def test_slow_attempt_goes_on_while_the_entry_stops(self):
+        """A planned stop would break off a request at which its upstream works."""
+        self.hold_answers(0.6)
+        self.entry._admission.stopping = True
+        self.assertEqual(self.ask("/look/1").status, 200)
+        self.assertEqual(len(self.requests()), 1)
+
     def test_answer_comes_at_the_deadline(self):
         for upstream in self.upstreams:
             upstream.hold_s = 3.0
@@ -96,6 +113,30 @@
         self.assertEqual(answer.status, 504)
 
 
+class SpentBudgetTests(DirectEntryTestCase):
+    """Guards requests that could be repeated but have no repeat left."""
+
+    entry_changes: ClassVar[dict[str, Any]] = {"retry_fleet_per_s": 0.0}
+
+    def use_up_the_budget(self):
+        self.answer_all(lambda data: BUSY)
+        repeats = 1
+        while repeats:
+            before = len(self.requests())
+            self.ask("/order/1", "POST", body=b"x")
+            repeats = len(self.requests()) - before - 1
+
+    def test_slow_attempt_goes_on_without_a_repeat_in_the_budget(self):
+        """The request would fail while its upstream is at work on it."""
+        self.use_up_the_budget()
+        before = len(self.requests())
+        self.answer_all(lambda data: OK)
+        for upstream in self.upstreams:
+            upstream.hold_s = 0.6
+        self.assertEqual(self.ask("/look/1").status, 200)
+        self.assertEqual(len(self.requests()) - before, 1)
+
+
 class OddAnswerTests(DirectEntryTestCase):
     """Guards callers against bytes that are not the answer to their request."""
 
--- a/bergamotdrift/upstream_connections.py
+++ b/bergamotdrift/upstream_connections.py
@@ -74,12 +74,24 @@
         self.idle_since_ms = 0.0
         self._clock = clock
         self._deadline_ms = 0.0
+        self._limit_ms: float | None = None
+        self._may_give_up: Callable[[], bool] = lambda: True
         self._closed = False
         self._sock = new_socket(address)
 
-    def begin(self, deadline_ms: float) -> None:
-        """Prepare for a request that must end by the deadline."""
+    def begin(
+        self,
+        deadline_ms: float,
+        limit_ms: float | None = None,
+        may_give_up: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Prepare for a request that must end by the deadline.
+
+        It ends by the earlier `limit_ms` if `may_give_up` then allows it.
+        """
         self._deadline_ms = deadline_ms
+        self._limit_ms = limit_ms
+        self._may_give_up = may_give_up
         self.bytes_left = False
         self.request_sent = False
 
@@ -110,8 +122,7 @@
 
         Raises OSError and HTTPParseError.
         """
-        self._sock.settimeout(self._remaining_ms() / 1000.0)
-        data = self._sock.recv(_RECEIVE_BYTES)
+        data = self._receive()
         if not data:
             return self._take_end(parser)
         try:
@@ -121,6 +132,14 @@
                 raise
         return len(data)
 
+    def _receive(self) -> bytes:
+        """Return the next bytes, empty at the end; raises OSError."""
+        while True:
+            self._sock.settimeout(self._remaining_ms() / 1000.0)
+            # Whether the time is over is decided by the next call for what remains.
+            with contextlib.suppress(TimeoutError):
+                return self._sock.recv(_RECEIVE_BYTES)
+
     def _take_end(self, parser: ResponseParser) -> int:
         """Complete an answer that has no framing; any other one is truncated."""
         if not parser.head_is_final or parser.has_framing():
@@ -157,9 +176,17 @@
         return self._closed
 
     def _remaining_ms(self) -> float:
-        left_ms = self._deadline_ms - self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        left_ms = self._deadline_ms - now_ms
         if left_ms <= 0:
             raise TimeoutError("the deadline has passed")
+        if self._limit_ms is None:
+            return left_ms
+        if now_ms < self._limit_ms:
+            return min(left_ms, self._limit_ms - now_ms)
+        if self._may_give_up():
+            raise TimeoutError("the attempt's limit has passed")
+        self._limit_ms = None
         return left_ms
 
 
