--- a/bergamotdrift/tests/test_cluster_cuts.py
+++ b/bergamotdrift/tests/test_cluster_cuts.py
@@ -3,8 +3,8 @@
 import time
 
 from bergamotdrift.tests.cluster_case import SERVED_AGAIN_S, ClusterTestCase
-from bergamotdrift.tests.relay import CutRelay
 from scripts.local_cluster import LocalCluster, free_address
+from scripts.relay import CutRelay
 
 _LONG_ISOLATION_S = 8.0
 
--- a/bergamotdrift/tests/relay.py
+++ b/scripts/relay.py
@@ -1,10 +1,14 @@
-"""TCP relay for tests that stops passing bytes without closing connections."""
+"""TCP relay that cuts, silences, resets or delays connections."""
 
 import contextlib
 import socket
+import struct
 import threading
+import time
 
 _CONNECT_S = 2.0
+# Makes the kernel reset a connection instead of ending it in order.
+_RESET = struct.pack("ii", 1, 0)
 
 
 class _Gate:
@@ -13,6 +17,7 @@
     def __init__(self):
         self._open = threading.Event()
         self._open.set()
+        self.delay_s = 0.0
 
     def close(self) -> None:
         self._open.clear()
@@ -22,6 +27,8 @@
 
     def wait(self) -> None:
         self._open.wait()
+        if self.delay_s:
+            time.sleep(self.delay_s)
 
 
 class CutRelay:
@@ -42,10 +49,23 @@
             self._backward.close()
 
     def heal(self) -> None:
-        """Pass bytes again, those held back included."""
+        """Pass bytes again without delay, those held back included."""
+        self.delay(0.0)
         self._forward.open()
         self._backward.open()
 
+    def delay(self, delay_s: float) -> None:
+        """Hold each piece of bytes back for some time, in both directions."""
+        self._forward.delay_s = self._backward.delay_s = delay_s
+
+    def reset(self) -> None:
+        """Reset all open connections; new ones work."""
+        for sock in list(self._sockets):
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+            _close(sock)
+        self._sockets.clear()
+
     def silence_open_connections(self) -> None:
         """Leave open connections silent for good while new ones work."""
         self.cut()
