--- a/bergamotdrift/raft.py
+++ b/bergamotdrift/raft.py
@@ -1,4 +1,4 @@
-"""The replicated log's decisions, without sockets, files or timers."""
+"""The Raft state machine of one replica, free of sockets, files and timers."""
 
 import random
 from collections.abc import Iterable
@@ -8,7 +8,7 @@
 from bergamotdrift.exceptions import ProtocolError
 from bergamotdrift.raft_election import Election
 from bergamotdrift.raft_follower import Follower
-from bergamotdrift.raft_leader import Leadership
+from bergamotdrift.raft_leader import Leader
 from bergamotdrift.raft_memory import MemoryLog
 from bergamotdrift.raft_messages import (
     AppendEntries,
@@ -46,48 +46,51 @@
 
 
 class Raft:
-    """Replicate a log: fed with messages, clock readings and synced batches.
+    """Run the Raft protocol on messages, clock readings and synced batches.
 
-    After each call the owner takes a `Ready`, sends its messages, syncs its batch
-    and reports that by `on_synced`, and applies its entries.
+    After each call the caller takes a `Ready`, sends its messages, syncs its batch,
+    reports the completed sync through `on_synced`, and applies the committed entries.
     """
 
     def __init__(
         self,
         replica: str,
-        hard: HardState,
+        hard_state: HardState,
         log: MemoryLog,
         rng: random.Random,
         now_ms: float,
         timings: RaftTimings = DEFAULT_TIMINGS,
     ):
         self._timings = timings
-        self.state = RaftState(replica, hard, log)
+        self.state = RaftState(replica, hard_state, log)
         self._election = Election(self.state, timings, rng, now_ms)
         self._follower = Follower(self.state)
-        self.leadership: Leadership | None = None
+        self.leadership: Leader | None = None
 
     @property
     def is_initialised(self) -> bool:
-        """Tell whether this replica knows a group."""
+        """Return whether the log has any entry, and so belongs to a group."""
         return self.state.log.last_index > 0
 
     def bootstrap(self, group: str, members: list[Member]) -> None:
-        """Found a group on an empty log; no other replica may do so."""
+        """Bootstrap a group on an empty log; only one replica may do so."""
         if self.is_initialised:
-            raise ValueError("the log is not empty")
+            raise ValueError("cannot bootstrap a group: the log is not empty")
         self.state.group = group
         self.state.set_term(max(_BOOTSTRAP_TERM, self.state.term), self.state.vote)
         data = encode_members(members)
-        first = Entry(1, self.state.term, EntryKind.MEMBERS, data)
-        self.state.append([first])
+        entry = Entry(1, self.state.term, EntryKind.MEMBERS, data)
+        self.state.append([entry])
 
     def is_confirmed_leader(self, now_ms: float) -> bool:
-        """Tell whether this replica leads, within its lease and fully applied."""
+        """Return whether this replica leads, holds its lease and may serve reads.
+
+        The first entry of its term must be applied, and with it all earlier ones.
+        """
         lead = self.leadership
         if lead is None or lead.transferee:
             return False
-        return lead.has_applied() and lead.is_confirmed(now_ms)
+        return lead.has_applied() and lead.has_lease(now_ms)
 
     def next_wake_ms(self) -> float:
         """Return the time by which `tick` must be called."""
@@ -96,61 +99,66 @@
         return self._election.deadline_ms
 
     def tick(self, now_ms: float) -> None:
-        """Do what is due at a time: heartbeats, stepping down or a campaign."""
+        """Send due heartbeats, step down without a quorum, or start an election."""
         lead = self.leadership
         if lead is None:
             if now_ms >= self._election.deadline_ms:
                 self._on_election_timeout(now_ms)
             return
         if lead.has_lost_quorum(now_ms) or self._is_removed():
-            self._follow(self.state.term, "", now_ms)
+            self._become_follower(self.state.term, "", now_ms)
             return
         lead.tick(now_ms)
-        self._try_transfer(now_ms)
+        self._try_finish_transfer(now_ms)
 
     def propose(self, commands: list[bytes], now_ms: float) -> int | None:
-        """Append commands as leader, and return the first index, or None."""
+        """Append commands as leader; return the first index, or None if refused."""
         if self.leadership is None or self.leadership.transferee:
             return None
         return self.leadership.propose(commands, now_ms)
 
     def propose_members(self, members: list[Member], now_ms: float) -> bool:
-        """Change one member as leader, or return False."""
+        """Propose a membership change as leader; return False if it is refused."""
         lead = self.leadership
         return lead is not None and lead.propose_members(members, now_ms)
 
-    def transfer(self, successors: Iterable[str], now_ms: float) -> None:
-        """Hand leadership over to the most advanced active voter among some."""
+    def transfer(self, targets: Iterable[str], now_ms: float) -> None:
+        """Transfer leadership to the most up-to-date active voter among `targets`."""
         if self.leadership is not None:
-            self.leadership.start_transfer(successors, now_ms)
-            self._try_transfer(now_ms)
+            self.leadership.start_transfer(targets, now_ms)
+            self._try_finish_transfer(now_ms)
 
     def ask_for_leadership(self) -> None:
-        """Ask the known leader to hand over to this replica."""
+        """Ask the current leader to transfer leadership to this replica."""
         state = self.state
         if state.leader and state.leader != state.replica and state.is_voter:
             state.send(TransferRequest(state.head(state.leader)))
 
     def compact(self, index: int, data: bytes, keep: int) -> None:
-        """Replace the log up to an applied index by the state at that index."""
+        """Compact the log into a snapshot at an applied index.
+
+        The last `keep` entries before that index stay in memory.
+        """
         log = self.state.log
         term = log.term_at(index)
         if term is None or not log.snapshot.log_index < index <= self.state.applied:
-            raise ValueError(f"index {index} can't be compacted")
+            raise ValueError(
+                f"index {index} is not an applied index after the snapshot"
+            )
         snapshot = Snapshot(index, term, log.members_at(index), data)
         self.state.compact(snapshot, keep)
 
     def take_ready(self) -> Ready:
-        """Return what the owner must do now."""
+        """Return the messages, writes and entries that the caller must process."""
         return self.state.take_ready()
 
     def on_synced(self, batch: SyncBatch, now_ms: float) -> None:
-        """Release what depended on a batch that has been synced."""
+        """Release the messages that waited for a batch to be synced."""
         for msg in self.state.finish_batch(batch):
             self.step(msg, now_ms)
 
     def step(self, msg: RaftMessage, now_ms: float) -> None:
-        """Handle a message, or raise ProtocolError without effect on the log."""
+        """Handle a message; raise ProtocolError, with the log unchanged, if invalid."""
         state = self.state
         head = msg.head
         if head.to != state.replica or not 0 <= head.term <= _MAX_TERM:
@@ -159,10 +167,10 @@
             state.group = head.group
         if head.group != state.group:
             return
-        if head.term > state.term and not self._enter_term(msg, now_ms):
+        if head.term > state.term and not self._handle_higher_term(msg, now_ms):
             return
         if head.term < state.term:
-            self._refuse_stale(msg)
+            self._reject_stale(msg)
             return
         self._dispatch(msg, now_ms)
 
@@ -171,7 +179,7 @@
             case AppendEntries() | SnapshotChunk():
                 self._on_leader_message(msg, now_ms)
             case AppendReply() | SnapshotReply():
-                self._on_member_reply(msg, now_ms)
+                self._on_replication_reply(msg, now_ms)
             case TimeoutNow():
                 if self.state.role is RaftRole.FOLLOWER and self.state.is_voter:
                     self._election.campaign(True, now_ms)
@@ -195,21 +203,23 @@
                 self._election.on_vote_request(msg, now_ms)
             case VoteReply():
                 if self._election.on_vote_reply(msg):
-                    self._lead(now_ms)
+                    self._become_leader(now_ms)
             case _:
                 assert_never(msg)
 
-    def _on_member_reply(self, msg: AppendReply | SnapshotReply, now_ms: float) -> None:
+    def _on_replication_reply(
+        self, msg: AppendReply | SnapshotReply, now_ms: float
+    ) -> None:
         if self.leadership is None:
             return
         if isinstance(msg, AppendReply):
             self.leadership.on_append_reply(msg, now_ms)
-            self._try_transfer(now_ms)
+            self._try_finish_transfer(now_ms)
         else:
             self.leadership.on_snapshot_reply(msg, now_ms)
 
-    def _enter_term(self, msg: RaftMessage, now_ms: float) -> bool:
-        """Take up a higher term; return False if the message is done with."""
+    def _handle_higher_term(self, msg: RaftMessage, now_ms: float) -> bool:
+        """Handle a message of a higher term; return False if it needs no dispatch."""
         match msg:
             case PreVoteRequest():
                 self._on_pre_vote_request(msg, now_ms)
@@ -218,17 +228,17 @@
                 if self._election.on_pre_vote_reply(msg):
                     self._election.campaign(False, now_ms)
                 return False
-            case VoteRequest() if not msg.transfer and self._hears_leader(now_ms):
-                # The leader's lease relies on this promise.
+            case VoteRequest() if not msg.transfer and self._is_in_lease(now_ms):
+                # The leader's lease relies on votes being withheld during it.
                 return False
             case AppendEntries() | SnapshotChunk():
-                self._follow(msg.head.term, msg.head.sender, now_ms)
+                self._become_follower(msg.head.term, msg.head.sender, now_ms)
             case _:
-                self._follow(msg.head.term, "", now_ms)
+                self._become_follower(msg.head.term, "", now_ms)
         return True
 
-    def _refuse_stale(self, msg: RaftMessage) -> None:
-        """Tell the sender of an outdated request about the newer term."""
+    def _reject_stale(self, msg: RaftMessage) -> None:
+        """Reject a request of an earlier term, replying with the current term."""
         head = self.state.head(msg.head.sender)
         match msg:
             case AppendEntries() | SnapshotChunk():
@@ -244,10 +254,10 @@
     ) -> None:
         state = self.state
         if self.leadership is not None:
-            raise ProtocolError("two leaders in one term")
+            raise ProtocolError("another replica claims to lead the current term")
         if state.role is not RaftRole.FOLLOWER or state.leader != msg.head.sender:
-            self._follow(state.term, msg.head.sender, now_ms)
-        self._election.hear_leader(now_ms)
+            self._become_follower(state.term, msg.head.sender, now_ms)
+        self._election.on_leader_contact(now_ms)
         if isinstance(msg, AppendEntries):
             self._follower.on_append(msg)
         else:
@@ -259,38 +269,39 @@
             return
         self._election.on_pre_vote_request(msg, now_ms)
 
-    def _hears_leader(self, now_ms: float) -> bool:
+    def _is_in_lease(self, now_ms: float) -> bool:
         if self.leadership is not None:
             return not self.leadership.has_lost_quorum(now_ms)
-        return self._election.hears_leader(now_ms)
+        return self._election.is_in_lease(now_ms)
 
     def _on_election_timeout(self, now_ms: float) -> None:
         if not self.state.is_voter:
-            # The leader it knew is gone, or has removed it.
-            self._follow(self.state.term, "", now_ms)
+            # Only voters campaign. The leader of this one failed or removed it.
+            self._become_follower(self.state.term, "", now_ms)
         elif self._election.start_pre_vote(now_ms):
             self._election.campaign(False, now_ms)
 
-    def _lead(self, now_ms: float) -> None:
+    def _become_leader(self, now_ms: float) -> None:
         self.state.role = RaftRole.LEADER
         self.state.leader = self.state.replica
-        self.leadership = Leadership(self.state, self._timings, now_ms)
+        self.leadership = Leader(self.state, self._timings, now_ms)
 
-    def _follow(self, term: int, leader: str, now_ms: float) -> None:
+    def _become_follower(self, term: int, leader: str, now_ms: float) -> None:
         state = self.state
         if term > state.term:
             state.set_term(term, "")
         state.role = RaftRole.FOLLOWER
         state.leader = leader
         self.leadership = None
-        self._election.postpone(now_ms)
+        self._election.reset_timeout(now_ms)
 
     def _is_removed(self) -> bool:
         state = self.state
         return not state.is_voter and state.log.members_index <= state.commit
 
-    def _try_transfer(self, now_ms: float) -> None:
+    def _try_finish_transfer(self, now_ms: float) -> None:
         lead = self.leadership
         if lead is not None and lead.finish_transfer():
-            # The lease must not be used again: the successor ignores it.
-            self._follow(self.state.term, "", now_ms)
+            # The target campaigns without regard to this leader's lease, so the
+            # lease must not be used again.
+            self._become_follower(self.state.term, "", now_ms)
--- a/bergamotdrift/raft_leader.py
+++ b/bergamotdrift/raft_leader.py
@@ -1,4 +1,4 @@
-"""A leader's work: replication, commit, lease, membership and transfer."""
+"""Replication, commit, lease, membership and transfer on the leader."""
 
 from collections.abc import Callable, Iterable
 
@@ -27,8 +27,8 @@
 _NEVER = float("-inf")
 
 
-class Leadership:
-    """Lead the group for one term."""
+class Leader:
+    """Hold the leader's volatile state for one term, and replicate the log."""
 
     def __init__(self, state: RaftState, timings: RaftTimings, now_ms: float):
         self._state = state
@@ -37,12 +37,12 @@
         self._next_heartbeat_ms = now_ms + timings.heartbeat_ms
         self._own_match = 0
         self._progress: dict[str, Progress] = {}
-        self._first_index = state.log.last_index + 1
-        self._transfer_until_ms = _NEVER
-        # A time up to which a quorum surely answered this leader.
-        self._confirmed_ms = _NEVER
+        self._term_start_index = state.log.last_index + 1
+        self._transfer_deadline_ms = _NEVER
+        # Start of the lease: a send time whose messages a quorum has answered.
+        self._lease_start_ms = _NEVER
         self.transferee = ""
-        self._align_progress()
+        self._update_progress()
         self._append([(EntryKind.NOOP, b"")], now_ms)
 
     @property
@@ -51,71 +51,72 @@
         return self._next_heartbeat_ms
 
     def progress_of(self, replica: str) -> Progress | None:
-        """Return what is known about another member."""
+        """Return the replication progress of another member."""
         return self._progress.get(replica)
 
     def match_of(self, replica: str) -> int:
-        """Return up to which index a member has synced the log."""
+        """Return the highest index that a member is known to have synced."""
         if replica == self._state.replica:
             return self._own_match
         progress = self._progress.get(replica)
         return progress.match if progress else 0
 
     def is_active(self, replica: str, now_ms: float) -> bool:
-        """Tell whether a member answered within the election timeout."""
+        """Return whether a member answered within the election timeout."""
         progress = self._progress.get(replica)
         if progress is None:
             return replica == self._state.replica
         return now_ms < progress.acked_ms + self._timings.election_min_ms
 
-    def is_silent(self, replica: str, now_ms: float) -> bool:
-        """Tell whether a member had time to answer this leader and did not."""
-        elected_long_ago = now_ms >= self._elected_ms + self._timings.election_min_ms
-        return elected_long_ago and not self.is_active(replica, now_ms)
+    def is_unresponsive(self, replica: str, now_ms: float) -> bool:
+        """Return whether a member has been inactive for a timeout in this term."""
+        timeout_elapsed = now_ms >= self._elected_ms + self._timings.election_min_ms
+        return timeout_elapsed and not self.is_active(replica, now_ms)
 
-    def is_confirmed(self, now_ms: float) -> bool:
-        """Tell whether a quorum's promises still keep others from leading."""
+    def has_lease(self, now_ms: float) -> bool:
+        """Return whether the leader lease is valid: no quorum can elect another."""
         lease_ms = self._timings.election_min_ms - self._timings.drift_margin_ms
-        if now_ms < self._confirmed_ms + lease_ms:
+        if now_ms < self._lease_start_ms + lease_ms:
             return True
-        # Answers only make it later, so it is computed again when it is too old.
-        self._confirmed_ms = self._quorum_acked_ms(now_ms)
-        return now_ms < self._confirmed_ms + lease_ms
+        # Replies only move the time forward, so it is recomputed once it is too old.
+        self._lease_start_ms = self._quorum_acked_ms(now_ms)
+        return now_ms < self._lease_start_ms + lease_ms
 
     def has_lost_quorum(self, now_ms: float) -> bool:
-        """Tell whether no quorum answered within the election timeout."""
+        """Return whether no quorum answered within the election timeout."""
         since_ms = max(self._elected_ms, self._quorum_acked_ms(now_ms))
         return now_ms >= since_ms + self._timings.election_min_ms
 
     def has_applied(self) -> bool:
-        """Tell whether everything committed before this term is applied."""
-        return self._state.applied >= self._first_index
+        """Return whether all entries committed in earlier terms are applied."""
+        return self._state.applied >= self._term_start_index
 
     def propose(self, commands: list[bytes], now_ms: float) -> int:
         """Append commands and return the index of the first one."""
         return self._append([(EntryKind.COMMAND, c) for c in commands], now_ms)
 
     def may_change_members(self) -> bool:
-        """Tell whether the last change is committed, and this term's first entry.
+        """Return whether a new membership change may be proposed.
 
-        That one is also applied, so that the rules see all earlier commands.
+        The last change must be committed. The first entry of this term must be
+        applied, so that the membership rules see all earlier commands.
         """
-        settled = self._state.log.members_index <= self._state.commit
-        return settled and self.has_applied() and not self.transferee
+        is_committed = self._state.log.members_index <= self._state.commit
+        return is_committed and self.has_applied() and not self.transferee
 
     def propose_members(self, members: list[Member], now_ms: float) -> bool:
-        """Append a change of at most one vote, or return False."""
+        """Append a change that adds or removes at most one voter, or return False."""
         changed = set(voters_of(members)) ^ set(self._state.voters)
         if not self.may_change_members() or len(changed) > 1 or not voters_of(members):
             return False
         self._append([(EntryKind.MEMBERS, encode_members(members))], now_ms)
-        self._align_progress()
+        self._update_progress()
         return True
 
     def tick(self, now_ms: float) -> None:
         """Send heartbeats when they are due."""
-        if self.transferee and now_ms >= self._transfer_until_ms:
-            # The chosen voter was not told yet, so this leader may go on.
+        if self.transferee and now_ms >= self._transfer_deadline_ms:
+            # TimeoutNow has not been sent, so this leader may continue.
             self.transferee = ""
         if now_ms < self._next_heartbeat_ms:
             return
@@ -126,7 +127,7 @@
                 self._send_heartbeat(replica, progress, now_ms)
 
     def on_append_reply(self, msg: AppendReply, now_ms: float) -> None:
-        """Move a member's progress, and commit what a quorum has synced."""
+        """Update a member's progress, and commit what a quorum has synced."""
         state = self._state
         if msg.match > state.log.last_index or msg.match < 0:
             return
@@ -137,7 +138,7 @@
         progress = self._progress.get(msg.head.sender)
         if progress is None:
             return
-        progress.on_answer(msg.sent_ms, now_ms)
+        progress.on_reply(msg.sent_ms, now_ms)
         if msg.success:
             progress.on_match(msg.match)
             self._advance_commit()
@@ -146,27 +147,30 @@
         self._replicate(msg.head.sender, progress, now_ms)
 
     def on_snapshot_reply(self, msg: SnapshotReply, now_ms: float) -> None:
-        """Send the next part of a snapshot."""
+        """Send the next chunk of a snapshot."""
         progress = self._progress.get(msg.head.sender)
         if progress is None:
             return
-        progress.on_answer(msg.sent_ms, now_ms)
+        progress.on_reply(msg.sent_ms, now_ms)
         if progress.snapshot is None or msg.log_index != progress.snapshot.log_index:
             return
         if 0 <= msg.offset <= len(progress.snapshot.data):
             progress.offset = msg.offset
             self._send_chunk(msg.head.sender, progress, now_ms)
 
-    def start_transfer(self, successors: Iterable[str], now_ms: float) -> None:
-        """Choose the most advanced active voter among some, if there is one."""
-        others = set(successors) & set(self._state.voters) & self._progress.keys()
-        active = [v for v in sorted(others) if self.is_active(v, now_ms)]
+    def start_transfer(self, targets: Iterable[str], now_ms: float) -> None:
+        """Choose the most up-to-date active voter among `targets`, if any."""
+        eligible = set(targets) & set(self._state.voters) & self._progress.keys()
+        active = [v for v in sorted(eligible) if self.is_active(v, now_ms)]
         if active:
             self.transferee = max(active, key=self.match_of)
-            self._transfer_until_ms = now_ms + self._timings.election_max_ms
+            self._transfer_deadline_ms = now_ms + self._timings.election_max_ms
 
     def finish_transfer(self) -> bool:
-        """Tell the chosen voter to campaign once it holds the whole log."""
+        """Send TimeoutNow to the transferee once its log is complete.
+
+        Return whether it was sent.
+        """
         state = self._state
         last = state.log.last_index
         if not self.transferee or state.commit < last:
@@ -191,17 +195,17 @@
             self._replicate(replica, progress, now_ms)
         return first
 
-    def _align_progress(self) -> None:
-        """Track exactly the other members."""
-        self._confirmed_ms = _NEVER
-        others = self._state.others
+    def _update_progress(self) -> None:
+        """Track the progress of the current peers, and drop that of former ones."""
+        self._lease_start_ms = _NEVER
+        peers = self._state.peers
         next_index = self._state.log.last_index + 1
         self._progress = {
-            r: self._progress.get(r) or Progress(next_index) for r in others
+            r: self._progress.get(r) or Progress(next_index) for r in peers
         }
 
     def _replicate(self, replica: str, progress: Progress, now_ms: float) -> bool:
-        """Send what flow control allows, and tell whether anything was sent."""
+        """Send what flow control allows; return whether anything was sent."""
         log = self._state.log
         sent = False
         while progress.may_send() and progress.next <= log.last_index:
@@ -222,7 +226,8 @@
     def _send_heartbeat(self, replica: str, progress: Progress, now_ms: float) -> None:
         prev = progress.next - 1
         if progress.flow is not Flow.SNAPSHOT and self._is_compacted(prev):
-            # What was sent may have been lost, and can't be compared any more.
+            # Earlier appends may have been lost, and the log no longer holds the
+            # entry that a consistency check needs.
             progress.start_snapshot(self._state.log.snapshot)
         if progress.flow is Flow.SNAPSHOT:
             prev = 0
@@ -259,7 +264,7 @@
         self._state.send(chunk)
 
     def _quorum_acked_ms(self, now_ms: float) -> float:
-        """Return the time up to which a quorum answered this leader."""
+        """Return the latest send time that a quorum has acknowledged."""
         return self._quorum_value(
             lambda v: now_ms if v == self._state.replica else self._acked_ms(v)
         )
@@ -268,15 +273,15 @@
         progress = self._progress.get(replica)
         return progress.acked_ms if progress else _NEVER
 
-    def _quorum_value(self, value: Callable[[str], float]) -> float:
-        """Return the highest value that a quorum of the voters reaches."""
-        values = sorted((value(v) for v in self._state.voters), reverse=True)
+    def _quorum_value(self, value_of: Callable[[str], float]) -> float:
+        """Return the highest value that a quorum of voters has reached."""
+        values = sorted((value_of(v) for v in self._state.voters), reverse=True)
         return values[len(values) // 2] if values else _NEVER
 
     def _advance_commit(self) -> None:
         state = self._state
         index = int(self._quorum_value(self.match_of))
-        # Only entries of the own term are committed by counting; the earlier ones
-        # follow with them.
+        # Only entries of the current term are committed by counting replicas; those
+        # of earlier terms are committed along with them.
         if index > state.commit and state.log.term_at(index) == state.term:
             state.commit = index
--- a/bergamotdrift/raft_log.py
+++ b/bergamotdrift/raft_log.py
@@ -1,4 +1,4 @@
-"""Storage of the replicated log in one data folder."""
+"""Persistent storage of the Raft log, hard state and snapshot in a data folder."""
 
 import errno
 import fcntl
@@ -21,11 +21,11 @@
     SyncBatch,
 )
 
-_FORMAT = 1
-_LOCK = "lock"
-_IDENTITY = "identity"
-_LOG = "log"
-_SNAPSHOT = "snapshot"
+_FORMAT_VERSION = 1
+_LOCK_FILE = "lock"
+_IDENTITY_FILE = "identity"
+_LOG_FILE = "log"
+_SNAPSHOT_FILE = "snapshot"
 _DISK_FULL = frozenset({errno.ENOSPC, errno.EDQUOT})
 _T = TypeVar("_T")
 
@@ -36,8 +36,8 @@
     replica: str
 
 
-class _LogBase(NamedTuple):
-    """Open a log file: its replica and the snapshot that it follows."""
+class _LogHeader(NamedTuple):
+    """Identify the replica of a log file, and the snapshot before its first entry."""
 
     format: int
     replica: str
@@ -52,15 +52,15 @@
 
 
 class _LoggedBatch(NamedTuple):
-    """Hold what was synced together; entries replace those from `first` on."""
+    """Hold one synced batch; its entries overwrite the log from `first` on."""
 
     hard_state: HardState
     first: int
     entries: list[_LoggedEntry]
 
 
-class Loaded(NamedTuple):
-    """Hold what a data folder remembers; entries follow the snapshot."""
+class RecoveredState(NamedTuple):
+    """Hold the state recovered from a data folder; entries follow the snapshot."""
 
     hard_state: HardState
     snapshot: Snapshot
@@ -68,11 +68,12 @@
 
 
 class RaftLog:
-    """Keep identity, hard state, entries and snapshot of one replica.
+    """Store the identity, hard state, entries and snapshot of one replica.
 
-    All calls block on the disk. Every method raises StorageError; after a failed
-    write the log must not be used again, since the kernel may have dropped the
-    data. Only a DiskFullError leaves it as it was, so that the write can be repeated.
+    All calls block on disk I/O. Every method raises StorageError; after a failed
+    write the log must not be used again, since the kernel may have dropped dirty
+    pages. Only DiskFullError leaves the log unchanged, so that the write can be
+    retried.
     """
 
     def __init__(self, folder: str | Path, name: str):
@@ -81,15 +82,15 @@
         self._lock_fd = -1
         self._log_fd = -1
         self._log_bytes = 0
-        self._sequence = 0
+        self._next_sequence = 0
         self.replica = ""
 
-    def open(self) -> Loaded:
-        """Lock the folder and return what it remembers; draw an identity if empty."""
+    def open(self) -> RecoveredState:
+        """Lock the folder and recover its state; if empty, generate an identity."""
         try:
             self._folder.mkdir(parents=True, exist_ok=True)
             self._lock()
-            self._identify()
+            self._load_identity()
             return self._load()
         except OSError as exc:
             self.close()
@@ -99,7 +100,7 @@
             raise
 
     def write(self, batch: SyncBatch) -> None:
-        """Write a batch and sync it."""
+        """Append a batch to the log, or save its snapshot and rewrite the log."""
         try:
             if batch.snapshot is None:
                 self._append(batch.hard_state, batch.entries)
@@ -110,117 +111,131 @@
             raise StorageError(f"{self._folder}: {exc}") from exc
 
     def close(self) -> None:
-        """Release the folder."""
+        """Close the log file and unlock the folder."""
         for fd in (self._log_fd, self._lock_fd):
             if fd >= 0:
                 os.close(fd)
         self._log_fd = self._lock_fd = -1
 
     def _lock(self) -> None:
-        fd = os.open(self._folder / _LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        fd = os.open(
+            self._folder / _LOCK_FILE, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600
+        )
         try:
             fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             os.close(fd)
-            raise StorageError(f"{self._folder} is used by another process") from None
+            raise StorageError(f"{self._folder} is locked by another process") from None
         self._lock_fd = fd
 
-    def _identify(self) -> None:
-        path = self._folder / _IDENTITY
+    def _load_identity(self) -> None:
+        path = self._folder / _IDENTITY_FILE
         if not path.exists():
-            self._create()
+            self._create_identity()
             return
-        if not (self._folder / _LOG).exists():
-            raise StorageError(f"{self._folder} has an identity, but no log")
+        if not (self._folder / _LOG_FILE).exists():
+            raise StorageError(f"{self._folder} contains an identity file but no log")
         identity = _decode(_read_single(path), _Identity, path)
-        if identity.format != _FORMAT:
-            raise StorageError(f"{path} has the unknown format {identity.format}")
+        if identity.format != _FORMAT_VERSION:
+            raise StorageError(
+                f"{path} has unsupported format version {identity.format}"
+            )
         if identity.name != self._name:
             raise StorageError(f"{path} belongs to replica {identity.name!r}")
         self.replica = identity.replica
 
-    def _create(self) -> None:
-        """Draw an identity; a log with nothing but its base is left by a crash."""
-        if (self._folder / _SNAPSHOT).exists() or self._log_has_batches():
-            raise StorageError(f"{self._folder} has data, but no identity")
+    def _create_identity(self) -> None:
+        """Generate an identity and create the log file.
+
+        A log that contains only its header is left by a crash before the identity
+        file was written, and is overwritten.
+        """
+        if (self._folder / _SNAPSHOT_FILE).exists() or self._log_has_batches():
+            raise StorageError(f"{self._folder} contains data but no identity file")
         self.replica = f"{self._name}-{secrets.token_hex(8)}"
-        base = _LogBase(_FORMAT, self.replica, 0, 0)
-        self._replace(_LOG, raft_records.frame(0, msgspec.msgpack.encode(base)))
-        identity = _Identity(_FORMAT, self._name, self.replica)
-        self._replace(
-            _IDENTITY, raft_records.frame(0, msgspec.msgpack.encode(identity))
+        header = _LogHeader(_FORMAT_VERSION, self.replica, 0, 0)
+        self._replace_file(
+            _LOG_FILE, raft_records.frame(0, msgspec.msgpack.encode(header))
+        )
+        identity = _Identity(_FORMAT_VERSION, self._name, self.replica)
+        self._replace_file(
+            _IDENTITY_FILE, raft_records.frame(0, msgspec.msgpack.encode(identity))
         )
 
     def _log_has_batches(self) -> bool:
-        path = self._folder / _LOG
+        path = self._folder / _LOG_FILE
         if not path.exists():
             return False
         return len(raft_records.scan(path.read_bytes(), str(path)).payloads) > 1
 
-    def _load(self) -> Loaded:
+    def _load(self) -> RecoveredState:
         snapshot = self._load_snapshot()
-        path = self._folder / _LOG
+        path = self._folder / _LOG_FILE
         data = path.read_bytes()
-        found = raft_records.scan(data, str(path))
-        if not found.payloads:
-            raise StorageError(f"{path} has no base record")
-        base = _decode(found.payloads[0], _LogBase, path)
-        if base.format != _FORMAT or base.replica != self.replica:
-            raise StorageError(f"{path} has a foreign base record")
-        if base.snapshot_index > snapshot.log_index:
-            raise StorageError(f"{path} follows a snapshot that is missing")
-        batches = [_decode(p, _LoggedBatch, path) for p in found.payloads[1:]]
-        self._open_log(found.end, len(data), len(found.payloads))
-        return _replay(base, snapshot, batches, path)
+        scanned = raft_records.scan(data, str(path))
+        if not scanned.payloads:
+            raise StorageError(f"{path} has no header record")
+        header = _decode(scanned.payloads[0], _LogHeader, path)
+        if header.format != _FORMAT_VERSION or header.replica != self.replica:
+            raise StorageError(f"{path} has a header of another format or replica")
+        if header.snapshot_index > snapshot.log_index:
+            raise StorageError(f"{path} starts after a snapshot that is missing")
+        batches = [_decode(p, _LoggedBatch, path) for p in scanned.payloads[1:]]
+        self._open_log(scanned.end, len(data), len(scanned.payloads))
+        return _replay(header, snapshot, batches, path)
 
     def _load_snapshot(self) -> Snapshot:
-        path = self._folder / _SNAPSHOT
+        path = self._folder / _SNAPSHOT_FILE
         if not path.exists():
             return EMPTY_SNAPSHOT
         return _decode(_read_single(path), Snapshot, path)
 
     def _open_log(self, end: int, size: int, count: int) -> None:
         flags = os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC
-        self._log_fd = os.open(self._folder / _LOG, flags)
+        self._log_fd = os.open(self._folder / _LOG_FILE, flags)
         self._log_bytes = end
-        self._sequence = count
+        self._next_sequence = count
         if end < size:
             os.ftruncate(self._log_fd, end)
             os.fsync(self._log_fd)
 
-    def _append(self, hard: HardState, entries: list[Entry]) -> None:
-        payload = msgspec.msgpack.encode(_logged(hard, entries))
-        record = raft_records.frame(self._sequence, payload)
+    def _append(self, hard_state: HardState, entries: list[Entry]) -> None:
+        payload = msgspec.msgpack.encode(_to_logged_batch(hard_state, entries))
+        record = raft_records.frame(self._next_sequence, payload)
         try:
             _write_all(self._log_fd, record)
         except OSError as exc:
-            _require_disk_full(exc)
-            # What was written of the record would hide the next one.
+            _reraise_unless_disk_full(exc)
+            # A partial record would make the next one unreadable.
             os.ftruncate(self._log_fd, self._log_bytes)
             raise DiskFullError(f"{self._folder}: {exc}") from exc
         os.fsync(self._log_fd)
         self._log_bytes += len(record)
-        self._sequence += 1
+        self._next_sequence += 1
 
     def _write_snapshot(self, snapshot: Snapshot) -> None:
         payload = msgspec.msgpack.encode(snapshot)
-        self._replace(_SNAPSHOT, raft_records.frame(0, payload))
+        self._replace_file(_SNAPSHOT_FILE, raft_records.frame(0, payload))
 
     def _rewrite_log(
-        self, hard: HardState, snapshot: Snapshot, entries: list[Entry]
+        self, hard_state: HardState, snapshot: Snapshot, entries: list[Entry]
     ) -> None:
-        base = _LogBase(_FORMAT, self.replica, snapshot.log_index, snapshot.term)
+        header = _LogHeader(
+            _FORMAT_VERSION, self.replica, snapshot.log_index, snapshot.term
+        )
         records = [
-            raft_records.frame(0, msgspec.msgpack.encode(base)),
-            raft_records.frame(1, msgspec.msgpack.encode(_logged(hard, entries))),
+            raft_records.frame(0, msgspec.msgpack.encode(header)),
+            raft_records.frame(
+                1, msgspec.msgpack.encode(_to_logged_batch(hard_state, entries))
+            ),
         ]
         data = b"".join(records)
-        self._replace(_LOG, data)
+        self._replace_file(_LOG_FILE, data)
         os.close(self._log_fd)
         self._open_log(len(data), len(data), len(records))
 
-    def _replace(self, name: str, data: bytes) -> None:
-        """Put a file into place whole or not at all."""
+    def _replace_file(self, name: str, data: bytes) -> None:
+        """Replace a file atomically."""
         temporary = self._folder / f"{name}.tmp"
         try:
             fd = os.open(
@@ -232,46 +247,52 @@
             finally:
                 os.close(fd)
         except OSError as exc:
-            _require_disk_full(exc)
+            _reraise_unless_disk_full(exc)
             temporary.unlink(missing_ok=True)
             raise DiskFullError(f"{temporary}: {exc}") from exc
         temporary.rename(self._folder / name)
-        _sync_folder(self._folder)
+        _fsync_directory(self._folder)
 
 
-def _logged(hard: HardState, entries: list[Entry]) -> _LoggedBatch:
+def _to_logged_batch(hard_state: HardState, entries: list[Entry]) -> _LoggedBatch:
     first = entries[0].log_index if entries else 0
     logged = [_LoggedEntry(e.term, e.kind, e.data) for e in entries]
-    return _LoggedBatch(hard, first, logged)
+    return _LoggedBatch(hard_state, first, logged)
 
 
 def _replay(
-    base: _LogBase, snapshot: Snapshot, batches: list[_LoggedBatch], path: Path
-) -> Loaded:
-    """Return the state after all batches, with the entries after the snapshot."""
-    hard = EMPTY_HARD_STATE
-    first = base.snapshot_index + 1
+    header: _LogHeader, snapshot: Snapshot, batches: list[_LoggedBatch], path: Path
+) -> RecoveredState:
+    """Replay all batches and return the resulting state."""
+    hard_state = EMPTY_HARD_STATE
+    first = header.snapshot_index + 1
     entries: list[Entry] = []
     for batch in batches:
-        hard = batch.hard_state
+        hard_state = batch.hard_state
         if not batch.entries:
             continue
         kept = batch.first - first
         if not 0 <= kept <= len(entries):
-            raise StorageError(f"{path} has a gap before entry {batch.first}")
+            raise StorageError(f"{path} has missing entries before {batch.first}")
         del entries[kept:]
         entries.extend(
             Entry(batch.first + number, *logged)
             for number, logged in enumerate(batch.entries)
         )
-    return Loaded(hard, snapshot, _after_snapshot(base, snapshot, entries))
+    return RecoveredState(
+        hard_state, snapshot, _after_snapshot(header, snapshot, entries)
+    )
 
 
 def _after_snapshot(
-    base: _LogBase, snapshot: Snapshot, entries: list[Entry]
+    header: _LogHeader, snapshot: Snapshot, entries: list[Entry]
 ) -> list[Entry]:
-    """Return the entries that continue a snapshot saved after the log's base."""
-    skipped = snapshot.log_index - base.snapshot_index
+    """Return the entries that follow a snapshot newer than the log's header.
+
+    A crash between saving a snapshot and rewriting the log leaves such a pair. If the
+    log conflicts with the snapshot, none of its entries is returned.
+    """
+    skipped = snapshot.log_index - header.snapshot_index
     if skipped == 0:
         return entries
     if len(entries) < skipped or entries[skipped - 1].term != snapshot.term:
@@ -287,10 +308,10 @@
 
 
 def _read_single(path: Path) -> bytes:
-    found = raft_records.scan(path.read_bytes(), str(path))
-    if len(found.payloads) != 1:
-        raise StorageError(f"{path} is damaged")
-    return found.payloads[0]
+    scanned = raft_records.scan(path.read_bytes(), str(path))
+    if len(scanned.payloads) != 1:
+        raise StorageError(f"{path} is corrupt: it must contain one complete record")
+    return scanned.payloads[0]
 
 
 def _write_all(fd: int, data: bytes) -> None:
@@ -299,13 +320,13 @@
         view = view[os.write(fd, view) :]
 
 
-def _require_disk_full(exc: OSError) -> None:
-    """Raise any other error than that of a full disk."""
+def _reraise_unless_disk_full(exc: OSError) -> None:
+    """Re-raise an error unless it reports a full disk or an exceeded quota."""
     if exc.errno not in _DISK_FULL:
         raise exc
 
 
-def _sync_folder(folder: Path) -> None:
+def _fsync_directory(folder: Path) -> None:
     fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
     try:
         os.fsync(fd)
--- a/bergamotdrift/raft_memory.py
+++ b/bergamotdrift/raft_memory.py
@@ -1,4 +1,4 @@
-"""The part of the replicated log that is held in memory."""
+"""In-memory log: the latest snapshot and the entries that are not compacted."""
 
 from typing import NamedTuple
 
@@ -19,8 +19,8 @@
 class MemoryLog:
     """Hold the latest snapshot and the entries after it.
 
-    A compaction may keep some entries before the snapshot's end, so that a
-    replica that lags a little needs no snapshot.
+    A compaction may keep some entries before the snapshot index, so that a follower
+    that is slightly behind does not need a snapshot.
     """
 
     def __init__(self, snapshot: Snapshot, entries: list[Entry]):
@@ -40,20 +40,20 @@
 
     @property
     def members(self) -> list[Member]:
-        """Return the members in force, committed or not."""
+        """Return the members in the latest configuration, committed or not."""
         return self._members[-1].members
 
     @property
     def members_index(self) -> int:
-        """Return the index at which the members in force were set."""
+        """Return the index of the latest configuration."""
         return self._members[-1].log_index
 
     def members_at(self, index: int) -> list[Member]:
-        """Return the members as of an index not before the snapshot."""
+        """Return the members as of an index, which must not precede the snapshot."""
         return next(m.members for m in reversed(self._members) if m.log_index <= index)
 
     def term_at(self, index: int) -> int | None:
-        """Return the term of an index, or None if it isn't held."""
+        """Return the term at an index, or None if the log does not contain it."""
         if index == self._base_index:
             return self._base_term
         if not self._base_index < index <= self.last_index:
@@ -61,45 +61,50 @@
         return self._entries[index - self._base_index - 1].term
 
     def entries_from(self, index: int, count: int, size: int) -> list[Entry]:
-        """Return entries from an index, at least one, up to a count and size."""
+        """Return the entries from an index on, limited by count and size in bytes.
+
+        The first entry is returned whatever its size.
+        """
         start = max(0, index - self._base_index - 1)
-        found = self._entries[start : start + count]
+        selected = self._entries[start : start + count]
         total = 0
-        for number, entry in enumerate(found):
+        for number, entry in enumerate(selected):
             total += len(entry.data)
             if number > 0 and total > size:
-                return found[:number]
-        return found
+                return selected[:number]
+        return selected
 
-    def all_after(self, index: int) -> list[Entry]:
+    def entries_after(self, index: int) -> list[Entry]:
         """Return all entries after an index."""
         return self._entries[max(0, index - self._base_index) :]
 
     def first_of_term(self, index: int) -> int:
-        """Return the first held index with the same term as an index."""
+        """Return the first index in the log of the term at an index."""
         term = self.term_at(index)
         while index > self._base_index + 1 and self.term_at(index - 1) == term:
             index -= 1
         return index
 
     def append(self, entries: list[Entry]) -> None:
-        """Add entries that follow the last one."""
+        """Append entries that follow the last one; raise ValueError on a gap."""
         for entry in entries:
             if entry.log_index != self.last_index + 1:
-                raise ValueError(f"entry {entry.log_index} follows {self.last_index}")
+                raise ValueError(
+                    f"entry {entry.log_index} can't follow {self.last_index}"
+                )
             if entry.kind is EntryKind.MEMBERS:
                 members = decode_members(entry.data)
                 self._members.append(_MembersAt(entry.log_index, members))
             self._entries.append(entry)
 
     def truncate(self, index: int) -> None:
-        """Remove the entries from an index on."""
+        """Remove all entries from an index on."""
         del self._entries[index - self._base_index - 1 :]
         while len(self._members) > 1 and self._members[-1].log_index >= index:
             self._members.pop()
 
     def install(self, snapshot: Snapshot) -> None:
-        """Replace everything by a snapshot."""
+        """Replace the whole log by a snapshot."""
         self.snapshot = snapshot
         self._base_index = snapshot.log_index
         self._base_term = snapshot.term
@@ -107,7 +112,7 @@
         self._members = [_MembersAt(snapshot.log_index, snapshot.members)]
 
     def compact(self, snapshot: Snapshot, keep: int) -> None:
-        """Store a snapshot and keep that many entries before its end."""
+        """Store a snapshot and discard all but `keep` entries up to its index."""
         base = max(self._base_index, snapshot.log_index - keep)
         base_term = self.term_at(base)
         assert base_term is not None
--- a/bergamotdrift/raft_messages.py
+++ b/bergamotdrift/raft_messages.py
@@ -1,4 +1,4 @@
-"""Data and messages of the replicated log."""
+"""Messages and data types of the Raft protocol."""
 
 from enum import IntEnum
 from typing import NamedTuple
@@ -12,7 +12,7 @@
 
 
 class EntryKind(IntEnum):
-    """Tell what a log entry holds."""
+    """Enumerate the kinds of log entry."""
 
     NOOP = 0
     COMMAND = 1
@@ -20,7 +20,7 @@
 
 
 class Entry(NamedTuple):
-    """Hold one entry of the log."""
+    """Represent one log entry."""
 
     log_index: int
     term: int
@@ -29,7 +29,7 @@
 
 
 class Member(NamedTuple):
-    """Describe a replica: its identity, its name, stream address and vote."""
+    """Describe a member: identity, name, stream address, and whether it votes."""
 
     replica: str
     name: str
@@ -39,13 +39,13 @@
 
 @message
 class Configuration(NamedTuple):
-    """Hold all members of the group; it is in force once it is in the log."""
+    """List all members of the group; it takes effect once appended to the log."""
 
     members: list[Member]
 
 
 class Snapshot(NamedTuple):
-    """Hold the state up to an index; index 0 stands for the empty state."""
+    """Hold the applied state and members at an index; index 0 is the empty state."""
 
     log_index: int
     term: int
@@ -57,9 +57,10 @@
 
 
 class HardState(NamedTuple):
-    """Hold what must be synced before an answer depends on it.
+    """Hold the persistent state that must be synced before a reply depends on it.
 
-    `commit` only spares work after a restart. `group` is drawn at bootstrap.
+    `commit` is only an optimisation that speeds up a restart. `group` is generated at
+    bootstrap.
     """
 
     term: int
@@ -72,7 +73,7 @@
 
 
 class Head(NamedTuple):
-    """Open each message between replicas; `to` and `sender` are identities."""
+    """Address a message between replicas; `to` and `sender` are identities."""
 
     group: str
     sender: str
@@ -82,7 +83,7 @@
 
 @message
 class PreVoteRequest(NamedTuple):
-    """Ask whether a vote at the head's term would be granted."""
+    """Ask whether a vote in the head's term would be granted."""
 
     head: Head
     last_index: int
@@ -91,7 +92,7 @@
 
 @message
 class PreVoteReply(NamedTuple):
-    """Answer a pre-vote; the head's term is the asked one if granted."""
+    """Answer a pre-vote request; if granted, the head has the requested term."""
 
     head: Head
     granted: bool
@@ -99,7 +100,7 @@
 
 @message
 class VoteRequest(NamedTuple):
-    """Ask for a vote; `transfer` is set if the leader itself gave way."""
+    """Ask for a vote; `transfer` is set if the leader transferred leadership."""
 
     head: Head
     last_index: int
@@ -109,7 +110,7 @@
 
 @message
 class VoteReply(NamedTuple):
-    """Answer a vote request after the vote was synced."""
+    """Answer a vote request; sent once the vote is synced."""
 
     head: Head
     granted: bool
@@ -117,7 +118,7 @@
 
 @message
 class AppendEntries(NamedTuple):
-    """Replicate entries after `prev_index`; without entries it is a heartbeat."""
+    """Replicate the entries after `prev_index`; a heartbeat has no entries."""
 
     head: Head
     sent_ms: float
@@ -129,9 +130,10 @@
 
 @message
 class AppendReply(NamedTuple):
-    """Confirm synced entries up to `match`, or reject with the last usable index.
+    """Acknowledge synced entries up to `match`, or reject with a hint in `match`.
 
-    `sent_ms` repeats the leader's own time, from which its lease is counted.
+    The hint is the last index at which the logs may match. `sent_ms` echoes the
+    leader's clock at the time of the request, from which its lease is counted.
     """
 
     head: Head
@@ -143,7 +145,7 @@
 
 @message
 class SnapshotChunk(NamedTuple):
-    """Carry a part of a snapshot; parts are asked for one after another."""
+    """Carry a chunk of a snapshot; the follower requests chunks one at a time."""
 
     head: Head
     sent_ms: float
@@ -157,7 +159,7 @@
 
 @message
 class SnapshotReply(NamedTuple):
-    """Ask for the part of a snapshot that begins at `offset`."""
+    """Request the chunk of a snapshot that starts at `offset`."""
 
     head: Head
     sent_ms: float
@@ -167,21 +169,21 @@
 
 @message
 class TimeoutNow(NamedTuple):
-    """Hand leadership over: the receiver campaigns at once."""
+    """Transfer leadership: the receiver campaigns immediately."""
 
     head: Head
 
 
 @message
 class TransferRequest(NamedTuple):
-    """Ask the leader to hand leadership over to the sender."""
+    """Ask the leader to transfer leadership to the sender."""
 
     head: Head
 
 
 @message
 class JoinRequest(NamedTuple):
-    """Ask the leader to add a replica as a learner, or to note its new address."""
+    """Ask the leader to add a replica as a learner, or to update its address."""
 
     replica: str
     name: str
@@ -190,7 +192,7 @@
 
 @message
 class JoinReply(NamedTuple):
-    """Answer a join request; a replier outside any group has an empty `group`."""
+    """Answer a join request; `group` is empty if the replier belongs to no group."""
 
     replica: str
     name: str
@@ -224,10 +226,10 @@
 
 
 class SyncBatch(NamedTuple):
-    """Hold what must be synced together, and the messages that depend on it.
+    """Hold state to be synced together, and the messages that must wait for it.
 
-    With a snapshot, `entries` are all entries after it, else those that replace
-    the log from the first one's index on.
+    With a snapshot, `entries` are all entries after it. Otherwise they overwrite the
+    log from the index of the first one. `changed` is unset if there is nothing to sync.
     """
 
     hard_state: HardState
@@ -238,7 +240,7 @@
 
 
 class Ready(NamedTuple):
-    """Hold what the caller must do: send, sync, restore and apply."""
+    """Hold the caller's pending work: send, sync, restore a snapshot, and apply."""
 
     messages: list[RaftMessage]
     batch: SyncBatch | None
@@ -247,7 +249,7 @@
 
 
 class RaftTimings(NamedTuple):
-    """Hold the time bounds of the group in milliseconds."""
+    """Hold the protocol timings in milliseconds."""
 
     heartbeat_ms: float
     election_min_ms: float
@@ -256,23 +258,23 @@
 
 
 def encode_members(members: list[Member]) -> bytes:
-    """Return members as the data of a log entry."""
+    """Encode members as the data of a log entry."""
     return encode(Configuration(members))
 
 
 def decode_members(data: bytes) -> list[Member]:
-    """Return the members held by a log entry, or raise ProtocolError."""
+    """Decode the members in a log entry's data; raise ProtocolError if invalid."""
     cfg = decode(data)
     if not isinstance(cfg, Configuration):
-        raise ProtocolError("the entry holds no members")
+        raise ProtocolError("log entry does not contain a member configuration")
     return cfg.members
 
 
 def voters_of(members: list[Member]) -> list[str]:
-    """Return the identities of the members that vote."""
+    """Return the identities of the voters among the members."""
     return [m.replica for m in members if m.voter]
 
 
 def has_quorum(voters: list[str], agreeing: set[str]) -> bool:
-    """Tell whether more than half of the voters agree."""
+    """Return whether more than half of the voters agree."""
     return sum(v in agreeing for v in voters) > len(voters) // 2
--- a/bergamotdrift/raft_progress.py
+++ b/bergamotdrift/raft_progress.py
@@ -1,4 +1,4 @@
-"""What the leader knows about one other replica, and its flow control."""
+"""Replication progress and flow control of one follower, as seen by the leader."""
 
 from collections import deque
 from enum import Enum
@@ -13,7 +13,7 @@
 
 
 class Flow(Enum):
-    """Name how entries are sent to a replica."""
+    """Enumerate the replication states: probing, pipelining, sending a snapshot."""
 
     PROBE = "probe"
     STREAM = "stream"
@@ -21,53 +21,53 @@
 
 
 class Progress:
-    """Track how far a replica's log matches, and what is on the way to it."""
+    """Track the match and next index of a follower, and its appends in flight."""
 
     def __init__(self, next_index: int):
         self.match = 0
         self.next = next_index
         self.flow = Flow.PROBE
-        # The leader's time at which the latest answered message was sent.
+        # Send time, by the leader's clock, of the latest message that was answered.
         self.acked_ms = float("-inf")
         self.snapshot: Snapshot | None = None
         self.offset = 0
         self.chunk_sent_ms = float("-inf")
-        self._probing = False
+        self._probe_sent = False
         self._in_flight: deque[int] = deque()
 
     def may_send(self) -> bool:
-        """Tell whether an append with entries may be sent now."""
+        """Return whether an append with entries may be sent now."""
         if self.flow is Flow.PROBE:
-            return not self._probing
+            return not self._probe_sent
         if self.flow is Flow.STREAM:
             return len(self._in_flight) < MAX_APPENDS_IN_FLIGHT
         return False
 
     def is_chunk_due(self, now_ms: float) -> bool:
-        """Tell whether a part of a snapshot should be sent, perhaps again."""
+        """Return whether a snapshot chunk should be sent or resent."""
         if self.flow is not Flow.SNAPSHOT:
             return False
         return now_ms >= self.chunk_sent_ms + SNAPSHOT_RESEND_MS
 
     def on_sent(self, last_index: int) -> None:
-        """Note an append that ends at an index."""
+        """Record an append that was sent and ends at `last_index`."""
         if self.flow is Flow.PROBE:
-            self._probing = True
+            self._probe_sent = True
             return
         self.next = last_index + 1
         self._in_flight.append(last_index)
 
     def on_heartbeat(self) -> None:
-        """Allow the next probe, since the last one may have been lost."""
-        self._probing = False
+        """Allow another probe, since the last one may have been lost."""
+        self._probe_sent = False
 
-    def on_answer(self, sent_ms: float, now_ms: float) -> None:
-        """Note that the replica answered a message sent at that time."""
+    def on_reply(self, sent_ms: float, now_ms: float) -> None:
+        """Record a reply to a message that was sent at `sent_ms`."""
         if sent_ms <= now_ms:
             self.acked_ms = max(self.acked_ms, sent_ms)
 
     def on_match(self, match: int) -> None:
-        """Note that the replica has synced the log up to an index."""
+        """Record that the follower has synced the log up to `match`."""
         if self.flow is Flow.SNAPSHOT:
             if self.snapshot is not None and match < self.snapshot.log_index:
                 return
@@ -80,19 +80,19 @@
         while self._in_flight and self._in_flight[0] <= match:
             self._in_flight.popleft()
 
-    def on_reject(self, prev_index: int, usable: int) -> None:
-        """Step back after a rejected append, unless the answer is outdated."""
+    def on_reject(self, prev_index: int, hint: int) -> None:
+        """Move the next index back after a rejected append; ignore stale replies."""
         if self.flow is Flow.SNAPSHOT or prev_index <= self.match:
             return
         if self.flow is Flow.PROBE and prev_index != self.next - 1:
             return
         self.flow = Flow.PROBE
-        self._probing = False
+        self._probe_sent = False
         self._in_flight.clear()
-        self.next = max(self.match + 1, min(prev_index, usable + 1))
+        self.next = max(self.match + 1, min(prev_index, hint + 1))
 
     def start_snapshot(self, snapshot: Snapshot) -> None:
-        """Switch to sending a snapshot from its beginning."""
+        """Switch to sending a snapshot, starting at offset 0."""
         self.flow = Flow.SNAPSHOT
         self.snapshot = snapshot
         self.offset = 0
@@ -102,5 +102,5 @@
     def _start_stream(self) -> None:
         self.flow = Flow.STREAM
         self.next = self.match + 1
-        self._probing = False
+        self._probe_sent = False
         self._in_flight.clear()
--- a/bergamotdrift/tests/raft_simulation.py
+++ b/bergamotdrift/tests/raft_simulation.py
@@ -1,6 +1,6 @@
-"""Seeded schedules of faults over the pure replicated log, with checked invariants.
+"""Deterministic simulation of a Raft group under faults, with checked invariants.
 
-One `random.Random` drives everything, so that a seed repeats a run exactly.
+All randomness comes from one `random.Random`, so that a seed reproduces a run exactly.
 """
 
 import heapq
@@ -25,34 +25,34 @@
 COMPACT_ENTRIES = 40
 
 
-class Violation(AssertionError):
-    """Reports a broken invariant."""
+class InvariantViolation(AssertionError):
+    """Raised when an invariant is violated."""
 
 
 class Disk:
-    """Holds what was synced; a crash loses everything else."""
+    """Simulated disk that keeps synced state across a crash."""
 
     def __init__(self, replica):
         self.replica = replica
-        self.hard = EMPTY_HARD_STATE
+        self.synced_hard_state = EMPTY_HARD_STATE
         self.snapshot = EMPTY_SNAPSHOT
         self.entries = []
 
     def write(self, batch):
-        self.hard = batch.hard_state
+        self.synced_hard_state = batch.hard_state
         if batch.snapshot is not None:
             self.snapshot = batch.snapshot
             self.entries = list(batch.entries)
         elif batch.entries:
             kept = batch.entries[0].log_index - self.snapshot.log_index - 1
             if not 0 <= kept <= len(self.entries):
-                raise Violation("a batch leaves a gap on disk")
+                raise InvariantViolation("batch does not continue the log on disk")
             del self.entries[kept:]
             self.entries.extend(batch.entries)
 
 
 class Checker:
-    """Checks what must hold between all replicas at all times."""
+    """Checks the invariants that must hold across all replicas at all times."""
 
     def __init__(self):
         self.leaders = {}
@@ -60,8 +60,8 @@
         self.committed = {}
         self.acknowledged = {}
 
-    def note_entries(self, node, entries):
-        """Log matching: index and term determine the entry and all before it."""
+    def check_entries(self, node, entries):
+        """Check log matching: equal index and term imply equal logs up to there."""
         log = node.raft.state.log
         for entry in entries:
             previous = log.term_at(entry.log_index - 1)
@@ -70,40 +70,42 @@
             key = (entry.log_index, entry.term)
             known = self.entries.setdefault(key, (entry, previous))
             if known != (entry, previous):
-                raise Violation(f"log matching broken at {key}")
+                raise InvariantViolation(f"log matching violated at {key}")
 
-    def note_leader(self, node):
-        """One leader per term, which holds all that was committed."""
+    def check_leader(self, node):
+        """Check that each term has one leader, which has all committed entries."""
         state = node.raft.state
         known = self.leaders.setdefault(state.term, node.disk.replica)
         if known != node.disk.replica:
-            raise Violation(f"two leaders in term {state.term}")
+            raise InvariantViolation(f"two leaders in term {state.term}")
         if self.committed and state.log.last_index < max(self.committed):
-            raise Violation(f"the leader of term {state.term} lacks committed entries")
+            raise InvariantViolation(
+                f"the leader of term {state.term} lacks committed entries"
+            )
 
-    def note_applied(self, node, entry):
-        """No committed entry ever differs between replicas or over time."""
+    def check_applied(self, node, entry):
+        """Check that replicas apply the same entries, and each command only once."""
         known = self.committed.setdefault(entry.log_index, entry)
         if known != entry:
-            raise Violation(f"two entries committed at {entry.log_index}")
-        if entry.kind is EntryKind.COMMAND and entry.data in node.machine_set:
-            raise Violation(f"{entry.data!r} was applied twice")
+            raise InvariantViolation(f"different entries applied at {entry.log_index}")
+        if entry.kind is EntryKind.COMMAND and entry.data in node.applied_command_set:
+            raise InvariantViolation(f"{entry.data!r} was applied twice")
 
-    def note_acknowledged(self, command, index):
+    def record_acknowledged(self, command, index):
         self.acknowledged[command] = index
 
     def check_reads(self, nodes, now_ms):
-        """Only one replica may serve, and it has applied all acknowledged changes."""
+        """Check that at most one replica serves, with all acknowledged commands."""
         serving = [n for n in nodes if n.serves()]
         if len(serving) > 1:
-            raise Violation(f"{len(serving)} replicas serve at {now_ms} ms")
+            raise InvariantViolation(f"{len(serving)} replicas serve at {now_ms} ms")
         newest = max(self.acknowledged.values(), default=0)
         if serving and serving[0].applied < newest:
-            raise Violation(f"old state is served at {now_ms} ms")
+            raise InvariantViolation(f"stale state is served at {now_ms} ms")
 
 
 class SimNode:
-    """One VM: a disk and, while it runs, a replica."""
+    """Simulated VM with a disk and, while it runs, a replica."""
 
     raft_class = Raft
     disk_class = Disk
@@ -111,7 +113,7 @@
     def __init__(self, sim, name):
         self.sim = sim
         self.name = name
-        # Within the drift that the lease's margin must cover.
+        # Stays within the clock drift that the lease's drift margin must cover.
         self.clock_rate = sim.rng.uniform(0.95, 1.05)
         self.clock_offset = sim.rng.uniform(0, 1e6)
         self.incarnations = itertools.count(1)
@@ -131,17 +133,17 @@
         disk = self.disk
         self.raft = self.raft_class(
             disk.replica,
-            disk.hard,
+            disk.synced_hard_state,
             MemoryLog(disk.snapshot, list(disk.entries)),
             self.sim.rng,
             self.now_ms(),
         )
         self.membership = Membership(self.raft, self.sim.allowed, self.name)
-        self.contact = Contact(self.raft, self.name, self.now_ms())
-        self.machine = []
-        self.machine_set = set()
+        self.join_monitor = Contact(self.raft, self.name, self.now_ms())
+        self.applied_commands = []
+        self.applied_command_set = set()
         self.applied = 0
-        self.waiting = {}
+        self.pending_proposals = {}
         self.restore(disk.snapshot)
         self.batch = None
         self.synced_ms = 0.0
@@ -152,23 +154,23 @@
     def crash(self):
         self.running = False
         self.batch = None
-        self.waiting = {}
+        self.pending_proposals = {}
 
     def log(self):
-        """Return the log, as far as it survives."""
+        """Return the replica's log, or the synced log if it is not running."""
         if self.running:
             return self.raft.state.log
         return MemoryLog(self.disk.snapshot, list(self.disk.entries))
 
     def serves(self):
-        """A paused replica does not answer, so it serves nothing either."""
+        """Return whether the replica may serve; a paused one replies to nothing."""
         return self.is_awake() and self.raft.is_confirmed_leader(self.now_ms())
 
     def is_awake(self):
         return self.running and self.sim.now_ms >= self.paused_until
 
     def campaign_at(self, at_ms):
-        """Let the replica time out at a true time."""
+        """Set the election timeout to a time of the simulation's clock."""
         delay_ms = (at_ms - self.sim.now_ms) * self.clock_rate
         self.raft._election.deadline_ms = self.now_ms() + delay_ms
 
@@ -177,10 +179,10 @@
         if first is None:
             return
         for number, command in enumerate(commands):
-            self.waiting[first + number] = (self.raft.state.term, command)
+            self.pending_proposals[first + number] = (self.raft.state.term, command)
 
-    def turn(self):
-        """Do what `Replica` does in one turn of its loop."""
+    def run_iteration(self):
+        """Run one iteration of the event loop in `Replica`."""
         now = self.now_ms()
         inbox, self.inbox = self.inbox, []
         for msg in inbox:
@@ -192,10 +194,10 @@
         self.raft.tick(now)
         self.membership.set_allowed(self.sim.allowed)
         self.membership.step(now)
-        self.handle_ready()
+        self.process_ready()
         is_leader = self.raft.leadership is not None
         if is_leader and not self.was_leader:
-            self.sim.checker.note_leader(self)
+            self.sim.checker.check_leader(self)
         self.was_leader = is_leader
 
     def receive(self, msg, now):
@@ -204,48 +206,56 @@
         else:
             self.raft.step(msg, now)
 
-    def handle_ready(self):
+    def process_ready(self):
         ready = self.raft.take_ready()
         for msg in ready.messages:
             self.sim.send(self.name, msg)
         if ready.batch is not None:
-            self.sim.checker.note_entries(self, ready.batch.entries)
+            self.sim.checker.check_entries(self, ready.batch.entries)
             self.start_sync(ready.batch)
         if ready.restore is not None:
             self.restore(ready.restore)
         for entry in ready.committed:
             self.apply(entry)
         if self.applied - self.raft.state.log.snapshot.log_index >= COMPACT_ENTRIES:
-            data = messages.msgpack.packb(self.machine)
+            data = messages.msgpack.packb(self.applied_commands)
             self.raft.compact(self.applied, data, self.sim.rng.choice((0, 10)))
 
     def start_sync(self, batch):
         self.batch = batch
         slow = self.sim.rng.random() < 0.01
-        spent = self.sim.rng.uniform(50, 400) if slow else self.sim.rng.uniform(0, 15)
-        self.synced_ms = self.sim.now_ms + (spent if batch.changed else 0.0)
+        duration_ms = (
+            self.sim.rng.uniform(50, 400) if slow else self.sim.rng.uniform(0, 15)
+        )
+        self.synced_ms = self.sim.now_ms + (duration_ms if batch.changed else 0.0)
 
     def restore(self, snapshot):
-        self.machine = messages.msgpack.unpackb(snapshot.data) if snapshot.data else []
-        self.machine_set = set(self.machine)
+        self.applied_commands = (
+            messages.msgpack.unpackb(snapshot.data) if snapshot.data else []
+        )
+        self.applied_command_set = set(self.applied_commands)
         self.applied = snapshot.log_index
-        self.waiting = {i: w for i, w in self.waiting.items() if i > self.applied}
+        self.pending_proposals = {
+            i: w for i, w in self.pending_proposals.items() if i > self.applied
+        }
 
     def apply(self, entry):
         if entry.log_index != self.applied + 1:
-            raise Violation(f"{entry.log_index} is applied after {self.applied}")
-        self.sim.checker.note_applied(self, entry)
+            raise InvariantViolation(
+                f"{entry.log_index} was applied after {self.applied}"
+            )
+        self.sim.checker.check_applied(self, entry)
         self.applied = entry.log_index
         if entry.kind is EntryKind.COMMAND:
-            self.machine.append(entry.data)
-            self.machine_set.add(entry.data)
-        term, command = self.waiting.pop(entry.log_index, (0, b""))
+            self.applied_commands.append(entry.data)
+            self.applied_command_set.add(entry.data)
+        term, command = self.pending_proposals.pop(entry.log_index, (0, b""))
         if term == entry.term:
-            self.sim.checker.note_acknowledged(command, entry.log_index)
+            self.sim.checker.record_acknowledged(command, entry.log_index)
 
 
 class Simulation:
-    """Run a group under faults; `now_ms` is the true time."""
+    """Simulated group under faults; `now_ms` is the reference time without drift."""
 
     def __init__(
         self,
@@ -265,11 +275,11 @@
         self.allowed = [f"c{n}" for n in range(1, voters + 1)]
         for name in self.allowed:
             self.nodes[name] = node_class(self, name)
-        self.cuts = set()
+        self.blocked_links = set()
         self.faulty = True
-        self._later = []
+        self._scheduled_faults = []
         self._network = []
-        self._sent = itertools.count()
+        self._sequence = itertools.count()
         self._commands = itertools.count()
         self._bootstrap()
 
@@ -284,7 +294,7 @@
 
     def send(self, name, msg):
         target = self.nodes_by_identity.get(msg.head.to)
-        if target is None or (name, target.name) in self.cuts:
+        if target is None or (name, target.name) in self.blocked_links:
             return
         lossy = self.faulty and self.rng.random() < 0.03
         copies = 0 if lossy else 1
@@ -294,7 +304,7 @@
             delay = self.rng.uniform(0, self.max_delay_ms)
             if self.faulty and self.rng.random() < 0.02:
                 delay = self.rng.uniform(50, 1500)
-            item = (self.now_ms + delay, next(self._sent), name, target, msg)
+            item = (self.now_ms + delay, next(self._sequence), name, target, msg)
             heapq.heappush(self._network, item)
 
     def step(self):
@@ -303,8 +313,8 @@
         self._deliver()
         for node in self.running():
             if node.is_awake():
-                node.turn()
-        self._join_outsiders()
+                node.run_iteration()
+        self._deliver_join_requests()
         self.checker.check_reads(self.nodes.values(), self.now_ms)
 
     def run(self, duration_ms):
@@ -315,46 +325,46 @@
     def _deliver(self):
         while self._network and self._network[0][0] <= self.now_ms:
             _, _, name, target, msg = heapq.heappop(self._network)
-            if not target.running or (name, target.name) in self.cuts:
+            if not target.running or (name, target.name) in self.blocked_links:
                 continue
             if msg.head.to == target.disk.replica:
-                # Decoding from bytes keeps replicas from sharing objects.
+                # Encoding and decoding prevents replicas from sharing objects.
                 target.inbox.append(messages.decode(messages.encode(msg)))
 
-    def _join_outsiders(self):
+    def _deliver_join_requests(self):
         for node in self.running():
             state = node.raft.state
-            if not node.is_awake() or not node.contact.must_ask(node.now_ms()):
+            if not node.is_awake() or not node.join_monitor.must_ask(node.now_ms()):
                 continue
             req = JoinRequest(state.replica, node.name, node.name)
             for other in self.running():
-                if (node.name, other.name) not in self.cuts and other.serves():
+                if (node.name, other.name) not in self.blocked_links and other.serves():
                     other.inbox.append(req)
 
     def committed_members(self):
-        """Return the members by the last committed change, and its index."""
+        """Return the last committed members, and the index of that change."""
         changes = (
             e for e in self.checker.committed.values() if e.kind is EntryKind.MEMBERS
         )
         last = max(changes, key=lambda e: e.log_index, default=None)
         return (decode_members(last.data), last.log_index) if last else ([], 0)
 
-    def members_in_question(self):
-        """Return the members last committed, and all that may yet be committed."""
+    def possible_memberships(self):
+        """Return the last committed members, and all that may still be committed."""
         members, index = self.committed_members()
-        found = [members]
+        memberships = [members]
         for node in self.nodes.values():
             log = node.log()
             if log.members_index > index:
-                found.append(log.members)
-        return found
+                memberships.append(log.members)
+        return memberships
 
-    def may_lose_a_disk(self, name):
-        """Tell whether losing this disk now is a loss that must be tolerated."""
+    def can_lose_disk(self, name):
+        """Return whether the group must tolerate the loss of this disk now."""
         if len(self.allowed) < 3:
             return False
         live = {n.disk.replica for n in self.nodes.values() if n.name != name}
-        for members in self.members_in_question():
+        for members in self.possible_memberships():
             voters = voters_of(members)
             lost = [v for v in voters if v not in live]
             size = min(len(voters), len(self.allowed))
@@ -367,15 +377,15 @@
         faults = (
             (3, self.crash),
             (3, self.start_all),
-            (3, self.reboot),
-            (2, self.cut_one_way),
-            (2, self.separate),
+            (3, self.restart_some),
+            (2, self.block_one_way),
+            (2, self.block_random_pair),
             (2, self.isolate),
-            (4, self.end_cuts),
+            (4, self.unblock_links),
             (2, self.pause),
             (2, self.lose_disk),
-            (2, self.change_listed),
-            (3, self.challenge_lease),
+            (2, self.change_allowed),
+            (3, self.force_election),
         )
         weights = [weight for weight, _ in faults]
         ((_, fault),) = self.rng.choices(faults, weights)
@@ -390,59 +400,59 @@
             if not node.running:
                 node.start()
 
-    def reboot(self, _node):
-        """Restart several replicas at once, which only a disk's memory survives."""
+    def restart_some(self, _node):
+        """Crash and restart several replicas at once; only synced state survives."""
         for node in self.running():
             if self.rng.random() < 0.6:
-                self.reboot_node(node)
+                self.restart_node(node)
 
-    def cut_one_way(self, node):
-        self.cuts.add((node.name, self.rng.choice(list(self.nodes))))
+    def block_one_way(self, node):
+        self.blocked_links.add((node.name, self.rng.choice(list(self.nodes))))
 
-    def separate(self, node):
-        self.separate_from(node, self.rng.choice(list(self.nodes.values())))
+    def block_random_pair(self, node):
+        self.block_both_ways(node, self.rng.choice(list(self.nodes.values())))
 
-    def separate_from(self, node, other):
-        self.cuts |= {(node.name, other.name), (other.name, node.name)}
+    def block_both_ways(self, node, other):
+        self.blocked_links |= {(node.name, other.name), (other.name, node.name)}
 
     def isolate(self, node):
         for other in self.nodes:
-            self.cuts |= {(node.name, other), (other, node.name)}
+            self.blocked_links |= {(node.name, other), (other, node.name)}
 
-    def end_cuts(self, _node):
-        self.cuts.clear()
+    def unblock_links(self, _node):
+        self.blocked_links.clear()
 
     def pause(self, node):
         node.paused_until = self.now_ms + self.rng.uniform(50, 3000)
 
-    def reboot_node(self, node):
+    def restart_node(self, node):
         node.crash()
         node.start()
 
-    def challenge_lease(self, node):
-        """Let a replica time out, then cut off the leader from a fresh majority."""
+    def force_election(self, node):
+        """Make a replica campaign, then isolate the leader as the others restart."""
         leader = self.serving()
         if leader is None or leader is node:
             return
-        self.separate_from(node, leader)
+        self.block_both_ways(node, leader)
 
-        def usurp():
+        def isolate_leader():
             self.isolate(leader)
             for other in self.running():
                 if other not in (node, leader):
-                    self.reboot_node(other)
+                    self.restart_node(other)
 
         delay_ms = self.rng.uniform(300, 1500)
-        self._later.append((self.now_ms + delay_ms, usurp))
+        self._scheduled_faults.append((self.now_ms + delay_ms, isolate_leader))
 
     def lose_disk(self, node):
-        if self.may_lose_a_disk(node.name):
+        if self.can_lose_disk(node.name):
             node.crash()
             node.wipe()
             node.start()
 
-    def change_listed(self, _node):
-        """Change which replicas are listed by one name, as operators do."""
+    def change_allowed(self, _node):
+        """Add or remove one allowed name, as operators do."""
         if not self.changes_members:
             return
         number = self.rng.randint(1, 6)
@@ -457,7 +467,7 @@
             self.nodes[name] = self.node_class(self, name)
             self.nodes[name].start()
 
-    def random_work(self):
+    def propose_randomly(self):
         for node in self.running():
             if node.is_awake() and node.raft.leadership and self.rng.random() < 0.3:
                 count = self.rng.randint(1, 5)
@@ -470,11 +480,11 @@
                 leader.raft.transfer(leader.raft.state.voters, leader.now_ms())
 
     def run_faults(self, duration_ms, interval_ms=250.0):
-        """Run with random work and a random fault every so often."""
+        """Run with random commands, and random faults at random intervals."""
         end = self.now_ms + duration_ms
         next_fault = self.now_ms + interval_ms
         while self.now_ms < end:
-            self.random_work()
+            self.propose_randomly()
             if self.now_ms >= next_fault:
                 self.random_fault()
                 next_fault = self.now_ms + self.rng.uniform(0.2, 1.8) * interval_ms
@@ -482,15 +492,17 @@
             self.step()
 
     def _run_delayed_faults(self):
-        due = [fault for at_ms, fault in self._later if at_ms <= self.now_ms]
-        self._later = [item for item in self._later if item[0] > self.now_ms]
+        due = [fault for at_ms, fault in self._scheduled_faults if at_ms <= self.now_ms]
+        self._scheduled_faults = [
+            item for item in self._scheduled_faults if item[0] > self.now_ms
+        ]
         for fault in due:
             fault()
 
     def heal(self):
-        """End all faults."""
+        """Stop all faults, unblock all links and start all nodes."""
         self.faulty = False
-        self.cuts.clear()
+        self.blocked_links.clear()
         for node in self.nodes.values():
             node.paused_until = 0.0
             if not node.running:
@@ -503,28 +515,30 @@
         end = self.now_ms + limit_ms
         while not condition():
             if self.now_ms >= end:
-                raise Violation(f"{what} takes more than {limit_ms} ms")
+                raise InvariantViolation(
+                    f"{what} did not complete within {limit_ms} ms"
+                )
             self.step()
 
     def check_recovery(self):
-        """After all faults end, the group serves and all replicas agree."""
+        """Check that the group serves and all replicas agree once faults stop."""
         self.heal()
         self.run_until(lambda: self.serving() is not None, 10_000, "recovery")
         command = f"last{next(self._commands)}".encode()
         self.serving().propose([command])
         self.run_until(
-            lambda: all(command in n.machine_set for n in self.listed()),
+            lambda: all(command in n.applied_command_set for n in self.allowed_nodes()),
             20_000,
-            "the last change",
+            "replication of the last command",
         )
-        for node in self.listed():
-            if node.machine.count(command) != 1:
-                raise Violation(f"{node.name} applied the last change twice")
+        for node in self.allowed_nodes():
+            if node.applied_commands.count(command) != 1:
+                raise InvariantViolation(f"{node.name} applied the last command twice")
             for acked in self.checker.acknowledged:
-                if acked not in node.machine_set:
-                    raise Violation(f"{node.name} lost {acked!r}")
-            if len(node.machine) != len(node.machine_set):
-                raise Violation(f"{node.name} applied a change twice")
+                if acked not in node.applied_command_set:
+                    raise InvariantViolation(f"{node.name} lost {acked!r}")
+            if len(node.applied_commands) != len(node.applied_command_set):
+                raise InvariantViolation(f"{node.name} applied a command twice")
 
-    def listed(self):
+    def allowed_nodes(self):
         return [n for n in self.nodes.values() if n.name in self.allowed]
--- a/bergamotdrift/tests/test_raft.py
+++ b/bergamotdrift/tests/test_raft.py
@@ -24,27 +24,32 @@
 )
 from bergamotdrift.raft_progress import SNAPSHOT_CHUNK_BYTES
 from bergamotdrift.raft_state import RaftRole
-from bergamotdrift.tests.raft_simulation import Disk, SimNode, Simulation, Violation
+from bergamotdrift.tests.raft_simulation import (
+    Disk,
+    InvariantViolation,
+    SimNode,
+    Simulation,
+)
 
-# More schedules for a longer run: BERGAMOTDRIFT_SCHEDULES=200 make test
+# Number of seeds per schedule. For a longer run: BERGAMOTDRIFT_SCHEDULES=200 make test
 SCHEDULES = int(os.environ.get("BERGAMOTDRIFT_SCHEDULES", "8"))
 RUN_MS = 20_000
 
 
-class ForgetfulDisk(Disk):
+class VoteLosingDisk(Disk):
     def write(self, batch):
         super().write(batch)
-        self.hard = self.hard._replace(vote="")
+        self.synced_hard_state = self.synced_hard_state._replace(vote="")
 
 
-class ForgetfulNode(SimNode):
-    """Does not sync its vote."""
+class VoteLosingNode(SimNode):
+    """Does not persist its vote."""
 
-    disk_class = ForgetfulDisk
+    disk_class = VoteLosingDisk
 
 
-class HastyNode(SimNode):
-    """Answers before what the answers depend on is synced."""
+class ReplyBeforeSyncNode(SimNode):
+    """Sends replies before the state that they depend on is synced."""
 
     def start_sync(self, batch):
         super().start_sync(batch)
@@ -53,8 +58,8 @@
                 self.sim.send(self.name, msg)
 
 
-class SameIdentityNode(SimNode):
-    """Keeps its identity, and so its vote, when its disk is lost."""
+class ReusedIdentityNode(SimNode):
+    """Reuses its identity, and so its vote, after its disk is lost."""
 
     def wipe(self):
         replica = self.disk.replica if hasattr(self, "disk") else ""
@@ -62,16 +67,16 @@
         self.disk.replica = replica or self.disk.replica
 
 
-class PromiselessNode(SimNode):
-    """Does not keep the promise to a leader's lease over a restart."""
+class LeaseForgettingNode(SimNode):
+    """Does not respect the leader's lease after a restart."""
 
     def start(self):
         super().start()
-        self.raft._election._heard_ms = float("-inf")
+        self.raft._election._leader_contact_ms = float("-inf")
 
 
 class SlowDiskNode(SimNode):
-    """Needs longer for a sync than the lease lasts."""
+    """Takes longer for a sync than the lease lasts."""
 
     def start_sync(self, batch):
         super().start_sync(batch)
@@ -85,7 +90,7 @@
 
 
 class NoPreVoteNode(SimNode):
-    """Campaigns without asking first."""
+    """Campaigns without a pre-vote."""
 
     raft_class = NoPreVoteRaft
 
@@ -97,45 +102,45 @@
     return sim
 
 
-def run_duels(seed, node_class=SimNode):
-    """Let two replicas campaign in one term while the third one restarts."""
+def run_split_votes(seed, node_class=SimNode):
+    """Make two replicas campaign in the same term while the third one restarts."""
     sim = Simulation(seed, node_class=node_class)
     for _ in range(20):
         sim.max_delay_ms = 8.0
         sim.heal()
         sim.run_until(lambda: sim.serving() is not None, 10_000, "an election")
         voter = sim.serving()
-        duelists = [n for n in sim.running() if n is not voter]
-        sim.reboot_node(voter)
-        # By then no replica is bound by its promise to the last leader any more.
+        candidates = [n for n in sim.running() if n is not voter]
+        sim.restart_node(voter)
+        # By then the lease of the last leader has expired on every replica.
         sim.run(430)
         sim.max_delay_ms = 40.0
-        for node in duelists:
+        for node in candidates:
             node.campaign_at(sim.now_ms)
         for _ in range(40):
             sim.step()
-            roles = [n.raft.state.role for n in duelists]
+            roles = [n.raft.state.role for n in candidates]
             if RaftRole.CANDIDATE in roles and sim.rng.random() < 0.2:
-                sim.reboot_node(voter)
+                sim.restart_node(voter)
 
 
-def run_lease_challenges(seed, node_class=SimNode):
-    """Isolate the leader just when a replica that can't hear it seeks votes."""
+def run_elections_during_lease(seed, node_class=SimNode):
+    """Isolate the leader while a replica that is cut off from it campaigns."""
     sim = Simulation(seed, node_class=node_class)
     for _ in range(12):
         sim.heal()
         sim.run_until(lambda: sim.serving() is not None, 10_000, "an election")
         leader = sim.serving()
         node, other = (n for n in sim.running() if n is not leader)
-        sim.separate_from(node, leader)
+        sim.block_both_ways(node, leader)
         sim.run(sim.rng.uniform(500, 1500))
         sim.isolate(leader)
-        sim.reboot_node(other)
+        sim.restart_node(other)
         sim.run(1000)
 
 
 class ScheduleTests(unittest.TestCase):
-    """Invariants under random faults; a failure names its seed."""
+    """Check the invariants under random faults; a failure reports its seed."""
 
     def run_schedules(self, run, first_seed, **kwargs):
         for seed in range(first_seed, first_seed + SCHEDULES):
@@ -155,43 +160,51 @@
         self.run_schedules(run_random_faults, 30_000, voters=1)
 
     def test_votes_survive_restarts_during_elections(self):
-        self.run_schedules(run_duels, 40_000)
+        self.run_schedules(run_split_votes, 40_000)
 
-    def test_lease_holds_while_another_seeks_votes(self):
-        self.run_schedules(run_lease_challenges, 50_000)
+    def test_lease_holds_while_another_replica_campaigns(self):
+        self.run_schedules(run_elections_during_lease, 50_000)
 
-    def test_schedules_contain_lost_disks_and_elections(self):
+    def test_random_schedules_lose_disks_and_elect_leaders(self):
         sim = run_random_faults(0)
         self.assertGreater(len(sim.nodes_by_identity), 3)
         self.assertGreater(len(sim.checker.leaders), 3)
         self.assertGreater(len(sim.checker.acknowledged), 100)
 
 
-class SwitchedOffTests(unittest.TestCase):
-    """The checker must notice when a mechanism is missing."""
+class DisabledSafeguardTests(unittest.TestCase):
+    """Check that the simulation detects each safeguard that is disabled."""
 
-    def assert_found(self, run, seeds, **kwargs):
+    def assert_violation_found(self, run, seeds, **kwargs):
         for seed in seeds:
-            with contextlib.suppress(Violation):
+            with contextlib.suppress(InvariantViolation):
                 run(seed, **kwargs)
                 continue
             return
-        self.fail("no schedule found the missing mechanism")
+        self.fail("no schedule detected the disabled safeguard")
 
-    def test_forgotten_votes_are_found(self):
-        self.assert_found(run_duels, range(60), node_class=ForgetfulNode)
+    def test_detects_lost_votes(self):
+        self.assert_violation_found(
+            run_split_votes, range(60), node_class=VoteLosingNode
+        )
 
-    def test_answers_before_the_sync_are_found(self):
-        self.assert_found(run_random_faults, range(60), node_class=HastyNode)
+    def test_detects_replies_before_the_sync(self):
+        self.assert_violation_found(
+            run_random_faults, range(60), node_class=ReplyBeforeSyncNode
+        )
 
-    def test_kept_identity_of_a_lost_disk_is_found(self):
-        self.assert_found(run_random_faults, range(60), node_class=SameIdentityNode)
+    def test_detects_a_reused_identity_after_disk_loss(self):
+        self.assert_violation_found(
+            run_random_faults, range(60), node_class=ReusedIdentityNode
+        )
 
-    def test_broken_promise_after_a_restart_is_found(self):
-        self.assert_found(run_lease_challenges, range(60), node_class=PromiselessNode)
+    def test_detects_a_lease_that_a_restart_ignores(self):
+        self.assert_violation_found(
+            run_elections_during_lease, range(60), node_class=LeaseForgettingNode
+        )
 
 
-class DirectedTestCase(unittest.TestCase):
+class ScenarioTestCase(unittest.TestCase):
     def make_group(self, voters=3, **kwargs):
         sim = Simulation(7, voters=voters, **kwargs)
         sim.faulty = False
@@ -202,7 +215,7 @@
         return [n for n in sim.running() if n is not leader]
 
     def record_sent(self, sim):
-        """Return a function that lists the append messages sent from now on."""
+        """Return a function that lists the AppendEntries messages sent since."""
         patch = mock.patch.object(sim, "send", wraps=sim.send)
         sent = patch.start()
         self.addCleanup(patch.stop)
@@ -216,37 +229,37 @@
         leader = sim.serving()
         leader.propose(list(commands))
         sim.run_until(
-            lambda: all(commands[-1] in n.machine_set for n in sim.running()),
+            lambda: all(commands[-1] in n.applied_command_set for n in sim.running()),
             5000,
             "replication",
         )
 
 
-class IsolationTests(DirectedTestCase):
+class IsolationTests(ScenarioTestCase):
     def term_after_return(self, node_class):
         sim, leader = self.make_group(node_class=node_class)
         term = leader.raft.state.term
         follower = self.followers_of(sim, leader)[0]
         sim.isolate(follower)
         sim.run(60_000)
-        sim.cuts.clear()
+        sim.blocked_links.clear()
         sim.run(3000)
         return term, leader.raft.state.term, sim.serving() is leader
 
-    def test_returning_replica_does_not_unseat_the_leader(self):
+    def test_returning_replica_does_not_disrupt_the_leader(self):
         before, after, still_leads = self.term_after_return(SimNode)
         self.assertEqual(after, before)
         self.assertTrue(still_leads)
 
-    def test_without_pre_vote_it_would(self):
+    def test_returning_replica_disrupts_the_leader_without_pre_vote(self):
         before, after, _ = self.term_after_return(NoPreVoteNode)
         self.assertGreater(after, before)
 
-    def test_replica_that_hears_nothing_but_is_heard_does_not_unseat_the_leader(self):
+    def test_replica_that_only_sends_does_not_disrupt_the_leader(self):
         sim, leader = self.make_group()
         term = leader.raft.state.term
-        deaf = self.followers_of(sim, leader)[0]
-        sim.cuts = {(n.name, deaf.name) for n in sim.running()}
+        send_only = self.followers_of(sim, leader)[0]
+        sim.blocked_links = {(n.name, send_only.name) for n in sim.running()}
         sim.run(20_000)
         self.assertEqual(leader.raft.state.term, term)
         self.assertTrue(leader.serves())
@@ -261,20 +274,20 @@
         sim.run(60_000)
         self.assertFalse(leader.serves())
 
-    def test_leader_that_is_not_answered_gives_way_within_a_second(self):
+    def test_leader_without_replies_is_replaced_within_1300_ms(self):
         sim, leader = self.make_group()
-        sim.cuts = {(n.name, leader.name) for n in sim.running()}
+        sim.blocked_links = {(n.name, leader.name) for n in sim.running()}
         sim.run_until(lambda: sim.serving() not in (None, leader), 1300, "a new leader")
 
-    def test_paused_leader_does_not_serve_old_state_when_it_wakes(self):
+    def test_paused_leader_does_not_serve_stale_state_on_resume(self):
         sim, leader = self.make_group()
         leader.paused_until = sim.now_ms + 5000
         sim.run(4000)
-        # Asked before its loop has handled anything that arrived meanwhile.
+        # Checked before its event loop handles messages that arrived in the pause.
         sim.now_ms = leader.paused_until
         self.assertFalse(leader.serves())
 
-    def test_disks_slower_than_the_lease_cost_no_leader_its_lease(self):
+    def test_leader_keeps_its_lease_if_syncs_outlast_it(self):
         sim, leader = self.make_group()
         for node in sim.running():
             node.__class__ = SlowDiskNode
@@ -283,24 +296,24 @@
             sim.run(50)
             self.assertTrue(leader.serves())
 
-    def test_old_leader_drops_what_it_could_not_commit(self):
+    def test_former_leader_discards_uncommitted_entries(self):
         sim, leader = self.make_group()
         sim.isolate(leader)
         leader.propose([b"lost"])
         sim.run(3000)
-        self.commit_elsewhere(sim)
-        sim.cuts.clear()
+        self.commit_on_new_leader(sim)
+        sim.blocked_links.clear()
         sim.run(2000)
         for node in sim.running():
-            self.assertEqual(node.machine, [b"kept"])
+            self.assertEqual(node.applied_commands, [b"kept"])
 
-    def commit_elsewhere(self, sim):
+    def commit_on_new_leader(self, sim):
         sim.serving().propose([b"kept"])
         sim.run(500)
 
 
-class ReplicationTests(DirectedTestCase):
-    def test_long_backlog_is_sent_in_bounded_batches(self):
+class ReplicationTests(ScenarioTestCase):
+    def test_append_batches_are_bounded(self):
         sim, leader = self.make_group()
         sim.max_delay_ms = 0.0
         sent = self.record_sent(sim)
@@ -308,12 +321,12 @@
         sizes = [len(m.entries) for m in sent() if m.entries]
         self.assertLessEqual(max(sizes), 512)
         self.assertLess(len(sizes), 2 * (5000 / 512 + 2))
-        self.assertEqual(len(leader.machine), 5000)
+        self.assertEqual(len(leader.applied_commands), 5000)
 
     def test_unanswered_appends_in_flight_are_bounded(self):
         sim, leader = self.make_group()
         slow = self.followers_of(sim, leader)[0]
-        sim.cuts = {(slow.name, leader.name)}
+        sim.blocked_links = {(slow.name, leader.name)}
         sent = self.record_sent(sim)
         for number in range(200):
             leader.propose([str(number).encode()])
@@ -321,7 +334,7 @@
         entries = [m for m in sent() if m.head.to == slow.disk.replica and m.entries]
         self.assertLessEqual(len(entries), 16 + 10)
 
-    def test_replica_far_behind_gets_a_snapshot_in_parts(self):
+    def test_lagging_replica_receives_a_snapshot_in_chunks(self):
         sim, leader = self.make_group()
         late = self.followers_of(sim, leader)[0]
         late.crash()
@@ -330,34 +343,35 @@
             leader.propose([command])
             sim.run(20)
         late.start()
-        sim.run_until(lambda: late.machine == large, 5000, "the snapshot")
+        sim.run_until(lambda: late.applied_commands == large, 5000, "the snapshot")
         self.assertGreater(late.disk.snapshot.log_index, 0)
 
-    def test_appends_lost_behind_a_compaction_are_noticed(self):
-        # A heartbeat that matches anything would leave the replica behind for good.
+    def test_appends_lost_before_a_compaction_are_detected(self):
+        # If a heartbeat's consistency check passed for any log, the follower would
+        # never receive the lost entries.
         sim, leader = self.make_group()
         late = self.followers_of(sim, leader)[0]
-        sim.cuts = {(leader.name, late.name)}
+        sim.blocked_links = {(leader.name, late.name)}
         for number in range(300):
             leader.propose([str(number).encode()])
             sim.run(10)
-        sim.cuts.clear()
-        sim.run_until(lambda: len(late.machine) == 300, 3000, "catching up")
+        sim.blocked_links.clear()
+        sim.run_until(lambda: len(late.applied_commands) == 300, 3000, "catching up")
 
 
-class ElectionTests(DirectedTestCase):
-    def test_replica_that_hears_the_leader_ignores_vote_requests(self):
+class ElectionTests(ScenarioTestCase):
+    def test_vote_requests_are_ignored_during_the_lease(self):
         sim, leader = self.make_group()
-        asking, asked = self.followers_of(sim, leader)
-        term = asked.raft.state.term
-        head = Head("g1", asking.disk.replica, asked.disk.replica, term + 1)
-        asked.raft.step(VoteRequest(head, 1000, term, False), asked.now_ms())
-        self.assertEqual(asked.raft.state.term, term)
-        asked.raft.step(VoteRequest(head, 1000, term, True), asked.now_ms())
-        self.assertEqual(asked.raft.state.vote, asking.disk.replica)
+        candidate, voter = self.followers_of(sim, leader)
+        term = voter.raft.state.term
+        head = Head("g1", candidate.disk.replica, voter.disk.replica, term + 1)
+        voter.raft.step(VoteRequest(head, 1000, term, False), voter.now_ms())
+        self.assertEqual(voter.raft.state.term, term)
+        voter.raft.step(VoteRequest(head, 1000, term, True), voter.now_ms())
+        self.assertEqual(voter.raft.state.vote, candidate.disk.replica)
 
     def test_entries_of_earlier_terms_are_not_committed_by_counting(self):
-        # Another replica with a later term could still replace them.
+        # A leader of a later term could still overwrite them.
         sim, leader = self.make_group()
         for node in self.followers_of(sim, leader):
             node.crash()
@@ -366,7 +380,7 @@
         state = leader.raft.state
         old = state.log.last_index
         leader.raft._election.campaign(False, leader.now_ms())
-        sender = state.others[0]
+        sender = state.peers[0]
         head = Head("g1", sender, state.replica, state.term)
         leader.raft.step(VoteReply(head, True), leader.now_ms())
         sim.run(50)
@@ -376,9 +390,9 @@
         leader.raft.step(reply._replace(match=old + 1), leader.now_ms())
         self.assertEqual(state.commit, old + 1)
 
-    def test_most_losses_of_the_leader_are_over_within_the_planned_time(self):
-        # The plan for serving a key again within 3 s has 0.8 s for the election.
-        spent = []
+    def test_nine_in_ten_elections_end_within_800_ms(self):
+        # Serving a key again within 3 s of a loss leaves 0.8 s for the election.
+        durations_ms = []
         for seed in range(60):
             sim = Simulation(seed)
             sim.faulty = False
@@ -387,30 +401,30 @@
             sim.serving().crash()
             lost_ms = sim.now_ms
             sim.run_until(lambda sim=sim: sim.serving(), 1600, "an election")
-            spent.append(sim.now_ms - lost_ms)
-        self.assertLess(sorted(spent)[len(spent) * 9 // 10], 800)
+            durations_ms.append(sim.now_ms - lost_ms)
+        self.assertLess(sorted(durations_ms)[len(durations_ms) * 9 // 10], 800)
 
 
-class TransferTests(DirectedTestCase):
-    def test_leadership_moves_without_waiting_for_a_timeout(self):
+class TransferTests(ScenarioTestCase):
+    def test_transfer_does_not_wait_for_an_election_timeout(self):
         sim, leader = self.make_group()
         sim.run(500)
         leader.raft.transfer(leader.raft.state.voters, leader.now_ms())
-        # Its lease does not bind the successor's voters any more.
+        # The transferee's voters ignore its lease, so it must have stepped down.
         self.assertIsNone(leader.raft.leadership)
         sim.run_until(lambda: sim.serving() not in (None, leader), 150, "the transfer")
 
-    def test_leader_goes_on_if_its_successor_vanishes(self):
+    def test_leader_continues_if_its_transferee_crashes(self):
         sim, leader = self.make_group()
         leader.propose([b"x"])
         leader.raft.transfer(leader.raft.state.voters, leader.now_ms())
-        successor = leader.raft.leadership.transferee
-        sim.nodes_by_identity[successor].crash()
+        transferee = leader.raft.leadership.transferee
+        sim.nodes_by_identity[transferee].crash()
         sim.run(1000)
         self.assertTrue(leader.serves())
 
 
-class MembershipTests(DirectedTestCase):
+class MembershipTests(ScenarioTestCase):
     def voters(self, sim):
         members = sim.serving().raft.state.log.members
         return sorted(m.replica for m in members if m.voter)
@@ -428,24 +442,24 @@
         )
         self.assertNotIn(old, self.voters(sim))
         self.assertEqual(len(self.voters(sim)), 3)
-        self.assertEqual(lost.machine, [b"a", b"b"])
+        self.assertEqual(lost.applied_commands, [b"a", b"b"])
 
-    def test_empty_replica_has_no_vote_before_it_caught_up(self):
+    def test_empty_replica_has_no_vote_until_it_catches_up(self):
         sim, leader = self.make_group()
-        stays, lost = self.followers_of(sim, leader)
-        sim.isolate(stays)
+        isolated, lost = self.followers_of(sim, leader)
+        sim.isolate(isolated)
         lost.crash()
         lost.wipe()
         lost.start()
-        # Neither the empty replica nor the old identity may stand in for a quorum.
+        # Neither the empty replica nor its former identity may count for a quorum.
         sim.run(5000)
         self.assertIsNone(sim.serving())
 
     def test_name_in_use_by_a_live_replica_is_refused(self):
         sim, leader = self.make_group()
         sim.run(1000)
-        twin = self.followers_of(sim, leader)[0]
-        req = JoinRequest(f"{twin.name}-twin", twin.name, "elsewhere")
+        original = self.followers_of(sim, leader)[0]
+        req = JoinRequest(f"{original.name}-twin", original.name, "elsewhere")
         refusal = leader.membership.request_join(req, leader.now_ms())
         self.assertEqual(refusal.kind, ErrorKind.FORBIDDEN)
 
@@ -462,20 +476,20 @@
         self.assertTrue(leader.raft.propose_members(members[:3], now_ms))
         self.assertFalse(leader.raft.propose_members(members[:2], now_ms))
 
-    def test_live_voter_stays_while_its_vote_is_the_margin(self):
-        # Removing it would let one unnoticed loss end the quorum for good.
+    def test_unlisted_voter_is_kept_while_quorum_depends_on_it(self):
+        # After its removal, one more undetected failure would lose the quorum for good.
         sim, leader = self.make_group(voters=4)
-        silent, unlisted, _ = self.followers_of(sim, leader)
-        silent.crash()
+        crashed, unlisted, _ = self.followers_of(sim, leader)
+        crashed.crash()
         sim.run(1000)
         sim.allowed = [n for n in sim.allowed if n != unlisted.name]
         sim.run(2000)
         self.assertIn(unlisted.disk.replica, self.voters(sim))
-        silent.start()
+        crashed.start()
         sim.run(2000)
         self.assertNotIn(unlisted.disk.replica, self.voters(sim))
 
-    def test_unlisted_leader_hands_over_and_leaves(self):
+    def test_unlisted_leader_transfers_leadership_and_is_removed(self):
         sim, leader = self.make_group(voters=4)
         sim.run(1000)
         sim.allowed = [n for n in sim.allowed if n != leader.name]
@@ -524,8 +538,8 @@
     return st.one_of(*built)
 
 
-class ForeignInputTests(DirectedTestCase):
-    """Messages that no correct replica sends must not stop or corrupt one."""
+class InvalidMessageTests(ScenarioTestCase):
+    """Check that invalid messages neither stop a replica nor corrupt its log."""
 
     @settings(max_examples=400, deadline=None)
     @given(st.lists(random_messages(), max_size=25), st.booleans())
@@ -541,15 +555,15 @@
             own = msg.head._replace(to=target.disk.replica)
             with contextlib.suppress(ProtocolError):
                 target.raft.step(msg._replace(head=own), target.now_ms())
-            self.settle(target)
+            self.sync_batch(target)
         for index, entry in committed.items():
             if index > target.raft.state.log.snapshot.log_index:
                 self.assertEqual(
                     target.raft.state.log.entries_from(index, 1, 1), [entry]
                 )
 
-    def settle(self, node):
-        """Write what is due, which the disk refuses if it leaves gaps."""
+    def sync_batch(self, node):
+        """Write the pending batch; the simulated disk rejects gaps in the log."""
         ready = node.raft.take_ready()
         if ready.batch is not None:
             node.disk.write(ready.batch)
@@ -568,7 +582,7 @@
         sim.run_until(lambda: sim.serving() is not None, 10_000, "an election")
         leader = sim.serving()
         state = leader.raft.state
-        sender = state.others[0]
+        sender = state.peers[0]
         head = Head("g1", sender, state.replica, state.term)
         reply = AppendReply(head, leader.now_ms(), 0, True, 1000)
         leader.raft.step(reply, leader.now_ms())
--- a/bergamotdrift/tests/test_raft_log.py
+++ b/bergamotdrift/tests/test_raft_log.py
@@ -72,14 +72,14 @@
         loaded = self.load()
         self.assertEqual((loaded.snapshot, loaded.entries), (snapshot, [entry(3)]))
 
-    def test_crash_between_snapshot_and_log_keeps_the_rest(self):
+    def test_crash_between_snapshot_and_log_keeps_later_entries(self):
         self.write(batch([entry(n) for n in (1, 2, 3)]))
         old_log = (self.folder / "log").read_bytes()
         self.write(batch([entry(3)], snapshot=Snapshot(2, 1, [], b"state")))
         (self.folder / "log").write_bytes(old_log)
         self.assertEqual(self.load().entries, [entry(3)])
 
-    def test_log_that_contradicts_a_received_snapshot_is_dropped(self):
+    def test_log_that_conflicts_with_a_snapshot_is_discarded(self):
         self.write(batch([entry(n) for n in (1, 2, 3)]))
         old_log = (self.folder / "log").read_bytes()
         self.write(batch([], snapshot=Snapshot(2, 5, [], b"state")))
@@ -89,7 +89,7 @@
     @settings(max_examples=100, deadline=None)
     @given(st.lists(st.tuples(st.integers(1, 12), st.integers(0, 4)), max_size=12))
     def test_any_sequence_of_batches_is_read_back(self, steps):
-        """Differential run against a plain list."""
+        """Compare the recovered entries with a model that is a plain list."""
         shutil.rmtree(self.folder)
         expected: list[Entry] = []
         batches = []
@@ -103,52 +103,52 @@
 
 
 class FullDiskTests(StorageTestCase):
-    """Guards against a log that a full disk leaves with half a record."""
+    """Guard against a partial record in the log after a write on a full disk."""
 
     def setUp(self):
         super().setUp()
-        self.room = 0
+        self.free_bytes = 0
 
-    def write_within_room(self, fd, data):
-        """Write as a full disk does: what fits, then an error."""
-        if not self.room:
+    def write_until_full(self, fd, data):
+        """Simulate a full disk: write what fits, then raise ENOSPC."""
+        if not self.free_bytes:
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
-        taken = bytes(data[: self.room])
-        self.room -= len(taken)
-        return _WRITE(fd, taken)
+        written = bytes(data[: self.free_bytes])
+        self.free_bytes -= len(written)
+        return _WRITE(fd, written)
 
-    def fill_disk(self, room):
-        self.room = room
-        return mock.patch.object(os, "write", self.write_within_room)
+    def limit_free_bytes(self, free_bytes):
+        self.free_bytes = free_bytes
+        return mock.patch.object(os, "write", self.write_until_full)
 
-    def test_refused_batch_can_be_written_later(self):
+    def test_batch_can_be_retried_after_a_full_disk(self):
         log = RaftLog(self.folder, "c1")
         log.open()
         log.write(batch([entry(1)]))
-        for room in (0, 5):
-            with self.fill_disk(room), self.assertRaises(DiskFullError):
+        for free_bytes in (0, 5):
+            with self.limit_free_bytes(free_bytes), self.assertRaises(DiskFullError):
                 log.write(batch([entry(2)]))
         log.write(batch([entry(2)]))
         log.write(batch([entry(3)]))
         log.close()
         self.assertEqual(self.load().entries, [entry(1), entry(2), entry(3)])
 
-    def test_refused_snapshot_leaves_the_log_and_can_be_written_later(self):
+    def test_snapshot_can_be_retried_after_a_full_disk(self):
         snapshot = Snapshot(2, 1, [Member("c1-1", "c1", "a", True)], b"state")
         change = batch([entry(3)], snapshot=snapshot)
         log = RaftLog(self.folder, "c1")
         log.open()
         log.write(batch([entry(1), entry(2)]))
-        # Room for the snapshot, but not for the log after it, in the second case.
-        for room in (3, 120):
-            with self.fill_disk(room), self.assertRaises(DiskFullError):
+        # In the second case the snapshot fits, but the rewritten log does not.
+        for free_bytes in (3, 120):
+            with self.limit_free_bytes(free_bytes), self.assertRaises(DiskFullError):
                 log.write(change)
         log.write(change)
         log.close()
         loaded = self.load()
         self.assertEqual((loaded.snapshot, loaded.entries), (snapshot, [entry(3)]))
 
-    def test_other_errors_still_end_the_log(self):
+    def test_other_write_errors_are_not_reported_as_a_full_disk(self):
         log = RaftLog(self.folder, "c1")
         log.open()
         self.addCleanup(log.close)
@@ -161,65 +161,65 @@
         self.assertNotIsInstance(caught.exception, DiskFullError)
 
 
-class DamageTests(StorageTestCase):
-    def test_torn_last_record_is_cut_off_at_every_byte(self):
+class CorruptionTests(StorageTestCase):
+    def test_torn_last_record_is_truncated_at_every_byte(self):
         self.write(batch([entry(1)], 1), batch([entry(2)], 2, "c2-1"))
         start = self.log_size()
         self.write(batch([entry(3), entry(4)], 3, "c3-1"))
-        whole = (self.folder / "log").read_bytes()
-        for end in range(start, len(whole)):
-            (self.folder / "log").write_bytes(whole[:end])
+        original = (self.folder / "log").read_bytes()
+        for end in range(start, len(original)):
+            (self.folder / "log").write_bytes(original[:end])
             loaded = self.load()
             self.assertEqual(loaded.entries, [entry(1), entry(2)])
             self.assertEqual(loaded.hard_state.vote, "c2-1")
             self.assertEqual(self.log_size(), start)
-        # The cut log goes on as if the torn record had never been begun.
+        # New records are appended after the last complete one.
         self.write(batch([entry(3, 9)], 9))
         self.assertEqual(self.load().entries[2:], [entry(3, 9)])
 
-    def test_last_record_of_zeros_is_cut_off(self):
-        # File systems may extend a file before its data reaches the disk.
+    def test_last_record_of_zeros_is_truncated(self):
+        # A file system may persist the new file size before the data.
         self.write(batch([entry(1)]))
         with (self.folder / "log").open("ab") as file:
             file.write(bytes(100))
         self.assertEqual(self.load().entries, [entry(1)])
 
-    def test_every_flipped_bit_before_the_last_record_stops_the_start(self):
+    def test_open_fails_on_any_flipped_bit_before_the_last_record(self):
         self.write(batch([entry(1)]), batch([entry(2)], 2))
         last = self.log_size()
         self.write(batch([entry(3)], 3))
-        whole = (self.folder / "log").read_bytes()
+        original = (self.folder / "log").read_bytes()
         for position in range(last * 8):
-            damaged = bytearray(whole)
+            damaged = bytearray(original)
             damaged[position // 8] ^= 1 << position % 8
             (self.folder / "log").write_bytes(damaged)
             with self.assertRaises(StorageError, msg=f"bit {position}"):
                 self.load()
 
-    def test_damaged_snapshot_or_identity_stops_the_start(self):
+    def test_open_fails_on_a_corrupt_snapshot_or_identity(self):
         self.write(batch([], snapshot=Snapshot(2, 1, [], b"state")))
         for name in ("snapshot", "identity"):
             path = self.folder / name
-            whole = path.read_bytes()
-            for position in range(len(whole)):
-                damaged = bytearray(whole)
+            original = path.read_bytes()
+            for position in range(len(original)):
+                damaged = bytearray(original)
                 damaged[position] ^= 0x10
                 path.write_bytes(damaged)
                 with self.assertRaises(StorageError, msg=f"{name} {position}"):
                     self.load()
-            path.write_bytes(whole)
+            path.write_bytes(original)
 
-    def test_missing_files_stop_the_start(self):
-        # Starting without them would forget votes under the same identity.
+    def test_open_fails_if_a_file_is_missing(self):
+        # Starting without them would lose votes under the same identity.
         snapshot = Snapshot(2, 1, [], b"state")
         self.write(batch([entry(1)]), batch([entry(3)], snapshot=snapshot))
         for name in ("log", "snapshot", "identity"):
             path = self.folder / name
-            whole = path.read_bytes()
+            original = path.read_bytes()
             path.unlink()
             with self.assertRaises(StorageError, msg=name):
                 self.load()
-            path.write_bytes(whole)
+            path.write_bytes(original)
 
 
 class IdentityTests(StorageTestCase):
@@ -248,7 +248,7 @@
         with self.assertRaises(StorageError):
             self.load()
 
-    def test_crash_before_the_first_identity_is_harmless(self):
+    def test_crash_before_the_identity_is_written_is_recovered(self):
         self.identity()
         (self.folder / "identity").unlink()
         self.assertTrue(self.identity())
