--- a/bergamotdrift/early_messages.py
+++ b/bergamotdrift/early_messages.py
@@ -1,4 +1,4 @@
-"""Messages that came before this arbiter's feed named their shard or sender."""
+"""Queue of messages that arrived before the feed named their shard or sender."""
 
 from collections import Counter, deque
 from collections.abc import Callable
@@ -15,15 +15,15 @@
 from bergamotdrift.outputs import Ticket
 from bergamotdrift.takeover import EntryId
 
-# An entry's feed may be ahead of the arbiter's by this much at most.
+# Bound on how far an entry's feed may be ahead of the arbiter's.
 EARLY_WAIT_MS = 1000.0
 _REQUESTS_MAX = 4096
-_ITEMS_MAX = 65_536
-_REQUESTS = (PermitRequest, TokenRequest, RecordBegin)
+_MESSAGES_MAX = 65_536
+_REQUEST_TYPES = (PermitRequest, TokenRequest, RecordBegin)
 
 
 class EarlyMessage(NamedTuple):
-    """Hold a message that waits for the feed; `shard` names what it concerns."""
+    """Hold a message that waits for the feed, with its shard and sender."""
 
     entry: EntryId
     shard: str
@@ -35,9 +35,10 @@
 class EarlyMessages:
     """Hold messages in order of arrival.
 
-    Requests are bounded in number and time. A report is held as long as its stream
-    lives, with what follows it, since the entry does not repeat it and the takeover
-    waits for it. Other messages are dropped: a report that comes later covers them.
+    Requests are bounded in number and time. A report (`Resume`) and the messages after
+    it are held until the stream closes, since the entry doesn't repeat the report and
+    the takeover waits for it. Other messages are dropped, as a later report covers
+    them.
     """
 
     def __init__(self) -> None:
@@ -50,46 +51,46 @@
         return len(self._held)
 
     def has_any(self, entry: EntryId, shard: str) -> bool:
-        """Tell whether a later message must wait, too, to keep its order."""
+        """Return whether messages are held, so that later ones must wait in order."""
         return bool(self._held) and (entry, shard) in self._counts
 
     def hold(self, item: EarlyMessage) -> bool:
-        """Hold a message, or tell that a request found no room."""
-        if isinstance(item.message, _REQUESTS):
+        """Hold or drop a message; return False if a request exceeds the limit."""
+        if isinstance(item.message, _REQUEST_TYPES):
             if self._requests >= _REQUESTS_MAX:
                 return False
         elif isinstance(item.message, PermitCancel):
             self._cancel(item.entry, item.message)
             return True
         elif isinstance(item.message, Resume):
-            self._drop_if(lambda held: _is_covered(held, item))
+            self._remove_if(lambda held: _is_superseded(held, item))
         elif not self.has_any(item.entry, item.shard):
             return True
-        if len(self._held) < _ITEMS_MAX:
+        if len(self._held) < _MESSAGES_MAX:
             self._append(item)
         return True
 
     def take_all(self) -> list[EarlyMessage]:
-        """Take out and return all messages, to be tried again."""
+        """Remove and return all messages, to be handled again."""
         items = list(self._held)
         self._replace([])
         return items
 
     def take_expired(self, now_ms: float) -> list[EarlyMessage]:
-        """Take out and return the requests whose time is over."""
+        """Remove and return the requests that have expired."""
         if now_ms < self._next_expiry_ms:
             return []
         expired = [item for item in self._held if _has_expired(item, now_ms)]
-        self._drop_if(lambda item: _has_expired(item, now_ms))
+        self._remove_if(lambda item: _has_expired(item, now_ms))
         return expired
 
     def forget(self, entry: EntryId) -> None:
-        """Drop the messages of an entry whose stream was lost."""
+        """Remove the messages of an entry whose stream was lost."""
         if self._held:
-            self._drop_if(lambda item: item.entry == entry)
+            self._remove_if(lambda item: item.entry == entry)
 
     def _cancel(self, entry: EntryId, msg: PermitCancel) -> None:
-        self._drop_if(
+        self._remove_if(
             lambda item: (
                 item.entry == entry
                 and isinstance(item.message, PermitRequest)
@@ -98,7 +99,7 @@
             )
         )
 
-    def _drop_if(self, condition: Callable[[EarlyMessage], bool]) -> None:
+    def _remove_if(self, condition: Callable[[EarlyMessage], bool]) -> None:
         self._replace([item for item in self._held if not condition(item)])
 
     def _replace(self, items: list[EarlyMessage]) -> None:
@@ -112,16 +113,16 @@
     def _append(self, item: EarlyMessage) -> None:
         self._held.append(item)
         self._counts[item.entry, item.shard] += 1
-        if isinstance(item.message, _REQUESTS):
+        if isinstance(item.message, _REQUEST_TYPES):
             self._requests += 1
             self._next_expiry_ms = min(self._next_expiry_ms, item.expires_ms)
 
 
-def _is_covered(held: EarlyMessage, report: EarlyMessage) -> bool:
+def _is_superseded(held: EarlyMessage, report: EarlyMessage) -> bool:
     if held.entry != report.entry or held.shard != report.shard:
         return False
-    return not isinstance(held.message, _REQUESTS)
+    return not isinstance(held.message, _REQUEST_TYPES)
 
 
 def _has_expired(item: EarlyMessage, now_ms: float) -> bool:
-    return isinstance(item.message, _REQUESTS) and item.expires_ms <= now_ms
+    return isinstance(item.message, _REQUEST_TYPES) and item.expires_ms <= now_ms
--- a/bergamotdrift/hot_keys.py
+++ b/bergamotdrift/hot_keys.py
@@ -1,4 +1,4 @@
-"""Bounded counts of the hottest routing keys and of partitions."""
+"""Request counts of the hottest routing keys and of partitions, in bounded memory."""
 
 import heapq
 
@@ -14,10 +14,10 @@
 
 
 class TopKeys:
-    """Count keys by the space-saving method in bounded memory.
+    """Find the most frequent keys with the Space-Saving algorithm.
 
-    A key that comes in anew takes over the count of the least counted one, so a
-    count may be too high by that much but no hot key is missed.
+    A new key replaces the key with the lowest count and takes over that count. So a
+    count may be too high by this error, but no hot key is missed.
     """
 
     def __init__(self, limit: int = _KEYS_MAX):
@@ -35,13 +35,13 @@
         if count is not None:
             self._counts[key] = count + 1
             return
-        floor = self._evict() if len(self._counts) >= self._limit else 0
-        self._counts[key] = floor + 1
-        self._errors[key] = floor
-        heapq.heappush(self._heap, (floor + 1, key))
+        min_count = self._evict() if len(self._counts) >= self._limit else 0
+        self._counts[key] = min_count + 1
+        self._errors[key] = min_count
+        heapq.heappush(self._heap, (min_count + 1, key))
 
     def top(self, count: int) -> list[KeyCount]:
-        """Return the hottest keys with the counts that are certain."""
+        """Return the hottest keys with the guaranteed part of their counts."""
         certain = [
             KeyCount(key, total - self._errors[key])
             for key, total in self._counts.items()
@@ -49,11 +49,11 @@
         return heapq.nlargest(count, certain, key=lambda item: item.requests)
 
     def _evict(self) -> int:
-        # Heap entries lag behind the counts; each is corrected when it comes up.
+        # Counts in the heap are updated lazily, when their key reaches the top.
         while True:
-            listed, key = self._heap[0]
+            heap_count, key = self._heap[0]
             count = self._counts[key]
-            if listed == count:
+            if heap_count == count:
                 heapq.heappop(self._heap)
                 del self._counts[key], self._errors[key]
                 return count
@@ -77,7 +77,7 @@
         self._partitions[partition] = self._partitions.get(partition, 0) + 1
 
     def take_report(self, now_ms: float) -> LoadReport | None:
-        """Return the counts since the last report and start anew; None if empty."""
+        """Return the counts since the last report and reset them; None if empty."""
         window_ms = int(now_ms - self._since_ms)
         partitions, self._partitions = self._partitions, {}
         keys, self._keys = self._keys, TopKeys()
--- a/bergamotdrift/idempotency.py
+++ b/bergamotdrift/idempotency.py
@@ -1,4 +1,4 @@
-"""Records of idempotency keys of one workspace."""
+"""Store of the idempotency records of one workspace."""
 
 from collections import OrderedDict
 from collections.abc import Callable, Collection
@@ -21,7 +21,7 @@
 from bergamotdrift.outputs import Output, Reply, Ticket
 from bergamotdrift.takeover import EntryId
 
-# Resends come within minutes; a later use of the key is a new request.
+# Retries arrive within minutes; a later use of the key is a new request.
 RECORD_TTL_MS = 600_000.0
 RECORDS_MAX = 50_000
 WAITERS_MAX = 1024
@@ -29,7 +29,7 @@
 
 
 class _Waiter(NamedTuple):
-    """Hold a resend that waits for the first request to end."""
+    """Hold a retry that waits for the first request with its key to complete."""
 
     entry: EntryId
     msg: RecordBegin
@@ -39,7 +39,7 @@
 
 @dataclass(slots=True)
 class Record:
-    """Hold what is known of the first request under one key."""
+    """Hold the state of the first request with an idempotency key."""
 
     entry: EntryId | None
     request: str
@@ -50,10 +50,11 @@
 
 
 class RecordStore:
-    """Decide for each use of an idempotency key whether it may run.
+    """Decide for each use of an idempotency key whether the request may run.
 
-    A full store refuses new keys, since forgetting one would let a resend run twice.
-    Saved answers are dropped first; a resend is then told that the outcome is unknown.
+    A full store refuses new keys, since evicting a record would let a retry run a
+    second time. Saved answers are evicted when they exceed their size limit; a retry
+    then gets an unknown outcome.
     """
 
     def __init__(self, workspace: str, clock: Clock, limit: int = RECORDS_MAX):
@@ -63,7 +64,7 @@
         self._records: TTLCache[str, Record] = TTLCache(
             float("inf"), RECORD_TTL_MS, timer=clock.now_ms
         )
-        self._running: set[str] = set()
+        self._running_digests: set[str] = set()
         self._waiters: dict[str, list[_Waiter]] = {}
         self._waiter_count = 0
         self._answers: OrderedDict[str, int] = OrderedDict()
@@ -74,43 +75,43 @@
 
     @property
     def has_waiters(self) -> bool:
-        """Tell whether any resend waits for its first request."""
+        """Return whether any retry waits for the first request with its key."""
         return self._waiter_count > 0
 
     def begin(self, entry: EntryId, msg: RecordBegin, ticket: Ticket) -> list[Output]:
-        """Claim a key, answer from its record, or wait for its first request."""
+        """Claim a key, reply from its record, or queue behind the running request."""
         record = self._records.get(msg.key_digest)
         if record is None:
-            return [Reply(ticket, self._claim(entry, msg))]
+            return [Reply(ticket, self._claim_key(entry, msg))]
         if record.fingerprint != msg.fingerprint:
             return [Reply(ticket, RecordReply(RecordState.MISMATCH))]
         if record.state is not RecordState.RUNNING:
             return [Reply(ticket, _reply_of(record))]
         if record.request == msg.request and record.entry == entry:
             return [Reply(ticket, RecordReply(RecordState.FIRST))]
-        return self._wait(entry, msg, ticket)
+        return self._enqueue_waiter(entry, msg, ticket)
 
     def end(self, entry: EntryId, msg: RecordEnd) -> list[Output]:
-        """Close the claim of a request, and answer the resends that wait for it."""
+        """Close the claim of a request and reply to the retries that wait for it."""
         record = self._records.get(msg.key_digest)
         if record is None or record.request != msg.request:
-            # A resend that gave up must not be let run later.
-            self._withdraw(entry, msg)
+            # A retry whose caller gave up must not run later.
+            self._remove_waiter(entry, msg)
             return []
         if record.state is not RecordState.RUNNING or record.entry != entry:
             return []
         if msg.forget:
             self._records.pop(msg.key_digest, None)
-            self._running.discard(msg.key_digest)
-            return self._let_next_run(msg.key_digest)
+            self._running_digests.discard(msg.key_digest)
+            return self._requeue_waiters(msg.key_digest)
         state = RecordState.UNKNOWN if msg.answer is None else RecordState.DONE
         self._close(msg.key_digest, record, state, msg.answer)
         return self._answer_waiters(msg.key_digest, record)
 
-    def forget_entry(self, entry: EntryId) -> list[Output]:
-        """Close the claims of an entry that is gone: their outcome is unknown."""
+    def remove_entry(self, entry: EntryId) -> list[Output]:
+        """Close the claims of a removed entry with an unknown outcome."""
         outputs: list[Output] = []
-        self._drop_waiters_of(entry)
+        self._remove_waiters_of(entry)
         for digest, record in self._running_records():
             if record.entry == entry:
                 self._close(digest, record, RecordState.UNKNOWN, None)
@@ -118,11 +119,11 @@
         return outputs
 
     def disconnect(self, entry: EntryId) -> None:
-        """Withdraw the waiting resends of an entry whose stream was lost."""
-        self._drop_waiters_of(entry)
+        """Remove the waiting retries of an entry whose stream was lost."""
+        self._remove_waiters_of(entry)
 
     def expire_waiters(self) -> list[Output]:
-        """Tell resends whose time is over that the first request still runs."""
+        """Reply to retries whose wait timed out that the first request still runs."""
         if not self._waiter_count:
             return []
         now_ms = self._clock.now_ms()
@@ -133,14 +134,15 @@
                 for waiter in self._waiters[digest]
                 if waiter.expires_ms <= now_ms
             ]
-            self._keep_waiters(digest, lambda waiter: waiter.expires_ms > now_ms)
+            self._filter_waiters(digest, lambda waiter: waiter.expires_ms > now_ms)
         return expired
 
     def merge(self, entry: EntryId | None, row: RecordRow) -> None:
-        """Take a record that an entry or a mirror holds.
+        """Merge a record from an entry or a mirror.
 
-        Of one request, a closed record overrides a running one, and an answer an
-        unknown outcome. Of two requests under one key, the later one counts.
+        For the same request, a closed record overrides a running one, and a saved
+        answer overrides an unknown outcome. For different requests with the same key,
+        the later one wins.
         """
         known = self._records.get(row.key_digest)
         if known is not None and not self._overrides(row, known):
@@ -151,18 +153,18 @@
         state = RecordState.RUNNING if row.state is RecordState.FIRST else row.state
         record = Record(entry, row.request, row.fingerprint, state, began_ms)
         self._records[row.key_digest] = record
-        self._running.add(row.key_digest)
+        self._running_digests.add(row.key_digest)
         if state is not RecordState.RUNNING:
             self._close(row.key_digest, record, state, row.answer)
 
     def close_unowned(self) -> None:
-        """Close mirrored claims that no entry reported: their outcome is unknown."""
+        """Close mirrored claims that no entry reported, with an unknown outcome."""
         for digest, record in self._running_records():
             if record.entry is None:
                 self._close(digest, record, RecordState.UNKNOWN, None)
 
-    def rows_of_others(self, entries: Collection[EntryId]) -> list[RecordRow]:
-        """Return the records that none of the entries holds."""
+    def rows_not_held_by(self, entries: Collection[EntryId]) -> list[RecordRow]:
+        """Return the records that none of the given entries holds."""
         rows = []
         for digest in list(self._records):
             record = self._records.get(digest)
@@ -171,8 +173,8 @@
         return rows
 
     def refuse_waiters(self, kind: ErrorKind) -> list[Output]:
-        """Refuse all resends that wait."""
-        waiting = [waiter for line in self._waiters.values() for waiter in line]
+        """Refuse all waiting retries."""
+        waiting = [waiter for waiters in self._waiters.values() for waiter in waiters]
         self._waiters.clear()
         self._waiter_count = 0
         return [Reply(waiter.ticket, Failure(kind)) for waiter in waiting]
@@ -189,15 +191,17 @@
         )
 
     def _running_records(self) -> list[tuple[str, Record]]:
-        found = [(digest, self._records.get(digest)) for digest in self._running]
+        found = [
+            (digest, self._records.get(digest)) for digest in self._running_digests
+        ]
         return [(digest, record) for digest, record in found if record is not None]
 
     def _overrides(self, row: RecordRow, known: Record) -> bool:
         if row.request == known.request:
-            return _rank(row.state) > _rank(known.state)
+            return _state_precedence(row.state) > _state_precedence(known.state)
         return self._clock.now_ms() - row.age_ms > known.began_ms
 
-    def _claim(self, entry: EntryId, msg: RecordBegin) -> RecordReply | Failure:
+    def _claim_key(self, entry: EntryId, msg: RecordBegin) -> RecordReply | Failure:
         if len(self._records) >= self._limit:
             return Failure(ErrorKind.QUEUE_FULL, "too many idempotency records")
         self._records[msg.key_digest] = Record(
@@ -207,10 +211,12 @@
             RecordState.RUNNING,
             self._clock.now_ms(),
         )
-        self._running.add(msg.key_digest)
+        self._running_digests.add(msg.key_digest)
         return RecordReply(RecordState.FIRST)
 
-    def _wait(self, entry: EntryId, msg: RecordBegin, ticket: Ticket) -> list[Output]:
+    def _enqueue_waiter(
+        self, entry: EntryId, msg: RecordBegin, ticket: Ticket
+    ) -> list[Output]:
         if msg.wait_ms <= 0 or self._waiter_count >= WAITERS_MAX:
             return [Reply(ticket, RecordReply(RecordState.RUNNING))]
         expires_ms = self._clock.now_ms() + msg.wait_ms
@@ -219,7 +225,7 @@
         self._waiter_count += 1
         return []
 
-    def _let_next_run(self, digest: str) -> list[Output]:
+    def _requeue_waiters(self, digest: str) -> list[Output]:
         waiting = self._waiters.pop(digest, [])
         self._waiter_count -= len(waiting)
         outputs: list[Output] = []
@@ -241,8 +247,8 @@
     ) -> None:
         record.state = state
         record.answer = answer
-        self._running.discard(digest)
-        # Setting the item again counts its time to live from the end of the request.
+        self._running_digests.discard(digest)
+        # Setting the item again restarts its time to live at the end of the request.
         self._records[digest] = record
         self._answer_bytes -= self._answers.pop(digest, 0)
         if answer is not None:
@@ -258,21 +264,23 @@
             if record is not None:
                 record.answer = None
 
-    def _withdraw(self, entry: EntryId, msg: RecordEnd) -> None:
+    def _remove_waiter(self, entry: EntryId, msg: RecordEnd) -> None:
         if msg.key_digest in self._waiters:
-            self._keep_waiters(
+            self._filter_waiters(
                 msg.key_digest,
                 lambda w: w.entry != entry or w.msg.request != msg.request,
             )
 
-    def _drop_waiters_of(self, entry: EntryId) -> None:
+    def _remove_waiters_of(self, entry: EntryId) -> None:
         for digest in list(self._waiters):
-            self._keep_waiters(digest, lambda waiter: waiter.entry != entry)
+            self._filter_waiters(digest, lambda waiter: waiter.entry != entry)
 
-    def _keep_waiters(self, digest: str, condition: Callable[[_Waiter], bool]) -> None:
-        before = self._waiters[digest]
-        kept = [waiter for waiter in before if condition(waiter)]
-        self._waiter_count -= len(before) - len(kept)
+    def _filter_waiters(
+        self, digest: str, condition: Callable[[_Waiter], bool]
+    ) -> None:
+        waiters = self._waiters[digest]
+        kept = [waiter for waiter in waiters if condition(waiter)]
+        self._waiter_count -= len(waiters) - len(kept)
         if kept:
             self._waiters[digest] = kept
         else:
@@ -285,7 +293,7 @@
     return RecordReply(RecordState.UNKNOWN)
 
 
-def _rank(state: RecordState) -> int:
+def _state_precedence(state: RecordState) -> int:
     if state is RecordState.DONE:
         return 2
     return 1 if state is RecordState.UNKNOWN else 0
--- a/bergamotdrift/key_loads.py
+++ b/bergamotdrift/key_loads.py
@@ -1,4 +1,4 @@
-"""Request rates of numeric keys, from the entries' reports."""
+"""Smoothed request rates of numeric keys, from the entries' reports."""
 
 import math
 from collections.abc import Iterable
@@ -6,10 +6,11 @@
 
 from bergamotdrift.messages import KeyLoad
 
-# Rates follow a change to two thirds within this time.
+# Time constant of the exponential decay: about two thirds of a change show after this
+# time.
 SMOOTHING_MS = 1800.0
-# Keys below this rate are forgotten.
-_LEAST_PER_S = 0.02
+# Keys below this rate are removed.
+_MIN_PER_S = 0.02
 _REBASE_INTERVAL_MS = 2000.0
 
 
@@ -21,10 +22,11 @@
 
 
 class KeyLoads:
-    """Hold the decaying request rates of one service's keys.
+    """Hold the exponentially decaying request rates of one service's keys.
 
-    Counts are kept as of a base time, later requests count more than one each. So a
-    report costs by the keys that it names, not by all that are known.
+    Counts are scaled to a base time: a later request adds more than 1, instead of all
+    counts decaying. So a report costs time for the keys that it names, not for all
+    known keys.
     """
 
     def __init__(self) -> None:
@@ -32,29 +34,29 @@
         self._base_ms = 0.0
 
     def add(self, loads: Iterable[KeyLoad], now_ms: float) -> None:
-        """Count requests for keys."""
-        weight = 1.0 / self._decay(now_ms)
+        """Add the request counts of a report."""
+        weight = 1.0 / self._decay_factor(now_ms)
         for item in loads:
             if item.requests > 0:
                 counted = item.requests * weight
                 self._counts[item.key] = self._counts.get(item.key, 0.0) + counted
 
     def rates(self, now_ms: float) -> list[KeyRate]:
-        """Return the rates of all known keys, in the order of the keys."""
-        scale = self._decay(now_ms) * 1000.0 / SMOOTHING_MS
+        """Return the rates of all known keys, sorted by key."""
+        scale = self._decay_factor(now_ms) * 1000.0 / SMOOTHING_MS
         return [KeyRate(key, self._counts[key] * scale) for key in sorted(self._counts)]
 
-    def _decay(self, now_ms: float) -> float:
-        """Return which part of the counts is left, after moving an old base time."""
-        passed_ms = max(0.0, now_ms - self._base_ms)
-        share = math.exp(-passed_ms / SMOOTHING_MS)
-        if passed_ms <= _REBASE_INTERVAL_MS:
-            return share
-        least = _LEAST_PER_S * SMOOTHING_MS / 1000.0
+    def _decay_factor(self, now_ms: float) -> float:
+        """Return the decay since the base time, after rebasing if that is long ago."""
+        elapsed_ms = max(0.0, now_ms - self._base_ms)
+        factor = math.exp(-elapsed_ms / SMOOTHING_MS)
+        if elapsed_ms <= _REBASE_INTERVAL_MS:
+            return factor
+        min_count = _MIN_PER_S * SMOOTHING_MS / 1000.0
         self._base_ms = now_ms
         self._counts = {
-            key: count * share
+            key: count * factor
             for key, count in self._counts.items()
-            if count * share > least
+            if count * factor > min_count
         }
         return 1.0
--- a/bergamotdrift/rate_allowance.py
+++ b/bergamotdrift/rate_allowance.py
@@ -1,4 +1,4 @@
-"""Rate tokens that an entry holds under the control leader's leases."""
+"""Client of an entry for rate tokens, leased by the control leader."""
 
 from collections import deque
 from collections.abc import Callable
@@ -16,149 +16,154 @@
 )
 from bergamotdrift.rate_desk import STANDBY_FROM_MS, STANDBY_UNTIL_MS
 
-# An entry keeps tokens for this long a time of its recent demand, so that a new
-# leader's election does not stop it.
-_STOCK_MS = 1200.0
+# An entry holds tokens for this much time of its recent demand, so that the election
+# of a new leader doesn't stop it.
+_PREFETCH_MS = 1200.0
 _DEMAND_WINDOW_MS = 1000.0
-# A request within its workspace's rate may find all tokens on their way for a moment.
+# A request within its workspace's rate may have to wait for tokens that are being
+# requested.
 _WAIT_MAX_MS = 400.0
 _RETRY_AFTER_MIN_MS = 100.0
-# Without an answer of the leader, the standby rate yields tokens with time.
+# Interval to check for standby tokens, which accrue while no leader answers.
 _RECHECK_MS = 50.0
-# An account below this standby rate is not renewed for its sake.
-_STANDBY_LEAST_PER_S = 0.2
+# Up to this standby rate, a workspace without tokens or demand isn't renewed.
+_STANDBY_MIN_PER_S = 0.2
 
 
 @dataclass
-class _Lot:
-    ends_ms: float
+class _TokenLease:
+    expires_ms: float
     tokens: int
 
 
 @dataclass
-class Account:
+class WorkspaceTokens:
     """Hold the tokens and recent demand of one workspace at this entry."""
 
-    lots: deque[_Lot] = field(default_factory=deque)
-    used_ms: deque[float] = field(default_factory=deque)
+    leases: deque[_TokenLease] = field(default_factory=deque)
+    demand_at_ms: deque[float] = field(default_factory=deque)
     waiting: int = 0
     wait_ms: float = 0.0
-    # The standby rate, and the tokens that it has yielded since the last contact.
+    # The standby rate, and the standby tokens used since the leader's last reply.
     standby_per_s: float = 0.0
-    standby_used: int = 0
+    standby_tokens_used: int = 0
     asked_at_ms: float = float("-inf")
     changed: Event = field(default_factory=Event)
 
     def held(self, now_ms: float) -> int:
-        """Return the tokens whose lease still runs."""
-        while self.lots and self.lots[0].ends_ms <= now_ms:
-            self.lots.popleft()
-        return sum(lot.tokens for lot in self.lots)
+        """Return the number of unexpired tokens."""
+        while self.leases and self.leases[0].expires_ms <= now_ms:
+            self.leases.popleft()
+        return sum(lease.tokens for lease in self.leases)
 
     def take(self, now_ms: float) -> bool:
-        """Use a token and tell whether there was one."""
+        """Consume a token and return whether there was one."""
         if not self.held(now_ms):
             return self._take_standby(now_ms)
-        for lot in self.lots:
-            if lot.tokens:
-                lot.tokens -= 1
+        for lease in self.leases:
+            if lease.tokens:
+                lease.tokens -= 1
                 break
         return True
 
     def _take_standby(self, now_ms: float) -> bool:
-        """Use a token of the standby rate while no leader answers."""
+        """Consume a standby token while no leader answers, if one has accrued."""
         since_ms = now_ms - self.asked_at_ms
         if not STANDBY_FROM_MS <= since_ms < STANDBY_UNTIL_MS - DRIFT_MARGIN_MS:
             return False
-        yielded = self.standby_per_s * (since_ms - STANDBY_FROM_MS) / 1000.0
-        if self.standby_used + 1 > yielded:
+        accrued = self.standby_per_s * (since_ms - STANDBY_FROM_MS) / 1000.0
+        if self.standby_tokens_used + 1 > accrued:
             return False
-        self.standby_used += 1
+        self.standby_tokens_used += 1
         return True
 
-    def give(self, count: int) -> int:
-        """Take out up to `count` tokens, those with the longest lease first."""
-        left = count
-        for lot in reversed(self.lots):
-            taken = min(left, lot.tokens)
-            lot.tokens -= taken
-            left -= taken
-        return count - left
+    def return_tokens(self, count: int) -> int:
+        """Remove up to `count` tokens, the latest lease first, and return how many."""
+        remaining = count
+        for lease in reversed(self.leases):
+            taken = min(remaining, lease.tokens)
+            lease.tokens -= taken
+            remaining -= taken
+        return count - remaining
 
     def demand_per_s(self, now_ms: float) -> float:
-        """Return the tokens asked for in the last second."""
-        while self.used_ms and self.used_ms[0] <= now_ms - _DEMAND_WINDOW_MS:
-            self.used_ms.popleft()
-        return len(self.used_ms) * 1000.0 / _DEMAND_WINDOW_MS
+        """Return the requests per second that needed a token in the last second."""
+        while self.demand_at_ms and self.demand_at_ms[0] <= now_ms - _DEMAND_WINDOW_MS:
+            self.demand_at_ms.popleft()
+        return len(self.demand_at_ms) * 1000.0 / _DEMAND_WINDOW_MS
 
 
 class RateAllowance:
-    """Take tokens for requests, and state what the next ping should ask for."""
+    """Hand out rate tokens, and tell what the next ping to the leader requests."""
 
     def __init__(self, clock: Clock, rate_of: Callable[[str], float]):
         self._clock = clock
         self._rate_of = rate_of
-        self._accounts: dict[str, Account] = {}
-        # Set by the owner of the session, to ask without waiting for the next ping.
+        self._workspaces: dict[str, WorkspaceTokens] = {}
+        # Set by the owner of the control session; sends a ping ahead of its interval.
         self.ask_now: Callable[[], None] = lambda: None
 
     def acquire(self, workspace: str, deadline_ms: float) -> Result[None, Refusal]:
-        """Use a token, after a short wait if need be (RATE_EXCEEDED)."""
+        """Consume a token, after a short wait if necessary.
+
+        Fails with RATE_EXCEEDED.
+        """
         if self._rate_of(workspace) <= 0:
             return Success(None)
-        account = self._accounts.setdefault(workspace, Account())
+        tokens = self._workspaces.setdefault(workspace, WorkspaceTokens())
         now_ms = self._clock.now_ms()
-        account.used_ms.append(now_ms)
-        if account.take(now_ms):
+        tokens.demand_at_ms.append(now_ms)
+        if tokens.take(now_ms):
             return Success(None)
         end_ms = min(deadline_ms, now_ms + _WAIT_MAX_MS)
-        account.waiting += 1
+        tokens.waiting += 1
         try:
-            return self._wait(workspace, account, end_ms)
+            return self._wait(workspace, tokens, end_ms)
         finally:
-            account.waiting -= 1
+            tokens.waiting -= 1
 
     def rate_needs(self) -> list[RateNeed]:
-        """Return what each workspace lacks or holds too much of."""
+        """Return the tokens to request and to return, by workspace."""
         now_ms = self._clock.now_ms()
         needs = []
-        for name, account in self._accounts.items():
-            held = account.held(now_ms)
-            stock = account.demand_per_s(now_ms) * _STOCK_MS / 1000.0
-            # Rounded up, the stocks of many entries would hold a small burst.
-            target = int(stock) + account.waiting
-            returned = account.give(held - target) if held > target else 0
+        for name, tokens in self._workspaces.items():
+            held = tokens.held(now_ms)
+            prefetch = tokens.demand_per_s(now_ms) * _PREFETCH_MS / 1000.0
+            # Rounded up, the prefetched tokens of many entries would hold all of a
+            # small burst.
+            target = int(prefetch) + tokens.waiting
+            returned = tokens.return_tokens(held - target) if held > target else 0
             wanted = max(0, target - held)
-            if held or wanted or account.standby_per_s > _STANDBY_LEAST_PER_S:
+            if held or wanted or tokens.standby_per_s > _STANDBY_MIN_PER_S:
                 needs.append(RateNeed(name, wanted, returned, held - returned))
         return needs
 
     def take_rates(self, lots: list[RateLot], asked_at_ms: float) -> None:
-        """Take leased tokens and wake the requests that wait for them."""
+        """Add leased tokens and wake the requests that wait for them."""
         for item in lots:
-            account = self._accounts.setdefault(item.workspace, Account())
-            account.wait_ms = item.wait_ms if not item.tokens else 0.0
-            account.standby_per_s = item.standby_per_s
-            account.standby_used = 0
-            account.asked_at_ms = asked_at_ms
+            tokens = self._workspaces.setdefault(item.workspace, WorkspaceTokens())
+            tokens.wait_ms = item.wait_ms if not item.tokens else 0.0
+            tokens.standby_per_s = item.standby_per_s
+            tokens.standby_tokens_used = 0
+            tokens.asked_at_ms = asked_at_ms
             if item.tokens:
                 ends_ms = asked_at_ms + item.lease_ms - DRIFT_MARGIN_MS
-                account.lots.append(_Lot(ends_ms, item.tokens))
-            changed, account.changed = account.changed, Event()
+                tokens.leases.append(_TokenLease(ends_ms, item.tokens))
+            changed, tokens.changed = tokens.changed, Event()
             changed.set()
 
     def _wait(
-        self, workspace: str, account: Account, end_ms: float
+        self, workspace: str, tokens: WorkspaceTokens, end_ms: float
     ) -> Result[None, Refusal]:
-        """Wait for the leader's next answers, until one states that none is left."""
+        """Wait for a token, until a reply of the leader says that none is left."""
         while (left_ms := end_ms - self._clock.now_ms()) > 0:
             self.ask_now()
-            answered = account.changed.wait(min(left_ms, _RECHECK_MS) / 1000.0)
-            if account.take(self._clock.now_ms()):
+            answered = tokens.changed.wait(min(left_ms, _RECHECK_MS) / 1000.0)
+            if tokens.take(self._clock.now_ms()):
                 return Success(None)
-            if answered and account.wait_ms > 0:
+            if answered and tokens.wait_ms > 0:
                 break
         rate = self._rate_of(workspace)
         detail = f"no tokens left for {workspace} at {rate:g}/s"
-        wait_s = max(account.wait_ms, _RETRY_AFTER_MIN_MS) / 1000.0
+        wait_s = max(tokens.wait_ms, _RETRY_AFTER_MIN_MS) / 1000.0
         return Failure(Refusal(ErrorKind.RATE_EXCEEDED, detail, wait_s))
--- a/bergamotdrift/record_mirror.py
+++ b/bergamotdrift/record_mirror.py
@@ -1,4 +1,4 @@
-"""Records that entries mirror to this arbiter before it owns their shard."""
+"""Idempotency records mirrored to this arbiter while it doesn't own their shard."""
 
 from typing import NamedTuple
 
@@ -16,8 +16,8 @@
 _ROWS_MAX = 100_000
 
 
-class _Mirrored(NamedTuple):
-    """Hold a record, the entry that sent it and when it came."""
+class _StoredRecord(NamedTuple):
+    """Hold a record, the entry that sent it and its arrival time."""
 
     entry: EntryId
     row: RecordRow
@@ -25,18 +25,18 @@
 
 
 class MirroredRecord(NamedTuple):
-    """Hand over a record with the entry that mirrored it."""
+    """Hold a record and the entry that mirrored it."""
 
     entry: EntryId
     row: RecordRow
 
 
 class RecordMirrors:
-    """Hold mirrored records by workspace and key, the oldest dropped when full."""
+    """Hold mirrored records by workspace and key; the oldest is evicted when full."""
 
     def __init__(self, clock: Clock, limit: int = _ROWS_MAX):
         self._clock = clock
-        self._rows: TTLCache[tuple[str, str], _Mirrored] = TTLCache(
+        self._rows: TTLCache[tuple[str, str], _StoredRecord] = TTLCache(
             limit, RECORD_TTL_MS, timer=clock.now_ms
         )
 
@@ -44,12 +44,12 @@
         return len(self._rows)
 
     def store(self, entry: EntryId, row: RecordRow) -> None:
-        """Store or replace a record."""
-        item = _Mirrored(entry, row, self._clock.now_ms())
+        """Add or replace a record."""
+        item = _StoredRecord(entry, row, self._clock.now_ms())
         self._rows[row.workspace, row.key_digest] = item
 
     def end(self, msg: RecordEnd) -> None:
-        """Close a record, or drop it when its request was not run."""
+        """Close a record, or remove it if its request was not run."""
         key = (msg.workspace, msg.key_digest)
         known = self._rows.get(key)
         if known is None or known.row.request != msg.request:
@@ -62,17 +62,17 @@
         self._rows[key] = known._replace(row=row)
 
     def take(self, workspace: str) -> list[MirroredRecord]:
-        """Take out and return the records of a workspace, with their present age."""
+        """Remove and return the records of a workspace, with their current age."""
         now_ms = self._clock.now_ms()
         keys = [key for key in list(self._rows) if key[0] == workspace]
         found = [self._rows.pop(key, None) for key in keys]
         return [
-            MirroredRecord(item.entry, _aged(item, now_ms))
+            MirroredRecord(item.entry, _with_current_age(item, now_ms))
             for item in found
             if item is not None
         ]
 
 
-def _aged(item: _Mirrored, now_ms: float) -> RecordRow:
+def _with_current_age(item: _StoredRecord, now_ms: float) -> RecordRow:
     age_ms = item.row.age_ms + int(now_ms - item.stored_ms)
     return item.row._replace(age_ms=age_ms)
--- a/bergamotdrift/record_sender.py
+++ b/bergamotdrift/record_sender.py
@@ -1,4 +1,7 @@
-"""Sends records to the arbiters on other VMs that would take their shards over."""
+"""Mirrors idempotency records to the arbiters that would take their shards over.
+
+The target of a shard is always on another VM.
+"""
 
 from collections import deque
 
@@ -19,8 +22,9 @@
 from bergamotdrift.streams import Connection, StreamClient
 from bergamotdrift.tables import Tables
 
-# Records of a lost entry come all at once; the stream's queue holds 4096 frames.
-_BATCH = 256
+# The records of a lost entry are queued all at once, and a stream's queue holds 4096
+# frames.
+_BATCH_MAX = 256
 _PENDING_MAX = 200_000
 _TIMEOUT_MS = 1000
 
@@ -38,43 +42,43 @@
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        """Start to send in the background."""
+        """Start the background sender."""
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Close all streams."""
+        """Stop the background sender and close all streams."""
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
         for client in self._clients.values():
             client.stop()
 
     def send(self, item: Mirror) -> None:
-        """Queue a record."""
+        """Queue a record for mirroring; a full queue drops its oldest item."""
         self._pending.append(item)
         self._wake.set()
 
     def on_open(self, conn: Connection) -> None:
-        """Take note of a new stream."""
+        """Do nothing; records are sent when they are queued."""
 
     def on_close(self, conn: Connection) -> None:
-        """Leave the reconnection to the stream client."""
+        """Do nothing; the stream client reconnects."""
 
     def on_message(self, conn: Connection, number: int, msg: Message) -> None:
-        """Ignore what other arbiters send."""
+        """Ignore messages from other arbiters."""
 
     def _run(self) -> None:
         while True:
             self._wake.wait()
             self._wake.clear()
             while self._pending:
-                count = min(_BATCH, len(self._pending))
+                count = min(_BATCH_MAX, len(self._pending))
                 self._send_batch([self._pending.popleft() for _ in range(count)])
-            self._drop_gone()
+            self._stop_removed_clients()
 
     def _send_batch(self, batch: list[Mirror]) -> None:
         by_node: dict[str, list[Mirror]] = {}
         for item in batch:
-            row = self._target(item.shard)
+            row = self._mirror_target(item.shard)
             if row is not None:
                 by_node.setdefault(row.node, []).append(item)
         for node, items in by_node.items():
@@ -89,13 +93,13 @@
                 )
 
     def _send_to(self, row: NodeRow, items: list[Mirror]) -> None:
-        conn = self._client(row).ready_connection(_TIMEOUT_MS)
+        conn = self._client_for(row).ready_connection(_TIMEOUT_MS)
         futs = [conn.request(RecordMirror(item.row)) for item in items]
         with gevent.Timeout(_TIMEOUT_MS / 1000.0):
             for fut in futs:
                 fut.get()
 
-    def _target(self, shard: str) -> NodeRow | None:
+    def _mirror_target(self, shard: str) -> NodeRow | None:
         settings = self._tables.settings
         others = {
             row.node: row
@@ -106,7 +110,7 @@
         ordered = rendezvous(shard, others)
         return others[ordered[0]] if ordered else None
 
-    def _client(self, row: NodeRow) -> StreamClient:
+    def _client_for(self, row: NodeRow) -> StreamClient:
         client = self._clients.get(row.node)
         if client is None or client.address != row.address:
             if client is not None:
@@ -116,6 +120,6 @@
             self._clients[row.node] = client
         return client
 
-    def _drop_gone(self) -> None:
+    def _stop_removed_clients(self) -> None:
         for node in [node for node in self._clients if node not in self._tables.nodes]:
             self._clients.pop(node).stop()
--- a/bergamotdrift/tests/arbiter_support.py
+++ b/bergamotdrift/tests/arbiter_support.py
@@ -1,4 +1,4 @@
-"""Settings, rows and a control stand-in shared by the arbiter's tests."""
+"""Settings, rows and a fake control server shared by the arbiter's tests."""
 
 from bergamotdrift.arbiter_messages import (
     PermitRequest,
@@ -115,7 +115,7 @@
 
 
 class FakeControl:
-    """Answers pings and relays, and pushes the feed it is given."""
+    """Replies to pings and relayed announcements, and pushes a given feed."""
 
     def __init__(self, feed):
         self.feed = feed
--- a/bergamotdrift/tests/test_hot_keys.py
+++ b/bergamotdrift/tests/test_hot_keys.py
@@ -34,7 +34,7 @@
 
 
 class LoadCounterTests(unittest.TestCase):
-    def test_report_covers_the_window_and_starts_anew(self):
+    def test_report_covers_the_window_and_resets_the_counts(self):
         counter = LoadCounter("tracking", 1000.0)
         for key in (7, 7, 8):
             counter.add(3, key)
--- a/bergamotdrift/tests/test_idempotency.py
+++ b/bergamotdrift/tests/test_idempotency.py
@@ -83,7 +83,7 @@
     def test_lost_entry_leaves_an_unknown_outcome(self):
         self.begin("r1")
         self.store.begin(support.entry(1), begin("r2"), "r2")
-        outputs = self.store.forget_entry(self.entry)
+        outputs = self.store.remove_entry(self.entry)
         self.assert_state(outputs, "r2", RecordState.UNKNOWN)
 
     def test_full_store_refuses_instead_of_forgetting(self):
@@ -137,21 +137,21 @@
 
 
 class TakeoverSchedule:
-    """Uses few keys at random over arbiters that are replaced, and counts runs.
+    """Random requests with few keys across arbiter takeovers, counting double runs.
 
-    Each entry has a VM, and the arbiter runs on one of these or on another one. VMs
-    are lost one at a time, after the records of the last one were mirrored.
+    Each entry has its own VM, and the arbiter runs on one of these or on another one.
+    VMs are lost one at a time, each after the records of the last were mirrored.
     """
 
-    def __init__(self, seed, repairs=True):
+    def __init__(self, seed, stores_mirrors=True):
         self.rng = random.Random(seed)
         self.clock = ManualClock()
-        self.repairs = repairs
+        self.stores_mirrors = stores_mirrors
         self.entries: dict = {support.entry(n): {} for n in range(3)}
         self.mirrors = RecordMirrors(self.clock)
         self.epoch = 0
         self.requests = 0
-        self.unsettled: Counter = Counter()
+        self.unresolved: Counter = Counter()
         self.violations = 0
         self.start_arbiter()
 
@@ -165,7 +165,7 @@
             report = support.resume(
                 "workspace:w", self.epoch, records=list(rows.values())
             )
-            self.settle(self.arbiter.resume(entry, report))
+            self.handle_outputs(self.arbiter.resume(entry, report))
 
     def view(self):
         return WorkspaceView(
@@ -175,16 +175,16 @@
             local_entries=frozenset({self.local} & self.entries.keys()),
         )
 
-    def use(self):
+    def send_request(self):
         self.requests += 1
         entry = self.rng.choice(sorted(self.entries))
         msg = begin(f"r{self.requests}", key=self.rng.choice("abc"), epoch=self.epoch)
-        self.settle(self.arbiter.begin_record(entry, msg, (entry, msg)))
+        self.handle_outputs(self.arbiter.begin_record(entry, msg, (entry, msg)))
 
-    def settle(self, outputs):
+    def handle_outputs(self, outputs):
         for output in outputs:
             if isinstance(output, Mirror):
-                if self.repairs:
+                if self.stores_mirrors:
                     self.mirrors.store(support.entry(99), output.row)
                 continue
             reply = output.message
@@ -192,8 +192,8 @@
                 self.run(*output.ticket)
 
     def run(self, entry, msg):
-        self.unsettled[msg.key_digest] += 1
-        self.violations += self.unsettled[msg.key_digest] > 1
+        self.unresolved[msg.key_digest] += 1
+        self.violations += self.unresolved[msg.key_digest] > 1
         row = RecordRow(
             "w", msg.key_digest, "f", msg.request, RecordState.RUNNING, 0, None
         )
@@ -201,7 +201,7 @@
         if entry == self.local:
             self.mirrors.store(entry, row)
 
-    def finish(self):
+    def finish_request(self):
         entry = self.rng.choice(sorted(self.entries))
         running = [
             row
@@ -214,7 +214,7 @@
         forget = self.rng.random() < 0.5
         msg = end(row.request, row.key_digest, forget)
         if forget:
-            self.unsettled[row.key_digest] -= 1
+            self.unresolved[row.key_digest] -= 1
             del self.entries[entry][row.key_digest]
         else:
             self.entries[entry][row.key_digest] = row._replace(
@@ -222,7 +222,7 @@
             )
         if entry == self.local:
             self.mirrors.end(msg)
-        self.settle(self.arbiter.end_record(entry, msg))
+        self.handle_outputs(self.arbiter.end_record(entry, msg))
 
     def lose_entry(self):
         """Lose the VM of an entry and, if it runs there, the arbiter."""
@@ -232,12 +232,17 @@
         if entry == self.local:
             self.start_arbiter()
         else:
-            self.settle(self.arbiter.update(self.view()))
+            self.handle_outputs(self.arbiter.update(self.view()))
 
     def step(self):
         self.clock.advance(self.rng.choice([1, 100]))
         action = self.rng.choices(
-            [self.use, self.finish, self.start_arbiter, self.lose_entry],
+            [
+                self.send_request,
+                self.finish_request,
+                self.start_arbiter,
+                self.lose_entry,
+            ],
             [10, 6, 1, 0.5],
         )[0]
         action()
@@ -245,16 +250,16 @@
 
 
 class TakeoverTests(unittest.TestCase):
-    """Guards against a key that runs twice after its holder was lost."""
+    """Guards against requests with one key that run twice after a VM was lost."""
 
     def violations(self, seeds=80, **options):
-        found = 0
+        violations = 0
         for seed in range(seeds):
             schedule = TakeoverSchedule(seed, **options)
             for _ in range(80):
                 schedule.step()
-            found += schedule.violations
-        return found
+            violations += schedule.violations
+        return violations
 
     def test_each_key_runs_at_most_once_until_it_is_known_not_run(self):
         self.assertEqual(self.violations(), 0)
@@ -264,7 +269,7 @@
             self.assertGreater(self.violations(), 0)
 
     def test_schedules_find_records_of_lost_entries_without_a_second_holder(self):
-        self.assertGreater(self.violations(repairs=False), 0)
+        self.assertGreater(self.violations(stores_mirrors=False), 0)
 
     def test_claims_wait_for_the_reports(self):
         view = WorkspaceView(1, support.workspace(), frozenset({support.entry(0)}))
--- a/bergamotdrift/tests/test_key_loads.py
+++ b/bergamotdrift/tests/test_key_loads.py
@@ -6,7 +6,7 @@
 from bergamotdrift.messages import KeyLoad
 
 
-class CountedKeys(dict):
+class AccessCountingDict(dict):
     """Counts how many keys are read or written."""
 
     touched = 0
@@ -21,7 +21,7 @@
 
 
 class RateTests(unittest.TestCase):
-    """Guards against rates that decay by the number of reports, or not at all."""
+    """Guards against rates that don't decay, or decay with each report."""
 
     def test_rates_decay_alike_however_often_reports_come(self):
         rng = random.Random(3)
@@ -31,8 +31,8 @@
         for _ in range(3000):
             passed_ms = rng.choice([0.0, 1.0, 7.0, 90.0])
             now_ms += passed_ms
-            share = math.exp(-passed_ms / SMOOTHING_MS)
-            expected = {key: count * share for key, count in expected.items()}
+            decay = math.exp(-passed_ms / SMOOTHING_MS)
+            expected = {key: count * decay for key, count in expected.items()}
             key = rng.randrange(20)
             loads.add([KeyLoad("cases", key, 2)], now_ms)
             expected[key] = expected.get(key, 0.0) + 2
@@ -55,12 +55,12 @@
 
 
 class CostTests(unittest.TestCase):
-    """Guards against a leader that is busy with all known keys at each report."""
+    """Guards against a report that costs the leader time for all known keys."""
 
-    def test_report_costs_by_its_own_keys(self):
+    def test_report_costs_time_for_its_own_keys_only(self):
         loads = KeyLoads()
         loads.add([KeyLoad("cases", key, 50) for key in range(20_000)], 1.0)
-        loads._counts = CountedKeys(loads._counts)
+        loads._counts = AccessCountingDict(loads._counts)
         for number in range(100):
             loads.add([KeyLoad("cases", number, 1)], 2.0 + number)
-        self.assertLessEqual(CountedKeys.touched, 200)
+        self.assertLessEqual(AccessCountingDict.touched, 200)
--- a/bergamotdrift/tests/test_partition_loads.py
+++ b/bergamotdrift/tests/test_partition_loads.py
@@ -5,7 +5,7 @@
 
 
 class WeightTests(unittest.TestCase):
-    """Guards against a planner that ends when no partition is left to weigh."""
+    """Guards against a division by zero that ended the leader's planning rounds."""
 
     def test_no_partitions_have_no_weights(self):
         self.assertEqual(PartitionLoads().weights([], 0.0), {})
--- a/bergamotdrift/tests/test_rate_desk.py
+++ b/bergamotdrift/tests/test_rate_desk.py
@@ -10,7 +10,7 @@
     RateLot,
     RateNeed,
 )
-from bergamotdrift.rate_allowance import Account, RateAllowance
+from bergamotdrift.rate_allowance import RateAllowance, WorkspaceTokens
 from bergamotdrift.rate_desk import RATE_LEASE_MS, RateBucket, RateDesk
 
 LIMITS = WorkspaceSettings("w", 20.0, 20, (), ())
@@ -24,13 +24,13 @@
 
 
 class RateBucketTests(unittest.TestCase):
-    """Guards the rate of a workspace, whatever entries hold, use, return or lose."""
+    """Guards a workspace's rate while entries hold, use, return or lose tokens."""
 
     def lease(self, bucket, node, wanted, now_ms, returned=0, held=0):
         return bucket.lease(node, RateNeed("w", wanted, returned, held), now_ms).tokens
 
-    def test_full_rate_is_had_while_tokens_are_held(self):
-        # Tokens that were used must not count as held until their lease ends.
+    def test_full_rate_is_granted_while_tokens_are_held(self):
+        # Used tokens must not count as held until their lease ends.
         bucket = RateBucket(LIMITS, 0.0)
         got = sum(self.lease(bucket, "e1", 5, t) for t in range(0, 10_000, 250))
         self.assertGreaterEqual(got, 0.95 * 20 * 10)
@@ -51,28 +51,28 @@
     def test_no_window_sees_more_than_rate_and_burst(self, steps):
         bucket = RateBucket(LIMITS, 0.0)
         now, held, ends, used = 0.0, [0] * 4, [0.0] * 4, []
-        for wait, node, wanted, part, returns in steps:
+        for wait, node, wanted, used_share, returns in steps:
             now += wait
             if now >= ends[node]:
                 held[node] = 0
-            spent = int(held[node] * part)
+            spent = int(held[node] * used_share)
             used += [now] * spent
             held[node] -= spent
-            back = held[node] if returns else 0
-            held[node] -= back
-            got = self.lease(bucket, str(node), wanted, now, back, held[node])
-            held[node] += got
+            returned = held[node] if returns else 0
+            held[node] -= returned
+            granted = self.lease(bucket, str(node), wanted, now, returned, held[node])
+            held[node] += granted
             ends[node] = now + RATE_LEASE_MS
         for end in used:
             inside = sum(end - 5000 <= t <= end for t in used)
-            # An entry may hold one token although the burst is out.
+            # An entry may hold one token although the whole burst is leased.
             self.assertLessEqual(inside, 20 * 5 + 20 + 1 + 5)
 
 
 class RateDeskTests(unittest.TestCase):
-    """Guards the first requests of workspaces that settings have just named."""
+    """Guards against refusing the first requests of workspaces new in the settings."""
 
-    def test_bucket_fills_from_the_settings_on(self):
+    def test_bucket_fills_from_the_first_settings(self):
         settings = SiteSettings("s", (), (), (), (LIMITS,))
         desk = RateDesk()
         desk.open(None, 0.0)
@@ -86,40 +86,43 @@
 
 
 class StandbyTests(unittest.TestCase):
-    """Guards service and limits while no leader answers for a moment."""
+    """Guards requests and rate limits during a short time without a leader."""
 
-    def spend(self, ms):
-        """Return the tokens used in a time without a leader, after a steady use."""
+    def lose_leader(self, ms):
+        """Use tokens steadily, then lose the leader for `ms`.
+
+        Returns the bucket, the time at the end and the tokens used without a leader.
+        """
         clock = ManualClock(0.0)
         allowance = RateAllowance(clock, lambda name: 20.0)
         bucket = RateBucket(LIMITS, -5000.0)
-        account = Account()
+        tokens = WorkspaceTokens()
         for _ in range(40):
             clock.advance(250)
             now = clock.now_ms()
             lots = [bucket.lease("e1", need, now) for need in allowance.rate_needs()]
             allowance.take_rates(lots, now)
-            account = allowance._accounts.setdefault("w", Account())
+            tokens = allowance._workspaces.setdefault("w", WorkspaceTokens())
             for _ in range(3):
-                account.used_ms.append(now)
-                account.take(now)
+                tokens.demand_at_ms.append(now)
+                tokens.take(now)
         used = 0
         for _ in range(ms // 50):
             clock.advance(50)
-            used += account.take(clock.now_ms())
+            used += tokens.take(clock.now_ms())
         return bucket, clock.now_ms(), used
 
     def test_entry_goes_on_at_its_rate_through_an_election(self):
-        _, _, used = self.spend(2400)
+        _, _, used = self.lose_leader(2400)
         self.assertGreaterEqual(used, 0.8 * 2.4 * 12)
 
     def test_entry_stops_when_no_leader_comes(self):
-        _, _, short = self.spend(2600)
-        _, _, long = self.spend(9000)
+        _, _, short = self.lose_leader(2600)
+        _, _, long = self.lose_leader(9000)
         self.assertEqual(short, long)
 
     def test_leader_gives_others_no_more_than_a_silent_entry_leaves(self):
-        bucket, now, used = self.spend(2400)
+        bucket, now, used = self.lose_leader(2400)
         start = now - 2400
         got = 0
         for step in range(0, 2400, 100):
@@ -128,7 +131,7 @@
 
 
 class RateAllowanceTests(unittest.TestCase):
-    """Guards against requests over the limit that wait, and against hoarded tokens."""
+    """Guards against waits of requests over the rate, and against idle tokens kept."""
 
     def setUp(self):
         self.clock = ManualClock(1000.0)
@@ -161,8 +164,8 @@
     def test_token_is_not_used_after_its_lease(self):
         self.allowance.take_rates([RateLot("w", 8, 1500, 0)], 1000.0)
         self.clock.advance(1450)
-        account = self.allowance._accounts["w"]
-        self.assertFalse(account.take(self.clock.now_ms()))
+        tokens = self.allowance._workspaces["w"]
+        self.assertFalse(tokens.take(self.clock.now_ms()))
 
 
 if __name__ == "__main__":
--- a/bergamotdrift/tests/test_token_bucket.py
+++ b/bergamotdrift/tests/test_token_bucket.py
@@ -10,8 +10,8 @@
 from bergamotdrift.token_bucket import TokenBucket
 
 
-class CentralBucket:
-    """The exact bucket of one process, as the reference."""
+class ReferenceBucket:
+    """Exact token bucket of one process, used as the reference."""
 
     def __init__(self, rate_per_s, burst):
         self.rate_per_ms = rate_per_s / 1000.0
@@ -20,21 +20,27 @@
         self.at_ms = 0.0
 
     def use(self, now_ms):
-        grown = self.level + (now_ms - self.at_ms) * self.rate_per_ms
-        self.level = min(self.burst, grown) - 1.0
+        refilled = self.level + (now_ms - self.at_ms) * self.rate_per_ms
+        self.level = min(self.burst, refilled) - 1.0
         self.at_ms = now_ms
         return self.level > -1e-6
 
 
 def report(uses, window_ms, now_ms):
-    """Return what an entry knows at a takeover; `uses` lie in the past and future."""
+    """Return an entry's report at a takeover.
+
+    Future `uses` count as held, and past ones within the window as used.
+    """
     used = sum(now_ms - window_ms <= at_ms <= now_ms for at_ms in uses)
     held = sum(at_ms > now_ms for at_ms in uses)
     return TokensSpent(int(window_ms), used, held)
 
 
 def use_times(rate, burst, seed, reported=False, steps=300):
-    """Return when tokens were used by entries that use, return and lose leases."""
+    """Return the times at which entries used tokens.
+
+    The entries use, return and lose leases at random, across takeovers.
+    """
     rng = random.Random(seed)
     now_ms = 0.0
     bucket = TokenBucket(rate, burst)
@@ -44,7 +50,7 @@
         now_ms += rng.choice([0.0, 1.0, 7.0, 40.0, 300.0])
         entry = support.entry(rng.randrange(3))
         if rng.random() < 0.08:
-            # Entries go on using leases of the arbiter that is replaced.
+            # A takeover; entries keep using the leases of the previous arbiter.
             bucket = TokenBucket(rate, burst)
             if not reported:
                 bucket.open(now_ms)
@@ -56,18 +62,18 @@
         late_ms = rng.choice([0.0, grant.lease_ms * 0.5, grant.lease_ms * 0.999])
         uses += [now_ms + late_ms] * used
         if rng.random() < 0.5:
-            bucket.give_back(entry, grant.tokens - used, now_ms)
+            bucket.return_tokens(entry, grant.tokens - used, now_ms)
     return sorted(uses)
 
 
 def overruns(rate, burst, seed, reported=False):
-    central = CentralBucket(rate, burst)
+    reference = ReferenceBucket(rate, burst)
     times = use_times(rate, burst, seed, reported)
-    return sum(not central.use(at_ms) for at_ms in times)
+    return sum(not reference.use(at_ms) for at_ms in times)
 
 
 class BoundTests(unittest.TestCase):
-    """Guards against more than burst + rate x window, across takeovers."""
+    """Guards against use of more than burst + rate x window, also across takeovers."""
 
     @settings(max_examples=150, deadline=None)
     @given(
@@ -76,7 +82,7 @@
         st.integers(0, 2**32),
         st.booleans(),
     )
-    def test_uses_fit_one_exact_central_bucket(self, rate, burst, seed, reported):
+    def test_uses_fit_one_exact_reference_bucket(self, rate, burst, seed, reported):
         self.assertEqual(overruns(rate, burst, seed, reported), 0)
 
     def test_reference_finds_leases_that_do_not_count_against_the_burst(self):
@@ -94,13 +100,13 @@
             self.assertGreater(sum(overruns(500.0, 99, seed) for seed in range(40)), 0)
 
     def test_reference_finds_reports_without_the_tokens_held(self):
-        honest = report
+        original_report = report
 
-        def forgetful(*args):
-            return honest(*args)._replace(held=0)
+        def report_without_held(*args):
+            return original_report(*args)._replace(held=0)
 
         name = f"{__name__}.report"
-        with mock.patch(name, forgetful):
+        with mock.patch(name, report_without_held):
             found = [overruns(500.0, 99, seed, reported=True) for seed in range(40)]
             self.assertGreater(sum(found), 0)
 
@@ -145,13 +151,13 @@
     def test_returned_tokens_can_be_taken_again(self):
         self.now_ms = 10_000.0
         self.assertEqual(self.take(0, 20), 20)
-        self.bucket.give_back(support.entry(0), 20, self.now_ms)
+        self.bucket.return_tokens(support.entry(0), 20, self.now_ms)
         self.assertEqual(self.take(1, 20), 20)
 
     def test_tokens_of_another_entry_can_not_be_returned(self):
         self.now_ms = 10_000.0
         self.take(0, 20)
-        self.bucket.give_back(support.entry(1), 20, self.now_ms)
+        self.bucket.return_tokens(support.entry(1), 20, self.now_ms)
         self.assertEqual(self.take(1, 20), 0)
 
     def test_lower_burst_applies_at_once(self):
--- a/bergamotdrift/tests/test_token_cache.py
+++ b/bergamotdrift/tests/test_token_cache.py
@@ -20,7 +20,7 @@
 
 class TokenCacheTests(unittest.TestCase):
     def test_report_covers_its_window_and_what_is_held(self):
-        """A use that a report leaves out would be granted twice after a takeover."""
+        """A token missing from a report would be granted again after a takeover."""
         cache = TokenCache()
         cache.add(TokenLease(10, 10_000.0, 1))
         for now_ms in (0.0, 1000.0, 1050.0, 2000.0):
@@ -33,23 +33,23 @@
     def test_tokens_are_used_once_and_within_their_lease(self, steps):
         cache = TokenCache()
         now, granted, used, returned = 0.0, 0, 0, 0
-        live: list[float] = []
+        live_until_ms: list[float] = []
         for action, number in steps:
-            live = [end for end in live if end > now]
+            live_until_ms = [end for end in live_until_ms if end > now]
             if action == "add":
                 cache.add(TokenLease(number, now + LEASE_MS, 1))
                 granted += number
-                live += [now + LEASE_MS] * number
+                live_until_ms += [now + LEASE_MS] * number
             elif action == "take":
                 taken = sum(cache.take(now) for _ in range(number))
-                self.assertEqual(taken, min(number, len(live)))
-                live = sorted(live)[taken:]
+                self.assertEqual(taken, min(number, len(live_until_ms)))
+                live_until_ms = sorted(live_until_ms)[taken:]
                 used += taken
             elif action == "wait":
                 now += number
             else:
                 returned += sum(lease.tokens for lease in cache.take_expired(now))
-        returned += sum(lease.tokens for lease in cache.take_all())
+        returned += sum(lease.tokens for lease in cache.pop_all())
         self.assertEqual(granted, used + returned)
 
     @settings(max_examples=200, deadline=None)
@@ -70,7 +70,8 @@
         self.assertEqual(TokenCache().wanted(0.0, 0), 0)
 
     def test_tokens_of_an_old_shard_epoch_return_under_that_epoch(self):
-        # A new arbiter that credited another's tokens would exceed the rate.
+        # If the new arbiter credited tokens of the previous one, the rate could be
+        # exceeded.
         cache = TokenCache()
         cache.add(TokenLease(2, 100, 1))
         cache.add(TokenLease(3, 100, 2))
--- a/bergamotdrift/tests/test_token_client.py
+++ b/bergamotdrift/tests/test_token_client.py
@@ -15,14 +15,14 @@
 
 
 class TokenClientTests(EntryTestCase):
-    def grant(self, *grants):
-        """Answer token requests in turn, the last grant for ever."""
-        left = list(grants)
+    def answer_with(self, *grants):
+        """Reply to token requests with the given grants, repeating the last one."""
+        remaining = list(grants)
 
         def answer(msg):
             if not isinstance(msg, TokenRequest):
                 return None
-            return left.pop(0) if len(left) > 1 else left[0]
+            return remaining.pop(0) if len(remaining) > 1 else remaining[0]
 
         self.arbiter.answer = answer
 
@@ -34,13 +34,13 @@
         self.assertLess(len(wanted), 10)
 
     def test_unused_tokens_return_when_their_lease_ends(self):
-        self.grant(TokenGrant(5, 100, 0))
+        self.answer_with(TokenGrant(5, 100, 0))
         self.ask("GET", "/status/1")
         self.wait_until(lambda: self.arbiter.of_type(TokenReturn), 0.3)
         self.assertEqual(self.arbiter.of_type(TokenReturn), [TokenReturn("w1", 3, 4)])
 
     def test_token_that_is_due_soon_is_waited_for(self):
-        self.grant(TokenGrant(0, 100, 30), TokenGrant(1, 100, 0))
+        self.answer_with(TokenGrant(0, 100, 30), TokenGrant(1, 100, 0))
         self.assertEqual(self.ask("GET", "/status/1").status, 200)
 
     def test_wait_for_a_token_counts_from_when_the_arbiter_answers(self):
@@ -58,13 +58,13 @@
         self.assertEqual(self.ask("GET", "/status/1").status, 200)
 
     def test_wait_for_a_slow_reply_is_not_refused_by_rate(self):
-        """A stalled machine would refuse requests whose tokens were granted."""
+        """Guards against refusals of requests whose grant arrives late in a stall."""
 
         def answer(msg):
             if not isinstance(msg, TokenRequest):
                 return None
             if len(self.arbiter.of_type(TokenRequest)) == 1:
-                # Longer than the lease of the tokens and the wait for due ones.
+                # Longer than the lease and than the wait for a due token.
                 gevent.sleep((TOKEN_LEASE_MS + 50) / 1000)
             return TokenGrant(msg.wanted, TOKEN_LEASE_MS, 0)
 
@@ -73,7 +73,7 @@
         self.assertEqual((reply.status, reply.kind), (200, None))
 
     def test_wait_after_a_slow_reply_that_grants_too_few_counts_from_the_reply(self):
-        """Tokens that are due in a moment would be refused after a stall."""
+        """Guards against refusals after a stall although a token is due soon."""
 
         def answer(msg):
             if not isinstance(msg, TokenRequest):
@@ -87,7 +87,7 @@
         self.assertEqual(self.ask("GET", "/status/1").status, 200)
 
     def test_requests_beyond_the_granted_tokens_are_refused(self):
-        self.grant(TokenGrant(3, 200, 500), TokenGrant(0, 200, 500))
+        self.answer_with(TokenGrant(3, 200, 500), TokenGrant(0, 200, 500))
         jobs = [gevent.spawn(self.ask, "GET", "/status/1") for _ in range(8)]
         gevent.joinall(jobs, timeout=3)
         statuses = sorted(job.value.status for job in jobs)
--- a/bergamotdrift/tests/test_workspace_arbitration.py
+++ b/bergamotdrift/tests/test_workspace_arbitration.py
@@ -16,7 +16,7 @@
 
 
 class TakeoverTests(unittest.TestCase):
-    """Guards the burst across takeovers; it holds 20 tokens and fills in 200 ms."""
+    """Guards against takeovers that exceed the burst: 20 tokens, filled in 200 ms."""
 
     def setUp(self):
         self.clock = ManualClock(100_000.0)
--- a/bergamotdrift/token_bucket.py
+++ b/bergamotdrift/token_bucket.py
@@ -1,8 +1,8 @@
-"""Fleet-wide bucket of a workspace's rate tokens, leased to entries in batches.
+"""Fleet-wide token bucket of a workspace, leased to entries in batches.
 
-A leased token counts against the burst until its lease has run out, whether it is
-used or not. So what all entries use in any window is at most burst + rate x window,
-even if they use leased tokens late.
+A leased token counts against the burst until its lease has expired, whether or not it
+is used. So all entries together use at most burst + rate x window in any window, even
+if they use leased tokens late.
 """
 
 from collections import deque
@@ -16,26 +16,27 @@
 from bergamotdrift.constants import TOKEN_LEASE_MS
 from bergamotdrift.takeover import EntryId
 
-# Entries return unused tokens within 50 ms of the lease's end. A return that comes
-# after the hold time stays spent.
+# Entries return unused tokens within 50 ms of the lease's end. Tokens returned after
+# the hold time count as used.
 _RETURN_GRACE_MS = 60.0
 _HOLD_MAX_MS = TOKEN_LEASE_MS + _RETURN_GRACE_MS
-# An entry can't use a lease shorter than a round trip.
+# An entry can't use a lease that is shorter than a round trip.
 _HOLD_MIN_MS = 10.0
-# Leases may hold this part of the burst at the full rate; a longer hold would keep
-# a workspace below its rate.
+# Upper limit of the share of the burst that leases hold at the full rate. A longer hold
+# would keep a workspace below its rate.
 _HELD_BURST_RATIO = 0.5
-# An entry that got less than it wanted counts as waiting until it should have asked
-# again, and this much longer.
-_WANTING_MS = 50.0
-_WANTING_MAX_MS = 200.0
-# Holds what entries got from an earlier arbiter; nobody returns it here.
-_EARLIER = EntryId("", "")
+# An entry that got less than it wanted counts as waiting until it is due to ask again,
+# plus this grace time.
+_WAITING_GRACE_MS = 50.0
+_WAITING_MAX_MS = 200.0
+# Stands for the tokens that entries hold from the previous arbiter; they aren't
+# returned to this one.
+_PREVIOUS_ARBITER = EntryId("", "")
 
 
 @dataclass(slots=True)
 class _Lease:
-    """Hold tokens given to an entry until their hold time ends."""
+    """Hold the tokens leased to an entry until their hold time ends."""
 
     entry: EntryId
     expires_ms: float
@@ -43,7 +44,12 @@
 
 
 class TokenBucket:
-    """Lease tokens of one workspace; starts empty and shut until `open`."""
+    """Lease the tokens of one workspace; empty and closed until it is opened.
+
+    Waiting entries share tokens by start-time fair queuing: a grant starts at the
+    entry's last finish tag or the virtual time, whichever is later, and moves its
+    finish tag on by the tokens granted.
+    """
 
     def __init__(self, rate_per_s: float, burst: int):
         self._rate_per_ms = rate_per_s / 1000.0
@@ -51,9 +57,9 @@
         self._level = 0.0
         self._held = 0
         self._leases: deque[_Lease] = deque()
-        self._wanting: dict[EntryId, float] = {}
-        self._tags: dict[EntryId, float] = {}
-        self._virtual = 0.0
+        self._waiting_until_ms: dict[EntryId, float] = {}
+        self._finish_tags: dict[EntryId, float] = {}
+        self._virtual_time = 0.0
         self._refilled_at_ms = float("inf")
         self._opens_at_ms = float("inf")
 
@@ -67,13 +73,14 @@
 
     @property
     def lease_ms(self) -> int:
-        """Return how long an entry may use tokens, from before it asked."""
+        """Return how long an entry may use tokens, counted from its request."""
         return int(max(self.hold_ms / 2, self.hold_ms - _RETURN_GRACE_MS))
 
     def open(self, now_ms: float, limits_since_ms: float = float("-inf")) -> None:
-        """Begin to refill once the leases of an earlier arbiter have run out.
+        """Start to refill once the leases of the previous arbiter have expired.
 
-        Their length is known if the limits are in force for longer than any lease.
+        Their length is known if the limits have been in force for longer than any
+        lease; otherwise the maximum applies.
         """
         is_known = now_ms - limits_since_ms >= _HOLD_MAX_MS
         self._opens_at_ms = now_ms + (self.hold_ms if is_known else _HOLD_MAX_MS)
@@ -87,22 +94,22 @@
         return self._burst / self._rate_per_ms
 
     def open_with_reports(self, reports: Iterable[TokensSpent], now_ms: float) -> None:
-        """Begin with what the entries left of the burst within the fill time.
+        """Start with the burst less what the entries used in the fill time and hold.
 
         The reports must cover the fill time and every entry that used tokens in it.
-        Without use before it, the bucket held at least as much.
+        Use before the fill time doesn't count, as the bucket has refilled since.
         """
-        found = list(reports)
-        held = sum(item.held for item in found)
+        usage = list(reports)
+        held = sum(item.held for item in usage)
         self._opens_at_ms = self._refilled_at_ms = now_ms
-        self._level = max(0.0, self._burst - held - sum(item.used for item in found))
+        self._level = max(0.0, self._burst - held - sum(item.used for item in usage))
         if held:
             self._held += held
-            lease = _Lease(_EARLIER, now_ms + _HOLD_MAX_MS, held)
+            lease = _Lease(_PREVIOUS_ARBITER, now_ms + _HOLD_MAX_MS, held)
             self._leases.append(lease)
 
     def is_open(self, now_ms: float) -> bool:
-        """Tell whether the leases of an earlier arbiter have run out."""
+        """Return whether the leases of the previous arbiter have expired."""
         return now_ms >= self._opens_at_ms
 
     def configure(self, rate_per_s: float, burst: int, now_ms: float) -> None:
@@ -113,26 +120,30 @@
         self._level = max(0.0, min(self._level, self._burst - self._held))
 
     def take(self, entry: EntryId, wanted: int, now_ms: float) -> TokenGrant:
-        """Lease up to `wanted` tokens, divided fairly between waiting entries."""
+        """Lease up to `wanted` tokens, divided fairly among the waiting entries."""
         self._refill(now_ms)
         others = self._waiting_others(entry, now_ms)
-        tag = max(self._virtual, self._tags.get(entry, 0.0))
-        # One token is left for each waiting entry that was served less.
-        ahead = sum(self._tags.get(other, 0.0) < tag for other in others)
+        start_tag = max(self._virtual_time, self._finish_tags.get(entry, 0.0))
+        # One token is reserved for each waiting entry that was served less.
+        reserved = sum(
+            self._finish_tags.get(other, 0.0) < start_tag for other in others
+        )
         share = max(1, int(self._level / (1 + len(others))))
-        tokens = max(0, min(wanted, share, int(self._level - ahead)))
+        tokens = max(0, min(wanted, share, int(self._level - reserved)))
         if tokens:
             self._lease(entry, tokens, now_ms)
-        self._count_served(entry, tag + tokens, others)
+        self._update_tags(entry, start_tag + tokens, others)
         if tokens >= wanted:
-            self._wanting.pop(entry, None)
+            self._waiting_until_ms.pop(entry, None)
             return TokenGrant(tokens, self.lease_ms, 0)
         retry_ms = self._retry_after_ms(len(others), now_ms)
-        self._wanting[entry] = now_ms + min(retry_ms, _WANTING_MAX_MS) + _WANTING_MS
+        self._waiting_until_ms[entry] = (
+            now_ms + min(retry_ms, _WAITING_MAX_MS) + _WAITING_GRACE_MS
+        )
         return TokenGrant(tokens, self.lease_ms, retry_ms)
 
-    def give_back(self, entry: EntryId, tokens: int, now_ms: float) -> None:
-        """Take unused tokens back; those whose hold time is over stay spent."""
+    def return_tokens(self, entry: EntryId, tokens: int, now_ms: float) -> None:
+        """Return unused tokens; those whose hold time is over count as used."""
         self._refill(now_ms)
         for lease in reversed(self._leases):
             if tokens <= 0:
@@ -153,7 +164,7 @@
     def _refill(self, now_ms: float) -> None:
         if now_ms <= self._refilled_at_ms:
             return
-        # Time is taken in steps, since the level is capped while leases hold burst.
+        # Refills up to each expiry in turn, since running leases lower the level's cap.
         while self._leases and self._leases[0].expires_ms <= now_ms:
             lease = self._leases.popleft()
             self._refill_until(lease.expires_ms)
@@ -163,22 +174,29 @@
     def _refill_until(self, at_ms: float) -> None:
         if at_ms <= self._refilled_at_ms:
             return
-        grown = self._level + (at_ms - self._refilled_at_ms) * self._rate_per_ms
-        self._level = max(0.0, min(grown, self._burst - self._held))
+        refilled = self._level + (at_ms - self._refilled_at_ms) * self._rate_per_ms
+        self._level = max(0.0, min(refilled, self._burst - self._held))
         self._refilled_at_ms = at_ms
 
-    def _count_served(self, entry: EntryId, tag: float, others: list[EntryId]) -> None:
-        self._tags[entry] = tag
-        self._virtual = min([tag, *(self._tags[other] for other in others)])
-        if len(self._tags) > 2 * (len(others) + 1):
+    def _update_tags(
+        self, entry: EntryId, finish_tag: float, others: list[EntryId]
+    ) -> None:
+        self._finish_tags[entry] = finish_tag
+        self._virtual_time = min([
+            finish_tag,
+            *(self._finish_tags[other] for other in others),
+        ])
+        if len(self._finish_tags) > 2 * (len(others) + 1):
             active = {entry, *others}
-            self._tags = {name: self._tags[name] for name in active}
+            self._finish_tags = {name: self._finish_tags[name] for name in active}
 
     def _waiting_others(self, entry: EntryId, now_ms: float) -> list[EntryId]:
-        gone = [name for name, until in self._wanting.items() if until <= now_ms]
-        for name in gone:
-            del self._wanting[name]
-        return [name for name in self._wanting if name != entry]
+        expired = [
+            name for name, until in self._waiting_until_ms.items() if until <= now_ms
+        ]
+        for name in expired:
+            del self._waiting_until_ms[name]
+        return [name for name in self._waiting_until_ms if name != entry]
 
     def _retry_after_ms(self, others: int, now_ms: float) -> int:
         if self._rate_per_ms <= 0:
--- a/bergamotdrift/token_cache.py
+++ b/bergamotdrift/token_cache.py
@@ -1,4 +1,4 @@
-"""Rate tokens that an entry holds for a workspace under short leases."""
+"""Cache of the rate tokens that an entry holds for a workspace under short leases."""
 
 import math
 from collections import deque
@@ -7,22 +7,22 @@
 from bergamotdrift.arbiter_messages import TokensSpent
 from bergamotdrift.config.schema import WorkspaceSettings
 
-# Tokens are fetched ahead for this much of recent use; more would only keep them
+# Prefetches as many tokens as were used in this time; more would only withhold them
 # from other entries.
 PREFETCH_WINDOW_MS = 50
-_MAX_WANTED = 1024
-# Uses are remembered in slots of time for as long as reports may ask for.
-_SLOT_MS = 100.0
+_WANTED_MAX = 1024
+# Uses are counted per time slot, and kept for the longest window of a report.
+_USAGE_SLOT_MS = 100.0
 SPENT_WINDOW_MAX_MS = 30_000
 
 
-class _Slot(NamedTuple):
+class _UsageSlot(NamedTuple):
     start_ms: float
     used: int
 
 
 def spent_window_ms(limits: WorkspaceSettings) -> int | None:
-    """Return the time in which a bucket fills, or None if uses are forgotten sooner."""
+    """Return the fill time of a bucket, or None if it exceeds the kept usage window."""
     if limits.rate_per_s <= 0:
         return None
     window_ms = math.ceil(1000.0 * limits.burst / limits.rate_per_s)
@@ -30,7 +30,7 @@
 
 
 class TokenLease(NamedTuple):
-    """Hold tokens of one shard epoch that may be used until `end_ms`."""
+    """Hold tokens leased under one shard epoch; they are valid until `end_ms`."""
 
     tokens: int
     end_ms: float
@@ -38,15 +38,18 @@
 
 
 class TokenCache:
-    """Decide how many tokens to ask for, use and return; times in milliseconds."""
+    """Track leased tokens: how many to request, use and return.
+
+    All times are in milliseconds.
+    """
 
     def __init__(self) -> None:
         self._leases: deque[TokenLease] = deque()
-        self._used_at_ms: deque[float] = deque(maxlen=_MAX_WANTED)
-        self._slots: deque[_Slot] = deque()
+        self._used_at_ms: deque[float] = deque(maxlen=_WANTED_MAX)
+        self._usage_slots: deque[_UsageSlot] = deque()
 
     def take(self, now_ms: float) -> bool:
-        """Use a token whose lease still runs and tell whether there was one."""
+        """Consume an unexpired token and return whether there was one."""
         for index, lease in enumerate(self._leases):
             if lease.end_ms <= now_ms:
                 continue
@@ -55,52 +58,52 @@
             else:
                 del self._leases[index]
             self._used_at_ms.append(now_ms)
-            self._count_use(now_ms)
+            self._record_use(now_ms)
             return True
         return False
 
     def spent(self, window_ms: int, now_ms: float) -> TokensSpent:
-        """Report the tokens used since `window_ms` ago, at least, and those held."""
-        since_ms = now_ms - window_ms - _SLOT_MS
-        used = sum(slot.used for slot in self._slots if slot.start_ms >= since_ms)
+        """Report the tokens used in at least the last `window_ms`, and those held."""
+        since_ms = now_ms - window_ms - _USAGE_SLOT_MS
+        used = sum(slot.used for slot in self._usage_slots if slot.start_ms >= since_ms)
         return TokensSpent(window_ms, used, self.held(now_ms))
 
     def wanted(self, now_ms: float, waiting: int) -> int:
-        """Return how many tokens to ask for while `waiting` requests need one."""
+        """Return how many tokens to request while `waiting` requests need one."""
         if not waiting:
             return 0
         while self._used_at_ms and self._used_at_ms[0] < now_ms - PREFETCH_WINDOW_MS:
             self._used_at_ms.popleft()
-        ahead = len(self._used_at_ms)
-        return min(max(0, waiting + ahead - self.held(now_ms)), _MAX_WANTED)
+        recent_uses = len(self._used_at_ms)
+        return min(max(0, waiting + recent_uses - self.held(now_ms)), _WANTED_MAX)
 
     def add(self, lease: TokenLease) -> None:
-        """Store tokens whose lease counts from before they were asked for."""
+        """Add leased tokens; their lease counts from the time of the request."""
         if lease.tokens > 0:
             self._leases.append(lease)
 
     def held(self, now_ms: float) -> int:
-        """Return how many tokens can still be used."""
+        """Return the number of unexpired tokens."""
         return sum(lease.tokens for lease in self._leases if lease.end_ms > now_ms)
 
     def take_expired(self, now_ms: float) -> list[TokenLease]:
-        """Remove and return the leases that have ended; their tokens go back."""
+        """Remove and return the expired leases, whose tokens are to be returned."""
         expired = [lease for lease in self._leases if lease.end_ms <= now_ms]
         if expired:
             self._leases = deque(x for x in self._leases if x.end_ms > now_ms)
         return expired
 
-    def take_all(self) -> list[TokenLease]:
+    def pop_all(self) -> list[TokenLease]:
         """Remove and return all leases."""
         leases = list(self._leases)
         self._leases.clear()
         return leases
 
-    def _count_use(self, now_ms: float) -> None:
-        slots = self._slots
-        if slots and now_ms - slots[-1].start_ms < _SLOT_MS:
-            slots[-1] = _Slot(slots[-1].start_ms, slots[-1].used + 1)
+    def _record_use(self, now_ms: float) -> None:
+        slots = self._usage_slots
+        if slots and now_ms - slots[-1].start_ms < _USAGE_SLOT_MS:
+            slots[-1] = _UsageSlot(slots[-1].start_ms, slots[-1].used + 1)
             return
-        slots.append(_Slot(now_ms, 1))
-        while slots[0].start_ms < now_ms - SPENT_WINDOW_MAX_MS - _SLOT_MS:
+        slots.append(_UsageSlot(now_ms, 1))
+        while slots[0].start_ms < now_ms - SPENT_WINDOW_MAX_MS - _USAGE_SLOT_MS:
             slots.popleft()
--- a/bergamotdrift/workspace_arbitration.py
+++ b/bergamotdrift/workspace_arbitration.py
@@ -1,10 +1,11 @@
-"""Decisions of one workspace shard: rate tokens and idempotency records.
-
-`WorkspaceArbitration` is pure and is driven like `arbitration.Arbitration`: methods
-return the messages to deliver. Until every entry has reported (`resume`), it leases
-no tokens and holds claims back, since an earlier arbiter's leases and records may
-be missing. A `Mirror` output asks the driver to store a record at the arbiter on
-another VM that would take the shard over. `tick` is called every 40 ms or so.
+"""Arbitration of one workspace shard: rate token leases and idempotency records.
+
+`WorkspaceArbitration` does no I/O and is driven like `arbitration.Arbitration`: its
+methods return the messages to deliver. Until every entry has reported (`resume`), it
+leases no tokens and holds claims back, since it may not know all leases and records
+of the previous arbiter. A `Mirror` output asks the driver to store a record at the
+arbiter on another VM that would take the shard over. `tick` is called about every
+40 ms.
 """
 
 from collections.abc import Callable
@@ -29,11 +30,11 @@
 from bergamotdrift.takeover import EntryId, TakeoverGate
 from bergamotdrift.token_bucket import TokenBucket
 
-_EARLY_MAX = 1024
+_PENDING_CLAIMS_MAX = 1024
 
 
-class _EarlyClaim(NamedTuple):
-    """Hold a claim that came before the takeover was complete."""
+class _PendingClaim(NamedTuple):
+    """Hold a claim that arrived before the takeover was complete."""
 
     entry: EntryId
     msg: RecordBegin
@@ -42,7 +43,7 @@
 
 
 class WorkspaceArbitration:
-    """Lease tokens and keep records of one workspace; see the module's text."""
+    """Lease tokens and keep records of one workspace; see the module docstring."""
 
     def __init__(
         self,
@@ -57,8 +58,8 @@
         self._clock = clock
         self._may_act = may_act
         self._gate = TakeoverGate(view.entries)
-        self._early: list[_EarlyClaim] = []
-        self._spent: dict[EntryId, TokensSpent | None] = {}
+        self._pending_claims: list[_PendingClaim] = []
+        self._usage_reports: dict[EntryId, TokensSpent | None] = {}
         limits = view.workspace
         self.bucket = TokenBucket(limits.rate_per_s, limits.burst)
         self.records = RecordStore(limits.name, clock, records_max)
@@ -67,17 +68,17 @@
 
     @property
     def is_waiting(self) -> bool:
-        """Tell whether any claim waits."""
-        return bool(self._early) or self.records.has_waiters
+        """Return whether any claim or retry waits."""
+        return bool(self._pending_claims) or self.records.has_waiters
 
     @property
     def is_granting(self) -> bool:
-        """Tell whether tokens and claims may be given now."""
+        """Return whether tokens and claims may be granted now."""
         return self._gate.is_open and self._may_act()
 
     @property
     def missing_entries(self) -> frozenset[EntryId]:
-        """Return the entries whose report the takeover waits for."""
+        """Return the entries whose reports the takeover waits for."""
         return self._gate.missing
 
     def take_tokens(
@@ -85,19 +86,19 @@
     ) -> list[Output]:
         """Lease tokens of the workspace."""
         if msg.shard_epoch != self.view.epoch:
-            return [Reply(ticket, _stale())]
+            return [Reply(ticket, _shard_not_ready())]
         now_ms = self._clock.now_ms()
         if not self.is_granting or not self.bucket.is_open(now_ms):
-            # Not a grant of 0 tokens: the rate isn't what holds the request back.
-            return [Reply(ticket, _stale())]
+            # A grant of 0 tokens would be taken for a lack of rate.
+            return [Reply(ticket, _shard_not_ready())]
         if entry not in self.view.entries:
-            return [Reply(ticket, _stale())]
+            return [Reply(ticket, _shard_not_ready())]
         return [Reply(ticket, self.bucket.take(entry, msg.wanted, now_ms))]
 
     def return_tokens(self, entry: EntryId, msg: TokenReturn) -> list[Output]:
-        """Take unused tokens back."""
+        """Return unused tokens to the bucket."""
         if msg.shard_epoch == self.view.epoch:
-            self.bucket.give_back(entry, msg.tokens, self._clock.now_ms())
+            self.bucket.return_tokens(entry, msg.tokens, self._clock.now_ms())
         return []
 
     def begin_record(
@@ -105,26 +106,26 @@
     ) -> list[Output]:
         """Claim an idempotency key."""
         if msg.shard_epoch != self.view.epoch or entry not in self.view.entries:
-            return [Reply(ticket, _stale())]
+            return [Reply(ticket, _shard_not_ready())]
         if self.is_granting:
             return self.records.begin(entry, msg, ticket)
-        if len(self._early) >= _EARLY_MAX:
+        if len(self._pending_claims) >= _PENDING_CLAIMS_MAX:
             return [Reply(ticket, Failure(ErrorKind.QUEUE_FULL))]
         expires_ms = self._clock.now_ms() + max(0, msg.wait_ms)
-        self._early.append(_EarlyClaim(entry, msg, ticket, expires_ms))
+        self._pending_claims.append(_PendingClaim(entry, msg, ticket, expires_ms))
         return []
 
     def end_record(self, entry: EntryId, msg: RecordEnd) -> list[Output]:
-        """Close a claim, or withdraw one that still waits."""
-        self._early = [
+        """Close a claim, or remove one that still waits."""
+        self._pending_claims = [
             claim
-            for claim in self._early
+            for claim in self._pending_claims
             if claim.entry != entry or claim.msg.request != msg.request
         ]
         return self.records.end(entry, msg)
 
     def resume(self, entry: EntryId, msg: Resume) -> list[Output]:
-        """Take the records that an entry holds."""
+        """Apply an entry's report: its records and, in a takeover, its token usage."""
         if msg.shard_epoch != self.view.epoch or entry not in self.view.entries:
             return []
         for row in msg.records:
@@ -132,14 +133,14 @@
                 self.records.merge(entry, row)
         was_open = self._gate.is_open
         if not was_open:
-            self._spent[entry] = msg.tokens
+            self._usage_reports[entry] = msg.tokens
         self._gate.report(entry)
         return self._open_if_complete(was_open)
 
     def take_mirrored(self, items: list[MirroredRecord]) -> None:
-        """Take records that entries mirrored here.
+        """Merge records that entries mirrored to this arbiter.
 
-        Those of an entry that is no member have no owner who could close them.
+        Records of an entry that isn't a member any more have no owner to close them.
         """
         for item in items:
             owner = item.entry if item.entry in self.view.entries else None
@@ -148,8 +149,10 @@
             self.records.close_unowned()
 
     def disconnect(self, entry: EntryId) -> list[Output]:
-        """Withdraw what waits for an entry whose stream was lost."""
-        self._early = [claim for claim in self._early if claim.entry != entry]
+        """Remove the waiting claims of an entry whose stream was lost."""
+        self._pending_claims = [
+            claim for claim in self._pending_claims if claim.entry != entry
+        ]
         self.records.disconnect(entry)
         return []
 
@@ -161,41 +164,46 @@
         if limits != before.workspace:
             self.bucket.configure(limits.rate_per_s, limits.burst, now_ms)
         outputs: list[Output] = []
-        lost = before.entries - view.entries
-        for entry in lost:
+        removed = before.entries - view.entries
+        for entry in removed:
             self.disconnect(entry)
-            outputs += self.records.forget_entry(entry)
-        if lost and self._gate.is_open:
+            outputs += self.records.remove_entry(entry)
+        if removed and self._gate.is_open:
             outputs += self.mirror_single()
         was_open = self._gate.is_open
         self._gate.keep_members(view.entries)
         return outputs + self._open_if_complete(was_open)
 
     def mirror_single(self) -> list[Output]:
-        """Return the records that stand on no other VM: their entry is gone or local.
+        """Return `Mirror` outputs for the records that have no copy on another VM.
 
-        The entry itself mirrors the claims that begin later.
+        Their entry has been removed or runs on this VM. A local entry mirrors its
+        later claims itself.
         """
-        rows = self.records.rows_of_others(self.view.remote_entries)
+        rows = self.records.rows_not_held_by(self.view.remote_entries)
         return [Mirror(self.shard, row) for row in rows]
 
     def tick(self) -> list[Output]:
-        """Answer the resends and claims that waited long enough."""
+        """Reply to claims that timed out, and begin waiting claims once granting."""
         outputs = self.records.expire_waiters()
-        if not self._early:
+        if not self._pending_claims:
             return outputs
         now_ms = self._clock.now_ms()
         if self.is_granting:
-            return outputs + self._run_early()
-        expired = [claim for claim in self._early if claim.expires_ms <= now_ms]
-        self._early = [claim for claim in self._early if claim.expires_ms > now_ms]
-        return outputs + [Reply(claim.ticket, _stale()) for claim in expired]
+            return outputs + self._begin_pending_claims()
+        expired = [
+            claim for claim in self._pending_claims if claim.expires_ms <= now_ms
+        ]
+        self._pending_claims = [
+            claim for claim in self._pending_claims if claim.expires_ms > now_ms
+        ]
+        return outputs + [Reply(claim.ticket, _shard_not_ready()) for claim in expired]
 
     def close(self, kind: ErrorKind = ErrorKind.ARBITER_UNREACHABLE) -> list[Output]:
-        """Refuse all that waits, and give nothing more."""
+        """Refuse all waiting claims and stop granting."""
         self._may_act = lambda: False
-        early, self._early = self._early, []
-        outputs: list[Output] = [Reply(c.ticket, Failure(kind)) for c in early]
+        claims, self._pending_claims = self._pending_claims, []
+        outputs: list[Output] = [Reply(c.ticket, Failure(kind)) for c in claims]
         return outputs + self.records.refuse_waiters(kind)
 
     def _open_if_complete(self, was_open: bool) -> list[Output]:
@@ -203,41 +211,43 @@
             return []
         self._open()
         outputs = self.mirror_single()
-        return outputs + self._run_early() if self._may_act() else outputs
+        return outputs + self._begin_pending_claims() if self._may_act() else outputs
 
     def _open(self) -> None:
         now_ms = self._clock.now_ms()
-        reports = self._usable_reports(now_ms)
+        reports = self._complete_usage_reports(now_ms)
         if reports is None:
             self.bucket.open(now_ms, self.view.limits_since_ms)
         else:
             self.bucket.open_with_reports(reports, now_ms)
-        self._spent.clear()
+        self._usage_reports.clear()
         self.records.close_unowned()
 
-    def _usable_reports(self, now_ms: float) -> list[TokensSpent] | None:
-        """Return what all entries spent within the bucket's fill time, or None.
+    def _complete_usage_reports(self, now_ms: float) -> list[TokensSpent] | None:
+        """Return the usage reports if they cover the bucket's fill time, or None.
 
-        An entry that left within that time, or other limits, leave it unknown.
+        The usage is unknown if an entry left or the limits changed within that time.
         """
-        needed_ms = self.bucket.fill_ms
-        settled_ms = max(self.view.entries_left_ms, self.view.limits_since_ms)
-        if not now_ms - settled_ms >= needed_ms + 2 * TOKEN_LEASE_MS:
+        fill_ms = self.bucket.fill_ms
+        changed_ms = max(self.view.entries_left_ms, self.view.limits_since_ms)
+        if not now_ms - changed_ms >= fill_ms + 2 * TOKEN_LEASE_MS:
             return None
         reports = []
-        for spent in self._spent.values():
-            if spent is None or spent.window_ms < needed_ms:
+        for spent in self._usage_reports.values():
+            if spent is None or spent.window_ms < fill_ms:
                 return None
             reports.append(spent)
         return reports
 
-    def _run_early(self) -> list[Output]:
-        early, self._early = self._early, []
+    def _begin_pending_claims(self) -> list[Output]:
+        claims, self._pending_claims = self._pending_claims, []
         outputs: list[Output] = []
-        for claim in early:
+        for claim in claims:
             outputs += self.records.begin(claim.entry, claim.msg, claim.ticket)
         return outputs
 
 
-def _stale() -> Failure:
-    return Failure(ErrorKind.ARBITER_UNREACHABLE, "the shard is not settled here")
+def _shard_not_ready() -> Failure:
+    return Failure(
+        ErrorKind.ARBITER_UNREACHABLE, "the shard is not ready at this arbiter"
+    )
