--- a/bergamotdrift/arbiter.py
+++ b/bergamotdrift/arbiter.py
@@ -1,4 +1,4 @@
-"""Program of an arbiter: decides for the shards that control leases to it."""
+"""Arbiter program: serves the shards that control leases to it."""
 
 import random
 import secrets
--- a/bergamotdrift/arbiter_client.py
+++ b/bergamotdrift/arbiter_client.py
@@ -1,4 +1,4 @@
-"""Calls of an entry to the arbiters of the shards that it uses."""
+"""Client of an entry for the arbiters of the shards that it uses."""
 
 import time
 from collections.abc import Callable
@@ -27,21 +27,22 @@
 from bergamotdrift.streams import Connection, StreamClient
 from bergamotdrift.tables import Tables
 
-# A resume per shard may exceed the stream's queue; the writer runs in between.
-_RESUMES_PER_TURN = 512
-# Two missed heartbeats.
-_SILENCE_S = 2 * STREAM_HEARTBEAT_MS / 1000.0
+# One resume per shard can overflow a stream's send queue; the writer runs between
+# batches.
+_RESUMES_PER_BATCH = 512
+# Two missed heartbeats
+_STALE_AFTER_S = 2 * STREAM_HEARTBEAT_MS / 1000.0
 
 
-class Holdings(Protocol):
-    """Tell what this entry still holds of a shard."""
+class HeldResources(Protocol):
+    """Report the resources of a shard that this entry still holds."""
 
     def running_permits(self, shard: str) -> list[RunningPermit]:
         """Return the permits in use."""
         ...
 
     def kept_connections(self, shard: str) -> list[KeptConnections]:
-        """Return the idle connections."""
+        """Return the idle connections kept per upstream."""
         ...
 
     def records(self, shard: str) -> list[RecordRow]:
@@ -49,12 +50,12 @@
         ...
 
     def tokens_spent(self, shard: str) -> TokensSpent | None:
-        """Return the use of rate tokens, or None if no window covers the burst."""
+        """Return the rate tokens spent, or None if no window covers the burst."""
         ...
 
 
 class ArbiterCall(NamedTuple):
-    """Hold a reply and the shard assignment under which it was asked for."""
+    """Hold a reply and the shard assignment under which its request was sent."""
 
     reply: Message
     row: ShardRow
@@ -67,20 +68,20 @@
         self,
         hello: Hello,
         tables: Callable[[], Tables],
-        holdings: Holdings,
+        held: HeldResources,
         on_revoke: Callable[[Revoke], None],
     ):
         self._hello = hello
         self._tables = tables
-        self._holdings = holdings
+        self._held = held
         self._on_revoke = on_revoke
         self._clients: dict[str, StreamClient] = {}
 
     def on_tables_changed(self, update: FeedUpdate) -> None:
-        """Follow the membership and report to the arbiters of changed shards."""
+        """Sync the streams with the membership and send resumes for changed shards."""
         self._sync_clients()
         shards = self._tables().shards.values() if update.full else update.shards
-        self._resume_all([self._current(row) for row in shards])
+        self._send_resumes([self._current_row(row) for row in shards])
 
     def stop(self) -> None:
         """Close all streams."""
@@ -93,40 +94,40 @@
         return self._tables().shards.get(shard)
 
     def is_reachable(self, shard: str) -> bool:
-        """Tell whether the shard's arbiter was heard from recently.
+        """Return whether data arrived from the shard's arbiter recently.
 
-        The stream's own read deadline would notice a silent partition only after
-        control may have expired this entry.
+        The stream's read timeout detects a silent network partition only after control
+        may have expired this entry.
         """
         row = self.assignment(shard)
         client = self._clients.get(row.node) if row is not None else None
-        return client is not None and _was_heard(client)
+        return client is not None and _received_recently(client)
 
     def call(
-        self, shard: str, make: Callable[[int], Message], timeout_ms: float
+        self, shard: str, build_message: Callable[[int], Message], timeout_ms: float
     ) -> ArbiterCall:
-        """Return the reply to the message that `make` builds for a shard epoch.
+        """Return the reply to the message that `build_message` makes for a shard epoch.
 
         Raises StreamClosedError, CallError and gevent.Timeout.
         """
         row = self.assignment(shard)
         client = self._clients.get(row.node) if row is not None else None
         if row is None or client is None:
-            raise StreamClosedError(f"no arbiter for {shard}")
-        reply = client.ready_connection().call(make(row.epoch), timeout_ms)
+            raise StreamClosedError(f"no stream to an arbiter of {shard}")
+        reply = client.ready_connection().call(build_message(row.epoch), timeout_ms)
         return ArbiterCall(reply, row)
 
     def call_node(self, node: str, msg: Message, timeout_ms: float) -> Message:
-        """Return the reply of an arbiter named by its node."""
+        """Return the reply of the arbiter on a node to a message."""
         client = self._clients.get(node)
         if client is None:
             raise StreamClosedError(f"no stream to {node}")
         return client.ready_connection().call(msg, timeout_ms)
 
     def send(self, shard: str, msg: Message, node: str = "") -> bool:
-        """Send a one-way message to the shard's arbiter and tell whether it went.
+        """Send a one-way message to the shard's arbiter; return False without a stream.
 
-        A message that is lost is made up for by the resume on the next stream.
+        The resume on the next stream makes up for a message that is lost.
         """
         row = self.assignment(shard)
         client = self._clients.get(node or (row.node if row is not None else ""))
@@ -155,27 +156,27 @@
         client.start()
         self._clients[node] = client
 
-    def _current(self, row: ShardRow) -> ShardRow:
+    def _current_row(self, row: ShardRow) -> ShardRow:
         return self.assignment(row.shard) or row
 
     def resume_node(self, node: str) -> None:
-        """Report what is held of every shard of an arbiter on a new stream."""
-        self._resume_all([
+        """Send a resume for every shard of an arbiter on its new stream."""
+        self._send_resumes([
             row for row in self._tables().shards.values() if row.node == node
         ])
 
-    def _resume_all(self, rows: list[ShardRow]) -> None:
-        if len(rows) <= _RESUMES_PER_TURN:
-            self._resume_some(rows)
+    def _send_resumes(self, rows: list[ShardRow]) -> None:
+        if len(rows) <= _RESUMES_PER_BATCH:
+            self._send_resume_batch(rows)
             return
-        gevent.spawn(self._resume_in_turns, rows)
+        gevent.spawn(self._send_resumes_in_batches, rows)
 
-    def _resume_in_turns(self, rows: list[ShardRow]) -> None:
-        for start in range(0, len(rows), _RESUMES_PER_TURN):
-            self._resume_some(rows[start : start + _RESUMES_PER_TURN])
+    def _send_resumes_in_batches(self, rows: list[ShardRow]) -> None:
+        for start in range(0, len(rows), _RESUMES_PER_BATCH):
+            self._send_resume_batch(rows[start : start + _RESUMES_PER_BATCH])
             gevent.sleep(0.005)
 
-    def _resume_some(self, rows: list[ShardRow]) -> None:
+    def _send_resume_batch(self, rows: list[ShardRow]) -> None:
         for row in rows:
             current = self.assignment(row.shard)
             if current != row or not row.node:
@@ -183,15 +184,15 @@
             msg = Resume(
                 row.shard,
                 row.epoch,
-                self._holdings.running_permits(row.shard),
-                self._holdings.kept_connections(row.shard),
-                self._holdings.records(row.shard),
-                self._holdings.tokens_spent(row.shard),
+                self._held.running_permits(row.shard),
+                self._held.kept_connections(row.shard),
+                self._held.records(row.shard),
+                self._held.tokens_spent(row.shard),
             )
             self.send(row.shard, msg)
 
     def revoke(self, msg: Revoke) -> None:
-        """Pass an order to cancel attempts on."""
+        """Forward an order to cancel attempts."""
         self._on_revoke(msg)
 
 
@@ -203,7 +204,7 @@
         self._node = node
 
     def on_open(self, conn: Connection) -> None:
-        """Report what is held before any other message."""
+        """Send the resumes before any other message."""
         log_event("arbiter_connected", arbiter=self._node)
         self._client.resume_node(self._node)
 
@@ -212,14 +213,14 @@
         log_event("arbiter_lost", arbiter=self._node, reason=conn.close_reason)
 
     def on_message(self, conn: Connection, number: int, msg: Message) -> None:
-        """Carry out revocations."""
+        """Handle revocations; other one-way messages are ignored."""
         if isinstance(msg, Revoke):
             self._client.revoke(msg)
 
 
-def _was_heard(client: StreamClient) -> bool:
+def _received_recently(client: StreamClient) -> bool:
     try:
         conn = client.ready_connection()
     except StreamClosedError:
         return False
-    return time.monotonic() - conn.received_at_s < _SILENCE_S
+    return time.monotonic() - conn.received_at_s < _STALE_AFTER_S
--- a/bergamotdrift/arbiter_messages.py
+++ b/bergamotdrift/arbiter_messages.py
@@ -8,7 +8,7 @@
 
 
 class AttemptOutcome(StrEnum):
-    """Tell how an attempt under a permit ended."""
+    """List the outcomes of an attempt under a permit."""
 
     ANSWERED = "answered"
     SERVER_ERROR = "server_error"
@@ -25,7 +25,7 @@
 
 @message
 class PermitRequest(NamedTuple):
-    """Ask for a permit; `deadline_ms` is the time left, `partition` -1 in a pool."""
+    """Request a permit; `deadline_ms` is the time left, `partition` is -1 in a pool."""
 
     request: str
     attempt: int
@@ -42,7 +42,7 @@
 
 @message
 class PermitGrant(NamedTuple):
-    """Allow one attempt at an upstream; `may_keep` allows an idle connection after."""
+    """Grant one attempt at an upstream; `may_keep` permits keeping its connection."""
 
     permit: str
     upstream: str
@@ -62,7 +62,7 @@
 
 @message
 class PermitRelease(NamedTuple):
-    """End a permit; `latency_ms` runs from sending to the answer's last byte."""
+    """Release a permit; `latency_ms` runs from sending to the response's last byte."""
 
     shard: str
     permit: str
@@ -73,7 +73,7 @@
 
 @message
 class PermitCancel(NamedTuple):
-    """Withdraw a permit request, whether it was granted or still waits."""
+    """Cancel a permit request, whether it is queued or already granted."""
 
     shard: str
     request: str
@@ -91,7 +91,7 @@
 
 @message
 class TokenRequest(NamedTuple):
-    """Ask for rate tokens of a workspace."""
+    """Request rate tokens of a workspace."""
 
     workspace: str
     shard_epoch: int
@@ -100,7 +100,7 @@
 
 @message
 class TokenGrant(NamedTuple):
-    """Lease tokens for `lease_ms`; `retry_after_ms` tells when one may be had."""
+    """Lease tokens for `lease_ms`; the next is available after `retry_after_ms`."""
 
     tokens: int
     lease_ms: int
@@ -109,7 +109,7 @@
 
 @message
 class TokenReturn(NamedTuple):
-    """Give unused tokens back."""
+    """Return unused tokens."""
 
     workspace: str
     shard_epoch: int
@@ -117,7 +117,7 @@
 
 
 class RecordState(StrEnum):
-    """Name the states of an idempotency record."""
+    """List the states of an idempotency record."""
 
     FIRST = "first"
     RUNNING = "running"
@@ -134,7 +134,7 @@
 
 
 class SavedAnswer(NamedTuple):
-    """Hold a small answer that can be repeated."""
+    """Hold a small response that can be replayed."""
 
     status: int
     headers: list[Header]
@@ -155,7 +155,7 @@
 
 @message
 class RecordReply(NamedTuple):
-    """Tell whether the request is the first one, or what became of the first."""
+    """Report whether the request is the first for its key, or how the first ended."""
 
     state: RecordState
     answer: SavedAnswer | None = None
@@ -163,7 +163,7 @@
 
 @message
 class RecordEnd(NamedTuple):
-    """Close a claim: with its answer, as unknown, or as not run (`forget`)."""
+    """End a claim: with a response, as unknown, or as not executed (`forget`)."""
 
     workspace: str
     key_digest: str
@@ -173,7 +173,7 @@
 
 
 class RecordRow(NamedTuple):
-    """Hold one idempotency record for a hand-over between arbiters."""
+    """Hold one idempotency record for transfer between arbiters."""
 
     workspace: str
     key_digest: str
@@ -186,7 +186,7 @@
 
 @message
 class RecordMirror(NamedTuple):
-    """Store a record at a second VM."""
+    """Replicate a record to an arbiter on another VM."""
 
     row: RecordRow
 
@@ -218,7 +218,7 @@
 
 @message
 class Resume(NamedTuple):
-    """Report to a shard's arbiter what this entry still holds of the shard."""
+    """Report to a shard's arbiter all that this entry still holds of the shard."""
 
     shard: str
     shard_epoch: int
--- a/bergamotdrift/arbiter_metrics.py
+++ b/bergamotdrift/arbiter_metrics.py
@@ -28,36 +28,38 @@
 _RECORDS = Counter(
     "bergamotdrift_arbiter_records_total", "Uses of idempotency keys", ["state"]
 )
-_OPENINGS = Counter("bergamotdrift_arbiter_takeovers_total", "Shards taken over")
-QUEUED = Gauge("bergamotdrift_arbiter_queued_requests", "Permit requests that wait")
-RUNNING = Gauge("bergamotdrift_arbiter_running_permits", "Permits in use")
+_TAKEOVERS = Counter("bergamotdrift_arbiter_takeovers_total", "Shards taken over")
+QUEUED_REQUESTS = Gauge(
+    "bergamotdrift_arbiter_queued_requests", "Permit requests that wait"
+)
+RUNNING_PERMITS = Gauge("bergamotdrift_arbiter_running_permits", "Permits in use")
 SHARDS = Gauge("bergamotdrift_arbiter_shards", "Shards leased to this arbiter")
 WAITING_SHARDS = Gauge(
     "bergamotdrift_arbiter_waiting_shards", "Shards that wait for entry reports"
 )
 
-_REFUSED = {kind: _REFUSALS.labels(kind.value) for kind in ErrorKind}
-_RECORDED = {state: _RECORDS.labels(state.value) for state in RecordState}
+_REFUSALS_BY_KIND = {kind: _REFUSALS.labels(kind.value) for kind in ErrorKind}
+_RECORDS_BY_STATE = {state: _RECORDS.labels(state.value) for state in RecordState}
 
 
 def count_outputs(outputs: Iterable[Output]) -> None:
-    """Count the decisions in a list of outputs."""
+    """Count the grants, refusals, tokens and record replies among the outputs."""
     for output in outputs:
         if isinstance(output, Reply):
-            _count(output.message)
+            _count_message(output.message)
 
 
 def count_takeover() -> None:
-    """Count a shard that this arbiter took over."""
-    _OPENINGS.inc()
+    """Count one takeover of a shard by this arbiter."""
+    _TAKEOVERS.inc()
 
 
-def _count(msg: Message) -> None:
+def _count_message(msg: Message) -> None:
     if isinstance(msg, PermitGrant):
         _GRANTS.inc()
     elif isinstance(msg, (PermitRefusal, Failure)):
-        _REFUSED[msg.kind].inc()
+        _REFUSALS_BY_KIND[msg.kind].inc()
     elif isinstance(msg, TokenGrant):
         _TOKENS.inc(msg.tokens)
     elif isinstance(msg, RecordReply):
-        _RECORDED[msg.state].inc()
+        _RECORDS_BY_STATE[msg.state].inc()
--- a/bergamotdrift/arbitration.py
+++ b/bergamotdrift/arbitration.py
@@ -1,12 +1,12 @@
 """Decisions of one permit shard: a pool, or one upstream of a keyed service.
 
-The class `Arbitration` is pure. It reads the clock and random source it is given,
-and every method returns the messages that the caller must deliver:
+The class `Arbitration` does no I/O. It reads only the clock and random source that it
+is given, and every method returns the messages that the caller must deliver:
 
-- `Reply(ticket, message)` answers a request; `ticket` is what the caller passed in.
+- `Reply(ticket, message)` answers the request that was passed in with `ticket`.
 - `Notice(entry, message)` is a one-way message to an entry.
 
-A driver (the arbiter's server, or a simulator) uses it so::
+The caller is the arbiter's server or a simulator. Typical use::
 
     shard = Arbitration("pool:archive", view, clock, rng)
     outputs = shard.request(entry, permit_request, ticket)
@@ -17,13 +17,13 @@
     outputs = shard.disconnect(entry)           # the entry's stream was lost
     outputs = shard.update(view)                # settings, rows or members changed
     outputs = shard.probed(upstream, hint)      # a load report, or None
-    outputs = shard.tick()                      # every 10 ms or so
+    outputs = shard.tick()                      # about every 10 ms
     refs = shard.drained()                      # partitions to report as drained
     outputs = shard.close(kind)                 # the shard moves or the process stops
 
 `view` is a `ShardView`. The shard grants nothing until each entry that was in the
 first view's `entries` has called `resume` or has left `entries`, nor while
-`may_act()` is false.
+`may_grant()` is false.
 """
 
 import random
@@ -62,7 +62,7 @@
 
 
 class Arbitration:
-    """Grant, queue and refuse permits of one shard; see the module's text."""
+    """Grant, queue and refuse permits of one shard; see the module docstring."""
 
     def __init__(
         self,
@@ -70,41 +70,43 @@
         view: ShardView,
         clock: Clock,
         rng: random.Random,
-        may_act: Callable[[], bool] = lambda: True,
+        may_grant: Callable[[], bool] = lambda: True,
     ):
         self.shard = shard
         self.view = view
         self._clock = clock
-        self._may_act = may_act
+        self._may_grant = may_grant
         self._gate = TakeoverGate(view.entries)
         self._queue = PermitQueue(view.service.queue_limit)
         self._partitions = PartitionGuard(view)
         self._service_time = DecayingMean(_SERVICE_TIME_SPAN_MS)
-        # An arbiter that restarts under an equal epoch must not reuse permit names.
+        # An arbiter that restarts under the same epoch must not reuse permit IDs.
         prefix = f"{view.epoch}-{rng.getrandbits(32):08x}"
         self.permits = PermitTable(prefix)
-        self._parked = ParkedRequests(self._partitions, self.permits.runs_in)
+        self._parked = ParkedRequests(
+            self._partitions, self.permits.is_partition_in_use
+        )
         self.upstreams = UpstreamPool(view, rng, clock.now_ms())
         self._reports = EntryReports(self.permits, self.upstreams, view.entries)
 
     @property
     def queued(self) -> int:
-        """Return how many requests wait."""
+        """Return the number of requests queued for a slot."""
         return len(self._queue)
 
     @property
     def is_waiting(self) -> bool:
-        """Tell whether any request waits, for a slot or for its partition."""
+        """Return whether any request waits, for a slot or for its partition."""
         return bool(self._queue) or bool(self._parked)
 
     @property
     def is_granting(self) -> bool:
-        """Tell whether permits may be granted now."""
-        return self._gate.is_open and self._may_act()
+        """Return whether permits may be granted now."""
+        return self._gate.is_open and self._may_grant()
 
     @property
     def missing_entries(self) -> frozenset[EntryId]:
-        """Return the entries whose report the takeover waits for."""
+        """Return the entries that the takeover still awaits a report from."""
         return self._gate.missing
 
     def request(
@@ -122,7 +124,7 @@
         return self._admit(waiter, now_ms)
 
     def _admit(self, waiter: Waiter, now_ms: float) -> list[Output]:
-        refusal = self._refusal_on_arrival(waiter)
+        refusal = self._admission_refusal(waiter)
         if refusal is not None:
             return [Reply(waiter.ticket, refusal)]
         if not self._queue and self.is_granting and self.upstreams.pick(waiter, now_ms):
@@ -130,12 +132,12 @@
         refusal = self._deadline_refusal(waiter.req, now_ms)
         if refusal is not None:
             return [Reply(waiter.ticket, refusal)]
-        # Slots that time alone has freed are found by the next tick.
+        # The next tick grants slots that become available through elapsed time alone.
         dropped = self._queue.push(waiter)
-        return [] if dropped is None else [_refuse(dropped, ErrorKind.QUEUE_FULL)]
+        return [] if dropped is None else [_refusal(dropped, ErrorKind.QUEUE_FULL)]
 
     def release(self, entry: EntryId, msg: PermitRelease) -> list[Output]:
-        """End a permit, learn from its outcome and grant what waits."""
+        """End a permit, record its outcome and grant queued requests."""
         permit = self.permits.remove(entry, msg.permit)
         if permit is None:
             return []
@@ -153,7 +155,7 @@
         return outputs + self._grant_waiting(now_ms, permit.upstream)
 
     def cancel(self, entry: EntryId, msg: PermitCancel) -> list[Output]:
-        """Withdraw a request that waits or was granted."""
+        """Cancel a request, whether it waits or was granted."""
         key = WaiterKey(entry, msg.request, msg.attempt)
         if self._parked.cancel(key):
             return []
@@ -164,17 +166,17 @@
         permit = self.permits.remove_request(key)
         if permit is None:
             return []
-        # The entry did not use the grant, so an idle connection is idle still.
+        # The entry did not use the grant, so a reused idle connection is still idle.
         self.upstreams.end(permit, kept=permit.use.reuses)
         return self._grant_waiting(self._clock.now_ms(), permit.upstream)
 
     def drop_connections(self, entry: EntryId, msg: ConnectionDropped) -> list[Output]:
-        """Count idle connections of an entry as closed."""
+        """Record that an entry closed idle connections."""
         self.upstreams.drop_connections(entry, msg.upstream, msg.connections)
         return self._grant_waiting(self._clock.now_ms())
 
     def resume(self, entry: EntryId, msg: Resume) -> list[Output]:
-        """Take what an entry holds; what it lost with an earlier stream is freed."""
+        """Adopt what an entry holds, and free what it lost with an earlier stream."""
         if msg.shard_epoch != self.view.epoch or entry not in self.view.entries:
             return []
         now_ms = self._clock.now_ms()
@@ -183,12 +185,12 @@
         self._gate.report(entry)
         if self._gate.is_open and not was_open:
             self.upstreams.warm_to_adopted(now_ms)
-        outputs = self._revoke_running(entry)
+        outputs = self._revoke_unknown_upstreams(entry)
         return outputs + self._grant_waiting(now_ms)
 
     def disconnect(self, entry: EntryId) -> list[Output]:
-        """Withdraw what waits for an entry, and keep its permits until it reports."""
-        self._withdraw(entry)
+        """Drop the waiting requests of an entry; keep its permits until it reports."""
+        self._drop_waiters(entry)
         self._reports.disconnected(entry)
         return []
 
@@ -200,7 +202,7 @@
         self._partitions.update(view)
         self._parked.on_rows_changed()
         for entry in before.entries - view.entries:
-            self._withdraw(entry)
+            self._drop_waiters(entry)
             self._reports.left(entry)
         self._reports.joined(view.entries - before.entries)
         was_open = self._gate.is_open
@@ -209,64 +211,64 @@
         if self._gate.is_open and not was_open:
             self.upstreams.warm_to_adopted(now_ms)
         outputs = self._revoke(stopped)
-        outputs += self._refuse_moved()
+        outputs += self._refuse_unroutable()
         outputs += self._admit_parked(now_ms)
         return outputs + self._grant_waiting(now_ms)
 
     def probed(self, upstream: str, hint: LoadHint | None) -> list[Output]:
-        """Take a load report of an upstream, or None if it did not answer."""
+        """Apply a load report of an upstream, or None if it did not answer."""
         now_ms = self._clock.now_ms()
         self.upstreams.probed(upstream, hint, now_ms)
         return self._grant_waiting(now_ms)
 
     def tick(self) -> list[Output]:
-        """Refuse what waited too long and grant what time has made possible."""
+        """Refuse expired requests and grant those that fit after elapsed time."""
         if not self._queue and not self._parked:
             return []
         now_ms = self._clock.now_ms()
         outputs: list[Output] = [
-            _refuse(waiter, ErrorKind.NO_UPSTREAM)
-            for waiter in self._parked.take_expired(now_ms)
+            _refusal(waiter, ErrorKind.NO_UPSTREAM)
+            for waiter in self._parked.pop_expired(now_ms)
         ]
         outputs += [
-            _refuse(waiter, self._kind_of_expiry(waiter))
-            for waiter in self._queue.take_expired(now_ms)
+            _refusal(waiter, self._expiry_kind(waiter))
+            for waiter in self._queue.pop_expired(now_ms)
         ]
         outputs += self._admit_parked(now_ms)
         return outputs + self._grant_waiting(now_ms)
 
     def drained(self) -> list[PartitionRef]:
-        """Return the partitions under release that no running permit uses."""
+        """Return the releasing partitions that no running permit uses."""
         if not self.is_granting:
             return []
         return [
             ref
             for ref in self._partitions.releasing()
-            if not self.permits.runs_in(ref.partition)
+            if not self.permits.is_partition_in_use(ref.partition)
         ]
 
     def close(self, kind: ErrorKind = ErrorKind.ARBITER_UNREACHABLE) -> list[Output]:
-        """Refuse all that waits, and grant nothing more."""
-        self._may_act = lambda: False
-        waiters = self._queue.take_if(lambda _waiter: True)
-        waiters += self._parked.take_all()
-        return [_refuse(waiter, kind) for waiter in waiters]
+        """Refuse all waiting requests, and grant nothing more."""
+        self._may_grant = lambda: False
+        waiters = self._queue.pop_matching(lambda _waiter: True)
+        waiters += self._parked.pop_all()
+        return [_refusal(waiter, kind) for waiter in waiters]
 
     def _admit_parked(self, now_ms: float) -> list[Output]:
         outputs: list[Output] = []
-        while (waiter := self._parked.take_ready(now_ms)) is not None:
+        while (waiter := self._parked.pop_ready(now_ms)) is not None:
             outputs += self._admit(waiter, now_ms)
         return outputs
 
     def _park_queued(self, partition: int, now_ms: float) -> list[Output]:
-        """Take the requests for a paused partition out of the others' way."""
+        """Move a paused partition's requests out of the queue to unblock others."""
         outputs: list[Output] = []
-        for waiter in self._queue.take_if(lambda w: w.req.partition == partition):
+        for waiter in self._queue.pop_matching(lambda w: w.req.partition == partition):
             if not self._parked.park_if_needed(waiter, now_ms):
-                outputs.append(_refuse(waiter, ErrorKind.NO_UPSTREAM))
+                outputs.append(_refusal(waiter, ErrorKind.NO_UPSTREAM))
         return outputs
 
-    def _refusal_on_arrival(self, waiter: Waiter) -> PermitRefusal | None:
+    def _admission_refusal(self, waiter: Waiter) -> PermitRefusal | None:
         req = waiter.req
         if req.shard_epoch != self.view.epoch:
             return PermitRefusal(ErrorKind.ARBITER_UNREACHABLE, "stale shard epoch")
@@ -274,14 +276,20 @@
             return PermitRefusal(ErrorKind.ARBITER_UNREACHABLE, "unknown entry")
         key = waiter.key
         if self._queue.find(key) is not None or self.permits.has_request(key):
-            return PermitRefusal(ErrorKind.CONFLICT_IN_PROGRESS, "asked twice")
+            return PermitRefusal(
+                ErrorKind.CONFLICT_IN_PROGRESS, "duplicate permit request"
+            )
         detail = self._partitions.refusal(req)
         if detail:
             return PermitRefusal(ErrorKind.NO_UPSTREAM, detail)
         if not self.upstreams.has_open():
-            return PermitRefusal(ErrorKind.NO_UPSTREAM, "no upstream is open")
+            return PermitRefusal(
+                ErrorKind.NO_UPSTREAM, "no upstream accepts new requests"
+            )
         if req.deadline_ms <= 0:
-            return PermitRefusal(ErrorKind.DEADLINE_UNREACHABLE, "no time left")
+            return PermitRefusal(
+                ErrorKind.DEADLINE_UNREACHABLE, "the deadline has passed"
+            )
         return None
 
     def _deadline_refusal(
@@ -296,28 +304,30 @@
         return PermitRefusal(ErrorKind.DEADLINE_UNREACHABLE, detail)
 
     def expected_wait_ms(self, workspace: str, urgent: bool, now_ms: float) -> float:
-        """Return how long a new request would wait, by recent service times."""
+        """Return the wait expected for a new request, by recent service times."""
         slots = self.upstreams.allowed_slots(now_ms)
         if slots <= 0:
             return 0.0
-        ahead = self._queue.ahead_of(workspace, urgent)
+        ahead = self._queue.count_ahead(workspace, urgent)
         return (ahead + 1) * self._service_time.mean() / slots
 
-    def _grant_waiting(self, now_ms: float, only: str | None = None) -> list[Output]:
-        """Grant what fits, at the upstream named or at all of them."""
+    def _grant_waiting(
+        self, now_ms: float, upstream: str | None = None
+    ) -> list[Output]:
+        """Grant queued requests while slots are free, at one upstream or at all."""
         if not self._queue or not self.is_granting:
             return []
         outputs: list[Output] = []
-        while (waiter := self._serve_next(now_ms, only)) is not None:
+        while (waiter := self._serve_next(now_ms, upstream)) is not None:
             outputs.append(self._grant(waiter, now_ms))
         return outputs
 
-    def _serve_next(self, now_ms: float, only: str | None) -> Waiter | None:
-        among = self.upstreams.with_room(now_ms, only)
-        if not among:
+    def _serve_next(self, now_ms: float, upstream: str | None) -> Waiter | None:
+        candidates = self.upstreams.with_room(now_ms, upstream)
+        if not candidates:
             return None
         return self._queue.serve_next(
-            lambda waiter: self.upstreams.pick(waiter, now_ms, among)
+            lambda waiter: self.upstreams.pick(waiter, now_ms, candidates)
         )
 
     def _grant(self, waiter: Waiter, now_ms: float) -> Reply:
@@ -335,39 +345,39 @@
         )
         return Reply(waiter.ticket, grant)
 
-    def _withdraw(self, entry: EntryId) -> None:
-        self._queue.take_if(lambda waiter: waiter.entry == entry)
-        self._parked.forget(entry)
+    def _drop_waiters(self, entry: EntryId) -> None:
+        self._queue.pop_matching(lambda waiter: waiter.entry == entry)
+        self._parked.drop_entry(entry)
 
-    def _refuse_moved(self) -> list[Output]:
+    def _refuse_unroutable(self) -> list[Output]:
         is_open = self.upstreams.has_open()
-        moved = self._queue.take_if(
+        moved = self._queue.pop_matching(
             lambda waiter: not is_open or bool(self._partitions.refusal(waiter.req))
         )
-        return [_refuse(waiter, ErrorKind.NO_UPSTREAM) for waiter in moved]
+        return [_refusal(waiter, ErrorKind.NO_UPSTREAM) for waiter in moved]
 
     def _revoke(self, upstreams: set[str]) -> list[Output]:
         return [
             Notice(entry, Revoke(self.shard, upstream))
             for upstream in sorted(upstreams)
-            for entry in sorted(self.permits.entries_at(upstream))
+            for entry in sorted(self.permits.entries_using(upstream))
         ]
 
-    def revoke_vanished(self, has_run: Callable[[UpstreamRow], bool]) -> list[Output]:
-        """Revoke what runs at upstreams of which `has_run` is false."""
-        gone = {load.row.upstream for load in self.upstreams if not has_run(load.row)}
+    def revoke_unlisted(self, is_listed: Callable[[UpstreamRow], bool]) -> list[Output]:
+        """Revoke the permits at upstreams for which `is_listed` is false."""
+        gone = {load.row.upstream for load in self.upstreams if not is_listed(load.row)}
         return self._revoke(gone)
 
-    def _revoke_running(self, entry: EntryId) -> list[Output]:
-        """Tell an entry that reports permits of upstreams that no longer exist."""
+    def _revoke_unknown_upstreams(self, entry: EntryId) -> list[Output]:
+        """Revoke an entry's permits at upstreams that no longer exist."""
         gone = {
             permit.upstream
-            for permit in self.permits.of_entry(entry)
+            for permit in self.permits.permits_of(entry)
             if not self.upstreams.is_known(permit.upstream)
         }
         return [Notice(entry, Revoke(self.shard, name)) for name in sorted(gone)]
 
-    def _kind_of_expiry(self, waiter: Waiter) -> ErrorKind:
+    def _expiry_kind(self, waiter: Waiter) -> ErrorKind:
         if not self.is_granting:
             return ErrorKind.ARBITER_UNREACHABLE
         if waiter.deadline_ms > waiter.expires_ms:
@@ -375,5 +385,5 @@
         return ErrorKind.DEADLINE_UNREACHABLE
 
 
-def _refuse(waiter: Waiter, kind: ErrorKind) -> Reply:
+def _refusal(waiter: Waiter, kind: ErrorKind) -> Reply:
     return Reply(waiter.ticket, PermitRefusal(kind))
--- a/bergamotdrift/handover.py
+++ b/bergamotdrift/handover.py
@@ -1,4 +1,4 @@
-"""Rules that tell when a partition may get its next owner."""
+"""Rules for when a partition may be assigned to its next owner."""
 
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
@@ -14,25 +14,26 @@
 )
 from bergamotdrift.tables import IsolatedKeyId, PartitionId
 
-# A fencing upstream that reported a release serves it no more. The drain report only
-# tells that the answers have passed, so its loss does not hold up the hand-over.
+# A fencing upstream that reported a release no longer serves the partition. The drain
+# report only confirms that its responses have passed, so losing that report must not
+# block the handover.
 DRAIN_REPORT_GRACE_MS = 1000
 _ROWS_PER_PAUSE = 500
 
 
 class Acknowledged(NamedTuple):
-    """Hold the feed index that every live node of a kind has reported to apply."""
+    """Hold the feed index that every live node of a kind has reported as applied."""
 
     arbiters: float
     nodes: float
 
 
-class _Wait(NamedTuple):
+class _RowChange(NamedTuple):
     partition: PartitionId
     changed_at: int
 
 
-class _Known(NamedTuple):
+class _KeyChange(NamedTuple):
     key: IsolatedKeyId
     changed_at: int
 
@@ -42,8 +43,8 @@
     permit_ms: int
 
 
-def _bounds(service: str, revisions: Iterable[SiteSettings]) -> _Bounds:
-    """Return the most careful bounds of the recent revisions.
+def _strictest_bounds(service: str, revisions: Iterable[SiteSettings]) -> _Bounds:
+    """Return the strictest bounds of the recent settings revisions.
 
     Requests that were permitted under an earlier revision may still run.
     """
@@ -55,7 +56,8 @@
 class Handover:
     """Track reports and waiting times of partitions without a settled owner.
 
-    Times that an earlier leader measured are unknown, so they start anew.
+    A new leader does not know the times measured by the previous one, so it starts
+    them again.
     """
 
     def __init__(self, state: ControlState, pause: Callable[[], None]):
@@ -63,28 +65,28 @@
         self._pause = pause
         self._released: dict[PartitionRef, float] = {}
         self._drained: set[PartitionRef] = set()
-        self._seen: dict[_Wait, float] = {}
-        self._acknowledged: dict[_Wait, float] = {}
-        self._known: dict[_Known, float] = {}
+        self._first_seen_ms: dict[_RowChange, float] = {}
+        self._acknowledged_ms: dict[_RowChange, float] = {}
+        self._key_known_ms: dict[_KeyChange, float] = {}
         self._bounds: dict[str, _Bounds] = {}
         self._bounds_revision = -1
 
     def note_released(self, ref: PartitionRef, now_ms: float) -> None:
-        """Take note that the upstream serves a partition under release no more."""
+        """Record that the upstream no longer serves a releasing partition."""
         self._released.setdefault(ref, now_ms)
 
     def is_released(self, ref: PartitionRef) -> bool:
-        """Tell whether the upstream has reported the release."""
+        """Return whether the upstream has reported the release."""
         return ref in self._released
 
     def note_drained(self, ref: PartitionRef) -> None:
-        """Take note that no permit for a partition under release is running."""
+        """Record that no permit for a releasing partition is in use."""
         self._drained.add(ref)
 
     def ready(self, acknowledged: Acknowledged, now_ms: float) -> list[PartitionRow]:
-        """Return the partitions that may get their next owner now."""
+        """Return the partitions that may be assigned to their next owner now."""
         found = []
-        unknown = self._of_keys(self._unknown_keys(acknowledged))
+        unknown = self._partitions_of_keys(self._unknown_keys(acknowledged))
         unsettled = self.unsettled(acknowledged, now_ms)
         self._drop_settled()
         for count, key in enumerate(sorted(self._state.rows.unowned), 1):
@@ -95,7 +97,7 @@
                 continue
             releasing = row.state is PartitionState.RELEASING
             if key in (unsettled if releasing else unknown):
-                # The waiting times start even so.
+                # Starts the waiting times although the partition is not ready.
                 self._is_over(row, acknowledged, now_ms)
             elif self._is_over(row, acknowledged, now_ms):
                 found.append(row)
@@ -105,30 +107,30 @@
         """Return partitions whose keys may still run under another partition.
 
         Until every node knows that a key was isolated, and the requests permitted
-        before have met their deadlines, the key may run under its parent. Its own
-        partition and the parent then stay together at one upstream.
+        earlier have reached their deadlines, the key may run under its parent. Until
+        then its own partition and the parent stay together at one upstream.
         """
         isolated = self._state.rows.isolated
         unknown = self._unknown_keys(acknowledged)
         open_keys = []
         for key in isolated.list_keys():
-            since = _Known(key, isolated.changed_at(key))
+            change = _KeyChange(key, isolated.changed_at(key))
             if key in unknown:
                 open_keys.append(key)
                 continue
-            known_ms = self._known.setdefault(since, now_ms)
+            known_ms = self._key_known_ms.setdefault(change, now_ms)
             if now_ms - known_ms < self._permit_bound_ms(key.service):
                 open_keys.append(key)
-        for since in [s for s in self._known if s.key not in isolated]:
-            del self._known[since]
-        return self._of_keys(open_keys)
+        for change in [s for s in self._key_known_ms if s.key not in isolated]:
+            del self._key_known_ms[change]
+        return self._partitions_of_keys(open_keys)
 
     def _unknown_keys(self, acknowledged: Acknowledged) -> set[IsolatedKeyId]:
         rows = self._state.rows.isolated.rows_since(acknowledged.nodes)
         return {IsolatedKeyId(row.service, row.key_hash) for row in rows}
 
-    def _of_keys(self, keys: Iterable[IsolatedKeyId]) -> set[PartitionId]:
-        """Return the own partitions of isolated keys and their parents."""
+    def _partitions_of_keys(self, keys: Iterable[IsolatedKeyId]) -> set[PartitionId]:
+        """Return the partitions of isolated keys together with their parents."""
         found = set()
         for key in keys:
             row = self._state.rows.isolated.get(key)
@@ -145,20 +147,20 @@
         hold = self._state.rows.hold(key)
         if row.state is PartitionState.VACANT and hold is Hold.NONE:
             return True
-        # Both clocks start even if another condition is still open.
-        wait = self._wait(row)
-        seen_ms = self._seen.setdefault(wait, now_ms)
+        # Starts both waiting times even if another condition is not met yet.
+        change = self._row_change(row)
+        seen_ms = self._first_seen_ms.setdefault(change, now_ms)
         permits_over = self._permits_are_over(row, acknowledged, now_ms)
         if row.state is PartitionState.RELEASING:
-            return self._release_is_over(row, permits_over, now_ms)
+            return self._release_is_complete(row, permits_over, now_ms)
         fenced = not self._is_unfenced(row.service)
         if hold is Hold.PERMITS:
             return fenced or permits_over
         lease_over = now_ms - seen_ms >= SESSION_TTL_MS
-        known = acknowledged.nodes >= wait.changed_at
+        known = acknowledged.nodes >= change.changed_at
         return lease_over and known and (fenced or permits_over)
 
-    def _release_is_over(
+    def _release_is_complete(
         self, row: PartitionRow, permits_over: bool, now_ms: float
     ) -> bool:
         ref = PartitionRef(row.service, row.partition, row.epoch)
@@ -173,16 +175,16 @@
     def _permits_are_over(
         self, row: PartitionRow, acknowledged: Acknowledged, now_ms: float
     ) -> bool:
-        """Tell whether every permit granted for the last owner has met its deadline."""
-        wait = self._wait(row)
-        if acknowledged.arbiters < wait.changed_at:
+        """Return whether every permit granted for the last owner has expired."""
+        change = self._row_change(row)
+        if acknowledged.arbiters < change.changed_at:
             return False
-        since_ms = self._acknowledged.setdefault(wait, now_ms)
+        since_ms = self._acknowledged_ms.setdefault(change, now_ms)
         return now_ms - since_ms >= self._permit_bound_ms(row.service)
 
-    def _wait(self, row: PartitionRow) -> _Wait:
+    def _row_change(self, row: PartitionRow) -> _RowChange:
         key = PartitionId(row.service, row.partition)
-        return _Wait(key, self._state.rows.partitions.changed_at(key))
+        return _RowChange(key, self._state.rows.partitions.changed_at(key))
 
     def _is_unfenced(self, service: str) -> bool:
         return self._bounds_of(service).unfenced
@@ -196,14 +198,14 @@
             self._bounds_revision = log.revision
             self._bounds.clear()
         if service not in self._bounds:
-            self._bounds[service] = _bounds(service, log.recent.values())
+            self._bounds[service] = _strictest_bounds(service, log.recent.values())
         return self._bounds[service]
 
     def _drop_settled(self) -> None:
         unowned = self._state.rows.unowned
-        for waits in (self._seen, self._acknowledged):
-            for wait in [w for w in waits if w.partition not in unowned]:
-                del waits[wait]
+        for times in (self._first_seen_ms, self._acknowledged_ms):
+            for change in [w for w in times if w.partition not in unowned]:
+                del times[change]
         for ref in [r for r in self._released if not self._is_releasing(r)]:
             del self._released[ref]
         self._drained = {ref for ref in self._drained if self._is_releasing(ref)}
--- a/bergamotdrift/outputs.py
+++ b/bergamotdrift/outputs.py
@@ -1,4 +1,4 @@
-"""Messages that a pure decision hands to its driver for delivery."""
+"""Output messages of the decision code, for its caller to deliver."""
 
 from typing import Any, NamedTuple
 
@@ -6,12 +6,12 @@
 from bergamotdrift.messages import Message
 from bergamotdrift.takeover import EntryId
 
-# What a driver passes in with a request, to find the asker again.
+# Opaque value that the caller passes with a request to route the reply.
 Ticket = Any
 
 
 class Reply(NamedTuple):
-    """Answer the request that came with a ticket."""
+    """Reply to the request that a ticket identifies."""
 
     ticket: Ticket
     message: Message
@@ -25,7 +25,7 @@
 
 
 class Mirror(NamedTuple):
-    """Store a record at the arbiter on another VM that would take the shard over."""
+    """Replicate a record to the arbiter on another VM that is next to take over."""
 
     shard: str
     row: RecordRow
--- a/bergamotdrift/parked_requests.py
+++ b/bergamotdrift/parked_requests.py
@@ -14,49 +14,51 @@
 from bergamotdrift.permit_table import Permit
 from bergamotdrift.takeover import EntryId
 
-# The feed reaches entries and arbiters within milliseconds of each other.
+# Entries and arbiters receive a feed update within milliseconds of each other.
 _FEED_WAIT_MS = 1000.0
-_PARKED_MAX = 1024
+_MAX_PARKED = 1024
 
 
 class _Parked(NamedTuple):
-    """Hold a request and until when it may wait here."""
+    """Hold a parked request and the time until which it may wait."""
 
     waiter: Waiter
     until_ms: float
 
 
 class ParkedRequests:
-    """Hold requests apart from the queue, bounded in number and time.
+    """Hold requests outside the queue, bounded in number and time.
 
-    A request waits here while it names a newer partition epoch than the arbiter's
-    feed, or while the upstream fences its partition.
+    A request is parked while it names a newer partition epoch than the arbiter's feed,
+    or while the upstream fences its partition.
     """
 
-    def __init__(self, guard: PartitionGuard, runs_in: Callable[[int], bool]):
+    def __init__(
+        self, guard: PartitionGuard, is_partition_in_use: Callable[[int], bool]
+    ):
         self._guard = guard
-        self._runs_in = runs_in
+        self._is_partition_in_use = is_partition_in_use
         self._fenced = FencedPartitions()
-        self._held: dict[WaiterKey, _Parked] = {}
+        self._parked: dict[WaiterKey, _Parked] = {}
 
     def __len__(self) -> int:
-        return len(self._held)
+        return len(self._parked)
 
     def park_if_needed(self, waiter: Waiter, now_ms: float) -> bool:
-        """Hold a request that can't run yet, and tell whether it is held."""
+        """Park a request that can't run yet; return whether it was parked."""
         req = waiter.req
         if req.partition == NO_PARTITION or not self._must_wait(req, now_ms):
             return False
-        if len(self._held) >= _PARKED_MAX or waiter.key in self._held:
+        if len(self._parked) >= _MAX_PARKED or waiter.key in self._parked:
             return False
         until_ms = waiter.expires_ms
         if self._guard.is_ahead(req):
             until_ms = min(until_ms, now_ms + _FEED_WAIT_MS)
-        self._held[waiter.key] = _Parked(waiter, until_ms)
+        self._parked[waiter.key] = _Parked(waiter, until_ms)
         return True
 
     def learn(self, permit: Permit, outcome: AttemptOutcome, now_ms: float) -> bool:
-        """Learn from an attempt, and tell whether its partition is now paused."""
+        """Record an attempt's outcome; return whether its partition is now paused."""
         if permit.partition == NO_PARTITION:
             return False
         if outcome is AttemptOutcome.FENCED:
@@ -67,43 +69,43 @@
         return False
 
     def on_rows_changed(self) -> None:
-        """Forget the pauses of partitions that are not owned here any more."""
+        """Drop the pauses of partitions that this shard no longer owns."""
         self._fenced.keep(self._guard.owned())
 
-    def take_ready(self, now_ms: float) -> Waiter | None:
-        """Take out and return a request that can run now."""
-        for key, parked in self._held.items():
+    def pop_ready(self, now_ms: float) -> Waiter | None:
+        """Remove and return a request that can run now, or None."""
+        for key, parked in self._parked.items():
             if not self._must_wait(parked.waiter.req, now_ms):
-                del self._held[key]
+                del self._parked[key]
                 return parked.waiter
         return None
 
-    def take_expired(self, now_ms: float) -> list[Waiter]:
-        """Take out and return the requests whose time is over."""
-        return self._take_if(lambda parked: parked.until_ms <= now_ms)
+    def pop_expired(self, now_ms: float) -> list[Waiter]:
+        """Remove and return the requests whose maximum wait has passed."""
+        return self._pop_matching(lambda parked: parked.until_ms <= now_ms)
 
-    def take_all(self) -> list[Waiter]:
-        """Take out and return all requests."""
-        return self._take_if(lambda _parked: True)
+    def pop_all(self) -> list[Waiter]:
+        """Remove and return all requests."""
+        return self._pop_matching(lambda _parked: True)
 
     def cancel(self, key: WaiterKey) -> bool:
-        """Drop a request and tell whether it was held."""
-        return self._held.pop(key, None) is not None
+        """Drop a request; return whether it was parked."""
+        return self._parked.pop(key, None) is not None
 
-    def forget(self, entry: EntryId) -> None:
+    def drop_entry(self, entry: EntryId) -> None:
         """Drop the requests of an entry."""
-        if self._held:
-            self._take_if(lambda parked: parked.waiter.entry == entry)
+        if self._parked:
+            self._pop_matching(lambda parked: parked.waiter.entry == entry)
 
     def _must_wait(self, req: PermitRequest, now_ms: float) -> bool:
         if self._guard.is_ahead(req):
             return True
         return bool(self._fenced) and self._fenced.holds(
-            req.partition, self._runs_in, now_ms
+            req.partition, self._is_partition_in_use, now_ms
         )
 
-    def _take_if(self, condition: Callable[[_Parked], bool]) -> list[Waiter]:
-        taken = [parked for parked in self._held.values() if condition(parked)]
+    def _pop_matching(self, condition: Callable[[_Parked], bool]) -> list[Waiter]:
+        taken = [parked for parked in self._parked.values() if condition(parked)]
         for parked in taken:
-            del self._held[parked.waiter.key]
+            del self._parked[parked.waiter.key]
         return [parked.waiter for parked in taken]
--- a/bergamotdrift/permit_queue.py
+++ b/bergamotdrift/permit_queue.py
@@ -2,8 +2,8 @@
 
 Each class (urgent, routine) serves workspaces by start-time fair queueing: the head
 of each workspace carries a start tag, the lowest tag is served, and each service
-moves its workspace's next tag by one. A workspace that sends more than others only
-lengthens its own line.
+advances its workspace's next tag by one. A workspace that sends more than others only
+lengthens its own queue.
 """
 
 import heapq
@@ -14,8 +14,8 @@
 from bergamotdrift.arbiter_messages import PermitRequest
 from bergamotdrift.takeover import EntryId
 
-# Of four permits granted while both classes wait, three are urgent.
-_URGENT_RUN = 3
+# While both classes wait, three of every four permits go to urgent requests.
+_URGENT_PER_ROUTINE = 3
 
 
 class WaiterKey(NamedTuple):
@@ -27,7 +27,7 @@
 
 
 class Waiter:
-    """Hold a permit request that waits; `ticket` belongs to the caller."""
+    """Hold a queued permit request; `ticket` is an opaque value of the caller."""
 
     __slots__ = (
         "deadline_ms",
@@ -58,7 +58,7 @@
         self.key = WaiterKey(entry, req.request, req.attempt)
 
 
-class _Line:
+class _WorkspaceQueue:
     """Hold the waiters of one workspace in one class, in order of arrival."""
 
     __slots__ = ("count", "next_tag", "tag", "waiters")
@@ -70,33 +70,33 @@
         self.next_tag = 0.0
 
     def head(self) -> Waiter | None:
-        """Return the first waiter that was not removed."""
+        """Return the oldest waiter that was not removed."""
         while self.waiters and not self.waiters[0].is_waiting:
             self.waiters.popleft()
         return self.waiters[0] if self.waiters else None
 
     def newest(self) -> Waiter | None:
-        """Return the last waiter that was not removed."""
+        """Return the newest waiter that was not removed."""
         while self.waiters and not self.waiters[-1].is_waiting:
             self.waiters.pop()
         return self.waiters[-1] if self.waiters else None
 
 
 class _ClassQueue:
-    """Hold the lines of all workspaces in one class."""
+    """Hold the queues of all workspaces in one class, by name in `lines`."""
 
     __slots__ = ("_virtual", "count", "lines")
 
     def __init__(self) -> None:
-        self.lines: dict[str, _Line] = {}
+        self.lines: dict[str, _WorkspaceQueue] = {}
         self.count = 0
         self._virtual = 0.0
 
     def push(self, waiter: Waiter) -> None:
-        """Append a waiter to its workspace's line."""
+        """Append a waiter to its workspace's queue."""
         line = self.lines.get(waiter.req.workspace)
         if line is None:
-            line = self.lines[waiter.req.workspace] = _Line()
+            line = self.lines[waiter.req.workspace] = _WorkspaceQueue()
         if line.count == 0:
             line.waiters.clear()
             line.tag = max(self._virtual, line.next_tag)
@@ -105,12 +105,12 @@
         self.count += 1
 
     def remove(self, waiter: Waiter) -> None:
-        """Count out a waiter that was marked as removed."""
+        """Subtract a waiter that was marked as removed from the counts."""
         self.lines[waiter.req.workspace].count -= 1
         self.count -= 1
 
     def serve(self, waiter: Waiter) -> None:
-        """Count out a waiter that is served and move its workspace's tag."""
+        """Subtract a served waiter from the counts and advance its workspace's tag."""
         line = self.lines[waiter.req.workspace]
         self._virtual = max(self._virtual, line.tag)
         line.next_tag = line.tag + 1.0
@@ -118,7 +118,7 @@
         self.remove(waiter)
 
     def heads(self) -> Iterator[Waiter]:
-        """Yield the first waiter of each workspace in the order of their tags."""
+        """Yield the first waiter of each workspace in order of start tags."""
         lines = [line for line in self.lines.values() if line.count]
         if len(lines) > 1:
             lines.sort(key=lambda line: line.tag)
@@ -127,14 +127,14 @@
             if head is not None:
                 yield head
 
-    def ahead_of(self, workspace: str) -> int:
+    def count_ahead(self, workspace: str) -> int:
         """Return how many waiters are served before a new one of a workspace."""
         own = self.lines.get(workspace)
         own_count = own.count if own is not None else 0
         return sum(min(line.count, own_count + 1) for line in self.lines.values())
 
-    def forget_idle_lines(self) -> None:
-        """Drop lines that are empty and have no service to account for."""
+    def drop_idle_lines(self) -> None:
+        """Drop empty queues whose next tag is not ahead of the virtual time."""
         idle = [
             name
             for name, line in self.lines.items()
@@ -145,13 +145,13 @@
 
 
 class PermitQueue:
-    """Hold waiters up to a limit and yield them in the order of service."""
+    """Hold waiters up to a limit and serve them in fair order."""
 
     def __init__(self, limit: int):
         self._limit = limit
         self._urgent = _ClassQueue()
         self._routine = _ClassQueue()
-        self._urgent_run = 0
+        self._urgent_streak = 0
         self._sequence = 0
         self._expiries: list[tuple[float, int, Waiter]] = []
         self._by_key: dict[WaiterKey, Waiter] = {}
@@ -168,7 +168,7 @@
         return self._by_key.get(key)
 
     def push(self, waiter: Waiter) -> Waiter | None:
-        """Add a waiter and return the one that is dropped for it, if any.
+        """Add a waiter and return the one dropped when the queue is full, if any.
 
         The newest waiter of the workspace with the most waiters is dropped.
         """
@@ -185,24 +185,24 @@
         return dropped
 
     def remove(self, waiter: Waiter) -> None:
-        """Take a waiter out without serving it."""
+        """Remove a waiter without serving it."""
         if waiter.is_waiting:
-            self._take_out(waiter)
+            self._unlink(waiter)
             self._class_of(waiter).remove(waiter)
 
     def serve_next(self, accept: Callable[[Waiter], bool]) -> Waiter | None:
-        """Take out and return the next waiter that `accept` can serve."""
-        for queue in self._classes_in_turn():
+        """Remove and return the next waiter for which `accept` is true, or None."""
+        for queue in self._classes_by_precedence():
             for waiter in queue.heads():
                 if accept(waiter):
-                    self._count_turn(queue)
-                    self._take_out(waiter)
+                    self._update_urgent_streak(queue)
+                    self._unlink(waiter)
                     queue.serve(waiter)
                     return waiter
         return None
 
-    def take_expired(self, now_ms: float) -> list[Waiter]:
-        """Take out and return the waiters whose time to wait is over."""
+    def pop_expired(self, now_ms: float) -> list[Waiter]:
+        """Remove and return the waiters whose maximum wait has passed."""
         expired = []
         while self._expiries and self._expiries[0][0] <= now_ms:
             waiter = heapq.heappop(self._expiries)[2]
@@ -210,45 +210,45 @@
                 self.remove(waiter)
                 expired.append(waiter)
         if not self._by_key:
-            self._urgent.forget_idle_lines()
-            self._routine.forget_idle_lines()
+            self._urgent.drop_idle_lines()
+            self._routine.drop_idle_lines()
         return expired
 
-    def take_if(self, condition: Callable[[Waiter], bool]) -> list[Waiter]:
-        """Take out and return all waiters that meet a condition."""
+    def pop_matching(self, condition: Callable[[Waiter], bool]) -> list[Waiter]:
+        """Remove and return all waiters that meet a condition."""
         taken = [waiter for waiter in self._by_key.values() if condition(waiter)]
         for waiter in taken:
             self.remove(waiter)
         return taken
 
-    def ahead_of(self, workspace: str, urgent: bool) -> int:
+    def count_ahead(self, workspace: str, urgent: bool) -> int:
         """Return how many waiters are served before a new one."""
-        urgent_ahead = self._urgent.ahead_of(workspace)
+        urgent_ahead = self._urgent.count_ahead(workspace)
         if urgent:
-            turns = urgent_ahead // _URGENT_RUN
+            turns = urgent_ahead // _URGENT_PER_ROUTINE
             return urgent_ahead + min(turns, self._routine.count)
-        routine_ahead = self._routine.ahead_of(workspace)
-        urgent_turns = (routine_ahead + 1) * _URGENT_RUN
+        routine_ahead = self._routine.count_ahead(workspace)
+        urgent_turns = (routine_ahead + 1) * _URGENT_PER_ROUTINE
         return routine_ahead + min(self._urgent.count, urgent_turns)
 
     def _class_of(self, waiter: Waiter) -> _ClassQueue:
         return self._urgent if waiter.req.urgent else self._routine
 
-    def _classes_in_turn(self) -> tuple[_ClassQueue, ...]:
+    def _classes_by_precedence(self) -> tuple[_ClassQueue, ...]:
         if not self._urgent.count:
             return (self._routine,)
         if not self._routine.count:
             return (self._urgent,)
-        if self._urgent_run < _URGENT_RUN:
+        if self._urgent_streak < _URGENT_PER_ROUTINE:
             return (self._urgent, self._routine)
         return (self._routine, self._urgent)
 
-    def _count_turn(self, queue: _ClassQueue) -> None:
+    def _update_urgent_streak(self, queue: _ClassQueue) -> None:
         waits = self._routine.count > 0
         is_urgent = queue is self._urgent
-        self._urgent_run = self._urgent_run + 1 if is_urgent and waits else 0
+        self._urgent_streak = self._urgent_streak + 1 if is_urgent and waits else 0
 
-    def _take_out(self, waiter: Waiter) -> None:
+    def _unlink(self, waiter: Waiter) -> None:
         waiter.is_waiting = False
         del self._by_key[waiter.key]
         if len(self._expiries) > 64 and len(self._expiries) > 2 * len(self._by_key):
@@ -261,10 +261,10 @@
             for name, line in queue.lines.items():
                 totals[name] = totals.get(name, 0) + line.count
         heaviest = max(totals, key=lambda name: totals[name])
-        # The routine class comes first, since urgent requests must not wait for it.
+        # A routine request is dropped first, since urgent ones must not wait for it.
         for queue in (self._routine, self._urgent):
             line = queue.lines.get(heaviest)
             newest = line.newest() if line is not None and line.count else None
             if newest is not None:
                 return newest
-        raise AssertionError("the heaviest workspace has no waiter")
+        raise AssertionError("the workspace with the most waiters has none")
--- a/bergamotdrift/permit_table.py
+++ b/bergamotdrift/permit_table.py
@@ -1,4 +1,4 @@
-"""Running permits of one shard, found by name, by request and by entry."""
+"""Running permits of one shard, indexed by ID and by request."""
 
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -26,7 +26,7 @@
     """Hold the running permits of one shard.
 
     A permit is unconfirmed from the loss of its entry's stream until the entry
-    reports it again, since its grant may have been lost on the way.
+    reports it again, since its grant may have been lost with the stream.
     """
 
     def __init__(self, prefix: str):
@@ -46,7 +46,7 @@
     def add(
         self, waiter: Waiter, upstream: str, use: ConnectionUse, now_ms: float
     ) -> Permit:
-        """Grant a permit to a waiter."""
+        """Create and return a permit for a waiter."""
         self._last_number += 1
         permit = Permit(
             f"{self._prefix}-{self._last_number:x}",
@@ -58,13 +58,13 @@
             use,
             now_ms,
         )
-        self._store(permit)
+        self._insert(permit)
         return permit
 
     def adopt(
         self, entry: EntryId, running: RunningPermit, now_ms: float
     ) -> Permit | None:
-        """Take over a permit that an entry reports; None if it is known already."""
+        """Add a permit that an entry reports; return None if it is already known."""
         known = self._permits.get(running.permit)
         if known is not None:
             if known.entry == entry:
@@ -80,58 +80,58 @@
             NEW_CONNECTION,
             now_ms,
         )
-        self._store(permit)
+        self._insert(permit)
         return permit
 
-    def remove(self, entry: EntryId, name: str) -> Permit | None:
-        """Take out and return a permit of an entry, or None."""
-        permit = self._permits.get(name)
+    def remove(self, entry: EntryId, permit_id: str) -> Permit | None:
+        """Remove and return a permit of an entry, or None."""
+        permit = self._permits.get(permit_id)
         if permit is None or permit.entry != entry:
             return None
-        del self._permits[name]
-        self._unconfirmed.discard(name)
+        del self._permits[permit_id]
+        self._unconfirmed.discard(permit_id)
         if permit.key is not None:
             del self._by_key[permit.key]
         self._count_partition(permit.partition, -1)
         return permit
 
     def remove_request(self, key: WaiterKey) -> Permit | None:
-        """Take out and return the permit granted to a request, or None."""
-        name = self._by_key.get(key)
-        return self.remove(key.entry, name) if name is not None else None
+        """Remove and return the permit granted to a request, or None."""
+        permit_id = self._by_key.get(key)
+        return self.remove(key.entry, permit_id) if permit_id is not None else None
 
     def remove_entry(self, entry: EntryId) -> list[Permit]:
-        """Take out and return all permits of an entry."""
-        permits = self.of_entry(entry)
+        """Remove and return all permits of an entry."""
+        permits = self.permits_of(entry)
         for permit in permits:
             self.remove(entry, permit.permit)
         return permits
 
     def has_request(self, key: WaiterKey) -> bool:
-        """Tell whether a request holds a permit."""
+        """Return whether a request holds a permit."""
         return key in self._by_key
 
-    def of_entry(self, entry: EntryId) -> list[Permit]:
+    def permits_of(self, entry: EntryId) -> list[Permit]:
         """Return the permits of an entry."""
         return [permit for permit in self._permits.values() if permit.entry == entry]
 
     def unconfirm(self, entry: EntryId) -> None:
-        """Mark the permits of an entry whose stream was lost."""
-        self._unconfirmed.update(permit.permit for permit in self.of_entry(entry))
+        """Mark the permits of an entry as unconfirmed after its stream was lost."""
+        self._unconfirmed.update(permit.permit for permit in self.permits_of(entry))
 
     def unconfirmed_of(self, entry: EntryId) -> list[Permit]:
         """Return the unconfirmed permits of an entry."""
-        return [p for p in self.of_entry(entry) if p.permit in self._unconfirmed]
+        return [p for p in self.permits_of(entry) if p.permit in self._unconfirmed]
 
-    def runs_in(self, partition: int) -> bool:
-        """Tell whether a permit runs in a partition, under any epoch."""
+    def is_partition_in_use(self, partition: int) -> bool:
+        """Return whether a permit runs in a partition, under any epoch."""
         return partition in self._by_partition
 
-    def entries_at(self, upstream: str) -> set[EntryId]:
+    def entries_using(self, upstream: str) -> set[EntryId]:
         """Return the entries that hold permits at an upstream."""
         return {p.entry for p in self._permits.values() if p.upstream == upstream}
 
-    def _store(self, permit: Permit) -> None:
+    def _insert(self, permit: Permit) -> None:
         self._permits[permit.permit] = permit
         if permit.key is not None:
             self._by_key[permit.key] = permit.permit
--- a/bergamotdrift/placement.py
+++ b/bergamotdrift/placement.py
@@ -8,37 +8,37 @@
 
 # Loads within this share of the mean count as balanced; measured loads are noisy.
 LOAD_TOLERANCE = 0.15
-# Rounding errors must not count as an improvement.
-_LEAST_IMPROVEMENT = 1e-9
+# Keeps rounding errors from counting as an improvement.
+_MIN_IMPROVEMENT = 1e-9
 _ITEMS_PER_PAUSE = 500
-_MOVES_DROPPED_SINGLY = 8
+_MAX_MOVES_DROPPED_SINGLY = 8
 _MOVES_PER_PAUSE = 64
 
 
 class Weighted(NamedTuple):
-    """Hold a partition and its weight; 1.0 is that of an average partition."""
+    """Hold a partition and its weight; an average partition has a weight of 1.0."""
 
     partition: int
     weight: float
 
 
 class Candidate(NamedTuple):
-    """Hold an upstream that may own partitions, and those that it owns."""
+    """Hold an upstream that may own partitions, and the partitions it owns."""
 
     upstream: str
     zone: str
     owned: tuple[Weighted, ...]
 
 
-class Placed(NamedTuple):
+class Placement(NamedTuple):
     """Name the upstream chosen for a partition."""
 
     partition: int
     upstream: str
 
 
-class _Heaps:
-    """Find the least loaded upstream, in the less loaded zone when loads are equal."""
+class _LoadHeaps:
+    """Find the least loaded upstream; equal loads go to the less loaded zone."""
 
     def __init__(self, candidates: Collection[Candidate]):
         self.loads = {
@@ -55,8 +55,8 @@
             heap = self._heaps.setdefault(c.zone, [])
             heapq.heappush(heap, (self.loads[c.upstream], c.upstream))
 
-    def take(self, weight: float) -> str:
-        """Return the least loaded upstream and add a weight to it."""
+    def assign(self, weight: float) -> str:
+        """Return the least loaded upstream and add a weight to its load."""
         zone = min(self._heaps, key=self._rank)
         load, upstream = self._heaps[zone][0]
         self.loads[upstream] = load + weight
@@ -73,62 +73,66 @@
     vacant: Iterable[Weighted],
     candidates: Collection[Candidate],
     pause: Callable[[], None],
-) -> list[Placed]:
-    """Return an upstream for each partition, heaviest first to the least loaded."""
+) -> list[Placement]:
+    """Return an upstream for each partition: heaviest first, to the least loaded."""
     if not candidates:
         return []
-    heaps = _Heaps(candidates)
-    placed = []
+    heaps = _LoadHeaps(candidates)
+    placements = []
     order = sorted(vacant, key=lambda item: (-item.weight, item.partition))
     for count, item in enumerate(order, 1):
-        placed.append(Placed(item.partition, heaps.take(item.weight)))
+        placements.append(Placement(item.partition, heaps.assign(item.weight)))
         if count % _ITEMS_PER_PAUSE == 0:
             pause()
-    return placed
+    return placements
 
 
 def choose_moves(
     candidates: Collection[Candidate],
     pending: Collection[Weighted],
-    resting: Collection[int],
+    recently_moved: Collection[int],
     limit: int,
     pause: Callable[[], None],
 ) -> list[int]:
     """Return up to `limit` partitions whose move brings loads closer to the mean.
 
-    `pending` are partitions already without an owner, which fill the least loaded
-    upstreams first. `resting` ones moved lately and stay.
+    `pending` partitions have no owner yet and fill the least loaded upstreams first.
+    `recently_moved` partitions stay where they are.
     """
     if len(candidates) < 2 or limit <= 0:
         return []
-    heaps = _Heaps(candidates)
+    heaps = _LoadHeaps(candidates)
     for item in sorted(pending, key=lambda item: -item.weight):
-        heaps.take(item.weight)
+        heaps.assign(item.weight)
     loads = heaps.loads
     movable = {
-        c.upstream: [item for item in c.owned if item.partition not in resting]
+        c.upstream: [item for item in c.owned if item.partition not in recently_moved]
         for c in candidates
     }
     mean = sum(loads.values()) / len(loads)
     moves: list[int] = []
     while len(moves) < limit:
-        donor = max(loads, key=lambda name: (loads[name], name))
-        taker = min(loads, key=lambda name: (loads[name], name))
-        if not _is_unbalanced(loads[donor], loads[taker], mean):
+        source = max(loads, key=lambda name: (loads[name], name))
+        target = min(loads, key=lambda name: (loads[name], name))
+        if not _is_unbalanced(loads[source], loads[target], mean):
             break
-        item = _best_item(movable[donor], loads[donor] - loads[taker])
+        item = _best_partition_to_move(movable[source], loads[source] - loads[target])
         if item is None:
             break
-        movable[donor].remove(item)
-        loads[donor] -= item.weight
-        loads[taker] += item.weight
+        movable[source].remove(item)
+        loads[source] -= item.weight
+        loads[target] += item.weight
         moves.append(item.partition)
         if len(moves) % _MOVES_PER_PAUSE == 0:
             pause()
     pause()
     while moves and not _improves(candidates, pending, set(moves)):
-        # Each check passes over all partitions, so long sets are halved.
-        kept = len(moves) // 2 if len(moves) > _MOVES_DROPPED_SINGLY else len(moves) - 1
+        # Each check scans all partitions, so a long list is halved instead.
+        kept = (
+            len(moves) // 2
+            if len(moves) > _MAX_MOVES_DROPPED_SINGLY
+            else len(moves) - 1
+        )
         del moves[kept:]
         pause()
     return moves
@@ -139,28 +143,27 @@
     pending: Collection[Weighted],
     moves: set[int],
 ) -> bool:
-    """Tell whether placing the moved partitions anew makes the loads more even.
+    """Return whether reassigning the moved partitions makes the loads more even.
 
-    The next owner is chosen by `place`, which may undo a move or turn several moves
-    in circles; the sum of squared loads falls with each accepted choice, so moves
-    come to an end.
+    `place` chooses the next owners and may undo a move or cycle several of them. The
+    sum of squared loads decreases with each accepted choice, so rebalancing terminates.
     """
     moved = [i for c in candidates for i in c.owned if i.partition in moves]
     before = _squared_loads(candidates, pending)
-    stripped = [
+    remaining = [
         c._replace(owned=tuple(i for i in c.owned if i.partition not in moves))
         for c in candidates
     ]
-    after = _squared_loads(stripped, [*pending, *moved])
-    return after < before * (1 - _LEAST_IMPROVEMENT)
+    after = _squared_loads(remaining, [*pending, *moved])
+    return after < before * (1 - _MIN_IMPROVEMENT)
 
 
 def _squared_loads(
     candidates: Collection[Candidate], unowned: Collection[Weighted]
 ) -> float:
-    heaps = _Heaps(candidates)
+    heaps = _LoadHeaps(candidates)
     for item in sorted(unowned, key=lambda item: (-item.weight, item.partition)):
-        heaps.take(item.weight)
+        heaps.assign(item.weight)
     return sum(load * load for load in heaps.loads.values())
 
 
@@ -168,8 +171,8 @@
     return highest > mean * (1 + LOAD_TOLERANCE) or lowest < mean * (1 - LOAD_TOLERANCE)
 
 
-def _best_item(items: Collection[Weighted], gap: float) -> Weighted | None:
-    """Return the partition whose move closes the gap best, or None if none does."""
+def _best_partition_to_move(items: Collection[Weighted], gap: float) -> Weighted | None:
+    """Return the partition whose move narrows the gap most, or None if none does."""
     fitting = [item for item in items if 0 < item.weight < gap]
     if not fitting:
         return None
@@ -192,22 +195,22 @@
 ) -> list[ShardOwner]:
     """Return shards whose owner changes under rendezvous hashing.
 
-    `owners` maps each wanted shard to its present owner or an empty string. A shard
-    of a present member can only move to one that `joined` since it was chosen. Such
-    voluntary moves are limited; shards without an owner are not.
+    `owners` maps each wanted shard to its current owner or an empty string. A shard of
+    a current member can only move to one that `joined` since it was assigned. `limit`
+    bounds these rebalancing moves, but not the assignment of shards without an owner.
     """
     if not members:
         return []
     chosen: list[ShardOwner] = []
-    voluntary = 0
+    rebalanced = 0
     present = set(members)
     for count, (shard, owner) in enumerate(owners.items(), 1):
         if owner not in present:
             chosen.append(ShardOwner(shard, rendezvous(shard, present)[0]))
-        elif joined and voluntary < limit:
+        elif joined and rebalanced < limit:
             best = rendezvous(shard, {owner, *joined})[0]
             if best != owner:
-                voluntary += 1
+                rebalanced += 1
                 chosen.append(ShardOwner(shard, best))
         if count % _ITEMS_PER_PAUSE == 0:
             pause()
--- a/bergamotdrift/shard_planner.py
+++ b/bergamotdrift/shard_planner.py
@@ -1,4 +1,4 @@
-"""Commands that give shards to arbiters."""
+"""Planning of commands that assign shards to arbiters."""
 
 from collections.abc import Callable
 
@@ -14,10 +14,10 @@
 from bergamotdrift.shards import pool_shard, upstream_shard, workspace_shard
 
 MOVE_INTERVAL_MS = 1000
-# A moved shard grants nothing until all entries have reported to its new arbiter.
+# A moved shard grants no permits until all entries have reported to its new arbiter.
 MOVES_PER_INTERVAL = 16
-# An arbiter takes the upstreams of its first feed as new, and ramps them up again. So
-# it gets no shards from others until it has followed the feed for the longest ramp.
+# An arbiter treats the upstreams of its first feed as new and ramps them up again. So
+# no shards move to it from others until it has followed the feed for the longest ramp.
 SETTLE_MARGIN_MS = 1000.0
 SETTLE_MAX_MS = 30_000.0
 
@@ -31,7 +31,7 @@
         self._state = state
         self._nodes = nodes
         self._pause = pause
-        self._known: frozenset[str] = frozenset()
+        self._known_members: frozenset[str] = frozenset()
         self._planned: tuple[int, frozenset[str]] | None = None
         self._next_moves_ms = 0.0
         self._since_ms: dict[cmd.NodeIncarnation, float] = {}
@@ -41,24 +41,28 @@
         settings = self._state.settings.current
         if settings is None:
             return []
-        members = self._members(settings, now_ms)
+        members = self._eligible_members(settings, now_ms)
         current = (self._state.feed_index, members)
         if current == self._planned:
             return []
-        wanted = self._wanted(settings)
+        wanted = self._wanted_shards(settings)
         unwanted = [s for s in self._state.rows.shards.list_keys() if s not in wanted]
         changes = self._changes(wanted, members, now_ms)
         commands: list[Message] = []
         if unwanted:
             commands.append(cmd.RemoveShards(unwanted))
         if changes:
-            commands.append(cmd.AssignShards([self._item(item) for item in changes]))
-        if not commands and self._known == members:
+            commands.append(
+                cmd.AssignShards([self._assignment(item) for item in changes])
+            )
+        if not commands and self._known_members == members:
             self._planned = current
         return commands
 
-    def _members(self, settings: SiteSettings, now_ms: float) -> frozenset[str]:
-        """Return the arbiters that may own shards: settled ones, owners, or all."""
+    def _eligible_members(
+        self, settings: SiteSettings, now_ms: float
+    ) -> frozenset[str]:
+        """Return the arbiters that may own shards: settled, owning, or else all."""
         live = {
             cmd.NodeIncarnation(row.node, row.incarnation)
             for row in self._state.rows.nodes.rows()
@@ -76,7 +80,7 @@
         )
         return members or frozenset(item.node for item in live)
 
-    def _wanted(self, settings: SiteSettings) -> set[str]:
+    def _wanted_shards(self, settings: SiteSettings) -> set[str]:
         pools = {s.name for s in settings.services if s.kind is ServiceKind.POOL}
         wanted = {pool_shard(name) for name in pools}
         wanted |= {workspace_shard(w.name) for w in settings.workspaces}
@@ -88,24 +92,24 @@
     def _changes(
         self, wanted: set[str], members: frozenset[str], now_ms: float
     ) -> list[ShardOwner]:
-        owners = {shard: self._owner(shard) for shard in sorted(wanted)}
+        owners = {shard: self._owner_of(shard) for shard in sorted(wanted)}
         if not members:
             return [ShardOwner(shard, "") for shard, owner in owners.items() if owner]
         limit = MOVES_PER_INTERVAL if now_ms >= self._next_moves_ms else 0
-        joined = members - self._known
+        joined = members - self._known_members
         changes = choose_shard_owners(owners, members, joined, limit, self._pause)
         moves = sum(owners[item.shard] in members for item in changes)
         if moves:
             self._next_moves_ms = now_ms + MOVE_INTERVAL_MS
         if moves < limit:
-            self._known = members
+            self._known_members = members
         return changes
 
-    def _owner(self, shard: str) -> str:
+    def _owner_of(self, shard: str) -> str:
         row = self._state.rows.shards.get(shard)
         return row.node if row is not None else ""
 
-    def _item(self, owner: ShardOwner) -> cmd.ShardAssignment:
+    def _assignment(self, owner: ShardOwner) -> cmd.ShardAssignment:
         row = self._state.rows.shards.get(owner.shard)
         return cmd.ShardAssignment(
             owner.shard, row.epoch if row is not None else 0, owner.node
--- a/bergamotdrift/shard_set.py
+++ b/bergamotdrift/shard_set.py
@@ -1,7 +1,7 @@
-"""All shards of one arbiter: created, changed and dropped as control's feed says.
+"""All shards of one arbiter: created, updated and dropped by control's feed.
 
-`ShardSet` is pure. A driver passes each entry message to `handle` and delivers the
-outputs; see `arbitration` for what they are.
+`ShardSet` does no I/O. Its caller passes each entry message to `handle` and delivers
+the outputs, which `arbitration` describes.
 """
 
 import random
@@ -49,7 +49,7 @@
 
 
 class _Route(NamedTuple):
-    """Tell which shard a message concerns, and under which epoch if it says so."""
+    """Hold the shard of a message, and its epoch if the message carries one."""
 
     shard: str
     epoch: int | None
@@ -63,14 +63,14 @@
         node: str,
         clock: Clock,
         rng: random.Random,
-        may_act: Callable[[], bool] = lambda: True,
+        may_grant: Callable[[], bool] = lambda: True,
     ):
         self._node = node
         self._clock = clock
         self._rng = rng
-        self._may_act = may_act
+        self._may_grant = may_grant
         self._entries: frozenset[EntryId] = frozenset()
-        # Before the first feed, entries may have left unseen.
+        # Entries may have left unnoticed before the first feed update.
         self._entries_left_ms = float("inf")
         self._rows: Mapping[str, ShardRow] = {}
         self._early = EarlyMessages()
@@ -82,7 +82,7 @@
         self.workspaces: dict[str, WorkspaceArbitration] = {}
 
     def update(self, tables: Tables) -> list[Output]:
-        """Apply changed tables."""
+        """Apply changed tables to the shards."""
         now_ms = self._clock.now_ms()
         self._ages.update(tables.upstreams, now_ms)
         if tables.settings is not None:
@@ -92,19 +92,19 @@
             self._entries_left_ms = now_ms
         self._entries = index.entries
         self._rows = tables.shards
-        mine = {
+        own_rows = {
             row.shard: row for row in tables.shards.values() if row.node == self._node
         }
         outputs: list[Output] = []
         for shard in [*self.permits, *self.workspaces]:
-            if self._epoch_of(shard) != getattr(mine.get(shard), "epoch", None):
-                outputs += self._drop(shard, index)
-        for row in mine.values():
-            outputs += self._apply(row, index)
+            if self._epoch_of(shard) != getattr(own_rows.get(shard), "epoch", None):
+                outputs += self._drop_shard(shard, index)
+        for row in own_rows.values():
+            outputs += self._apply_row(row, index)
         return outputs + self._retry_early()
 
     def handle(self, entry: EntryId, msg: Message, ticket: Ticket) -> list[Output]:
-        """Handle a message of an entry; a request's ticket comes back in a reply."""
+        """Handle a message of an entry; the reply to a request carries its ticket."""
         if isinstance(msg, RecordMirror):
             self._store_mirror(entry, msg)
             return [Reply(ticket, Done())]
@@ -116,36 +116,38 @@
                 self._mirrors.end(msg)
             expires_ms = self._clock.now_ms() + EARLY_WAIT_MS
             item = EarlyMessage(entry, route.shard, msg, ticket, expires_ms)
-            return self._hold(item, route)
+            return self._hold_early(item, route)
         return self._dispatch(entry, route, msg, ticket)
 
     def disconnect(self, entry: EntryId) -> list[Output]:
-        """Take note that the stream of an entry was lost."""
+        """Handle the loss of an entry's stream."""
         self._early.forget(entry)
         outputs: list[Output] = []
-        for shard in self._all():
+        for shard in self._all_shards():
             outputs += shard.disconnect(entry)
         return outputs
 
     def tick(self) -> list[Output]:
-        """Let time pass in all shards."""
+        """Run the time-driven work of all shards."""
         outputs: list[Output] = []
-        for shard in self._all():
+        for shard in self._all_shards():
             outputs += shard.tick()
         for item in self._early.take_expired(self._clock.now_ms()):
             outputs += _refuse_early(item)
         return outputs
 
     def is_waiting(self) -> bool:
-        """Tell whether anything waits for time to pass."""
-        return bool(self._early) or any(shard.is_waiting for shard in self._all())
+        """Return whether any message or request waits."""
+        return bool(self._early) or any(
+            shard.is_waiting for shard in self._all_shards()
+        )
 
     def drained(self) -> list[PartitionRef]:
         """Return the partitions to report as drained."""
         return [ref for shard in self.permits.values() for ref in shard.drained()]
 
     def take_load_reports(self) -> list[LoadReport]:
-        """Return the counts per keyed service since the last call."""
+        """Return the request counts per keyed service since the last call."""
         now_ms = self._clock.now_ms()
         reports = [item.take_report(now_ms) for item in self._counters.values()]
         return [report for report in reports if report is not None]
@@ -156,63 +158,63 @@
 
     def epochs(self) -> dict[str, int]:
         """Return the epoch of each shard that this arbiter holds."""
-        return {shard.shard: shard.view.epoch for shard in self._all()}
+        return {shard.shard: shard.view.epoch for shard in self._all_shards()}
 
-    def waiting(self) -> list[Shard]:
-        """Return the shards that wait for the reports of entries."""
-        return [shard for shard in self._all() if shard.missing_entries]
+    def awaiting_reports(self) -> list[Shard]:
+        """Return the shards that wait for reports of entries after a takeover."""
+        return [shard for shard in self._all_shards() if shard.missing_entries]
 
     def close(self) -> list[Output]:
-        """Refuse all that waits, and give nothing more."""
+        """Refuse all waiting requests, and grant nothing more."""
         outputs: list[Output] = []
-        for shard in self._all():
+        for shard in self._all_shards():
             outputs += shard.close()
         for item in self._early.take_all():
             outputs += _refuse_early(item)
         return outputs
 
-    def _all(self) -> list[Shard]:
+    def _all_shards(self) -> list[Shard]:
         return [*self.permits.values(), *self.workspaces.values()]
 
-    def _find(self, shard: str) -> Shard | None:
+    def _find_shard(self, shard: str) -> Shard | None:
         return self.permits.get(shard) or self.workspaces.get(shard)
 
     def _epoch_of(self, shard: str) -> int | None:
-        found = self._find(shard)
+        found = self._find_shard(shard)
         return found.view.epoch if found is not None else None
 
-    def _drop(self, shard: str, index: TableIndex) -> list[Output]:
+    def _drop_shard(self, shard: str, index: TableIndex) -> list[Output]:
         workspace = self.workspaces.pop(shard, None)
         if workspace is not None:
             return workspace.close() + workspace.mirror_single()
         permits = self.permits.pop(shard, None)
         if permits is None:
             return []
-        return permits.close() + permits.revoke_vanished(index.has_run)
+        return permits.close() + permits.revoke_unlisted(index.is_listed)
 
-    def _apply(self, row: ShardRow, index: TableIndex) -> list[Output]:
+    def _apply_row(self, row: ShardRow, index: TableIndex) -> list[Output]:
         if is_workspace_shard(row.shard):
             return self._apply_workspace(row, index)
         view = index.view(row)
         if view is None:
-            return self._drop(row.shard, index)
+            return self._drop_shard(row.shard, index)
         known = self.permits.get(row.shard)
         if known is not None:
             return known.update(view) if known.view != view else []
         self.permits[row.shard] = Arbitration(
-            row.shard, view, self._clock, self._rng, self._may_act
+            row.shard, view, self._clock, self._rng, self._may_grant
         )
         return []
 
     def _apply_workspace(self, row: ShardRow, index: TableIndex) -> list[Output]:
         view = index.workspace_view(row)
         if view is None:
-            return self._drop(row.shard, index)
+            return self._drop_shard(row.shard, index)
         view = view._replace(entries_left_ms=self._entries_left_ms)
         known = self.workspaces.get(row.shard)
         if known is not None:
             return known.update(view) if known.view != view else []
-        created = WorkspaceArbitration(row.shard, view, self._clock, self._may_act)
+        created = WorkspaceArbitration(row.shard, view, self._clock, self._may_grant)
         created.take_mirrored(self._mirrors.take(view.workspace.name))
         self.workspaces[row.shard] = created
         return []
@@ -223,8 +225,8 @@
         epoch = self._epoch_of(route.shard)
         return epoch is None or (route.epoch is not None and route.epoch > epoch)
 
-    def _hold(self, item: EarlyMessage, route: _Route) -> list[Output]:
-        if self._has_moved_on(route) or not self._early.hold(item):
+    def _hold_early(self, item: EarlyMessage, route: _Route) -> list[Output]:
+        if self._is_misrouted(route) or not self._early.hold(item):
             return _refuse_early(item)
         return []
 
@@ -235,13 +237,13 @@
             if route is None:
                 continue
             if self._is_early(item.entry, route):
-                outputs += self._hold(item, route)
+                outputs += self._hold_early(item, route)
             else:
                 outputs += self._dispatch(item.entry, route, item.message, item.ticket)
         return outputs
 
-    def _has_moved_on(self, route: _Route) -> bool:
-        """Tell whether a message is for an assignment that is not ours."""
+    def _is_misrouted(self, route: _Route) -> bool:
+        """Return whether a message is for an assignment of another arbiter or epoch."""
         row = self._rows.get(route.shard)
         if row is None or route.epoch is None or route.epoch > row.epoch:
             return False
@@ -262,7 +264,7 @@
         self, shard: Arbitration, entry: EntryId, msg: Message, ticket: Ticket
     ) -> list[Output]:
         if isinstance(msg, PermitRequest):
-            self._count(shard, msg)
+            self._count_load(shard, msg)
             return shard.request(entry, msg, ticket)
         if isinstance(msg, PermitRelease):
             return shard.release(entry, msg)
@@ -274,7 +276,7 @@
             return shard.resume(entry, msg)
         return []
 
-    def _count(self, shard: Arbitration, msg: PermitRequest) -> None:
+    def _count_load(self, shard: Arbitration, msg: PermitRequest) -> None:
         service = shard.view.service.name
         counter = self._counters.get(service)
         if counter is None:
@@ -318,7 +320,7 @@
 
 
 def _refuse_early(item: EarlyMessage) -> list[Output]:
-    detail = f"{split_shard(item.shard).service[:64]!r} is not arbitrated here"
+    detail = f"{split_shard(item.shard).service[:64]!r} is not served by this arbiter"
     if isinstance(item.message, PermitRequest):
         refusal = PermitRefusal(ErrorKind.ARBITER_UNREACHABLE, detail)
         return [Reply(item.ticket, refusal)]
--- a/bergamotdrift/shard_view.py
+++ b/bergamotdrift/shard_view.py
@@ -1,4 +1,4 @@
-"""What the shards of an arbiter need to know of control's tables."""
+"""Views of control's tables for the shards of an arbiter."""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -20,9 +20,9 @@
 class WorkspaceView(NamedTuple):
     """Hold the part of the tables that concerns one workspace shard.
 
-    `limits_since_ms` tells since when the rate and burst are known to be in force.
-    `local_entries` are those on the arbiter's own VM. `entries_left_ms` tells when
-    an entry last left; infinite means that this isn't known.
+    `limits_since_ms` is the time since which the rate and burst are known to be in
+    force. `local_entries` are those on the arbiter's own VM. `entries_left_ms` is the
+    time when an entry last left, or infinite if unknown.
     """
 
     epoch: int
@@ -42,9 +42,9 @@
     """Hold the part of the tables that concerns one permit shard.
 
     `partitions` lists those owned by the shard's upstream, and is empty for a pool.
-    `closed` names upstreams that get nothing new: leaving, or in a zone that is out.
-    `warm_since_ms` tells since when an upstream is known to run, by the arbiter's
-    clock; an upstream that isn't named there is taken as new.
+    `closed` names upstreams that get no new requests: leaving, or in a zone that is
+    out. `warm_since_ms` is the time since which an upstream is known to run, by the
+    arbiter's clock; an upstream missing from it is treated as new.
     """
 
     epoch: int
@@ -63,7 +63,7 @@
 
 
 class TableIndex:
-    """Hold the rows of the tables grouped as the shards' views need them."""
+    """Index the rows of the tables by service and upstream to build shard views."""
 
     def __init__(
         self,
@@ -108,8 +108,8 @@
             row.epoch, service, tuple(ups), tuple(parts), self.entries, closed, warm
         )
 
-    def has_run(self, row: UpstreamRow) -> bool:
-        """Tell whether the upstream of a row is still listed as the same run."""
+    def is_listed(self, row: UpstreamRow) -> bool:
+        """Return whether the upstream of a row is still listed with its incarnation."""
         listed = self._upstreams.get(row.service, ())
         return any(
             up.upstream == row.upstream and up.incarnation == row.incarnation
@@ -139,14 +139,14 @@
 
 
 def split_shard(shard: str) -> UpstreamId:
-    """Return service and upstream of a permit shard; a pool has no upstream."""
-    sort, _, name = shard.partition(":")
-    if sort == "pool":
+    """Return the service and upstream of a permit shard; a pool's upstream is empty."""
+    kind, _, name = shard.partition(":")
+    if kind == "pool":
         return UpstreamId(name, "")
     service, _, upstream = name.partition("/")
     return UpstreamId(service, upstream)
 
 
 def is_workspace_shard(shard: str) -> bool:
-    """Tell workspace shards from permit shards."""
+    """Return whether a shard is a workspace shard rather than a permit shard."""
     return shard.startswith(workspace_shard(""))
--- a/bergamotdrift/shards.py
+++ b/bergamotdrift/shards.py
@@ -2,15 +2,15 @@
 
 
 def upstream_shard(service: str, upstream: str) -> str:
-    """Return the shard of one upstream of a keyed service."""
+    """Return the name of the shard of one upstream of a keyed service."""
     return f"upstream:{service}/{upstream}"
 
 
 def pool_shard(service: str) -> str:
-    """Return the shard of a pool."""
+    """Return the name of a pool's shard."""
     return f"pool:{service}"
 
 
 def workspace_shard(workspace: str) -> str:
-    """Return the shard of a workspace."""
+    """Return the name of a workspace's shard."""
     return f"workspace:{workspace}"
--- a/bergamotdrift/takeover.py
+++ b/bergamotdrift/takeover.py
@@ -1,20 +1,20 @@
-"""Gate that a new arbiter of a shard passes once every entry has reported."""
+"""Gate that blocks a shard's new arbiter until every entry has reported."""
 
 from typing import NamedTuple
 
 
 class EntryId(NamedTuple):
-    """Identify one run of an entry process."""
+    """Identify one process run of an entry."""
 
     node: str
     incarnation: str
 
 
 class TakeoverGate:
-    """Stay shut until every entry that was a member at the takeover has reported.
+    """Stay closed until every entry that was a member at the takeover has reported.
 
     An entry that joins later has a feed newer than the takeover, so it can't hold
-    anything that the previous arbiter gave out.
+    anything that the previous arbiter granted.
     """
 
     __slots__ = ("_missing",)
@@ -24,16 +24,16 @@
 
     @property
     def is_open(self) -> bool:
-        """Tell whether no report is missing."""
+        """Return whether every member has reported."""
         return not self._missing
 
     @property
     def missing(self) -> frozenset[EntryId]:
-        """Return the entries whose report is missing."""
+        """Return the entries that have not reported yet."""
         return frozenset(self._missing)
 
     def report(self, entry: EntryId) -> None:
-        """Take note that an entry has reported what it holds."""
+        """Record that an entry has reported what it holds."""
         self._missing.discard(entry)
 
     def keep_members(self, members: frozenset[EntryId]) -> None:
--- a/bergamotdrift/tests/arbiter_schedule.py
+++ b/bergamotdrift/tests/arbiter_schedule.py
@@ -1,8 +1,8 @@
 """Random schedules of entries, streams and takeovers around one permit shard.
 
-Entries behave as the message contract asks. Messages of a stream keep their order
-but are delivered late; a lost stream loses what is under way. The model counts what
-truly runs at the upstreams, which the arbiter never sees directly.
+Entries follow the message contract. Messages of a stream stay in order but are
+delayed, and a lost stream drops those in transit. The model counts what actually runs
+at the upstreams, which the arbiter can't observe directly.
 """
 
 import random
@@ -39,7 +39,7 @@
 
 
 class ModelEntry:
-    """Holds what one entry truly runs and keeps, and its stream in both directions."""
+    """Holds one entry's requests and connections, and both directions of its stream."""
 
     def __init__(self, entry, epoch):
         self.id = entry
@@ -51,7 +51,7 @@
         self.from_arbiter: deque = deque()
         self.connected = False
 
-    def cut(self):
+    def drop_stream(self):
         self.to_arbiter.clear()
         self.from_arbiter.clear()
         self.connected = False
@@ -68,7 +68,7 @@
 
 
 class Schedule:
-    """Runs random steps and checks after each that the bounds hold."""
+    """Runs random steps and checks the bounds after each one."""
 
     def __init__(self, seed, entries=3, upstreams=2, slots=2, ramp_s=0.0, partitions=0):
         self.rng = random.Random(seed)
@@ -90,7 +90,7 @@
         self.arbiter = self.new_arbiter()
 
     def view(self):
-        # Rows that stood in the arbiter's feed from time 0 on have a known age.
+        # Rows present in the arbiter's feed since time 0 have a known age.
         return support.pool_view(
             epoch=self.epoch,
             service=self.service,
@@ -105,15 +105,15 @@
 
     def run(self, steps):
         choices = [
-            (self.ask, 14),
+            (self.send_request, 14),
             (self.deliver_to_arbiter, 45),
             (self.deliver_to_entry, 45),
-            (self.finish, 5),
-            (self.give_up, 3),
-            (self.drop_kept, 1),
-            (self.cut_stream, 0.7),
+            (self.finish_request, 5),
+            (self.cancel_request, 3),
+            (self.close_kept_connection, 1),
+            (self.lose_stream, 0.7),
             (self.connect, 12),
-            (self.learn_of_move, 10),
+            (self.follow_takeover, 10),
             (self.take_over, 0.8),
             (self.lose_entry, 0.3),
             (self.add_entry, 0.3),
@@ -124,14 +124,14 @@
         weights = [weight for _, weight in choices]
         for action in self.rng.choices(actions, weights, k=steps):
             action()
-            self.check()
+            self.check_bounds()
 
-    def ask(self):
+    def send_request(self):
         self.last_request += 1
         partition = -1
         if self.partitions:
             partition = self.rng.choice(self.partitions).partition
-        model = self.pick(lambda model: model.connected)
+        model = self.pick_entry(lambda model: model.connected)
         if model is None:
             return
         req = support.permit_request(
@@ -148,7 +148,7 @@
         model.to_arbiter.append(req)
 
     def deliver_to_arbiter(self):
-        model = self.pick(lambda model: model.to_arbiter)
+        model = self.pick_entry(lambda model: model.to_arbiter)
         if model is None or model.epoch != self.epoch:
             return
         msg = model.to_arbiter.popleft()
@@ -178,7 +178,7 @@
                 model.from_arbiter.append((request, output.message))
 
     def deliver_to_entry(self):
-        model = self.pick(lambda model: model.from_arbiter)
+        model = self.pick_entry(lambda model: model.from_arbiter)
         if model is None:
             return
         request, msg = model.from_arbiter.popleft()
@@ -190,8 +190,8 @@
             if model.kept[msg.upstream]:
                 model.kept[msg.upstream] -= 1
 
-    def finish(self):
-        model = self.pick(lambda model: model.running)
+    def finish_request(self):
+        model = self.pick_entry(lambda model: model.running)
         if model is None:
             return
         request = self.rng.choice(sorted(model.running))
@@ -204,16 +204,16 @@
                 PermitRelease(SHARD, grant.permit, outcome, 10.0, kept)
             )
 
-    def give_up(self):
-        model = self.pick(lambda model: model.waiting)
+    def cancel_request(self):
+        model = self.pick_entry(lambda model: model.waiting)
         if model is None:
             return
         request = self.rng.choice(sorted(model.waiting))
         req = model.waiting.pop(request)
         model.to_arbiter.append(PermitCancel(SHARD, request, req.attempt))
 
-    def drop_kept(self):
-        model = self.pick(lambda model: +model.kept)
+    def close_kept_connection(self):
+        model = self.pick_entry(lambda model: +model.kept)
         if model is None:
             return
         name = self.rng.choice(sorted(+model.kept))
@@ -221,34 +221,34 @@
         if model.connected:
             model.to_arbiter.append(ConnectionDropped(SHARD, name, 1))
 
-    def cut_stream(self):
-        model = self.pick(lambda model: model.connected)
+    def lose_stream(self):
+        model = self.pick_entry(lambda model: model.connected)
         if model is None:
             return
         if model.epoch == self.epoch:
             self.deliver(self.arbiter.disconnect(model.id))
-        model.cut()
+        model.drop_stream()
 
     def connect(self):
-        model = self.pick(lambda model: not model.connected)
+        model = self.pick_entry(lambda model: not model.connected)
         if model is not None:
             model.connect()
 
     def take_over(self):
-        """Replace the arbiter; entries learn of it later, one by one."""
+        """Replace the arbiter; entries learn of the takeover later, one by one."""
         self.epoch += 1
         self.arbiter = self.new_arbiter()
 
-    def learn_of_move(self):
-        model = self.pick(lambda model: model.epoch != self.epoch)
+    def follow_takeover(self):
+        model = self.pick_entry(lambda model: model.epoch != self.epoch)
         if model is None:
             return
-        model.cut()
+        model.drop_stream()
         model.epoch = self.epoch
         model.connect()
 
     def lose_entry(self):
-        """Expire an entry; by then it has stopped its requests by its own clock."""
+        """Expire an entry, which has already stopped its requests by its own clock."""
         if len(self.entries) > 1:
             del self.entries[self.rng.choice(sorted(self.entries))]
             self.deliver(self.arbiter.update(self.view()))
@@ -275,52 +275,56 @@
         self.deliver(self.arbiter.update(self.view()))
 
     def settle(self):
-        """Deliver and finish everything without failures."""
+        """Deliver all messages and finish all requests without failures."""
         for _ in range(400):
             for model in list(self.entries.values()):
                 if model.epoch != self.epoch:
-                    model.cut()
+                    model.drop_stream()
                     model.epoch = self.epoch
                 if not model.connected:
                     model.connect()
             self.deliver_to_arbiter()
             self.deliver_to_entry()
-            self.finish()
-            self.check()
+            self.finish_request()
+            self.check_bounds()
         self.clock.advance(6000)
         self.deliver(self.arbiter.tick())
         for _ in range(400):
             self.deliver_to_arbiter()
             self.deliver_to_entry()
-            self.finish()
+            self.finish_request()
 
-    def pick(self, condition):
+    def pick_entry(self, condition):
         found = [m for _, m in sorted(self.entries.items()) if condition(m)]
         return self.rng.choice(found) if found else None
 
-    def count(self, name):
+    def count_running(self, name):
         return sum(
             grant.upstream == name
             for model in self.entries.values()
             for grant, _ in model.running.values()
         )
 
-    def allowed(self):
-        """Return the most requests that an upstream's ramp may allow by now."""
+    def allowed_in_flight(self):
+        """Return the most requests that an upstream's ramp may allow at this time."""
         ramp_ms = self.service.cold_start.ramp_s * 1000.0
         if not ramp_ms:
             return self.service.slots
         grown = 1.0 + (self.service.slots - 1) * self.clock.now_ms() / ramp_ms
         return min(self.service.slots, int(grown))
 
-    def check(self):
+    def check_bounds(self):
         for name in self.names:
-            running = self.count(name)
-            assert running <= self.allowed(), f"{running} run at {name}"
+            running = self.count_running(name)
+            assert running <= self.allowed_in_flight(), (
+                f"{running} requests in flight at {name}"
+            )
             kept = sum(model.kept[name] for model in self.entries.values())
-            assert running + kept <= self.service.connections, "connections"
+            assert running + kept <= self.service.connections, "too many connections"
         for request, times in self.granted.items():
             assert times == 1, f"{request} was granted {times} times"
         for model in self.entries.values():
             for _, req in model.running.values():
-                assert req.partition not in self.drained, "runs in a drained partition"
+                assert req.partition not in self.drained, (
+                    "request runs in a drained partition"
+                )
--- a/bergamotdrift/tests/naive.py
+++ b/bergamotdrift/tests/naive.py
@@ -1,4 +1,4 @@
-"""Naive router: each entry alone with an even split of every limit."""
+"""Baseline router: independent entries, each with an even share of every limit."""
 
 from collections import deque
 from typing import NamedTuple
@@ -8,7 +8,7 @@
 
 
 class NaiveUpstream(NamedTuple):
-    """Describe an upstream as the naive entry sees it."""
+    """Describe an upstream as the baseline entry sees it."""
 
     service: str
     upstream: str
@@ -16,7 +16,7 @@
 
 
 class NaiveBucket:
-    """Token bucket of one entry; rate in requests per second."""
+    """Limit the rate of one entry by a token bucket, in requests per second."""
 
     def __init__(self, rate_per_s: float, burst: float, now_ms: float):
         self._rate_per_ms = rate_per_s / 1000.0
@@ -25,9 +25,9 @@
         self._at_ms = now_ms
 
     def take(self, now_ms: float) -> bool:
-        """Take one token, or return False."""
-        gained = (now_ms - self._at_ms) * self._rate_per_ms
-        self._tokens = min(self._burst, self._tokens + gained)
+        """Take one token, or return False if none is left."""
+        refill = (now_ms - self._at_ms) * self._rate_per_ms
+        self._tokens = min(self._burst, self._tokens + refill)
         self._at_ms = now_ms
         if self._tokens < 1.0:
             return False
@@ -43,7 +43,7 @@
         self._entries = entries
         self._in_flight: dict[tuple[str, str], int] = {}
         self._waiting: dict[tuple[str, str], deque] = {}
-        self._turn: dict[str, int] = {}
+        self._next_index: dict[str, int] = {}
         self._buckets = {
             w.name: NaiveBucket(
                 w.rate_per_s / entries, max(1, w.burst / entries), now_ms
@@ -64,9 +64,9 @@
         if service.kind is ServiceKind.KEYED:
             best = rendezvous(key, [u.upstream for u in upstreams])[0]
             return next(u for u in upstreams if u.upstream == best)
-        turn = self._turn.get(service.name, 0)
-        self._turn[service.name] = turn + 1
-        return upstreams[turn % len(upstreams)]
+        index = self._next_index.get(service.name, 0)
+        self._next_index[service.name] = index + 1
+        return upstreams[index % len(upstreams)]
 
     def limit(self, service: ServiceSettings) -> int:
         """Return the entry's share of an upstream's slots, at least one."""
--- a/bergamotdrift/tests/test_arbiter_server.py
+++ b/bergamotdrift/tests/test_arbiter_server.py
@@ -33,7 +33,7 @@
 
 
 class Recorder:
-    """Keeps the one-way messages that an entry received."""
+    """Records the one-way messages that an entry received."""
 
     def __init__(self):
         self.received = []
@@ -56,7 +56,7 @@
         self.arbiter = self.start_arbiter("a1")
         self.running = True
         self.addCleanup(self.stop_arbiter)
-        self.wait_until(self.arbiter.may_act)
+        self.wait_until(self.arbiter.may_grant)
 
     def start_arbiter(self, name):
         control = (self.control.server.address,)
@@ -130,7 +130,7 @@
         conn, _ = self.connect()
         self.report(conn)
         self.control.silent = True
-        self.wait_until(lambda: not self.arbiter.may_act())
+        self.wait_until(lambda: not self.arbiter.may_grant())
         refusal = conn.call(support.permit_request(1, deadline_ms=300), 2000)
         self.assertEqual(refusal.kind, ErrorKind.ARBITER_UNREACHABLE)
 
@@ -187,7 +187,7 @@
     def test_record_of_a_lost_entry_survives_the_next_arbiter_loss(self):
         self.second = self.start_arbiter("a2")
         self.addCleanup(self.second.stop)
-        self.wait_until(self.second.may_act)
+        self.wait_until(self.second.may_grant)
         conn, _ = self.connect()
         self.feed(2)
         self.report(conn)
--- a/bergamotdrift/tests/test_arbitration.py
+++ b/bergamotdrift/tests/test_arbitration.py
@@ -11,7 +11,7 @@
 
 
 class ScheduleTests(unittest.TestCase):
-    """Guards against more in flight than allowed, double grants and early drains."""
+    """Guards against excess in-flight requests, double grants and early drains."""
 
     def run_seeds(self, **options):
         granted = 0
--- a/bergamotdrift/tests/test_permit_queue.py
+++ b/bergamotdrift/tests/test_permit_queue.py
@@ -26,7 +26,7 @@
 
 
 class FairnessTests(QueueTestCase):
-    """Guards against a workspace that crowds out others."""
+    """Guards against a workspace that starves the others."""
 
     @settings(max_examples=60, deadline=None)
     @given(st.integers(0, 2**32), st.integers(2, 6))
@@ -36,7 +36,7 @@
         served: Counter = Counter()
         backlog: Counter = Counter()
         for _ in range(names * 40):
-            # Every workspace keeps waiting; the first sends several times as much.
+            # Every workspace stays backlogged; the first sends several times as much.
             for name in range(names):
                 for _ in range(rng.randint(1, 8) if name == 0 else 1):
                     self.push(str(name))
@@ -88,7 +88,7 @@
         removed, _ = self.push()
         kept, _ = self.push()
         self.queue.remove(removed)
-        self.assertEqual(self.queue.take_expired(10.0), [expired])
+        self.assertEqual(self.queue.pop_expired(10.0), [expired])
         self.assertEqual(self.serve(3), [kept])
 
     def test_removed_waiters_do_not_pile_up(self):
@@ -118,7 +118,7 @@
                 self.queue.remove(waiter)
                 waiting.discard(waiter)
             else:
-                waiting -= set(self.queue.take_expired(step))
+                waiting -= set(self.queue.pop_expired(step))
             self.assertEqual(len(self.queue), len(waiting))
             self.assertLessEqual(len(waiting), 12)
         self.assertEqual(set(self.serve(20)), waiting)
@@ -126,9 +126,9 @@
     def test_ahead_counts_what_is_served_before(self):
         for _ in range(10):
             self.push("heavy")
-        self.assertEqual(self.queue.ahead_of("light", False), 1)
-        self.assertEqual(self.queue.ahead_of("heavy", False), 10)
+        self.assertEqual(self.queue.count_ahead("light", False), 1)
+        self.assertEqual(self.queue.count_ahead("heavy", False), 10)
         for _ in range(6):
             self.push("heavy", urgent=True)
-        self.assertEqual(self.queue.ahead_of("light", True), 1)
-        self.assertEqual(self.queue.ahead_of("light", False), 1 + 6)
+        self.assertEqual(self.queue.count_ahead("light", True), 1)
+        self.assertEqual(self.queue.count_ahead("light", False), 1 + 6)
--- a/bergamotdrift/tests/test_placement.py
+++ b/bergamotdrift/tests/test_placement.py
@@ -61,7 +61,7 @@
             if not chosen:
                 return moves
             moves += len(chosen)
-            self.assertLess(moves, 1000, "moves do not come to an end")
+            self.assertLess(moves, 1000, "rebalancing does not terminate")
             freed = [item for items in owned for item in items if item[0] in chosen]
             owned = [[i for i in items if i[0] not in chosen] for items in owned]
             for placed in place(freed, candidates(owned), pause):
@@ -102,7 +102,7 @@
 
 
 class ShardTests(unittest.TestCase):
-    """Guards shards against owners that are gone and against needless moves."""
+    """Guards against shards with a lost owner and against needless moves."""
 
     def owners(self, members, shards=60):
         empty = {f"workspace:w{n}": "" for n in range(shards)}
