--- a/bergamotdrift/commands_log.py
+++ b/bergamotdrift/commands_log.py
@@ -1,4 +1,4 @@
-"""Commands of the replicated control log and their outcomes."""
+"""Commands of the replicated control log and their results."""
 
 from enum import StrEnum
 from typing import NamedTuple
@@ -15,7 +15,7 @@
 
 
 class Hold(StrEnum):
-    """Tell what must run out before a vacant partition gets its next owner."""
+    """What must expire before a vacant partition can be assigned again."""
 
     NONE = "none"
     PERMITS = "permits"
@@ -23,14 +23,14 @@
 
 
 class NodeIncarnation(NamedTuple):
-    """Name one run of a node."""
+    """Identify one incarnation of a node."""
 
     node: str
     incarnation: str
 
 
 class UpstreamIncarnation(NamedTuple):
-    """Name one run of an upstream."""
+    """Identify one incarnation of an upstream."""
 
     service: str
     upstream: str
@@ -38,7 +38,7 @@
 
 
 class PartitionAssignment(NamedTuple):
-    """Give a partition under `epoch` to an upstream; empty leaves it vacant."""
+    """Assign a partition at `epoch` to an upstream, or to none if that is empty."""
 
     service: str
     partition: int
@@ -48,7 +48,7 @@
 
 
 class ShardAssignment(NamedTuple):
-    """Give a shard under `epoch` (0 if it has no row) to an arbiter."""
+    """Assign a shard at `epoch` (0 if it has no row) to an arbiter."""
 
     shard: str
     epoch: int
@@ -57,7 +57,7 @@
 
 @message
 class OpenTerm(NamedTuple):
-    """Mark the start of a leader's term; earlier commands are applied before it."""
+    """Mark the start of a leader's term; all earlier commands are applied before it."""
 
     leader: str
     term: int
@@ -65,10 +65,10 @@
 
 @message
 class ApplySettings(NamedTuple):
-    """Replace the settings of `base_revision`; `at_ms` is Unix time.
+    """Replace the settings at `base_revision`; `at_ms` is Unix time.
 
-    `mapping` is the JSON that the operator sent and that `settings` was made from.
-    `revision` is the number that the operator chose, or 0 for the next one.
+    `mapping` is the operator's JSON from which `settings` was built.
+    `revision` is the number chosen by the operator, or 0 for the next number.
     """
 
     request: str
@@ -83,7 +83,10 @@
 
 @message
 class SetEvacuation(NamedTuple):
-    """Send nothing more to the upstreams of an availability zone, or take that back."""
+    """Start or end the evacuation of an availability zone.
+
+    The upstreams of an evacuated zone get no traffic.
+    """
 
     zone: str
     evacuated: bool
@@ -91,10 +94,10 @@
 
 @message
 class ReplaceRanges(NamedTuple):
-    """Replace rows of a ranged service by others that cover the same keys.
+    """Replace ranges of a ranged service with others that cover the same keys.
 
-    Nothing changes unless all `expected` rows are in place. Rows of `replacement`
-    with an owner and epoch 0 get the log index as their epoch.
+    Has no effect unless all `expected` rows match the current ones. Rows of
+    `replacement` with an owner and epoch 0 get the log index as their epoch.
     """
 
     service: str
@@ -104,7 +107,7 @@
 
 @message
 class RecordRefusal(NamedTuple):
-    """Record a change that the leader's checks refused; `at_ms` is Unix time."""
+    """Record a change that failed the leader's validation; `at_ms` is Unix time."""
 
     request: str
     author: str
@@ -117,63 +120,63 @@
 
 @message
 class RegisterNodes(NamedTuple):
-    """Add nodes, or replace their rows."""
+    """Register nodes, or replace their rows."""
 
     rows: list[NodeRow]
 
 
 @message
 class ExpireNodes(NamedTuple):
-    """Remove nodes whose session ended."""
+    """Remove nodes whose session has ended."""
 
     items: list[NodeIncarnation]
 
 
 @message
 class PutUpstreams(NamedTuple):
-    """Add upstreams, or change the state of registered ones."""
+    """Register upstreams, or update registered ones."""
 
     rows: list[UpstreamRow]
 
 
 @message
 class ExpireUpstreams(NamedTuple):
-    """Remove upstreams whose lease ended and vacate their partitions."""
+    """Remove upstreams whose lease has ended and vacate their partitions."""
 
     items: list[UpstreamIncarnation]
 
 
 @message
 class ReleasePartitions(NamedTuple):
-    """Start to take owned partitions from their upstreams."""
+    """Start to release owned partitions from their upstreams."""
 
     items: list[PartitionRef]
 
 
 @message
 class AssignPartitions(NamedTuple):
-    """Give vacant or released partitions to upstreams under the next epoch."""
+    """Assign vacant or released partitions to upstreams at the next epoch."""
 
     items: list[PartitionAssignment]
 
 
 @message
 class AssignShards(NamedTuple):
-    """Give shards to arbiters under a higher epoch."""
+    """Assign shards to arbiters at a higher epoch."""
 
     items: list[ShardAssignment]
 
 
 @message
 class RemoveShards(NamedTuple):
-    """Remove shards that no settings or upstreams call for."""
+    """Remove shards that no settings or upstreams require."""
 
     shards: list[str]
 
 
 @message
 class IsolateKey(NamedTuple):
-    """Give a hot routing key a partition of its own, at its parent's upstream."""
+    """Move a hot routing key to its own partition, at its parent's upstream."""
 
     service: str
     key_hash: int
@@ -181,7 +184,7 @@
 
 @message
 class RestoreKey(NamedTuple):
-    """Return a key to its parent once its own partition has been released."""
+    """Return an isolated key to its parent partition once its own is released."""
 
     service: str
     key_hash: int
@@ -191,17 +194,17 @@
 
 @message
 class Applied(NamedTuple):
-    """Tell how many rows a command changed."""
+    """Report how many rows a command changed."""
 
     changed: int
 
 
 @message
 class ChangeOutcome(NamedTuple):
-    """Tell what became of a settings change; `kind` is empty if it was accepted.
+    """Report the outcome of a settings change; `kind` is empty if it was accepted.
 
-    `revision` is the accepted one, or the current one at the time of a refusal,
-    and `author` is who made that revision.
+    `revision` is the accepted revision, or the one current at the time of a refusal;
+    `author` is the author of that revision.
     """
 
     kind: str
--- a/bergamotdrift/control_rows.py
+++ b/bergamotdrift/control_rows.py
@@ -1,4 +1,4 @@
-"""Rows of the control state: live nodes, upstreams and what each one owns."""
+"""Tables of the control state: live nodes, upstreams and what they own."""
 
 from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
@@ -19,45 +19,45 @@
 from bergamotdrift.row_table import RowTable
 from bergamotdrift.tables import IsolatedKeyId, PartitionId, RangeId, UpstreamId
 
-INCARNATIONS_KEPT = 8
-INCARNATION_LISTS_KEPT = 10_000
+MAX_INCARNATIONS_PER_UPSTREAM = 8
+MAX_INCARNATION_LISTS = 10_000
 
 
-class _OrderedRanges(NamedTuple):
-    """Hold the ranges of one version of their table, in the order of the keys."""
+class _SortedRanges(NamedTuple):
+    """Sorted ranges of one table version, by service and by upstream incarnation."""
 
     version: int
     by_service: Mapping[str, Sequence[RangeRow]]
-    by_run: Mapping[tuple[str, str, str], Sequence[RangeRow]]
+    by_incarnation: Mapping[tuple[str, str, str], Sequence[RangeRow]]
 
 
 class ControlRows:
-    """Hold the tables that the feed carries, and what only control knows of them."""
+    """Tables sent in the feed, plus state that only the control replicas keep."""
 
     def __init__(self) -> None:
-        self.nodes: RowTable[str, NodeRow] = RowTable("nodes", _one_field)
+        self.nodes: RowTable[str, NodeRow] = RowTable("nodes", _string_key_fields)
         self.upstreams: RowTable[UpstreamId, UpstreamRow] = RowTable(
-            "upstreams", _all_fields
+            "upstreams", _tuple_key_fields
         )
         self.partitions: RowTable[PartitionId, PartitionRow] = RowTable(
-            "partitions", _all_fields
+            "partitions", _tuple_key_fields
         )
-        self.shards: RowTable[str, ShardRow] = RowTable("shards", _one_field)
+        self.shards: RowTable[str, ShardRow] = RowTable("shards", _string_key_fields)
         self.isolated: RowTable[IsolatedKeyId, IsolatedKeyRow] = RowTable(
-            "isolated", _all_fields
+            "isolated", _tuple_key_fields
         )
-        self.ranges: RowTable[RangeId, RangeRow] = RowTable("ranges", _all_fields)
-        # Partitions that are vacant or under release.
+        self.ranges: RowTable[RangeId, RangeRow] = RowTable("ranges", _tuple_key_fields)
+        # Partitions in state VACANT or RELEASING.
         self.unowned: set[PartitionId] = set()
-        # What vacant partitions wait for; absent means Hold.NONE.
-        self.holds: dict[PartitionId, Hold] = {}
-        # Epochs at or below the floor were used by removed partitions.
-        self.epoch_floors: dict[str, int] = {}
-        self.next_isolated: dict[str, int] = {}
-        # Incarnations of each upstream in the order of their first registration.
+        # Condition for reassigning each vacant partition; absent means Hold.NONE.
+        self.reassignment_waits: dict[PartitionId, Hold] = {}
+        # Highest epoch that removed partitions of each service have used.
+        self.last_used_epochs: dict[str, int] = {}
+        self.next_isolated_partition: dict[str, int] = {}
+        # Incarnations of each upstream in order of first registration.
         self._incarnations: dict[UpstreamId, list[str]] = {}
         self._owned: dict[UpstreamId, set[PartitionId]] = {}
-        self._ordered_ranges = _order_ranges(self.ranges)
+        self._sorted_ranges = _sort_ranges(self.ranges)
 
     def partitions_of(self, upstream: UpstreamId) -> list[PartitionRow]:
         """Return the partitions that an upstream owns or is releasing."""
@@ -65,73 +65,75 @@
         return sorted(row for row in rows if row is not None)
 
     def hold(self, key: PartitionId) -> Hold:
-        """Return what a vacant partition waits for."""
-        return self.holds.get(key, Hold.NONE)
+        """Return the condition for reassigning a vacant partition."""
+        return self.reassignment_waits.get(key, Hold.NONE)
 
     def is_superseded(self, upstream: UpstreamId, incarnation: str) -> bool:
-        """Tell whether a later incarnation of the upstream has registered."""
+        """Return whether a later incarnation of the upstream has registered."""
         return incarnation in self._incarnations.get(upstream, ())[:-1]
 
     def put_upstream(self, index: int, row: UpstreamRow) -> bool:
-        """Store an upstream and note its incarnation."""
+        """Store an upstream and record its incarnation."""
         key = UpstreamId(row.service, row.upstream)
-        known = self._incarnations.pop(key, [])
-        if row.incarnation not in known:
-            known = [*known, row.incarnation][-INCARNATIONS_KEPT:]
-        self._incarnations[key] = known
-        if len(self._incarnations) > INCARNATION_LISTS_KEPT:
+        incarnations = self._incarnations.pop(key, [])
+        if row.incarnation not in incarnations:
+            incarnations = [*incarnations, row.incarnation][
+                -MAX_INCARNATIONS_PER_UPSTREAM:
+            ]
+        self._incarnations[key] = incarnations
+        if len(self._incarnations) > MAX_INCARNATION_LISTS:
             del self._incarnations[next(iter(self._incarnations))]
         return self.upstreams.put(key, row, index)
 
     def put_partition(self, index: int, row: PartitionRow) -> bool:
-        """Store a partition and index its owner."""
+        """Store a partition and update the index by owner."""
         key = PartitionId(row.service, row.partition)
-        self._forget_owner(key)
+        self._unindex_owner(key)
         self._index_owner(row)
         return self.partitions.put(key, row, index)
 
     def remove_partition(self, index: int, key: PartitionId) -> None:
-        """Remove a partition and keep its epoch from being used again."""
+        """Remove a partition and record its epoch so that it is not reused."""
         row = self.partitions.get(key)
         if row is None:
             return
-        self._forget_owner(key)
-        self.holds.pop(key, None)
+        self._unindex_owner(key)
+        self.reassignment_waits.pop(key, None)
         self.partitions.remove(key, index)
-        floor = self.epoch_floors.get(key.service, 0)
-        self.epoch_floors[key.service] = max(floor, row.epoch)
+        last_used_epoch = self.last_used_epochs.get(key.service, 0)
+        self.last_used_epochs[key.service] = max(last_used_epoch, row.epoch)
 
-    def vacate(self, index: int, key: PartitionId, hold: Hold) -> bool:
-        """Take a partition from its upstream; its next owner waits for `hold`."""
+    def vacate(self, index: int, key: PartitionId, wait: Hold) -> bool:
+        """Remove a partition's owner; `wait` is the condition for the next one."""
         row = self.partitions.get(key)
         if row is None or row.state is PartitionState.VACANT:
             return False
-        if hold is not Hold.NONE:
-            self.holds[key] = hold
+        if wait is not Hold.NONE:
+            self.reassignment_waits[key] = wait
         vacant = row._replace(upstream="", state=PartitionState.VACANT)
         return self.put_partition(index, vacant)
 
     def ranges_of(self, service: str) -> Sequence[RangeRow]:
-        """Return the ranges of a service in the order of their keys."""
-        return self._ordered().by_service.get(service, ())
+        """Return the ranges of a service, sorted by key."""
+        return self._current_sorted_ranges().by_service.get(service, ())
 
     def ranges_held(
         self, service: str, upstream: str, incarnation: str
     ) -> Sequence[RangeRow]:
-        """Return the ranges that one run of an upstream owns, by their keys."""
-        run = (service, upstream, incarnation)
-        return self._ordered().by_run.get(run, ())
+        """Return the ranges that one incarnation of an upstream owns, sorted by key."""
+        key = (service, upstream, incarnation)
+        return self._current_sorted_ranges().by_incarnation.get(key, ())
 
-    def _ordered(self) -> _OrderedRanges:
-        """Return all ranges in order, sorted once for each change."""
-        if self._ordered_ranges.version != self.ranges.version:
-            self._ordered_ranges = _order_ranges(self.ranges)
-        return self._ordered_ranges
+    def _current_sorted_ranges(self) -> _SortedRanges:
+        """Return the sorted ranges; they are cached until the table changes."""
+        if self._sorted_ranges.version != self.ranges.version:
+            self._sorted_ranges = _sort_ranges(self.ranges)
+        return self._sorted_ranges
 
     def replace_ranges(
         self, index: int, expected: list[RangeRow], replacement: list[RangeRow]
     ) -> bool:
-        """Replace ranges if they are as expected, and tell whether they were."""
+        """Replace ranges if all `expected` rows match; return whether they did."""
         for row in expected:
             if self.ranges.get(RangeId(row.service, row.first)) != row:
                 return False
@@ -146,8 +148,8 @@
         return True
 
     def free_ranges(self, index: int, upstream: UpstreamRow) -> None:
-        """Take the ranges of an upstream whose process has surely ended."""
-        for row in self.ranges_held(*_run_fields(upstream)):
+        """Vacate the ranges of an upstream whose process is known to have ended."""
+        for row in self.ranges_held(*_incarnation_key(upstream)):
             free = row._replace(
                 upstream="", incarnation="", state=PartitionState.VACANT
             )
@@ -157,37 +159,43 @@
         """Return the tombstones after an index."""
         return [row for table in self._tables() for row in table.removed_since(index)]
 
-    def floor(self) -> int:
-        """Return the index below which removals are no longer known."""
-        return max(table.floor for table in self._tables())
+    def tombstone_floor(self) -> int:
+        """Return the index up to which tombstones have been dropped from some table."""
+        return max(table.tombstone_floor for table in self._tables())
 
     def dump(self) -> list[Any]:
         """Return the content for a snapshot."""
         return [
             [table.dump() for table in self._tables()],
-            list(self.holds.items()),
-            self.epoch_floors,
-            self.next_isolated,
+            list(self.reassignment_waits.items()),
+            self.last_used_epochs,
+            self.next_isolated_partition,
             list(self._incarnations.items()),
         ]
 
     def load(self, data: list[Any]) -> None:
-        """Replace the content by that of a snapshot."""
-        tables, holds, self.epoch_floors, self.next_isolated, incarnations = data
-        self.nodes.load(tables[0], str, _node)
-        self.upstreams.load(tables[1], _upstream_key, _upstream)
-        self.partitions.load(tables[2], _partition_key, _partition)
-        self.shards.load(tables[3], str, _shard)
-        self.isolated.load(tables[4], _isolated_key, _isolated)
-        self.ranges.load(tables[5], _range_key, _range)
-        self.holds = {PartitionId(*key): Hold(hold) for key, hold in holds}
+        """Replace the content with that of a snapshot."""
+        (
+            tables,
+            waits,
+            self.last_used_epochs,
+            self.next_isolated_partition,
+            incarnations,
+        ) = data
+        self.nodes.load(tables[0], str, _decode_node_row)
+        self.upstreams.load(tables[1], _decode_upstream_key, _decode_upstream_row)
+        self.partitions.load(tables[2], _decode_partition_key, _decode_partition_row)
+        self.shards.load(tables[3], str, _decode_shard_row)
+        self.isolated.load(tables[4], _decode_isolated_key_id, _decode_isolated_key_row)
+        self.ranges.load(tables[5], _decode_range_key, _decode_range_row)
+        self.reassignment_waits = {PartitionId(*key): Hold(wait) for key, wait in waits}
         self._incarnations = {UpstreamId(*key): names for key, names in incarnations}
         self._owned = {}
         self.unowned = set()
         for row in self.partitions.rows():
             self._index_owner(row)
 
-    def _forget_owner(self, key: PartitionId) -> None:
+    def _unindex_owner(self, key: PartitionId) -> None:
         self.unowned.discard(key)
         row = self.partitions.get(key)
         if row is None or not row.upstream:
@@ -217,74 +225,84 @@
         )
 
 
-def _one_field(key: str) -> tuple[str, ...]:
+def _string_key_fields(key: str) -> tuple[str, ...]:
     return (key,)
 
 
-def _all_fields(key: tuple[Any, ...]) -> tuple[str, ...]:
+def _tuple_key_fields(key: tuple[Any, ...]) -> tuple[str, ...]:
     return tuple(str(field) for field in key)
 
 
-def _upstream_key(fields: list[Any]) -> UpstreamId:
+def _decode_upstream_key(fields: list[Any]) -> UpstreamId:
     return UpstreamId(*fields)
 
 
-def _partition_key(fields: list[Any]) -> PartitionId:
+def _decode_partition_key(fields: list[Any]) -> PartitionId:
     return PartitionId(*fields)
 
 
-def _range_key(fields: list[Any]) -> RangeId:
+def _decode_range_key(fields: list[Any]) -> RangeId:
     return RangeId(*fields)
 
 
-def _isolated_key(fields: list[Any]) -> IsolatedKeyId:
+def _decode_isolated_key_id(fields: list[Any]) -> IsolatedKeyId:
     return IsolatedKeyId(*fields)
 
 
-_ROLES = {str(role): role for role in Role}
-_UPSTREAM_STATES = {str(state): state for state in UpstreamState}
-_PARTITION_STATES = {str(state): state for state in PartitionState}
+_ROLES_BY_VALUE = {str(role): role for role in Role}
+_UPSTREAM_STATES_BY_VALUE = {str(state): state for state in UpstreamState}
+_PARTITION_STATES_BY_VALUE = {str(state): state for state in PartitionState}
 
 
-def _node(fields: list[Any]) -> NodeRow:
+def _decode_node_row(fields: list[Any]) -> NodeRow:
     node, role, *rest = fields
-    return NodeRow(node, _ROLES[role], *rest)
+    return NodeRow(node, _ROLES_BY_VALUE[role], *rest)
 
 
-def _upstream(fields: list[Any]) -> UpstreamRow:
+def _decode_upstream_row(fields: list[Any]) -> UpstreamRow:
     service, upstream, address, zone, incarnation, state, *rest = fields
     return UpstreamRow(
-        service, upstream, address, zone, incarnation, _UPSTREAM_STATES[state], *rest
+        service,
+        upstream,
+        address,
+        zone,
+        incarnation,
+        _UPSTREAM_STATES_BY_VALUE[state],
+        *rest,
     )
 
 
-def _partition(fields: list[Any]) -> PartitionRow:
+def _decode_partition_row(fields: list[Any]) -> PartitionRow:
     service, partition, upstream, epoch, state = fields
-    return PartitionRow(service, partition, upstream, epoch, _PARTITION_STATES[state])
+    return PartitionRow(
+        service, partition, upstream, epoch, _PARTITION_STATES_BY_VALUE[state]
+    )
 
 
-def _range(fields: list[Any]) -> RangeRow:
+def _decode_range_row(fields: list[Any]) -> RangeRow:
     service, first, last, upstream, incarnation, epoch, state, handover = fields
-    known = _PARTITION_STATES[state]
-    return RangeRow(service, first, last, upstream, incarnation, epoch, known, handover)
+    partition_state = _PARTITION_STATES_BY_VALUE[state]
+    return RangeRow(
+        service, first, last, upstream, incarnation, epoch, partition_state, handover
+    )
 
 
-def _shard(fields: list[Any]) -> ShardRow:
+def _decode_shard_row(fields: list[Any]) -> ShardRow:
     return ShardRow(*fields)
 
 
-def _isolated(fields: list[Any]) -> IsolatedKeyRow:
+def _decode_isolated_key_row(fields: list[Any]) -> IsolatedKeyRow:
     return IsolatedKeyRow(*fields)
 
 
-def _run_fields(row: RangeRow | UpstreamRow) -> tuple[str, str, str]:
+def _incarnation_key(row: RangeRow | UpstreamRow) -> tuple[str, str, str]:
     return row.service, row.upstream, row.incarnation
 
 
-def _order_ranges(table: RowTable[RangeId, RangeRow]) -> _OrderedRanges:
+def _sort_ranges(table: RowTable[RangeId, RangeRow]) -> _SortedRanges:
     by_service: dict[str, list[RangeRow]] = {}
-    by_run: dict[tuple[str, str, str], list[RangeRow]] = {}
+    by_incarnation: dict[tuple[str, str, str], list[RangeRow]] = {}
     for row in sorted(table.rows()):
         by_service.setdefault(row.service, []).append(row)
-        by_run.setdefault(_run_fields(row), []).append(row)
-    return _OrderedRanges(table.version, by_service, by_run)
+        by_incarnation.setdefault(_incarnation_key(row), []).append(row)
+    return _SortedRanges(table.version, by_service, by_incarnation)
--- a/bergamotdrift/control_state.py
+++ b/bergamotdrift/control_state.py
@@ -1,4 +1,4 @@
-"""State machine of the control log: pure, and equal on every replica."""
+"""Deterministic state machine of the control log, identical on every replica."""
 
 from collections.abc import Callable
 from typing import Any
@@ -28,7 +28,7 @@
 
 
 class ControlState:
-    """Apply commands to settings and rows; `feed_index` is that of the last change."""
+    """Settings and tables; `feed_index` is the log index of the last change."""
 
     def __init__(self) -> None:
         self.applied_index = 0
@@ -49,7 +49,7 @@
         return outcome
 
     def snapshot(self) -> bytes:
-        """Return the whole state as bytes."""
+        """Return the whole state, encoded as msgpack."""
         return msgpack.packb([
             self.applied_index,
             self.feed_index,
@@ -60,18 +60,18 @@
         ])
 
     def restore(self, data: bytes) -> None:
-        """Replace the whole state by that of a snapshot."""
-        parts = msgpack.unpackb(data, strict_map_key=False)
-        self.applied_index, self.feed_index, settings, rows, *zones = parts
-        evacuated, self._evacuated_at = zones or ([], 0)
+        """Replace the whole state with that of a snapshot."""
+        fields = msgpack.unpackb(data, strict_map_key=False)
+        self.applied_index, self.feed_index, settings, rows, *evacuation = fields
+        evacuated, self._evacuated_at = evacuation or ([], 0)
         self.evacuated = set(evacuated)
         self.settings.load(settings)
         self.rows.load(rows)
 
     def update_since(self, index: int) -> FeedUpdate:
-        """Return what changed after a feed index, or everything if that is unknown."""
+        """Return the changes after a feed index, or everything if they are unknown."""
         rows, log = self.rows, self.settings
-        full = index <= 0 or index < rows.floor()
+        full = index <= 0 or index < rows.tombstone_floor()
         since = 0 if full else index
         return FeedUpdate(
             from_index=since,
@@ -104,7 +104,7 @@
         outcome = self.settings.apply(index, command)
         if self.settings.changed_at == index:
             old = before.services if before is not None else ()
-            self._follow_services(index, old, command.settings.services)
+            self._reconcile_services(index, old, command.settings.services)
             self.feed_index = index
         return outcome
 
@@ -114,59 +114,59 @@
     def _register_nodes(self, index: int, command: cmd.RegisterNodes) -> Applied:
         nodes, changed = self.rows.nodes, 0
         for row in command.rows:
-            known = nodes.get(row.node)
-            if known is None or known.incarnation == row.incarnation:
+            registered = nodes.get(row.node)
+            if registered is None or registered.incarnation == row.incarnation:
                 changed += nodes.put(row.node, row, index)
-        return self._changed(index, changed)
+        return self._record_changes(index, changed)
 
     def _expire_nodes(self, index: int, command: cmd.ExpireNodes) -> Applied:
         changed = 0
         for item in command.items:
             row = self.rows.nodes.get(item.node)
             if row is not None and row.incarnation == item.incarnation:
-                self._vacate_shards(index, item.node)
+                self._unassign_shards(index, item.node)
                 changed += self.rows.nodes.remove(item.node, index)
-        return self._changed(index, changed)
+        return self._record_changes(index, changed)
 
-    def _vacate_shards(self, index: int, node: str) -> None:
-        # A node that returns under its name must not find shards that it lost.
+    def _unassign_shards(self, index: int, node: str) -> None:
+        # A node that registers again under this name must not regain lost shards.
         for row in list(self.rows.shards.rows()):
             if row.node == node:
                 self.rows.shards.put(row.shard, ShardRow(row.shard, "", index), index)
 
     def _put_upstreams(self, index: int, command: cmd.PutUpstreams) -> Applied:
         changed = sum(self._put_upstream(index, row) for row in command.rows)
-        return self._changed(index, changed)
+        return self._record_changes(index, changed)
 
     def _put_upstream(self, index: int, row: UpstreamRow) -> bool:
         service = self.service(row.service)
         key = UpstreamId(row.service, row.upstream)
         if service is None or self.rows.is_superseded(key, row.incarnation):
             return False
-        before = self.rows.upstreams.get(key)
+        registered = self.rows.upstreams.get(key)
         if row.born_ms:
             self._remove_predecessors(index, row)
-        if before is None:
+        if registered is None:
             return self.rows.put_upstream(index, row)
-        if before.incarnation == row.incarnation:
-            changed = before._replace(state=row.state, slots=row.slots)
+        if registered.incarnation == row.incarnation:
+            changed = registered._replace(state=row.state, slots=row.slots)
             return self.rows.put_upstream(index, changed)
-        if row.born_ms < before.born_ms:
+        if row.born_ms < registered.born_ms:
             return False
         if service.kind is ServiceKind.KEYED:
-            # The earlier incarnation may still hold a lease; it must expire first.
+            # The earlier incarnation may still hold a lease and has to expire first.
             return False
         return self.rows.put_upstream(index, row)
 
     def _remove_predecessors(self, index: int, row: UpstreamRow) -> None:
-        """Remove upstreams whose address a later start has taken over."""
+        """Remove earlier upstreams at an address that a later process now uses."""
         for other in list(self.rows.upstreams.rows()):
             key = UpstreamId(other.service, other.upstream)
             same = key == UpstreamId(row.service, row.upstream)
             if same or other.address != row.address:
                 continue
             if 0 < other.born_ms < row.born_ms:
-                # Its process has ended, and its grants with it.
+                # Its process has ended, so its grants are void.
                 self.rows.free_ranges(index, other)
                 self.rows.upstreams.remove(key, index)
 
@@ -176,13 +176,13 @@
         change = self.evacuated.add if command.evacuated else self.evacuated.discard
         change(command.zone)
         self._evacuated_at = index
-        return self._changed(index, 1)
+        return self._record_changes(index, 1)
 
     def _replace_ranges(self, index: int, command: cmd.ReplaceRanges) -> Applied:
-        if self.service(command.service) is None or not _covers_alike(command):
+        if self.service(command.service) is None or not _covers_same_keys(command):
             return Applied(0)
         done = self.rows.replace_ranges(index, command.expected, command.replacement)
-        return self._changed(index, len(command.replacement) if done else 0)
+        return self._record_changes(index, len(command.replacement) if done else 0)
 
     def _expire_upstreams(self, index: int, command: cmd.ExpireUpstreams) -> Applied:
         changed = 0
@@ -193,7 +193,7 @@
                 continue
             self._remove_upstream(index, key, Hold.PERMITS)
             changed += 1
-        return self._changed(index, changed)
+        return self._record_changes(index, changed)
 
     def _release_partitions(
         self, index: int, command: cmd.ReleasePartitions
@@ -206,11 +206,11 @@
             if row.state is PartitionState.OWNED:
                 releasing = row._replace(state=PartitionState.RELEASING)
                 changed += self.rows.put_partition(index, releasing)
-        return self._changed(index, changed)
+        return self._record_changes(index, changed)
 
     def _assign_partitions(self, index: int, command: cmd.AssignPartitions) -> Applied:
         changed = sum(self._assign_partition(index, item) for item in command.items)
-        return self._changed(index, changed)
+        return self._record_changes(index, changed)
 
     def _assign_partition(self, index: int, item: cmd.PartitionAssignment) -> bool:
         key = PartitionId(item.service, item.partition)
@@ -222,7 +222,7 @@
         upstream = self.rows.upstreams.get(UpstreamId(item.service, item.upstream))
         if upstream is None or upstream.incarnation != item.incarnation:
             return False
-        self.rows.holds.pop(key, None)
+        self.rows.reassignment_waits.pop(key, None)
         owned = row._replace(
             upstream=item.upstream, epoch=row.epoch + 1, state=PartitionState.OWNED
         )
@@ -236,35 +236,37 @@
                 continue
             if item.node and item.node not in self.rows.nodes:
                 continue
-            # The log index rises even if the row was removed in between.
+            # The log index as epoch increases even if the row was removed meanwhile.
             next_row = ShardRow(item.shard, item.node, index)
             changed += shards.put(item.shard, next_row, index)
-        return self._changed(index, changed)
+        return self._record_changes(index, changed)
 
     def _remove_shards(self, index: int, command: cmd.RemoveShards) -> Applied:
         shards = self.rows.shards
         changed = sum(shards.remove(shard, index) for shard in command.shards)
-        return self._changed(index, changed)
+        return self._record_changes(index, changed)
 
     def _isolate_key(self, index: int, command: cmd.IsolateKey) -> Applied:
         service = self.service(command.service)
         key = IsolatedKeyId(command.service, command.key_hash)
         if service is None or service.kind is not ServiceKind.KEYED:
             return Applied(0)
-        in_use = sum(row.service == service.name for row in self.rows.isolated.rows())
-        if key in self.rows.isolated or in_use >= ISOLATED_KEYS_PER_SERVICE:
+        isolated_count = sum(
+            row.service == service.name for row in self.rows.isolated.rows()
+        )
+        if key in self.rows.isolated or isolated_count >= ISOLATED_KEYS_PER_SERVICE:
             return Applied(0)
         parent = self.rows.partitions.get(parent_of(service, command.key_hash))
         if parent is None or parent.state is not PartitionState.OWNED:
             return Applied(0)
-        number = self.rows.next_isolated[service.name]
-        self.rows.next_isolated[service.name] = number + 1
-        floor = self.rows.epoch_floors.get(service.name, 0)
-        epoch = max(parent.epoch, floor) + 1
+        number = self.rows.next_isolated_partition[service.name]
+        self.rows.next_isolated_partition[service.name] = number + 1
+        last_used_epoch = self.rows.last_used_epochs.get(service.name, 0)
+        epoch = max(parent.epoch, last_used_epoch) + 1
         self.rows.put_partition(index, parent._replace(partition=number, epoch=epoch))
         row = IsolatedKeyRow(service.name, command.key_hash, number)
         self.rows.isolated.put(key, row, index)
-        return self._changed(index, 1)
+        return self._record_changes(index, 1)
 
     def _restore_key(self, index: int, command: cmd.RestoreKey) -> Applied:
         key = IsolatedKeyId(command.service, command.key_hash)
@@ -279,9 +281,9 @@
             return Applied(0)
         self.rows.isolated.remove(key, index)
         self.rows.remove_partition(index, partition)
-        return self._changed(index, 1)
+        return self._record_changes(index, 1)
 
-    def _follow_services(
+    def _reconcile_services(
         self,
         index: int,
         before: tuple[ServiceSettings, ...],
@@ -290,27 +292,33 @@
         old = {service.name: service for service in before}
         new = {service.name: service for service in after}
         for name, service in old.items():
-            kept = new.get(name)
-            if kept is None or kept.kind is not service.kind:
+            current_service = new.get(name)
+            if current_service is None or current_service.kind is not service.kind:
                 self._drop_upstreams(index, name)
-            if kept is None or _divides_otherwise(service, kept):
+            if current_service is None or _partitioning_differs(
+                service, current_service
+            ):
                 self._drop_partitions(index, name)
         for name, service in new.items():
-            known = old.get(name)
-            if known is None or _divides_otherwise(known, service):
+            previous = old.get(name)
+            if previous is None or _partitioning_differs(previous, service):
                 self._create_partitions(index, service)
 
     def _create_partitions(self, index: int, service: ServiceSettings) -> None:
         if service.kind is not ServiceKind.KEYED:
             return
-        floor = self.rows.epoch_floors.get(service.name, 0)
-        self.rows.next_isolated[service.name] = service.partitions
+        last_used_epoch = self.rows.last_used_epochs.get(service.name, 0)
+        self.rows.next_isolated_partition[service.name] = service.partitions
         for number in range(service.partitions):
-            row = PartitionRow(service.name, number, "", floor, PartitionState.VACANT)
+            row = PartitionRow(
+                service.name, number, "", last_used_epoch, PartitionState.VACANT
+            )
             self.rows.put_partition(index, row)
-            if floor:
-                # Upstreams may hold leases on what the partitions were before.
-                self.rows.holds[PartitionId(service.name, number)] = Hold.LEASE
+            if last_used_epoch:
+                # Upstreams may still hold leases on the earlier partitions.
+                self.rows.reassignment_waits[PartitionId(service.name, number)] = (
+                    Hold.LEASE
+                )
 
     def _drop_partitions(self, index: int, service: str) -> None:
         rows = self.rows
@@ -326,25 +334,25 @@
             if key.service == service:
                 self._remove_upstream(index, key, Hold.LEASE)
 
-    def _remove_upstream(self, index: int, key: UpstreamId, hold: Hold) -> None:
+    def _remove_upstream(self, index: int, key: UpstreamId, wait: Hold) -> None:
         for row in self.rows.partitions_of(key):
-            self.rows.vacate(index, PartitionId(row.service, row.partition), hold)
+            self.rows.vacate(index, PartitionId(row.service, row.partition), wait)
         self.rows.upstreams.remove(key, index)
 
-    def _changed(self, index: int, changed: int) -> Applied:
+    def _record_changes(self, index: int, changed: int) -> Applied:
         if changed:
             self.feed_index = index
         return Applied(changed)
 
 
 def parent_of(service: ServiceSettings, key_hash: int) -> PartitionId:
-    """Return the hash partition that holds a key that has none of its own."""
+    """Return the hash partition of a key, regardless of key isolation."""
     number = partition_of_hash(key_hash, service.partitions)
     return PartitionId(service.name, number)
 
 
-def _covers_alike(command: cmd.ReplaceRanges) -> bool:
-    """Tell whether the replacement covers the same keys without gap or overlap."""
+def _covers_same_keys(command: cmd.ReplaceRanges) -> bool:
+    """Return whether the replacement covers the same keys without gap or overlap."""
     if any(row.service != command.service for row in command.replacement):
         return False
     expected = _spans(command.expected)
@@ -352,7 +360,7 @@
 
 
 def _spans(rows: list[RangeRow]) -> list[tuple[int, int]]:
-    """Return the merged spans of keys that rows cover, in order."""
+    """Return the key spans of the rows, sorted, with adjacent spans merged."""
     spans: list[tuple[int, int]] = []
     for row in sorted(rows):
         if spans and spans[-1][1] + 1 == row.first:
@@ -362,7 +370,7 @@
     return spans
 
 
-def _divides_otherwise(before: ServiceSettings, after: ServiceSettings) -> bool:
+def _partitioning_differs(before: ServiceSettings, after: ServiceSettings) -> bool:
     return (before.kind, before.partitions) != (after.kind, after.partitions)
 
 
--- a/bergamotdrift/operator_api.py
+++ b/bergamotdrift/operator_api.py
@@ -1,4 +1,4 @@
-"""Bodies that the operator API exchanges with control replicas, as JSON."""
+"""JSON request and response bodies of the operator API."""
 
 from typing import Any
 
@@ -8,7 +8,7 @@
 
 
 class Change(msgspec.Struct):
-    """Ask to replace the settings of `base_revision`; `request` is its id."""
+    """Request to replace the settings at `base_revision`; `request` is its id."""
 
     request: str
     base_revision: int
@@ -17,14 +17,14 @@
 
 
 class Accepted(msgspec.Struct):
-    """State what became of a change."""
+    """Response to an accepted change."""
 
     revision: int
     outcome: str = ""
 
 
 class Running(msgspec.Struct):
-    """Hold the settings in force; revision 0 has none."""
+    """Current settings; revision 0 has none."""
 
     revision: int
     author: str = ""
@@ -32,14 +32,14 @@
 
 
 class RemoteProblem(msgspec.Struct):
-    """Hold a problem that control found in the settings."""
+    """Problem that a control replica found in the settings."""
 
     path: str = ""
     message: str = ""
 
 
 class RefusalBody(msgspec.Struct):
-    """Hold a refusal; `revision` and `author` name the current revision's."""
+    """Refusal of a call; `revision` and `author` are those of the current settings."""
 
     error: str
     message: str = ""
@@ -50,5 +50,5 @@
     problems: list[RemoteProblem] = []
 
     def is_kind(self, kind: ErrorKind) -> bool:
-        """Tell whether the refusal is of an error kind."""
+        """Return whether the refusal has an error kind."""
         return self.error == kind.value
--- a/bergamotdrift/operator_client.py
+++ b/bergamotdrift/operator_client.py
@@ -1,4 +1,4 @@
-"""Calls of the operator API: tries the replicas in turn until one settles it."""
+"""Client of the operator API that retries a call on each control replica in turn."""
 
 import socket
 import uuid
@@ -19,16 +19,19 @@
 _T = TypeVar("_T")
 
 ATTEMPT_TIMEOUT_S = 3.0
-ROUND_PAUSE_S = 0.2
+ROUND_DELAY_S = 0.2
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
-# No byte of the request leaves when connecting fails like this.
-_NOT_SENT = (ConnectionRefusedError, socket.gaierror)
-# These answers settle a change that was sent before without an answer.
-_SETTLING = frozenset({ErrorKind.REVISION_CONFLICT, ErrorKind.INVALID_SETTINGS})
+# With these errors no byte of the request has been sent.
+_NOT_SENT_ERRORS = (ConnectionRefusedError, socket.gaierror)
+# Refusals that are also conclusive for earlier attempts of unknown outcome.
+_CONCLUSIVE_REFUSALS = frozenset({
+    ErrorKind.REVISION_CONFLICT,
+    ErrorKind.INVALID_SETTINGS,
+})
 
 
 class Trouble(StrEnum):
-    """Name the ways in which a call fails."""
+    """Kinds of call failures."""
 
     REFUSED = "refused"
     UNREACHABLE = "unreachable"
@@ -36,7 +39,7 @@
 
 
 class CallFailure(NamedTuple):
-    """Hold why a call failed; `refusal` is set if a replica refused it."""
+    """Reason why a call failed; `refusal` is set if a replica refused it."""
 
     trouble: Trouble
     message: str
@@ -48,23 +51,23 @@
     body: bytes
 
 
-class _Attempt(NamedTuple):
-    """Hold what one attempt brought: a final refusal or a reason to go on."""
+class _FailedAttempt(NamedTuple):
+    """A failed attempt; it is final if `refusal` is set."""
 
     reason: str
     may_have_run: bool
     refusal: RefusalBody | None = None
-    hint: str = ""
+    leader_hint: str = ""
 
 
-class _Call(NamedTuple):
+class _ApiCall(NamedTuple):
     method: str
     path: str
     body: bytes = b""
 
 
 class OperatorClient:
-    """Call the operator API of the first replica that answers."""
+    """Call the operator API on the first replica that answers."""
 
     def __init__(
         self,
@@ -79,63 +82,67 @@
         self._clock = clock or BootClock()
 
     def running(self) -> Result[Running, CallFailure]:
-        """Return the settings in force."""
-        return self._call(_Call("GET", "/v1/settings"), Running)
+        """Return the current settings."""
+        return self._call(_ApiCall("GET", "/v1/settings"), Running)
 
     def status(self) -> Result[dict[str, Any], CallFailure]:
-        """Return the state of the site."""
-        return self._call(_Call("GET", "/v1/status"), dict[str, Any])
+        """Return the status of the site."""
+        return self._call(_ApiCall("GET", "/v1/status"), dict[str, Any])
 
     def audit(self, after: int, limit: int) -> Result[dict[str, Any], CallFailure]:
-        """Return entries of the audit trail after a number."""
+        """Return up to `limit` rows of the audit trail with numbers above `after`."""
         path = f"/v1/audit?after={after}&limit={limit}"
-        return self._call(_Call("GET", path), dict[str, Any])
+        return self._call(_ApiCall("GET", path), dict[str, Any])
 
     def apply(self, change: Change) -> Result[Accepted, CallFailure]:
-        """Ask for a change, and again with the same id while no answer comes."""
+        """Submit a change, and resend it with the same request id until answered."""
         body = msgspec.json.encode(change)
-        return self._call(_Call("POST", "/v1/settings", body), Accepted)
+        return self._call(_ApiCall("POST", "/v1/settings", body), Accepted)
 
-    def _call(self, call: _Call, answer: type[_T]) -> Result[_T, CallFailure]:
-        end_ms = self._clock.now_ms() + self._timeout_s * 1000
+    def _call(self, call: _ApiCall, answer_type: type[_T]) -> Result[_T, CallFailure]:
+        deadline_ms = self._clock.now_ms() + self._timeout_s * 1000
         may_have_run = False
-        reason = "no replica was tried"
+        reason = "timed out before the first attempt"
         replicas = list(self._replicas)
-        left = list(replicas)
-        while (left_s := (end_ms - self._clock.now_ms()) / 1000) > 0:
-            replica = left.pop(0)
-            outcome = self._try(replica, call, answer, min(left_s, ATTEMPT_TIMEOUT_S))
-            if not isinstance(outcome, _Attempt):
+        untried = list(replicas)
+        while (remaining_s := (deadline_ms - self._clock.now_ms()) / 1000) > 0:
+            replica = untried.pop(0)
+            outcome = self._attempt(
+                replica, call, answer_type, min(remaining_s, ATTEMPT_TIMEOUT_S)
+            )
+            if not isinstance(outcome, _FailedAttempt):
                 return Success(outcome)
             reason = f"{replica}: {outcome.reason}"
             if outcome.refusal is not None:
-                return Failure(_refused(outcome.refusal, may_have_run))
+                return Failure(_refusal_failure(outcome.refusal, may_have_run))
             may_have_run |= outcome.may_have_run
-            if outcome.hint and outcome.hint not in replicas:
-                replicas.append(outcome.hint)
-                left.insert(0, outcome.hint)
-            if not left:
-                left = list(replicas)
-                gevent.sleep(min(ROUND_PAUSE_S, left_s))
+            if outcome.leader_hint and outcome.leader_hint not in replicas:
+                replicas.append(outcome.leader_hint)
+                untried.insert(0, outcome.leader_hint)
+            if not untried:
+                untried = list(replicas)
+                gevent.sleep(min(ROUND_DELAY_S, remaining_s))
         is_unknown = may_have_run and call.method != "GET"
         trouble = Trouble.OUTCOME_UNKNOWN if is_unknown else Trouble.UNREACHABLE
         return Failure(CallFailure(trouble, reason))
 
-    def _try(
-        self, replica: str, call: _Call, answer: type[_T], timeout_s: float
-    ) -> _T | _Attempt:
+    def _attempt(
+        self, replica: str, call: _ApiCall, answer_type: type[_T], timeout_s: float
+    ) -> _T | _FailedAttempt:
         reply = self._send(replica, call, timeout_s)
-        if isinstance(reply, _Attempt):
+        if isinstance(reply, _FailedAttempt):
             return reply
         try:
             if reply.status == 200:
-                return msgspec.json.decode(reply.body, type=answer)
-            return _judge(msgspec.json.decode(reply.body, type=RefusalBody))
+                return msgspec.json.decode(reply.body, type=answer_type)
+            return _classify_refusal(msgspec.json.decode(reply.body, type=RefusalBody))
         except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-            reason = f"answer {reply.status} can't be read: {exc}"
-            return _Attempt(reason, may_have_run=True)
+            reason = f"response {reply.status} can't be decoded: {exc}"
+            return _FailedAttempt(reason, may_have_run=True)
 
-    def _send(self, replica: str, call: _Call, timeout_s: float) -> _Reply | _Attempt:
+    def _send(
+        self, replica: str, call: _ApiCall, timeout_s: float
+    ) -> _Reply | _FailedAttempt:
         host, port = parse_address(replica)
         client = HTTPClient(
             host, port, connection_timeout=timeout_s, network_timeout=timeout_s
@@ -148,41 +155,41 @@
                 answer = client.request(call.method, call.path, call.body, headers)
                 body = bytes(answer.read(MAX_ANSWER_BYTES))
                 return _Reply(answer.get_code(), body)
-        except _NOT_SENT as exc:
-            return _Attempt(f"can't be reached: {exc}", may_have_run=False)
+        except _NOT_SENT_ERRORS as exc:
+            return _FailedAttempt(f"connection failed: {exc}", may_have_run=False)
         except gevent.Timeout:
-            return _Attempt("no answer in time", may_have_run=True)
+            return _FailedAttempt("request timed out", may_have_run=True)
         except (OSError, HTTPParseError) as exc:
-            return _Attempt(f"no whole answer: {exc}", may_have_run=True)
+            return _FailedAttempt(f"response is incomplete: {exc}", may_have_run=True)
         finally:
             client.close()
 
 
 def new_request_id() -> str:
-    """Return a request id that no other change has."""
+    """Return a unique request id."""
     return uuid.uuid4().hex
 
 
-def _judge(refusal: RefusalBody) -> _Attempt:
-    """Tell whether a refusal is final or another replica may do better."""
+def _classify_refusal(refusal: RefusalBody) -> _FailedAttempt:
+    """Classify a refusal as final, or as a reason to try another replica."""
     reason = f"{refusal.error}: {refusal.message}"
     if refusal.is_kind(ErrorKind.NOT_LEADER):
-        hint = refusal.leader if _is_address(refusal.leader) else ""
-        return _Attempt(reason, may_have_run=False, hint=hint)
+        leader_hint = refusal.leader if _is_address(refusal.leader) else ""
+        return _FailedAttempt(reason, may_have_run=False, leader_hint=leader_hint)
     if refusal.error in {ErrorKind.NO_QUORUM, ErrorKind.INTERNAL}:
-        return _Attempt(reason, may_have_run=True)
+        return _FailedAttempt(reason, may_have_run=True)
     if refusal.error in {ErrorKind.SHUTTING_DOWN, ErrorKind.OUTCOME_UNKNOWN}:
-        return _Attempt(reason, may_have_run=not refusal.not_run)
-    return _Attempt(reason, may_have_run=False, refusal=refusal)
+        return _FailedAttempt(reason, may_have_run=not refusal.not_run)
+    return _FailedAttempt(reason, may_have_run=False, refusal=refusal)
 
 
-def _refused(refusal: RefusalBody, may_have_run: bool) -> CallFailure:
-    settles = refusal.error in _SETTLING
+def _refusal_failure(refusal: RefusalBody, may_have_run: bool) -> CallFailure:
+    is_conclusive = refusal.error in _CONCLUSIVE_REFUSALS
     trouble = Trouble.REFUSED
     message = refusal.message or refusal.error
-    if may_have_run and not settles:
+    if may_have_run and not is_conclusive:
         trouble = Trouble.OUTCOME_UNKNOWN
-        message = f"an earlier attempt had no answer; then {message}"
+        message = f"the outcome of an earlier attempt is unknown; then {message}"
     return CallFailure(trouble, message, refusal)
 
 
--- a/bergamotdrift/operator_desk.py
+++ b/bergamotdrift/operator_desk.py
@@ -1,4 +1,4 @@
-"""Answers operator calls at the control leader."""
+"""Handling of operator calls at the control leader."""
 
 import hashlib
 import json
@@ -22,15 +22,15 @@
 from bergamotdrift.operator_views import audit_view, settings_view, status_view
 from bergamotdrift.replication import Replicator
 
-AUDIT_PAGE_MAX = 500
-_DETAIL_MAX_CHARS = 2000
-_NAME_MAX_CHARS = 128
+MAX_AUDIT_PAGE_ROWS = 500
+_MAX_DETAIL_CHARS = 2000
+_MAX_NAME_CHARS = 128
 
 SettingsCheck = Callable[[Any], Result[SiteSettings, Sequence[Any]]]
 
 
 class ChangeBody(msgspec.Struct, forbid_unknown_fields=True):
-    """Hold the JSON body of a settings change."""
+    """JSON body of a settings change."""
 
     request: str
     base_revision: int
@@ -38,21 +38,21 @@
     settings: dict[str, Any]
 
     def problem(self) -> str:
-        """Return what is wrong with the fields, or an empty string."""
+        """Return a description of the first invalid field, or an empty string."""
         for field in ("request", "author"):
-            if not 0 < len(getattr(self, field)) <= _NAME_MAX_CHARS:
-                return f"{field} must have 1 to {_NAME_MAX_CHARS} characters"
+            if not 0 < len(getattr(self, field)) <= _MAX_NAME_CHARS:
+                return f"{field} must have 1 to {_MAX_NAME_CHARS} characters"
         return "" if self.base_revision >= 0 else "base_revision must not be negative"
 
     def fingerprint(self) -> str:
-        """Return a digest that tells resends from other changes."""
+        """Return a digest that distinguishes a resend from another change."""
         parts = [self.base_revision, self.author, self.settings]
         text = json.dumps(parts, sort_keys=True)
         return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
 
 
 class OperatorDesk:
-    """Check and log settings changes, and show the state."""
+    """Validate and propose settings changes, and serve views of the state."""
 
     def __init__(
         self,
@@ -69,7 +69,7 @@
         self._on_change = on_change
 
     def answer(self, call: OperatorCall) -> OperatorAnswer:
-        """Return the answer to a call; NOT_LEADER unless this replica leads."""
+        """Return the answer to a call; NOT_LEADER if this replica does not lead."""
         if self._leadership.duties() is None:
             return refusal(ErrorKind.NOT_LEADER)
         if call.action is OperatorAction.APPLY:
@@ -78,12 +78,12 @@
             return _answer(200, settings_view(self._state.settings))
         if call.action is OperatorAction.STATUS:
             return _answer(200, status_view(self._state, self._replicator.status()))
-        limit = min(max(call.limit, 1), AUDIT_PAGE_MAX)
+        limit = min(max(call.limit, 1), MAX_AUDIT_PAGE_ROWS)
         return _answer(200, audit_view(self._state.settings.audit, call.after, limit))
 
-    def _apply(self, data: bytes) -> OperatorAnswer:
+    def _apply(self, payload: bytes) -> OperatorAnswer:
         try:
-            body = msgspec.json.decode(data, type=ChangeBody)
+            body = msgspec.json.decode(payload, type=ChangeBody)
         except msgspec.DecodeError as exc:
             return refusal(ErrorKind.MALFORMED_REQUEST, str(exc))
         problem = body.problem()
@@ -99,27 +99,27 @@
             return refusal(exc.refusal.kind, exc.refusal.detail)
 
     def _propose(self, body: ChangeBody, fingerprint: str) -> OperatorAnswer:
-        checked = self._check(body.settings)
+        check_result = self._check(body.settings)
         at_ms = int(time.time() * 1000)
-        if isinstance(checked, Failure):
-            problems = [str(problem) for problem in checked.failure()]
-            refused = cmd.RecordRefusal(
+        if isinstance(check_result, Failure):
+            problems = [str(problem) for problem in check_result.failure()]
+            refusal_command = cmd.RecordRefusal(
                 body.request,
                 body.author,
                 body.base_revision,
                 at_ms,
                 fingerprint,
                 ErrorKind.INVALID_SETTINGS,
-                "; ".join(problems)[:_DETAIL_MAX_CHARS],
+                "; ".join(problems)[:_MAX_DETAIL_CHARS],
             )
-            return _outcome_answer(self._leadership.propose(refused))
+            return _outcome_answer(self._leadership.propose(refusal_command))
         change = cmd.ApplySettings(
             body.request,
             body.author,
             body.base_revision,
             at_ms,
             fingerprint,
-            checked.unwrap(),
+            check_result.unwrap(),
             msgspec.json.encode(body.settings),
         )
         outcome = self._leadership.propose(change)
@@ -128,7 +128,7 @@
 
 
 def refusal(kind: ErrorKind, detail: str = "") -> OperatorAnswer:
-    """Return the answer to a call that was refused before it was logged."""
+    """Return the answer to a call that is refused without a log entry."""
     answer = ANSWERS[kind]
     return _answer(
         answer.status, {"error": str(kind), "message": detail or answer.text}
--- a/bergamotdrift/operator_messages.py
+++ b/bergamotdrift/operator_messages.py
@@ -1,4 +1,4 @@
-"""Messages that carry operator calls from any control replica to the leader."""
+"""Messages that forward operator calls from any control replica to the leader."""
 
 from enum import StrEnum
 from typing import NamedTuple
@@ -7,7 +7,7 @@
 
 
 class OperatorAction(StrEnum):
-    """Name what an operator asks for."""
+    """Operations of the operator API."""
 
     APPLY = "apply"
     SETTINGS = "settings"
@@ -35,7 +35,7 @@
 
 @message
 class LeaderCall(NamedTuple):
-    """Carry a call from any control replica to the leader's desk for such calls."""
+    """Forward a call of another API from any control replica to the leader."""
 
     action: str
     subject: str = ""
--- a/bergamotdrift/operator_views.py
+++ b/bergamotdrift/operator_views.py
@@ -1,4 +1,4 @@
-"""JSON views of the control state for operators."""
+"""JSON views of the control state for the operator API."""
 
 from collections import Counter
 from typing import Any, TypedDict
@@ -14,7 +14,7 @@
 
 
 class SettingsView(TypedDict):
-    """Show the current settings as the operator sent them."""
+    """Current settings as the operator sent them."""
 
     revision: int
     author: str
@@ -22,7 +22,7 @@
 
 
 class AuditView(TypedDict):
-    """Show a page of the audit trail; `next` is the `after` of the next page."""
+    """Page of the audit trail; `next` is the `after` parameter of the next page."""
 
     rows: list[dict[str, Any]]
     next: int
@@ -30,7 +30,7 @@
 
 
 class StatusView(TypedDict):
-    """Show the group of replicas and what it holds."""
+    """Status of the control replicas and of the site."""
 
     revision: int
     feed_index: int
@@ -43,21 +43,21 @@
 
 
 def settings_view(log: SettingsLog) -> SettingsView:
-    """Return the current settings and who made them."""
+    """Return the current settings with their author."""
     return SettingsView(
         revision=log.revision, author=log.author, settings=msgspec.Raw(log.mapping)
     )
 
 
 def audit_view(audit: AuditTrail, after: int, limit: int) -> AuditView:
-    """Return the rows with numbers above `after`."""
+    """Return up to `limit` rows with numbers above `after`."""
     rows = audit.page(after, limit)
     last = rows[-1].number if rows else max(after, 0)
     return AuditView(rows=[plain(row) for row in rows], next=last, total=len(audit))
 
 
 def status_view(state: ControlState, status: ReplicaStatus) -> StatusView:
-    """Return the present state without single partitions."""
+    """Return the current status; partitions are only counted by state."""
     rows = state.rows
     return StatusView(
         revision=state.settings.revision,
@@ -65,13 +65,13 @@
         control=plain(status),
         nodes=[plain(row) for row in rows.nodes.rows()],
         upstreams=[plain(row) for row in rows.upstreams.rows()],
-        services=_services(state),
+        services=_service_views(state),
         shards=[plain(row) for row in rows.shards.rows()],
         isolated_keys=[plain(row) for row in rows.isolated.rows()],
     )
 
 
-def _services(state: ControlState) -> list[dict[str, Any]]:
+def _service_views(state: ControlState) -> list[dict[str, Any]]:
     settings = state.settings.current
     counts = Counter((r.service, str(r.state)) for r in state.rows.partitions.rows())
     return [
--- a/bergamotdrift/settings_diff.py
+++ b/bergamotdrift/settings_diff.py
@@ -1,31 +1,33 @@
-"""Summary of what a settings change alters, for the audit trail."""
+"""Summary of a settings change for the audit trail."""
 
 from collections.abc import Iterable
 from typing import Any
 
 from bergamotdrift.config.schema import SiteSettings
 
-_LINES_KEPT = 40
-_SECTIONS = {
+_MAX_LINES = 40
+_NAME_FIELDS = {
     "zones": "name",
     "services": "name",
     "routes": "path",
     "workspaces": "name",
     "replicas": "replica",
 }
-# Digests stand for secrets; the trail names the field but not the values.
+# Digests of secrets: the audit trail names these fields without their values.
 _HIDDEN_FIELDS = frozenset({"key_digests"})
 
 
-def summarize(before: SiteSettings | None, after: SiteSettings) -> tuple[str, ...]:
-    """Return one line for each item added, removed or changed."""
+def summarize_change(
+    before: SiteSettings | None, after: SiteSettings
+) -> tuple[str, ...]:
+    """Return one line for each added, removed or changed item."""
     lines = []
-    for section, name_field in _SECTIONS.items():
+    for section, name_field in _NAME_FIELDS.items():
         old = getattr(before, section) if before is not None else ()
         lines += _section_lines(section, name_field, old, getattr(after, section))
-    if len(lines) > _LINES_KEPT:
-        left_out = len(lines) - _LINES_KEPT
-        lines = [*lines[:_LINES_KEPT], f"and {left_out} more"]
+    if len(lines) > _MAX_LINES:
+        omitted = len(lines) - _MAX_LINES
+        lines = [*lines[:_MAX_LINES], f"and {omitted} more"]
     return tuple(lines)
 
 
@@ -39,12 +41,12 @@
         if name not in old:
             lines.append(f"{section}: + {name}")
         elif old[name] != item:
-            lines.append(f"{section}: ~ {name} ({_fields(old[name], item)})")
+            lines.append(f"{section}: ~ {name} ({_changed_fields(old[name], item)})")
     return lines
 
 
 def _by_name(items: Iterable[Any], name_field: str) -> dict[str, Any]:
-    """Return items by name; items of equal name are told apart by position."""
+    """Return items by name; items of equal name are numbered in order."""
     named: dict[str, Any] = {}
     for item in items:
         name = getattr(item, name_field)
@@ -56,7 +58,7 @@
     return named
 
 
-def _fields(before: Any, after: Any) -> str:
+def _changed_fields(before: Any, after: Any) -> str:
     changes = []
     for field in after._fields:
         old, new = getattr(before, field), getattr(after, field)
--- a/bergamotdrift/settings_log.py
+++ b/bergamotdrift/settings_log.py
@@ -1,4 +1,4 @@
-"""Accepted settings revisions and the rules under which one replaces another."""
+"""Accepted settings revisions, and the concurrency checks on changes."""
 
 from typing import Any
 
@@ -8,14 +8,14 @@
 from bergamotdrift.commands_log import ApplySettings, ChangeOutcome, RecordRefusal
 from bergamotdrift.config.schema import SiteSettings
 from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.settings_diff import summarize
+from bergamotdrift.settings_diff import summarize_change
 
-# Older revisions stay named in the audit trail, but their content is dropped.
-REVISIONS_KEPT = 16
+# The audit trail keeps the numbers of older revisions, but not their content.
+MAX_RECENT_REVISIONS = 16
 
 
 class SettingsLog:
-    """Hold the current settings, recent revisions and the audit trail."""
+    """The current settings, recent revisions and the audit trail."""
 
     def __init__(self) -> None:
         self.revision = 0
@@ -27,27 +27,35 @@
         self.audit = AuditTrail()
 
     def first_outcome(self, request: str, fingerprint: str) -> ChangeOutcome | None:
-        """Return what a request id was answered before, or None."""
-        row = self.audit.of_request(request)
+        """Return the recorded outcome of a request id, or None if it is new.
+
+        A request id that was used for a different change is refused.
+        """
+        row = self.audit.find_by_request(request)
         if row is None:
             return None
         if row.fingerprint != fingerprint:
             detail = "the request id was used for another change"
-            return self._refusal(ErrorKind.MALFORMED_REQUEST, detail)
+            return self._refusal_outcome(ErrorKind.MALFORMED_REQUEST, detail)
         return row.outcome()
 
     def apply(self, index: int, command: ApplySettings) -> ChangeOutcome:
-        """Replace the settings, or refuse with REVISION_CONFLICT."""
+        """Replace the settings, or refuse the change with REVISION_CONFLICT."""
         earlier = self.first_outcome(command.request, command.fingerprint)
-        # A change that lost a race may fit later, if its base is accepted then.
+        # A refused change with a chosen revision is tried again on a resend, since
+        # its base revision may have been accepted in the meantime.
         is_final = not command.revision or earlier is None or not earlier.kind
         if earlier is not None and is_final:
             return earlier
         if command.base_revision != self.revision:
-            return self._refuse(command, ErrorKind.REVISION_CONFLICT, self._winner())
+            return self._refuse(
+                command, ErrorKind.REVISION_CONFLICT, self._current_revision_text()
+            )
         if command.revision and command.revision <= self.revision:
-            return self._refuse(command, ErrorKind.REVISION_CONFLICT, self._winner())
-        changes = summarize(self.current, command.settings)
+            return self._refuse(
+                command, ErrorKind.REVISION_CONFLICT, self._current_revision_text()
+            )
+        changes = summarize_change(self.current, command.settings)
         self.revision = command.revision or self.revision + 1
         self.author = command.author
         self.changed_at = index
@@ -59,7 +67,7 @@
         return outcome
 
     def record_refusal(self, command: RecordRefusal) -> ChangeOutcome:
-        """Record a change that did not pass the leader's checks."""
+        """Record a change that failed the leader's validation."""
         earlier = self.first_outcome(command.request, command.fingerprint)
         if earlier is not None:
             return earlier
@@ -77,7 +85,7 @@
         ]
 
     def load(self, data: list[Any]) -> None:
-        """Replace the content by that of a snapshot."""
+        """Replace the content with that of a snapshot."""
         self.revision, self.author, self.changed_at, self.mapping, recent, audit = data
         self.recent = {
             revision: msgspec.convert(fields, SiteSettings)
@@ -90,21 +98,21 @@
     def _keep_recent(self) -> None:
         assert self.current is not None
         self.recent[self.revision] = self.current
-        if len(self.recent) > REVISIONS_KEPT:
+        if len(self.recent) > MAX_RECENT_REVISIONS:
             del self.recent[next(iter(self.recent))]
 
-    def _winner(self) -> str:
+    def _current_revision_text(self) -> str:
         if self.revision == 0:
             return "no revision has been accepted yet; the base revision must be 0"
         return f"revision {self.revision} by {self.author} is the current one"
 
-    def _refusal(self, kind: ErrorKind, detail: str) -> ChangeOutcome:
+    def _refusal_outcome(self, kind: ErrorKind, detail: str) -> ChangeOutcome:
         return ChangeOutcome(kind, self.revision, self.author, detail)
 
     def _refuse(
         self, command: ApplySettings | RecordRefusal, kind: ErrorKind, detail: str
     ) -> ChangeOutcome:
-        outcome = self._refusal(kind, detail)
+        outcome = self._refusal_outcome(kind, detail)
         self._record(command, outcome, ())
         return outcome
 
--- a/bergamotdrift/tables.py
+++ b/bergamotdrift/tables.py
@@ -1,4 +1,4 @@
-"""Replica of control's state that entries and arbiters keep from the feed."""
+"""Local copy of the control state that entries and arbiters maintain from the feed."""
 
 from bisect import bisect_right
 from collections.abc import Iterable
@@ -48,7 +48,7 @@
 
 
 class Tables:
-    """Hold settings and rows up to a feed index; revisions never fall."""
+    """Settings and rows as of a feed index; the settings revision never decreases."""
 
     def __init__(self) -> None:
         self.index = 0
@@ -64,7 +64,7 @@
         self._range_starts: dict[str, list[int]] = {}
 
     def apply(self, update: FeedUpdate) -> bool:
-        """Apply an update and tell whether it was newer and contiguous."""
+        """Apply an update; return False if it is older or leaves a gap."""
         if update.to_index < self.index:
             return False
         if not update.full and update.from_index > self.index:
@@ -82,23 +82,23 @@
         return True
 
     def partition_for(self, service: str, routing_key: str, partitions: int) -> int:
-        """Return the partition of a routing key, isolated ones included."""
+        """Return the partition of a routing key, taking isolated keys into account."""
         isolated = self.isolated.get(IsolatedKeyId(service, key_hash(routing_key)))
         if isolated is not None:
             return isolated.partition
         return partition_of(routing_key, partitions)
 
     def range_of(self, service: str, key: int) -> RangeRow | None:
-        """Return the range that holds a numeric key, or None."""
+        """Return the range that contains a numeric key, or None."""
         starts = self._range_starts.get(service, ())
-        place = bisect_right(starts, key)
-        if not place:
+        position = bisect_right(starts, key)
+        if not position:
             return None
-        row = self.ranges[RangeId(service, starts[place - 1])]
+        row = self.ranges[RangeId(service, starts[position - 1])]
         return row if key <= row.last else None
 
     def arbiter_of(self, shard: str) -> NodeRow | None:
-        """Return the live arbiter that a shard is assigned to, or None."""
+        """Return the live arbiter to which a shard is assigned, or None."""
         row = self.shards.get(shard)
         return self.nodes.get(row.node) if row is not None else None
 
@@ -118,10 +118,12 @@
     def _apply_rows(self, update: FeedUpdate) -> None:
         for node in update.nodes:
             self.nodes[node.node] = node
-        for up in update.upstreams:
-            self.upstreams[UpstreamId(up.service, up.upstream)] = up
-        for part in update.partitions:
-            self.partitions[PartitionId(part.service, part.partition)] = part
+        for upstream in update.upstreams:
+            self.upstreams[UpstreamId(upstream.service, upstream.upstream)] = upstream
+        for partition in update.partitions:
+            self.partitions[PartitionId(partition.service, partition.partition)] = (
+                partition
+            )
         for shard in update.shards:
             self.shards[shard.shard] = shard
         for key in update.isolated:
@@ -140,7 +142,7 @@
     def _remove(self, row: RemovedRow) -> None:
         table = self._tables().get(row.table)
         if table is not None:
-            table.pop(_key_of(row), None)
+            table.pop(_decode_key(row), None)
 
     def _tables(self) -> dict[str, dict]:
         return {
@@ -153,10 +155,10 @@
         }
 
 
-_Key = str | UpstreamId | PartitionId | IsolatedKeyId | RangeId
+_RowKey = str | UpstreamId | PartitionId | IsolatedKeyId | RangeId
 
 
-def _key_of(row: RemovedRow) -> _Key:
+def _decode_key(row: RemovedRow) -> _RowKey:
     if row.table == "upstreams":
         return UpstreamId(*row.key)
     if row.table == "partitions":
--- a/bergamotdrift/tests/control_model.py
+++ b/bergamotdrift/tests/control_model.py
@@ -1,8 +1,8 @@
-"""Model of nodes and upstreams around the pure control code, on a hand-driven clock.
+"""Simulation of nodes and upstreams around the control code, on a simulated clock.
 
-Upstreams hold leases by their own drifting clocks. Entries and arbiters act on tables
-that follow the feed late. Any message may be late or lost. Leaders change, and the
-outcome of a command may stay unknown.
+Upstreams measure their leases with clocks that drift. Entries and arbiters act on
+tables that lag behind the feed. Messages may be delayed or lost. The leader may change,
+and the outcome of a command may stay unknown.
 """
 
 import heapq
@@ -64,7 +64,7 @@
 
 
 class ModelUpstream:
-    """Serves granted partitions while its lease is valid by its own clock."""
+    """Upstream that serves granted partitions while its lease is valid on its clock."""
 
     def __init__(self, model, name, zone, incarnation="i1"):
         self.model = model
@@ -72,29 +72,29 @@
         self.state = UpstreamState.READY
         self.crashed = False
         self.frozen_until = 0.0
-        self.next_ask = model.rng.uniform(0, 500)
+        self.next_announcement = model.rng.uniform(0, 500)
         self.rate = model.rng.uniform(0.98, 1.02)
         self.lease = (0.0, 0.0)
         self.grants = set()
-        self.finishing = set()
+        self.draining = set()
         self.released = []
-        self.asked = 0
-        self.answered = 0
+        self.sent_announcements = 0
+        self.last_answered = 0
 
-    def local(self):
+    def local_now(self):
         return self.model.now * self.rate
 
     def step(self):
         if self.crashed or self.model.now < self.frozen_until:
             return
-        self.drop_lapsed()
-        for held in list(self.finishing):
-            if self.model.now >= self.model.run_end(self.name, held):
-                self.finishing.discard(held)
-                self.released.append(held)
-        if self.model.now >= self.next_ask:
-            self.next_ask = self.model.now + 500
-            self.asked += 1
+        self.expire_lease()
+        for grant in list(self.draining):
+            if self.model.now >= self.model.last_request_end(self.name, grant):
+                self.draining.discard(grant)
+                self.released.append(grant)
+        if self.model.now >= self.next_announcement:
+            self.next_announcement = self.model.now + 500
+            self.sent_announcements += 1
             item = Announcement(
                 "s",
                 self.name,
@@ -104,47 +104,49 @@
                 self.state,
                 list(self.released),
             )
-            ask = (self.asked, self.local())
-            self.model.send(lambda: self.model.on_announcement(self, item, ask))
+            announcement_id = (self.sent_announcements, self.local_now())
+            self.model.send(
+                lambda: self.model.on_announcement(self, item, announcement_id)
+            )
 
-    def on_reply(self, reply, ask):
+    def on_reply(self, reply, announcement_id):
         if self.crashed:
             return
         if self.model.now < self.frozen_until:
-            wake = self.frozen_until - self.model.now
-            self.model.later(wake, lambda: self.on_reply(reply, ask))
+            delay = self.frozen_until - self.model.now
+            self.model.schedule(delay, lambda: self.on_reply(reply, announcement_id))
             return
-        number, asked_at = ask
-        if reply.error or number <= self.answered:
+        number, sent_at = announcement_id
+        if reply.error or number <= self.last_answered:
             return
-        self.answered = number
-        self.drop_lapsed()
-        self.lease = (asked_at, asked_at + reply.lease_ms)
-        lost = set(reply.release) & self.grants
+        self.last_answered = number
+        self.expire_lease()
+        self.lease = (sent_at, sent_at + reply.lease_ms)
+        revoked = set(reply.release) & self.grants
         self.grants = set(reply.grants)
-        self.finishing |= lost
-        for held in set(reply.release) - self.finishing:
-            if held not in self.released:
-                self.released.append(held)
-
-    def drop_lapsed(self):
-        """Abort all work of a lease that ran out, since others may own the keys."""
-        if self.local() >= self.lease[1]:
+        self.draining |= revoked
+        for grant in set(reply.release) - self.draining:
+            if grant not in self.released:
+                self.released.append(grant)
+
+    def expire_lease(self):
+        """Abort all work of an expired lease, since others may own the keys."""
+        if self.local_now() >= self.lease[1]:
             self.grants = set()
-            self.finishing = set()
-            self.model.abort_work(self.name)
+            self.draining = set()
+            self.model.abort_requests(self.name)
 
-    def accepts(self, held):
-        return held in self.grants and held in self.may_serve()
+    def accepts(self, grant):
+        return grant in self.grants and grant in self.may_serve()
 
     def may_serve(self):
-        if self.crashed or not self.lease[0] <= self.local() < self.lease[1]:
+        if self.crashed or not self.lease[0] <= self.local_now() < self.lease[1]:
             return set()
-        return self.grants | self.finishing
+        return self.grants | self.draining
 
 
 class ModelNode:
-    """Follows the feed and keeps a session; arbiters also report drains."""
+    """Node that follows the feed and keeps a session; arbiters also report drains."""
 
     def __init__(self, model, name, role):
         self.model, self.role = model, role
@@ -163,61 +165,63 @@
             return
         if self.model.now >= self.next_ping:
             self.next_ping = self.model.now + 250
-            asked, index = self.model.now, self.tables.index
-            self.model.send(lambda: self.model.on_ping(self, index, asked))
+            sent_at, index = self.model.now, self.tables.index
+            self.model.send(lambda: self.model.on_ping(self, index, sent_at))
         if self.role is Role.ARBITER and self.is_valid():
             self.report_drains()
 
     def on_update(self, update):
         if self.model.now >= self.cut_until and self.tables.apply(update):
             index = self.tables.index
-            self.model.send(lambda: self.model.on_acknowledged(self, index))
+            self.model.send(lambda: self.model.on_feed_acknowledged(self, index))
 
-    def on_pong(self, update, asked):
+    def on_pong(self, update, sent_at):
         if self.model.now >= self.cut_until:
             self.tables.apply(update)
             self.session = HeldLease(
-                max(asked, self.session.asked_at_ms), SESSION_TTL_MS
+                max(sent_at, self.session.asked_at_ms), SESSION_TTL_MS
             )
 
-    def has_taken_over(self, shard_epoch):
-        """Tell whether every entry has reported what it runs to this arbiter."""
+    def is_takeover_complete(self, shard_epoch):
+        """Return whether every entry has reported its requests to this arbiter."""
         known = {row.node for row in self.tables.nodes_of(Role.ENTRY)}
         entries = [n for n in self.model.nodes if n.row.node in known]
         return all(n.tables.index >= shard_epoch for n in entries)
 
     def report_drains(self):
-        refs = []
+        drained = []
         for row in self.tables.partitions.values():
             shard = self.tables.shards.get(upstream_shard(row.service, row.upstream))
             if row.state is not PartitionState.RELEASING or shard is None:
                 continue
-            if shard.node != self.row.node or not self.has_taken_over(shard.epoch):
+            if shard.node != self.row.node or not self.is_takeover_complete(
+                shard.epoch
+            ):
                 continue
-            held = PartitionEpoch(row.partition, row.epoch)
-            if self.model.now >= self.model.run_end(row.upstream, held):
-                refs.append(PartitionRef(row.service, row.partition, row.epoch))
-        if refs:
-            self.model.send(lambda: self.model.on_drained(self, refs))
+            grant = PartitionEpoch(row.partition, row.epoch)
+            if self.model.now >= self.model.last_request_end(row.upstream, grant):
+                drained.append(PartitionRef(row.service, row.partition, row.epoch))
+        if drained:
+            self.model.send(lambda: self.model.on_drained(self, drained))
 
 
 class Model:
-    """Run everything and check that no key is served by two upstreams at once."""
+    """Simulated site; checks that no key is served by two upstreams at once."""
 
     def __init__(self, seed, fencing=Fencing.EPOCH, upstreams=4, partitions=8):
         self.rng = random.Random(seed)
         self.now = 0.0
         self.events = []
-        self.counter = itertools.count()
+        self.event_counter = itertools.count()
         self.loss = 0.02
         self.slow = 0.02
         self.unknown = 0.02
         self.service = service(fencing=fencing, partitions=partitions)
         self.log_index = 0
         self.replicas = [ControlState() for _ in range(3)]
-        self.limbo = []
+        self.undecided_commands = []
         self.duties: Any = None
-        self.down_until = 0.0
+        self.no_leader_until = 0.0
         self.violations = []
         self.epochs = {}
         self.moves = 0
@@ -241,18 +245,20 @@
                 ("x2", Role.ARBITER),
             )
         ]
-        self.elect()
+        self.elect_leader()
 
-    # Network and log
+    # Network and replicated log
 
-    def later(self, delay, action):
-        heapq.heappush(self.events, (self.now + delay, next(self.counter), action))
+    def schedule(self, delay, action):
+        heapq.heappush(
+            self.events, (self.now + delay, next(self.event_counter), action)
+        )
 
     def send(self, action):
         if self.rng.random() < self.loss:
             return
         slow = self.rng.random() < self.slow
-        self.later(
+        self.schedule(
             self.rng.uniform(0, 1400) if slow else self.rng.uniform(0, 20), action
         )
 
@@ -265,23 +271,23 @@
         data = messages.encode(command)
         outcomes = {r.apply(self.log_index, data) for r in self.replicas}
         assert len(outcomes) == 1
-        self.watch_epochs()
+        self.check_epochs()
         if isinstance(command, cmd.AssignPartitions):
             self.moves += sum(bool(item.upstream) for item in command.items)
 
-    def watch_epochs(self):
+    def check_epochs(self):
         for row in self.state.rows.partitions.rows():
             key = PartitionId(row.service, row.partition)
             if row.epoch < self.epochs.get(key, 0):
-                self.violations.append(f"{self.now}: the epoch of {key} fell")
+                self.violations.append(f"{self.now}: the epoch of {key} decreased")
             self.epochs[key] = row.epoch
 
-    def elect(self):
-        """Let another replica lead, which starts from the committed log."""
-        for command in self.limbo:
+    def elect_leader(self):
+        """Make another replica the leader, starting from the committed log."""
+        for command in self.undecided_commands:
             if self.rng.random() < 0.5:
                 self.commit(command)
-        self.limbo = []
+        self.undecided_commands = []
         self.replicas.append(self.replicas.pop(0))
         restored = ControlState()
         restored.restore(self.state.snapshot())
@@ -292,20 +298,20 @@
 
     def lose_leader(self):
         self.duties = None
-        self.down_until = self.now + self.rng.uniform(400, 800)
+        self.no_leader_until = self.now + self.rng.uniform(400, 800)
 
-    def lead(self):
+    def run_leader(self):
         if self.duties is None:
-            if self.now >= self.down_until:
-                self.elect()
+            if self.now >= self.no_leader_until:
+                self.elect_leader()
             return
-        for command in [*self.limbo, *self.duties.commands(self.now)]:
-            if command in self.limbo:
-                self.limbo.remove(command)
+        for command in [*self.undecided_commands, *self.duties.commands(self.now)]:
+            if command in self.undecided_commands:
+                self.undecided_commands.remove(command)
                 if self.rng.random() < 0.5:
                     continue
             elif self.rng.random() < self.unknown:
-                self.limbo.append(command)
+                self.undecided_commands.append(command)
                 break
             self.commit(command)
         for node in self.nodes:
@@ -319,47 +325,47 @@
 
     # Messages to the leader
 
-    def on_announcement(self, upstream, item, ask):
+    def on_announcement(self, upstream, item, announcement_id):
         if self.duties is not None:
             reply = self.duties.announce(item, self.now)
             if self.duties.holds_reply(item):
-                self.lead()
+                self.run_leader()
                 reply = self.duties.announce(item, self.now)
-            self.send(lambda: upstream.on_reply(reply, ask))
+            self.send(lambda: upstream.on_reply(reply, announcement_id))
 
-    def on_ping(self, node, index, asked):
+    def on_ping(self, node, index, sent_at):
         if self.duties is None or self.now < node.cut_until:
             return
         verdict = self.duties.ping(node.row, index, self.now)
         if verdict is PingVerdict.CONFIRMED:
             update = self.state.update_since(index)
-            self.send(lambda: node.on_pong(update, asked))
+            self.send(lambda: node.on_pong(update, sent_at))
 
-    def on_acknowledged(self, node, index):
+    def on_feed_acknowledged(self, node, index):
         if self.duties is not None:
             self.duties.ping(node.row, index, self.now)
 
-    def on_drained(self, node, refs):
+    def on_drained(self, node, drained):
         if self.duties is not None:
-            for ref in refs:
+            for ref in drained:
                 self.duties.drained(ref, node.row.node)
 
     # Requests
 
-    def run_end(self, upstream, held):
-        """Return when the last request of a partition at an upstream ends."""
-        ends = [
-            e for (u, h, _), e in self.running.items() if (u, h) == (upstream, held)
+    def last_request_end(self, upstream, grant):
+        """Return the end of the last request for a partition at an upstream."""
+        end_times = [
+            e for (u, h, _), e in self.running.items() if (u, h) == (upstream, grant)
         ]
-        return max(ends, default=0.0)
+        return max(end_times, default=0.0)
 
-    def abort_work(self, upstream):
-        """End the requests of a fencing upstream whose lease ran out."""
+    def abort_requests(self, upstream):
+        """End the requests at a fencing upstream whose lease has expired."""
         if self.service.fencing is Fencing.EPOCH:
             self.running = {k: e for k, e in self.running.items() if k[0] != upstream}
 
-    def request(self, entry, key_hash):
-        """Return the partition row by which an entry would forward a key now."""
+    def routing_row(self, entry, key_hash):
+        """Return the partition row by which an entry would now route a key, or None."""
         if not entry.is_valid():
             return None
         tables = entry.tables
@@ -380,41 +386,45 @@
             return None
         if arbiter.tables.partitions.get(PartitionId("s", number)) != row:
             return None
-        return row if arbiter.has_taken_over(shard.epoch) else None
+        return row if arbiter.is_takeover_complete(shard.epoch) else None
 
-    def serve(self):
+    def serve_requests(self):
         holders: dict[int, set[str]] = {}
         for up in self.upstreams:
-            for held in up.may_serve():
-                holders.setdefault(held.partition, set()).add(up.name + up.incarnation)
+            for grant in up.may_serve():
+                holders.setdefault(grant.partition, set()).add(up.name + up.incarnation)
         if self.service.fencing is Fencing.EPOCH:
             for partition, names in holders.items():
                 if len(names) > 1:
                     self.violations.append(f"{self.now}: {partition} at {names}")
         for key_hash in self.key_hashes:
-            self.serve_key(key_hash)
+            self.serve_request(key_hash)
 
-    def serve_key(self, key_hash):
+    def serve_request(self, key_hash):
         for entry in (n for n in self.nodes if n.role is Role.ENTRY):
-            row = self.request(entry, key_hash)
+            row = self.routing_row(entry, key_hash)
             if row is None:
                 continue
             up = self.upstream(row.upstream)
-            held = PartitionEpoch(row.partition, row.epoch)
-            if self.service.fencing is Fencing.EPOCH and not up.accepts(held):
+            grant = PartitionEpoch(row.partition, row.epoch)
+            if self.service.fencing is Fencing.EPOCH and not up.accepts(grant):
                 self.fenced += 1
                 continue
             if not up.crashed and self.now >= up.frozen_until:
                 self.served_at[key_hash] = self.now
-            # An upstream that checks nothing may run a request up to its deadline.
-            longest = self.service.fencing is Fencing.NONE or self.rng.random() < 0.1
-            end = self.now + (REQUEST_TIMEOUT_MS if longest else 20)
-            run = (up.name, held, key_hash)
+            # An upstream without fencing may run a request up to its deadline.
+            runs_to_deadline = (
+                self.service.fencing is Fencing.NONE or self.rng.random() < 0.1
+            )
+            end = self.now + (REQUEST_TIMEOUT_MS if runs_to_deadline else 20)
+            run = (up.name, grant, key_hash)
             self.running[run] = max(end, self.running.get(run, 0.0))
         runs = [k for k, end in self.running.items() if k[2] == key_hash]
-        places = {k[0] for k in runs if self.is_running(k)}
-        if len(places) > 1:
-            self.violations.append(f"{self.now}: key {key_hash} runs at {places}")
+        upstream_names = {k[0] for k in runs if self.is_running(k)}
+        if len(upstream_names) > 1:
+            self.violations.append(
+                f"{self.now}: key {key_hash} runs at {upstream_names}"
+            )
 
     def is_running(self, run):
         if self.running[run] <= self.now:
@@ -430,7 +440,7 @@
     def upstream(self, name):
         return next(u for u in reversed(self.upstreams) if u.name == name)
 
-    # Running
+    # Simulation steps
 
     def step(self):
         self.now += STEP_MS
@@ -441,8 +451,8 @@
         for node in self.nodes:
             node.step()
         if self.now % 50 == 0:
-            self.lead()
-        self.serve()
+            self.run_leader()
+        self.serve_requests()
 
     def run(self, duration_ms):
         end = self.now + duration_ms
@@ -465,11 +475,11 @@
         return [u for u in self.upstreams if not u.crashed]
 
     def restart(self, upstream):
-        """Start a new incarnation of a crashed upstream under the same name."""
+        """Replace a crashed upstream with a new incarnation of the same name."""
         number = int(upstream.incarnation[1:]) + 1
         self.upstreams.remove(upstream)
-        self.abort_work(upstream.name)
-        fresh = ModelUpstream(self, upstream.name, upstream.zone, f"i{number}")
-        fresh.next_ask = self.now + self.rng.uniform(0, 500)
-        self.upstreams.append(fresh)
-        return fresh
+        self.abort_requests(upstream.name)
+        successor = ModelUpstream(self, upstream.name, upstream.zone, f"i{number}")
+        successor.next_announcement = self.now + self.rng.uniform(0, 500)
+        self.upstreams.append(successor)
+        return successor
--- a/bergamotdrift/tests/fake_control.py
+++ b/bergamotdrift/tests/fake_control.py
@@ -1,4 +1,4 @@
-"""Small stand-in for the operator API of control replicas."""
+"""Fake of the operator API that control replicas serve."""
 
 import falcon
 
@@ -11,7 +11,7 @@
 
 
 class FakeSite:
-    """The state that all replicas of a fake group share."""
+    """State shared by all replicas of a fake control group."""
 
     def __init__(self):
         self.revision = 0
@@ -22,16 +22,16 @@
 
     def apply(self, change):
         self.posts.append(change["request"])
-        first = self.answers.get(change["request"])
-        if first is None:
-            first = self.answers[change["request"]] = self._decide(change)
-        return first
+        answer = self.answers.get(change["request"])
+        if answer is None:
+            answer = self.answers[change["request"]] = self._decide(change)
+        return answer
 
     def _decide(self, change):
         problems = check_site(change["settings"]).swap().value_or([])
         if problems:
-            listed = [{"path": p.path, "message": p.message} for p in problems]
-            return refusal(ErrorKind.INVALID_SETTINGS, problems=listed)
+            details = [{"path": p.path, "message": p.message} for p in problems]
+            return refusal(ErrorKind.INVALID_SETTINGS, problems=details)
         if change["base_revision"] != self.revision:
             return refusal(
                 ErrorKind.REVISION_CONFLICT, revision=self.revision, author=self.author
@@ -49,7 +49,7 @@
 
 
 class FakeReplica:
-    """One replica; `faults` lists how it treats the next requests."""
+    """Fake replica; `faults` lists the faults to inject into the next requests."""
 
     def __init__(self, site):
         self.site = site
@@ -93,15 +93,15 @@
         ]
         self._answer(req, resp, lambda: (falcon.HTTP_200, {"rows": rows}))
 
-    def _answer(self, req, resp, run):
-        sent = (req.get_header("Authorization") or "").removeprefix("Bearer ")
+    def _answer(self, req, resp, handle):
+        operator_key = (req.get_header("Authorization") or "").removeprefix("Bearer ")
         fault = self.faults.pop(0) if self.faults else None
-        if key_digest(sent) != key_digest(OPERATOR_KEY):
+        if key_digest(operator_key) != key_digest(OPERATOR_KEY):
             resp.status, resp.media = refusal(ErrorKind.UNAUTHENTICATED)
         elif fault == "lose answer":
-            run()
+            handle()
             resp.data = b"cut off"
         elif fault is not None:
             resp.status, resp.media = fault
         else:
-            resp.status, resp.media = run()
+            resp.status, resp.media = handle()
--- a/bergamotdrift/tests/test_control_rows.py
+++ b/bergamotdrift/tests/test_control_rows.py
@@ -20,24 +20,24 @@
 
 
 class RangeOrderTests(unittest.TestCase):
-    """Guards against orders that are sent for ranges of an earlier state."""
+    """Guards against grant orders based on a stale cache of the sorted ranges."""
 
     def setUp(self):
         self.rows = ControlRows()
         self.random = random.Random(7)
         self.index = 0
 
-    def check(self):
-        every = list(self.rows.ranges.rows())
+    def check_order(self):
+        ranges = list(self.rows.ranges.rows())
         for service in ("cases", "files"):
-            of_service = sorted(r for r in every if r.service == service)
+            of_service = sorted(r for r in ranges if r.service == service)
             self.assertEqual(list(self.rows.ranges_of(service)), of_service)
             for upstream in ("u1", "u2", "u3"):
                 held = [r for r in of_service if r.upstream == upstream]
                 found = self.rows.ranges_held(service, upstream, "1")
                 self.assertEqual(list(found), held)
 
-    def change(self):
+    def apply_random_change(self):
         self.index += 1
         service = self.random.choice(["cases", "files"])
         first = self.random.randrange(20) * 10
@@ -53,25 +53,25 @@
 
     def test_order_follows_every_change(self):
         for _ in range(500):
-            self.change()
-            self.check()
+            self.apply_random_change()
+            self.check_order()
 
     def test_order_follows_a_snapshot(self):
         for _ in range(50):
-            self.change()
+            self.apply_random_change()
         data = self.rows.dump()
         for _ in range(50):
-            self.change()
-        self.check()
+            self.apply_random_change()
+        self.check_order()
         self.rows.load(data)
-        self.check()
+        self.check_order()
 
     def test_ranges_are_sorted_once_for_each_change(self):
         self.rows.ranges.put(RangeId("cases", 0), range_row("cases", 0, "u1"), 1)
-        order = control_rows._order_ranges
+        sort_ranges = control_rows._sort_ranges
         with mock.patch.object(
-            control_rows, "_order_ranges", side_effect=order
-        ) as sorts:
+            control_rows, "_sort_ranges", side_effect=sort_ranges
+        ) as mock_sort:
             for _ in range(100):
                 self.rows.ranges_held("cases", "u1", "1")
-        self.assertEqual(sorts.call_count, 1)
+        self.assertEqual(mock_sort.call_count, 1)
--- a/bergamotdrift/tests/test_control_state.py
+++ b/bergamotdrift/tests/test_control_state.py
@@ -50,17 +50,17 @@
 
 
 class SettingsChangeTests(StateTestCase):
-    """Guards accepted settings against racing operators and lost answers."""
+    """Guards accepted settings against concurrent changes and lost answers."""
 
-    def test_equal_base_has_one_winner_who_is_named(self):
-        won = self.do(change(site([]), 1, "r2", "bea"))
-        lost = self.do(change(site([service("t")]), 1, "r3", "carl"))
-        self.assertEqual((won.kind, won.revision), ("", 2))
-        self.assertEqual(lost.kind, ErrorKind.REVISION_CONFLICT)
-        self.assertEqual((lost.revision, lost.author), (2, "bea"))
-        self.assertIn("bea", lost.detail)
+    def test_conflict_names_the_author_of_the_accepted_change(self):
+        accepted = self.do(change(site([]), 1, "r2", "bea"))
+        conflict = self.do(change(site([service("t")]), 1, "r3", "carl"))
+        self.assertEqual((accepted.kind, accepted.revision), ("", 2))
+        self.assertEqual(conflict.kind, ErrorKind.REVISION_CONFLICT)
+        self.assertEqual((conflict.revision, conflict.author), (2, "bea"))
+        self.assertIn("bea", conflict.detail)
 
-    def test_resend_gets_the_first_answer_also_after_a_restart(self):
+    def test_resend_gets_the_first_answer_even_after_a_restart(self):
         first = self.do(change(site([]), 1, "r2"))
         refused = self.do(change(site([]), 1, "r3"))
         self.do(change(site([service()]), 2, "r4"))
@@ -75,7 +75,7 @@
         self.assertEqual(outcome.kind, ErrorKind.MALFORMED_REQUEST)
         self.assertEqual(self.state.settings.revision, 2)
 
-    def test_audit_names_changes_and_refusals_page_by_page(self):
+    def test_audit_pages_list_changes_and_refusals(self):
         self.do(change(site([service("t")]), 1, "r2", "bea"))
         self.do(change(site([]), 1, "r3", "carl"))
         refusal = cmd.RecordRefusal(
@@ -90,7 +90,7 @@
         self.assertEqual(rows[3].detail, "no zones")
         self.assertEqual(audit.page(4, 2), [])
 
-    def test_revisions_are_bounded_but_the_trail_is_kept(self):
+    def test_revisions_are_bounded_but_the_audit_trail_is_not(self):
         for base in range(1, 61):
             self.do(change(site([]), base, f"r{base + 1}"))
         self.assertEqual(len(self.state.settings.recent), 16)
@@ -98,12 +98,12 @@
 
     @given(st.lists(st.tuples(st.integers(0, 6), st.integers(0, 8)), max_size=30))
     @settings(max_examples=60, deadline=None)
-    def test_races_and_resends_never_revert(self, sends):
+    def test_concurrent_changes_and_resends_never_revert_settings(self, sends):
         state, revision = ControlState(), 0
         sent: dict[int, cmd.ApplySettings] = {}
         outcomes: dict[int, cmd.ChangeOutcome] = {}
         for index, (base, request) in enumerate(sends, 1):
-            # A resend carries the same change as the first use of its request id.
+            # A resend repeats the change that first used its request id.
             command = sent.setdefault(request, change(site([]), base, f"r{request}"))
             outcome = state.apply_command(index, command)
             self.assertEqual(outcomes.setdefault(request, outcome), outcome)
@@ -114,7 +114,7 @@
 
 
 class OwnershipTests(StateTestCase):
-    """Guards rows against commands that come late or twice."""
+    """Guards ownership against commands that are delayed or repeated."""
 
     def setUp(self):
         super().setUp()
@@ -129,12 +129,12 @@
         self.assertEqual(self.partition(0).epoch, 2)
         self.assertEqual(self.do(assign(0, 1, "u1")).changed, 0)
 
-    def test_expiry_vacates_and_names_what_to_wait_for(self):
+    def test_expiry_vacates_partitions_until_permits_end(self):
         self.do(cmd.ExpireUpstreams([cmd.UpstreamIncarnation("s", "u1", "i1")]))
         self.assertEqual(self.partition(0).state, PartitionState.VACANT)
         self.assertEqual(self.state.rows.hold(PartitionId("s", 0)), Hold.PERMITS)
 
-    def test_keyed_upstream_is_not_replaced_before_it_expired(self):
+    def test_keyed_upstream_is_not_replaced_before_it_expires(self):
         self.assertEqual(self.do(cmd.PutUpstreams([upstream("u1", "i2")])).changed, 0)
         self.do(cmd.ExpireUpstreams([cmd.UpstreamIncarnation("s", "u1", "i1")]))
         self.assertEqual(self.do(cmd.PutUpstreams([upstream("u1", "i2")])).changed, 1)
@@ -153,12 +153,14 @@
         row = self.partition(8)
         self.assertEqual((row.upstream, row.state), ("u1", PartitionState.OWNED))
         self.do(cmd.RestoreKey("s", 1, 8, row.epoch))
-        self.assertIsNotNone(self.partition(8), "an owned partition must stay")
+        self.assertIsNotNone(
+            self.partition(8), "an owned partition must not be removed"
+        )
         self.do(cmd.ReleasePartitions([PartitionRef("s", 8, row.epoch)]))
         self.do(cmd.RestoreKey("s", 1, 8, row.epoch))
         self.assertIsNone(self.partition(8))
 
-    def test_removed_service_returns_with_higher_epochs_and_a_wait(self):
+    def test_recreated_service_gets_higher_epochs_and_waits_for_leases(self):
         self.do(change(site([]), 1, "r2"))
         self.assertEqual(len(self.state.rows.partitions), 0)
         self.assertEqual(len(self.state.rows.upstreams), 0)
@@ -166,23 +168,23 @@
         self.assertEqual(self.partition(0).epoch, 1)
         self.assertEqual(self.state.rows.hold(PartitionId("s", 0)), Hold.LEASE)
 
-    def test_other_number_of_partitions_takes_all_from_their_owners(self):
+    def test_repartitioning_vacates_all_partitions(self):
         self.do(change(site([service(partitions=4)]), 1, "r2"))
         self.assertEqual(len(self.state.rows.partitions), 4)
         self.assertEqual(self.state.rows.partitions_of(UpstreamId("s", "u1")), [])
         self.assertEqual(self.state.rows.hold(PartitionId("s", 0)), Hold.LEASE)
 
-    def test_keyed_service_becomes_a_pool(self):
+    def test_service_change_from_keyed_to_pool_removes_partitions(self):
         self.do(change(site([service(kind=ServiceKind.POOL)]), 1, "r2"))
         self.assertEqual(len(self.state.rows.partitions), 0)
         self.assertEqual(len(self.state.rows.unowned), 0)
 
 
 class FeedTests(StateTestCase):
-    """Guards nodes against missed rows, and against an old leader."""
+    """Guards nodes against missing rows, and against updates of an earlier leader."""
 
-    def test_deltas_lead_to_the_same_tables_as_a_full_update(self):
-        tables, old = Tables(), []
+    def test_deltas_and_full_update_give_equal_tables(self):
+        tables, updates = Tables(), []
         for step in range(40):
             name = f"x{step % 5}"
             if step % 7 == 6:
@@ -191,24 +193,24 @@
                 self.do(cmd.RegisterNodes([node(name)]))
             self.do(change(site([service()]), 1 + step, f"q{step}"))
             if step % 3 == 0:
-                old.append(self.state.update_since(tables.index))
-                self.assertTrue(tables.apply(old[-1]))
+                updates.append(self.state.update_since(tables.index))
+                self.assertTrue(tables.apply(updates[-1]))
         tables.apply(self.state.update_since(tables.index))
         fresh = Tables()
         fresh.apply(self.state.update_since(0))
         self.assertEqual(vars(tables), vars(fresh))
-        for update in old[:-1]:
+        for update in updates[:-1]:
             self.assertFalse(tables.apply(update))
         self.assertEqual(tables.revision, self.state.settings.revision)
 
     def test_delta_below_dropped_tombstones_is_full(self):
         self.do(cmd.RegisterNodes([node(f"x{n}") for n in range(10)]))
-        known = self.state.feed_index
-        kept, row_table.TOMBSTONES_KEPT = row_table.TOMBSTONES_KEPT, 4
-        self.addCleanup(setattr, row_table, "TOMBSTONES_KEPT", kept)
+        index_before = self.state.feed_index
+        original, row_table.MAX_TOMBSTONES = row_table.MAX_TOMBSTONES, 4
+        self.addCleanup(setattr, row_table, "MAX_TOMBSTONES", original)
         for number in range(10):
             self.do(cmd.ExpireNodes([cmd.NodeIncarnation(f"x{number}", "i1")]))
-        self.assertTrue(self.state.update_since(known).full)
+        self.assertTrue(self.state.update_since(index_before).full)
         self.assertFalse(self.state.update_since(self.state.feed_index - 1).full)
 
     @given(st.lists(st.tuples(st.integers(0, 5), st.booleans()), max_size=40))
--- a/bergamotdrift/tests/test_operator_api.py
+++ b/bergamotdrift/tests/test_operator_api.py
@@ -15,8 +15,11 @@
 from scripts.local_cluster import free_address
 
 
-class ContractTests(unittest.TestCase):
-    """Guards against a command line that only understands its own fake."""
+class OperatorApiContractTests(unittest.TestCase):
+    """Guards against a CLI and a fake replica that agree on a protocol of their own.
+
+    Runs the CLI against a real control replica.
+    """
 
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -51,15 +54,19 @@
     def apply(self, *argv):
         return self.run_cli("apply", BASE, OVERLAY, "--author", "ann", *argv)
 
-    def test_change_resend_conflict_and_trail(self):
+    def test_change_resend_conflict_and_audit(self):
         self.assertIn("revision 0: no settings yet", self.run_cli("show").out)
         first = self.apply("--request", "r1", "--json")
         self.assertEqual((first.code, first.json["revision"]), (0, 1))
         resend = self.apply("--request", "r1", "--base-revision", "0", "--json")
         self.assertEqual((resend.code, resend.json["revision"]), (0, 1))
-        loser = self.apply("--request", "r2", "--base-revision", "0", "--json")
-        self.assertEqual((loser.code, loser.json["kind"]), (1, "revision_conflict"))
-        self.assertEqual((loser.json["revision"], loser.json["author"]), (1, "ann"))
+        conflict = self.apply("--request", "r2", "--base-revision", "0", "--json")
+        self.assertEqual(
+            (conflict.code, conflict.json["kind"]), (1, "revision_conflict")
+        )
+        self.assertEqual(
+            (conflict.json["revision"], conflict.json["author"]), (1, "ann")
+        )
         rows = self.run_cli("audit", "--json").json["rows"]
         self.assertEqual([r["kind"] for r in rows], ["", "revision_conflict"])
         self.assertRegex(self.run_cli("audit").out, r"(?m)^1 .* ann +accepted ")
@@ -72,7 +79,7 @@
         status = self.run_cli("status", "--json").json
         self.assertEqual(status["revision"], 1)
 
-    def test_reads_need_no_key_and_changes_need_the_right_one(self):
+    def test_reads_need_no_key_and_changes_need_a_valid_key(self):
         with mock.patch.dict(os.environ, {KEY_VARIABLE: ""}):
             self.assertEqual(self.run_cli("status").code, 0)
         with mock.patch.dict(os.environ, {KEY_VARIABLE: "wrong"}):
--- a/bergamotdrift/tests/test_operator_client.py
+++ b/bergamotdrift/tests/test_operator_client.py
@@ -8,19 +8,19 @@
 from bergamotdrift.tests.test_check import MAPPINGS
 
 
-class RawReplicaTests(unittest.TestCase):
-    """Guards against replicas that go silent or break off in mid-answer."""
+class FaultyReplicaTests(unittest.TestCase):
+    """Guards against replicas that stop answering or truncate a response."""
 
     def setUp(self):
         self.site = FakeSite()
-        self.good = FakeReplica(self.site)
-        self.addCleanup(self.good.server.stop)
+        self.healthy = FakeReplica(self.site)
+        self.addCleanup(self.healthy.server.stop)
 
-    def raw_replica(self, answer, hold=False):
+    def faulty_replica(self, response, stays_open=False):
         def handle(sock, _):
             sock.recv(65536)
-            sock.sendall(answer)
-            if hold:
+            sock.sendall(response)
+            if stays_open:
                 sock.recv(1)
 
         server = StreamServer(("127.0.0.1", 0), handle)
@@ -28,29 +28,29 @@
         self.addCleanup(server.stop, timeout=0)
         return f"127.0.0.1:{server.server_port}"
 
-    def apply(self, first, timeout_s=10.0, others=True):
-        replicas = [first, *([self.good.address] if others else [])]
+    def apply(self, first_replica, timeout_s=10.0, with_healthy=True):
+        replicas = [first_replica, *([self.healthy.address] if with_healthy else [])]
         client = OperatorClient(replicas, OPERATOR_KEY, timeout_s)
         change = Change("r1", 0, "ann", MAPPINGS["iroda"])
         return client.apply(change)
 
-    def test_broken_answers_are_asked_for_again_elsewhere(self):
-        cut_off = b'HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{"revision": 7'
-        for answer in (b"", b"\x00\x01\r\n\r\n", cut_off, b"HTTP/1.1 200 OK\r\n"):
-            with self.subTest(answer=answer):
-                outcome = self.apply(self.raw_replica(answer))
+    def test_invalid_response_is_retried_at_another_replica(self):
+        truncated = b'HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{"revision": 7'
+        for response in (b"", b"\x00\x01\r\n\r\n", truncated, b"HTTP/1.1 200 OK\r\n"):
+            with self.subTest(response=response):
+                outcome = self.apply(self.faulty_replica(response))
                 self.assertEqual(outcome.unwrap().revision, 1)
         self.assertEqual(set(self.site.posts), {"r1"})
 
-    def test_silent_replica_is_given_up_within_the_attempt_timeout(self):
-        outcome = self.apply(self.raw_replica(b"", hold=True), timeout_s=6.0)
+    def test_unresponsive_replica_is_abandoned_after_the_attempt_timeout(self):
+        outcome = self.apply(self.faulty_replica(b"", stays_open=True), timeout_s=6.0)
         self.assertEqual(outcome.unwrap().revision, 1)
 
-    def test_only_a_silent_replica_leaves_the_outcome_unknown(self):
-        silent = self.raw_replica(b"", hold=True)
-        failure = self.apply(silent, timeout_s=0.3, others=False).failure()
+    def test_outcome_is_unknown_if_the_only_replica_is_unresponsive(self):
+        unresponsive = self.faulty_replica(b"", stays_open=True)
+        failure = self.apply(unresponsive, timeout_s=0.3, with_healthy=False).failure()
         self.assertEqual(failure.trouble, Trouble.OUTCOME_UNKNOWN)
 
-    def test_refused_connections_leave_the_change_unsent(self):
-        failure = self.apply("127.0.0.1:9", timeout_s=0.3, others=False).failure()
+    def test_change_is_not_sent_if_the_connection_is_refused(self):
+        failure = self.apply("127.0.0.1:9", timeout_s=0.3, with_healthy=False).failure()
         self.assertEqual(failure.trouble, Trouble.UNREACHABLE)
