Rename module stages/answer to stages/reply

Cause: the module builds the reply to a caller, not the upstream's answer. Change: git mv and the imports; nothing else, so that history follows the file.

--- a/bergamotdrift/entry_server.py
+++ b/bergamotdrift/entry_server.py
@@ -20,7 +20,7 @@
 from bergamotdrift.pipeline import Pipeline
 from bergamotdrift.refusals import status_line
 from bergamotdrift.request import IncomingRequest, Reply
-from bergamotdrift.stages.answer import refusal_reply
+from bergamotdrift.stages.reply import refusal_reply
 
 _REQUEST_ID_BYTES = 12
 _ID_KEY = "bergamotdrift.request_id"
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -25,7 +25,7 @@
 from bergamotdrift.request import IncomingRequest, Reply, RoutedRequest
 from bergamotdrift.retry_policy import Attempt, Budget, RetryBudget, may_repeat
 from bergamotdrift.route_split import RouteSplits
-from bergamotdrift.stages import answer as answers
+from bergamotdrift.stages import reply as answers
 from bergamotdrift.stages.authenticate import KeyIndex, authenticate
 from bergamotdrift.stages.claim import Claim, Claims
 from bergamotdrift.stages.forward import AttemptFailure, ForwardStage, UpstreamAnswer
