--- a/bergamotdrift/attempts.py
+++ b/bergamotdrift/attempts.py
@@ -1,4 +1,4 @@
-"""Permits in use and the attempts that run under them."""
+"""Registry of the permits in use and their attempts."""
 
 from collections.abc import Callable
 
@@ -9,41 +9,45 @@
 
 
 class RunningAttempt:
-    """Hold a permit and the connection that works under it."""
+    """Associate a permit with the upstream connection that uses it."""
 
     def __init__(self, permit: Permit, workspace: str):
         self.permit = permit
         self.workspace = workspace
         self.conn: UpstreamConnection | None = None
         self.cancel_reason = ""
-        # When the attempt is given up for another one; None for the request's deadline.
+        # Time at which the attempt is abandoned for a retry; None for the request's
+        # deadline.
         self.limit_ms: float | None = None
-        # Asked at the limit; without another attempt, this one goes on.
-        self.may_give_up: Callable[[], bool] = lambda: True
-        # The load that the upstream stated in its answer, if it did.
+        # Called at the limit; the attempt continues if it returns False.
+        self.may_abandon: Callable[[], bool] = lambda: True
+        # The load that the upstream reported in its response, if any.
         self.load: AnswerLoad | None = None
 
     def cancel(self, reason: str) -> None:
-        """Close the connection; the attempt ends with an unknown outcome."""
+        """Close the connection, which ends the attempt.
+
+        The outcome is unknown if any of the request was sent.
+        """
         self.cancel_reason = self.cancel_reason or reason
         if self.conn is not None:
             self.conn.close()
 
 
 class AttemptRegistry:
-    """Know every permit that this entry uses."""
+    """Track every permit in use by this entry."""
 
     def __init__(self) -> None:
         self._by_shard: dict[str, dict[str, RunningAttempt]] = {}
 
     def add(self, permit: Permit, workspace: str) -> RunningAttempt:
-        """Register a permit before anything is done under it."""
+        """Register a permit before it is used."""
         attempt = RunningAttempt(permit, workspace)
         self._by_shard.setdefault(permit.shard, {})[permit.permit] = attempt
         return attempt
 
     def remove(self, attempt: RunningAttempt) -> None:
-        """Forget a permit that is released."""
+        """Remove a released permit."""
         shard = attempt.permit.shard
         attempts = self._by_shard.get(shard, {})
         attempts.pop(attempt.permit.permit, None)
--- a/bergamotdrift/body_source.py
+++ b/bergamotdrift/body_source.py
@@ -1,4 +1,4 @@
-"""The body of a caller's request, as a source for attempts."""
+"""Request bodies, buffered for retries or streamed."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -9,9 +9,9 @@
 
 
 class BodySource(NamedTuple):
-    """Hold a request's body.
+    """Provide a request body to attempts.
 
-    `buffered` is the whole body, or its first part when `read` yields the rest.
+    `buffered` is the whole body, or its first part if `read` returns the rest.
     """
 
     buffered: bytes
@@ -20,28 +20,28 @@
 
     @property
     def can_be_resent(self) -> bool:
-        """Tell whether the whole body is in memory."""
+        """Return True if the whole body is buffered."""
         return self.read is None
 
 
 class _LimitedReader:
-    """Read a body of unstated length up to a limit."""
+    """Read a body up to a size limit."""
 
     def __init__(self, body: RequestBody, max_bytes: int):
         self._body = body
-        self._left = max_bytes
+        self._remaining = max_bytes
 
     def read(self, size: int) -> bytes:
         """Return up to `size` bytes, or raise RequestError (BODY_TOO_LARGE)."""
         data = self._body.read(size)
-        self._left -= len(data)
-        if self._left < 0:
+        self._remaining -= len(data)
+        if self._remaining < 0:
             raise RequestError(ErrorKind.BODY_TOO_LARGE)
         return data
 
 
 def open_body(body: RequestBody, max_bytes: int) -> BodySource:
-    """Return a body, buffered whole if it is small.
+    """Return a body, fully buffered if it is small.
 
     Raises RequestError and CallerGoneError.
     """
--- a/bergamotdrift/caller.py
+++ b/bergamotdrift/caller.py
@@ -1,4 +1,4 @@
-"""The caller's side of a request: its body and whether it is still there."""
+"""Reading of the caller's request body and detection of its disconnect."""
 
 from typing import Any
 
@@ -11,8 +11,8 @@
 _READ_EVENT = 1
 
 
-class CallerWatch:
-    """Raise CallerGoneError in the handling greenlet when the caller leaves."""
+class DisconnectWatch:
+    """Raise CallerGoneError in the handling greenlet when the caller disconnects."""
 
     def __init__(self, sock: Any):
         self._sock = sock
@@ -21,13 +21,13 @@
         self._armed = False
 
     def start(self) -> None:
-        """Start to watch, once the body has been read."""
+        """Start watching; called once the body has been read."""
         if not self._armed:
             self._armed = True
             self._watcher.start(self._on_readable)
 
     def stop(self) -> None:
-        """Stop to watch for good; nothing is raised after that."""
+        """Stop watching permanently; nothing is raised afterwards."""
         self._armed = False
         self._watcher.stop()
         self._watcher.close()
@@ -36,16 +36,16 @@
         closed = peer_has_closed(self._sock)
         if not self._armed or closed is False:
             return
-        # Further data belongs to the next request; it would keep the watcher firing.
+        # Further data belongs to a pipelined request and would keep the watcher firing.
         self._watcher.stop()
         if closed:
             self._greenlet.throw(CallerGoneError("the caller closed the connection"))
 
 
 class CallerBody:
-    """Read the body of a caller's request in pieces, then watch the caller."""
+    """Read a request body in chunks, then watch for a disconnect."""
 
-    def __init__(self, raw: BodyReader, length: int | None, watch: CallerWatch):
+    def __init__(self, raw: BodyReader, length: int | None, watch: DisconnectWatch):
         self._raw = raw
         self._watch = watch
         self.length = length
--- a/bergamotdrift/entry.py
+++ b/bergamotdrift/entry.py
@@ -1,4 +1,4 @@
-"""The entry program: faces callers and forwards their requests to upstreams."""
+"""The entry program, which proxies requests of callers to upstreams."""
 
 from dataclasses import dataclass
 
--- a/bergamotdrift/entry_metrics.py
+++ b/bergamotdrift/entry_metrics.py
@@ -1,4 +1,7 @@
-"""Metrics of the entry; labels come from closed lists and the settings."""
+"""Metrics of the entry.
+
+Label values come from fixed lists and the settings, which bounds their number.
+"""
 
 from functools import lru_cache
 
@@ -37,13 +40,13 @@
 
 
 def count_answered(service: str, latency_s: float) -> None:
-    """Count a request that an upstream answered."""
+    """Count a request that got a response from an upstream."""
     _requests(service, "answer", ANSWERED).inc()
     _latency(service).observe(latency_s)
 
 
 def count_refused(service: str, stage: str, kind: str) -> None:
-    """Count a request that a stage ended."""
+    """Count a request that a stage refused."""
     _requests(service, stage, kind).inc()
 
 
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -1,4 +1,4 @@
-"""The wiring of an entry: session, arbiters, pipeline and servers."""
+"""Setup of an entry: session, arbiter client, pipeline and servers."""
 
 import contextlib
 import secrets
@@ -47,15 +47,15 @@
 
 _WATCH_INTERVAL_S = 0.05
 _SWEEP_INTERVAL_S = 0.5
-# A balancer probes about once a second; work that it still sends is refused as not
-# run instead of meeting a closed port.
+# A load balancer probes about once a second. Until it notices the failing readiness
+# check, new requests are refused as "not run" instead of hitting a closed port.
 _UNREADY_GRACE_S = 1.0
 _DRAIN_POLL_S = 0.02
 _IDLE_MARGIN_S = 1.0
 
 
 class Entry:
-    """Wire an entry together and run it."""
+    """Set up and run an entry."""
 
     def __init__(self, cfg: EntrySettings, clock: Clock, dialect: Dialect = NATIVE):
         self._cfg = cfg
@@ -69,7 +69,7 @@
         self._admission = Admission(cfg.node.zone, clock)
         self.registry = AttemptRegistry()
         self._book = RecordBook(clock)
-        self._connections = UpstreamConnections(clock, self._on_dropped)
+        self._connections = UpstreamConnections(clock, self._on_connections_dropped)
         self._direct: DirectDispatch | None = None
         if cfg.dispatch is Dispatch.DIRECT:
             self._direct = DirectDispatch(
@@ -77,7 +77,7 @@
             )
             self._splits = RouteSplits(self._direct)
         self.control = ControlClient(
-            cfg.node.control, hello, self._describe, clock, self, self._direct
+            cfg.node.control, hello, self._node_row, clock, self, self._direct
         )
         self.arbiters = ArbiterClient(
             hello, lambda: self.control.tables, self, self._on_revoke
@@ -95,30 +95,33 @@
         self._greenlets: list[gevent.Greenlet] = []
 
     def start(self) -> None:
-        """Start to serve; requests are refused until the settings are current."""
+        """Start serving; requests are refused until the settings are current."""
         self.admin.start()
         self.server.start()
         self.control.start()
         self._tokens.start()
-        self._greenlets = [gevent.spawn(self._watch_loop), gevent.spawn(self._sweep)]
+        self._greenlets = [
+            gevent.spawn(self._watch_loop),
+            gevent.spawn(self._sweep_loop),
+        ]
         log_event("entry_started", listen=self.server.address, admin=self.admin.address)
 
     def stop(self) -> None:
-        """Refuse new work, finish running work within `drain_s`, then leave."""
+        """Drain in-flight requests for up to `drain_s`, then shut down."""
         self._admission.stopping = True
         self.server.drain()
         log_event("entry_draining", running=self.app.running)
         end_ms = self._clock.now_ms() + self._cfg.drain_s * 1000.0
         gevent.sleep(min(self._cfg.unready_s, self._cfg.drain_s))
         self._admission.closed = True
-        gevent.sleep(min(_UNREADY_GRACE_S, self._left_s(end_ms)))
-        finished = self._wait_until_idle(self._left_s(end_ms))
+        gevent.sleep(min(_UNREADY_GRACE_S, self._remaining_s(end_ms)))
+        finished = self._wait_until_idle(self._remaining_s(end_ms))
         self.server.stop()
-        self._wait_until_idle(min(_UNREADY_GRACE_S, self._left_s(end_ms)))
+        self._wait_until_idle(min(_UNREADY_GRACE_S, self._remaining_s(end_ms)))
         gevent.killall(self._greenlets)
         self._tokens.stop()
         self._connections.drop_all()
-        # Queued releases and returns leave before the streams are closed.
+        # Lets queued permit releases and token returns go out before streams close.
         gevent.sleep(_WATCH_INTERVAL_S)
         self.control.stop()
         self.arbiters.stop()
@@ -126,7 +129,7 @@
         log_event("entry_stopped", drained=finished)
 
     def abort(self) -> None:
-        """Stop at once, without a drain."""
+        """Stop immediately, without draining."""
         self._admission.stopping = True
         self.server.stop()
         gevent.killall(self._greenlets)
@@ -137,13 +140,13 @@
         self.admin.stop()
 
     def is_ready(self) -> bool:
-        """Tell whether the balancer should send new work."""
+        """Return True if the load balancer should send new requests."""
         return self.control.ready.is_set() and self._admission.is_ready(
             self.control.settings_age_ms()
         )
 
     def on_tables_changed(self, update: FeedUpdate) -> None:
-        """Follow the feed."""
+        """Apply an update of the feed tables."""
         tables = self.control.tables
         settings = tables.settings
         if settings is not None and (
@@ -152,7 +155,7 @@
             self._view = SettingsView(
                 tables.revision, settings, self._dialect, self._splits
             )
-            self._admission.note_settings(settings)
+            self._admission.apply_settings(settings)
             if settings.limits is not None:
                 self.server.set_limits(_http_limits(settings.limits, self._cfg))
             log_event("settings_applied", revision=tables.revision)
@@ -166,7 +169,7 @@
         self._feed.notify()
 
     def running_permits(self, shard: str) -> list[RunningPermit]:
-        """Return the permits in use of a shard."""
+        """Return the permits of a shard that are in use."""
         return self.registry.running(shard)
 
     def kept_connections(self, shard: str) -> list[KeptConnections]:
@@ -178,7 +181,10 @@
         return self._book.rows_of_shard(shard)
 
     def tokens_spent(self, shard: str) -> TokensSpent | None:
-        """Return the rate tokens used while the bucket of a workspace fills."""
+        """Return the rate tokens that a workspace used in its bucket's refill time.
+
+        Returns None for other shards and for workspaces whose use is not tracked.
+        """
         settings = self.control.tables.settings
         if settings is None or not is_workspace_shard(shard):
             return None
@@ -239,7 +245,7 @@
         found = view.settings.workspace(workspace) if view is not None else None
         return found.rate_per_s if found is not None else 1.0
 
-    def _describe(self) -> NodeRow:
+    def _node_row(self) -> NodeRow:
         node = self._cfg.node
         return NodeRow(
             node.node, Role.ENTRY, self._hello.incarnation, node.vm, node.zone, ""
@@ -252,7 +258,7 @@
         self.registry.remove(running)
         self.arbiters.send(msg.shard, msg)
 
-    def _on_dropped(self, shard: str, upstream: str, count: int) -> None:
+    def _on_connections_dropped(self, shard: str, upstream: str, count: int) -> None:
         self.arbiters.send(shard, ConnectionDropped(shard, upstream, count))
 
     def _on_revoke(self, msg: Revoke) -> None:
@@ -261,38 +267,38 @@
         log_event("revoked", shard=msg.shard, upstream=msg.upstream, attempts=count)
 
     def _may_send(self, shard: str) -> bool:
-        """Tell whether a request may be sent now under a permit of a shard."""
+        """Return True if a request may be sent now under a permit of a shard."""
         if self._direct is not None:
             return not is_stale(self.control.settings_age_ms())
         return self._holds_permits(shard)
 
     def _holds_permits(self, shard: str) -> bool:
-        """Tell whether the permits of a shard are surely still this entry's."""
+        """Return True if this entry certainly still holds the permits of a shard."""
         if self._direct is not None:
             return True
         return self.control.session_is_valid() or self.arbiters.is_reachable(shard)
 
     def _watch_loop(self) -> None:
-        """Cancel attempts whose permits may have been given to others."""
+        """Cancel attempts whose permits may have been granted to other entries."""
         while True:
-            gevent.sleep(self._until_watch_s())
+            gevent.sleep(self._watch_pause_s())
             for shard in self.registry.shards():
                 if self._holds_permits(shard):
                     continue
                 count = self.registry.cancel(shard, "the entry lost its session")
                 log_event("attempts_cancelled", shard=shard, attempts=count)
 
-    def _until_watch_s(self) -> float:
-        """Return the pause before the next look, which the session's end cuts short."""
+    def _watch_pause_s(self) -> float:
+        """Return the time until the next check, at most until the session ends."""
         left_s = self.control.session.remaining_ms(self._clock.now_ms()) / 1000.0
         return min(_WATCH_INTERVAL_S, left_s) if left_s > 0 else _WATCH_INTERVAL_S
 
-    def _sweep(self) -> None:
+    def _sweep_loop(self) -> None:
         while True:
             gevent.sleep(_SWEEP_INTERVAL_S)
             self._connections.drop_old()
 
-    def _left_s(self, end_ms: float) -> float:
+    def _remaining_s(self, end_ms: float) -> float:
         return max(0.0, end_ms - self._clock.now_ms()) / 1000.0
 
     def _wait_until_idle(self, limit_s: float) -> bool:
@@ -303,11 +309,11 @@
 
 
 def _http_limits(limits: CallerLimits, cfg: EntrySettings) -> HttpLimits:
-    """Return the bounds of the server under the limits of the settings."""
+    """Return the limits of the server under the settings."""
     return HttpLimits(
         limits.header_timeout_s,
         cfg.body_timeout_s,
-        # A caller may use a connection again just before its time is over.
+        # A caller may reuse a connection just before its idle timeout ends.
         limits.idle_timeout_s + _IDLE_MARGIN_S,
         cfg.max_connections,
         limits.max_header_bytes,
--- a/bergamotdrift/entry_server.py
+++ b/bergamotdrift/entry_server.py
@@ -1,11 +1,11 @@
-"""WSGI application of the entry: requests in, replies out."""
+"""WSGI application of the entry."""
 
 import secrets
 from collections.abc import Callable, Iterator
 from typing import Any
 
 from bergamotdrift import entry_metrics
-from bergamotdrift.caller import CallerBody, CallerWatch
+from bergamotdrift.caller import CallerBody, DisconnectWatch
 from bergamotdrift.clock import Clock
 from bergamotdrift.dialect import NATIVE, Dialect
 from bergamotdrift.exceptions import (
@@ -23,12 +23,12 @@
 from bergamotdrift.stages.reply import refusal_reply
 
 _REQUEST_ID_BYTES = 12
-_ID_KEY = "bergamotdrift.request_id"
+_REQUEST_ID_KEY = "bergamotdrift.request_id"
 _REQUEST_ID_MAX_CHARS = 128
 
 
 class EntryApp:
-    """Answer each HTTP request through the pipeline and count what runs."""
+    """Handle HTTP requests through the pipeline and count those in flight."""
 
     def __init__(self, pipeline: Pipeline, clock: Clock, dialect: Dialect = NATIVE):
         self._pipeline = pipeline
@@ -40,7 +40,7 @@
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> "_ReplyBody":
         """Serve one request as a WSGI application."""
-        watch = CallerWatch(environ["bergamotdrift.socket"])
+        watch = DisconnectWatch(environ["bergamotdrift.socket"])
         body = _ReplyBody(self, watch)
         try:
             body.reply = self._reply(environ, watch)
@@ -51,19 +51,19 @@
             if isinstance(exc, CallerGoneError):
                 log_event(
                     "caller_gone",
-                    request=environ.get(_ID_KEY, ""),
+                    request=environ.get(_REQUEST_ID_KEY, ""),
                     path=environ["PATH_INFO"][:100],
                     running=self.running,
                 )
             raise
         return body
 
-    def _reply(self, environ: dict[str, Any], watch: CallerWatch) -> Reply:
+    def _reply(self, environ: dict[str, Any], watch: DisconnectWatch) -> Reply:
         raw = environ["bergamotdrift.body"]
         head = environ["bergamotdrift.head"]
-        environ[_ID_KEY] = self._request_id(head)
+        environ[_REQUEST_ID_KEY] = self._request_id(head)
         req = IncomingRequest(
-            environ[_ID_KEY],
+            environ[_REQUEST_ID_KEY],
             environ["REQUEST_METHOD"],
             environ["RAW_URI"],
             head.headers,
@@ -84,7 +84,7 @@
             return refusal_reply(refusal, req.request_id, self._dialect)
 
     def _request_id(self, head: RequestHead) -> str:
-        """Return the caller's request id where it is passed on, else a new one."""
+        """Return the caller's request id if the dialect keeps it, else a new one."""
         if self._dialect.keeps_request_id:
             stated = head.fields.get(self._dialect.request_id.lower())
             if stated and 0 < len(stated[0]) <= _REQUEST_ID_MAX_CHARS:
@@ -93,9 +93,9 @@
 
 
 class _ReplyBody:
-    """Iterate over a reply's body and clean up at its end."""
+    """Iterate over a reply's body and release its resources at the end."""
 
-    def __init__(self, app: EntryApp, watch: CallerWatch):
+    def __init__(self, app: EntryApp, watch: DisconnectWatch):
         self._app = app
         self._watch = watch
         self._open = True
@@ -107,7 +107,7 @@
         return iter(()) if self.reply is None else self.reply.chunks
 
     def close(self) -> None:
-        """Stop to watch the caller and end the attempt if it still runs."""
+        """Stop watching the caller and end the attempt if it is still running."""
         if not self._open:
             return
         self._open = False
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -1,4 +1,4 @@
-"""Pass a request through the stages, with retries within rules and budget."""
+"""Run requests through the stages of the entry, with retries within a budget."""
 
 from collections.abc import Callable, Iterator
 from functools import partial
@@ -25,23 +25,23 @@
 from bergamotdrift.request import IncomingRequest, Reply, RoutedRequest
 from bergamotdrift.retry_policy import Attempt, Budget, RetryBudget, may_repeat
 from bergamotdrift.route_split import RouteSplits
-from bergamotdrift.stages import reply as answers
+from bergamotdrift.stages import reply as replies
 from bergamotdrift.stages.authenticate import KeyIndex, authenticate
 from bergamotdrift.stages.claim import Claim, Claims
-from bergamotdrift.stages.forward import AttemptFailure, ForwardStage, UpstreamAnswer
+from bergamotdrift.stages.forward import AttemptFailure, ForwardStage, UpstreamResponse
 from bergamotdrift.stages.permit import AttemptNumbers, Permits
 from bergamotdrift.stages.rate import RateTokens, take_rate_token
 from bergamotdrift.stages.route import RouteTable, route
 
-_AGE_SHOWN_MAX_MS = 1e9
-_FAILED_STATUS = 500
-# A keyed service has no other upstream to turn to; a short pause gives the owner
-# or the feed time to change.
+_LOGGED_AGE_MAX_MS = 1e9
+_SERVER_ERROR_STATUS_MIN = 500
+# A keyed service has no other upstream to retry at. The pause gives the partition's
+# owner time to recover, or the feed time to announce a new one.
 _KEYED_RETRY_PAUSE_MS = 50
 
 
 class SettingsView:
-    """Hold the look-up tables of one settings revision."""
+    """Index one settings revision by key and by route."""
 
     def __init__(
         self,
@@ -57,7 +57,7 @@
 
 
 class Stages(NamedTuple):
-    """Hold the stages that use other processes."""
+    """Group the stages that communicate with other processes."""
 
     tokens: RateTokens
     claims: Claims
@@ -65,15 +65,15 @@
     forward: ForwardStage
 
 
-class Stopped(NamedTuple):
-    """Name the stage that ended a request and why."""
+class StageRefusal(NamedTuple):
+    """Pair a refusal with the stage that raised it."""
 
     stage: str
     refusal: Refusal
 
 
 class Pipeline:
-    """Answer requests."""
+    """Handle requests from admission to the reply."""
 
     def __init__(
         self,
@@ -93,13 +93,16 @@
         self._feed = feed
         self._clock = clock
         self._dialect = dialect
-        # Without a budget for each service, all services share one.
+        # Without a factory of budgets, all services share one retry budget.
         self._new_budget = new_budget
         self._budget: Budget = RetryBudget()
         self._budgets: dict[str, Budget] = {}
 
     def handle(self, req: IncomingRequest) -> Reply:
-        """Return the reply; raises CallerGoneError and TruncatedAnswerError."""
+        """Return the reply to a request.
+
+        Raises CallerGoneError and TruncatedAnswerError.
+        """
         result = self._admit(req)
         service = entry_metrics.UNROUTED
         routed = result.value_or(None)
@@ -112,9 +115,9 @@
             latency_s = (self._clock.now_ms() - req.received_ms) / 1000.0
             entry_metrics.count_answered(service, latency_s)
             return outcome.unwrap()
-        stopped = outcome.failure()
-        kind = stopped.refusal.kind
-        entry_metrics.count_refused(service, stopped.stage, kind.value)
+        refused = outcome.failure()
+        kind = refused.refusal.kind
+        entry_metrics.count_refused(service, refused.stage, kind.value)
         not_run = ANSWERS[kind].not_run
         log_event(
             "request_refused" if not_run else "outcome_not_known",
@@ -122,21 +125,21 @@
             route=routed.route.name if routed is not None else "",
             workspace=routed.workspace if routed is not None else "",
             service=service,
-            stage=stopped.stage,
+            stage=refused.stage,
             kind=kind.value,
-            detail=stopped.refusal.detail,
+            detail=refused.refusal.detail,
             after_ms=round(self._clock.now_ms() - req.received_ms),
-            settings_age_ms=round(min(self._settings_age_ms(), _AGE_SHOWN_MAX_MS)),
+            settings_age_ms=round(min(self._settings_age_ms(), _LOGGED_AGE_MAX_MS)),
         )
-        return answers.refusal_reply(stopped.refusal, req.request_id, self._dialect)
+        return replies.refusal_reply(refused.refusal, req.request_id, self._dialect)
 
-    def _admit(self, req: IncomingRequest) -> Result[RoutedRequest, Stopped]:
+    def _admit(self, req: IncomingRequest) -> Result[RoutedRequest, StageRefusal]:
         refusal = self._admission.refusal()
         if refusal is not None:
-            return Failure(Stopped("admit", refusal))
+            return Failure(StageRefusal("admit", refusal))
         view = self._view()
         if view is None:
-            return Failure(Stopped("admit", Refusal(ErrorKind.SETTINGS_STALE)))
+            return Failure(StageRefusal("admit", Refusal(ErrorKind.SETTINGS_STALE)))
         stale = is_stale(self._settings_age_ms())
         identity: Result[str, Refusal] = (
             Failure(Refusal(ErrorKind.SETTINGS_STALE))
@@ -148,34 +151,34 @@
         )
         denied = isinstance(result, Failure)
         if denied and not may_deny(self._settings_age_ms()):
-            return Failure(Stopped("admit", Refusal(ErrorKind.SETTINGS_STALE)))
+            return Failure(StageRefusal("admit", Refusal(ErrorKind.SETTINGS_STALE)))
         if stale and not result.map(may_run_stale).value_or(False):
-            return Failure(Stopped("admit", Refusal(ErrorKind.SETTINGS_STALE)))
-        return result.alt(lambda refusal: Stopped("route", refusal))
+            return Failure(StageRefusal("admit", Refusal(ErrorKind.SETTINGS_STALE)))
+        return result.alt(lambda refusal: StageRefusal("route", refusal))
 
-    def _run(self, routed: RoutedRequest) -> Result[Reply, Stopped]:
+    def _run(self, routed: RoutedRequest) -> Result[Reply, StageRefusal]:
         admitted = take_rate_token(routed, self._stages.tokens)
         if isinstance(admitted, Failure):
-            return Failure(Stopped("rate", admitted.failure()))
+            return Failure(StageRefusal("rate", admitted.failure()))
         try:
             body = open_body(routed.req.body, routed.route.max_body_bytes)
         except RequestError as exc:
-            return Failure(Stopped("body", exc.refusal))
+            return Failure(StageRefusal("body", exc.refusal))
         claimed = self._stages.claims.begin(routed, body)
         if isinstance(claimed, Failure):
-            return Failure(Stopped("claim", claimed.failure()))
+            return Failure(StageRefusal("claim", claimed.failure()))
         saved, claim = claimed.unwrap().saved, claimed.unwrap().claim
         if saved is not None:
-            return Success(answers.replayed_reply(saved, routed.req.request_id))
+            return Success(replies.replayed_reply(saved, routed.req.request_id))
         if claim is None:
-            return self._attempts(routed, body)
+            return self._run_attempts(routed, body)
         return self._run_claimed(routed, body, claim)
 
     def _run_claimed(
         self, routed: RoutedRequest, body: BodySource, claim: Claim
-    ) -> Result[Reply, Stopped]:
+    ) -> Result[Reply, StageRefusal]:
         try:
-            result = self._attempts(routed, body)
+            result = self._run_attempts(routed, body)
         except BaseException:
             self._stages.claims.end(claim, None)
             raise
@@ -186,8 +189,8 @@
                 self._stages.claims.end(claim, None)
             return result
         reply = result.unwrap()
-        if reply.whole is not None:
-            saved = answers.saved_answer(reply, reply.whole)
+        if reply.buffered_body is not None:
+            saved = replies.saved_response(reply, reply.buffered_body)
             self._stages.claims.end(claim, saved)
             return result
 
@@ -195,63 +198,63 @@
             reply.on_close()
             self._stages.claims.end(claim, None)
 
-        chunks = self._recorded(reply, claim)
+        chunks = self._save_streamed_body(reply, claim)
         return Success(reply._replace(chunks=chunks, on_close=on_close))
 
-    def _recorded(self, reply: Reply, claim: Claim) -> Iterator[bytes]:
-        """Pass a streamed body on and close the claim with it."""
-        kept = bytearray()
-        for piece in reply.chunks:
-            if len(kept) <= answers.SAVED_ANSWER_BYTES:
-                kept += piece
-            yield piece
-        self._stages.claims.end(claim, answers.saved_answer(reply, bytes(kept)))
+    def _save_streamed_body(self, reply: Reply, claim: Claim) -> Iterator[bytes]:
+        """Stream a body to the caller and save a copy under the claim at its end."""
+        saved = bytearray()
+        for chunk in reply.chunks:
+            if len(saved) <= replies.SAVED_RESPONSE_BYTES:
+                saved += chunk
+            yield chunk
+        self._stages.claims.end(claim, replies.saved_response(reply, bytes(saved)))
 
-    def _attempts(
+    def _run_attempts(
         self, routed: RoutedRequest, body: BodySource
-    ) -> Result[Reply, Stopped]:
-        numbers = AttemptNumbers()
-        earlier: Stopped | None = None
-        unknown: Stopped | None = None
-        self._budget_of(routed).count_request(self._clock.now_ms())
+    ) -> Result[Reply, StageRefusal]:
+        history = AttemptNumbers()
+        earlier: StageRefusal | None = None
+        unknown: StageRefusal | None = None
+        self._budget_for(routed).count_request(self._clock.now_ms())
         while True:
-            result = self._attempt(routed, body, numbers)
+            result = self._run_attempt(routed, body, history)
             if isinstance(result, Success):
-                self._log_answer(routed, result.unwrap(), numbers)
+                self._log_response(routed, result.unwrap(), history)
                 return result
-            stopped, failure = result.failure()
+            refused, failure = result.failure()
             if failure is not None and not failure.not_run:
-                unknown = stopped
+                unknown = refused
             if failure is not None:
-                _log_failure(routed, stopped, failure, numbers)
+                _log_failure(routed, refused, failure, history)
             is_first = earlier is None
             if (
                 failure is None
-                or _used_up(routed, numbers)
-                or not self._may_repeat(routed, body, failure, numbers, is_first)
+                or _attempts_exhausted(routed, history)
+                or not self._may_retry(routed, body, failure, history, is_first)
             ):
-                return Failure(unknown or _most_telling(earlier, stopped))
-            earlier = stopped
+                return Failure(unknown or _select_refusal(earlier, refused))
+            earlier = refused
             entry_metrics.RETRIES.labels(routed.service.name, failure.outcome).inc()
             if routed.is_keyed:
                 self._feed.wait(_KEYED_RETRY_PAUSE_MS)
 
-    def _attempt(
-        self, routed: RoutedRequest, body: BodySource, numbers: AttemptNumbers
-    ) -> Result[Reply, tuple[Stopped, AttemptFailure | None]]:
-        permit = self._stages.permits.acquire(routed, numbers)
+    def _run_attempt(
+        self, routed: RoutedRequest, body: BodySource, history: AttemptNumbers
+    ) -> Result[Reply, tuple[StageRefusal, AttemptFailure | None]]:
+        permit = self._stages.permits.acquire(routed, history)
         if isinstance(permit, Failure):
-            return Failure((Stopped("permit", permit.failure()), None))
+            return Failure((StageRefusal("permit", permit.failure()), None))
         running = permit.unwrap()
-        numbers.upstream = running.permit.upstream
-        refusal = self._refusal_by_new_settings(routed)
+        history.upstream = running.permit.upstream
+        refusal = self._refusal_under_new_settings(routed)
         if refusal is not None:
-            self._stages.forward.give_back(running)
-            return Failure((Stopped("permit", refusal), None))
-        running.may_give_up = partial(self._take_repeat, routed, body, numbers)
+            self._stages.forward.release_unused(running)
+            return Failure((StageRefusal("permit", refusal), None))
+        running.may_abandon = partial(self._reserve_retry, routed, body, history)
         result = self._stages.forward.attempt(routed, running, body)
         if running.conn is not None and running.conn.bytes_left:
-            numbers.sent += 1
+            history.sent += 1
         if isinstance(result, Success):
             self._stages.permits.note_outcome(routed, running, fenced=False)
             result = self._receive(routed, result.unwrap())
@@ -262,11 +265,14 @@
             self._stages.permits.note_outcome(routed, running, fenced=True)
         failure = failure._replace(upstream=running.permit.upstream)
         if not routed.is_keyed:
-            numbers.excluded.append(running.permit.upstream)
-        return Failure((Stopped("forward", failure.refusal), failure))
+            history.excluded.append(running.permit.upstream)
+        return Failure((StageRefusal("forward", failure.refusal), failure))
 
-    def _refusal_by_new_settings(self, routed: RoutedRequest) -> Refusal | None:
-        """Return why a request that waited may no longer run, or None."""
+    def _refusal_under_new_settings(self, routed: RoutedRequest) -> Refusal | None:
+        """Check a request again if the settings changed while it waited for a permit.
+
+        Returns the refusal under the new settings, or None.
+        """
         view = self._view()
         if view is None or view.revision == routed.revision:
             return None
@@ -274,32 +280,33 @@
         result = route(routed.req, identity, view.routes, routed.service.name)
         if isinstance(result, Failure):
             return result.failure()
-        # An open route admits a request whose key was withdrawn only as anonymous.
+        # An open route would still admit a request whose key was revoked, but as
+        # anonymous; the request was sent under its workspace, so it is refused.
         same = result.unwrap().workspace == routed.workspace
         return None if same else Refusal(ErrorKind.UNAUTHENTICATED)
 
     def _receive(
-        self, routed: RoutedRequest, answer: UpstreamAnswer
+        self, routed: RoutedRequest, response: UpstreamResponse
     ) -> Result[Reply, AttemptFailure]:
         request_id = routed.req.request_id
-        if not answers.is_small(answer):
-            return Success(answers.streamed_reply(answer, request_id))
+        if not replies.should_buffer(response):
+            return Success(replies.streamed_reply(response, request_id))
         try:
-            body = b"".join(answer.pieces())
+            body = b"".join(response.iter_body())
         except TruncatedAnswerError as exc:
             refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, str(exc))
             return Failure(AttemptFailure(refusal, AttemptOutcome.BROKEN, False))
-        return Success(answers.whole_reply(answer, request_id, body))
+        return Success(replies.buffered_reply(response, request_id, body))
 
-    def _may_repeat(
+    def _may_retry(
         self,
         routed: RoutedRequest,
         body: BodySource,
         failure: AttemptFailure,
-        numbers: AttemptNumbers,
+        history: AttemptNumbers,
         is_first: bool,
     ) -> bool:
-        taken, numbers.repeat_taken = numbers.repeat_taken, False
+        reserved, history.retry_reserved = history.retry_reserved, False
         now_ms = self._clock.now_ms()
         attempt = Attempt(
             failure.not_run,
@@ -309,38 +316,40 @@
         )
         if not may_repeat(attempt):
             return False
-        if taken:
+        if reserved:
             return True
-        # The fence guard already bounds these to one per partition and interval; a
-        # share of the budget would refuse work each time many partitions move. A budget
-        # for each service, though, counts all that reaches the upstreams.
+        # FenceGuard already limits these to one per partition and interval. Charging
+        # them to the retry budget would refuse requests whenever many partitions move.
+        # Budgets per service are charged, since they count all attempts sent upstream.
         if failure.outcome is AttemptOutcome.FENCED and self._new_budget is None:
             return True
-        # All requests that were on their way when an upstream was lost fail at once,
-        # more than the budget holds; one retry each costs no upstream any work.
+        # All requests in flight to a lost upstream fail at once and would exceed the
+        # budget. The first retry after a failed connect is free: no upstream did work.
         if is_first and failure.outcome is AttemptOutcome.CONNECT_FAILED:
             return True
-        return self._budget_of(routed).take(now_ms)
+        return self._budget_for(routed).take(now_ms)
 
-    def _take_repeat(
-        self, routed: RoutedRequest, body: BodySource, numbers: AttemptNumbers
+    def _reserve_retry(
+        self, routed: RoutedRequest, body: BodySource, history: AttemptNumbers
     ) -> bool:
-        """Take a repeat for an attempt that is slow, unless the entry stops.
+        """Reserve a retry from the budget before a slow attempt is abandoned.
 
-        Without one, the request would fail while its upstream is at work on it.
+        Returns False while the entry shuts down, if the body is not buffered or if no
+        retry is left. The attempt then continues; otherwise the request would fail
+        while its upstream still works.
         """
         if self._admission.stopping or not body.can_be_resent:
             return False
-        numbers.repeat_taken = self._budget_of(routed).take(self._clock.now_ms())
-        return numbers.repeat_taken
+        history.retry_reserved = self._budget_for(routed).take(self._clock.now_ms())
+        return history.retry_reserved
 
-    def _log_answer(
-        self, routed: RoutedRequest, reply: Reply, numbers: AttemptNumbers
+    def _log_response(
+        self, routed: RoutedRequest, reply: Reply, history: AttemptNumbers
     ) -> None:
-        """Log an answer that is late, failed or took several attempts."""
+        """Log a response that is late, a server error, or took several attempts."""
         took_ms = self._clock.now_ms() - routed.req.received_ms
         is_late = 0 < routed.route.target_ms < took_ms
-        if not is_late and numbers.sent < 2 and reply.status < _FAILED_STATUS:
+        if not is_late and history.sent < 2 and reply.status < _SERVER_ERROR_STATUS_MIN:
             return
         log_event(
             "request_answered",
@@ -348,15 +357,15 @@
             route=routed.route.name,
             workspace=routed.workspace,
             service=routed.service.name,
-            upstream=numbers.upstream,
+            upstream=history.upstream,
             status=reply.status,
             took_ms=round(took_ms),
             target_ms=routed.route.target_ms,
-            sent=numbers.sent,
+            sent=history.sent,
             revision=routed.revision,
         )
 
-    def _budget_of(self, routed: RoutedRequest) -> Budget:
+    def _budget_for(self, routed: RoutedRequest) -> Budget:
         if self._new_budget is None:
             return self._budget
         name = routed.service.name
@@ -365,16 +374,16 @@
         return self._budgets[name]
 
 
-def _used_up(routed: RoutedRequest, numbers: AttemptNumbers) -> bool:
-    """Tell whether the route allows no further attempt."""
-    return 0 < routed.route.attempts <= numbers.sent
+def _attempts_exhausted(routed: RoutedRequest, history: AttemptNumbers) -> bool:
+    """Return True if the route's maximum number of attempts has been sent."""
+    return 0 < routed.route.attempts <= history.sent
 
 
 def _log_failure(
     routed: RoutedRequest,
-    stopped: Stopped,
+    refused: StageRefusal,
     failure: AttemptFailure,
-    numbers: AttemptNumbers,
+    history: AttemptNumbers,
 ) -> None:
     log_event(
         "attempt_failed",
@@ -383,17 +392,17 @@
         upstream=failure.upstream,
         outcome=failure.outcome.value,
         not_run=failure.not_run,
-        detail=stopped.refusal.detail,
-        attempt=numbers.last,
-        sent=numbers.sent,
+        detail=refused.refusal.detail,
+        attempt=history.last,
+        sent=history.sent,
     )
 
 
-def _most_telling(earlier: Stopped | None, last: Stopped) -> Stopped:
-    """Return why an earlier attempt failed if after it only time ran out.
+def _select_refusal(earlier: StageRefusal | None, last: StageRefusal) -> StageRefusal:
+    """Return the earlier refusal if the last one only states that the deadline passed.
 
-    Only for requests that were not run: after an attempt of unknown outcome, a later
-    refusal must not state "not run".
+    Used only for requests that were not run. After an attempt with an unknown outcome,
+    the reply must not state "not run".
     """
     if earlier is None or last.refusal.kind is not ErrorKind.DEADLINE_UNREACHABLE:
         return last
--- a/bergamotdrift/refusals.py
+++ b/bergamotdrift/refusals.py
@@ -1,4 +1,4 @@
-"""Rendering of refusals as HTTP answers."""
+"""Rendering of refusals as HTTP responses."""
 
 import http
 import json
@@ -17,7 +17,7 @@
 
 
 def refusal_body(refusal: Refusal, request_id: str) -> bytes:
-    """Return the JSON body that states a refusal."""
+    """Return the JSON body of a refusal."""
     answer = ANSWERS[refusal.kind]
     text = f"{answer.text}: {refusal.detail}" if refusal.detail else answer.text
     return json.dumps({
@@ -31,7 +31,7 @@
 def refusal_headers(
     refusal: Refusal, body: bytes, request_id: str, dialect: Dialect = NATIVE
 ) -> list[tuple[str, str]]:
-    """Return the headers of a refusal, with Retry-After where it applies."""
+    """Return the headers of a refusal, with Retry-After if it has a delay."""
     headers = [
         ("Content-Type", "application/json"),
         ("Content-Length", str(len(body))),
--- a/bergamotdrift/request.py
+++ b/bergamotdrift/request.py
@@ -1,4 +1,4 @@
-"""Types that pass through the entry's request pipeline."""
+"""Request and reply types of the entry's pipeline."""
 
 from collections.abc import Callable, Iterator
 from typing import NamedTuple, Protocol
@@ -15,7 +15,7 @@
 
 
 class RequestBody(Protocol):
-    """Read a request's body in pieces."""
+    """Read a request body in chunks."""
 
     length: int | None
 
@@ -25,9 +25,10 @@
 
 
 class IncomingRequest(NamedTuple):
-    """Hold a request as the caller sent it; `received_ms` by the entry's clock.
+    """Represent a request as received from the caller.
 
-    `fields` holds the values of `headers` by lower-case name.
+    `received_ms` is by the entry's clock. `fields` maps lower-case header names to
+    their values.
     """
 
     request_id: str
@@ -40,16 +41,16 @@
     body: RequestBody
 
     def header(self, name: str) -> str | None:
-        """Return the value of the first header of a lower-case name, or None."""
+        """Return the first value of a header by its lower-case name, or None."""
         values = self.fields.get(name)
         return values[0] if values else None
 
 
 class RoutedRequest(NamedTuple):
-    """Hold a request with its workspace, route, routing key and deadline.
+    """Represent a request with its workspace, route, routing key and deadline.
 
-    `revision` is that of the settings under which it was admitted. `rank` is that of
-    its workspace, None to use the route's.
+    `revision` is the settings revision under which it was admitted. `rank` is the
+    priority of its workspace, or None to use the route's.
     """
 
     req: IncomingRequest
@@ -63,12 +64,12 @@
 
     @property
     def is_keyed(self) -> bool:
-        """Tell whether the service is divided by key."""
+        """Return True if the service routes requests by key."""
         return self.service.kind is not ServiceKind.POOL
 
 
 class Permit(NamedTuple):
-    """Hold an arbiter's permission for one attempt at an upstream."""
+    """Represent an arbiter's permission for one attempt at an upstream."""
 
     shard: str
     permit: str
@@ -79,18 +80,18 @@
     partition_epoch: int = 0
 
 
-def _nothing() -> None:
+def _do_nothing() -> None:
     pass
 
 
 class Reply(NamedTuple):
-    """Hold the answer for the caller; its sender must call `on_close` in the end.
+    """Represent the reply to the caller; its sender must call `on_close` at the end.
 
-    `whole` is the body if it has been received, else None.
+    `buffered_body` is the body if it has been fully received, else None.
     """
 
     status: int
     headers: list[tuple[str, str]]
     chunks: Iterator[bytes]
-    on_close: Callable[[], None] = _nothing
-    whole: bytes | None = None
+    on_close: Callable[[], None] = _do_nothing
+    buffered_body: bytes | None = None
--- a/bergamotdrift/routing_key.py
+++ b/bergamotdrift/routing_key.py
@@ -1,4 +1,4 @@
-"""Numeric routing keys of services that are divided into ranges."""
+"""Numeric routing keys of range-partitioned services."""
 
 import re
 
@@ -8,7 +8,7 @@
 
 
 def key_number(text: str) -> int | None:
-    """Return the key from 0 to `LAST_KEY` that a text states, or None."""
+    """Parse a key from 0 to `LAST_KEY`; return None for any other text."""
     if not _NUMERIC_KEY.fullmatch(text):
         return None
     number = int(text)
--- a/bergamotdrift/stages/authenticate.py
+++ b/bergamotdrift/stages/authenticate.py
@@ -1,4 +1,4 @@
-"""Find the workspace whose key came with a request."""
+"""Authenticate requests by the bearer key of a workspace."""
 
 import hmac
 from typing import NamedTuple
@@ -14,7 +14,7 @@
 
 
 class KeyOwner(NamedTuple):
-    """Hold a key digest and its workspace."""
+    """Associate a key digest with its workspace."""
 
     digest: str
     workspace: str
@@ -31,18 +31,21 @@
         }
 
     def workspace_of(self, key: str) -> str | None:
-        """Return the workspace of a key, or None for an unknown or withdrawn key."""
+        """Return the workspace of a key, or None for an unknown or revoked key."""
         digest = key_digest(key)
         owner = self._owners.get(digest)
-        # The look-up compares digests, so its timing tells nothing about a key; the
-        # constant-time comparison also covers equal prefixes of digests.
+        # The dictionary is keyed by digest, so lookup timing reveals nothing about a
+        # key. The constant-time comparison also covers digests with equal prefixes.
         if owner is None or not hmac.compare_digest(owner.digest, digest):
             return None
         return owner.workspace
 
 
 def authenticate(req: IncomingRequest, keys: KeyIndex) -> Result[str, Refusal]:
-    """Return the workspace of a request, ANONYMOUS without a key (UNAUTHENTICATED)."""
+    """Return the workspace of a request, or ANONYMOUS if it has no key.
+
+    Kind: UNAUTHENTICATED.
+    """
     values = req.fields.get("authorization")
     if not values:
         return Success(ANONYMOUS)
--- a/bergamotdrift/stages/claim.py
+++ b/bergamotdrift/stages/claim.py
@@ -1,4 +1,4 @@
-"""Claim the idempotency key of a request, so that it runs at most once."""
+"""Claim idempotency keys so that a request runs at most once."""
 
 import hashlib
 from collections.abc import Callable
@@ -44,7 +44,8 @@
 _REFUSALS = {
     RecordState.RUNNING: Refusal(ErrorKind.CONFLICT_IN_PROGRESS),
     RecordState.UNKNOWN: Refusal(
-        ErrorKind.OUTCOME_UNKNOWN, "an earlier request with this key has no known end"
+        ErrorKind.OUTCOME_UNKNOWN,
+        "the outcome of an earlier request with this key is unknown",
     ),
     RecordState.MISMATCH: Refusal(
         ErrorKind.MALFORMED_REQUEST, "the idempotency key belongs to another request"
@@ -53,45 +54,45 @@
 
 
 class Claim(NamedTuple):
-    """Name a claimed idempotency key; `mirror` is the second arbiter, if any."""
+    """Identify a claimed idempotency key; `mirror` is the second arbiter, if any."""
 
-    rid: RecordId
+    record_id: RecordId
     request: str
     mirror: str = ""
 
 
 class Claimed(NamedTuple):
-    """Hold a claim, or the saved answer of the first request, or neither."""
+    """Hold a claim, the saved response of the first request, or neither."""
 
     claim: Claim | None = None
     saved: SavedAnswer | None = None
 
 
 class Claims(Protocol):
-    """Make sure that a request with an idempotency key runs at most once."""
+    """Ensure that a request with an idempotency key runs at most once."""
 
     def begin(
         self, routed: RoutedRequest, body: BodySource
     ) -> Result[Claimed, Refusal]:
-        """Claim the key of a request that must not run twice."""
+        """Claim the idempotency key of a request that must not run twice."""
         ...
 
     def end(self, claim: Claim, answer: SavedAnswer | None) -> None:
-        """Close a claim with its answer, or as unknown."""
+        """Complete a claim with its response, or with an unknown outcome."""
         ...
 
     def forget(self, claim: Claim) -> None:
-        """Give a claim up because the request was not run."""
+        """Delete a claim because the request was not run."""
         ...
 
 
 class NoClaims:
-    """Pass idempotency keys on to the upstreams, which alone act on them."""
+    """Leave idempotency keys to the upstreams."""
 
     def begin(
         self, routed: RoutedRequest, body: BodySource
     ) -> Result[Claimed, Refusal]:
-        """Claim nothing."""
+        """Return an empty result; no claim is made."""
         return Success(Claimed())
 
     def end(self, claim: Claim, answer: SavedAnswer | None) -> None:
@@ -102,7 +103,7 @@
 
 
 class ClaimStage:
-    """Begin and end idempotency records at the arbiter and in the entry's book."""
+    """Keep idempotency records at the arbiter and in the entry's local records."""
 
     def __init__(
         self,
@@ -123,7 +124,7 @@
     def begin(
         self, routed: RoutedRequest, body: BodySource
     ) -> Result[Claimed, Refusal]:
-        """Claim the key of a request that must not run twice.
+        """Claim the idempotency key of a request that must not run twice.
 
         Kinds: MALFORMED_REQUEST, CONFLICT_IN_PROGRESS, OUTCOME_UNKNOWN,
         ARBITER_UNREACHABLE.
@@ -131,8 +132,8 @@
         key = routed.req.header(IDEMPOTENCY_HEADER.lower())
         if key is None or routed.route.idempotent or not routed.workspace:
             return Success(Claimed())
-        many = len(routed.req.fields[IDEMPOTENCY_HEADER.lower()]) > 1
-        if not key or many or len(key) > _MAX_KEY_CHARS:
+        repeated = len(routed.req.fields[IDEMPOTENCY_HEADER.lower()]) > 1
+        if not key or repeated or len(key) > _MAX_KEY_CHARS:
             refusal = Refusal(ErrorKind.MALFORMED_REQUEST, "invalid idempotency key")
             return Failure(refusal)
         claim = Claim(
@@ -141,26 +142,29 @@
         return self._begin(claim, fingerprint(routed, body), routed.deadline_ms)
 
     def end(self, claim: Claim, answer: SavedAnswer | None) -> None:
-        """Close a claim with its answer, or as unknown; later calls do nothing."""
-        if self._book.end(claim.rid, claim.request, answer):
+        """Complete a claim with its response, or with an unknown outcome, once.
+
+        Later calls have no effect.
+        """
+        if self._book.end(claim.record_id, claim.request, answer):
             self._send_end(claim, forget=False, answer=answer)
 
     def forget(self, claim: Claim) -> None:
-        """Give a claim up because the request was not run."""
-        self._book.forget(claim.rid, claim.request)
+        """Delete a claim because the request was not run."""
+        self._book.forget(claim.record_id, claim.request)
         self._send_end(claim, forget=True, answer=None)
 
     def _begin(
-        self, claim: Claim, mark: str, deadline_ms: float
+        self, claim: Claim, request_fingerprint: str, deadline_ms: float
     ) -> Result[Claimed, Refusal]:
         decided = False
         try:
             while self._clock.now_ms() < deadline_ms:
-                reply = self._ask(claim, mark, deadline_ms)
+                reply = self._request_record(claim, request_fingerprint, deadline_ms)
                 if isinstance(reply, Refusal):
                     return Failure(reply)
                 if reply is not None:
-                    result = self._accept(claim, mark, reply)
+                    result = self._accept(claim, request_fingerprint, reply)
                     decided = isinstance(result, Success) or (
                         reply.state is not RecordState.FIRST
                     )
@@ -171,16 +175,21 @@
             if not decided:
                 self.forget(claim)
 
-    def _ask(
-        self, claim: Claim, mark: str, deadline_ms: float
+    def _request_record(
+        self, claim: Claim, request_fingerprint: str, deadline_ms: float
     ) -> RecordReply | Refusal | None:
         wait_ms = max(0, int(deadline_ms - self._clock.now_ms()))
-        rid = claim.rid
+        record_id = claim.record_id
         try:
             call = self._arbiters.call(
-                workspace_shard(rid.workspace),
+                workspace_shard(record_id.workspace),
                 lambda epoch: RecordBegin(
-                    rid.workspace, epoch, rid.key_digest, mark, claim.request, wait_ms
+                    record_id.workspace,
+                    epoch,
+                    record_id.key_digest,
+                    request_fingerprint,
+                    claim.request,
+                    wait_ms,
                 ),
                 wait_ms + _REPLY_MARGIN_MS,
             )
@@ -190,41 +199,49 @@
             return exc.refusal
         except (StreamClosedError, gevent.Timeout):
             return None
-        if self._arbiters.assignment(workspace_shard(rid.workspace)) != call.row:
+        if self._arbiters.assignment(workspace_shard(record_id.workspace)) != call.row:
             return None
         return call.reply if isinstance(call.reply, RecordReply) else None
 
     def _accept(
-        self, claim: Claim, mark: str, reply: RecordReply
+        self, claim: Claim, request_fingerprint: str, reply: RecordReply
     ) -> Result[Claimed, Refusal]:
         if reply.state is RecordState.DONE and reply.answer is not None:
             return Success(Claimed(saved=reply.answer))
         if reply.state is not RecordState.FIRST:
             unknown = _REFUSALS[RecordState.UNKNOWN]
             return Failure(_REFUSALS.get(reply.state, unknown))
-        self._book.begin(claim.rid, mark, claim.request)
-        nodes = self._mirror_nodes(claim.rid.workspace)
+        self._book.begin(claim.record_id, request_fingerprint, claim.request)
+        nodes = self._mirror_nodes(claim.record_id.workspace)
         mirror = self._mirror(claim, nodes)
         if nodes and not mirror:
             return Failure(
-                Refusal(ErrorKind.ARBITER_UNREACHABLE, "no second VM holds the record")
+                Refusal(
+                    ErrorKind.ARBITER_UNREACHABLE,
+                    "no arbiter on another VM stored the record",
+                )
             )
         return Success(Claimed(claim=claim._replace(mirror=mirror)))
 
     def _send_end(self, claim: Claim, forget: bool, answer: SavedAnswer | None) -> None:
-        rid = claim.rid
-        msg = RecordEnd(rid.workspace, rid.key_digest, claim.request, forget, answer)
-        shard = workspace_shard(rid.workspace)
+        record_id = claim.record_id
+        msg = RecordEnd(
+            record_id.workspace, record_id.key_digest, claim.request, forget, answer
+        )
+        shard = workspace_shard(record_id.workspace)
         self._arbiters.send(shard, msg)
         if not claim.mirror:
             return
-        row = self._book.row(rid)
+        row = self._book.row(record_id)
         copy = msg if forget or row is None else RecordMirror(row)
         self._arbiters.send(shard, copy, claim.mirror)
 
     def _mirror(self, claim: Claim, nodes: list[str]) -> str:
-        """Store the record at the first node that confirms it, and return the node."""
-        row = self._book.row(claim.rid)
+        """Store the record at the first node that confirms it and return that node.
+
+        Returns an empty string if none does.
+        """
+        row = self._book.row(claim.record_id)
         assert row is not None
         for node in nodes:
             try:
@@ -238,7 +255,7 @@
         return ""
 
     def _mirror_nodes(self, workspace: str) -> list[str]:
-        """Return the arbiters on other VMs, next owner of the shard first.
+        """Return the arbiters on other VMs, the shard's next owner first.
 
         The list is empty when the shard's arbiter itself runs on another VM.
         """
@@ -260,7 +277,7 @@
 
 
 def fingerprint(routed: RoutedRequest, body: BodySource) -> str:
-    """Return a digest by which two requests under one key are told apart."""
+    """Return a digest that tells different requests with the same key apart."""
     req = routed.req
     digest = hashlib.sha256()
     for part in (req.method, req.target, str(body.length)):
--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -1,4 +1,4 @@
-"""Send a request to an upstream under a permit and receive its answer."""
+"""Forward a request to an upstream under a permit and receive the response."""
 
 import re
 from collections.abc import Callable, Iterator
@@ -44,7 +44,7 @@
     "transfer-encoding",
     "upgrade",
 })
-# The entry sets these itself or must not pass them on.
+# The entry sets these itself or must not forward them.
 _OWN_HEADERS = frozenset({
     "authorization",
     "content-length",
@@ -53,14 +53,14 @@
     "via",
     "x-forwarded-for",
 })
-NATIVE_WITHHELD = HOP_BY_HOP | _OWN_HEADERS | NATIVE.own_headers()
+NATIVE_STRIPPED_HEADERS = HOP_BY_HOP | _OWN_HEADERS | NATIVE.own_headers()
 _ABSOLUTE_FORM = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
-_PIECE_BYTES = 64 * 1024
-_OUTCOME_OF_STATUS = 500
+_READ_BYTES = 64 * 1024
+_SERVER_ERROR_STATUS_MIN = 500
 
 
 class AttemptFailure(NamedTuple):
-    """Hold why an attempt failed and whether the upstream surely did not run it."""
+    """Describe a failed attempt; `not_run` is True if it certainly was not run."""
 
     refusal: Refusal
     outcome: AttemptOutcome
@@ -68,8 +68,8 @@
     upstream: str = ""
 
 
-class UpstreamAnswer:
-    """Hold an answer whose body is read in pieces; ends the permit once."""
+class UpstreamResponse:
+    """Read an upstream response as a stream and release its permit at the end."""
 
     def __init__(
         self,
@@ -86,21 +86,21 @@
 
     @property
     def length(self) -> int | None:
-        """Return the stated length of the body, or None."""
+        """Return the Content-Length of the response, or None."""
         return self._parser.content_length
 
     @property
-    def is_unframed(self) -> bool:
-        """Tell whether only the end of the connection ends the body."""
+    def is_close_delimited(self) -> bool:
+        """Return True if the body ends when the upstream closes the connection."""
         return not self._parser.has_framing()
 
     @property
     def is_complete(self) -> bool:
-        """Tell whether the whole answer has been received."""
+        """Return True if the whole response has been received."""
         return self._parser.message_complete
 
-    def pieces(self) -> Iterator[bytes]:
-        """Yield the body; raises TruncatedAnswerError if it ends early."""
+    def iter_body(self) -> Iterator[bytes]:
+        """Yield the body in chunks; raises TruncatedAnswerError if it ends early."""
         try:
             while True:
                 data = self._parser.take_body()
@@ -115,11 +115,11 @@
             self.abandon()
 
     def abandon(self) -> None:
-        """Release the permit if the body was not read to its end."""
+        """Release the permit as cancelled unless the response has ended."""
         self.end(AttemptOutcome.CANCELLED, may_reuse=False)
 
     def end(self, outcome: AttemptOutcome, may_reuse: bool) -> None:
-        """Release the permit; later calls do nothing."""
+        """Release the permit once; later calls have no effect."""
         if self._ended:
             return
         self._ended = True
@@ -140,12 +140,12 @@
             raise TruncatedAnswerError(str(exc)) from exc
 
     def _outcome(self) -> AttemptOutcome:
-        failed = self.status >= _OUTCOME_OF_STATUS
+        failed = self.status >= _SERVER_ERROR_STATUS_MIN
         return AttemptOutcome.SERVER_ERROR if failed else AttemptOutcome.ANSWERED
 
 
 class ForwardStage:
-    """Carry out attempts on connections that never repeat a request."""
+    """Send attempts over connections that never resend a request by themselves."""
 
     def __init__(
         self,
@@ -162,12 +162,12 @@
         self._via = via
         self._may_send = may_send
         self._dialect = dialect
-        self._withheld = HOP_BY_HOP | _OWN_HEADERS | dialect.own_headers()
+        self._stripped_headers = HOP_BY_HOP | _OWN_HEADERS | dialect.own_headers()
 
     def attempt(
         self, routed: RoutedRequest, running: RunningAttempt, body: BodySource
-    ) -> Result[UpstreamAnswer, AttemptFailure]:
-        """Return the upstream's answer, or why there is none."""
+    ) -> Result[UpstreamResponse, AttemptFailure]:
+        """Return the upstream's response or the reason for the failure."""
         started_ms = self._clock.now_ms()
 
         def on_end(outcome: AttemptOutcome, may_reuse: bool) -> None:
@@ -176,7 +176,7 @@
         try:
             parser = self._exchange(routed, running, body)
         except BaseException as exc:
-            failure = _failure_of(exc, running)
+            failure = _classify_failure(exc, running)
             on_end(failure.outcome, False)
             if isinstance(exc, CallerGoneError):
                 log_event(
@@ -190,38 +190,43 @@
                 return Failure(failure)
             raise
         assert running.conn is not None
-        running.load = self._stated_load(parser)
-        answer = UpstreamAnswer(parser, running.conn, on_end)
-        return _judge(answer, parser, self._dialect)
+        running.load = self._reported_load(parser)
+        response = UpstreamResponse(parser, running.conn, on_end)
+        return _check_not_run(response, parser, self._dialect)
 
-    def _stated_load(self, parser: ResponseParser) -> AnswerLoad | None:
-        stated = header_of(parser)(self._dialect.load) if self._dialect.load else None
-        return self._dialect.parse_load(stated) if stated else None
+    def _reported_load(self, parser: ResponseParser) -> AnswerLoad | None:
+        value = header_of(parser)(self._dialect.load) if self._dialect.load else None
+        return self._dialect.parse_load(value) if value else None
 
-    def give_back(self, running: RunningAttempt) -> None:
-        """Release a permit under which nothing was sent."""
+    def release_unused(self, running: RunningAttempt) -> None:
+        """Release a permit that was not used."""
         self._end(running, AttemptOutcome.CANCELLED, False, self._clock.now_ms())
 
     def _exchange(
         self, routed: RoutedRequest, running: RunningAttempt, body: BodySource
     ) -> ResponseParser:
-        first = self._head(routed, running, body) + _framed(body.buffered, body)
+        first = self._head(routed, running, body) + _frame_body(body.buffered, body)
         conn = self._send_first(routed, running, first, body.can_be_resent)
         if body.read is not None:
             self._send_rest(conn, body)
         parser = read_head(conn, routed.req.method)
-        self._check_answer(routed, parser)
+        self._check_response(routed, parser)
         return parser
 
-    def _check_answer(self, routed: RoutedRequest, parser: ResponseParser) -> None:
-        """Refuse an answer without an end, or that belongs to an earlier request."""
+    def _check_response(self, routed: RoutedRequest, parser: ResponseParser) -> None:
+        """Reject a response without framing, or one to an earlier request.
+
+        Raises HTTPParseError.
+        """
         if not (self._dialect.takes_unframed or parser.has_framing()):
-            raise HTTPParseError("the answer's end can't be told from a loss")
+            raise HTTPParseError(
+                "the response has neither Content-Length nor chunked encoding"
+            )
         if not self._dialect.keeps_request_id:
             return
         echoed = header_of(parser)(self._dialect.request_id)
         if echoed is not None and echoed != routed.req.request_id:
-            raise HTTPParseError("the answer belongs to another request")
+            raise HTTPParseError("the response belongs to another request")
 
     def _send_first(
         self,
@@ -234,7 +239,7 @@
         while True:
             conn = self._connections.take(permit.shard, permit.upstream, permit.address)
             running.conn = conn
-            conn.begin(routed.deadline_ms, running.limit_ms, running.may_give_up)
+            conn.begin(routed.deadline_ms, running.limit_ms, running.may_abandon)
             try:
                 if not conn.reused:
                     conn.connect()
@@ -243,13 +248,17 @@
                 conn.request_sent = body_is_whole
                 return conn
             except OSError:
-                # A reused connection may have died meanwhile; nothing was sent.
+                # The upstream may have closed an idle connection; as nothing was sent,
+                # another connection is safe to use.
                 if conn.bytes_left or not conn.reused or running.cancel_reason:
                     raise
                 conn.close()
 
     def _check_permit(self, running: RunningAttempt) -> None:
-        """Refuse to act under a permit that may have been given to another."""
+        """Abort the attempt if its permit may have been granted to another entry.
+
+        Raises ConnectionAbortedError.
+        """
         if not self._may_send(running.permit.shard):
             running.cancel("the entry lost its session")
         if running.cancel_reason:
@@ -257,12 +266,12 @@
 
     def _send_rest(self, conn: UpstreamConnection, body: BodySource) -> None:
         assert body.read is not None
-        # An upstream may answer before it has read the whole body.
+        # An upstream may respond before it has read the whole body.
         while not conn.answer_has_begun():
-            data = body.read(_PIECE_BYTES)
+            data = body.read(_READ_BYTES)
             end = b"0\r\n\r\n" if body.length is None else b""
             try:
-                conn.send(_framed(data, body) if data else end)
+                conn.send(_frame_body(data, body) if data else end)
             except (BrokenPipeError, ConnectionResetError):
                 return
             if not data:
@@ -284,7 +293,7 @@
             if not kept:
                 conn.close()
             if outcome is AttemptOutcome.TIMEOUT:
-                # Other open connections to a silent upstream may be dead as well.
+                # Other idle connections to an unresponsive upstream may be dead too.
                 self._connections.drop(conn.shard, conn.upstream)
         permit = running.permit
         latency_ms = self._clock.now_ms() - started_ms
@@ -299,8 +308,8 @@
         req = routed.req
         target = _ABSOLUTE_FORM.sub("", req.target, count=1) or "/"
         lines = [f"{req.method} {target} HTTP/1.1"]
-        named = connection_tokens(req.fields)
-        lines += end_to_end(req.headers, named, self._withheld)
+        connection_options = connection_tokens(req.fields)
+        lines += end_to_end(req.headers, connection_options, self._stripped_headers)
         lines += self._own_headers(routed, running)
         if body.length is None:
             lines.append("Transfer-Encoding: chunked")
@@ -340,24 +349,27 @@
 
 def end_to_end(
     headers: list[HeaderLine],
-    named: set[str],
-    withheld: frozenset[str] = NATIVE_WITHHELD,
+    connection_options: set[str],
+    stripped: frozenset[str] = NATIVE_STRIPPED_HEADERS,
 ) -> list[str]:
-    """Return the header lines for an upstream; `named` are declared hop-by-hop."""
+    """Return the end-to-end header lines of a request.
+
+    `connection_options` are the headers that the Connection header declares hop-by-hop.
+    """
     return [
         f"{name}: {value}"
         for name, value in headers
-        if (lower := name.lower()) not in withheld and lower not in named
+        if (lower := name.lower()) not in stripped and lower not in connection_options
     ]
 
 
-def _framed(data: bytes, body: BodySource) -> bytes:
+def _frame_body(data: bytes, body: BodySource) -> bytes:
     if body.length is not None or not data:
         return data
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def _failure_of(exc: BaseException, running: RunningAttempt) -> AttemptFailure:
+def _classify_failure(exc: BaseException, running: RunningAttempt) -> AttemptFailure:
     conn = running.conn
     sent = conn is not None and conn.bytes_left
     if not sent:
@@ -378,12 +390,12 @@
     if isinstance(exc, (OSError, HTTPParseError)):
         refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, f"the connection broke: {exc}")
         return AttemptFailure(refusal, AttemptOutcome.BROKEN, False)
-    refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, "the request was cut off")
+    refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, "the request was interrupted")
     return AttemptFailure(refusal, AttemptOutcome.CANCELLED, False)
 
 
 def header_of(parser: ResponseParser) -> HeaderOf:
-    """Return a function that returns the first value of an answer's header, or None."""
+    """Return a function that looks up the first value of a response header."""
 
     def value(name: str) -> str | None:
         found = parser.get(name)
@@ -392,12 +404,12 @@
     return value
 
 
-def _judge(
-    answer: UpstreamAnswer, parser: ResponseParser, dialect: Dialect
-) -> Result[UpstreamAnswer, AttemptFailure]:
-    """Turn an answer that states "not run" into a failure."""
-    outcome = dialect.not_run(answer.status, header_of(parser))
+def _check_not_run(
+    response: UpstreamResponse, parser: ResponseParser, dialect: Dialect
+) -> Result[UpstreamResponse, AttemptFailure]:
+    """Turn a response that states "not run" into a failure."""
+    outcome = dialect.not_run(response.status, header_of(parser))
     if outcome is None:
-        return Success(answer)
-    answer.end(outcome, may_reuse=parser.message_complete)
+        return Success(response)
+    response.end(outcome, may_reuse=parser.message_complete)
     return Failure(AttemptFailure(Refusal(ErrorKind.UPSTREAM_SHED), outcome, True))
--- a/bergamotdrift/stages/permit.py
+++ b/bergamotdrift/stages/permit.py
@@ -1,4 +1,4 @@
-"""Obtain a permit for an attempt from the arbiter of the upstream."""
+"""Acquire permits for attempts from the arbiter of the upstream."""
 
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -31,16 +31,16 @@
 from bergamotdrift.shards import pool_shard, upstream_shard
 from bergamotdrift.tables import PartitionId, Tables
 
-# A refusal for a stale epoch or a lost arbiter is cured by the feed; without an
-# update the request asks again after this pause.
+# A refusal for a stale epoch or a lost arbiter is resolved by a feed update. Without an
+# update, the permit is requested again after this pause.
 _RETRY_PAUSE_MS = 100
-# The arbiter refuses at the deadline by itself; its answer may take a little longer.
+# The arbiter refuses at the deadline by itself; the margin lets that reply arrive.
 _REPLY_MARGIN_MS = 50
 _RETRIED_KINDS = frozenset({ErrorKind.NO_UPSTREAM, ErrorKind.ARBITER_UNREACHABLE})
 
 
 class _Target(NamedTuple):
-    """Name the shard that arbitrates a request and the partition's epoch."""
+    """Identify the shard that arbitrates a request, and its partition and epoch."""
 
     shard: str
     partition: int = NO_PARTITION
@@ -48,23 +48,23 @@
 
 
 class Permits(Protocol):
-    """Give permits for attempts at upstreams."""
+    """Grant permits for attempts at upstreams."""
 
     def acquire(
-        self, routed: RoutedRequest, numbers: "AttemptNumbers"
+        self, routed: RoutedRequest, history: "AttemptNumbers"
     ) -> Result[RunningAttempt, Refusal]:
-        """Return a registered permit, or why there is none."""
+        """Return a registered permit or the refusal."""
         ...
 
     def note_outcome(
         self, routed: RoutedRequest, running: RunningAttempt, fenced: bool
     ) -> None:
-        """Learn whether an upstream accepted the owner's epoch."""
+        """Record whether the upstream accepted the partition's epoch."""
         ...
 
 
 class PermitStage:
-    """Ask arbiters for permits, once at a time per request."""
+    """Request permits from arbiters, one at a time for each request."""
 
     def __init__(
         self,
@@ -82,7 +82,7 @@
         self._guard = FenceGuard()
 
     def acquire(
-        self, routed: RoutedRequest, numbers: "AttemptNumbers"
+        self, routed: RoutedRequest, history: "AttemptNumbers"
     ) -> Result[RunningAttempt, Refusal]:
         """Return a registered permit.
 
@@ -92,41 +92,45 @@
         end_ms = min(routed.deadline_ms, now_ms + constants.PERMIT_WAIT_MS)
         last = Refusal(ErrorKind.DEADLINE_UNREACHABLE)
         while self._clock.now_ms() < end_ms:
-            result = self._ask(routed, numbers, end_ms)
+            result = self._request_permit(routed, history, end_ms)
             if isinstance(result, Success):
                 return result
             last = result.failure()
             if last.kind not in _RETRIED_KINDS:
                 return result
-            # All others may be gone; the upstream of a failed attempt is better
-            # than none.
-            numbers.excluded.clear()
+            # The excluded upstreams may be the only ones left, so a further
+            # request allows them again.
+            history.excluded.clear()
             left_ms = end_ms - self._clock.now_ms()
             self._feed.wait(min(_RETRY_PAUSE_MS, left_ms))
         return Failure(last)
 
-    def _ask(
-        self, routed: RoutedRequest, numbers: "AttemptNumbers", end_ms: float
+    def _request_permit(
+        self, routed: RoutedRequest, history: "AttemptNumbers", end_ms: float
     ) -> Result[RunningAttempt, Refusal]:
         target = self._target(routed)
         if target is None:
             return Failure(Refusal(ErrorKind.NO_UPSTREAM))
         if not self._owner_may_be_ready(routed, target):
-            refusal = Refusal(ErrorKind.NO_UPSTREAM, "the owner has no grant yet")
+            refusal = Refusal(
+                ErrorKind.NO_UPSTREAM, "the owner has no grant of the partition yet"
+            )
             return Failure(refusal)
-        number = numbers.next()
+        number = history.next()
         timeout_ms = end_ms - self._clock.now_ms() + _REPLY_MARGIN_MS
         row = self._arbiters.assignment(target.shard)
         node = row.node if row is not None else ""
-        settled = False
+        resolved = False
         try:
             call = self._arbiters.call(
                 target.shard,
-                lambda epoch: self._request(routed, target, numbers, end_ms, epoch),
+                lambda epoch: self._permit_request(
+                    routed, target, history, end_ms, epoch
+                ),
                 timeout_ms,
             )
             result = self._accept(routed, target, call)
-            settled = isinstance(result, Success) or isinstance(
+            resolved = isinstance(result, Success) or isinstance(
                 call.reply, PermitRefusal
             )
             return result
@@ -135,15 +139,18 @@
         except gevent.Timeout:
             return Failure(Refusal(ErrorKind.ARBITER_UNREACHABLE, "no reply"))
         finally:
-            if not settled:
-                # The permit may have been granted or may be granted later.
+            if not resolved:
+                # The arbiter may have granted the permit, or may still grant it.
                 cancel = PermitCancel(target.shard, routed.req.request_id, number)
                 self._arbiters.send(target.shard, cancel, node)
 
     def note_outcome(
         self, routed: RoutedRequest, running: RunningAttempt, fenced: bool
     ) -> None:
-        """Hold other requests back after a fenced one, until one has run."""
+        """Record the fencing of a partition, which holds other requests back.
+
+        They continue once a request for the partition has run.
+        """
         if not routed.is_keyed:
             return
         permit = running.permit
@@ -160,17 +167,17 @@
         partition = PartitionId(routed.service.name, target.partition)
         return self._guard.may_try(partition, target.epoch, self._clock.now_ms())
 
-    def _request(
+    def _permit_request(
         self,
         routed: RoutedRequest,
         target: _Target,
-        numbers: "AttemptNumbers",
+        history: "AttemptNumbers",
         end_ms: float,
         shard_epoch: int,
     ) -> PermitRequest:
         return PermitRequest(
             routed.req.request_id,
-            numbers.last,
+            history.last,
             target.shard,
             shard_epoch,
             target.partition,
@@ -179,7 +186,7 @@
             routed.workspace,
             routed.route.urgent,
             max(1, int(end_ms - self._clock.now_ms())),
-            list(numbers.excluded),
+            list(history.excluded),
         )
 
     def _accept(
@@ -191,8 +198,13 @@
         if not isinstance(reply, PermitGrant):
             return Failure(Refusal(ErrorKind.ARBITER_UNREACHABLE, "unexpected reply"))
         if self._arbiters.assignment(target.shard) != call.row:
-            # The new arbiter already counted the permits that this entry reported.
-            return Failure(Refusal(ErrorKind.ARBITER_UNREACHABLE, "shard has moved"))
+            # The new arbiter has counted only the permits that this entry had reported.
+            return Failure(
+                Refusal(
+                    ErrorKind.ARBITER_UNREACHABLE,
+                    "the shard has moved to another arbiter",
+                )
+            )
         permit = Permit(
             target.shard,
             reply.permit,
@@ -219,19 +231,19 @@
 
 
 class AttemptNumbers:
-    """Number the permit requests of one request and name upstreams to avoid."""
+    """Track the attempts of one request and the upstreams to exclude."""
 
     def __init__(self) -> None:
         self.last = 0
-        # Attempts of which an upstream may have received something.
+        # Number of attempts of which an upstream may have received data.
         self.sent = 0
         # The upstream of the last attempt.
         self.upstream = ""
         self.excluded: list[str] = []
-        # A repeat that was taken from the budget before its attempt began.
-        self.repeat_taken = False
+        # True if a retry was reserved from the budget before the attempt failed.
+        self.retry_reserved = False
 
     def next(self) -> int:
-        """Return the number of the next permit request."""
+        """Advance to the next permit request and return its number."""
         self.last += 1
         return self.last
--- a/bergamotdrift/stages/rate.py
+++ b/bergamotdrift/stages/rate.py
@@ -1,4 +1,4 @@
-"""Take a rate token for a request of a workspace."""
+"""Apply the rate limit of a workspace to its requests."""
 
 from typing import Any, Protocol
 
@@ -9,19 +9,21 @@
 
 
 class RateTokens(Protocol):
-    """Hand out the rate tokens of workspaces."""
+    """Provide the rate tokens of workspaces."""
 
     def acquire(self, workspace: str, deadline_ms: float) -> Result[Any, Refusal]:
-        """Use a token, or return why there is none."""
+        """Consume a token, or return the refusal if none is available."""
         ...
 
 
 def take_rate_token(
     routed: RoutedRequest, tokens: RateTokens
 ) -> Result[RoutedRequest, Refusal]:
-    """Return the request once it has a token (RATE_EXCEEDED, ARBITER_UNREACHABLE).
+    """Return the request after consuming a rate token for it.
 
-    A request without a workspace, on a route open to all, needs no token.
+    Kinds: RATE_EXCEEDED, ARBITER_UNREACHABLE.
+
+    An anonymous request on an open route needs no token.
     """
     if not routed.workspace:
         return Success(routed)
--- a/bergamotdrift/stages/route.py
+++ b/bergamotdrift/stages/route.py
@@ -1,4 +1,4 @@
-"""Find the route, service and routing key of a request."""
+"""Match requests to routes, services and routing keys."""
 
 import re
 from collections.abc import Iterable
@@ -20,20 +20,20 @@
 from bergamotdrift.routing_key import key_number
 
 _BAD_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
-# Most paths need no decoding and no checks.
+# Fast path: most paths need no decoding and no safety checks.
 _PLAIN_PATH = re.compile(r"(?:/[A-Za-z0-9_~-][A-Za-z0-9._~-]*)+")
 _ABSOLUTE_FORM = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
 _DEADLINE = re.compile(r"[0-9]{1,9}")
-_ANY_FURTHER = "*"
-# Stands for every service in the list that a workspace may use.
+_WILDCARD = "*"
+# In the services of a workspace, allows all services.
 ALL_SERVICES = "*"
 
 
-_SEGMENT_RANKS = {"{": 1, _ANY_FURTHER: 2}
+_SEGMENT_RANKS = {"{": 1, _WILDCARD: 2}
 
 
 class _Template(NamedTuple):
-    """Hold the segments of a route's path template."""
+    """Match paths against the segments of a route's path template."""
 
     route: RouteSettings
     segments: tuple[str, ...]
@@ -41,7 +41,7 @@
     def match(self, segments: list[str]) -> dict[str, str] | None:
         """Return the path variables, or None if the path does not match."""
         patterns = self.segments
-        if patterns[-1] == _ANY_FURTHER:
+        if patterns[-1] == _WILDCARD:
             patterns = patterns[:-1]
             if len(segments) <= len(patterns):
                 return None
@@ -61,14 +61,14 @@
 
 
 class _Match(NamedTuple):
-    """Hold a matched route and its path variables."""
+    """Pair a matched route with its path variables."""
 
     route: RouteSettings
     variables: dict[str, str]
 
 
 def split_path(target: str) -> list[str] | None:
-    """Return the decoded segments of a request target, or None if it is unsafe."""
+    """Return the decoded path segments of a request target, or None if unsafe."""
     if _PLAIN_PATH.fullmatch(target):
         return target[1:].split("/")
     path = _ABSOLUTE_FORM.sub("", target, count=1).partition("?")[0] or "/"
@@ -89,7 +89,7 @@
 def _is_safe(segment: str) -> bool:
     if segment in {".", ".."} or "/" in segment or "\\" in segment:
         return False
-    # Some servers cut path parameters off, so that "..;" names the parent folder.
+    # Some servers strip path parameters, so "..;" would name the parent directory.
     if segment.partition(";")[0] in {".", ".."}:
         return False
     return not any(ord(char) < 0x20 or ord(char) == 0x7F for char in segment)
@@ -109,9 +109,9 @@
             (_template(route) for route in settings.routes if not route.host),
             key=_Template.rank,
         )
-        self._of_hosts = _HostRoutes(settings.routes)
+        self._host_routes = _HostRoutes(settings.routes)
         self._splits = RouteSplits() if splits is None else splits
-        self._splits.follow(settings.routes)
+        self._splits.update_routes(settings.routes)
         self._ranks = {w.name: w.rank for w in settings.workspaces}
         self._services = {service.name: service for service in settings.services}
         self._allowed = {
@@ -126,9 +126,9 @@
 
         Kinds: MALFORMED_REQUEST, NO_ROUTE, METHOD_NOT_ALLOWED.
         """
-        of_host = self._of_hosts.match(host, target)
-        if of_host is not None:
-            return Success(_Match(of_host, {}))
+        host_route = self._host_routes.match(host, target)
+        if host_route is not None:
+            return Success(_Match(host_route, {}))
         segments = split_path(target)
         if segments is None:
             return Failure(Refusal(ErrorKind.MALFORMED_REQUEST, "unsafe path"))
@@ -143,36 +143,37 @@
         kind = ErrorKind.METHOD_NOT_ALLOWED if found else ErrorKind.NO_ROUTE
         return Failure(Refusal(kind))
 
-    def service_of(
-        self, route: RouteSettings, req: IncomingRequest, present: str = ""
+    def select_service(
+        self, route: RouteSettings, req: IncomingRequest, current_service: str = ""
     ) -> ServiceSettings:
-        """Return the service of a route that gets a request.
+        """Return the service that serves a request of a route.
 
-        One that was already routed stays with its `present` service if it can.
+        A request that was already routed keeps its `current_service` if the route still
+        has it.
         """
         if not route.split:
             return self._services[route.service]
-        if any(share.service == present for share in route.split):
-            return self._services[present]
+        if any(share.service == current_service for share in route.split):
+            return self._services[current_service]
         stated = req.header(self.dialect.routing_key.lower()) or ""
         return self._splits.next(route, self._services, stated, req.body.length)
 
     def rank_of(self, workspace: str) -> int | None:
-        """Return the rank of a workspace's requests, None to use the route's."""
+        """Return the priority rank of a workspace, or None to use the route's."""
         return self._ranks.get(workspace)
 
     def may_use(self, workspace: str, service: str) -> bool:
-        """Tell whether a workspace may use a service."""
+        """Return True if a workspace may use a service."""
         allowed = self._allowed.get(workspace, frozenset())
         return service in allowed or ALL_SERVICES in allowed
 
 
 class _HostRoutes:
-    """Find the route of a host whose prefix is the longest one of a path."""
+    """Match the routes of hosts by the longest path prefix."""
 
     def __init__(self, routes: Iterable[RouteSettings]):
         self._routes = {
-            (route.host, route.path.removesuffix(_ANY_FURTHER)): route
+            (route.host, route.path.removesuffix(_WILDCARD)): route
             for route in routes
             if route.host
         }
@@ -200,22 +201,23 @@
     req: IncomingRequest,
     identity: Result[str, Refusal],
     table: RouteTable,
-    present: str = "",
+    current_service: str = "",
 ) -> Result[RoutedRequest, Refusal]:
-    """Return the routed request (UNAUTHENTICATED, FORBIDDEN, MALFORMED_REQUEST).
+    """Return the routed and authorized request.
 
-    `present` names the service of a request that is checked against new settings.
+    `current_service` is the service of a request that is checked against new settings.
+    Kinds: those of RouteTable.match, UNAUTHENTICATED, FORBIDDEN, BODY_TOO_LARGE.
     """
     host = req.header("host") or ""
 
-    def admit(match: _Match) -> Result[RoutedRequest, Refusal]:
-        service = table.service_of(match.route, req, present)
-        return _admit(req, identity, table, match, service)
+    def authorize(match: _Match) -> Result[RoutedRequest, Refusal]:
+        service = table.select_service(match.route, req, current_service)
+        return _authorize(req, identity, table, match, service)
 
-    return table.match(req.method, req.target, host).bind(admit)
+    return table.match(req.method, req.target, host).bind(authorize)
 
 
-def _admit(
+def _authorize(
     req: IncomingRequest,
     identity: Result[str, Refusal],
     table: RouteTable,
@@ -230,10 +232,10 @@
             return Failure(Refusal(ErrorKind.FORBIDDEN))
     elif not table.may_use(workspace, service.name):
         workspace = ANONYMOUS
-    return _with_deadline(req, workspace, match, service, table)
+    return _build_routed_request(req, workspace, match, service, table)
 
 
-def _with_deadline(
+def _build_routed_request(
     req: IncomingRequest,
     workspace: str,
     match: _Match,
@@ -268,7 +270,7 @@
 def _routing_key(
     req: IncomingRequest, match: _Match, service: ServiceSettings, dialect: Dialect
 ) -> str | None:
-    """Return the routing key, empty in a pool, or None if there is no valid one."""
+    """Return the routing key, empty for a pool, or None if there is no valid key."""
     if service.kind is ServiceKind.RANGED:
         stated = req.header(dialect.routing_key.lower()) or ""
         return stated if key_number(stated) is not None else None
--- a/bergamotdrift/tests/entry_fakes.py
+++ b/bergamotdrift/tests/entry_fakes.py
@@ -1,4 +1,4 @@
-"""Small fakes at the interfaces of an entry: control, arbiter, upstream, caller."""
+"""Fakes of an entry's peers: control, arbiter, upstream and caller."""
 
 import itertools
 import unittest
@@ -110,7 +110,7 @@
 
 
 class FakeControl:
-    """Confirms sessions and pushes tables; `silent` stops all answers."""
+    """Confirms sessions and pushes tables; `silent` stops all replies."""
 
     def __init__(self):
         self.server = StreamServer(
@@ -144,7 +144,7 @@
 
 
 class FakeArbiter:
-    """Grants everything unless `answer` returns another reply for a message."""
+    """Grants every request unless `answer` returns another reply to the message."""
 
     def __init__(self, node="arb1"):
         self.node = node
@@ -193,10 +193,10 @@
 
 
 class FakeUpstream:
-    """Counts the requests that it reads whole and answers as scripted.
+    """Records complete requests and responds as scripted.
 
-    `script` maps a request's bytes to the bytes of its answer. None closes the
-    connection, a list of bytes is sent piece by piece, and `hold` delays.
+    `script` maps a request's bytes to the bytes of the response. None closes the
+    connection, and a list of bytes is sent part by part. `hold_s` delays responses.
     """
 
     def __init__(self, script=lambda data: OK_ANSWER):
@@ -218,11 +218,11 @@
                 answer = self.script(data)
                 if answer is None:
                     return
-                pieces = answer if isinstance(answer, list) else [answer]
-                for piece in pieces:
-                    sock.sendall(piece)
+                parts = answer if isinstance(answer, list) else [answer]
+                for part in parts:
+                    sock.sendall(part)
                     gevent.sleep(0)
-                if b"X-Close" in pieces[0]:
+                if b"X-Close" in parts[0]:
                     return
         except OSError:
             pass
@@ -232,7 +232,7 @@
 
 
 def read_message(sock):
-    """Return a request's head and stated body, or empty bytes at the end."""
+    """Return a request with its Content-Length body, or b"" at the end of input."""
     data = b""
     while b"\r\n\r\n" not in data:
         part = sock.recv(65536)
@@ -252,14 +252,14 @@
     return head + b"\r\n\r\n" + body
 
 
-class Answer:
-    """An answer as a caller saw it; `whole` is false when it was cut off."""
+class CallerResponse:
+    """A response as received by a caller; `complete` is False if it was truncated."""
 
-    def __init__(self, status, headers, body, whole):
+    def __init__(self, status, headers, body, complete):
         self.status = status
         self.headers = headers
         self.body = body
-        self.whole = whole
+        self.complete = complete
 
     @property
     def kind(self):
@@ -267,7 +267,7 @@
 
 
 class Caller:
-    """A caller with one connection."""
+    """HTTP client with one connection to an entry."""
 
     def __init__(self, address):
         self.sock = socket.create_connection(parse_address(address), timeout=5)
@@ -282,25 +282,27 @@
 
     def read(self, method="GET"):
         parser = HTTPResponse(method=method)
-        whole = True
+        complete = True
         while not (parser.message_complete and parser.status_code >= 200):
             try:
                 data = self.sock.recv(65536)
             except OSError:
                 data = b""
             if not data:
-                whole = False
+                complete = False
                 break
             parser.feed(data)
         headers = {k.lower(): v for k, v in parser.items()}
-        return Answer(parser.status_code, headers, bytes(parser._body_buffer), whole)
+        return CallerResponse(
+            parser.status_code, headers, bytes(parser._body_buffer), complete
+        )
 
     def ask(self, method, target, headers=(), body=b"", key=KEY):
         self.send(method, target, headers, body, key)
         return self.read(method)
 
     def raw(self, data):
-        """Send bytes and return all that comes back until the connection ends."""
+        """Send bytes and return all data received until the connection ends."""
         self.sock.sendall(data)
         received = b""
         try:
@@ -312,10 +314,10 @@
 
 
 class EntryTestCase(unittest.TestCase):
-    """Runs an entry against a fake control, arbiter and upstream."""
+    """Runs an entry with a fake control replica, arbiter and upstream."""
 
     settings = site_settings()
-    changes: dict = {}
+    settings_overrides: dict = {}
 
     def setUp(self):
         self.control = FakeControl()
@@ -324,7 +326,9 @@
         self.arbiter.addresses = [self.upstream.address]
         self.control.update = self.tables()
         address = self.control.server.address
-        self.entry = Entry(entry_settings(address, **self.changes), BootClock())
+        self.entry = Entry(
+            entry_settings(address, **self.settings_overrides), BootClock()
+        )
         self.entry.start()
         self.addCleanup(self.tear_down)
         self.assertTrue(self.entry.control.ready.wait(5))
--- a/bergamotdrift/tests/test_entry.py
+++ b/bergamotdrift/tests/test_entry.py
@@ -26,7 +26,7 @@
     def test_version(self):
         self.assertIn(__version__, run("--version").stdout)
 
-    def test_invalid_settings_are_named_and_stop_the_start(self):
+    def test_invalid_settings_are_reported_and_prevent_the_start(self):
         with tempfile.NamedTemporaryFile("w", suffix=".jsonc") as file:
             file.write('{"cluster": "x"}')
             file.flush()
@@ -36,7 +36,7 @@
 
 
 class ProcessTests(EntryTestCase):
-    """Run the entry as a process of its own against the fakes."""
+    """Runs the entry as a separate process against the fakes."""
 
     def setUp(self):
         super().setUp()
@@ -74,7 +74,7 @@
         self.wait_for_event("arbiter_connected")
 
     def wait_for_event(self, event):
-        """Return the fields of the next log line of an event."""
+        """Return the fields of the next log line with an event."""
         pool = get_hub().threadpool
         with gevent.Timeout(10):
             while True:
@@ -84,7 +84,7 @@
                 if fields.get("event") == event:
                     return fields
 
-    def test_sigterm_finishes_running_work_and_exits_with_0(self):
+    def test_sigterm_drains_in_flight_requests_and_exits_with_0(self):
         gevent.sleep(0.4)
         self.upstream.hold_s = 0.8
         caller, late = Caller(self.address), Caller(self.address)
--- a/bergamotdrift/tests/test_entry_node.py
+++ b/bergamotdrift/tests/test_entry_node.py
@@ -38,7 +38,7 @@
 
 
 class ForwardingTests(EntryTestCase):
-    def test_answer_returns_and_the_permit_is_released(self):
+    def test_response_is_returned_and_the_permit_is_released(self):
         answer = self.ask("GET", "/status/17")
         self.assertEqual((answer.status, answer.body), (200, OK_BODY))
         self.wait_until(lambda: self.arbiter.of_type(PermitRelease))
@@ -58,7 +58,7 @@
 
 
 class CallerGoneTests(EntryTestCase):
-    def test_leaving_caller_cancels_the_attempt_and_releases_the_permit(self):
+    def test_caller_disconnect_cancels_the_attempt_and_releases_the_permit(self):
         self.upstream.hold_s = 0.4
         caller = self.caller()
         caller.send("GET", "/status/1")
@@ -69,7 +69,7 @@
         self.wait_until(lambda: self.upstream.closed == 1)
         self.wait_until(lambda: self.entry.app.running == 0)
 
-    def test_caller_that_leaves_the_queue_cancels_its_permit_request(self):
+    def test_disconnect_of_a_queued_caller_cancels_its_permit_request(self):
         self.arbiter.answer = lambda m: (
             "silence" if isinstance(m, PermitRequest) else None
         )
@@ -87,8 +87,8 @@
         self.wait_until(lambda: self.arbiter.of_type(PermitRelease), 4.0)
 
 
-class WithdrawnKeyTests(EntryTestCase):
-    def test_withdrawn_key_stops_for_a_connected_caller(self):
+class RevokedKeyTests(EntryTestCase):
+    def test_revoked_key_is_refused_on_an_open_connection(self):
         caller = self.caller()
         self.assertEqual(caller.ask("GET", "/status/1").status, 200)
         workspaces = tuple(
@@ -101,7 +101,7 @@
         self.assertEqual(caller.ask("GET", "/status/1").kind, "unauthenticated")
         self.assertEqual(self.ask("GET", "/status/1", key="new").status, 200)
 
-    def test_key_withdrawn_while_its_request_waits_stops_the_request(self):
+    def test_key_revoked_while_its_request_waits_refuses_the_request(self):
         self.arbiter.answer = lambda m: (
             "silence" if isinstance(m, PermitRequest) else None
         )
@@ -145,7 +145,7 @@
         answer = job.get(timeout=constants.SESSION_TTL_MS / 1000)
         self.assertEqual(answer.kind, "outcome_unknown")
 
-    def test_attempts_go_on_while_the_arbiter_is_reachable(self):
+    def test_attempts_continue_while_the_arbiter_is_reachable(self):
         self.upstream.hold_s = 1.8
         job = gevent.spawn(self.ask, "POST", "/cases/1")
         self.wait_until(lambda: self.upstream.requests)
@@ -153,7 +153,7 @@
         self.assertEqual(job.get(timeout=3).status, 200)
 
     def test_permit_of_a_lost_session_is_not_used(self):
-        # A process that was paused between a grant and its use wakes up like this.
+        # Same state as in a process that was suspended between a grant and its use.
         self.control.silent = True
         self.wait_until(lambda: not self.entry.control.session_is_valid())
         with mock.patch.object(
@@ -179,7 +179,7 @@
         nodes = [*self.control.update.nodes, row]
         self.control.push(nodes=nodes, shards=shards)
 
-    def test_new_arbiter_learns_what_the_entry_holds(self):
+    def test_entry_reports_permits_and_records_to_the_new_arbiter(self):
         headers = [("Idempotency-Key", "k1")]
         self.ask("GET", "/cases/1")
         self.upstream.hold_s = 0.5
@@ -204,8 +204,8 @@
         self.wait_until(lambda: len(self.second.of_type(PermitRelease)) == 2)
 
     def test_grant_of_the_previous_arbiter_is_not_used_after_the_move(self):
-        # The new arbiter does not know of a permit that was granted after the
-        # entry's report.
+        # The new arbiter knows only the permits that the entry reported, not one that
+        # was granted afterwards.
         self.arbiter.answer = lambda m: (
             "silence" if isinstance(m, PermitRequest) else None
         )
@@ -221,7 +221,7 @@
         self.assertEqual(self.second.of_type(PermitRelease)[0].permit, "p1")
         self.assertTrue(self.arbiter.of_type(PermitCancel))
 
-    def test_permit_is_cancelled_before_the_request_asks_again(self):
+    def test_refused_permit_request_is_retried_without_a_cancel(self):
         def refuse_first(msg):
             if isinstance(msg, PermitRequest) and msg.attempt == 1:
                 return PermitRefusal(ErrorKind.NO_UPSTREAM)
@@ -233,7 +233,7 @@
 
 
 class ZoneOutTests(EntryTestCase):
-    def test_entry_turns_unready_at_once_and_refuses_after_the_grace(self):
+    def test_entry_is_unready_at_once_and_refuses_after_the_grace_period(self):
         self.assertTrue(self.entry.is_ready())
         zones = (ZoneSettings("a", ZoneState.OUT), ZoneSettings("b", ZoneState.IN))
         self.control.push(settings=site_settings(zones=zones), revision=2)
@@ -247,7 +247,7 @@
 
 
 class ShutdownTests(EntryTestCase):
-    def test_running_work_finishes_and_new_work_is_refused(self):
+    def test_in_flight_requests_finish_and_new_ones_are_refused(self):
         self.arbiter.answer = lambda m: (
             TokenGrant(5, 200, 0) if isinstance(m, TokenRequest) else None
         )
--- a/bergamotdrift/tests/test_failure_lines.py
+++ b/bergamotdrift/tests/test_failure_lines.py
@@ -10,37 +10,37 @@
 from bergamotdrift.tests.direct_entry import BUSY, OK, DirectEntryTestCase
 from bergamotdrift.tests.entry_fakes import KEY, Caller
 
-HELD = RangeRow("keys", 0, 999, "k0", "1", 4, PartitionState.OWNED)
+OWNED_RANGE = RangeRow("keys", 0, 999, "k0", "1", 4, PartitionState.OWNED)
 
 
-class Lines:
-    """Takes the log lines of a test."""
+class LogCapture:
+    """Captures the log lines of a test."""
 
     def __init__(self):
-        self.text = []
+        self.captured = []
 
     def write(self, line):
-        self.text.append(line)
+        self.captured.append(line)
 
 
 class FailureLinesTests(DirectEntryTestCase):
-    """Guards against failed requests whose lines do not name the cause.
+    """Guards against failed requests whose log lines do not state the cause.
 
-    Each test brings one failure about and reads only the lines with the request's id.
+    Each test causes one failure and reads only the lines with the request's id.
     """
 
     def setUp(self):
-        self.lines = Lines()
-        destination = LineDestination(self.lines)
+        self.log = LogCapture()
+        destination = LineDestination(self.log)
         eliot.add_destinations(destination)
         self.addCleanup(eliot.remove_destination, destination)
         super().setUp()
 
-    def assert_named(self, *parts, request="a1"):
-        """Check that one line with the request's id holds all parts."""
-        own = [line for line in self.lines.text if f"request={request} " in line]
-        found = [line for line in own if all(part in line for part in parts)]
-        self.assertTrue(found, f"{parts} not in one of {own}")
+    def assert_logged(self, *parts, request="a1"):
+        """Check that one line with the request's id contains all parts."""
+        matching = [line for line in self.log.captured if f"request={request} " in line]
+        found = [line for line in matching if all(part in line for part in parts)]
+        self.assertTrue(found, f"{parts} not in one of {matching}")
 
     def ask_key(self, key=7):
         return self.ask("/keys/1", headers=[("Shard-Key", str(key))])
@@ -50,44 +50,44 @@
 
     def test_unknown_workspace_key(self):
         self.assertEqual(self.ask("/look/1", key="no").status, 401)
-        self.assert_named("event=request_refused", "kind=unauthenticated")
+        self.assert_logged("event=request_refused", "kind=unauthenticated")
 
     def test_path_without_a_route(self):
         self.assertEqual(self.ask("/none/1").status, 404)
-        self.assert_named("event=request_refused", "kind=no_route", "settings_age_ms=")
+        self.assert_logged("event=request_refused", "kind=no_route", "settings_age_ms=")
 
     def test_settings_that_can_not_be_confirmed(self):
         self.control.silent = True
         gevent.sleep(SETTINGS_STALE_MS / 1000.0 + 0.3)
         self.assertEqual(self.ask("/look/1").status, 503)
-        self.assert_named("kind=settings_stale", "stage=admit", "settings_age_ms=3")
+        self.assert_logged("kind=settings_stale", "stage=admit", "settings_age_ms=3")
 
     def test_rate_that_is_used_up(self):
         self.control.withholds_rates = True
         self.assertEqual(self.ask("/look/1").status, 429)
-        self.assert_named("kind=rate_exceeded", "no tokens left for w1 at 1000/s")
+        self.assert_logged("kind=rate_exceeded", "no tokens left for w1 at 1000/s")
 
     def test_key_without_a_holder(self):
         self.assertEqual(self.ask_key(5000).status, 503)
-        self.assert_named("kind=no_upstream", "no upstream holds the key")
+        self.assert_logged("kind=no_upstream", "no upstream holds the key")
 
     def test_key_that_changes_its_upstream(self):
-        self.push(ranges=[HELD._replace(state=PartitionState.RELEASING)])
+        self.push(ranges=[OWNED_RANGE._replace(state=PartitionState.RELEASING)])
         gevent.sleep(0.05)
         self.assertEqual(self.ask_key().status, 503)
-        self.assert_named("the key is changing its upstream", "service=keys")
+        self.assert_logged("the key is changing its upstream", "service=keys")
 
     def test_upstreams_that_all_leave(self):
         self.push(upstreams=self.states(UpstreamState.LEAVING))
         gevent.sleep(0.05)
         self.assertEqual(self.ask("/look/1").status, 503)
-        self.assert_named("kind=no_upstream", "leaving")
+        self.assert_logged("kind=no_upstream", "leaving")
 
     def test_zone_that_is_evacuated(self):
         self.push(evacuated=["a"])
         gevent.sleep(0.05)
         self.assertEqual(self.ask_key().status, 503)
-        self.assert_named("kind=no_upstream", "evacuated at k0")
+        self.assert_logged("kind=no_upstream", "evacuated at k0")
 
     def test_upstream_in_its_cold_start(self):
         self.push(upstreams=self.states(UpstreamState.COLD))
@@ -96,7 +96,7 @@
             headers = [("Shard-Key", "7"), ("Attempt-Id", f"b{number}")]
             self.ask("/keys/1", headers=headers)
         self.ask_key()
-        self.assert_named("cold at k0")
+        self.assert_logged("cold at k0")
 
     def test_upstream_that_is_full(self):
         self.upstreams[0].hold_s = 0.8
@@ -109,57 +109,57 @@
         ]
         gevent.sleep(0.1)
         self.assertEqual(self.ask_key().status, 503)
-        self.assert_named("kind=queue_full", "full at k0", "of this entry")
+        self.assert_logged("kind=queue_full", "full at k0", "of this entry")
         gevent.joinall(jobs, timeout=3)
 
     def test_upstream_that_sheds(self):
         self.answer_all(lambda data: BUSY)
         self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 503)
-        self.assert_named("event=attempt_failed", "outcome=shed", "not_run=true")
-        self.assert_named("event=request_refused", "kind=upstream_shed")
+        self.assert_logged("event=attempt_failed", "outcome=shed", "not_run=true")
+        self.assert_logged("event=request_refused", "kind=upstream_shed")
 
     def test_upstream_without_an_answer(self):
         for upstream in self.upstreams:
             upstream.hold_s = 3.0
         self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 504)
-        self.assert_named("event=attempt_failed", "outcome=timeout", "upstream=i")
-        self.assert_named("event=outcome_not_known", "kind=upstream_timeout")
+        self.assert_logged("event=attempt_failed", "outcome=timeout", "upstream=i")
+        self.assert_logged("event=outcome_not_known", "kind=upstream_timeout")
 
     def test_connection_that_breaks(self):
         self.answer_all(lambda data: None)
         self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 502)
-        self.assert_named("outcome=broken", "not_run=false", "sent=1")
+        self.assert_logged("outcome=broken", "not_run=false", "sent=1")
 
     def test_answer_to_another_request(self):
-        late = OK.replace(b"Backend-Load", b"Attempt-Id: old\r\nBackend-Load")
-        self.answer_all(lambda data: late)
+        misdirected = OK.replace(b"Backend-Load", b"Attempt-Id: old\r\nBackend-Load")
+        self.answer_all(lambda data: misdirected)
         self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 502)
-        self.assert_named("outcome=broken", "another request")
+        self.assert_logged("outcome=broken", "another request")
 
     def test_upstream_that_refuses_connections(self):
         for upstream in self.upstreams:
             upstream.server.stop(timeout=0)
         self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 503)
-        self.assert_named("outcome=connect_failed", "not_run=true")
+        self.assert_logged("outcome=connect_failed", "not_run=true")
 
     def test_caller_that_leaves(self):
         self.upstreams[0].hold_s = self.upstreams[1].hold_s = 1.0
         caller = Caller(self.entry.server.address)
-        named = [("Attempt-Id", "a1"), ("Deadline-Ms", "900")]
-        caller.send("POST", "/order/1", named, b"x", KEY)
+        headers = [("Attempt-Id", "a1"), ("Deadline-Ms", "900")]
+        caller.send("POST", "/order/1", headers, b"x", KEY)
         gevent.sleep(0.2)
         caller.sock.close()
         with contextlib.suppress(gevent.Timeout), gevent.Timeout(1.0):
-            while not any("caller_gone" in line for line in self.lines.text):
+            while not any("caller_gone" in line for line in self.log.captured):
                 gevent.sleep(0.01)
-        self.assert_named("event=attempt_cancelled", "upstream=i", "after_ms=")
-        self.assert_named("event=caller_gone")
+        self.assert_logged("event=attempt_cancelled", "upstream=i", "after_ms=")
+        self.assert_logged("event=caller_gone")
 
     def test_process_that_stops(self):
         stopping = gevent.spawn(self.entry.stop)
         gevent.sleep(0.1)
         self.assertEqual(self.ask("/look/1").status, 503)
-        self.assert_named("kind=shutting_down")
+        self.assert_logged("kind=shutting_down")
         stopping.join(timeout=5)
 
 
--- a/bergamotdrift/tests/test_forward.py
+++ b/bergamotdrift/tests/test_forward.py
@@ -18,9 +18,9 @@
 
 
 class AtMostOnceTests(EntryTestCase):
-    """Guard against libraries or connections that repeat a request by themselves."""
+    """Guards against HTTP libraries or connections that resend a request."""
 
-    def test_no_method_is_sent_twice_when_the_upstream_closes_unanswered(self):
+    def test_no_method_is_resent_when_the_upstream_closes_without_a_response(self):
         self.upstream.script = lambda data: None
         for method in METHODS:
             with self.subTest(method=method):
@@ -29,7 +29,7 @@
                 self.assertEqual((answer.status, answer.kind), (502, "outcome_unknown"))
                 self.assertEqual(len(self.upstream.requests), 1)
 
-    def test_no_method_is_sent_twice_on_a_reused_connection(self):
+    def test_no_method_is_resent_on_a_reused_connection(self):
         for method in METHODS:
             with self.subTest(method=method):
                 self.upstream.script = lambda data: OK_ANSWER
@@ -49,12 +49,12 @@
         self.assertEqual(len(self.upstream.requests), 2)
 
 
-class TruncatedAnswerTests(EntryTestCase):
-    def assert_not_whole(self, answer):
-        self.assertFalse(answer.whole and answer.status == 200)
+class TruncatedResponseTests(EntryTestCase):
+    def assert_not_complete(self, answer):
+        self.assertFalse(answer.complete and answer.status == 200)
 
-    def test_truncated_answers_are_never_whole(self):
-        for cut in (
+    def test_truncated_responses_are_never_complete(self):
+        for truncated in (
             head(10) + b"abc",
             head(200_000) + b"a" * 100_000,
             CHUNKED + b"5\r\nab",
@@ -63,28 +63,31 @@
             b"HTTP/1.1 200 OK\r\nContent-",
             b"not http at all\r\n\r\n",
         ):
-            with self.subTest(cut=cut[:60]):
-                self.upstream.script = lambda data, cut=cut: [cut, b""]
+            with self.subTest(truncated=truncated[:60]):
+                self.upstream.script = lambda data, truncated=truncated: [
+                    truncated,
+                    b"",
+                ]
                 self.upstream.server.set_handle(self.serve_once)
-                self.assert_not_whole(self.ask("POST", "/cases/1"))
+                self.assert_not_complete(self.ask("POST", "/cases/1"))
         self.wait_until(lambda: not self.entry.registry.shards())
 
     def serve_once(self, sock, _address):
         sock.recv(65536)
-        for piece in self.upstream.script(b""):
-            sock.sendall(piece)
+        for part in self.upstream.script(b""):
+            sock.sendall(part)
         sock.close()
 
-    def test_truncated_small_answer_of_an_idempotent_request_is_repeated(self):
-        cut = b"HTTP/1.1 200 OK\r\nX-Close: 1\r\nContent-Length: 10\r\n\r\nabc"
-        answers = [cut, OK_ANSWER]
+    def test_truncated_small_response_to_an_idempotent_request_is_retried(self):
+        truncated = b"HTTP/1.1 200 OK\r\nX-Close: 1\r\nContent-Length: 10\r\n\r\nabc"
+        answers = [truncated, OK_ANSWER]
         self.upstream.script = lambda data: answers.pop(0)
         answer = self.ask("GET", "/status/1")
         self.assertEqual((answer.status, answer.body), (200, OK_BODY))
 
 
-class CrossedAnswerTests(EntryTestCase):
-    def test_late_answer_never_reaches_another_caller(self):
+class MisdirectedResponseTests(EntryTestCase):
+    def test_late_response_never_reaches_another_caller(self):
         def script(data):
             if b"late" in data:
                 gevent.sleep(0.3)
@@ -98,7 +101,7 @@
             self.assertEqual(self.ask("GET", "/status/1").body, OK_BODY)
             gevent.sleep(0.02)
 
-    def test_connection_with_data_after_the_answer_is_not_reused(self):
+    def test_connection_with_data_after_the_response_is_not_reused(self):
         self.upstream.script = lambda data: OK_ANSWER + head(5) + b"EXTRA"
         for _ in range(3):
             self.assertEqual(self.ask("GET", "/status/1").body, OK_BODY)
@@ -111,7 +114,7 @@
         self.assertEqual(self.ask("GET", "/status/1").body, OK_BODY)
         self.assertEqual(len(self.upstream.connections), 2)
 
-    def test_concurrent_callers_get_their_own_answers(self):
+    def test_concurrent_callers_get_their_own_responses(self):
         def script(data):
             name = data.split(b" ")[1].rpartition(b"/")[2]
             gevent.sleep(0.002 * (hash(name) % 5))
@@ -124,8 +127,8 @@
         self.assertEqual([job.value.body.decode() for job in jobs], names)
 
 
-class ConnectionKeepingTests(EntryTestCase):
-    def test_connection_is_closed_unless_the_grant_allows_to_keep_it(self):
+class ConnectionReuseTests(EntryTestCase):
+    def test_connection_is_closed_unless_the_grant_allows_reuse(self):
         self.arbiter.may_keep = False
         self.ask("GET", "/status/1")
         self.wait_until(lambda: self.upstream.closed == 1)
@@ -139,7 +142,7 @@
 
 
 class FramingTests(EntryTestCase):
-    def test_answers_without_a_body_keep_the_connection(self):
+    def test_responses_without_a_body_keep_the_connection(self):
         caller = self.caller()
         for method, answer, status in (
             ("HEAD", head(12345), 200),
@@ -153,7 +156,7 @@
                 self.upstream.script = lambda data, answer=answer: answer
                 self.assertEqual(caller.ask(method, "/cases/1").status, status)
 
-    def test_hop_by_hop_headers_are_removed_both_ways(self):
+    def test_hop_by_hop_headers_are_removed_in_both_directions(self):
         self.upstream.script = lambda data: (
             b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: x-gone\r\n"
             b"X-Gone: 1\r\nKeep-Alive: 1\r\nX-Stays: 1\r\n\r\ndone"
@@ -172,7 +175,7 @@
         for name in (b"x-mine", b"\nte:", b"x-epoch: 9"):
             self.assertNotIn(name, seen)
 
-    def test_chunked_upload_is_passed_on_whole(self):
+    def test_chunked_upload_is_forwarded_completely(self):
         self.upstream.script = lambda data: OK_ANSWER
         lines = (
             "PUT /files/a HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-of-w1\r\n"
@@ -200,11 +203,15 @@
             )
         )
     )
-    def test_own_and_hop_by_hop_headers_never_pass(self, lines):
-        named = connection_tokens({"connection": [v for n, v in lines if n[0] == "C"]})
-        for line in end_to_end([HeaderLine(*line) for line in lines], named):
+    def test_reserved_and_hop_by_hop_headers_are_not_forwarded(self, lines):
+        connection_options = connection_tokens({
+            "connection": [v for n, v in lines if n[0] == "C"]
+        })
+        for line in end_to_end(
+            [HeaderLine(*line) for line in lines], connection_options
+        ):
             self.assertTrue(line.startswith("X-A: "))
-            self.assertNotIn("x-a", named)
+            self.assertNotIn("x-a", connection_options)
 
 
 if __name__ == "__main__":
--- a/bergamotdrift/tests/test_pipeline.py
+++ b/bergamotdrift/tests/test_pipeline.py
@@ -46,7 +46,7 @@
 
 
 def grant_once(granted, refusal):
-    """Grant the first permit request as usual, and refuse all others."""
+    """Grant the first permit request as usual and refuse all further ones."""
 
     def answer(msg):
         if not isinstance(msg, PermitRequest):
@@ -58,7 +58,7 @@
 
 
 class NotRunTests(EntryTestCase):
-    """Hold each refusal that says "not run" against what the upstream read."""
+    """Checks each "not run" refusal against the requests that the upstream read."""
 
     def assert_not_run(self, answer, kind, requests=0):
         expected = ANSWERS[ErrorKind(kind)]
@@ -68,7 +68,7 @@
         self.assertTrue(body["request_id"])
         self.assertEqual(len(self.upstream.requests), requests)
 
-    def test_refusals_before_any_other_process_is_asked(self):
+    def test_refusals_without_a_call_to_another_process(self):
         for kind, args, kwargs in (
             ("malformed_request", ("GET", "/cases/%2e%2e"), {}),
             ("unauthenticated", ("GET", "/cases/1"), {"key": ""}),
@@ -86,8 +86,8 @@
         caller.send("PUT", "/files/a", [("Content-Length", str(1 << 30))])
         self.assert_not_run(caller.read(), "body_too_large")
 
-    def test_refused_body_is_not_invited(self):
-        # A caller that waits for 100 must not send a body that nobody reads.
+    def test_refused_request_gets_no_100_continue(self):
+        # A caller that expects 100 Continue must not be asked for an unused body.
         caller = self.caller()
         lines = [("Expect", "100-continue"), ("Content-Length", "5")]
         caller.send("POST", "/cases/1", lines, key="")
@@ -95,7 +95,7 @@
         self.assert_not_run(answer, "unauthenticated")
         self.assertEqual(answer.headers["connection"], "close")
 
-    def test_body_that_stops_before_it_was_forwarded(self):
+    def test_incomplete_body_that_was_not_forwarded(self):
         caller = self.caller()
         caller.send("POST", "/cases/1", [("Content-Length", "10")])
         self.assert_not_run(caller.read(), "request_timeout")
@@ -109,7 +109,7 @@
                 self.assert_not_run(answer, kind)
                 self.assertEqual(answer.headers["retry-after"], "7")
 
-    def test_exceeded_rate_names_when_to_retry(self):
+    def test_exceeded_rate_states_when_to_retry(self):
         self.arbiter.answer = replies(TokenRequest, TokenGrant(0, 200, 2500))
         answer = self.ask("POST", "/cases/1")
         self.assert_not_run(answer, "rate_exceeded")
@@ -143,7 +143,7 @@
         self.assert_not_run(self.ask("POST", "/cases/1", SHORT), "no_upstream")
 
     def test_unconfirmed_settings_deny_neither_routes_nor_keys(self):
-        """A route that was added elsewhere would be refused for good with 404."""
+        """Guards against a final 404 for a route that a newer revision has added."""
         self.assert_not_run(self.ask("GET", "/else"), "no_route")
         self.control.silent = True
         age_ms = self.entry.control.settings_age_ms
@@ -189,13 +189,13 @@
         self.upstream.hold_s = 0.5
         self.assert_unknown(self.ask("POST", "/cases/1", SHORT), "upstream_timeout")
 
-    def test_upload_cut_off_halfway(self):
+    def test_interrupted_upload(self):
         caller = self.caller()
         caller.send("PUT", "/files/a", [("Content-Length", "200000")])
         caller.sock.sendall(b"a" * 100_000)
         self.assertEqual(caller.read().kind, "outcome_unknown")
 
-    def test_fault_of_the_entry_is_reported_and_releases_the_permit(self):
+    def test_internal_error_is_reported_and_releases_the_permit(self):
         forward = self.entry.app._pipeline._stages.forward
         with mock.patch.object(forward, "_head", side_effect=KeyError("fault")):
             answer = self.ask("POST", "/cases/1")
@@ -217,7 +217,7 @@
 
 
 class RetryTests(EntryTestCase):
-    def test_shed_request_is_repeated_with_its_body(self):
+    def test_shed_request_is_retried_with_its_body(self):
         answers = [SHED, FENCED, OK_ANSWER]
         self.upstream.script = lambda data: answers.pop(0)
         answer = self.ask("POST", "/cases/1", body=b"payload")
@@ -240,14 +240,14 @@
         gevent.joinall(jobs, timeout=5)
         self.assertEqual([job.value.status for job in jobs], [200] * 21)
 
-    def test_pool_request_names_the_failed_upstream(self):
+    def test_retry_in_a_pool_excludes_the_failed_upstream(self):
         answers = [SHED, OK_ANSWER]
         self.upstream.script = lambda data: answers.pop(0)
         self.assertEqual(self.ask("PUT", "/files/1", body=b"x").status, 200)
         excluded = [msg.excluded for msg in self.arbiter.of_type(PermitRequest)]
         self.assertEqual(excluded, [[], ["u1"]])
 
-    def test_refused_connection_is_repeated_elsewhere(self):
+    def test_refused_connection_is_retried_at_another_upstream(self):
         gone = FakeUpstream()
         gone.server.stop()
         self.arbiter.addresses = [gone.address, self.upstream.address]
@@ -260,7 +260,7 @@
             self.arbiter.addresses = [gone.address, self.upstream.address]
             self.assertEqual(self.ask("POST", "/cases/1").status, 200)
 
-    def test_only_idempotent_requests_of_unknown_outcome_are_repeated(self):
+    def test_only_idempotent_requests_of_unknown_outcome_are_retried(self):
         for method, target, expected in (
             ("GET", "/status/1", 200),
             ("POST", "/cases/1", 502),
@@ -269,7 +269,7 @@
             self.upstream.script = lambda data, answers=answers: answers.pop(0)
             self.assertEqual(self.ask(method, target).status, expected)
 
-    def test_large_upload_is_not_repeated(self):
+    def test_large_upload_is_not_retried(self):
         self.upstream.script = lambda data: SHED
         body = b"x" * (constants.RETRY_BODY_BYTES + 1)
         self.assertEqual(self.ask("PUT", "/files/1", body=body).kind, "upstream_shed")
@@ -285,21 +285,21 @@
 class IdempotencyTests(EntryTestCase):
     HEADERS = [("Idempotency-Key", "k1")]
 
-    def test_first_use_runs_and_its_answer_is_saved(self):
+    def test_first_request_runs_and_its_response_is_saved(self):
         self.assertEqual(self.ask("POST", "/cases/1", self.HEADERS).status, 200)
         self.wait_until(lambda: self.arbiter.of_type(RecordEnd))
         end = self.arbiter.of_type(RecordEnd)[0]
         self.assertEqual((end.forget, end.answer.body), (False, OK_BODY))
         self.assertNotIn("k1", end.key_digest)
 
-    def test_resend_gets_the_saved_answer(self):
+    def test_repeated_request_gets_the_saved_response(self):
         saved = SavedAnswer(201, [], b"saved")
         self.arbiter.answer = replies(RecordBegin, RecordReply(RecordState.DONE, saved))
         answer = self.ask("POST", "/cases/1", self.HEADERS)
         self.assertEqual((answer.status, answer.body), (201, b"saved"))
         self.assertEqual(self.upstream.requests, [])
 
-    def test_end_tells_not_run_and_unknown_apart(self):
+    def test_record_end_distinguishes_not_run_from_unknown(self):
         for answer, forget in ((SHED, True), (None, False)):
             self.arbiter.received.clear()
             self.upstream.script = lambda data, answer=answer: answer
--- a/bergamotdrift/tests/test_retry_policy.py
+++ b/bergamotdrift/tests/test_retry_policy.py
@@ -6,18 +6,18 @@
 from bergamotdrift.retry_policy import Attempt, RetryBudget, may_repeat
 
 
-class RulesTests(unittest.TestCase):
-    def test_non_idempotent_request_of_unknown_outcome_is_never_repeated(self):
+class RetryRulesTests(unittest.TestCase):
+    def test_non_idempotent_request_of_unknown_outcome_is_never_retried(self):
         self.assertFalse(may_repeat(Attempt(False, False, True, 1000)))
 
-    def test_not_run_or_idempotent_is_repeated_if_the_body_can_be_resent(self):
+    def test_not_run_or_idempotent_is_retried_if_the_body_can_be_resent(self):
         for not_run, idempotent in ((True, False), (False, True)):
             self.assertTrue(may_repeat(Attempt(not_run, idempotent, True, 1)))
             self.assertFalse(may_repeat(Attempt(not_run, idempotent, False, 1)))
             self.assertFalse(may_repeat(Attempt(not_run, idempotent, True, 0)))
 
 
-class BudgetTests(unittest.TestCase):
+class RetryBudgetTests(unittest.TestCase):
     @settings(max_examples=100, deadline=None)
     @given(st.lists(st.tuples(st.booleans(), st.integers(0, 200)), max_size=300))
     def test_retries_of_a_second_stay_within_the_budget(self, steps):
--- a/bergamotdrift/tests/test_route.py
+++ b/bergamotdrift/tests/test_route.py
@@ -16,7 +16,7 @@
 KEYS = KeyIndex(SETTINGS)
 
 
-class NoBody:
+class EmptyBody:
     length: int | None = 0
 
     def read(self, size):
@@ -29,7 +29,7 @@
     for name, value in lines:
         fields.setdefault(name.lower(), []).append(value)
     return IncomingRequest(
-        "r1", method, target, lines, fields, "127.0.0.1", 100.0, NoBody()
+        "r1", method, target, lines, fields, "127.0.0.1", 100.0, EmptyBody()
     )
 
 
@@ -80,7 +80,7 @@
                     {ErrorKind.MALFORMED_REQUEST, ErrorKind.NO_ROUTE},
                 )
 
-    def test_deadline_is_the_lesser_of_caller_and_service(self):
+    def test_deadline_is_the_earlier_of_caller_and_service(self):
         for stated, expected in (("500", 600.0), ("999999", 2100.0)):
             result = routed("GET", "/cases/1", headers=[("X-Deadline-Ms", stated)])
             self.assertEqual(result.unwrap().deadline_ms, expected)
@@ -106,22 +106,22 @@
 
 
 class AuthenticateTests(unittest.TestCase):
-    def identify(self, *values):
+    def authenticate(self, *values):
         headers = [("Authorization", value) for value in values]
         return authenticate(request("GET", "/", headers), KEYS)
 
-    def test_key_names_its_workspace(self):
-        self.assertEqual(self.identify(f"Bearer {KEY}").unwrap(), "w1")
-        self.assertEqual(self.identify().unwrap(), ANONYMOUS)
+    def test_key_identifies_its_workspace(self):
+        self.assertEqual(self.authenticate(f"Bearer {KEY}").unwrap(), "w1")
+        self.assertEqual(self.authenticate().unwrap(), ANONYMOUS)
 
-    def test_unknown_malformed_or_doubled_keys_are_refused(self):
+    def test_unknown_malformed_or_repeated_keys_are_refused(self):
         good = f"Bearer {KEY}"
         for values in (("Bearer x",), ("Basic x",), (KEY,), ("Bearer",), (good, good)):
             with self.subTest(values=values):
-                self.assertIsInstance(self.identify(*values), Failure)
+                self.assertIsInstance(self.authenticate(*values), Failure)
 
     @settings(max_examples=300, deadline=None)
     @given(st.text(max_size=60))
     def test_no_other_text_is_accepted(self, text):
-        result = self.identify("Bearer " + text)
+        result = self.authenticate("Bearer " + text)
         self.assertEqual(isinstance(result, Success), text.strip() == KEY)
