Rename modules of upstream selection and slow start

Cause: choice, cold share and probe pause are terms of this project alone. Change: direct_choice, upstream_choice, cold_share and probe_pause become direct_selection, upstream_selection, cold_start_share and probe_backoff, with their tests and imports; nothing else, so that history follows the files.

--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -6,8 +6,8 @@
 from bergamotdrift.attempts import AttemptRegistry
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import EntrySettings, ServiceSettings
-from bergamotdrift.direct_choice import DirectChoice
 from bergamotdrift.direct_permits import DirectPermits
+from bergamotdrift.direct_selection import DirectChoice
 from bergamotdrift.messages import (
     FeedUpdate,
     KeyLoad,
--- a/bergamotdrift/direct_load.py
+++ b/bergamotdrift/direct_load.py
@@ -9,7 +9,7 @@
     UpstreamRow,
     UpstreamState,
 )
-from bergamotdrift.probe_pause import ProbePause
+from bergamotdrift.probe_backoff import ProbePause
 
 # A stated load says little about the present after this time.
 _LOAD_SPAN_MS = 400.0
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -16,14 +16,14 @@
 from bergamotdrift.attempts import AttemptRegistry, RunningAttempt
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import ServiceKind
-from bergamotdrift.direct_choice import (
+from bergamotdrift.direct_load import DirectLoad
+from bergamotdrift.direct_selection import (
     Blocked,
     Chosen,
     DirectChoice,
     Patience,
     cold_ms,
 )
-from bergamotdrift.direct_load import DirectLoad
 from bergamotdrift.exceptions import ErrorKind, Refusal
 from bergamotdrift.fence_guard import FenceGuard
 from bergamotdrift.messages import KeyLoad
--- a/bergamotdrift/direct_choice.py
+++ b/bergamotdrift/direct_selection.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from bergamotdrift.cold_share import ColdShare
+from bergamotdrift.cold_start_share import ColdShare
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.direct_load import DirectLoad
 from bergamotdrift.messages import (
--- a/bergamotdrift/tests/test_cold_share.py
+++ b/bergamotdrift/tests/test_cold_start_share.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bergamotdrift.cold_share import ColdShare
+from bergamotdrift.cold_start_share import ColdShare
 
 
 class ColdShareTests(unittest.TestCase):
--- a/bergamotdrift/tests/test_direct_choice.py
+++ b/bergamotdrift/tests/test_direct_selection.py
@@ -11,7 +11,7 @@
     ZoneSettings,
     ZoneState,
 )
-from bergamotdrift.direct_choice import Blocked, Chosen, DirectChoice
+from bergamotdrift.direct_selection import Blocked, Chosen, DirectChoice
 from bergamotdrift.messages import (
     FeedUpdate,
     NodeRow,
--- a/bergamotdrift/upstream_load.py
+++ b/bergamotdrift/upstream_load.py
@@ -9,7 +9,7 @@
     UpstreamState,
 )
 from bergamotdrift.observations import LoadHint, Observations
-from bergamotdrift.probe_pause import ProbePause
+from bergamotdrift.probe_backoff import ProbePause
 
 # One timeout may be the request's own; two in a row without an answer are silence.
 _SILENT_TIMEOUTS = 2
--- a/bergamotdrift/upstream_pool.py
+++ b/bergamotdrift/upstream_pool.py
@@ -12,14 +12,14 @@
 from bergamotdrift.permit_table import Permit
 from bergamotdrift.shard_view import ShardView
 from bergamotdrift.takeover import EntryId
-from bergamotdrift.upstream_choice import (
+from bergamotdrift.upstream_load import UpstreamLoad
+from bergamotdrift.upstream_selection import (
     PoolLatency,
     StragglerWatch,
     choose_upstream,
     expected_ms,
     pool_latency,
 )
-from bergamotdrift.upstream_load import UpstreamLoad
 
 _JUDGE_INTERVAL_MS = 20.0
 # The best of this many upstreams is nearly as good as the best of all.
