--- a/bergamotdrift/cold_start.py
+++ b/bergamotdrift/cold_start.py
@@ -1,15 +1,15 @@
-"""Ramp of the requests that an upstream may have in flight while it warms up."""
+"""Slow start: ramp of the in-flight request limit of a warming upstream."""
 
 from bergamotdrift.config.schema import ServiceSettings
 
-# Requests shed together have one cause, so they halve the allowance once.
+# Requests shed within this window have one cause and halve the limit only once.
 _SHED_WINDOW_MS = 250.0
-# After a shed the allowance grows at this part of the first ramp's speed.
+# After shedding, the limit grows at this part of the initial ramp's speed.
 _RECOVERY_SPEED = 0.5
 
 
 class ColdStart:
-    """Bound the in-flight requests of one upstream, over all entries together."""
+    """Limit the in-flight requests of one upstream over all entries."""
 
     __slots__ = ("_level", "_service", "_shed_at_ms", "_since_ms", "_speed")
 
@@ -19,18 +19,18 @@
         self.restart(since_ms)
 
     def restart(self, since_ms: float) -> None:
-        """Begin a ramp from `initial_slots`."""
+        """Restart the ramp from `initial_slots`."""
         self._level = float(self._service.cold_start.initial_slots)
         self._since_ms = since_ms
         self._speed = 1.0
 
     def raise_to(self, level: float, now_ms: float) -> None:
-        """Continue from at least `level` requests, which the upstream bears."""
+        """Continue the ramp from at least `level` requests."""
         self._level = max(level, self._current(now_ms))
         self._since_ms = now_ms
 
-    def shed(self, now_ms: float) -> None:
-        """Halve the allowance and let it recover slowly."""
+    def on_shed(self, now_ms: float) -> None:
+        """Halve the limit and let it recover slowly."""
         if now_ms - self._shed_at_ms < _SHED_WINDOW_MS:
             return
         self._level = max(1.0, self.allowed(now_ms) / 2)
@@ -39,7 +39,7 @@
         self._speed = _RECOVERY_SPEED
 
     def configure(self, service: ServiceSettings, now_ms: float) -> None:
-        """Continue from the present allowance under changed settings."""
+        """Continue from the current limit with changed settings."""
         if service == self._service:
             return
         self._level = self._current(now_ms)
@@ -47,13 +47,13 @@
         self._service = service
 
     def allowed(self, now_ms: float) -> int:
-        """Return how many requests may be in flight now, at least one."""
+        """Return how many requests may be in flight now, at least 1."""
         if self._level >= self._service.slots:
             return self._service.slots
         return max(1, int(self._current(now_ms)))
 
-    def is_full(self, now_ms: float) -> bool:
-        """Tell whether the ramp has reached the upstream's slots."""
+    def has_ended(self, now_ms: float) -> bool:
+        """Return whether the ramp has reached the upstream's slots."""
         return self._current(now_ms) >= self._service.slots
 
     def _current(self, now_ms: float) -> float:
@@ -66,6 +66,6 @@
         rise = max(1.0, slots - cold.initial_slots) / (cold.ramp_s * 1000.0)
         grown = self._level + rise * self._speed * (now_ms - self._since_ms)
         if grown >= slots:
-            # Spares the computation from now on.
+            # Skips the computation from now on.
             self._level = slots
         return min(slots, grown)
--- a/bergamotdrift/dialect.py
+++ b/bergamotdrift/dialect.py
@@ -1,4 +1,4 @@
-"""Names of the headers that an entry exchanges with callers and upstreams."""
+"""Header names and conventions between entries, callers and upstreams."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -7,9 +7,9 @@
 
 
 class AnswerLoad(NamedTuple):
-    """Hold the load that an upstream states in an answer.
+    """Load report that an upstream sends in a response header.
 
-    `slowness` is how much longer than usual work takes at the moment, 1.0 as usual.
+    `slowness` is the current processing time relative to the usual one; 1.0 is usual.
     """
 
     running: int
@@ -21,7 +21,7 @@
 HeaderOf = Callable[[str], str | None]
 
 
-def _judge_native(status: int, header: HeaderOf) -> AttemptOutcome | None:
+def _native_not_run_outcome(status: int, header: HeaderOf) -> AttemptOutcome | None:
     stated = header("x-not-run")
     if status == 503 and stated == "shed":
         return AttemptOutcome.SHED
@@ -30,15 +30,15 @@
     return None
 
 
-def _no_load(value: str) -> AnswerLoad | None:
+def _parse_no_load(value: str) -> AnswerLoad | None:
     return None
 
 
 class Dialect(NamedTuple):
-    """Hold header names; an empty name stands for a header that is not used.
+    """Header names of an API; an empty name means that the header is not used.
 
-    `not_run` returns the outcome of an answer that states that the request was not
-    run, or None. `parse_load` reads the value of the `load` header.
+    `not_run` returns the outcome of a response that reports that the request was not
+    run, or None. `parse_load` parses the value of the `load` header.
     """
 
     request_id: str = "X-Request-Id"
@@ -50,14 +50,14 @@
     routing_key: str = ""
     load: str = ""
     forwarded_headers: bool = True
-    # Whether a caller's request id is passed on instead of one of our own.
+    # Whether a caller's request id is forwarded instead of generating one.
     keeps_request_id: bool = False
-    # Whether an answer without framing is complete at an orderly end of its connection.
+    # Whether a response without framing is complete once the connection closes cleanly.
     takes_unframed: bool = False
-    # Whether Retry-After may hold a fraction of a second.
+    # Whether Retry-After may be fractional.
     fine_retry_after: bool = False
-    not_run: Callable[[int, HeaderOf], AttemptOutcome | None] = _judge_native
-    parse_load: Callable[[str], AnswerLoad | None] = _no_load
+    not_run: Callable[[int, HeaderOf], AttemptOutcome | None] = _native_not_run_outcome
+    parse_load: Callable[[str], AnswerLoad | None] = _parse_no_load
 
     def own_headers(self) -> frozenset[str]:
         """Return the lower-case names of the headers that the entry sets itself."""
--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -1,4 +1,4 @@
-"""What an entry needs to decide by itself which upstream runs a request."""
+"""Direct dispatch: an entry selects upstreams itself, without an arbiter."""
 
 import random
 from collections.abc import Callable
@@ -7,7 +7,7 @@
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import EntrySettings, ServiceSettings
 from bergamotdrift.direct_permits import DirectPermits
-from bergamotdrift.direct_selection import DirectChoice
+from bergamotdrift.direct_selection import DirectSelector
 from bergamotdrift.messages import (
     FeedUpdate,
     KeyLoad,
@@ -20,13 +20,14 @@
 from bergamotdrift.retry_policy import SharedRetryBudget
 from bergamotdrift.tables import Tables
 
-# Requests by which all entries together may depart from the weights of a split, so
-# that requests stay in their zone. A share is judged over some hundred requests.
-_SPLIT_LEEWAY = 18.0
+# Requests by which all entries together may deviate from the weights of a traffic
+# split, to keep requests in their zone. Shares are evaluated over a few hundred
+# requests.
+_SPLIT_TOLERANCE = 18.0
 
 
 class DirectDispatch:
-    """Join the entry's own choice, its rate tokens and its share of retries."""
+    """Combine upstream selection, rate tokens and this entry's retry budget."""
 
     def __init__(
         self,
@@ -39,25 +40,25 @@
         self._tables = tables
         self._clock = clock
         rng = random.Random()
-        self._choice = DirectChoice(cfg.node.node, cfg.node.zone, rng)
-        self.permits = DirectPermits(tables, self._choice, registry, clock)
+        self._selector = DirectSelector(cfg.node.node, cfg.node.zone, rng)
+        self.permits = DirectPermits(tables, self._selector, registry, clock)
         self.tokens = RateAllowance(clock, self._rate_of)
         self._entries = 1
 
     def on_tables_changed(self, update: FeedUpdate) -> None:
-        """Follow the feed."""
+        """Apply an update of the feed."""
         tables = self._tables()
         self._entries = max(1, len(list(tables.nodes_of(Role.ENTRY))))
-        self._choice.update(tables, self._clock.now_ms())
+        self._selector.update(tables, self._clock.now_ms())
         self.permits.notify()
 
     def is_near(self, service: ServiceSettings, routing_key: str) -> bool:
-        """Tell whether an upstream of the own availability zone may run a request."""
-        return self._choice.is_near(service, routing_key, self._tables())
+        """Return whether an upstream in this availability zone can serve a request."""
+        return self._selector.has_upstream_in_zone(service, routing_key, self._tables())
 
     def leeway(self) -> float:
-        """Return by how many requests this entry may depart from a split's weights."""
-        return _SPLIT_LEEWAY / self._entries
+        """Return by how many requests this entry may deviate from a split's weights."""
+        return _SPLIT_TOLERANCE / self._entries
 
     def new_budget(self) -> SharedRetryBudget:
         """Return this entry's share of the retry budget of one service."""
@@ -66,19 +67,19 @@
         )
 
     def rate_needs(self) -> list[RateNeed]:
-        """Return the rate tokens that are needed or returned."""
+        """Return the rate tokens to request or to return."""
         return self.tokens.rate_needs()
 
     def key_loads(self) -> list[KeyLoad]:
-        """Return the requests by key since the last call."""
+        """Return the request counts by key since the last call."""
         return self.permits.key_loads()
 
     def speeds(self) -> list[UpstreamSpeed]:
-        """Return how long upstreams take, where that has changed."""
-        return self._choice.changed_speeds()
+        """Return the response times of upstreams whose response time has changed."""
+        return self._selector.changed_speeds()
 
     def take_rates(self, lots: list[RateLot], asked_at_ms: float) -> None:
-        """Take leased rate tokens."""
+        """Add leased rate tokens."""
         self.tokens.take_rates(lots, asked_at_ms)
 
     def _rate_of(self, workspace: str) -> float:
--- a/bergamotdrift/direct_load.py
+++ b/bergamotdrift/direct_load.py
@@ -1,4 +1,4 @@
-"""One upstream as a single entry sees it: its own requests and the stated load."""
+"""Load and health of one upstream as observed by a single entry."""
 
 import math
 from typing import NamedTuple
@@ -9,185 +9,187 @@
     UpstreamRow,
     UpstreamState,
 )
-from bergamotdrift.probe_backoff import ProbePause
-
-# A stated load says little about the present after this time.
-_LOAD_SPAN_MS = 400.0
-# How much waits at an upstream besides what runs, all entries together.
-QUEUE_ROOM = 6
-# Requests that an entry may always have at an upstream that is not known to be full.
-_SHARE_MIN = 2
-# An upstream at which this many requests wait gets only one at a time from each entry.
-_WAITING_MANY = 3
-# An upstream that shed a request gets none for this long.
+from bergamotdrift.probe_backoff import ProbeBackoff
+
+# A load report is outdated after this time; its weight decays at this rate.
+_LOAD_DECAY_MS = 400.0
+# Queued requests at an upstream beyond its slots, over all entries together.
+SHARED_QUEUE_DEPTH = 6
+# Requests an entry may always have in flight at an upstream not known to be full.
+_MIN_SHARE = 2
+# At this queue length each entry has at most one request in flight at the upstream.
+_LONG_QUEUE = 3
+# An upstream that shed a request receives no requests for this time.
 _SHED_PAUSE_MS = 60.0
-# One timeout may be the request's own; two in a row without an answer are silence.
-_SILENT_TIMEOUTS = 2
-# Weight of the last observation in the moving averages.
-_SPEED_STEP = 0.2
-# The leader smooths further over all entries, each of which sees few of the answers.
-_BUSY_STEP = 0.4
-_ERROR_STEP = 0.1
-# An upstream that fails every request looks this much slower.
+# A single timeout may be due to the request; two in a row mark the upstream as down.
+_FAILURES_UNTIL_DOWN = 2
+# Weights of the latest sample in the exponential moving averages.
+_LATENCY_WEIGHT = 0.2
+# Each entry sees few of the responses; the leader smooths further over all entries.
+_BUSY_WEIGHT = 0.4
+_ERROR_WEIGHT = 0.1
+# Factor added to the cost of an upstream that fails every request.
 _ERROR_PENALTY = 6.0
 
-_SILENT = frozenset({AttemptOutcome.TIMEOUT, AttemptOutcome.BROKEN})
+_NO_RESPONSE = frozenset({AttemptOutcome.TIMEOUT, AttemptOutcome.BROKEN})
 
 
-class StatedLoad(NamedTuple):
-    """Hold a stated load, when it came and how many requests here ran then."""
+class ReportedLoad(NamedTuple):
+    """Load report with its arrival time and this entry's in-flight requests then."""
 
     load: AnswerLoad
     at_ms: float
-    own: int
+    own_in_flight: int
 
 
 class DirectLoad:
-    """Hold what one entry knows of an upstream's load and health."""
+    """Track the load and health of an upstream from one entry's requests."""
 
     def __init__(self, row: UpstreamRow, slots: int):
         self.row = row
         self.slots = max(1, row.slots or slots)
         self.in_flight = 0
-        # Latency of its answers relative to those of the same route elsewhere.
-        self.speed = 1.0
-        # How long an answer takes when nothing waits, 0 if that is unknown.
+        # Moving average of latency relative to the mean of the same route.
+        self.latency_ratio = 1.0
+        # Response time without queueing; 0 while unknown.
         self.busy_ms = 0.0
         self._error_rate = 0.0
-        self._stated: StatedLoad | None = None
-        self._paused_until_ms = 0.0
+        self._reported: ReportedLoad | None = None
+        self._shed_until_ms = 0.0
         self._cold_until_ms = 0.0
         self._failures = 0
-        self._pause = ProbePause()
+        self._probe_backoff = ProbeBackoff()
 
     @property
     def is_down(self) -> bool:
-        """Tell whether the upstream gets at most single probing requests."""
-        return self._pause.is_down
+        """Whether the upstream is down and receives only single probe requests."""
+        return self._probe_backoff.is_down
 
     def replace_row(self, row: UpstreamRow, cold_ms: float, now_ms: float) -> None:
-        """Take a changed row; an upstream that was restarted starts anew."""
+        """Apply a changed row; reset the state if the upstream restarted."""
         before, self.row = self.row, row
         self.slots = max(1, row.slots or self.slots)
         if row.incarnation != before.incarnation:
             self._mark_up()
-            self._stated = None
-            self.suspect_cold(cold_ms, now_ms)
+            self._reported = None
+            self.mark_maybe_cold(cold_ms, now_ms)
 
-    def suspect_cold(self, cold_ms: float, now_ms: float) -> None:
-        """Treat the upstream as cold for a while, since it may have restarted."""
+    def mark_maybe_cold(self, cold_ms: float, now_ms: float) -> None:
+        """Treat the upstream as cold for `cold_ms`, since it may have restarted."""
         self._cold_until_ms = max(self._cold_until_ms, now_ms + cold_ms)
 
     def is_cold(self, now_ms: float) -> bool:
-        """Tell whether the upstream is cold or may be."""
+        """Return whether the upstream is cold or may be."""
         return self.row.state is UpstreamState.COLD or now_ms < self._cold_until_ms
 
     def has_room(self, entries: int, now_ms: float) -> bool:
-        """Tell whether this entry may send one more request now.
+        """Return whether this entry may send one more request now.
 
-        Each entry has an even share of the slots and queue places, and more where the
-        upstream stated free slots a moment ago.
+        Each entry has an equal share of slots and queue places, plus the free slots
+        in a recent load report.
         """
-        if now_ms < self._paused_until_ms:
+        if now_ms < self._shed_until_ms:
             return False
-        if self._pause.is_down:
-            return self.in_flight == 0 and self._pause.may_probe(now_ms)
-        share = max(_SHARE_MIN, (self.slots + QUEUE_ROOM) // max(1, entries))
-        stated = self._stated
-        if stated is not None and now_ms - stated.at_ms < _LOAD_SPAN_MS:
-            load = stated.load
-            if load.waiting >= _WAITING_MANY:
+        if self._probe_backoff.is_down:
+            return self.in_flight == 0 and self._probe_backoff.may_probe(now_ms)
+        share = max(_MIN_SHARE, (self.slots + SHARED_QUEUE_DEPTH) // max(1, entries))
+        reported = self._reported
+        if reported is not None and now_ms - reported.at_ms < _LOAD_DECAY_MS:
+            load = reported.load
+            if load.waiting >= _LONG_QUEUE:
                 return self.in_flight < 1
             share += max(0, load.slots - load.running - load.waiting)
         return self.in_flight < share
 
-    def others(self, now_ms: float) -> float:
-        """Return how many requests of other entries are probably there."""
-        stated = self._stated
-        if stated is None:
+    def other_requests(self, now_ms: float) -> float:
+        """Return the estimated number of requests from other entries."""
+        reported = self._reported
+        if reported is None:
             return 0.0
-        load = stated.load
-        known = max(0, load.running + load.waiting - stated.own)
-        return known * math.exp((stated.at_ms - now_ms) / _LOAD_SPAN_MS)
+        load = reported.load
+        known = max(0, load.running + load.waiting - reported.own_in_flight)
+        return known * math.exp((reported.at_ms - now_ms) / _LOAD_DECAY_MS)
 
-    def expected(self, now_ms: float) -> float:
-        """Return the time that one more request would take; 1.0 is usual."""
-        ahead = self.in_flight + self.others(now_ms)
+    def expected_cost(self, now_ms: float) -> float:
+        """Return the expected time of one more request; 1.0 is the usual time."""
+        ahead = self.in_flight + self.other_requests(now_ms)
         queued = max(0.0, ahead + 1.0 - self.slots) / self.slots
-        # Shared slots slow each other down before they are all in use.
+        # Concurrent requests slow each other down before all slots are in use.
         busy = 0.2 * min(1.0, ahead / self.slots)
-        slow = self.speed * self._slowness(now_ms) * (1.0 + busy + queued)
-        return slow * (1.0 + _ERROR_PENALTY * self._error_rate)
+        service_time = (
+            self.latency_ratio * self._reported_slowness(now_ms) * (1.0 + busy + queued)
+        )
+        return service_time * (1.0 + _ERROR_PENALTY * self._error_rate)
 
     def describe(self, now_ms: float) -> str:
-        """Return the upstream with what is known of its load, for the log."""
+        """Return the upstream and its known load as text for the log."""
         text = f"{self.row.upstream}, {self.in_flight} of this entry"
-        stated = self._stated
-        if stated is None:
+        reported = self._reported
+        if reported is None:
             return text
-        load, age_ms = stated.load, now_ms - stated.at_ms
+        load, age_ms = reported.load, now_ms - reported.at_ms
         return f"{text}, {load.running}+{load.waiting} stated {age_ms:.0f} ms ago"
 
-    def note_load(self, load: AnswerLoad, now_ms: float) -> None:
-        """Take the load that an answer stated."""
-        self._stated = StatedLoad(load, now_ms, self.in_flight)
+    def record_load(self, load: AnswerLoad, now_ms: float) -> None:
+        """Record the load report of a response."""
+        self._reported = ReportedLoad(load, now_ms, self.in_flight)
         if load.slots > 0:
             self.slots = load.slots
 
-    def note_speed(self, latency_ms: float, route_mean_ms: float) -> None:
-        """Take the latency of an answer that did not wait, and its route's mean."""
+    def record_latency(self, latency_ms: float, route_mean_ms: float) -> None:
+        """Record the latency of a response that was not queued, against its route's."""
         ratio = min(max(latency_ms / max(1.0, route_mean_ms), 0.2), 5.0)
-        self.speed += _SPEED_STEP * (ratio - self.speed)
+        self.latency_ratio += _LATENCY_WEIGHT * (ratio - self.latency_ratio)
 
-    def note_busy(self, latency_ms: float) -> None:
-        """Take the latency of an answer, whether or not it waited."""
-        step = _BUSY_STEP if self.busy_ms else 1.0
-        self.busy_ms += step * (self._without_queue(latency_ms) - self.busy_ms)
+    def record_busy_time(self, latency_ms: float) -> None:
+        """Record the latency of a response, whether or not it was queued."""
+        weight = _BUSY_WEIGHT if self.busy_ms else 1.0
+        self.busy_ms += weight * (self._without_queue(latency_ms) - self.busy_ms)
 
-    def note_unanswered(self, waited_ms: float) -> None:
-        """Take that an attempt ended without an answer after a time.
+    def record_no_response(self, waited_ms: float) -> None:
+        """Record an attempt that ended without a response after `waited_ms`.
 
-        A slow upstream whose callers leave before it answers would never look slow.
+        Without it, an upstream so slow that callers give up would never appear slow.
         """
         if self.busy_ms and self._without_queue(waited_ms) > self.busy_ms:
-            self.note_busy(waited_ms)
+            self.record_busy_time(waited_ms)
 
     def _without_queue(self, latency_ms: float) -> float:
-        """Return how long an attempt would have taken without the stated queue."""
-        if self._stated is None:
+        """Return a latency with the share of the reported queue removed."""
+        if self._reported is None:
             return latency_ms
-        return latency_ms / (1.0 + max(0, self._stated.load.waiting) / self.slots)
+        return latency_ms / (1.0 + max(0, self._reported.load.waiting) / self.slots)
 
-    def note_outcome(
+    def record_outcome(
         self, outcome: AttemptOutcome, cold_ms: float, now_ms: float
     ) -> None:
-        """Learn from how an attempt ended."""
-        failed = outcome in {AttemptOutcome.SERVER_ERROR, *_SILENT}
+        """Update health and error rate with the outcome of an attempt."""
+        failed = outcome in {AttemptOutcome.SERVER_ERROR, *_NO_RESPONSE}
         if outcome is not AttemptOutcome.CANCELLED:
-            self._error_rate += _ERROR_STEP * (float(failed) - self._error_rate)
+            self._error_rate += _ERROR_WEIGHT * (float(failed) - self._error_rate)
         if outcome in {AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR}:
             self._mark_up()
         elif outcome is AttemptOutcome.SHED:
             self._mark_up()
-            self._paused_until_ms = now_ms + _SHED_PAUSE_MS
+            self._shed_until_ms = now_ms + _SHED_PAUSE_MS
         elif outcome is AttemptOutcome.CONNECT_FAILED:
-            self.suspect_cold(cold_ms, now_ms)
-            self._pause.mark_down(now_ms)
-        elif outcome in _SILENT:
+            self.mark_maybe_cold(cold_ms, now_ms)
+            self._probe_backoff.mark_down(now_ms)
+        elif outcome in _NO_RESPONSE:
             if outcome is AttemptOutcome.BROKEN:
-                self.suspect_cold(cold_ms, now_ms)
+                self.mark_maybe_cold(cold_ms, now_ms)
             self._failures += 1
-            if self._failures >= _SILENT_TIMEOUTS:
-                self.suspect_cold(cold_ms, now_ms)
-                self._pause.mark_down(now_ms)
+            if self._failures >= _FAILURES_UNTIL_DOWN:
+                self.mark_maybe_cold(cold_ms, now_ms)
+                self._probe_backoff.mark_down(now_ms)
 
-    def _slowness(self, now_ms: float) -> float:
-        stated = self._stated
-        if stated is None:
+    def _reported_slowness(self, now_ms: float) -> float:
+        reported = self._reported
+        if reported is None:
             return 1.0
-        weight = math.exp((stated.at_ms - now_ms) / _LOAD_SPAN_MS)
-        return 1.0 + weight * (stated.load.slowness - 1.0)
+        weight = math.exp((reported.at_ms - now_ms) / _LOAD_DECAY_MS)
+        return 1.0 + weight * (reported.load.slowness - 1.0)
 
     def _mark_up(self) -> None:
         self._failures = 0
-        self._pause.mark_up()
+        self._probe_backoff.mark_up()
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -1,4 +1,4 @@
-"""Permits that an entry gives itself, within its share of each upstream's bounds."""
+"""Permits issued by an entry itself, within its share of each upstream's limits."""
 
 import itertools
 from collections import Counter
@@ -20,9 +20,9 @@
 from bergamotdrift.direct_selection import (
     Blocked,
     Chosen,
-    DirectChoice,
-    Patience,
-    cold_ms,
+    DirectSelector,
+    QueueWait,
+    cold_start_ms,
 )
 from bergamotdrift.exceptions import ErrorKind, Refusal
 from bergamotdrift.fence_guard import FenceGuard
@@ -32,23 +32,24 @@
 from bergamotdrift.stages.permit import AttemptNumbers
 from bergamotdrift.tables import PartitionId, Tables, UpstreamId
 
-# Time alone may make room: a probe that is due, or the next second of a cold start.
+# Capacity may free up without an event: a probe falls due, or the next second of a
+# cold start begins.
 _RECHECK_MS = 40.0
-# A request that can't be sent is refused while its caller has time to come back: soon
-# where the obstacle may last, with a later time to come back.
-_WAIT_RATIO = {Patience.NONE: 0.0, Patience.SHORT: 0.04, Patience.LONG: 0.4}
-_RETRY_AFTER_S = {Patience.NONE: 0.5, Patience.SHORT: 0.5, Patience.LONG: 0.1}
-# An attempt without an answer for this many times the mean, and this part of the time
-# that is left, is given up for one at another upstream.
-_ATTEMPT_MEANS = 5.0
-_ATTEMPT_RATIO = 0.45
-_ATTEMPTS_USUAL = 2
-_MEAN_STEP = 0.05
-_UNANSWERED = frozenset({AttemptOutcome.TIMEOUT, AttemptOutcome.CANCELLED})
+# Part of the remaining time that a request may be queued, so that its caller can still
+# retry. Conditions that may last cause an early refusal with a longer Retry-After.
+_MAX_WAIT_RATIO = {QueueWait.NONE: 0.0, QueueWait.SHORT: 0.04, QueueWait.LONG: 0.4}
+_RETRY_AFTER_S = {QueueWait.NONE: 0.5, QueueWait.SHORT: 0.5, QueueWait.LONG: 0.1}
+# An attempt is abandoned for another upstream after the larger of this multiple of the
+# mean latency and this part of the remaining time.
+_ATTEMPT_LIMIT_MEANS = 5.0
+_ATTEMPT_LIMIT_RATIO = 0.45
+_DEFAULT_ATTEMPTS = 2
+_MEAN_WEIGHT = 0.05
+_NO_RESPONSE = frozenset({AttemptOutcome.TIMEOUT, AttemptOutcome.CANCELLED})
 
 
 class _Waiter:
-    """Hold a request that waits, in the order of rank and arrival."""
+    """Queued request, ordered by rank and arrival."""
 
     def __init__(self, rank: int, number: int, routed: RoutedRequest, excluded):
         self.order = (rank, number)
@@ -58,83 +59,87 @@
 
 
 class DirectPermits:
-    """Choose an upstream for each attempt, and learn from how it ended."""
+    """Select an upstream for each attempt and record the result."""
 
     def __init__(
         self,
         tables: Callable[[], Tables],
-        choice: DirectChoice,
+        choice: DirectSelector,
         registry: AttemptRegistry,
         clock: Clock,
     ):
         self._tables = tables
-        self._choice = choice
+        self._selector = choice
         self._registry = registry
         self._clock = clock
-        self._guard = FenceGuard()
+        self._fence_guard = FenceGuard()
         self._numbers = itertools.count(1)
         self._waiters: list[_Waiter] = []
-        self._means_ms: dict[str, float] = {}
+        self._route_means_ms: dict[str, float] = {}
         self._running: dict[str, RoutedRequest] = {}
-        self._keys: Counter[tuple[str, int]] = Counter()
+        self._key_counts: Counter[tuple[str, int]] = Counter()
 
     def acquire(
         self, routed: RoutedRequest, numbers: AttemptNumbers
     ) -> Result[RunningAttempt, Refusal]:
-        """Return a registered permit (NO_UPSTREAM, QUEUE_FULL)."""
+        """Return a registered attempt, or a refusal (NO_UPSTREAM, QUEUE_FULL)."""
         if numbers.next() == 1 and routed.service.kind is ServiceKind.RANGED:
-            self._keys[routed.service.name, int(routed.routing_key)] += 1
-        found = self._try(routed, numbers.excluded)
-        if isinstance(found, Chosen) and not self._is_behind(routed):
-            return Success(self._limited(self._start(routed, found), routed, numbers))
-        if isinstance(found, Blocked) and found.patience is Patience.NONE:
-            return Failure(_refusal(found))
+            self._key_counts[routed.service.name, int(routed.routing_key)] += 1
+        selection = self._select(routed, numbers.excluded)
+        if isinstance(selection, Chosen) and not self._has_more_urgent_waiter(routed):
+            return Success(
+                self._with_attempt_limit(
+                    self._start(routed, selection), routed, numbers
+                )
+            )
+        if isinstance(selection, Blocked) and selection.queue_wait is QueueWait.NONE:
+            return Failure(_refusal(selection))
         return self._wait(routed, numbers)
 
     def release(self, running: RunningAttempt, msg: PermitRelease) -> None:
-        """End a permit, learn from its outcome and let others run."""
+        """Release a permit, record its outcome and serve waiting requests."""
         self._registry.remove(running)
         permit = running.permit
         routed = self._running.pop(permit.permit, None)
         if routed is None:
             return
         key = UpstreamId(routed.service.name, permit.upstream)
-        load = self._choice.loads.get(key)
+        load = self._selector.loads.get(key)
         if load is not None:
             load.in_flight = max(0, load.in_flight - 1)
-            self._learn(load, routed, running, msg)
+            self._record_result(load, routed, running, msg)
         self.notify()
 
     def note_outcome(
         self, routed: RoutedRequest, running: RunningAttempt, fenced: bool
     ) -> None:
-        """Hold other requests for a range back after a fenced one."""
+        """Hold back requests for a range after one of them was fenced."""
         permit = running.permit
         if permit.partition == NO_PARTITION:
             return
-        held = PartitionId(routed.service.name, permit.partition)
+        partition = PartitionId(routed.service.name, permit.partition)
         if fenced:
             now_ms = self._clock.now_ms()
-            self._guard.note_fenced(held, permit.partition_epoch, now_ms)
-        elif self._guard.note_run(held, permit.partition_epoch):
+            self._fence_guard.note_fenced(partition, permit.partition_epoch, now_ms)
+        elif self._fence_guard.note_run(partition, permit.partition_epoch):
             self.notify()
 
     def notify(self) -> None:
-        """Let the waiting requests run that can, the most urgent first."""
+        """Grant permits to queued requests where possible, the most urgent first."""
         for waiter in sorted(self._waiters, key=lambda w: w.order):
             if waiter.fut.ready():
                 continue
-            found = self._try(waiter.routed, waiter.excluded)
-            if isinstance(found, Chosen):
-                waiter.fut.set(self._start(waiter.routed, found))
+            selection = self._select(waiter.routed, waiter.excluded)
+            if isinstance(selection, Chosen):
+                waiter.fut.set(self._start(waiter.routed, selection))
 
     def key_loads(self) -> list[KeyLoad]:
-        """Return the requests by key since the last call."""
-        keys, self._keys = self._keys, Counter()
+        """Return the request counts by key since the last call."""
+        keys, self._key_counts = self._key_counts, Counter()
         return [KeyLoad(service, key, n) for (service, key), n in keys.items()]
 
-    def _is_behind(self, routed: RoutedRequest) -> bool:
-        """Tell whether a more urgent request waits for the same service."""
+    def _has_more_urgent_waiter(self, routed: RoutedRequest) -> bool:
+        """Return whether a more urgent request is queued for the same service."""
         rank = rank_of(routed)
         return any(
             w.order[0] < rank and w.routed.service.name == routed.service.name
@@ -142,14 +147,16 @@
             if not w.fut.ready()
         )
 
-    def _try(self, routed: RoutedRequest, excluded: list[str]) -> Chosen | Blocked:
+    def _select(self, routed: RoutedRequest, excluded: list[str]) -> Chosen | Blocked:
         now_ms = self._clock.now_ms()
-        found = self._choice.choose(routed, self._tables(), excluded, now_ms)
-        if isinstance(found, Chosen) and found.held is not None:
-            held = PartitionId(routed.service.name, found.held.first)
-            if not self._guard.may_try(held, found.held.epoch, now_ms):
+        selection = self._selector.select(routed, self._tables(), excluded, now_ms)
+        if isinstance(selection, Chosen) and selection.key_range is not None:
+            partition = PartitionId(routed.service.name, selection.key_range.first)
+            if not self._fence_guard.may_try(
+                partition, selection.key_range.epoch, now_ms
+            ):
                 return Blocked("the upstream does not know its grant yet")
-        return found
+        return selection
 
     def _wait(
         self, routed: RoutedRequest, numbers: AttemptNumbers
@@ -158,52 +165,54 @@
         waiter = _Waiter(rank_of(routed), next(self._numbers), routed, numbers.excluded)
         self._waiters.append(waiter)
         try:
-            blocked = self._await_turn(waiter, started_ms)
+            blocked = self._wait_for_permit(waiter, started_ms)
         except BaseException:
-            self._give_back(waiter)
+            self._release_unclaimed(waiter)
             raise
         finally:
             self._waiters.remove(waiter)
         if blocked is None:
-            return Success(self._limited(waiter.fut.get(), routed, numbers))
+            return Success(self._with_attempt_limit(waiter.fut.get(), routed, numbers))
         waited_ms = self._clock.now_ms() - started_ms
         return Failure(_refusal(blocked, f" for {waited_ms:.0f} ms"))
 
-    def _await_turn(self, waiter: _Waiter, started_ms: float) -> Blocked | None:
-        """Wait until the waiter has a permit, or return why it should give up."""
+    def _wait_for_permit(self, waiter: _Waiter, started_ms: float) -> Blocked | None:
+        """Wait for a permit; return None, or the reason once the wait is over."""
         while True:
             self.notify()
             if waiter.fut.ready():
                 return None
-            found = self._try(waiter.routed, waiter.excluded)
-            if isinstance(found, Chosen):
-                # A more urgent request took its turn before.
-                found = Blocked("full")
-            end_ms = _wait_end_ms(waiter.routed, found.patience, started_ms)
+            selection = self._select(waiter.routed, waiter.excluded)
+            if isinstance(selection, Chosen):
+                # An upstream has room, but more urgent requests go first.
+                selection = Blocked("full")
+            end_ms = _wait_end_ms(waiter.routed, selection.queue_wait, started_ms)
             left_ms = end_ms - self._clock.now_ms()
             if left_ms <= 0:
-                return found
+                return selection
             waiter.fut.wait(min(left_ms, _RECHECK_MS) / 1000.0)
 
-    def _limited(
+    def _with_attempt_limit(
         self, running: RunningAttempt, routed: RoutedRequest, numbers: AttemptNumbers
     ) -> RunningAttempt:
-        """Bound an attempt that can be made again elsewhere if it gets no answer."""
-        is_last = numbers.sent + 1 >= (routed.route.attempts or _ATTEMPTS_USUAL)
+        """Set a time limit on an attempt that can be retried at another upstream."""
+        is_last = numbers.sent + 1 >= (routed.route.attempts or _DEFAULT_ATTEMPTS)
         if is_last or routed.is_keyed or not routed.route.idempotent:
             return running
-        if not self._choice.has_other(routed.service.name, running.permit.upstream):
+        if not self._selector.has_alternative(
+            routed.service.name, running.permit.upstream
+        ):
             return running
         now_ms = self._clock.now_ms()
-        mean_ms = self._means_ms.get(_name_of(routed), 0.0)
+        mean_ms = self._route_means_ms.get(_route_name(routed), 0.0)
         left_ms = routed.deadline_ms - now_ms
-        limit_ms = max(_ATTEMPT_MEANS * mean_ms, _ATTEMPT_RATIO * left_ms)
+        limit_ms = max(_ATTEMPT_LIMIT_MEANS * mean_ms, _ATTEMPT_LIMIT_RATIO * left_ms)
         if limit_ms < left_ms:
             running.limit_ms = now_ms + limit_ms
         return running
 
-    def _give_back(self, waiter: _Waiter) -> None:
-        """Return a permit that was given to a caller who left meanwhile."""
+    def _release_unclaimed(self, waiter: _Waiter) -> None:
+        """Release a permit granted to a caller that has left in the meantime."""
         if waiter.fut.ready():
             running = waiter.fut.get()
             permit = running.permit
@@ -211,16 +220,16 @@
             msg = PermitRelease(permit.shard, permit.permit, cancelled, 0.0, False)
             gevent.spawn(self.release, running, msg)
 
-    def _start(self, routed: RoutedRequest, chosen: Chosen) -> RunningAttempt:
-        load, held = chosen
+    def _start(self, routed: RoutedRequest, selection: Chosen) -> RunningAttempt:
+        load, key_range = selection
         now_ms = self._clock.now_ms()
         load.in_flight += 1
         if load.is_cold(now_ms):
-            self._choice.cold.note_sent(load.row.upstream, now_ms)
+            self._selector.cold_start_share.record_sent(load.row.upstream, now_ms)
         service = routed.service.name
         name = f"{next(self._numbers):x}"
         shard = pool_shard(service)
-        if held is not None:
+        if key_range is not None:
             shard = upstream_shard(service, load.row.upstream)
         permit = Permit(
             shard,
@@ -228,13 +237,13 @@
             load.row.upstream,
             load.row.address,
             True,
-            NO_PARTITION if held is None else held.first,
-            0 if held is None else held.epoch,
+            NO_PARTITION if key_range is None else key_range.first,
+            0 if key_range is None else key_range.epoch,
         )
         self._running[name] = routed
         return self._registry.add(permit, routed.workspace)
 
-    def _learn(
+    def _record_result(
         self,
         load: DirectLoad,
         routed: RoutedRequest,
@@ -243,19 +252,19 @@
     ) -> None:
         now_ms = self._clock.now_ms()
         if running.load is not None:
-            load.note_load(running.load, now_ms)
-        load.note_outcome(msg.outcome, cold_ms(routed.service), now_ms)
-        if msg.outcome in _UNANSWERED:
-            load.note_unanswered(msg.latency_ms)
+            load.record_load(running.load, now_ms)
+        load.record_outcome(msg.outcome, cold_start_ms(routed.service), now_ms)
+        if msg.outcome in _NO_RESPONSE:
+            load.record_no_response(msg.latency_ms)
         if msg.outcome is not AttemptOutcome.ANSWERED:
             return
-        name = _name_of(routed)
-        mean = self._means_ms.get(name, msg.latency_ms)
-        self._means_ms[name] = mean + _MEAN_STEP * (msg.latency_ms - mean)
-        load.note_busy(msg.latency_ms)
-        # Time in the upstream's queue says nothing about its speed.
+        name = _route_name(routed)
+        mean = self._route_means_ms.get(name, msg.latency_ms)
+        self._route_means_ms[name] = mean + _MEAN_WEIGHT * (msg.latency_ms - mean)
+        load.record_busy_time(msg.latency_ms)
+        # Queueing time says nothing about the speed of the upstream.
         if running.load is None or not running.load.waiting:
-            load.note_speed(msg.latency_ms, mean)
+            load.record_latency(msg.latency_ms, mean)
 
 
 def rank_of(routed: RoutedRequest) -> int:
@@ -265,15 +274,17 @@
     return routed.route.rank
 
 
-def _name_of(routed: RoutedRequest) -> str:
+def _route_name(routed: RoutedRequest) -> str:
     return routed.route.name or routed.route.path
 
 
-def _wait_end_ms(routed: RoutedRequest, patience: Patience, started_ms: float) -> float:
-    """Return until when a request may wait that has waited since `started_ms`."""
-    return started_ms + _WAIT_RATIO[patience] * (routed.deadline_ms - started_ms)
+def _wait_end_ms(
+    routed: RoutedRequest, queue_wait: QueueWait, started_ms: float
+) -> float:
+    """Return until when a request queued at `started_ms` may wait."""
+    return started_ms + _MAX_WAIT_RATIO[queue_wait] * (routed.deadline_ms - started_ms)
 
 
 def _refusal(blocked: Blocked, suffix: str = "") -> Refusal:
     kind = ErrorKind.QUEUE_FULL if "full" in blocked.reason else ErrorKind.NO_UPSTREAM
-    return Refusal(kind, blocked.reason + suffix, _RETRY_AFTER_S[blocked.patience])
+    return Refusal(kind, blocked.reason + suffix, _RETRY_AFTER_S[blocked.queue_wait])
--- a/bergamotdrift/direct_selection.py
+++ b/bergamotdrift/direct_selection.py
@@ -1,11 +1,11 @@
-"""Choice of an upstream by a single entry, from its own view of all upstreams."""
+"""Upstream selection by one entry, based on its local view of the upstreams."""
 
 import random
 from collections.abc import Callable, Collection
 from enum import StrEnum
 from typing import NamedTuple
 
-from bergamotdrift.cold_start_share import ColdShare
+from bergamotdrift.cold_start_share import ColdStartShare
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.direct_load import DirectLoad
 from bergamotdrift.messages import (
@@ -19,80 +19,81 @@
 from bergamotdrift.routing_key import key_number
 from bergamotdrift.tables import Tables, UpstreamId
 
-# Costs of leaving the entry's availability zone, in units of a usual answer's time.
+# Cost of an upstream in another availability zone, as a multiple of the usual
+# response time.
 ZONE_COST = 0.8
 ZONE_COST_PER_KB = 0.03
-# A body sent in chunks does not state its length; it is taken to be this large.
+# Assumed size of a chunked body, whose length is unknown in advance.
 CHUNKED_BODY_BYTES = 64 * 1024
-_NOISE = 0.05
-_HANDOVER_USUAL_MS = 400.0
-# A change of an upstream's speed by this part is reported.
-_SPEED_CHANGE = 0.25
+_JITTER = 0.05
+_TYPICAL_HANDOVER_MS = 400.0
+# Relative change of an upstream's response time that is reported.
+_MIN_SPEED_CHANGE = 0.25
 
 
-class Patience(StrEnum):
-    """Tell for how long a request that can't be sent should wait."""
+class QueueWait(StrEnum):
+    """How long to queue a request for which no upstream is available."""
 
     NONE = "none"
-    # The obstacle may last for seconds.
+    # The condition may last for seconds.
     SHORT = "short"
-    # The obstacle passes soon.
+    # The condition clears soon.
     LONG = "long"
 
 
 class Blocked(NamedTuple):
-    """Tell why a request can't be sent now, and how long to wait for a change."""
+    """Reason why no upstream is available, and how long to queue the request."""
 
     reason: str
-    patience: Patience = Patience.LONG
+    queue_wait: QueueWait = QueueWait.LONG
 
 
 class Chosen(NamedTuple):
-    """Hold the upstream chosen for a request, and the range that holds its key."""
+    """Upstream selected for a request, and the key range it was selected by, if any."""
 
     load: DirectLoad
-    held: RangeRow | None = None
+    key_range: RangeRow | None = None
 
 
-class DirectChoice:
-    """Follow the tables and choose upstreams."""
+class DirectSelector:
+    """Select upstreams according to the tables of the feed."""
 
     def __init__(self, node: str, zone: str, rng: random.Random):
         self._zone = zone
         self._rng = rng
-        self.cold = ColdShare(node)
+        self.cold_start_share = ColdStartShare(node)
         self.loads: dict[UpstreamId, DirectLoad] = {}
         self._by_service: dict[str, list[DirectLoad]] = {}
         self._entries = 1
         # Live entries in this entry's availability zone, itself included.
-        self._entries_near = 1
+        self._zone_entries = 1
         self._evacuated: frozenset[str] = frozenset()
-        # Ranges without a settled owner, and since when this entry knows.
-        self._changing_since_ms: dict[RangeRow, float] = {}
-        self._ranged: frozenset[str] = frozenset()
-        self._stated_speeds: dict[UpstreamId, float] = {}
+        # Ranges that are being handed over, and when this entry first saw that.
+        self._handover_since_ms: dict[RangeRow, float] = {}
+        self._ranged_services: frozenset[str] = frozenset()
+        self._reported_speeds: dict[UpstreamId, float] = {}
 
     def update(self, tables: Tables, now_ms: float) -> None:
-        """Take changed tables."""
+        """Apply changed tables."""
         entries = list(tables.nodes_of(Role.ENTRY))
-        near = sum(row.zone == self._zone for row in entries)
+        in_zone = sum(row.zone == self._zone for row in entries)
         self._entries = max(1, len(entries))
-        self._entries_near = max(1, near)
-        self.cold.set_members(frozenset(row.node for row in entries))
-        self._take_upstreams(tables, now_ms)
-        self._take_evacuations(tables, now_ms)
+        self._zone_entries = max(1, in_zone)
+        self.cold_start_share.set_members(frozenset(row.node for row in entries))
+        self._update_upstreams(tables, now_ms)
+        self._update_evacuations(tables, now_ms)
         services = tables.settings.services if tables.settings else ()
-        self._ranged = frozenset(
+        self._ranged_services = frozenset(
             s.name for s in services if s.kind is ServiceKind.RANGED
         )
-        self._stated_speeds = {
+        self._reported_speeds = {
             key: speed
-            for key, speed in self._stated_speeds.items()
+            for key, speed in self._reported_speeds.items()
             if key in self.loads
         }
-        self.cold.forget({key.upstream for key in self.loads})
-        self._changing_since_ms = {
-            row: self._changing_since_ms.get(row, now_ms)
+        self.cold_start_share.retain({key.upstream for key in self.loads})
+        self._handover_since_ms = {
+            row: self._handover_since_ms.get(row, now_ms)
             for row in tables.ranges.values()
             if row.state is not PartitionState.OWNED
         }
@@ -100,7 +101,7 @@
         for key, load in self.loads.items():
             self._by_service.setdefault(key.service, []).append(load)
 
-    def _take_upstreams(self, tables: Tables, now_ms: float) -> None:
+    def _update_upstreams(self, tables: Tables, now_ms: float) -> None:
         for key in self.loads.keys() - tables.upstreams.keys():
             del self.loads[key]
         for key, row in tables.upstreams.items():
@@ -111,91 +112,91 @@
             if load is None:
                 self.loads[key] = DirectLoad(row, service.slots)
             elif load.row != row:
-                load.replace_row(row, cold_ms(service), now_ms)
+                load.replace_row(row, cold_start_ms(service), now_ms)
 
-    def _take_evacuations(self, tables: Tables, now_ms: float) -> None:
-        """Treat upstreams of a zone that is taken back as cold, which they may be."""
+    def _update_evacuations(self, tables: Tables, now_ms: float) -> None:
+        """Treat upstreams of a zone as cold once its evacuation ends; they may be."""
         returned = self._evacuated - tables.evacuated
         self._evacuated = tables.evacuated
         for key, load in self.loads.items():
             service = tables.settings.service(key.service) if tables.settings else None
             if load.row.zone in returned and service is not None:
-                load.suspect_cold(cold_ms(service), now_ms)
+                load.mark_maybe_cold(cold_start_ms(service), now_ms)
 
     def changed_speeds(self) -> list[UpstreamSpeed]:
-        """Return the speeds of keyed upstreams that differ from what was stated."""
+        """Return the response times of ranged upstreams that changed since reported."""
         changed = []
         for key, load in self.loads.items():
-            stated = self._stated_speeds.get(key, 0.0)
-            if key.service not in self._ranged or not load.busy_ms:
+            reported = self._reported_speeds.get(key, 0.0)
+            if key.service not in self._ranged_services or not load.busy_ms:
                 continue
-            if abs(load.busy_ms - stated) > _SPEED_CHANGE * stated:
-                self._stated_speeds[key] = load.busy_ms
+            if abs(load.busy_ms - reported) > _MIN_SPEED_CHANGE * reported:
+                self._reported_speeds[key] = load.busy_ms
                 changed.append(UpstreamSpeed(*key, round(load.busy_ms)))
         return changed
 
-    def choose(
+    def select(
         self,
         routed: RoutedRequest,
         tables: Tables,
         excluded: Collection[str],
         now_ms: float,
     ) -> Chosen | Blocked:
-        """Return an upstream for a request, or why none may get it now."""
+        """Return the upstream for a request, or why none is available now."""
         if routed.service.kind is ServiceKind.RANGED:
-            return self._choose_holder(routed, tables, now_ms)
-        return self._choose_free(routed, excluded, now_ms)
+            return self._select_key_owner(routed, tables, now_ms)
+        return self._select_from_pool(routed, excluded, now_ms)
 
-    def _choose_holder(
+    def _select_key_owner(
         self, routed: RoutedRequest, tables: Tables, now_ms: float
     ) -> Chosen | Blocked:
         row = tables.range_of(routed.service.name, int(routed.routing_key))
         if row is None:
-            return Blocked("no upstream holds the key", Patience.SHORT)
+            return Blocked("no upstream holds the key", QueueWait.SHORT)
         if row.state is not PartitionState.OWNED:
-            return self._changing(row, now_ms)
+            return self._blocked_by_handover(row, now_ms)
         load = self.loads.get(UpstreamId(row.service, row.upstream))
         if load is None or load.row.incarnation != row.incarnation:
-            return Blocked("the upstream that holds the key is gone", Patience.SHORT)
-        reason = self._obstacle(load, routed.service, now_ms)
+            return Blocked("the upstream that holds the key is gone", QueueWait.SHORT)
+        reason = self._blocking_reason(load, routed.service, now_ms)
         if not reason:
             return Chosen(load, row)
-        blocked = _blocked({reason})
+        blocked = _blocked_by_all({reason})
         return blocked._replace(reason=f"{reason} at {load.describe(now_ms)}")
 
-    def _changing(self, row: RangeRow, now_ms: float) -> Blocked:
-        """Wait for a hand-over, unless it already takes longer than one does."""
-        since_ms = self._changing_since_ms.setdefault(row, now_ms)
-        is_late = now_ms - since_ms > _HANDOVER_USUAL_MS
-        patience = Patience.SHORT if is_late else Patience.LONG
-        return Blocked("the key is changing its upstream", patience)
+    def _blocked_by_handover(self, row: RangeRow, now_ms: float) -> Blocked:
+        """Queue for a handover, more briefly if it takes longer than usual."""
+        since_ms = self._handover_since_ms.setdefault(row, now_ms)
+        is_late = now_ms - since_ms > _TYPICAL_HANDOVER_MS
+        queue_wait = QueueWait.SHORT if is_late else QueueWait.LONG
+        return Blocked("the key is changing its upstream", queue_wait)
 
-    def _choose_free(
+    def _select_from_pool(
         self, routed: RoutedRequest, excluded: Collection[str], now_ms: float
     ) -> Chosen | Blocked:
         known = self._by_service.get(routed.service.name, [])
         if not known:
-            return Blocked("no upstream is known", Patience.NONE)
+            return Blocked("no upstream is known", QueueWait.NONE)
         others = [load for load in known if load.row.upstream not in excluded]
         reasons: set[str] = set()
         free = []
         for load in others or known:
-            reason = self._obstacle(load, routed.service, now_ms)
+            reason = self._blocking_reason(load, routed.service, now_ms)
             if reason:
                 reasons.add(reason)
             else:
                 free.append(load)
         if not free:
-            return _blocked(reasons)
+            return _blocked_by_all(reasons)
         return Chosen(min(free, key=self._cost(routed, now_ms)))
 
-    def is_near(
+    def has_upstream_in_zone(
         self, service: ServiceSettings, routing_key: str, tables: Tables
     ) -> bool:
-        """Tell whether an upstream of the entry's zone would run a request."""
+        """Return whether an upstream in the entry's zone can serve a request."""
         if service.kind is not ServiceKind.RANGED:
             known = self._by_service.get(service.name, ())
-            return any(self._may_run_near(load) for load in known)
+            return any(self._is_available_in_zone(load) for load in known)
         key = key_number(routing_key)
         if key is None:
             return False
@@ -203,15 +204,15 @@
         if row is None or row.state is not PartitionState.OWNED:
             return False
         load = self.loads.get(UpstreamId(row.service, row.upstream))
-        return load is not None and self._may_run_near(load)
+        return load is not None and self._is_available_in_zone(load)
 
-    def _may_run_near(self, load: DirectLoad) -> bool:
-        open_here = load.row.zone == self._zone and self._zone not in self._evacuated
-        leaves = load.row.state is UpstreamState.LEAVING
-        return open_here and not leaves and not load.is_down
+    def _is_available_in_zone(self, load: DirectLoad) -> bool:
+        in_open_zone = load.row.zone == self._zone and self._zone not in self._evacuated
+        is_leaving = load.row.state is UpstreamState.LEAVING
+        return in_open_zone and not is_leaving and not load.is_down
 
-    def has_other(self, service: str, upstream: str) -> bool:
-        """Tell whether another upstream of a pool may run requests."""
+    def has_alternative(self, service: str, upstream: str) -> bool:
+        """Return whether a pool has another upstream that can serve requests."""
         return any(
             load.row.upstream != upstream
             and not load.is_down
@@ -225,49 +226,49 @@
     ) -> Callable[[DirectLoad], float]:
         length = routed.req.body.length
         size = CHUNKED_BODY_BYTES if length is None else length
-        away = ZONE_COST + ZONE_COST_PER_KB * size / 1024.0
+        remote_cost = ZONE_COST + ZONE_COST_PER_KB * size / 1024.0
 
         def cost(load: DirectLoad) -> float:
-            noise = 1.0 + _NOISE * self._rng.random()
-            far = away if load.row.zone != self._zone else 0.0
-            return load.expected(now_ms) * noise + far
+            jitter = 1.0 + _JITTER * self._rng.random()
+            zone_cost = remote_cost if load.row.zone != self._zone else 0.0
+            return load.expected_cost(now_ms) * jitter + zone_cost
 
         return cost
 
-    def _obstacle(
+    def _blocking_reason(
         self, load: DirectLoad, service: ServiceSettings, now_ms: float
     ) -> str:
-        """Return why an upstream may not get a request now, or an empty string."""
+        """Return why an upstream can't accept a request now, or an empty string."""
         if load.row.state is UpstreamState.LEAVING:
             return "leaving"
         if load.row.zone in self._evacuated:
             return "evacuated"
-        if not load.has_room(self._sharers(load, service), now_ms):
+        if not load.has_room(self._sharing_entries(load, service), now_ms):
             return "down" if load.is_down else "full"
         if load.is_cold(now_ms) and service.cold_start.per_s > 0:
             per_s = service.cold_start.per_s
-            if not self.cold.has_room(load.row.upstream, per_s, now_ms):
+            if not self.cold_start_share.has_room(load.row.upstream, per_s, now_ms):
                 return "cold"
         return ""
 
-    def _sharers(self, load: DirectLoad, service: ServiceSettings) -> int:
-        """Return how many entries share the places of an upstream.
+    def _sharing_entries(self, load: DirectLoad, service: ServiceSettings) -> int:
+        """Return how many entries share the capacity of an upstream.
 
-        Those of a pool are mainly used by the entries of their own availability zone.
+        A pool's upstreams are mainly used by entries in the same availability zone.
         """
-        is_near = load.row.zone == self._zone
-        if service.kind is ServiceKind.POOL and is_near:
-            return self._entries_near
+        in_zone = load.row.zone == self._zone
+        if service.kind is ServiceKind.POOL and in_zone:
+            return self._zone_entries
         return self._entries
 
 
-def _blocked(reasons: set[str]) -> Blocked:
-    """Return why no upstream can get a request; full and cold ones soon can."""
-    soon = reasons & {"full", "cold"}
-    patience = Patience.LONG if soon else Patience.SHORT
-    return Blocked("; ".join(sorted(reasons)), patience)
+def _blocked_by_all(reasons: set[str]) -> Blocked:
+    """Combine the reasons of a pool; full and cold upstreams free up soon."""
+    passing = reasons & {"full", "cold"}
+    queue_wait = QueueWait.LONG if passing else QueueWait.SHORT
+    return Blocked("; ".join(sorted(reasons)), queue_wait)
 
 
-def cold_ms(service: ServiceSettings) -> float:
-    """Return how long an upstream of a service stays cold."""
+def cold_start_ms(service: ServiceSettings) -> float:
+    """Return the cold start duration of a service's upstreams, in milliseconds."""
     return service.cold_start.ramp_s * 1000.0
--- a/bergamotdrift/http_handler.py
+++ b/bergamotdrift/http_handler.py
@@ -1,4 +1,4 @@
-"""Hardened connection handler for gevent's pywsgi."""
+"""Connection handler for gevent's pywsgi that enforces time and size limits."""
 
 import contextlib
 import io
@@ -29,15 +29,15 @@
 from bergamotdrift.log import log_event
 from bergamotdrift.refusals import refusal_body, refusal_headers, status_line
 
-_ABORT = struct.pack("ii", 1, 0)
-# Bodies up to this size are read to their end after a refusal, so that the
-# connection can be used again.
-_DISCARD_BYTES = 64 * 1024
-LINGER_S = 0.5
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# After a refusal, bodies up to this size are read to the end to keep the connection
+# alive.
+_MAX_DISCARD_BYTES = 64 * 1024
+LINGER_TIMEOUT_S = 0.5
 _BODY_KEY = "bergamotdrift.body"
 
 
-class HardenedHandler(pywsgi.WSGIHandler):
+class LimitedHandler(pywsgi.WSGIHandler):
     """Serve the requests of one connection within the server's limits."""
 
     server: Any
@@ -69,7 +69,7 @@
 
     def _wait_for_request(self, timeout_s: float) -> bool:
         if self.server.draining:
-            timeout_s = min(timeout_s, LINGER_S)
+            timeout_s = min(timeout_s, LINGER_TIMEOUT_S)
         self.server.idle_sockets.add(self.socket)
         try:
             return self._reader.wait_for_data(timeout_s)
@@ -85,16 +85,16 @@
         except RequestError as exc:
             self._refuse(exc.refusal)
             return False
-        self._take_head(self._head)
+        self._apply_head(self._head)
         self.environ = self.get_environ()
         self.application = self.server.application
         self.socket.settimeout(self._limits.body_timeout_s)
         self.handle_one_response()
-        # An idle connection should hold no buffers.
+        # Idle connections should not hold buffers.
         self.environ = None
         return not self.close_connection and self._discard_body()
 
-    def _take_head(self, head: RequestHead) -> None:
+    def _apply_head(self, head: RequestHead) -> None:
         self.command = head.method
         self.path = head.target
         self.request_version = f"HTTP/1.{head.minor_version}"
@@ -105,7 +105,7 @@
         )
 
     def get_environ(self) -> dict[str, Any]:
-        """Return the WSGI environment of the current request."""
+        """Return the WSGI environ of the current request."""
         env = self.server.get_environ()
         path, _, query = self.path.partition("?")
         env["REQUEST_METHOD"] = self.command
@@ -127,7 +127,7 @@
     def start_response(
         self, status: str, headers: list[tuple[str, str]], exc_info: Any = None
     ) -> Any:
-        """Start the answer; closes the connection if the body can't be discarded."""
+        """Start the response; disable keep-alive if the body can't be discarded."""
         if self.server.draining or not self._body_can_be_discarded():
             self.close_connection = True
         writer = super().start_response(status, headers, exc_info)
@@ -136,7 +136,7 @@
         return writer
 
     def finalize_headers(self) -> None:
-        """Complete the headers; an answer to HEAD gets no body framing of its own."""
+        """Complete the headers; a response to HEAD gets no framing headers added."""
         if self.command == "HEAD" and self.provided_content_length is None:
             self.provided_content_length = "unstated"
         super().finalize_headers()
@@ -147,8 +147,8 @@
             self.close_connection = True
 
     def _write_with_headers(self, data: Any) -> None:
-        """Send the headers and the first part of the body in one write."""
-        sock, writer = self.socket, _Writer()
+        """Send the headers and the first part of the body in a single write."""
+        sock, writer = self.socket, _WriteBuffer()
         self.socket = writer
         try:
             super()._write_with_headers(data)
@@ -161,7 +161,7 @@
             super()._write(data)
 
     def process_result(self) -> None:
-        """Send the answer; a result may abort the connection by its exception."""
+        """Send the response; exceptions of the result may abort the connection."""
         try:
             super().process_result()
         except (CallerGoneError, TruncatedAnswerError) as exc:
@@ -169,7 +169,7 @@
             self._abort()
 
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
-        """Log an error without its traceback's locals and answer 500 if possible."""
+        """Log an error without traceback locals and respond with 500 if possible."""
         if not issubclass(t, CallerGoneError):
             log_event("http_error", error=f"{t.__name__}: {v}"[:200])
         self.close_connection = True
@@ -200,13 +200,13 @@
         if self._body.at_end:
             return True
         left = self._body.left_bytes
-        small = left is not None and left <= _DISCARD_BYTES
-        return small and not (self._body.must_continue or self._body.broken)
+        small = left is not None and left <= _MAX_DISCARD_BYTES
+        return small and not (self._body.needs_continue or self._body.failed)
 
     def _discard_body(self) -> bool:
         try:
             while not self._body.at_end:
-                self._body.readinto(bytearray(_DISCARD_BYTES))
+                self._body.readinto(bytearray(_MAX_DISCARD_BYTES))
         except (RequestError, CallerGoneError):
             return False
         return True
@@ -219,42 +219,45 @@
         data = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
         self.close_connection = True
         with contextlib.suppress(OSError):
-            self.socket.settimeout(LINGER_S)
+            self.socket.settimeout(LINGER_TIMEOUT_S)
             self.socket.sendall(data)
 
     def _abort(self) -> None:
-        """Reset the connection, so that the caller sees that the answer is cut."""
+        """Reset the connection, so that the caller detects the truncated response."""
         self.close_connection = True
         self._aborted = True
         with contextlib.suppress(OSError):
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ABORT)
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
     def _close(self) -> None:
         with contextlib.suppress(OSError):
             if not self._aborted:
-                close_gently(self.socket)
+                lingering_close(self.socket)
         with contextlib.suppress(OSError):
             self.socket.close()
 
 
-def close_gently(sock: Any) -> None:
-    """Read what the caller still sends; else a reset could destroy the answer."""
+def lingering_close(sock: Any) -> None:
+    """Shut down sending and drain input for up to `LINGER_TIMEOUT_S`.
+
+    Closing with unread input would send a reset, which can destroy the response.
+    """
     sock.shutdown(socket.SHUT_WR)
-    end_s = time.monotonic() + LINGER_S
+    end_s = time.monotonic() + LINGER_TIMEOUT_S
     while (left_s := end_s - time.monotonic()) > 0:
         sock.settimeout(left_s)
-        if not sock.recv(_DISCARD_BYTES):
+        if not sock.recv(_MAX_DISCARD_BYTES):
             return
 
 
-class _Writer:
-    """Collect what pywsgi sends."""
+class _WriteBuffer:
+    """Stand in for a socket and buffer what pywsgi sends."""
 
     def __init__(self) -> None:
         self.data = bytearray()
 
     def sendall(self, data: bytes) -> None:
-        """Append to what is collected."""
+        """Append data to the buffer."""
         self.data += data
 
 
--- a/bergamotdrift/http_input.py
+++ b/bergamotdrift/http_input.py
@@ -1,4 +1,4 @@
-"""Reading of HTTP/1.1 requests from a socket within time and size bounds."""
+"""Reading of HTTP/1.1 requests from a socket within time and size limits."""
 
 import io
 import re
@@ -9,11 +9,11 @@
 from bergamotdrift.exceptions import CallerGoneError, ErrorKind, RequestError
 
 _RECEIVE_BYTES = 64 * 1024
-_LINE_BYTES = 4096
+_MAX_LINE_BYTES = 4096
 _HEAD_END = b"\r\n\r\n"
-# A body must bring this much per body timeout, so that a caller that sends a byte
-# now and then can't hold its connection for ever.
-_BODY_BYTES_PER_TIMEOUT = 1024
+# Minimum body bytes per body timeout, so that a caller sending single bytes can't hold
+# its connection open forever.
+_MIN_BODY_BYTES_PER_TIMEOUT = 1024
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _REQUEST_LINE = re.compile(rb"(%s) ([!-~]+) HTTP/1\.([01])" % _TOKEN)
@@ -23,7 +23,7 @@
 
 
 class HttpLimits(NamedTuple):
-    """Hold the bounds of a server; times in seconds."""
+    """Limits of a server; times are in seconds."""
 
     header_timeout_s: float = 5.0
     body_timeout_s: float = 10.0
@@ -34,16 +34,16 @@
 
 
 class HeaderLine(NamedTuple):
-    """Hold one header line as it was sent."""
+    """Header line as received."""
 
     name: str
     value: str
 
 
 class RequestHead(NamedTuple):
-    """Hold the checked head of a request; `length` is None for a chunked body.
+    """Validated request line and headers; `length` is None for a chunked body.
 
-    `fields` holds the values of `headers` by lower-case name.
+    `fields` maps lower-case header names to their values.
     """
 
     method: str
@@ -58,14 +58,14 @@
 
 
 class SocketReader:
-    """Read lines and bytes from a socket through one buffer."""
+    """Buffered reader of lines and bytes from a socket."""
 
     def __init__(self, sock: Any):
         self._sock = sock
         self._buf = bytearray()
 
     def wait_for_data(self, timeout_s: float) -> bool:
-        """Wait for a first byte and tell whether one came."""
+        """Wait for data and return whether any arrived."""
         if self._buf:
             return True
         try:
@@ -74,7 +74,10 @@
             return False
 
     def read_head(self, limits: HttpLimits) -> bytes:
-        """Return the bytes before the empty line, or raise RequestError."""
+        """Return the bytes before the empty line.
+
+        Raises RequestError, and CallerGoneError if the caller has left.
+        """
         end_s = time.monotonic() + limits.header_timeout_s
         start = 0
         while True:
@@ -87,29 +90,35 @@
                 raise RequestError(ErrorKind.HEADERS_TOO_LARGE)
             start = max(0, len(self._buf) - len(_HEAD_END) + 1)
             if not self._fill(end_s - time.monotonic()):
-                raise CallerGoneError("closed within the headers")
+                raise CallerGoneError("connection closed within the headers")
 
     def read_line(self, timeout_s: float) -> bytes:
-        """Return a line without CRLF, or raise RequestError."""
+        """Return a line without its CRLF.
+
+        Raises RequestError, and CallerGoneError if the caller has left.
+        """
         end_s = time.monotonic() + timeout_s
         while True:
             end = self._buf.find(b"\n")
             if end >= 0:
                 break
-            if len(self._buf) > _LINE_BYTES:
+            if len(self._buf) > _MAX_LINE_BYTES:
                 raise RequestError(ErrorKind.MALFORMED_REQUEST, "chunk line too long")
             if not self._fill(end_s - time.monotonic()):
-                raise CallerGoneError("closed within the body")
+                raise CallerGoneError("connection closed within the body")
         line = bytes(self._buf[: end + 1])
         del self._buf[: end + 1]
         if not line.endswith(b"\r\n"):
-            raise RequestError(ErrorKind.MALFORMED_REQUEST, "a line without CRLF")
+            raise RequestError(ErrorKind.MALFORMED_REQUEST, "line without CRLF")
         return line[:-2]
 
     def read_into(self, target: memoryview, timeout_s: float) -> int:
-        """Fill a part of the target and return its size; raise if the caller left."""
+        """Fill part of the target and return its size.
+
+        Raises RequestError, and CallerGoneError if the caller has left.
+        """
         if not self._buf and not self._fill(timeout_s):
-            raise CallerGoneError("closed within the body")
+            raise CallerGoneError("connection closed within the body")
         size = min(len(target), len(self._buf))
         target[:size] = self._buf[:size]
         del self._buf[:size]
@@ -135,7 +144,7 @@
 
 
 def parse_head(data: bytes, limits: HttpLimits) -> RequestHead:
-    """Return the checked head of a request, or raise RequestError."""
+    """Parse and validate the head of a request; raises RequestError."""
     lines = data.lstrip(b"\r\n").split(b"\r\n")
     match = _REQUEST_LINE.fullmatch(lines[0])
     if match is None:
@@ -144,19 +153,19 @@
         raise RequestError(ErrorKind.HEADERS_TOO_LARGE, "too many headers")
     headers = [_parse_header(line) for line in lines[1:]]
     method, target, minor = match.groups()
-    return _with_framing(method.decode(), target.decode(), int(minor), headers)
+    return _build_head(method.decode(), target.decode(), int(minor), headers)
 
 
 def _parse_header(line: bytes) -> HeaderLine:
     match = _HEADER_LINE.fullmatch(line)
     if match is None:
-        # This also refuses folded lines, which servers read in different ways.
+        # Also rejects folded headers, which servers interpret differently.
         raise RequestError(ErrorKind.MALFORMED_REQUEST, "invalid header line")
     name, value = match.groups()
     return HeaderLine(name.decode("latin-1"), value.decode("latin-1").strip(" \t"))
 
 
-def _with_framing(
+def _build_head(
     method: str, target: str, minor: int, headers: list[HeaderLine]
 ) -> RequestHead:
     fields: dict[str, list[str]] = {}
@@ -183,7 +192,9 @@
 
 def _check_framing(lengths: list[str], codings: list[str], minor: int) -> None:
     if lengths and codings:
-        raise RequestError(ErrorKind.MALFORMED_REQUEST, "two kinds of body framing")
+        raise RequestError(
+            ErrorKind.MALFORMED_REQUEST, "both Content-Length and Transfer-Encoding"
+        )
     if len(lengths) > 1 or any(not _LENGTH.fullmatch(value) for value in lengths):
         raise RequestError(ErrorKind.MALFORMED_REQUEST, "invalid Content-Length")
     if codings and (minor == 0 or [c.lower() for c in codings] != ["chunked"]):
@@ -205,7 +216,7 @@
 
 
 class BodyReader(io.RawIOBase):
-    """Read a request's body; raises RequestError or CallerGoneError."""
+    """Read a request body; raises RequestError or CallerGoneError."""
 
     def __init__(
         self, reader: SocketReader, head: RequestHead, sock: Any, timeout_s: float
@@ -213,26 +224,28 @@
         self._reader = reader
         self._sock = sock
         self._timeout_s = timeout_s
-        self._left = head.length or 0
+        self._remaining = head.length or 0
         self._chunked = head.chunked
         self._in_chunk = False
         self._window_start_s = 0.0
         self._window_bytes = 0
-        self.must_continue = head.expects_continue and (head.chunked or self._left > 0)
-        self.at_end = not head.chunked and self._left == 0
-        self.broken = False
+        self.needs_continue = head.expects_continue and (
+            head.chunked or self._remaining > 0
+        )
+        self.at_end = not head.chunked and self._remaining == 0
+        self.failed = False
 
     def readable(self) -> bool:
-        """Tell that the stream can be read."""
+        """Return True, since the stream is readable."""
         return True
 
     @property
     def left_bytes(self) -> int | None:
-        """Return how much is still to be read, or None if unknown."""
-        return None if self._chunked and not self.at_end else self._left
+        """Number of bytes still to be read, or None for a chunked body."""
+        return None if self._chunked and not self.at_end else self._remaining
 
     def readinto(self, target: Any) -> int:
-        """Fill a part of the target and return its size, 0 at the end."""
+        """Fill part of the target and return its size, 0 at the end."""
         if self.at_end:
             return 0
         try:
@@ -243,23 +256,23 @@
                     return 0
             return self._read_data(memoryview(target))
         except Exception:
-            self.broken = True
+            self.failed = True
             raise
 
     def _send_continue(self) -> None:
-        if not self.must_continue:
+        if not self.needs_continue:
             return
-        self.must_continue = False
+        self.needs_continue = False
         try:
             self._sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
         except OSError as exc:
             raise CallerGoneError(str(exc)) from exc
 
     def _read_data(self, target: memoryview) -> int:
-        size = self._reader.read_into(target[: self._left], self._timeout_s)
-        self._left -= size
+        size = self._reader.read_into(target[: self._remaining], self._timeout_s)
+        self._remaining -= size
         self._check_progress(size)
-        if self._left:
+        if self._remaining:
             return size
         if self._chunked:
             self._end_chunk()
@@ -271,15 +284,17 @@
         match = _CHUNK_LINE.fullmatch(self._reader.read_line(self._timeout_s))
         if match is None:
             raise RequestError(ErrorKind.MALFORMED_REQUEST, "invalid chunk size")
-        self._left = int(match.group(1), 16)
-        self._in_chunk = self._left > 0
+        self._remaining = int(match.group(1), 16)
+        self._in_chunk = self._remaining > 0
         if not self._in_chunk:
             self._skip_trailers()
             self.at_end = True
 
     def _end_chunk(self) -> None:
         if self._reader.read_line(self._timeout_s):
-            raise RequestError(ErrorKind.MALFORMED_REQUEST, "chunk longer than stated")
+            raise RequestError(
+                ErrorKind.MALFORMED_REQUEST, "chunk data exceeds the chunk size"
+            )
         self._in_chunk = False
 
     def _skip_trailers(self) -> None:
@@ -293,14 +308,16 @@
         if not self._window_start_s:
             self._window_start_s = now_s
         self._window_bytes += size
-        if self._window_bytes >= _BODY_BYTES_PER_TIMEOUT:
+        if self._window_bytes >= _MIN_BODY_BYTES_PER_TIMEOUT:
             self._window_start_s, self._window_bytes = now_s, 0
         elif now_s - self._window_start_s > self._timeout_s:
-            raise RequestError(ErrorKind.REQUEST_TIMEOUT, "the body is too slow")
+            raise RequestError(
+                ErrorKind.REQUEST_TIMEOUT, "the request body arrives too slowly"
+            )
 
 
 def peer_has_closed(sock: Any) -> bool | None:
-    """Tell whether the peer closed its side; None when it sent more data."""
+    """Return whether the peer closed its side; None if it sent more data."""
     try:
         data = socket.socket.recv(sock._sock, 1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
--- a/bergamotdrift/http_server.py
+++ b/bergamotdrift/http_server.py
@@ -9,24 +9,28 @@
 from gevent import pywsgi
 
 from bergamotdrift.exceptions import ErrorKind, Refusal
-from bergamotdrift.http_handler import LINGER_S, HardenedHandler, close_gently
+from bergamotdrift.http_handler import (
+    LINGER_TIMEOUT_S,
+    LimitedHandler,
+    lingering_close,
+)
 from bergamotdrift.http_input import HttpLimits
 from bergamotdrift.metrics import MetricsResource
 from bergamotdrift.refusals import refusal_body
 from bergamotdrift.streams import parse_address
 
-# Refused connections above this number are closed without a wait.
-_LINGERING_REFUSALS = 32
-_FULL_BODY = refusal_body(Refusal(ErrorKind.QUEUE_FULL, "too many connections"), "")
-_FULL_ANSWER = (
+# Refused connections beyond this number are closed without lingering.
+_MAX_LINGERING_REFUSALS = 32
+_OVERLOAD_BODY = refusal_body(Refusal(ErrorKind.QUEUE_FULL, "too many connections"), "")
+_OVERLOAD_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
     b"X-Error-Kind: queue_full\r\nRetry-After: 1\r\nConnection: close\r\n"
-    b"Content-Length: %d\r\n\r\n%s" % (len(_FULL_BODY), _FULL_BODY)
+    b"Content-Length: %d\r\n\r\n%s" % (len(_OVERLOAD_BODY), _OVERLOAD_BODY)
 )
 
 
 class _LimitedServer(pywsgi.WSGIServer):
-    """Count connections and refuse those above the limit."""
+    """WSGI server that refuses connections above a limit."""
 
     def __init__(self, listen: str, app: Callable[..., Any], limits: HttpLimits):
         super().__init__(
@@ -34,7 +38,7 @@
             app,
             log=None,
             error_log=None,
-            handler_class=HardenedHandler,
+            handler_class=LimitedHandler,
         )
         self.limits = limits
         self.draining = False
@@ -43,7 +47,7 @@
         self._refused = 0
 
     def handle(self, sock: Any, address: Any) -> None:
-        """Serve a connection, or refuse it when there are too many."""
+        """Serve a connection, or refuse it if the limit is reached."""
         if self.open_connections >= self.limits.max_connections:
             self._refuse(sock)
             return
@@ -56,10 +60,10 @@
     def _refuse(self, sock: Any) -> None:
         self._refused += 1
         try:
-            sock.settimeout(LINGER_S)
-            sock.sendall(_FULL_ANSWER)
-            if self._refused <= _LINGERING_REFUSALS:
-                close_gently(sock)
+            sock.settimeout(LINGER_TIMEOUT_S)
+            sock.sendall(_OVERLOAD_RESPONSE)
+            if self._refused <= _MAX_LINGERING_REFUSALS:
+                lingering_close(sock)
         except OSError:
             pass
         finally:
@@ -68,7 +72,7 @@
 
 
 class HttpServer:
-    """Serve a WSGI application on an address within limits."""
+    """Serve a WSGI application on an address, within limits."""
 
     def __init__(
         self,
@@ -85,26 +89,26 @@
 
     @property
     def open_connections(self) -> int:
-        """Return how many connections are open."""
+        """Number of open connections."""
         return self._server.open_connections
 
     def start(self) -> None:
-        """Start to accept connections."""
+        """Start accepting connections."""
         self._server.start()
-        # Accepted sockets inherit the option; without it Nagle's algorithm holds
-        # the body back until the delayed ACK of the headers, about 40 ms.
+        # Accepted sockets inherit the option. Without it, Nagle's algorithm delays the
+        # body until the delayed ACK of the headers, about 40 ms.
         self._server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def set_limits(self, limits: HttpLimits) -> None:
-        """Apply changed bounds, from the next request on."""
+        """Apply changed limits from the next request on."""
         self._server.limits = limits
 
     def drain(self) -> None:
-        """Close each connection after its current or next answer."""
+        """Close each connection after its current or next response."""
         self._server.draining = True
 
     def stop(self) -> None:
-        """Stop accepting and close idle connections; running requests go on."""
+        """Stop accepting and close idle connections; running requests complete."""
         self._server.draining = True
         self._server.stop_accepting()
         self._server.close()
@@ -113,31 +117,31 @@
                 sock.shutdown(socket.SHUT_RD)
 
 
-class LiveResource:
-    """Tell the platform that the process runs."""
+class LivenessResource:
+    """Liveness check."""
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Answer 200 while the event loop serves requests."""
+        """Respond with 200 while the event loop serves requests."""
         resp.media = {"live": True}
 
 
-class ReadyResource:
-    """Tell the platform's balancer whether to send new work."""
+class ReadinessResource:
+    """Readiness check for load balancers."""
 
     def __init__(self, is_ready: Callable[[], bool]):
         self._is_ready = is_ready
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Answer 200 when ready, else 503."""
+        """Respond with 200 when ready, else 503."""
         ready = self._is_ready()
         resp.status = falcon.HTTP_200 if ready else falcon.HTTP_503
         resp.media = {"ready": ready}
 
 
 def ready_app(path: str, is_ready: Callable[[], bool]) -> falcon.App:
-    """Return an application that only tells a balancer whether to send new work."""
+    """Return an application that serves only the readiness check at `path`."""
     app = falcon.App()
-    app.add_route(path, ReadyResource(is_ready))
+    app.add_route(path, ReadinessResource(is_ready))
     return app
 
 
@@ -145,6 +149,6 @@
     """Return an application with `/metrics`, `/live` and `/ready`."""
     app = falcon.App()
     app.add_route("/metrics", MetricsResource())
-    app.add_route("/live", LiveResource())
-    app.add_route("/ready", ReadyResource(is_ready))
+    app.add_route("/live", LivenessResource())
+    app.add_route("/ready", ReadinessResource(is_ready))
     return app
--- a/bergamotdrift/load_poller.py
+++ b/bergamotdrift/load_poller.py
@@ -1,4 +1,4 @@
-"""Polls of the upstreams' load reports, which lag and count as hints only."""
+"""Polling of upstream load reports, which lag and serve only as hints."""
 
 import json
 from collections.abc import Callable, Iterable
@@ -17,12 +17,12 @@
 
 _INTERVAL_S = 1.0
 _TIMEOUT_S = 0.5
-_BODY_MAX_BYTES = 4096
-_PARALLEL_POLLS = 16
+_MAX_BODY_BYTES = 4096
+_MAX_CONCURRENT_POLLS = 16
 
 
 class _LoadBody(TypedDict):
-    """Describe the JSON of a load report."""
+    """JSON body of a load report."""
 
     in_flight: int
     slots: int
@@ -30,7 +30,7 @@
 
 
 class PollTarget(NamedTuple):
-    """Name an upstream of a permit shard and its address."""
+    """Upstream of a permit shard and its address."""
 
     shard: str
     upstream: str
@@ -38,10 +38,10 @@
 
 
 class PollObserver(Protocol):
-    """Learn the outcome of polls."""
+    """Callback for the results of polls."""
 
     def __call__(self, target: PollTarget, hint: LoadHint | None) -> None:
-        """Take a report, or None if the upstream did not answer."""
+        """Handle a load report, or None if the upstream did not respond."""
         ...
 
 
@@ -57,11 +57,11 @@
         self._targets = targets
         self._observer = observer
         self._clock = clock
-        self._pool = Pool(_PARALLEL_POLLS)
+        self._pool = Pool(_MAX_CONCURRENT_POLLS)
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        """Start to poll in the background."""
+        """Start polling in the background."""
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -73,7 +73,7 @@
     def _run(self) -> None:
         while True:
             for target in list(self._targets()):
-                # Waits for a free place, so slow upstreams bound the polls at once.
+                # Blocks while the pool is full, which limits concurrent polls.
                 self._pool.spawn(self._poll, target)
             gevent.sleep(_INTERVAL_S)
 
@@ -85,7 +85,7 @@
 
 
 def fetch_load(address: str, clock: Clock) -> LoadHint | None:
-    """Return the load report of an upstream, or None."""
+    """Return the load report of an upstream, or None if it can't be read."""
     try:
         host, port = parse_address(address)
         client = HTTPClient(
@@ -96,10 +96,10 @@
             network_timeout=_TIMEOUT_S,
         )
         try:
-            answer = client.get("/load")
-            if answer.status_code != 200:
+            response = client.get("/load")
+            if response.status_code != 200:
                 return None
-            body = json.loads(answer.read(_BODY_MAX_BYTES))
+            body = json.loads(response.read(_MAX_BODY_BYTES))
         finally:
             client.close()
         load = msgspec.convert(body, _LoadBody)
--- a/bergamotdrift/observations.py
+++ b/bergamotdrift/observations.py
@@ -1,4 +1,4 @@
-"""Latency and errors of an upstream as its own requests showed them."""
+"""Latency and error statistics of an upstream from observed requests."""
 
 import math
 from typing import NamedTuple
@@ -8,13 +8,13 @@
 
 _FAST_MS = 1000.0
 _SLOW_MS = 30_000.0
-# A fast mean this many times the slow one is a latency jump.
+# The short-term mean exceeding the long-term mean by this factor is a latency jump.
 _JUMP_FACTOR = 4.0
-# Fewer samples than this say nothing about an upstream.
+# Minimum weight of recent samples to evaluate an upstream.
 _MIN_SAMPLES = 3.0
-# A request in three refused within the fast window counts as refusing.
+# Above this ratio of refused requests in the short window, an upstream is refusing.
 _REFUSING_RATIO = 0.3
-# Reports lag; an observation that is younger than this counts instead.
+# Load reports lag; observations younger than this take precedence.
 FRESH_MS = 2000.0
 
 _TIMED = frozenset({
@@ -34,7 +34,7 @@
 
 
 class DecayingMean:
-    """Average values with weights that halve as they age."""
+    """Exponentially decaying mean with time constant `span_ms`."""
 
     __slots__ = ("_at_ms", "_span_ms", "_sum", "_weight")
 
@@ -45,28 +45,28 @@
         self._weight = 0.0
 
     def add(self, value: float, now_ms: float) -> None:
-        """Add a value seen now."""
+        """Add a sample observed now."""
         keep = math.exp((self._at_ms - now_ms) / self._span_ms)
         self._sum = self._sum * keep + value
         self._weight = self._weight * keep + 1.0
         self._at_ms = now_ms
 
     def mean(self) -> float:
-        """Return the weighted mean, or 0 without values."""
+        """Return the weighted mean, or 0 without samples."""
         return self._sum / self._weight if self._weight > 0 else 0.0
 
     def blend(self, other: float, now_ms: float) -> float:
-        """Return the mean, moved towards `other` as its values grow few or old."""
+        """Return the mean, moved towards `other` as samples get fewer or older."""
         weight = self.weight(now_ms)
         return (self.mean() * weight + other) / (weight + 1.0)
 
     def weight(self, now_ms: float) -> float:
-        """Return how many recent values stand behind the mean."""
+        """Return the effective number of recent samples."""
         return self._weight * math.exp((self._at_ms - now_ms) / self._span_ms)
 
 
 class LoadHint(NamedTuple):
-    """Hold a lagging load report of an upstream."""
+    """Load report of an upstream, possibly outdated."""
 
     in_flight: int
     slots: int
@@ -75,7 +75,7 @@
 
 
 class Observations:
-    """Remember what recent requests and load reports showed of one upstream."""
+    """Collect statistics of recent requests and the last load report of an upstream."""
 
     __slots__ = ("_errors", "_fast", "_refusals", "_seen_at_ms", "_slow", "hint")
 
@@ -88,7 +88,7 @@
         self.hint: LoadHint | None = None
 
     def record(self, outcome: AttemptOutcome, latency_ms: float, now_ms: float) -> None:
-        """Count an attempt that ended now."""
+        """Record an attempt that ended now."""
         if outcome is AttemptOutcome.CANCELLED:
             return
         self._errors.add(float(outcome in _FAILED), now_ms)
@@ -99,7 +99,7 @@
             self._seen_at_ms = now_ms
 
     def has_fresh_latency(self, now_ms: float) -> bool:
-        """Tell whether a request ended so recently that reports count less."""
+        """Return whether a request ended recently enough to overrule load reports."""
         return now_ms - self._seen_at_ms < FRESH_MS
 
     def latency_ms(self) -> float:
@@ -107,30 +107,30 @@
         return self._fast.mean()
 
     def expected_latency_ms(self, pool_ms: float, now_ms: float) -> float:
-        """Return the latency to expect now, near the pool's when little is known."""
+        """Return the expected latency, close to `pool_ms` with few recent samples."""
         return self._fast.blend(pool_ms, now_ms)
 
-    def usual_latency_ms(self) -> float:
-        """Return the mean latency over a longer time, or 0."""
+    def long_term_latency_ms(self) -> float:
+        """Return the long-term mean latency, or 0 if nothing was observed."""
         return self._slow.mean()
 
     def error_ratio(self) -> float:
-        """Return the recent part of attempts that failed."""
+        """Return the recent ratio of failed attempts."""
         return self._errors.mean()
 
-    def has_jumped_while_refusing(self, now_ms: float) -> bool:
-        """Tell whether latency jumped together with refusals: a cold start."""
+    def has_latency_jump_with_refusals(self, now_ms: float) -> bool:
+        """Return whether latency jumped along with refusals, as in a cold start."""
         if self._fast.weight(now_ms) < _MIN_SAMPLES:
             return False
         jumped = self._fast.mean() > _JUMP_FACTOR * self._slow.mean()
         return jumped and self._refusals.mean() > _REFUSING_RATIO
 
     def has_enough_samples(self, now_ms: float) -> bool:
-        """Tell whether enough requests ended recently to judge the upstream."""
+        """Return whether enough requests ended recently to evaluate the upstream."""
         return self._fast.weight(now_ms) >= _MIN_SAMPLES
 
     def usable_hint(self, now_ms: float) -> LoadHint | None:
-        """Return the last report unless fresh observations overrule it."""
+        """Return the last load report if it is fresh and no observation is fresher."""
         hint = self.hint
         if hint is None or self.has_fresh_latency(now_ms):
             return None
--- a/bergamotdrift/probe_backoff.py
+++ b/bergamotdrift/probe_backoff.py
@@ -1,11 +1,11 @@
-"""Growing pauses between single requests that find out whether an upstream is back."""
+"""Exponential backoff between probe requests to an upstream that is down."""
 
-PROBE_MIN_MS = 100.0
-PROBE_MAX_MS = 1000.0
+MIN_PROBE_BACKOFF_MS = 100.0
+MAX_PROBE_BACKOFF_MS = 1000.0
 
 
-class ProbePause:
-    """Hold whether an upstream is down, and when it may be tried again."""
+class ProbeBackoff:
+    """Track whether an upstream is down and when it may be probed."""
 
     __slots__ = ("_at_ms", "_wait_ms")
 
@@ -15,25 +15,27 @@
 
     @property
     def is_down(self) -> bool:
-        """Tell whether the upstream gets at most single probing requests."""
+        """Whether the upstream is down and receives only single probe requests."""
         return self._wait_ms > 0
 
     def may_probe(self, now_ms: float) -> bool:
-        """Tell whether the pause is over."""
+        """Return whether the next probe request is due."""
         return now_ms >= self._at_ms
 
-    def end(self, now_ms: float) -> None:
-        """Let the next request probe at once."""
+    def probe_now(self, now_ms: float) -> None:
+        """Allow the next request to probe at once."""
         self._at_ms = min(self._at_ms, now_ms)
 
     def mark_up(self) -> None:
-        """Take note that the upstream answers."""
+        """Mark the upstream as up, since it responds."""
         self._wait_ms = 0.0
 
     def mark_down(self, now_ms: float) -> None:
-        """Begin a pause, twice as long as the last one."""
+        """Delay the next probe by twice the previous delay, within bounds."""
         if now_ms < self._at_ms:
-            # A request from before the pause says nothing new.
+            # Failures of requests sent before the delay began don't extend it.
             return
-        self._wait_ms = min(PROBE_MAX_MS, max(PROBE_MIN_MS, self._wait_ms * 2))
+        self._wait_ms = min(
+            MAX_PROBE_BACKOFF_MS, max(MIN_PROBE_BACKOFF_MS, self._wait_ms * 2)
+        )
         self._at_ms = now_ms + self._wait_ms
--- a/bergamotdrift/tests/direct_entry.py
+++ b/bergamotdrift/tests/direct_entry.py
@@ -1,4 +1,4 @@
-"""An entry that decides by itself, with fakes of control and of upstreams."""
+"""Test case of an entry with direct dispatch and fake control and upstreams."""
 
 import unittest
 from typing import Any, ClassVar
@@ -76,8 +76,8 @@
 )
 
 
-class RateControl(FakeControl):
-    """Grants the rate tokens that pings ask for, or says that there are none."""
+class RateLeasingControl(FakeControl):
+    """Fake control that leases the rate tokens pings ask for, or withholds them."""
 
     withholds_rates = False
 
@@ -94,12 +94,12 @@
 
 
 class DirectEntryTestCase(unittest.TestCase):
-    """Runs an entry that decides by itself against two upstreams."""
+    """Run an entry with direct dispatch and two upstreams."""
 
     entry_changes: ClassVar[dict[str, Any]] = {}
 
     def setUp(self):
-        self.control = RateControl()
+        self.control = RateLeasingControl()
         self.upstreams = [FakeUpstream(lambda data: OK) for _ in range(2)]
         self.control.update = self.tables()
         cfg = entry_settings(
--- a/bergamotdrift/tests/test_direct_selection.py
+++ b/bergamotdrift/tests/test_direct_selection.py
@@ -11,7 +11,7 @@
     ZoneSettings,
     ZoneState,
 )
-from bergamotdrift.direct_selection import Blocked, Chosen, DirectChoice
+from bergamotdrift.direct_selection import Blocked, Chosen, DirectSelector
 from bergamotdrift.messages import (
     FeedUpdate,
     NodeRow,
@@ -55,8 +55,8 @@
     return SimpleNamespace(service=POOL, req=SimpleNamespace(body=body))
 
 
-class DirectChoiceTestCase(unittest.TestCase):
-    """Chooses for entry e1 in zone a, one of two there and of nine in all."""
+class DirectSelectorTestCase(unittest.TestCase):
+    """Select for entry e1 in zone a, which has two of the nine entries."""
 
     def setUp(self):
         entries = [entry(n, "a" if n <= 2 else "b") for n in range(1, 10)]
@@ -66,41 +66,41 @@
             FeedUpdate(0, 1, True, 1, SETTINGS, entries, rows, [], [], [], [], [], [])
         )
         self.tables = tables
-        self.choice = DirectChoice("e1", "a", random.Random(1))
-        self.choice.update(tables, NOW_MS)
+        self.selector = DirectSelector("e1", "a", random.Random(1))
+        self.selector.update(tables, NOW_MS)
 
     def load(self, name):
-        return self.choice.loads[UpstreamId("pool", name)]
+        return self.selector.loads[UpstreamId("pool", name)]
 
-    def choose(self, body_bytes=0, excluded=()):
-        return self.choice.choose(request(body_bytes), self.tables, excluded, NOW_MS)
+    def select(self, body_bytes=0, excluded=()):
+        return self.selector.select(request(body_bytes), self.tables, excluded, NOW_MS)
 
-    def chosen_in_turn(self, body_bytes):
-        """Return the upstreams of requests that are sent until none has room."""
+    def select_until_blocked(self, body_bytes):
+        """Return the upstreams selected until none has room for another request."""
         names = []
-        while isinstance(found := self.choose(body_bytes), Chosen):
+        while isinstance(found := self.select(body_bytes), Chosen):
             found.load.in_flight += 1
             names.append(found.load.row.upstream)
         self.assertIsInstance(found, Blocked)
         return names
 
 
-class ZoneTests(DirectChoiceTestCase):
-    """Guards against large bodies that cross zones while near upstreams have room."""
+class ZoneTests(DirectSelectorTestCase):
+    """Large bodies stay in the zone while its upstreams have room."""
 
-    def test_entries_of_a_zone_share_its_upstreams_among_themselves(self):
-        names = self.chosen_in_turn(64 * 1024)
+    def test_entries_of_a_zone_share_its_upstreams(self):
+        names = self.select_until_blocked(64 * 1024)
         self.assertEqual(names[:5], ["near"] * 5)
         self.assertEqual(names.count("near"), 5)
 
-    def test_upstreams_of_other_zones_are_shared_among_all_entries(self):
-        names = self.chosen_in_turn(64 * 1024)
+    def test_upstreams_of_other_zones_are_shared_by_all_entries(self):
+        names = self.select_until_blocked(64 * 1024)
         self.assertEqual(names.count("far"), 2)
 
     def test_chunked_body_counts_as_large(self):
-        self.load("near").speed = 2.0
-        self.assertEqual(self.choose(0).load.row.upstream, "far")
-        self.assertEqual(self.choose(None).load.row.upstream, "near")
+        self.load("near").latency_ratio = 2.0
+        self.assertEqual(self.select(0).load.row.upstream, "far")
+        self.assertEqual(self.select(None).load.row.upstream, "near")
 
 
 if __name__ == "__main__":
--- a/bergamotdrift/tests/test_http_server.py
+++ b/bergamotdrift/tests/test_http_server.py
@@ -36,7 +36,7 @@
         return sock
 
     def exchange(self, data, half_close=False):
-        """Return all bytes that come back until the server closes."""
+        """Return all bytes received until the server closes the connection."""
         sock = self.connect()
         sock.sendall(data)
         if half_close:
@@ -72,7 +72,7 @@
                 self.assert_malformed(line + b"\r\nHost: x\r\n\r\n")
 
     def test_ambiguous_body_framing_is_refused(self):
-        # Two servers that disagree about a body's end allow request smuggling.
+        # Servers that disagree about the end of a body allow request smuggling.
         chunked = b"Transfer-Encoding: chunked\r\n"
         for lines in (
             b"Content-Length: 3\r\n" + chunked,
@@ -90,7 +90,7 @@
     def test_folded_header_is_refused(self):
         self.assert_malformed(b"GET / HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n")
 
-    def test_missing_or_doubled_host_is_refused(self):
+    def test_missing_or_duplicate_host_is_refused(self):
         self.assert_malformed(b"GET / HTTP/1.1\r\n\r\n")
         self.assert_malformed(b"GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n")
 
@@ -120,22 +120,22 @@
 
     @settings(max_examples=30, deadline=None)
     @given(st.binary(min_size=1, max_size=100))
-    def test_any_bytes_end_in_bounded_time(self, data):
+    def test_any_bytes_are_handled_in_bounded_time(self, data):
         self.exchange(data, half_close=True)
 
 
 class SlowCallerTests(HttpServerTestCase):
-    def test_half_of_the_headers_is_refused_after_the_header_timeout(self):
+    def test_incomplete_headers_are_refused_after_the_header_timeout(self):
         self.assert_kind(b"GET / HTTP/1.1\r\nHost:", 408, b"request_timeout")
 
-    def test_headers_sent_byte_by_byte_hit_the_total_bound(self):
+    def test_headers_sent_byte_by_byte_are_limited_in_total_time(self):
         sock = self.connect()
         with gevent.Timeout(3), self.assertRaises(OSError):
             while True:
                 sock.sendall(b"G")
                 gevent.sleep(0.1)
 
-    def test_body_that_stops_or_trickles_is_cut_off(self):
+    def test_stalled_or_slow_body_is_refused(self):
         start = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n"
         self.assertIn(b"request_timeout", self.exchange(start + b"abc"))
         sock = self.connect()
@@ -189,25 +189,25 @@
         self.assertTrue(received.endswith(b"\r\n\r\nhi"), received)
 
 
-class BrokenAppTests(HttpServerTestCase):
+class FailingAppTests(HttpServerTestCase):
     @staticmethod
     def app(environ, start_response):
         if environ["PATH_INFO"] == "/late":
             start_response("200 OK", [("Content-Length", "10")])
-            return iter_and_fail()
+            return yield_and_fail()
         raise ValueError("test")
 
-    def test_failure_before_the_answer_gives_500_of_unknown_outcome(self):
+    def test_failure_before_the_response_gives_500_with_unknown_outcome(self):
         received = self.exchange(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
         self.assertTrue(received.startswith(b"HTTP/1.1 500"))
         self.assertIn(b'"not_run": false', received)
 
-    def test_failure_within_the_answer_resets_the_connection(self):
+    def test_failure_within_the_response_resets_the_connection(self):
         with self.assertRaises(ConnectionResetError):
             self.exchange(b"GET /late HTTP/1.1\r\nHost: x\r\n\r\n")
 
 
-def iter_and_fail():
+def yield_and_fail():
     yield b"abc"
     raise ValueError("test")
 
--- a/bergamotdrift/tests/test_load_poller.py
+++ b/bergamotdrift/tests/test_load_poller.py
@@ -26,7 +26,7 @@
         hint = fetch_load(address, ManualClock(5.0))
         self.assertEqual(hint, LoadHint(1, 4, UpstreamState.COLD, 5.0))
 
-    def test_misleading_answers_are_ignored(self):
+    def test_invalid_responses_are_ignored(self):
         for status, body in [
             ("200 OK", b"{}"),
             ("200 OK", b'{"in_flight":"x","slots":4,"state":"cold"}'),
@@ -36,14 +36,14 @@
             with self.subTest(status=status, body=body[:20]):
                 self.assertIsNone(fetch_load(self.serve(status, body), ManualClock()))
 
-    def test_refused_connection_is_no_report(self):
+    def test_refused_connection_returns_no_report(self):
         sock = socket.socket()
         sock.bind(("127.0.0.1", 0))
         port = sock.getsockname()[1]
         sock.close()
         self.assertIsNone(fetch_load(f"127.0.0.1:{port}", ManualClock()))
 
-    def test_silent_upstream_is_reported_as_silent_within_the_timeout(self):
+    def test_unresponsive_upstream_is_reported_within_the_timeout(self):
         server = StreamServer(("127.0.0.1", 0), lambda sock, _: gevent.sleep(5))
         server.start()
         self.addCleanup(server.stop, 0)
--- a/bergamotdrift/tests/test_upstream_connections.py
+++ b/bergamotdrift/tests/test_upstream_connections.py
@@ -5,7 +5,7 @@
 from bergamotdrift.arbiter_messages import KeptConnections
 from bergamotdrift.clock import ManualClock
 from bergamotdrift.tests.entry_fakes import OK_ANSWER, EntryTestCase, FakeUpstream
-from bergamotdrift.upstream_connections import IDLE_MAX_MS, UpstreamConnections
+from bergamotdrift.upstream_connections import MAX_IDLE_MS, UpstreamConnections
 
 
 class IdleConnectionTests(unittest.TestCase):
@@ -34,15 +34,15 @@
         self.assertIs(self.open(), conn)
         self.assertEqual(self.pool.kept("s"), [])
 
-    def test_old_connections_are_closed_and_reported_as_dropped(self):
+    def test_expired_connections_are_closed_and_reported_as_dropped(self):
         first, second = self.open(), self.open()
         self.pool.keep(first)
-        self.clock.advance(IDLE_MAX_MS / 2)
+        self.clock.advance(MAX_IDLE_MS / 2)
         self.pool.keep(second)
-        self.clock.advance(IDLE_MAX_MS / 2)
+        self.clock.advance(MAX_IDLE_MS / 2)
         self.pool.drop_old()
         self.assertEqual((first.closed, second.closed), (True, False))
-        self.clock.advance(IDLE_MAX_MS)
+        self.clock.advance(MAX_IDLE_MS)
         self.assertIsNot(self.open(), second)
         self.assertEqual(self.dropped, [("s", "u1", 1)] * 2)
 
@@ -58,9 +58,9 @@
         self.assertTrue(conn.closed)
 
 
-class SilentConnectionTests(EntryTestCase):
-    def test_silent_connections_fail_one_request_at_most(self):
-        # A connection may go silent for good while new ones work.
+class UnresponsiveConnectionTests(EntryTestCase):
+    def test_unresponsive_connections_fail_at_most_one_request(self):
+        # Established connections may stop responding while new ones work.
         self.upstream.hold_s = 0.1
         jobs = [gevent.spawn(self.ask, "GET", "/cases/1") for _ in range(4)]
         gevent.joinall(jobs, timeout=3)
--- a/bergamotdrift/tests/test_upstream_pool.py
+++ b/bergamotdrift/tests/test_upstream_pool.py
@@ -26,7 +26,7 @@
 
 
 def message_of(outputs) -> Any:
-    """Return the message of the only output."""
+    """Return the message of the single output."""
     (output,) = outputs
     return output.message
 
@@ -61,8 +61,8 @@
         self.view = self.view._replace(**changes)
         return self.arbiter.update(self.view)
 
-    def use(self, count, latency_of, outcome_of=lambda name: ANSWERED):
-        """Run single requests and return how many each upstream got."""
+    def run_requests(self, count, latency_of, outcome_of=lambda name: ANSWERED):
+        """Run requests one at a time and return how many each upstream received."""
         used: Counter = Counter()
         for _ in range(count):
             grant = self.ask()
@@ -72,27 +72,27 @@
         return used
 
 
-class ChoiceTests(ArbitrationTestCase):
+class SelectionTests(ArbitrationTestCase):
     def test_equal_upstreams_share_the_load(self):
-        used = self.use(600, lambda name: 10.0)
+        used = self.run_requests(600, lambda name: 10.0)
         self.assertEqual(len(used), 6)
         self.assertLess(max(used.values()), 2 * min(used.values()))
 
-    def test_straggler_is_set_aside_and_probed_until_it_recovers(self):
+    def test_outlier_is_ejected_and_probed_until_it_recovers(self):
         slow = {"u1"}
 
         def latency_of(name):
             return 100.0 if name in slow else 10.0
 
-        self.use(100, latency_of)
-        used = self.use(1000, latency_of)
+        self.run_requests(100, latency_of)
+        used = self.run_requests(1000, latency_of)
         self.assertLess(used["u1"], 15)
         slow.clear()
-        self.use(500, latency_of)
-        self.assertGreater(self.use(600, latency_of)["u1"], 30)
+        self.run_requests(500, latency_of)
+        self.assertGreater(self.run_requests(600, latency_of)["u1"], 30)
 
     def test_upstream_that_stalls_is_avoided_before_its_request_ends(self):
-        self.use(60, lambda name: 10.0)
+        self.run_requests(60, lambda name: 10.0)
         stalled = self.ask().upstream
         self.clock.advance(60.0)
         for _ in range(20):
@@ -102,7 +102,7 @@
             for grant in grants:
                 self.release(grant)
 
-    def test_at_most_a_third_is_set_aside(self):
+    def test_at_most_a_third_is_ejected(self):
         self.upstream_count = 9
         self.start()
         most = 0
@@ -115,7 +115,7 @@
                     continue
                 slow = grant.upstream in {"u1", "u2", "u3", "u4"}
                 self.release(grant, 200.0 if slow else 10.0)
-                most = max(most, self.arbiter.upstreams._watch.aside_count())
+                most = max(most, self.arbiter.upstreams._outliers.ejected_count())
         self.assertEqual(most, 3)
 
     def test_excluded_upstream_is_avoided_unless_it_is_the_only_one(self):
@@ -124,15 +124,15 @@
         self.update(upstreams=(support.upstream("u0"),))
         self.assertEqual(self.ask(excluded=["u0"]).upstream, "u0")
 
-    def test_closed_upstreams_get_nothing(self):
+    def test_closed_upstreams_receive_no_requests(self):
         self.update(closed=frozenset({"u0", "u1", "u2", "u3", "u4"}))
         grants = [self.ask() for _ in range(3)]
         self.assertEqual([g and g.upstream for g in grants], ["u5", "u5", None])
         self.update(closed=frozenset(row.upstream for row in self.view.upstreams))
         self.assertEqual(self.ask().kind, ErrorKind.NO_UPSTREAM)
 
-    def test_unreachable_upstream_gets_single_probes(self):
-        used = self.use(
+    def test_unreachable_upstream_receives_single_probes(self):
+        used = self.run_requests(
             300,
             lambda name: 10.0,
             lambda name: AttemptOutcome.CONNECT_FAILED if name == "u1" else ANSWERED,
@@ -146,7 +146,7 @@
             {self.ask().upstream for _ in range(5)}, {"u0", "u2", "u3", "u4", "u5"}
         )
         self.start()
-        self.use(60, lambda name: 10.0)
+        self.run_requests(60, lambda name: 10.0)
         self.arbiter.probed("u1", hint)
         self.assertIn("u1", {self.ask().upstream for _ in range(6)})
 
@@ -159,25 +159,25 @@
         service = support.service(slots=5, ramp_s=4.0)
         self.start(service=service, warm_since_ms={"u0": 0.0})
 
-    def count_room(self):
-        room = 0
+    def count_free_slots(self):
+        free_slots = 0
         grants = []
         while (grant := self.ask(deadline_ms=1)) is not None:
             if not isinstance(grant, PermitGrant):
                 break
             grants.append(grant)
-            room += 1
+            free_slots += 1
         self.clock.advance(5.0)
         self.arbiter.tick()
         for grant in grants:
             self.release(grant)
-        return room
+        return free_slots
 
     def replace(self, **changes):
         return self.update(upstreams=(support.upstream("u0", **changes),))
 
     def test_known_upstream_has_all_slots(self):
-        self.assertEqual(self.count_room(), 5)
+        self.assertEqual(self.count_free_slots(), 5)
 
     def test_new_incarnation_starts_a_ramp_and_revokes(self):
         self.ask()
@@ -185,33 +185,33 @@
         self.assertEqual(outputs, [Notice(self.entry, Revoke(support.POOL, "u0"))])
         self.arbiter.close()
         self.start(service=self.view.service)
-        self.assertEqual(self.count_room(), 1)
+        self.assertEqual(self.count_free_slots(), 1)
         self.clock.advance(2000.0)
-        self.assertEqual(self.count_room(), 3)
+        self.assertEqual(self.count_free_slots(), 3)
         self.clock.advance(2000.0)
-        self.assertEqual(self.count_room(), 5)
+        self.assertEqual(self.count_free_slots(), 5)
 
     def test_cold_state_starts_a_ramp(self):
         self.replace(state=UpstreamState.COLD)
-        self.assertEqual(self.count_room(), 1)
+        self.assertEqual(self.count_free_slots(), 1)
 
     def test_upstream_that_refused_connections_starts_a_ramp(self):
-        """A restart that is not announced yet must not meet all slots."""
-        self.assertEqual(self.count_room(), 5)
+        """A restart that is not announced yet must not get requests on all slots."""
+        self.assertEqual(self.count_free_slots(), 5)
         self.release(self.ask(), outcome=AttemptOutcome.CONNECT_FAILED)
         self.clock.advance(200.0)
         self.release(self.ask())
-        self.assertEqual(self.count_room(), 1)
+        self.assertEqual(self.count_free_slots(), 1)
 
-    def test_shed_halves_once_and_recovers_slowly(self):
+    def test_shedding_halves_the_limit_once_and_it_recovers_slowly(self):
         for grant in [self.ask(), self.ask(), self.ask()]:
             self.release(grant, outcome=AttemptOutcome.SHED)
-        self.assertEqual(self.count_room(), 2)
+        self.assertEqual(self.count_free_slots(), 2)
         self.clock.advance(2000.0)
-        self.assertEqual(self.count_room(), 3)
+        self.assertEqual(self.count_free_slots(), 3)
 
     def test_latency_jump_with_refusals_starts_a_ramp(self):
-        self.use(100, lambda name: 10.0)
+        self.run_requests(100, lambda name: 10.0)
         self.clock.advance(5000.0)
         outcomes = [ANSWERED, ANSWERED, ANSWERED, AttemptOutcome.SHED] * 3
         for outcome in outcomes[:-1]:
@@ -221,21 +221,21 @@
         for grant in grants:
             if grant is not None:
                 self.release(grant, 400.0, AttemptOutcome.SHED)
-        self.assertEqual(self.count_room(), 1)
+        self.assertEqual(self.count_free_slots(), 1)
 
 
 class RefusalTests(ArbitrationTestCase):
     upstream_count = 1
 
     def test_unreachable_deadline_is_refused_at_once(self):
-        self.use(20, lambda name: 100.0)
+        self.run_requests(20, lambda name: 100.0)
         for _ in range(2 + 3):
             self.ask()
         refusal = self.ask(deadline_ms=150)
         self.assertEqual(refusal.kind, ErrorKind.DEADLINE_UNREACHABLE)
         self.assertIsNone(self.ask(deadline_ms=800))
 
-    def test_waiting_ends_at_the_deadline_or_the_longest_wait(self):
+    def test_waiting_ends_at_the_deadline_or_the_maximum_wait(self):
         for deadline_ms in (60_000, 60_000, 60_000, 300):
             self.ask(deadline_ms=deadline_ms)
         self.clock.advance(300.0)
--- a/bergamotdrift/upstream_connections.py
+++ b/bergamotdrift/upstream_connections.py
@@ -1,4 +1,4 @@
-"""Connections to upstreams that never repeat a request."""
+"""Upstream connections and their keep-alive pool; requests are never resent."""
 
 import contextlib
 import select
@@ -16,26 +16,26 @@
 
 _RECEIVE_BYTES = 64 * 1024
 _CONNECT_TIMEOUT_MS = 500
-# Upstreams commonly close idle connections after 5 s; reuse stops well before.
-IDLE_MAX_MS = 3000
+# Well below 5 s, after which upstreams commonly close idle connections.
+MAX_IDLE_MS = 3000
 _MAX_HEAD_BYTES = 64 * 1024
-_ABORT = struct.pack("ii", 1, 0)
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class ResponseParser(HTTPResponse):
-    """Parse one answer; bytes after it mark the connection as unusable."""
+    """Parser of a single response; sets `extra_data` if more data follows it."""
 
     def __init__(self, method: str):
         super().__init__(method=method)
         self.status = 0
         self.extra_data = False
-        # An answer without framing is complete once the upstream has closed in order.
+        # A response without framing is complete once the upstream closes cleanly.
         self.ends_with_connection = False
 
     def _on_message_begin(self) -> None:
         if self.message_complete and self.status >= 200:
             self.extra_data = True
-            raise HTTPParseError("data after the end of the answer")
+            raise HTTPParseError("data after the end of the response")
         super()._on_message_begin()
 
     def _on_headers_complete(self) -> Any:
@@ -45,24 +45,24 @@
 
     @property
     def head_is_final(self) -> bool:
-        """Tell whether the headers of a final answer are complete."""
+        """Whether the headers of the final (non-1xx) response are complete."""
         return self.headers_complete and self.status >= 200
 
     def has_framing(self) -> bool:
-        """Tell whether the end of the answer can be told from a lost connection."""
+        """Return whether the end of the body can be told from a lost connection."""
         if self.method == "HEAD" or self.status in {204, 304}:
             return True
         return "content-length" in self or "transfer-encoding" in self
 
     def take_body(self) -> bytes:
-        """Return the body bytes that were parsed since the last call."""
+        """Return the body bytes parsed since the last call."""
         data = bytes(self._body_buffer)
         self._body_buffer.clear()
         return data
 
 
 class UpstreamConnection:
-    """Exchange one request at a time with an upstream."""
+    """Connection to an upstream for one request at a time."""
 
     def __init__(self, shard: str, upstream: str, address: str, clock: Clock):
         self.shard = shard
@@ -87,7 +87,7 @@
     ) -> None:
         """Prepare for a request that must end by the deadline.
 
-        It ends by the earlier `limit_ms` if `may_give_up` then allows it.
+        It times out at the earlier `limit_ms` if `may_give_up` returns true then.
         """
         self._deadline_ms = deadline_ms
         self._limit_ms = limit_ms
@@ -96,14 +96,14 @@
         self.request_sent = False
 
     def connect(self) -> None:
-        """Connect, or raise OSError."""
+        """Connect to the upstream; raises OSError."""
         left_ms = min(self._remaining_ms(), _CONNECT_TIMEOUT_MS)
         self._sock.settimeout(left_ms / 1000.0)
         self._sock.connect(parse_address(self.address))
         set_stream_options(self._sock)
 
     def send(self, data: bytes) -> None:
-        """Send all data; `bytes_left` tells whether any byte may have gone."""
+        """Send all data; `bytes_left` is set once any byte has left this process."""
         view = memoryview(data)
         while view:
             self._sock.settimeout(self._remaining_ms() / 1000.0)
@@ -112,19 +112,19 @@
             view = view[sent:]
 
     def answer_has_begun(self) -> bool:
-        """Tell whether the upstream has sent something or closed."""
+        """Return whether the upstream has sent data or closed the connection."""
         poller = select.poll()
         poller.register(self._sock.fileno(), select.POLLIN)
         return bool(poller.poll(0))
 
     def receive_into(self, parser: ResponseParser) -> int:
-        """Feed the next bytes to the parser and return their number.
+        """Feed received bytes to the parser and return their number.
 
         Raises OSError and HTTPParseError.
         """
         data = self._receive()
         if not data:
-            return self._take_end(parser)
+            return self._handle_eof(parser)
         try:
             parser.feed(data)
         except HTTPParseError:
@@ -133,15 +133,15 @@
         return len(data)
 
     def _receive(self) -> bytes:
-        """Return the next bytes, empty at the end; raises OSError."""
+        """Return received bytes, empty at end of stream; raises OSError."""
         while True:
             self._sock.settimeout(self._remaining_ms() / 1000.0)
-            # Whether the time is over is decided by the next call for what remains.
+            # After a timeout, `_remaining_ms` raises if the deadline or limit passed.
             with contextlib.suppress(TimeoutError):
                 return self._sock.recv(_RECEIVE_BYTES)
 
-    def _take_end(self, parser: ResponseParser) -> int:
-        """Complete an answer that has no framing; any other one is truncated."""
+    def _handle_eof(self, parser: ResponseParser) -> int:
+        """Complete a response without framing; any other response is truncated."""
         if not parser.head_is_final or parser.has_framing():
             raise ConnectionResetError("the upstream closed the connection")
         parser.ends_with_connection = True
@@ -149,20 +149,20 @@
         return 0
 
     def abort(self) -> None:
-        """Reset the connection, so that nothing still on its way takes effect."""
+        """Reset the connection, so that data in flight takes no effect."""
         with contextlib.suppress(OSError):
             self._sock.setsockopt(
-                gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, _ABORT
+                gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, _RESET_ON_CLOSE
             )
         self._closed = True
         self._sock.close()
 
     def is_usable(self) -> bool:
-        """Tell whether an idle connection is still open and silent."""
+        """Return whether an idle connection is open and without unread data."""
         return not self._closed and peer_has_closed(self._sock) is False
 
     def close(self) -> None:
-        """Close the connection; an operation in progress fails."""
+        """Close the connection; operations in progress fail."""
         if self._closed:
             return
         self._closed = True
@@ -172,7 +172,7 @@
 
     @property
     def closed(self) -> bool:
-        """Tell whether this side closed the connection."""
+        """Whether this side has closed the connection."""
         return self._closed
 
     def _remaining_ms(self) -> float:
@@ -191,12 +191,12 @@
 
 
 def read_head(conn: UpstreamConnection, method: str) -> ResponseParser:
-    """Return the parser once the headers of the final answer are complete."""
+    """Read up to the end of the final response's headers and return the parser."""
     parser = ResponseParser(method)
     received = 0
     while not parser.head_is_final:
         if received > _MAX_HEAD_BYTES:
-            raise HTTPParseError("the answer's headers are too large")
+            raise HTTPParseError("the response headers are too large")
         received += conn.receive_into(parser)
         if parser.status == 101:
             raise HTTPParseError("the upstream switched protocols")
@@ -204,7 +204,7 @@
 
 
 class UpstreamConnections:
-    """Keep idle connections per upstream of a shard."""
+    """Pool of idle connections by shard and upstream."""
 
     def __init__(self, clock: Clock, on_dropped: Callable[[str, str, int], None]):
         self._clock = clock
@@ -212,7 +212,7 @@
         self._idle: dict[tuple[str, str], list[UpstreamConnection]] = {}
 
     def take(self, shard: str, upstream: str, address: str) -> UpstreamConnection:
-        """Return an idle connection that still works, or a new unconnected one."""
+        """Return a usable idle connection, or a new unconnected one."""
         idle = self._idle.get((shard, upstream), [])
         dropped = 0
         found = None
@@ -223,14 +223,17 @@
             else:
                 conn.close()
                 dropped += 1
-        self._report(shard, upstream, dropped)
+        self._report_dropped(shard, upstream, dropped)
         if found is None:
             return UpstreamConnection(shard, upstream, address, self._clock)
         found.reused = True
         return found
 
     def keep(self, conn: UpstreamConnection) -> bool:
-        """Keep a connection whose answer is complete and tell whether it was kept."""
+        """Return a connection to the pool after a complete response.
+
+        Returns False if the connection is closed and was not kept.
+        """
         if conn.closed:
             return False
         conn.idle_since_ms = self._clock.now_ms()
@@ -238,7 +241,7 @@
         return True
 
     def kept(self, shard: str) -> list[KeptConnections]:
-        """Return the number of idle connections per upstream of a shard."""
+        """Return the number of idle connections to each upstream of a shard."""
         return [
             KeptConnections(upstream, len(conns))
             for (owner, upstream), conns in self._idle.items()
@@ -250,23 +253,23 @@
         conns = self._idle.pop((shard, upstream), [])
         for conn in conns:
             conn.close()
-        self._report(shard, upstream, len(conns))
+        self._report_dropped(shard, upstream, len(conns))
 
     def drop_old(self) -> None:
-        """Close the connections that have been idle for too long or are dead."""
+        """Close connections that are dead or have been idle for too long."""
         for (shard, upstream), conns in list(self._idle.items()):
-            good = [c for c in conns if self._is_fresh(c) and c.is_usable()]
-            bad = [c for c in conns if c not in good]
-            for conn in bad:
+            usable = [c for c in conns if self._is_fresh(c) and c.is_usable()]
+            stale = [c for c in conns if c not in usable]
+            for conn in stale:
                 conn.close()
-            if good:
-                self._idle[shard, upstream] = good
+            if usable:
+                self._idle[shard, upstream] = usable
             else:
                 del self._idle[shard, upstream]
-            self._report(shard, upstream, len(bad))
+            self._report_dropped(shard, upstream, len(stale))
 
     def drop_unknown(self, addresses: set[str]) -> None:
-        """Close the connections whose upstream left or changed its address."""
+        """Close connections to upstreams that left or changed their address."""
         for (shard, upstream), conns in list(self._idle.items()):
             if any(conn.address not in addresses for conn in conns):
                 self.drop(shard, upstream)
@@ -277,8 +280,8 @@
             self.drop(shard, upstream)
 
     def _is_fresh(self, conn: UpstreamConnection) -> bool:
-        return self._clock.now_ms() - conn.idle_since_ms < IDLE_MAX_MS
+        return self._clock.now_ms() - conn.idle_since_ms < MAX_IDLE_MS
 
-    def _report(self, shard: str, upstream: str, dropped: int) -> None:
+    def _report_dropped(self, shard: str, upstream: str, dropped: int) -> None:
         if dropped:
             self._on_dropped(shard, upstream, dropped)
--- a/bergamotdrift/upstream_load.py
+++ b/bergamotdrift/upstream_load.py
@@ -1,4 +1,4 @@
-"""One upstream as its arbiter sees it: slots, ramp, connections and health."""
+"""Load and health of one upstream as tracked by its arbiter."""
 
 from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.cold_start import ColdStart
@@ -9,17 +9,17 @@
     UpstreamState,
 )
 from bergamotdrift.observations import LoadHint, Observations
-from bergamotdrift.probe_backoff import ProbePause
+from bergamotdrift.probe_backoff import ProbeBackoff
 
-# One timeout may be the request's own; two in a row without an answer are silence.
-_SILENT_TIMEOUTS = 2
+# A single timeout may be due to the request; two in a row mark the upstream as down.
+_FAILURES_UNTIL_DOWN = 2
 
 _UNREACHABLE = frozenset({AttemptOutcome.CONNECT_FAILED})
-_SILENT = frozenset({AttemptOutcome.TIMEOUT, AttemptOutcome.BROKEN})
+_NO_RESPONSE = frozenset({AttemptOutcome.TIMEOUT, AttemptOutcome.BROKEN})
 
 
 class UpstreamLoad:
-    """Hold what bounds and describes the requests sent to one upstream."""
+    """Slots, cold start ramp, connections and health of an upstream."""
 
     __slots__ = (
         "_failures",
@@ -41,22 +41,22 @@
         self.connections = ConnectionCount(service)
         self.observed = Observations()
         self.in_flight = 0
-        # When each running request was permitted, the oldest first.
+        # Grant time of each running permit, oldest first.
         self.started_ms: dict[str, float] = {}
-        # What one request is expected to take when nothing else runs.
+        # Expected latency of a request without concurrent requests.
         self.expected_ms = 1.0
         self.is_closed = False
         self._failures = 0
         self._may_have_restarted = False
-        self._pause = ProbePause()
+        self._pause = ProbeBackoff()
 
     @property
     def is_down(self) -> bool:
-        """Tell whether the upstream gets at most single probing requests."""
+        """Whether the upstream is down and receives only single probe requests."""
         return self._pause.is_down
 
     def replace_row(self, row: UpstreamRow, now_ms: float) -> bool:
-        """Take a changed row and tell whether the upstream was restarted."""
+        """Apply a changed row and return whether the upstream restarted."""
         before, self.row = self.row, row
         restarted = row.incarnation != before.incarnation
         turned_cold = (
@@ -75,7 +75,7 @@
         self.connections.configure(service)
 
     def free_slots(self, now_ms: float) -> int:
-        """Return how many more requests the upstream may get now."""
+        """Return how many more requests the upstream may receive now."""
         if self.is_closed:
             return 0
         if self._pause.is_down:
@@ -83,35 +83,35 @@
         return self.ramp.allowed(now_ms) - self.in_flight
 
     def oldest_age_ms(self, now_ms: float) -> float:
-        """Return for how long the oldest running request runs, or 0."""
+        """Return the age of the oldest running request, or 0."""
         return now_ms - next(iter(self.started_ms.values()), now_ms)
 
     def record(self, outcome: AttemptOutcome, latency_ms: float, now_ms: float) -> None:
-        """Learn from an attempt that ended now."""
+        """Record the result of an attempt that ended now."""
         self.observed.record(outcome, latency_ms, now_ms)
         if outcome is AttemptOutcome.ANSWERED:
-            self._return(now_ms)
+            self._on_response(now_ms)
             return
         if outcome is AttemptOutcome.SHED:
-            self._return(now_ms)
-            self.ramp.shed(now_ms)
+            self._on_response(now_ms)
+            self.ramp.on_shed(now_ms)
         elif outcome in _UNREACHABLE:
             self._may_have_restarted = True
             self._pause.mark_down(now_ms)
-        elif outcome in _SILENT:
+        elif outcome in _NO_RESPONSE:
             self._failures += 1
-            if self._failures >= _SILENT_TIMEOUTS:
+            if self._failures >= _FAILURES_UNTIL_DOWN:
                 self._pause.mark_down(now_ms)
-        if self.observed.has_jumped_while_refusing(now_ms):
+        if self.observed.has_latency_jump_with_refusals(now_ms):
             self.ramp.restart(now_ms)
 
-    def probed(self, hint: LoadHint | None, now_ms: float) -> None:
-        """Take a load report, or None if the upstream did not answer."""
+    def on_load_report(self, hint: LoadHint | None, now_ms: float) -> None:
+        """Record a load report, or None if the upstream did not respond."""
         if hint is None:
             return
         if self.is_down:
-            # The answer ends the pause, and one request then tries the upstream.
-            self._pause.end(now_ms)
+            # The upstream responds again, so a request may probe it at once.
+            self._pause.probe_now(now_ms)
         before = self.observed.hint
         self.observed.hint = hint
         was_cold = before is not None and before.state is UpstreamState.COLD
@@ -122,10 +122,10 @@
         if self.observed.usable_hint(now_ms) is not None:
             self.ramp.restart(now_ms)
 
-    def _return(self, now_ms: float) -> None:
-        """Take note of an answer, and ramp up what refused connections before.
+    def _on_response(self, now_ms: float) -> None:
+        """Mark the upstream as up; restart the ramp if it refused connections.
 
-        The announcement of a new incarnation may come after its first answers.
+        A new incarnation may respond before its announcement arrives.
         """
         if self.is_down and self._may_have_restarted:
             self.ramp.restart(now_ms)
--- a/bergamotdrift/upstream_pool.py
+++ b/bergamotdrift/upstream_pool.py
@@ -1,4 +1,4 @@
-"""The upstreams of one permit shard and what runs at them."""
+"""Upstreams of one permit shard and their requests in flight."""
 
 import random
 from collections.abc import Collection, Iterable, Iterator
@@ -14,30 +14,30 @@
 from bergamotdrift.takeover import EntryId
 from bergamotdrift.upstream_load import UpstreamLoad
 from bergamotdrift.upstream_selection import (
+    OutlierDetector,
     PoolLatency,
-    StragglerWatch,
-    choose_upstream,
     expected_ms,
     pool_latency,
+    select_upstream,
 )
 
-_JUDGE_INTERVAL_MS = 20.0
-# The best of this many upstreams is nearly as good as the best of all.
-_STRETCH = 16
+_EVALUATION_INTERVAL_MS = 20.0
+# The best of a sample of this size is nearly as good as the best of the whole pool.
+_SAMPLE_SIZE = 16
 
 
 class UpstreamPool:
-    """Choose upstreams for waiters and count what runs at each."""
+    """Select upstreams for queued requests and count the requests in flight."""
 
     def __init__(self, view: ShardView, rng: random.Random, now_ms: float):
         self._service = view.service
         self._rng = rng
         self._loads: dict[str, UpstreamLoad] = {}
-        self._list: list[UpstreamLoad] = []
+        self._load_list: list[UpstreamLoad] = []
         self._adopted: dict[str, int] = {}
-        self._watch = StragglerWatch()
+        self._outliers = OutlierDetector()
         self._latency = PoolLatency(0.0, 0.0)
-        self._judged_at_ms = float("-inf")
+        self._evaluated_at_ms = float("-inf")
         self.picked: UpstreamLoad | None = None
         self.update(view, (), now_ms)
 
@@ -45,7 +45,7 @@
         return iter(self._loads.values())
 
     def is_known(self, upstream: str) -> bool:
-        """Tell whether control lists the upstream."""
+        """Return whether control lists the upstream."""
         return upstream in self._loads
 
     def get(self, upstream: str) -> UpstreamLoad | None:
@@ -53,11 +53,11 @@
         return self._loads.get(upstream)
 
     def has_open(self) -> bool:
-        """Tell whether any upstream is listed that takes new work."""
+        """Return whether any listed upstream accepts new requests."""
         return any(not load.is_closed for load in self._loads.values())
 
     def allowed_slots(self, now_ms: float) -> int:
-        """Return how many requests all upstreams together may run now."""
+        """Return how many requests all upstreams together may have in flight now."""
         return sum(
             load.ramp.allowed(now_ms)
             for load in self._loads.values()
@@ -65,45 +65,45 @@
         )
 
     def with_room(self, now_ms: float, only: str | None = None) -> list[UpstreamLoad]:
-        """Return the upstreams with a free slot, or only the one named if it has."""
+        """Return the upstreams with a free slot, limited to `only` if given."""
         if only is None:
-            return [load for load in self._list if load.free_slots(now_ms) > 0]
+            return [load for load in self._load_list if load.free_slots(now_ms) > 0]
         load = self._loads.get(only)
         return [load] if load is not None and load.free_slots(now_ms) > 0 else []
 
     def pick(
         self, waiter: Waiter, now_ms: float, among: list[UpstreamLoad] | None = None
     ) -> bool:
-        """Choose an upstream for a waiter into `picked`, and tell whether one fits.
+        """Set `picked` to an upstream for a waiter and return whether there is one.
 
-        Of a large pool a random stretch is looked at first.
+        A large pool is sampled first: a contiguous run from a random start.
         """
-        self._judge(now_ms)
-        pool = self._list if among is None else among
+        self._evaluate(now_ms)
+        pool = self._load_list if among is None else among
         self.picked = None
-        if len(pool) > _STRETCH:
+        if len(pool) > _SAMPLE_SIZE:
             start = int(self._rng.random() * len(pool))
-            stretch = pool[start : start + _STRETCH]
-            stretch += pool[: _STRETCH - len(stretch)]
-            self.picked = self._choose(stretch, waiter, now_ms)
+            sample = pool[start : start + _SAMPLE_SIZE]
+            sample += pool[: _SAMPLE_SIZE - len(sample)]
+            self.picked = self._select(sample, waiter, now_ms)
         if self.picked is None:
-            self.picked = self._choose(pool, waiter, now_ms)
+            self.picked = self._select(pool, waiter, now_ms)
         return self.picked is not None
 
-    def _choose(
+    def _select(
         self, pool: list[UpstreamLoad], waiter: Waiter, now_ms: float
     ) -> UpstreamLoad | None:
-        return choose_upstream(
+        return select_upstream(
             pool,
             waiter.entry,
-            self._effective(waiter.req.excluded),
-            self._watch,
+            self._effective_exclusions(waiter.req.excluded),
+            self._outliers,
             self._rng,
             now_ms,
         )
 
-    def _effective(self, excluded: Collection[str]) -> Collection[str]:
-        """Drop an exclusion that would leave no upstream."""
+    def _effective_exclusions(self, excluded: Collection[str]) -> Collection[str]:
+        """Return the excluded upstreams, or none if that would exclude all."""
         if not excluded:
             return excluded
         has_other = any(
@@ -115,7 +115,7 @@
     def start(self, load: UpstreamLoad, entry: EntryId) -> ConnectionUse:
         """Count a request as started."""
         load.in_flight += 1
-        return load.connections.take(entry)
+        return load.connections.start_request(entry)
 
     def end(self, permit: Permit, kept: bool) -> None:
         """Count a request as ended."""
@@ -124,10 +124,10 @@
             return
         load.in_flight -= 1
         load.started_ms.pop(permit.permit, None)
-        load.connections.give_back(permit.entry, permit.use, kept)
+        load.connections.end_request(permit.entry, permit.use, kept)
 
     def adopt(self, permit: Permit) -> None:
-        """Count a request that an earlier arbiter permitted."""
+        """Count a request that a previous arbiter permitted."""
         load = self._loads.get(permit.upstream)
         if load is None:
             return
@@ -136,7 +136,7 @@
         self._adopted[permit.upstream] = self._adopted.get(permit.upstream, 0) + 1
 
     def warm_to_adopted(self, now_ms: float) -> None:
-        """Start the ramps at what the upstreams were found to bear."""
+        """Raise the ramps to the requests that upstreams were found to run."""
         for upstream, running in self._adopted.items():
             load = self._loads.get(upstream)
             if load is not None:
@@ -146,7 +146,7 @@
     def learn(
         self, upstream: str, outcome: AttemptOutcome, latency_ms: float, now_ms: float
     ) -> None:
-        """Learn from an attempt that ended, and judge stragglers."""
+        """Record the result of an attempt, and update the outlier detection."""
         load = self._loads.get(upstream)
         if load is None:
             return
@@ -155,49 +155,50 @@
             return
         load.expected_ms = expected_ms(load, self._latency, now_ms)
         if outcome is not AttemptOutcome.CANCELLED:
-            usual_ms = self._latency.usual_ms
-            self._watch.probe_ended(load, latency_ms, usual_ms, now_ms)
-        self._judge(now_ms)
+            median_ms = self._latency.median_ms
+            self._outliers.record_probe(load, latency_ms, median_ms, now_ms)
+        self._evaluate(now_ms)
 
     def probed(self, upstream: str, hint: LoadHint | None, now_ms: float) -> None:
-        """Take a load report."""
+        """Record a load report, or None if the upstream did not respond."""
         load = self._loads.get(upstream)
         if load is not None:
-            load.probed(hint, now_ms)
+            load.on_load_report(hint, now_ms)
             load.expected_ms = expected_ms(load, self._latency, now_ms)
 
     def drop_connections(self, entry: EntryId, upstream: str, connections: int) -> None:
         """Count idle connections of an entry as closed."""
         load = self._loads.get(upstream)
         if load is not None:
-            load.connections.drop(entry, connections)
+            load.connections.remove_idle(entry, connections)
 
     def replace_connections(
         self, entry: EntryId, upstream: str, connections: int
     ) -> None:
-        """Set the idle connections that an entry reports."""
+        """Set the number of idle connections that an entry reports."""
         load = self._loads.get(upstream)
         if load is not None:
-            load.connections.replace(entry, connections)
+            load.connections.set_idle(entry, connections)
 
     def forget_connections(self, entry: EntryId) -> None:
         """Count all idle connections of an entry as closed."""
         for load in self._loads.values():
-            load.connections.forget(entry)
+            load.connections.clear_idle(entry)
 
     def update(
         self, view: ShardView, running: Iterable[Permit], now_ms: float
     ) -> set[str]:
-        """Apply a view and return the upstreams that vanished or were restarted.
+        """Apply a view and return the upstreams that were removed or restarted.
 
-        `running` are the shard's permits, which count when an upstream comes back.
+        `running` holds the shard's permits; they are counted again if an upstream is
+        listed again.
         """
         self._service = view.service
         rows = {row.upstream: row for row in view.upstreams}
         stopped = {name for name in self._loads if name not in rows}
         for name in stopped:
             del self._loads[name]
-            self._watch.forget(name)
+            self._outliers.remove(name)
         for name, row in rows.items():
             if name not in self._loads:
                 self._add(row, view, running, now_ms)
@@ -206,7 +207,7 @@
             load = self._loads[name]
             load.configure(view.service, now_ms)
             load.is_closed = name in view.closed
-        self._list = list(self._loads.values())
+        self._load_list = list(self._loads.values())
         return stopped
 
     def _add(
@@ -224,24 +225,24 @@
             if permit.upstream == row.upstream:
                 load.in_flight += 1
                 load.started_ms[permit.permit] = permit.granted_at_ms
-                load.connections.promise(permit.use)
+                load.connections.adopt_request(permit.use)
 
-    def _judge(self, now_ms: float) -> None:
-        """Compare the upstreams with each other, at most once an interval."""
-        if now_ms - self._judged_at_ms < _JUDGE_INTERVAL_MS:
+    def _evaluate(self, now_ms: float) -> None:
+        """Update expected latencies and eject outliers, at most once per interval."""
+        if now_ms - self._evaluated_at_ms < _EVALUATION_INTERVAL_MS:
             return
         if self._service.kind is not ServiceKind.POOL:
             return
-        self._judged_at_ms = now_ms
+        self._evaluated_at_ms = now_ms
         pool = self._loads.values()
         self._latency = pool_latency(pool, now_ms)
         for load in pool:
             load.expected_ms = expected_ms(load, self._latency, now_ms)
-        self._watch.judge(pool, self._latency.usual_ms, now_ms)
+        self._outliers.eject_outliers(pool, self._latency.median_ms, now_ms)
 
     def _replace_row(self, row: UpstreamRow, now_ms: float) -> bool:
         load = self._loads[row.upstream]
         if load.row == row or not load.replace_row(row, now_ms):
             return False
-        self._watch.forget(row.upstream)
+        self._outliers.remove(row.upstream)
         return True
--- a/bergamotdrift/upstream_sessions.py
+++ b/bergamotdrift/upstream_sessions.py
@@ -1,4 +1,4 @@
-"""Leases of upstreams: announcements, grants and expiry at the control leader."""
+"""Upstream leases at the control leader: announcements, grants and expiry."""
 
 from bergamotdrift import commands_log as cmd
 from bergamotdrift.announcement_check import check_announcement
@@ -19,17 +19,17 @@
 )
 from bergamotdrift.tables import UpstreamId
 
-# Upstreams are not told of the drift margin, so it is taken off the lease they get.
+# Upstreams don't know the clock drift margin, so it is subtracted from their lease.
 UPSTREAM_LEASE_MS = SESSION_TTL_MS - DRIFT_MARGIN_MS
 # An upstream that missed an announcement may be lost; others are preferred.
-RECENT_MS = 750.0
-UPSTREAMS_PER_SERVICE = 2000
+RECENTLY_SEEN_MS = 750.0
+MAX_UPSTREAMS_PER_SERVICE = 2000
 
 
 class UpstreamSessions:
-    """Answer announcements, and register and expire upstreams.
+    """Handle announcements, and register and expire upstreams.
 
-    The caller must hold the leadership when it passes an announcement on.
+    `announce` may be called only on the current leader.
     """
 
     def __init__(
@@ -42,138 +42,156 @@
         self._state = state
         self._handover = handover
         self._contacts: Contacts[UpstreamId] = Contacts(opened_at_ms, ttl_ms)
-        self._changes: dict[UpstreamId, UpstreamRow] = {}
+        self._pending_rows: dict[UpstreamId, UpstreamRow] = {}
         self._sequences: dict[cmd.UpstreamIncarnation, int] = {}
         self._cold_until_ms: dict[cmd.UpstreamIncarnation, float] = {}
 
-    def announce(self, item: Announcement, now_ms: float) -> AnnouncementReply:
-        """Return the grants of an upstream, or an error that changes nothing."""
-        error = check_announcement(item, self._state.settings.current)
+    def announce(self, announcement: Announcement, now_ms: float) -> AnnouncementReply:
+        """Return the grants of an upstream, or an error without changing any state."""
+        error = check_announcement(announcement, self._state.settings.current)
         if error:
-            return _refusal(item, error)
-        key = UpstreamId(item.service, item.upstream)
-        if self._state.rows.is_superseded(key, item.incarnation):
-            return _refusal(item, "a later incarnation has registered")
-        if self._is_predecessor(item):
-            return _refusal(item, "a later upstream has registered this address")
-        if self._is_late(item):
-            return _without_grants(item)
-        self._note_cold(item, now_ms)
+            return _refusal(announcement, error)
+        key = UpstreamId(announcement.service, announcement.upstream)
+        if self._state.rows.is_superseded(key, announcement.incarnation):
+            return _refusal(announcement, "a later incarnation has registered")
+        if self._is_earlier_start(announcement):
+            return _refusal(
+                announcement, "a later upstream has registered this address"
+            )
+        if self._is_outdated(announcement):
+            return _reply_without_grants(announcement)
+        self._record_cold_start(announcement, now_ms)
         row = self._state.rows.upstreams.get(key)
         if row is None:
-            return self._register(key, item, now_ms)
-        if row.incarnation != item.incarnation:
-            return self._replace(key, row, item, now_ms)
-        if (row.address, row.zone) != (item.address, item.zone):
+            return self._register(key, announcement, now_ms)
+        if row.incarnation != announcement.incarnation:
+            return self._replace(key, row, announcement, now_ms)
+        if (row.address, row.zone) != (announcement.address, announcement.zone):
             detail = f"this incarnation registered {row.address} in {row.zone}"
-            return _refusal(item, detail)
-        if not self._contacts.renew(key, item.incarnation, now_ms):
-            return _refusal(item, "the lease ran out; register again")
-        self._note_state(key, row, item)
-        return self._grant(key, item, now_ms)
+            return _refusal(announcement, detail)
+        if not self._contacts.renew(key, announcement.incarnation, now_ms):
+            return _refusal(announcement, "the lease ran out; register again")
+        self._update_state(key, row, announcement)
+        return self._grant(key, announcement, now_ms)
 
     def last_seen_ms(self, row: UpstreamRow) -> float:
-        """Return when an upstream announced itself last, at least the term's start."""
+        """Return the time of the last announcement, at least the term's start."""
         key = UpstreamId(row.service, row.upstream)
         return self._contacts.last_seen_ms(key, row.incarnation)
 
     def has_changes(self) -> bool:
-        """Tell whether a registration or change of state waits to be logged."""
-        return bool(self._changes)
+        """Return whether a registration or state change is waiting to be logged."""
+        return bool(self._pending_rows)
 
     def accepts_work(self, row: UpstreamRow) -> bool:
-        """Tell whether an upstream may keep partitions."""
+        """Return whether an upstream may keep partitions."""
         settings = self._state.settings.current
         if settings is None or settings.zone_is_out(row.zone):
             return False
         return row.state is not UpstreamState.LEAVING
 
     def is_recent(self, row: UpstreamRow, now_ms: float) -> bool:
-        """Tell whether an upstream announced itself within the last interval."""
+        """Return whether an upstream has announced itself recently."""
         key = UpstreamId(row.service, row.upstream)
         if self._contacts.is_expiring(key, row.incarnation):
             return False
         seen_ms = self._contacts.last_seen_ms(key, row.incarnation)
-        return now_ms - seen_ms < RECENT_MS
+        return now_ms - seen_ms < RECENTLY_SEEN_MS
 
     def has_expired(self, row: UpstreamRow, now_ms: float) -> bool:
-        """Tell whether an upstream's lease has run out."""
+        """Return whether an upstream's lease has expired."""
         key = UpstreamId(row.service, row.upstream)
         return self._contacts.has_expired(key, row.incarnation, now_ms)
 
     def commands(self, now_ms: float) -> list[Message]:
-        """Return registrations, changes of state and removals to log."""
+        """Return the commands for registrations, state changes and removals."""
         self._contacts.forget_removed(self._is_known, now_ms)
         self._end_cold_starts(now_ms)
         commands: list[Message] = []
         expired = self._expired(now_ms)
         if expired:
             commands.append(cmd.ExpireUpstreams(expired))
-        if self._changes:
-            commands.append(cmd.PutUpstreams(list(self._changes.values())))
-            self._changes.clear()
+        if self._pending_rows:
+            commands.append(cmd.PutUpstreams(list(self._pending_rows.values())))
+            self._pending_rows.clear()
         return commands
 
     def _register(
-        self, key: UpstreamId, item: Announcement, now_ms: float
+        self, key: UpstreamId, announcement: Announcement, now_ms: float
     ) -> AnnouncementReply:
-        if item.state is UpstreamState.LEAVING:
-            return AnnouncementReply(item.service, item.upstream, 0, [], [])
+        if announcement.state is UpstreamState.LEAVING:
+            return AnnouncementReply(
+                announcement.service, announcement.upstream, 0, [], []
+            )
         registered = self._state.rows.upstreams.list_keys()
-        if sum(k.service == key.service for k in registered) >= UPSTREAMS_PER_SERVICE:
-            return _refusal(item, "the service has too many upstreams")
-        other = self._changes.get(key)
-        if other is not None and other.incarnation != item.incarnation:
-            return _refusal(item, f"{other.incarnation} is registering under this name")
-        self._changes[key] = _row(item)
-        self._contacts.register(key, item.incarnation, now_ms)
-        return _without_grants(item)
+        if (
+            sum(k.service == key.service for k in registered)
+            >= MAX_UPSTREAMS_PER_SERVICE
+        ):
+            return _refusal(announcement, "the service has too many upstreams")
+        other = self._pending_rows.get(key)
+        if other is not None and other.incarnation != announcement.incarnation:
+            return _refusal(
+                announcement, f"{other.incarnation} is registering under this name"
+            )
+        self._pending_rows[key] = _row_from(announcement)
+        self._contacts.register(key, announcement.incarnation, now_ms)
+        return _reply_without_grants(announcement)
 
     def _replace(
-        self, key: UpstreamId, row: UpstreamRow, item: Announcement, now_ms: float
+        self,
+        key: UpstreamId,
+        row: UpstreamRow,
+        announcement: Announcement,
+        now_ms: float,
     ) -> AnnouncementReply:
-        if item.born_ms < row.born_ms:
-            return _refusal(item, "a later incarnation has registered")
-        service = self._state.service(item.service)
+        if announcement.born_ms < row.born_ms:
+            return _refusal(announcement, "a later incarnation has registered")
+        service = self._state.service(announcement.service)
         assert service is not None
         if service.kind is ServiceKind.KEYED:
-            # The earlier incarnation may serve until its lease runs out.
+            # The earlier incarnation may serve until its lease expires.
             detail = f"incarnation {row.incarnation} holds this name until it expires"
-            return _refusal(item, detail)
-        return self._register(key, item, now_ms)
+            return _refusal(announcement, detail)
+        return self._register(key, announcement, now_ms)
 
-    def _note_state(
-        self, key: UpstreamId, row: UpstreamRow, item: Announcement
+    def _update_state(
+        self, key: UpstreamId, row: UpstreamRow, announcement: Announcement
     ) -> None:
-        # A delayed announcement must not undo that an upstream started to leave.
+        # A delayed announcement must not revert an upstream that started to leave.
         if row.state is UpstreamState.LEAVING:
             return
-        if row.state is not item.state or row.slots != item.slots:
-            self._changes[key] = _row(item)
+        if row.state is not announcement.state or row.slots != announcement.slots:
+            self._pending_rows[key] = _row_from(announcement)
 
-    def _is_predecessor(self, item: Announcement) -> bool:
-        """Tell whether a later start than the announcer's has its address."""
+    def _is_earlier_start(self, announcement: Announcement) -> bool:
+        """Return whether an upstream that started later has registered this address."""
         return any(
-            row.address == item.address and row.born_ms > item.born_ms > 0
+            row.address == announcement.address
+            and row.born_ms > announcement.born_ms > 0
             for row in self._state.rows.upstreams.rows()
         )
 
-    def _is_late(self, item: Announcement) -> bool:
-        """Tell whether a later announcement of the same run has arrived before."""
-        if not item.sequence:
+    def _is_outdated(self, announcement: Announcement) -> bool:
+        """Return whether a newer announcement of this incarnation has arrived."""
+        if not announcement.sequence:
             return False
-        key = cmd.UpstreamIncarnation(item.service, item.upstream, item.incarnation)
+        key = cmd.UpstreamIncarnation(
+            announcement.service, announcement.upstream, announcement.incarnation
+        )
         last = self._sequences.get(key, 0)
-        self._sequences[key] = max(last, item.sequence)
-        return item.sequence < last
+        self._sequences[key] = max(last, announcement.sequence)
+        return announcement.sequence < last
 
-    def _note_cold(self, item: Announcement, now_ms: float) -> None:
-        if item.cold_ms:
-            key = cmd.UpstreamIncarnation(item.service, item.upstream, item.incarnation)
-            self._cold_until_ms[key] = now_ms + item.cold_ms
+    def _record_cold_start(self, announcement: Announcement, now_ms: float) -> None:
+        if announcement.cold_ms:
+            key = cmd.UpstreamIncarnation(
+                announcement.service, announcement.upstream, announcement.incarnation
+            )
+            self._cold_until_ms[key] = now_ms + announcement.cold_ms
 
     def _end_cold_starts(self, now_ms: float) -> None:
-        """Count upstreams as ready once the cold start that they announced is over."""
+        """Mark upstreams as ready once their announced cold start has ended."""
         over = [k for k, until_ms in self._cold_until_ms.items() if until_ms <= now_ms]
         for run in over:
             del self._cold_until_ms[run]
@@ -181,14 +199,14 @@
             row = self._state.rows.upstreams.get(key)
             if row is None or row.incarnation != run.incarnation:
                 continue
-            if row.state is UpstreamState.COLD and key not in self._changes:
-                self._changes[key] = row._replace(state=UpstreamState.READY)
+            if row.state is UpstreamState.COLD and key not in self._pending_rows:
+                self._pending_rows[key] = row._replace(state=UpstreamState.READY)
 
     def _grant(
-        self, key: UpstreamId, item: Announcement, now_ms: float
+        self, key: UpstreamId, announcement: Announcement, now_ms: float
     ) -> AnnouncementReply:
         grants, release = [], []
-        reported = {(ref.partition, ref.epoch) for ref in item.released}
+        reported = {(ref.partition, ref.epoch) for ref in announcement.released}
         for row in self._state.rows.partitions_of(key):
             held = PartitionEpoch(row.partition, row.epoch)
             if row.state is PartitionState.OWNED:
@@ -200,7 +218,11 @@
             if not self._handover.is_released(ref):
                 release.append(held)
         return AnnouncementReply(
-            item.service, item.upstream, UPSTREAM_LEASE_MS, grants, release
+            announcement.service,
+            announcement.upstream,
+            UPSTREAM_LEASE_MS,
+            grants,
+            release,
         )
 
     def _expired(self, now_ms: float) -> list[cmd.UpstreamIncarnation]:
@@ -217,22 +239,26 @@
         return row is not None and row.incarnation == incarnation
 
 
-def _row(item: Announcement) -> UpstreamRow:
+def _row_from(announcement: Announcement) -> UpstreamRow:
     return UpstreamRow(
-        item.service,
-        item.upstream,
-        item.address,
-        item.zone,
-        item.incarnation,
-        item.state,
-        item.slots,
-        item.born_ms,
+        announcement.service,
+        announcement.upstream,
+        announcement.address,
+        announcement.zone,
+        announcement.incarnation,
+        announcement.state,
+        announcement.slots,
+        announcement.born_ms,
     )
 
 
-def _without_grants(item: Announcement) -> AnnouncementReply:
-    return AnnouncementReply(item.service, item.upstream, UPSTREAM_LEASE_MS, [], [])
+def _reply_without_grants(announcement: Announcement) -> AnnouncementReply:
+    return AnnouncementReply(
+        announcement.service, announcement.upstream, UPSTREAM_LEASE_MS, [], []
+    )
 
 
-def _refusal(item: Announcement, error: str) -> AnnouncementReply:
-    return AnnouncementReply(item.service[:128], item.upstream[:128], 0, [], [], error)
+def _refusal(announcement: Announcement, error: str) -> AnnouncementReply:
+    return AnnouncementReply(
+        announcement.service[:128], announcement.upstream[:128], 0, [], [], error
+    )
