Rename modules of the platform adapter and the log rate limiter

Change: platform/desk, orders and programs become leader_call_handler, range_order_client and startup, log_budget becomes log_rate_limiter, and four test modules follow; nothing else, so that history follows the files.

--- a/bergamotdrift/log.py
+++ b/bergamotdrift/log.py
@@ -10,7 +10,7 @@
 import gevent
 from logfmter import Logfmter
 
-from bergamotdrift.log_budget import LogBudget
+from bergamotdrift.log_rate_limiter import LogBudget
 from bergamotdrift.log_writer import LineSink, LineWriter
 from bergamotdrift.metrics import EVENTS, LOG_LINES_SUPPRESSED
 
--- a/bergamotdrift/platform/control.py
+++ b/bergamotdrift/platform/control.py
@@ -7,11 +7,11 @@
 from bergamotdrift.exceptions import StorageError
 from bergamotdrift.http_server import HttpServer
 from bergamotdrift.log import log_event
-from bergamotdrift.platform import programs
+from bergamotdrift.platform import startup
 from bergamotdrift.platform.boot import Boot, control_settings, stream_addresses
 from bergamotdrift.platform.control_api import LeaderCalls, control_app
-from bergamotdrift.platform.desk import LeaderDesk
-from bergamotdrift.platform.orders import PlatformOrders
+from bergamotdrift.platform.leader_call_handler import LeaderDesk
+from bergamotdrift.platform.range_order_client import PlatformOrders
 from bergamotdrift.platform.site_config import RateTolerance
 from bergamotdrift.range_orders import RangeOrders
 from bergamotdrift.shutdown import EXIT_FAILED, shutdown_event
@@ -19,7 +19,7 @@
 
 def main() -> None:
     """Run a control replica until SIGTERM."""
-    boot = programs.start("control")
+    boot = startup.start("control")
     stop = shutdown_event()
     clock = BootClock()
     control = Control(control_settings(boot), clock)
@@ -41,7 +41,7 @@
     def apply(changed: Boot) -> None:
         control.replica.add_candidates(stream_addresses(changed))
 
-    programs.on_reload(apply)
+    startup.on_reload(apply)
     try:
         control.start()
     except StorageError as exc:
--- a/bergamotdrift/platform/control_api.py
+++ b/bergamotdrift/platform/control_api.py
@@ -7,8 +7,8 @@
 from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer
 from bergamotdrift.platform import names
 from bergamotdrift.platform.decoding import WireError
-from bergamotdrift.platform.desk import INVALID, Action, pack
 from bergamotdrift.platform.heartbeats import decode_departure, decode_heartbeat
+from bergamotdrift.platform.leader_call_handler import INVALID, Action, pack
 
 _BODY_MAX_BYTES = 16 * 1024 * 1024
 
--- a/bergamotdrift/platform/entry.py
+++ b/bergamotdrift/platform/entry.py
@@ -3,7 +3,7 @@
 from bergamotdrift.clock import BootClock
 from bergamotdrift.entry_node import Entry
 from bergamotdrift.http_server import HttpServer, ready_app
-from bergamotdrift.platform import names, programs
+from bergamotdrift.platform import names, startup
 from bergamotdrift.platform.boot import Boot, entry_settings, stream_addresses
 from bergamotdrift.platform.wire_dialect import PLATFORM
 from bergamotdrift.shutdown import shutdown_event
@@ -11,7 +11,7 @@
 
 def main() -> None:
     """Run the entry until SIGTERM."""
-    boot = programs.start("entry")
+    boot = startup.start("entry")
     stop = shutdown_event()
     entry = Entry(entry_settings(boot), BootClock(), PLATFORM)
     readiness = HttpServer(boot.ready, ready_app(names.READY, entry.is_ready))
@@ -19,7 +19,7 @@
     def apply(changed: Boot) -> None:
         entry.control.add_replicas(stream_addresses(changed))
 
-    programs.on_reload(apply)
+    startup.on_reload(apply)
     readiness.start()
     entry.start()
     stop.wait()
--- a/bergamotdrift/tests/test_log.py
+++ b/bergamotdrift/tests/test_log.py
@@ -10,7 +10,7 @@
 from prometheus_client import REGISTRY
 
 from bergamotdrift.log import LineDestination, format_event, log_event
-from bergamotdrift.log_budget import (
+from bergamotdrift.log_rate_limiter import (
     EVENT_LINES_BURST,
     EVENT_LINES_PER_S,
     PROCESS_LINES_BURST,
--- a/bergamotdrift/tests/test_platform_control_api.py
+++ b/bergamotdrift/tests/test_platform_control_api.py
@@ -8,7 +8,7 @@
 from bergamotdrift.operator_messages import OperatorAnswer
 from bergamotdrift.platform import control_api, names
 from bergamotdrift.platform.control_api import LeaderCalls, control_app
-from bergamotdrift.platform.desk import INVALID, Action
+from bergamotdrift.platform.leader_call_handler import INVALID, Action
 from bergamotdrift.tests.platform_support import config, encoded, heartbeat
 
 
--- a/bergamotdrift/tests/test_platform_desk.py
+++ b/bergamotdrift/tests/test_platform_leader_call_handler.py
@@ -9,8 +9,8 @@
 from bergamotdrift.messages import UpstreamState
 from bergamotdrift.node_streams import NodeStreams
 from bergamotdrift.operator_messages import LeaderCall
-from bergamotdrift.platform.desk import Action, LeaderDesk, pack
 from bergamotdrift.platform.heartbeats import decode_heartbeat
+from bergamotdrift.platform.leader_call_handler import Action, LeaderDesk, pack
 from bergamotdrift.platform.site_config import NO_TOLERANCE
 from bergamotdrift.tables import UpstreamId
 from bergamotdrift.tests.fake_replicator import FakeLog, FakeReplicator
--- a/bergamotdrift/tests/test_platform_orders.py
+++ b/bergamotdrift/tests/test_platform_range_order_client.py
@@ -7,7 +7,7 @@
 
 from bergamotdrift.clock import BootClock
 from bergamotdrift.messages import UpstreamRow, UpstreamState
-from bergamotdrift.platform.orders import PlatformOrders
+from bergamotdrift.platform.range_order_client import PlatformOrders
 from bergamotdrift.range_orders import GrantOrder, GrantResult, ReleaseOrder
 
 ORDER = GrantOrder(4, 9, 12, 2000, "")
