--- a/bergamotdrift/constants.py
+++ b/bergamotdrift/constants.py
@@ -1,4 +1,4 @@
-"""Named time bounds and limits shared by the programs."""
+"""Timeouts, intervals and limits shared by the programs."""
 
 RAFT_HEARTBEAT_MS = 100
 ELECTION_TIMEOUT_MIN_MS = 400
@@ -7,7 +7,8 @@
 PING_INTERVAL_MS = 250
 ANNOUNCE_INTERVAL_MS = 500
 SESSION_TTL_MS = 1500
-# A holder stops this much before the granter expires it, which covers clock drift.
+# A lease holder stops this long before the grantor expires the lease, in case their
+# clocks drift apart.
 DRIFT_MARGIN_MS = 100
 
 STREAM_HEARTBEAT_MS = 300
@@ -17,7 +18,8 @@
 STREAM_MAX_FRAME_BYTES = 16 * 1024 * 1024
 
 SETTINGS_STALE_MS = 3000
-# A change is in force within 2 s; before, an unknown route or key may be a new one.
+# A settings change takes effect within 2 s. With older settings, a route or key that
+# looks unknown may be new, so requests are not denied for it.
 DENIAL_AGE_MAX_MS = 1800
 PERMIT_WAIT_MS = 2500
 TOKEN_LEASE_MS = 200
@@ -27,5 +29,6 @@
 RETRY_BUDGET_RATIO = 0.1
 RETRY_BUDGET_MIN_PER_S = 3.0
 
-# A keyed service whose upstreams don't check epochs must be served again within 3 s.
+# Keys of a keyed service whose upstreams don't check epochs are served again only after
+# this timeout, which has to be within 3 s of the loss of their upstream.
 UNFENCED_REQUEST_TIMEOUT_MAX_MS = 1000
--- a/bergamotdrift/exceptions.py
+++ b/bergamotdrift/exceptions.py
@@ -1,11 +1,11 @@
-"""The closed list of error kinds, the answer to each, and the exception classes."""
+"""The complete set of error kinds, the HTTP answer to each, and exception classes."""
 
 from enum import StrEnum
 from typing import NamedTuple
 
 
 class ErrorKind(StrEnum):
-    """Name every way in which a request or a change can be refused or fail."""
+    """List every way in which a request or a settings change can be refused or fail."""
 
     MALFORMED_REQUEST = "malformed_request"
     UNAUTHENTICATED = "unauthenticated"
@@ -87,7 +87,7 @@
 
 
 class Refusal(NamedTuple):
-    """Hold why a request was refused; `retry_after_s` overrides the table if set."""
+    """Hold why a request was refused; `retry_after_s` overrides its answer if set."""
 
     kind: ErrorKind
     detail: str = ""
@@ -95,15 +95,15 @@
 
 
 class BergamotdriftError(Exception):
-    """Serve as the base of all exceptions of the package."""
+    """Base class of all exceptions of the package."""
 
 
 class ConfigurationError(BergamotdriftError):
-    """Report settings that can't be read or don't pass their checks."""
+    """Report settings that can't be read or fail validation."""
 
 
 class ProtocolError(BergamotdriftError):
-    """Report a frame or message that is malformed, oversized or foreign."""
+    """Report a frame or message that is malformed, too large or unexpected."""
 
 
 class StreamClosedError(BergamotdriftError):
@@ -111,15 +111,15 @@
 
 
 class StorageError(BergamotdriftError):
-    """Report a data folder that is damaged or can't be written."""
+    """Report a data directory that is corrupt or can't be written."""
 
 
 class DiskFullError(StorageError):
-    """Report a write that a full disk refused, which changed nothing."""
+    """Report a write that failed on a full disk and left the data unchanged."""
 
 
 class CallError(BergamotdriftError):
-    """Report a call that the other side refused, with its error kind."""
+    """Report a call that was refused or not confirmed, with its error kind."""
 
     def __init__(self, refusal: Refusal):
         super().__init__(f"{refusal.kind}: {refusal.detail}")
@@ -127,7 +127,7 @@
 
 
 class RequestError(BergamotdriftError):
-    """Report a request that can't be read from the caller, with its error kind."""
+    """Report a request that can't be read or parsed, with its error kind."""
 
     def __init__(self, kind: ErrorKind, detail: str = ""):
         super().__init__(f"{kind}: {detail}")
@@ -135,8 +135,11 @@
 
 
 class CallerGoneError(BergamotdriftError):
-    """Report a caller that closed its connection before the answer was sent."""
+    """Report that the caller closed its connection before the answer was sent."""
 
 
 class TruncatedAnswerError(BergamotdriftError):
-    """Report an upstream answer that ended early; the caller must not see it whole."""
+    """Report an upstream answer that ended early.
+
+    The caller must not receive it as a complete answer.
+    """
--- a/bergamotdrift/log.py
+++ b/bergamotdrift/log.py
@@ -1,4 +1,4 @@
-"""Log events as one key=value line each, through eliot."""
+"""Logging of events through eliot, each as one line of key=value pairs."""
 
 import re
 import sys
@@ -10,13 +10,13 @@
 import gevent
 from logfmter import Logfmter
 
-from bergamotdrift.log_rate_limiter import LogBudget
+from bergamotdrift.log_rate_limiter import LogRateLimiter
 from bergamotdrift.log_writer import LineSink, LineWriter
 from bergamotdrift.metrics import EVENTS, LOG_LINES_SUPPRESSED
 
-# Fields of eliot's own that say nothing to an operator.
-_HIDDEN_FIELDS = frozenset({"task_uuid", "task_level", "message_type", "timestamp"})
-# Values under these names are never written, whoever passes them.
+# Fields that eliot adds and operators don't need.
+_OMITTED_FIELDS = frozenset({"task_uuid", "task_level", "message_type", "timestamp"})
+# Values of these fields are always redacted.
 _SECRET_FIELDS = frozenset({
     "authorization",
     "key",
@@ -25,45 +25,47 @@
     "secret",
     "workspace_key",
 })
-_HIDDEN = "[hidden]"
-_BEARER = re.compile(r"(?i)\b(bearer)[\s:=]+\S+")
-_NAME = re.compile(r"[^A-Za-z0-9_.-]")
-# Longer values hide the rest of the line, and lines that a collector cuts.
+_REDACTED = "[hidden]"
+_BEARER_TOKEN = re.compile(r"(?i)\b(bearer)[\s:=]+\S+")
+_INVALID_NAME_CHARS = re.compile(r"[^A-Za-z0-9_.-]")
+# Longer values make lines hard to read, and log collectors truncate long lines.
 MAX_VALUE_CHARS = 1024
 
 
 def log_event(event: str, **fields: Any) -> None:
-    """Log and count one event; its name must be a constant."""
+    """Log and count an event; its name is a metric label and must be a constant."""
     EVENTS.labels(event).inc()
     eliot.log_message(message_type=event, **fields)
 
 
 def format_event(record: Mapping[str, Any]) -> str:
-    """Return an eliot message as one key=value line, time in seconds."""
+    """Format an eliot message as one line of key=value pairs, with time in seconds."""
     pairs = [f"ts={record['timestamp']:.3f}"]
-    pairs.append(f"event={_text(record.get('message_type'))}")
+    pairs.append(f"event={_format_value(record.get('message_type'))}")
     for name, value in record.items():
-        if name not in _HIDDEN_FIELDS:
-            shown = _HIDDEN if name.lower() in _SECRET_FIELDS else _text(value)
-            pairs.append(f"{_NAME.sub('_', name)}={shown}")
+        if name not in _OMITTED_FIELDS:
+            shown = (
+                _REDACTED if name.lower() in _SECRET_FIELDS else _format_value(value)
+            )
+            pairs.append(f"{_INVALID_NAME_CHARS.sub('_', name)}={shown}")
     return " ".join(pairs)
 
 
 class LineDestination:
-    """Write eliot messages as lines to a sink, within a budget."""
+    """Write eliot messages as lines to a sink, at a limited rate."""
 
     def __init__(self, sink: LineSink):
         self._sink = sink
-        self._budget = LogBudget(time.monotonic())
+        self._limiter = LogRateLimiter(time.monotonic())
 
     def __call__(self, record: Mapping[str, Any]) -> None:
-        """Write one message as a line; say now and then what was left out."""
+        """Write a message as a line; report suppressed lines at intervals."""
         now_s = time.monotonic()
-        if self._budget.allows(str(record.get("message_type")), now_s):
+        if self._limiter.allows(str(record.get("message_type")), now_s):
             self._sink.write(format_event(record) + "\n")
-        suppressed = self._budget.take_report(now_s)
+        suppressed = self._limiter.pop_report(now_s)
         if suppressed:
-            LOG_LINES_SUPPRESSED.inc(sum_of(suppressed))
+            LOG_LINES_SUPPRESSED.inc(count_suppressed(suppressed))
             report = {
                 "timestamp": record["timestamp"],
                 "message_type": "log_lines_suppressed",
@@ -72,24 +74,24 @@
             self._sink.write(format_event(report) + "\n")
 
 
-def sum_of(report: str) -> int:
-    """Return how many lines a report of suppressed lines counts."""
+def count_suppressed(report: str) -> int:
+    """Return the total number of lines in a report of suppressed lines."""
     return sum(int(part.rpartition(":")[2]) for part in report.split(","))
 
 
 def start_logging(program: str, node: str) -> None:
-    """Send all events to standard output, with program and process in each line."""
+    """Write all events to standard output; each line names program and process."""
     writer = LineWriter(sys.stdout)
     writer.start()
-    # Events logged so far are written when the destination is added.
-    # Events name other nodes as `node`.
+    # eliot buffers earlier events and writes them when the destination is added.
+    # The field is called `process` because events name other nodes as `node`.
     eliot.add_global_fields(program=program, process=node)
     eliot.add_destinations(LineDestination(writer))
     _log_greenlet_errors()
 
 
 def _log_greenlet_errors() -> None:
-    """Log a line for each greenlet that ends with an error, before its traceback."""
+    """Log an event for each greenlet that fails, before its traceback is printed."""
     hub: Any = gevent.get_hub()
     print_error = hub.handle_error
 
@@ -101,8 +103,8 @@
     hub.handle_error = handle_error
 
 
-def _text(value: Any) -> str:
-    """Return a value as logfmt text without line ends or control characters."""
+def _format_value(value: Any) -> str:
+    """Format a value for logfmt, without line breaks and control characters."""
     try:
         text = "" if value is None else str(value)
     except Exception as exc:
@@ -111,9 +113,9 @@
         text = text.lower()
     if len(text) > MAX_VALUE_CHARS:
         text = text[:MAX_VALUE_CHARS] + "..."
-    text = Logfmter.format_string(_BEARER.sub(rf"\1 {_HIDDEN}", text))
-    # logfmter escapes ASCII control characters only; U+0085 or U+2028 would still
-    # end a line for many readers.
+    text = Logfmter.format_string(_BEARER_TOKEN.sub(rf"\1 {_REDACTED}", text))
+    # logfmter escapes only ASCII control characters; many readers also treat U+0085
+    # and U+2028 as line breaks.
     return "".join(ch if ch.isprintable() else _escape(ch) for ch in text)
 
 
--- a/bergamotdrift/log_rate_limiter.py
+++ b/bergamotdrift/log_rate_limiter.py
@@ -1,8 +1,9 @@
-"""Bounds on the volume of log lines, for each event and for the whole process."""
+"""Rate limits on log lines, for each event and for the whole process."""
 
 from collections import Counter
 
-# A refused request has a line of its own; a caller in a loop must not fill the disk.
+# Each refused request is logged, and a caller that retries in a loop must not fill the
+# disk.
 EVENT_LINES_PER_S = 200.0
 EVENT_LINES_BURST = 1000.0
 PROCESS_LINES_PER_S = 400.0
@@ -10,56 +11,60 @@
 REPORT_INTERVAL_S = 1.0
 
 
-class _Bucket:
-    """Allow lines at a rate, and a burst of them after a pause."""
+class _TokenBucket:
+    """Token bucket of lines: a steady rate, and a burst after a pause."""
 
-    __slots__ = ("_at_s", "_burst", "_level", "_per_s")
+    __slots__ = ("_burst", "_per_s", "_refilled_s", "_tokens")
 
     def __init__(self, per_s: float, burst: float, now_s: float):
         self._per_s = per_s
         self._burst = burst
-        self._level = burst
-        self._at_s = now_s
+        self._tokens = burst
+        self._refilled_s = now_s
 
-    def has_room(self, now_s: float) -> bool:
-        """Tell whether one more line is allowed."""
-        gained = max(0.0, now_s - self._at_s) * self._per_s
-        self._level = min(self._burst, self._level + gained)
-        self._at_s = now_s
-        return self._level >= 1.0
+    def has_token(self, now_s: float) -> bool:
+        """Refill the bucket and return whether one more line is allowed."""
+        gained = max(0.0, now_s - self._refilled_s) * self._per_s
+        self._tokens = min(self._burst, self._tokens + gained)
+        self._refilled_s = now_s
+        return self._tokens >= 1.0
 
-    def take(self) -> None:
-        """Count a line."""
-        self._level -= 1.0
+    def consume(self) -> None:
+        """Consume the token of one line."""
+        self._tokens -= 1.0
 
 
-class LogBudget:
-    """Decide which lines are written; times in seconds are passed in.
+class LogRateLimiter:
+    """Decide which lines are written; callers pass the time in seconds.
 
-    Each event has a budget of its own, so that a flood of one hides no other.
+    Each event has its own limit, so that a flood of one event doesn't hide others.
     """
 
     def __init__(self, now_s: float):
-        self._process = _Bucket(PROCESS_LINES_PER_S, PROCESS_LINES_BURST, now_s)
-        self._events: dict[str, _Bucket] = {}
+        self._process = _TokenBucket(PROCESS_LINES_PER_S, PROCESS_LINES_BURST, now_s)
+        self._events: dict[str, _TokenBucket] = {}
         self._suppressed: Counter[str] = Counter()
         self._reported_s = now_s
 
     def allows(self, event: str, now_s: float) -> bool:
-        """Tell whether a line may be written; one that may not is counted."""
+        """Return whether a line may be written; suppressed lines are counted."""
         bucket = self._events.get(event)
         if bucket is None:
-            bucket = _Bucket(EVENT_LINES_PER_S, EVENT_LINES_BURST, now_s)
+            bucket = _TokenBucket(EVENT_LINES_PER_S, EVENT_LINES_BURST, now_s)
             self._events[event] = bucket
-        if bucket.has_room(now_s) and self._process.has_room(now_s):
-            bucket.take()
-            self._process.take()
+        if bucket.has_token(now_s) and self._process.has_token(now_s):
+            bucket.consume()
+            self._process.consume()
             return True
         self._suppressed[event] += 1
         return False
 
-    def take_report(self, now_s: float) -> str:
-        """Return what was suppressed since the last report, at most once a second."""
+    def pop_report(self, now_s: float) -> str:
+        """Return the counts of lines suppressed since the last report, by event.
+
+        The string is empty if there are none, or if the last report is less than
+        REPORT_INTERVAL_S ago.
+        """
         if not self._suppressed or now_s - self._reported_s < REPORT_INTERVAL_S:
             return ""
         self._reported_s = now_s
--- a/bergamotdrift/log_writer.py
+++ b/bergamotdrift/log_writer.py
@@ -1,4 +1,4 @@
-"""Writer of log lines that never blocks the event loop."""
+"""Log writer that never blocks the event loop."""
 
 import atexit
 import queue
@@ -12,18 +12,18 @@
 
 
 class LineSink(Protocol):
-    """Take lines of text."""
+    """Accept lines of text."""
 
     def write(self, line: str, /) -> object:
-        """Take one line, its line end included."""
+        """Write one line, which includes its line break."""
         ...
 
 
 class LineWriter:
-    """Write lines to a stream from a thread of its own.
+    """Write lines to a stream from a separate thread.
 
-    A full pipe blocks its writer, which must not be the event loop. Lines that
-    don't fit into the queue are dropped and counted.
+    Writing to a full pipe blocks, so it must not happen on the event loop. Lines
+    that don't fit into the queue are dropped and counted.
     """
 
     def __init__(self, stream: TextIO, queue_lines: int = QUEUE_LINES):
@@ -32,7 +32,7 @@
         self._thread = threading.Thread(target=self._run, name="log", daemon=True)
 
     def start(self) -> None:
-        """Start the thread; it is stopped at the exit of the process."""
+        """Start the thread, and register `stop` to run when the process exits."""
         self._thread.start()
         atexit.register(self.stop)
 
@@ -44,7 +44,7 @@
             LOG_LINES_DROPPED.inc()
 
     def stop(self) -> None:
-        """Write what is queued, within a bound, and stop the thread."""
+        """Write the queued lines and stop the thread, within a time limit."""
         atexit.unregister(self.stop)
         try:
             self._lines.put(None, timeout=STOP_TIMEOUT_S)
--- a/bergamotdrift/metrics.py
+++ b/bergamotdrift/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics in the Prometheus text format, and those common to all programs."""
+"""Prometheus endpoint, and the metrics that all programs share."""
 
 import falcon
 import gevent
@@ -31,17 +31,17 @@
     """Serve the metrics of this process."""
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Answer with all metrics of the default registry."""
+        """Respond with all metrics of the default registry in the text format."""
         resp.content_type = CONTENT_TYPE_LATEST
         resp.data = generate_latest(REGISTRY)
 
 
 def watch_event_loop(clock: Clock) -> gevent.Greenlet:
-    """Start to measure the delay of the event loop; kill the greenlet to stop."""
-    return gevent.spawn(_watch, clock)
+    """Start measuring the delay of the event loop; kill the greenlet to stop."""
+    return gevent.spawn(_measure_delay, clock)
 
 
-def _watch(clock: Clock) -> None:
+def _measure_delay(clock: Clock) -> None:
     while True:
         due_ms = clock.now_ms() + LOOP_CHECK_INTERVAL_MS
         gevent.sleep(LOOP_CHECK_INTERVAL_MS / 1000)
--- a/bergamotdrift/platform/boot.py
+++ b/bergamotdrift/platform/boot.py
@@ -1,4 +1,4 @@
-"""The platform's settings file of a process, and what the programs take from it."""
+"""The platform's settings file of a process, and the settings built from it."""
 
 import json
 import re
@@ -13,36 +13,41 @@
     ReplicaAddress,
 )
 from bergamotdrift.exceptions import ConfigurationError
-from bergamotdrift.platform.decoding import WireError, duration_ms, text, whole
+from bergamotdrift.platform.decoding import (
+    WireError,
+    duration_ms,
+    integer,
+    non_empty_string,
+)
 
-CLUSTER = "platform"
-# The deploy file names this port for both roles.
+CLUSTER_NAME = "platform"
+# The deployment file states this port for both roles.
 METRICS_PORT = 9464
-# A node keeps its name on the platform, but each run of an entry is a node of its own:
-# a restarted entry need not wait until the session of its last run has ended.
-_RUN_BYTES = 3
-# No key has this digest: the settings are changed through the platform only.
-_NO_OPERATOR = "sha256:" + "0" * 64
-# Descriptors kept for upstreams, streams and files.
+# The platform's node name survives a restart, so each run of an entry adds a random
+# suffix: a restarted entry then need not wait for its previous session to expire.
+_RUN_ID_BYTES = 3
+# No key has this digest, so settings can be changed only through the platform.
+_UNMATCHABLE_KEY_DIGEST = "sha256:" + "0" * 64
+# File descriptors reserved for upstreams, streams and files.
 _RESERVED_FDS = 1000
 _HEADER_TIMEOUT_S = 3.0
 _BODY_TIMEOUT_S = 5.0
 _IDLE_TIMEOUT_S = 15.0
-# The balancer takes a node out after two probes, one a second.
-_UNREADY_S = 2.4
-# Time of the grace that is left to end the session and to exit.
-_EXIT_S = 0.9
-# Upstreams that can't reach control may still serve, so they stay listed for long.
+# The load balancer removes a node after two failed probes, sent once a second.
+_UNREADY_PERIOD_S = 2.4
+# Part of the grace period reserved for ending the session and exiting.
+_EXIT_RESERVE_S = 0.9
+# Upstreams that can't reach control may still serve requests, so their TTL is long.
 _UPSTREAM_TTL_MS = 30_000
 _SNAPSHOT_ENTRIES = 2048
-# Parts of the platform's bounds on repeats that are planned for; the rest covers the
-# stock that each entry may hold.
-_RETRY_RATIO_SHARE = 0.95
-_RETRY_SLACK_SHARE = 0.35
+# Fractions of the platform's retry bounds that the entries plan to use; the rest covers
+# the retries that each entry may have saved up.
+_RETRY_RATIO_FRACTION = 0.95
+_RETRY_SLACK_FRACTION = 0.35
 
 
 class Bounds(NamedTuple):
-    """Hold the platform's bounds that the programs plan with."""
+    """Hold the platform's bounds on retries, request rates and the grace period."""
 
     grace_s: float = 6.0
     retry_ratio: float = 0.2
@@ -56,7 +61,7 @@
     """Hold the settings of one process.
 
     `zones` maps availability zones to regions. `seeds` are the HTTP addresses of
-    control replicas. `founds` tells whether the whole system starts for the first
+    control replicas. `founds` is true when the whole system starts for the first
     time.
     """
 
@@ -76,81 +81,88 @@
 
 
 def read_boot(path: str) -> Boot:
-    """Return the settings in a file, or raise ConfigurationError."""
+    """Read the settings file, or raise ConfigurationError."""
     try:
         with open(path, encoding="utf-8") as stream:
             return decode_boot(json.load(stream))
     except (OSError, ValueError, KeyError, TypeError) as exc:
-        raise ConfigurationError(f"{path} can't be used: {exc!r}") from exc
+        raise ConfigurationError(
+            f"{path} is not a valid settings file: {exc!r}"
+        ) from exc
 
 
 def decode_boot(fields: dict[str, Any]) -> Boot:
-    """Return the settings in decoded JSON, or raise WireError."""
+    """Decode the settings from a JSON object, or raise WireError."""
     listen = fields.get("listen") or {}
     limits = fields.get("limits") or {}
     ports = fields.get("port_range")
     if not isinstance(ports, list) or len(ports) != 2:
-        raise WireError("port_range must hold two ports")
+        raise WireError("port_range must be a list of two ports")
     return Boot(
-        node=text(fields.get("node"), "node"),
-        ip=text(fields.get("ip"), "ip"),
-        zone=text(fields.get("zone"), "zone"),
+        node=non_empty_string(fields.get("node"), "node"),
+        ip=non_empty_string(fields.get("ip"), "ip"),
+        zone=non_empty_string(fields.get("zone"), "zone"),
         zones=dict(fields.get("zones") or {}),
         front=listen.get("front") or "",
         ready=listen.get("ready") or "",
         control=listen.get("control") or "",
-        first_port=whole(ports[0], "port_range", 1),
+        first_port=integer(ports[0], "port_range", 1),
         seeds=tuple(fields.get("seeds") or ()),
         founds=fields.get("bootstrap") is True,
         max_fds=int(limits.get("max_fds") or 4096),
         data_folder=fields.get("data_dir") or "",
-        bounds=_bounds(fields.get("bounds") or {}),
+        bounds=_decode_bounds(fields.get("bounds") or {}),
     )
 
 
-def _bounds(fields: dict[str, Any]) -> Bounds:
-    usual = Bounds()
+def _decode_bounds(fields: dict[str, Any]) -> Bounds:
+    defaults = Bounds()
     grace = fields.get("grace")
     window = fields.get("budget_window")
     return Bounds(
-        duration_ms(grace) / 1000.0 if grace else usual.grace_s,
-        float(fields.get("retry_budget_ratio", usual.retry_ratio)),
-        float(fields.get("retry_budget_slack", usual.retry_slack)),
-        duration_ms(window) / 1000.0 if window else usual.retry_window_s,
-        float(fields.get("quota_overage", usual.rate_overage)),
-        float(fields.get("quota_slack", usual.rate_slack)),
+        duration_ms(grace) / 1000.0 if grace else defaults.grace_s,
+        float(fields.get("retry_budget_ratio", defaults.retry_ratio)),
+        float(fields.get("retry_budget_slack", defaults.retry_slack)),
+        duration_ms(window) / 1000.0 if window else defaults.retry_window_s,
+        float(fields.get("quota_overage", defaults.rate_overage)),
+        float(fields.get("quota_slack", defaults.rate_slack)),
     )
 
 
 def entry_settings(boot: Boot) -> EntrySettings:
-    """Return the settings of an entry."""
+    """Build the settings of an entry."""
     bounds = boot.bounds
-    node = _node(boot, f"{boot.node}-{secrets.token_hex(_RUN_BYTES)}")
+    node = _node_settings(boot, f"{boot.node}-{secrets.token_hex(_RUN_ID_BYTES)}")
     return EntrySettings(
         node,
         boot.front,
         _HEADER_TIMEOUT_S,
         _BODY_TIMEOUT_S,
         _IDLE_TIMEOUT_S,
-        max(0.5, bounds.grace_s - _EXIT_S),
+        max(0.5, bounds.grace_s - _EXIT_RESERVE_S),
         max(100, boot.max_fds - _RESERVED_FDS),
         Dispatch.DIRECT,
-        _UNREADY_S,
-        bounds.retry_ratio * _RETRY_RATIO_SHARE,
-        bounds.retry_slack / bounds.retry_window_s * _RETRY_SLACK_SHARE,
+        _UNREADY_PERIOD_S,
+        bounds.retry_ratio * _RETRY_RATIO_FRACTION,
+        bounds.retry_slack / bounds.retry_window_s * _RETRY_SLACK_FRACTION,
     )
 
 
 def control_settings(boot: Boot) -> ControlSettings:
-    """Return the settings of a control replica; the seeds found the first group."""
-    voters = [ReplicaAddress(_name_at(s), stream_address(boot, s)) for s in boot.seeds]
+    """Build the settings of a control replica.
+
+    The seeds are the voters when the system starts for the first time.
+    """
+    voters = [
+        ReplicaAddress(_replica_name(s), stream_address(boot, s)) for s in boot.seeds
+    ]
     return ControlSettings(
-        _node(boot, _name_at(boot.control)),
+        _node_settings(boot, _replica_name(boot.control)),
         f"{boot.ip}:{boot.first_port}",
         f"{boot.ip}:{boot.first_port + 1}",
         boot.data_folder,
         tuple(voters) if boot.founds else (),
-        (_NO_OPERATOR,),
+        (_UNMATCHABLE_KEY_DIGEST,),
         _SNAPSHOT_ENTRIES,
         _UPSTREAM_TTL_MS,
         True,
@@ -167,12 +179,15 @@
     return tuple(stream_address(boot, seed) for seed in boot.seeds)
 
 
-def _node(boot: Boot, name: str) -> NodeSettings:
+def _node_settings(boot: Boot, name: str) -> NodeSettings:
     admin = f"{boot.ip}:{METRICS_PORT}"
     control = stream_addresses(boot)
-    return NodeSettings(CLUSTER, name, boot.node, boot.zone, control, admin)
+    return NodeSettings(CLUSTER_NAME, name, boot.node, boot.zone, control, admin)
 
 
-def _name_at(address: str) -> str:
-    """Return a replica's name, which must follow from the address in the seeds."""
+def _replica_name(address: str) -> str:
+    """Return a replica's name, derived from its address.
+
+    All replicas must derive the same name from the address in the seeds.
+    """
     return "r-" + re.sub(r"[^0-9a-z]+", "-", address.rpartition(":")[0].lower())
--- a/bergamotdrift/platform/control.py
+++ b/bergamotdrift/platform/control.py
@@ -1,4 +1,4 @@
-"""The control replica on the platform."""
+"""Control replica that serves the platform's HTTP calls."""
 
 import sys
 
@@ -9,9 +9,9 @@
 from bergamotdrift.log import log_event
 from bergamotdrift.platform import startup
 from bergamotdrift.platform.boot import Boot, control_settings, stream_addresses
-from bergamotdrift.platform.control_api import LeaderCalls, control_app
-from bergamotdrift.platform.leader_call_handler import LeaderDesk
-from bergamotdrift.platform.range_order_client import PlatformOrders
+from bergamotdrift.platform.control_api import LeaderCallForwarder, control_app
+from bergamotdrift.platform.leader_call_handler import PlatformCallHandler
+from bergamotdrift.platform.range_order_client import RangeOrderClient
 from bergamotdrift.platform.site_config import RateTolerance
 from bergamotdrift.range_orders import RangeOrders
 from bergamotdrift.shutdown import EXIT_FAILED, shutdown_event
@@ -24,7 +24,7 @@
     clock = BootClock()
     control = Control(control_settings(boot), clock)
     nodes = control.server.nodes
-    control.server.calls = LeaderDesk(
+    control.server.calls = PlatformCallHandler(
         control.state,
         nodes.leadership,
         nodes.settings_changed,
@@ -33,10 +33,12 @@
         boot.control,
         RateTolerance(boot.bounds.rate_overage, boot.bounds.rate_slack),
     )
-    orders = RangeOrders(nodes.leadership, control.state, clock, PlatformOrders(clock))
-    nodes.on_changed = orders.wake
-    calls = LeaderCalls(control.server, control.replica)
-    http = HttpServer(boot.control, control_app(calls))
+    order_sender = RangeOrders(
+        nodes.leadership, control.state, clock, RangeOrderClient(clock)
+    )
+    nodes.on_changed = order_sender.wake
+    forwarder = LeaderCallForwarder(control.server, control.replica)
+    http = HttpServer(boot.control, control_app(forwarder))
 
     def apply(changed: Boot) -> None:
         control.replica.add_candidates(stream_addresses(changed))
@@ -47,11 +49,11 @@
     except StorageError as exc:
         log_event("start_refused", reason=str(exc))
         sys.exit(EXIT_FAILED)
-    orders.start()
+    order_sender.start()
     http.start()
     if not wait_for_end(stop, control.replica.failed):
         sys.exit(EXIT_FAILED)
-    orders.stop()
+    order_sender.stop()
     control.stop()
     http.stop()
 
--- a/bergamotdrift/platform/control_api.py
+++ b/bergamotdrift/platform/control_api.py
@@ -1,4 +1,4 @@
-"""HTTP calls of the platform's operators and upstreams, on any control replica."""
+"""HTTP API of control replicas for the platform's operators and upstreams."""
 
 import falcon
 
@@ -7,137 +7,148 @@
 from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer
 from bergamotdrift.platform import names
 from bergamotdrift.platform.decoding import WireError
-from bergamotdrift.platform.heartbeats import decode_departure, decode_heartbeat
-from bergamotdrift.platform.leader_call_handler import INVALID, Action, pack
+from bergamotdrift.platform.heartbeats import decode_deregistration, decode_heartbeat
+from bergamotdrift.platform.leader_call_handler import (
+    INVALID,
+    LeaderAction,
+    encode_announcement,
+)
 
 _BODY_MAX_BYTES = 16 * 1024 * 1024
 
 
-class LeaderCalls:
-    """Pass calls on to the leader's desk."""
+class LeaderCallForwarder:
+    """Forward calls to the control leader."""
 
     def __init__(self, server: ControlServer, leader: LeaderCaller):
         self._server = server
         self._leader = leader
 
-    def fill(
+    def forward(
         self,
         resp: falcon.Response,
-        action: Action,
+        action: LeaderAction,
         subject: str = "",
         body: bytes = b"",
     ) -> None:
-        """Answer with what the leader answers."""
+        """Forward a call and respond with the leader's answer."""
         call = LeaderCall(action, subject, body)
-        _fill(resp, self._server.call_leader(call, self._leader))
+        _set_response(resp, self._server.call_leader(call, self._leader))
 
 
 class ConfigResource:
-    """Take one kind of change of the configuration."""
+    """Accept one kind of configuration change."""
 
-    def __init__(self, calls: LeaderCalls, action: Action):
-        self._calls = calls
+    def __init__(self, forwarder: LeaderCallForwarder, action: LeaderAction):
+        self._forwarder = forwarder
         self._action = action
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Pass the change on; a body that is cut short is invalid."""
+        """Forward the change; respond with 400 to a truncated or oversized body."""
         try:
-            self._calls.fill(resp, self._action, body=read_body(req))
+            self._forwarder.forward(resp, self._action, body=read_body(req))
         except WireError as exc:
-            refuse(req, resp, exc)
+            respond_invalid(req, resp, exc)
 
 
-class ReadResource:
-    """Show the newest configuration."""
+class ConfigReadResource:
+    """Serve the current configuration."""
 
-    def __init__(self, calls: LeaderCalls):
-        self._calls = calls
+    def __init__(self, forwarder: LeaderCallForwarder):
+        self._forwarder = forwarder
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Answer with the whole configuration, or 503 if it is not sure."""
-        self._calls.fill(resp, Action.READ)
+        """Respond with the whole configuration; 503 unless a leader confirms it."""
+        self._forwarder.forward(resp, LeaderAction.READ)
 
 
 class EvacuationResource:
     """Start or end the evacuation of an availability zone."""
 
-    def __init__(self, calls: LeaderCalls, action: Action):
-        self._calls = calls
+    def __init__(self, forwarder: LeaderCallForwarder, action: LeaderAction):
+        self._forwarder = forwarder
         self._action = action
 
     def on_post(self, req: falcon.Request, resp: falcon.Response, zone: str) -> None:
-        """Pass the order on."""
-        self._calls.fill(resp, self._action, zone)
+        """Forward the call."""
+        self._forwarder.forward(resp, self._action, zone)
 
 
 class HeartbeatResource:
-    """Take what upstreams say of themselves."""
+    """Accept the heartbeats of upstreams."""
 
-    def __init__(self, calls: LeaderCalls):
-        self._calls = calls
+    def __init__(self, forwarder: LeaderCallForwarder):
+        self._forwarder = forwarder
 
     def on_post(
         self, req: falcon.Request, resp: falcon.Response, upstream: str
     ) -> None:
-        """Pass the heartbeat on; one that can't be read names no upstream."""
+        """Forward the heartbeat; respond with 400 to a malformed one."""
         try:
             item = decode_heartbeat(upstream, read_body(req))
         except WireError as exc:
-            refuse(req, resp, exc)
+            respond_invalid(req, resp, exc)
             return
-        self._calls.fill(resp, Action.ANNOUNCE, upstream, pack(item))
+        self._forwarder.forward(
+            resp, LeaderAction.ANNOUNCE, upstream, encode_announcement(item)
+        )
 
 
-class DepartureResource:
-    """Take note that an upstream leaves."""
+class DeregistrationResource:
+    """Accept the deregistration of an upstream."""
 
-    def __init__(self, calls: LeaderCalls):
-        self._calls = calls
+    def __init__(self, forwarder: LeaderCallForwarder):
+        self._forwarder = forwarder
 
     def on_post(
         self, req: falcon.Request, resp: falcon.Response, upstream: str
     ) -> None:
-        """Pass the departure on."""
+        """Forward the deregistration; respond with 400 to a malformed one."""
         try:
-            born_ms = decode_departure(read_body(req))
+            born_ms = decode_deregistration(read_body(req))
         except WireError as exc:
-            refuse(req, resp, exc)
+            respond_invalid(req, resp, exc)
             return
         body = b"" if born_ms is None else str(born_ms).encode()
-        self._calls.fill(resp, Action.LEAVE, upstream, body)
+        self._forwarder.forward(resp, LeaderAction.LEAVE, upstream, body)
 
 
-def control_app(calls: LeaderCalls) -> falcon.App:
-    """Return the application that serves operators and upstreams."""
+def control_app(forwarder: LeaderCallForwarder) -> falcon.App:
+    """Build the WSGI application that serves operators and upstreams."""
     app = falcon.App()
-    app.add_route(names.CONFIG_REPLACE, ConfigResource(calls, Action.REPLACE))
-    app.add_route(names.CONFIG_UPDATE, ConfigResource(calls, Action.UPDATE))
-    app.add_route(names.CONFIG_READ, ReadResource(calls))
-    app.add_route(names.HEARTBEAT, HeartbeatResource(calls))
-    app.add_route(names.DEREGISTER, DepartureResource(calls))
-    app.add_route(names.EVACUATION_START, EvacuationResource(calls, Action.EVACUATE))
-    app.add_route(names.EVACUATION_STOP, EvacuationResource(calls, Action.TAKE_BACK))
+    app.add_route(names.CONFIG_REPLACE, ConfigResource(forwarder, LeaderAction.REPLACE))
+    app.add_route(names.CONFIG_UPDATE, ConfigResource(forwarder, LeaderAction.UPDATE))
+    app.add_route(names.CONFIG_READ, ConfigReadResource(forwarder))
+    app.add_route(names.HEARTBEAT, HeartbeatResource(forwarder))
+    app.add_route(names.DEREGISTER, DeregistrationResource(forwarder))
+    app.add_route(
+        names.EVACUATION_START, EvacuationResource(forwarder, LeaderAction.EVACUATE)
+    )
+    app.add_route(
+        names.EVACUATION_STOP,
+        EvacuationResource(forwarder, LeaderAction.END_EVACUATION),
+    )
     return app
 
 
 def read_body(req: falcon.Request) -> bytes:
-    """Return the whole body of a call, or raise WireError."""
+    """Read the whole body of a call, or raise WireError."""
     body = req.bounded_stream.read(_BODY_MAX_BYTES + 1)
     if len(body) > _BODY_MAX_BYTES:
         raise WireError("the body is too large")
     if req.content_length is not None and len(body) < req.content_length:
-        raise WireError("the body is cut short")
+        raise WireError("the body is shorter than its Content-Length")
     return body
 
 
-def refuse(req: falcon.Request, resp: falcon.Response, exc: WireError) -> None:
-    """Answer that a call can't be read."""
+def respond_invalid(req: falcon.Request, resp: falcon.Response, exc: WireError) -> None:
+    """Log a malformed call and respond with 400."""
     log_event("platform_call_invalid", action=req.path, reason=str(exc))
     resp.status = falcon.code_to_http_status(INVALID)
     resp.media = {"error": str(exc)}
 
 
-def _fill(resp: falcon.Response, answer: OperatorAnswer) -> None:
+def _set_response(resp: falcon.Response, answer: OperatorAnswer) -> None:
     resp.status = falcon.code_to_http_status(answer.status)
     resp.content_type = falcon.MEDIA_JSON
     resp.data = answer.body
--- a/bergamotdrift/platform/decoding.py
+++ b/bergamotdrift/platform/decoding.py
@@ -1,4 +1,4 @@
-"""Reading of single values in the platform's bodies and settings."""
+"""Decoders of single values in the platform's bodies and settings."""
 
 import re
 from typing import Any
@@ -8,42 +8,42 @@
 
 
 class WireError(ValueError):
-    """Report a value that can't be read."""
+    """Report a malformed or invalid value."""
 
 
 def duration_ms(value: Any) -> float:
-    """Return a time such as `1500ms` or `2.5s` in milliseconds, or raise WireError."""
+    """Convert a duration such as `1500ms` or `2.5s` to ms, or raise WireError."""
     match = _DURATION.fullmatch(value) if isinstance(value, str) else None
     if match is None:
-        raise WireError(f"{value!r} is no time")
+        raise WireError(f"{value!r} is not a duration")
     return float(match.group(1)) * _MS_PER_UNIT[match.group(2)]
 
 
-def text(value: Any, what: str) -> str:
-    """Return a text that is not empty, or raise WireError."""
+def non_empty_string(value: Any, name: str) -> str:
+    """Return the value if it is a non-empty string, or raise WireError."""
     if not isinstance(value, str) or not value:
-        raise WireError(f"{what} must be a text")
+        raise WireError(f"{name} must be a non-empty string")
     return value
 
 
-def whole(value: Any, what: str, least: int = 0) -> int:
-    """Return a whole number of at least `least`, or raise WireError."""
-    if isinstance(value, bool) or not isinstance(value, int) or value < least:
-        raise WireError(f"{what} must be a whole number of at least {least}")
+def integer(value: Any, name: str, minimum: int = 0) -> int:
+    """Return the value if it is an integer >= `minimum`, or raise WireError."""
+    if isinstance(value, bool) or not isinstance(value, int) or value < minimum:
+        raise WireError(f"{name} must be an integer of at least {minimum}")
     return value
 
 
-def number(value: Any, what: str) -> float:
-    """Return a number of at least 0, or raise WireError."""
+def non_negative_number(value: Any, name: str) -> float:
+    """Return the value as a float if it is 0 or greater, or raise WireError."""
     if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
-        raise WireError(f"{what} must be a number of at least 0")
+        raise WireError(f"{name} must be a number of at least 0")
     return float(value)
 
 
-def flag(value: Any, what: str) -> bool:
-    """Return true or false, false for null, or raise WireError."""
+def boolean(value: Any, name: str) -> bool:
+    """Return a boolean, False for null, or raise WireError."""
     if value is None:
         return False
     if not isinstance(value, bool):
-        raise WireError(f"{what} must be true or false")
+        raise WireError(f"{name} must be true or false")
     return value
--- a/bergamotdrift/platform/entry.py
+++ b/bergamotdrift/platform/entry.py
@@ -1,4 +1,4 @@
-"""The entry on the platform."""
+"""Entry that uses the platform's header names and readiness route."""
 
 from bergamotdrift.clock import BootClock
 from bergamotdrift.entry_node import Entry
--- a/bergamotdrift/platform/leader_call_handler.py
+++ b/bergamotdrift/platform/leader_call_handler.py
@@ -1,4 +1,4 @@
-"""Answers of the control leader to the platform's operators and upstreams."""
+"""Handling of the platform's operator and upstream calls on the control leader."""
 
 import hashlib
 import time
@@ -26,29 +26,29 @@
 from bergamotdrift.platform.decoding import WireError
 from bergamotdrift.tables import UpstreamId
 
-# A heartbeat counts only if it is answered within a second.
-CONFIRM_TIMEOUT_MS = 800.0
-_POLL_S = 0.004
+# Upstreams count a heartbeat only if it is answered within 1 s.
+COMMIT_TIMEOUT_MS = 800.0
+_POLL_INTERVAL_S = 0.004
 _AUTHOR = "operator"
 _ANNOUNCEMENT = msgspec.msgpack.Decoder(Announcement)
 
 OK, INVALID, CONFLICT, UNAVAILABLE = 200, 400, 412, 503
 
 
-class Action(StrEnum):
-    """Name the calls that the leader answers."""
+class LeaderAction(StrEnum):
+    """Name the calls that the leader handles."""
 
     REPLACE = "replace"
     UPDATE = "update"
     READ = "read"
     EVACUATE = "evacuate"
-    TAKE_BACK = "take_back"
+    END_EVACUATION = "take_back"
     ANNOUNCE = "announce"
     LEAVE = "leave"
 
 
-class LeaderDesk:
-    """Carry calls out while this replica leads."""
+class PlatformCallHandler:
+    """Handle the platform's calls while this replica is the leader."""
 
     def __init__(
         self,
@@ -69,49 +69,49 @@
         self._tolerance = tolerance
 
     def answer(self, call: LeaderCall) -> OperatorAnswer:
-        """Return the answer to a call; 503 unless this replica leads."""
+        """Handle a call; the answer is 503 unless this replica is the leader."""
         duties = self._leadership.duties()
         if duties is None:
-            return _answer(UNAVAILABLE, "this replica does not lead")
+            return _answer(UNAVAILABLE, "this replica is not the leader")
         try:
-            return self._carry_out(duties, call)
+            return self._dispatch(duties, call)
         except WireError as exc:
             log_event("platform_call_invalid", action=call.action, reason=str(exc))
             return _answer(INVALID, str(exc))
         except CallError as exc:
             return _answer(UNAVAILABLE, str(exc))
 
-    def _carry_out(self, duties: LeaderDuties, call: LeaderCall) -> OperatorAnswer:
-        action = Action(call.action)
-        if action is Action.ANNOUNCE:
+    def _dispatch(self, duties: LeaderDuties, call: LeaderCall) -> OperatorAnswer:
+        action = LeaderAction(call.action)
+        if action is LeaderAction.ANNOUNCE:
             return self._announce(duties, _ANNOUNCEMENT.decode(call.body))
-        if action is Action.LEAVE:
-            return self._leave(call.subject, call.body)
-        if action is Action.READ:
-            return self._read()
-        if action in {Action.EVACUATE, Action.TAKE_BACK}:
-            return self._evacuate(call.subject, action is Action.EVACUATE)
-        return self._change(action, call.body)
+        if action is LeaderAction.LEAVE:
+            return self._deregister(call.subject, call.body)
+        if action is LeaderAction.READ:
+            return self._read_config()
+        if action in {LeaderAction.EVACUATE, LeaderAction.END_EVACUATION}:
+            return self._evacuate(call.subject, action is LeaderAction.EVACUATE)
+        return self._change_config(action, call.body)
 
     # Configuration
 
-    def _change(self, action: Action, body: bytes) -> OperatorAnswer:
+    def _change_config(self, action: LeaderAction, body: bytes) -> OperatorAnswer:
         fingerprint = hashlib.blake2b(body, digest_size=16).hexdigest()
         request = f"{action}-{fingerprint}"
         log = self._state.settings
-        earlier = log.first_outcome(request, fingerprint)
-        if earlier is not None and not earlier.kind:
+        recorded = log.first_outcome(request, fingerprint)
+        if recorded is not None and not recorded.kind:
             return _answer(OK)
-        if action is Action.REPLACE:
+        if action is LeaderAction.REPLACE:
             config = site_config.decode_config(body)
         else:
             patch = site_config.decode_patch(body)
             if patch.base_version != log.revision or not log.revision:
-                return self._lost_race(patch.version, patch.base_version)
-            config = site_config.patched(site_config.load(log.mapping), patch)
+                return self._version_conflict(patch.version, patch.base_version)
+            config = site_config.apply_patch(site_config.load(log.mapping), patch)
         settings = site_config.to_settings(config, self._zones, self._tolerance)
         if config.base_version != log.revision or config.version <= log.revision:
-            return self._lost_race(config.version, config.base_version)
+            return self._version_conflict(config.version, config.base_version)
         outcome = self._leadership.propose(
             cmd.ApplySettings(
                 request,
@@ -126,10 +126,10 @@
         )
         self._on_change()
         if outcome.kind == ErrorKind.REVISION_CONFLICT:
-            return self._lost_race(config.version, config.base_version)
+            return self._version_conflict(config.version, config.base_version)
         return _answer(OK)
 
-    def _lost_race(self, version: int, base_version: int) -> OperatorAnswer:
+    def _version_conflict(self, version: int, base_version: int) -> OperatorAnswer:
         current = self._state.settings.revision
         log_event(
             "settings_change_refused",
@@ -137,9 +137,9 @@
             base_revision=base_version,
             revision=current,
         )
-        return _answer(CONFLICT, f"version {current} is in place")
+        return _answer(CONFLICT, f"version {current} is the current version")
 
-    def _read(self) -> OperatorAnswer:
+    def _read_config(self) -> OperatorAnswer:
         log = self._state.settings
         if not log.revision:
             return _answer(UNAVAILABLE, "no configuration has been accepted yet")
@@ -165,39 +165,42 @@
                 upstream=item.upstream,
                 reason=reply.error,
             )
-            known = self._state.settings.revision > 0
-            return _answer(INVALID if known else UNAVAILABLE, reply.error)
+            has_settings = self._state.settings.revision > 0
+            return _answer(INVALID if has_settings else UNAVAILABLE, reply.error)
         if duties.upstreams.has_changes():
             self._leadership.wake()
-        if not self._wait_for(item):
-            return _answer(UNAVAILABLE, "not confirmed in time")
+        if not self._wait_until_committed(item):
+            return _answer(UNAVAILABLE, "the announcement was not committed in time")
         body = {"heartbeat_address": self._heartbeat_address}
         return OperatorAnswer(OK, msgspec.json.encode(body))
 
-    def _wait_for(self, item: Announcement) -> bool:
-        """Wait until what an upstream announced is committed."""
-        end_ms = self._clock.now_ms() + CONFIRM_TIMEOUT_MS
-        while not self._is_known(item):
-            if self._clock.now_ms() >= end_ms or self._leadership.duties() is None:
+    def _wait_until_committed(self, item: Announcement) -> bool:
+        """Wait until an announcement is committed.
+
+        Return False after the timeout or if this replica is no longer the leader.
+        """
+        deadline_ms = self._clock.now_ms() + COMMIT_TIMEOUT_MS
+        while not self._is_committed(item):
+            if self._clock.now_ms() >= deadline_ms or self._leadership.duties() is None:
                 return False
-            gevent.sleep(_POLL_S)
+            gevent.sleep(_POLL_INTERVAL_S)
         return True
 
-    def _is_known(self, item: Announcement) -> bool:
+    def _is_committed(self, item: Announcement) -> bool:
         key = UpstreamId(item.service, item.upstream)
         row = self._state.rows.upstreams.get(key)
         leaving = item.state is UpstreamState.LEAVING
         if row is None or row.incarnation != item.incarnation:
-            # One that leaves before it was registered gets no requests anyway.
+            # An upstream that leaves before it was registered gets no requests anyway.
             return leaving
         return row.state is UpstreamState.LEAVING or not leaving
 
-    def _leave(self, upstream: str, body: bytes) -> OperatorAnswer:
+    def _deregister(self, upstream: str, body: bytes) -> OperatorAnswer:
         born_ms = int(body) if body else None
         rows = [
             row._replace(state=UpstreamState.LEAVING)
             for row in self._state.rows.upstreams.rows()
-            if row.upstream == upstream and _is_run(row, born_ms)
+            if row.upstream == upstream and _matches_start(row, born_ms)
         ]
         if rows:
             self._leadership.propose(cmd.PutUpstreams(rows))
@@ -205,12 +208,12 @@
         return _answer(OK)
 
 
-def _is_run(row: UpstreamRow, born_ms: int | None) -> bool:
+def _matches_start(row: UpstreamRow, born_ms: int | None) -> bool:
     return born_ms is None or row.born_ms == born_ms
 
 
-def pack(item: Announcement) -> bytes:
-    """Return an announcement as the body of a call to the leader."""
+def encode_announcement(item: Announcement) -> bytes:
+    """Encode an announcement as the body of a call to the leader."""
     return messages.encode_plain(item)
 
 
--- a/bergamotdrift/platform/names.py
+++ b/bergamotdrift/platform/names.py
@@ -1,4 +1,4 @@
-"""Names that the platform uses on the wire."""
+"""Header names and routes of the platform's wire protocol."""
 
 REQUEST_ID = "Attempt-Id"
 DEADLINE = "Deadline-Ms"
--- a/bergamotdrift/platform/range_order_client.py
+++ b/bergamotdrift/platform/range_order_client.py
@@ -1,4 +1,4 @@
-"""Grants and releases of key ranges as calls to the platform's upstreams."""
+"""Client that sends grants and releases of key ranges to the platform's upstreams."""
 
 import json
 from typing import Any, NamedTuple
@@ -17,18 +17,18 @@
 )
 
 _POOL = "orders"
-_RESULTS = {200: GrantResult.ACCEPTED, 409: GrantResult.FENCED}
+_RESULT_BY_STATUS = {200: GrantResult.ACCEPTED, 409: GrantResult.FENCED}
 
 
 class _Answer(NamedTuple):
-    """Hold the status and state token of an upstream's answer."""
+    """Hold the status and the state token of an upstream's answer."""
 
     status: int
     token: str
 
 
-class PlatformOrders:
-    """Call upstreams at their own addresses, on connections that are kept."""
+class RangeOrderClient:
+    """Send grants and releases to upstreams over persistent HTTP connections."""
 
     def __init__(self, clock: Clock):
         self._clock = clock
@@ -37,7 +37,7 @@
     def grant(
         self, upstream: UpstreamRow, order: GrantOrder, timeout_ms: float
     ) -> GrantResult:
-        """Return how the upstream answered a grant."""
+        """Send a grant and return how the upstream answered it."""
         body: dict[str, Any] = {
             "from": order.first,
             "target": order.last,
@@ -49,12 +49,12 @@
         answer = self._call(upstream, names.GRANT, body, timeout_ms)
         if answer is None:
             return GrantResult.NO_ANSWER
-        return _RESULTS.get(answer.status, GrantResult.REFUSED)
+        return _RESULT_BY_STATUS.get(answer.status, GrantResult.REFUSED)
 
     def release(
         self, upstream: UpstreamRow, order: ReleaseOrder, timeout_ms: float
     ) -> str | None:
-        """Return the state token, or None if the upstream did not answer."""
+        """Send a release; return the state token, or None without an answer of 200."""
         body = {"from": order.first, "target": order.last, "fence": order.epoch}
         answer = self._call(upstream, names.RELEASE, body, timeout_ms)
         return answer.token if answer is not None and answer.status == 200 else None
@@ -77,8 +77,9 @@
             conn.abort()
             return None
         except BaseException:
-            # A worker is killed when the leadership is lost. After an orderly close the
-            # kernel would deliver the order once a partition heals.
+            # The worker's greenlet is killed when this replica loses the leadership.
+            # The connection is reset: after an orderly close the kernel would still
+            # deliver the order once a network partition heals.
             conn.abort()
             raise
 
--- a/bergamotdrift/platform/startup.py
+++ b/bergamotdrift/platform/startup.py
@@ -1,4 +1,4 @@
-"""Start of our programs on the platform."""
+"""Startup and settings reload of the platform's programs."""
 
 import signal
 import sys
@@ -17,7 +17,7 @@
 
 
 def start(program: str) -> Boot:
-    """Return the settings and start logging, or exit with 2."""
+    """Read the settings and start logging, or exit with status 2."""
     if len(sys.argv) != 2:
         print(_USAGE.format(program=program), file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
@@ -32,7 +32,7 @@
 
 
 def on_reload(apply: Callable[[Boot], None]) -> None:
-    """Apply the settings file again at each SIGHUP; one that can't be read is kept."""
+    """Call `apply` with the reread settings file on SIGHUP; ignore an invalid file."""
 
     def reload() -> None:
         try:
--- a/bergamotdrift/platform/wire_dialect.py
+++ b/bergamotdrift/platform/wire_dialect.py
@@ -1,31 +1,34 @@
-"""The headers of the platform's callers and upstreams, as a dialect of the entry."""
+"""Dialect with the header names of the platform's callers and upstreams."""
 
 from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.dialect import AnswerLoad, Dialect, HeaderOf
 from bergamotdrift.platform import names
 
 _MISDIRECTED = 421
-_USUAL_PERCENT = 100.0
+_BASELINE_PERCENT = 100.0
 
 
-def judge(status: int, header: HeaderOf) -> AttemptOutcome | None:
-    """Return the outcome of an answer that states that the request was not run."""
+def not_run_outcome(status: int, header: HeaderOf) -> AttemptOutcome | None:
+    """Return the outcome if the answer states that the request was not run, or None."""
     if status == _MISDIRECTED:
         return AttemptOutcome.FENCED
     return AttemptOutcome.SHED if header(names.NOT_RUN) is not None else None
 
 
 def parse_load(value: str) -> AnswerLoad | None:
-    """Return the stated load: running, waiting, slots, and work time in percent."""
+    """Parse a load header, or return None if it is malformed.
+
+    It states running and waiting requests, slots, and work time in percent of normal.
+    """
     try:
-        figures = [float(part) for part in value.split(",")]
+        values = [float(part) for part in value.split(",")]
     except ValueError:
         return None
-    if len(figures) < 3 or min(figures) < 0:
+    if len(values) < 3 or min(values) < 0:
         return None
-    percent = figures[3] if len(figures) > 3 else _USUAL_PERCENT
-    running, waiting, slots = (int(figure) for figure in figures[:3])
-    return AnswerLoad(running, waiting, slots, percent / _USUAL_PERCENT)
+    percent = values[3] if len(values) > 3 else _BASELINE_PERCENT
+    running, waiting, slots = (int(number) for number in values[:3])
+    return AnswerLoad(running, waiting, slots, percent / _BASELINE_PERCENT)
 
 
 PLATFORM = Dialect(
@@ -41,6 +44,6 @@
     keeps_request_id=True,
     takes_unframed=True,
     fine_retry_after=True,
-    not_run=judge,
+    not_run=not_run_outcome,
     parse_load=parse_load,
 )
--- a/bergamotdrift/tests/__init__.py
+++ b/bergamotdrift/tests/__init__.py
@@ -1,4 +1,4 @@
-"""Tests of the package; random ones draw the same examples in every run."""
+"""Tests of the package; property tests use the same examples in every run."""
 
 from hypothesis import HealthCheck, settings
 
--- a/bergamotdrift/tests/__main__.py
+++ b/bergamotdrift/tests/__main__.py
@@ -1,7 +1,7 @@
-"""Run all tests; failures listed in KNOWN-RED.txt are printed, not counted.
+"""Run all tests; failures listed in KNOWN-RED.txt are printed but not counted.
 
-Each module runs in a process of its own, a few at once. Those that start real
-processes come last, since their timing suffers on a busy machine.
+Each module runs in a separate process, a few of them in parallel. Cluster tests start
+real processes and run last, because their timing is sensitive to the machine's load.
 """
 
 import os
@@ -15,9 +15,9 @@
 from typing import NamedTuple
 
 _ROOT = Path(__file__).resolve().parents[2]
-_KNOWN_RED = _ROOT / "KNOWN-RED.txt"
-_MODULES_AT_ONCE = 5
-_CLUSTER_MODULES_AT_ONCE = 3
+_KNOWN_FAILURES_FILE = _ROOT / "KNOWN-RED.txt"
+_MAX_PARALLEL_MODULES = 5
+_MAX_PARALLEL_CLUSTER_MODULES = 3
 _MODULE_TIMEOUT_S = 300
 _COUNTS = re.compile(r"^(\d+) passed, (\d+) failed, (\d+) skipped$", re.MULTILINE)
 
@@ -33,11 +33,11 @@
         return f"{self.passed} passed, {self.failed} failed, {self.skipped} skipped"
 
 
-def known_red_ids() -> set[str]:
-    """Return the test ids that lines of the form `test: <id>` name."""
-    if not _KNOWN_RED.exists():
+def known_failure_ids() -> set[str]:
+    """Return the test ids in lines of the form `test: <id>`."""
+    if not _KNOWN_FAILURES_FILE.exists():
         return set()
-    lines = _KNOWN_RED.read_text().splitlines()
+    lines = _KNOWN_FAILURES_FILE.read_text().splitlines()
     return {
         line.removeprefix("test:").strip() for line in lines if line.startswith("test:")
     }
@@ -47,9 +47,11 @@
     """Run the named modules, classes or tests in this process."""
     suite = unittest.TestLoader().loadTestsFromNames(names)
     result = unittest.TextTestRunner(verbosity=2).run(suite)
-    failing = {_plain_id(test) for test, _ in [*result.failures, *result.errors]}
-    failing |= {_plain_id(test) for test in result.unexpectedSuccesses}
-    known = known_red_ids()
+    failing = {
+        _id_without_params(test) for test, _ in [*result.failures, *result.errors]
+    }
+    failing |= {_id_without_params(test) for test in result.unexpectedSuccesses}
+    known = known_failure_ids()
     for test_id in sorted(failing & known):
         print(f"known red: {test_id}")
     skipped = len(result.skipped)
@@ -57,8 +59,8 @@
     return Counts(passed, len(failing - known), skipped)
 
 
-def run_module_apart(name: str) -> Counts:
-    """Run one module in a process of its own and print its output."""
+def run_module_in_subprocess(name: str) -> Counts:
+    """Run one module in a subprocess and print its output."""
     proc = subprocess.Popen(
         [sys.executable, "-m", "bergamotdrift.tests", name],
         cwd=_ROOT,
@@ -70,15 +72,15 @@
     try:
         output, _ = proc.communicate(timeout=_MODULE_TIMEOUT_S)
     except subprocess.TimeoutExpired:
-        # The programs that the module started would go on beside later tests.
+        # Otherwise programs that the module started keep running during later tests.
         os.killpg(proc.pid, signal.SIGKILL)
         output, _ = proc.communicate()
-        print(output, f"{name} did not end within {_MODULE_TIMEOUT_S} s")
+        print(output, f"{name} did not finish within {_MODULE_TIMEOUT_S} s")
         return Counts(0, 1, 0)
     print(output, flush=True)
     found = _COUNTS.findall(output)
     if not found:
-        print(f"{name} ended with {proc.returncode} and no count")
+        print(f"{name} exited with status {proc.returncode} and printed no count")
         return Counts(0, 1, 0)
     return Counts(*(int(number) for number in found[-1]))
 
@@ -91,20 +93,20 @@
     ]
     clusters = [name for name in modules if ".test_cluster_" in name]
     others = [name for name in modules if name not in clusters]
-    with ThreadPoolExecutor(_MODULES_AT_ONCE) as pool:
-        counts = list(pool.map(run_module_apart, others))
-    with ThreadPoolExecutor(_CLUSTER_MODULES_AT_ONCE) as pool:
-        counts += pool.map(run_module_apart, clusters)
+    with ThreadPoolExecutor(_MAX_PARALLEL_MODULES) as pool:
+        counts = list(pool.map(run_module_in_subprocess, others))
+    with ThreadPoolExecutor(_MAX_PARALLEL_CLUSTER_MODULES) as pool:
+        counts += pool.map(run_module_in_subprocess, clusters)
     return Counts(*(sum(numbers) for numbers in zip(*counts, strict=True)))
 
 
-def _plain_id(test: unittest.TestCase) -> str:
-    """Return the test's id without the parameters of a subtest."""
+def _id_without_params(test: unittest.TestCase) -> str:
+    """Return the id of a test without the parameters of a subtest."""
     return test.id().split(" ", 1)[0]
 
 
 def main() -> int:
-    """Return 0 if something passed and every failure is a known one."""
+    """Return 0 if at least one test passed and all failures are known."""
     names = sys.argv[1:]
     counts = run_names(names) if names else run_all()
     print(counts, flush=True)
--- a/bergamotdrift/tests/platform_support.py
+++ b/bergamotdrift/tests/platform_support.py
@@ -1,4 +1,4 @@
-"""Bodies as the platform's operators and upstreams send them."""
+"""Builders of request bodies of the platform's operators and upstreams."""
 
 import json
 
@@ -24,7 +24,7 @@
 }
 
 
-def config(version=7, base=0, routes=None, **changes):
+def config_body(version=7, base=0, routes=None, **changes):
     body = {
         "version": version,
         "base_version": base,
@@ -42,16 +42,16 @@
     return body | changes
 
 
-def encoded(body):
+def encode_body(body):
     return json.dumps(body).encode()
 
 
-def route(**changes):
+def route_row(**changes):
     fields = dict(zip(ROUTE_COLUMNS, ROUTE, strict=True)) | changes
     return [fields[name] for name in ROUTE_COLUMNS]
 
 
-def heartbeat(**changes):
+def heartbeat_body(**changes):
     return {
         "service": "s2",
         "address": "10.0.0.9:8080",
--- a/bergamotdrift/tests/test_log.py
+++ b/bergamotdrift/tests/test_log.py
@@ -14,7 +14,7 @@
     EVENT_LINES_BURST,
     EVENT_LINES_PER_S,
     PROCESS_LINES_BURST,
-    LogBudget,
+    LogRateLimiter,
 )
 from bergamotdrift.log_writer import LineWriter
 from bergamotdrift.metrics import LOG_LINES_DROPPED
@@ -24,8 +24,8 @@
     return {"timestamp": 1.5, "message_type": "test", "task_uuid": "u"} | fields
 
 
-def run_code(code):
-    """Run Python code in a process of its own."""
+def run_python(code):
+    """Run Python code in a subprocess."""
     return subprocess.run(
         [sys.executable, "-c", code], capture_output=True, text=True, timeout=20
     )
@@ -37,9 +37,9 @@
 
 
 class FormatTests(unittest.TestCase):
-    """Guards against an event that spreads over lines or forges fields."""
+    """Guards against events that span several lines or inject fields."""
 
-    def test_fields_in_order_without_those_of_eliot(self):
+    def test_fields_keep_their_order_and_eliot_fields_are_omitted(self):
         line = format_event(record(zone="a", n=3, ok=True, none=None))
         self.assertEqual(line, "ts=1.500 event=test zone=a n=3 ok=true none=")
 
@@ -54,23 +54,23 @@
         self.assertTrue(line.isprintable())
         line.encode()
 
-    def test_value_that_has_no_text_does_not_lose_the_event(self):
+    def test_value_that_cannot_be_converted_to_text_does_not_lose_the_event(self):
         line = format_event(record(bad=Unprintable()))
         self.assertIn('bad="[unprintable: RuntimeError]"', line)
 
-    def test_long_values_are_cut(self):
+    def test_long_values_are_truncated(self):
         self.assertLess(len(format_event(record(text="x" * 100_000))), 1100)
 
 
 class SecretTests(unittest.TestCase):
-    """Guards against keys in logs."""
+    """Guards against secrets in logs."""
 
-    def test_secret_fields_are_hidden(self):
+    def test_secret_fields_are_redacted(self):
         for name in ("workspace_key", "Authorization", "key", "operator_key"):
             line = format_event(record(**{name: "s3cret"}))
             self.assertNotIn("s3cret", line)
 
-    def test_bearer_keys_within_text_are_hidden(self):
+    def test_bearer_tokens_within_text_are_redacted(self):
         for text in ("Bearer s3cret", "{'authorization': 'bearer  s3cret'}"):
             line = format_event(record(detail=text))
             self.assertNotIn("s3cret", line)
@@ -80,7 +80,7 @@
         self.assertIn("key_digest=sha256:ab key_hash=7", line)
 
 
-class CountTests(unittest.TestCase):
+class EventCounterTests(unittest.TestCase):
     def test_each_event_is_counted_by_name(self):
         log_event("test_counted")
         log_event("test_counted")
@@ -88,31 +88,31 @@
         self.assertEqual(REGISTRY.get_sample_value(name, {"event": "test_counted"}), 2)
 
 
-class BudgetTests(unittest.TestCase):
-    """Guards against a flood of one event that fills the disk or hides others."""
+class LogRateLimiterTests(unittest.TestCase):
+    """Guards against a flood of one event that fills the disk or hides other events."""
 
     def test_flood_is_bounded_and_counted(self):
-        budget = LogBudget(0.0)
-        allowed = sum(budget.allows("a", n / 10_000) for n in range(100_000))
+        limiter = LogRateLimiter(0.0)
+        allowed = sum(limiter.allows("a", n / 10_000) for n in range(100_000))
         bound = EVENT_LINES_BURST + 10 * EVENT_LINES_PER_S
         self.assertLessEqual(allowed, bound + 1)
-        self.assertEqual(budget.take_report(10.0), f"a:{100_000 - allowed}")
-        self.assertEqual(budget.take_report(20.0), "")
+        self.assertEqual(limiter.pop_report(10.0), f"a:{100_000 - allowed}")
+        self.assertEqual(limiter.pop_report(20.0), "")
 
     def test_other_events_are_written_during_a_flood(self):
-        budget = LogBudget(0.0)
+        limiter = LogRateLimiter(0.0)
         for n in range(50_000):
-            budget.allows("a", n / 10_000)
-        self.assertTrue(budget.allows("b", 5.0))
+            limiter.allows("a", n / 10_000)
+        self.assertTrue(limiter.allows("b", 5.0))
 
-    def test_process_has_a_bound_over_all_events(self):
-        budget = LogBudget(0.0)
-        allowed = sum(budget.allows(str(n % 500), 0.0) for n in range(50_000))
+    def test_process_limit_covers_all_events(self):
+        limiter = LogRateLimiter(0.0)
+        allowed = sum(limiter.allows(str(n % 500), 0.0) for n in range(50_000))
         self.assertLessEqual(allowed, PROCESS_LINES_BURST)
 
 
 class LineWriterTests(unittest.TestCase):
-    """Guards against a reader of the log that stops the process."""
+    """Guards against a slow or blocked log reader that blocks the process."""
 
     def test_lines_are_written_in_order(self):
         stream = io.StringIO()
@@ -137,7 +137,7 @@
         for _ in range(400):
             writer.write("x" * 1024 + "\n")
         self.assertGreater(dropped(), before)
-        # The blocked write fails when the reader is gone, so the thread ends.
+        # Closing the read end makes the blocked write fail, so the thread ends.
         os.close(read_end)
         writer.stop()
         with contextlib.suppress(BrokenPipeError):
@@ -150,15 +150,15 @@
             "start_logging('entry', 'e1')\n"
             "for n in range(500): log_event('step', n=n)\n"
         )
-        done = run_code(code)
-        lines = done.stdout.splitlines()
+        result = run_python(code)
+        lines = result.stdout.splitlines()
         self.assertEqual(len(lines), 501)
         self.assertRegex(
             lines[0], r"^ts=\d+\.\d+ event=early program=entry process=e1$"
         )
         self.assertIn("event=step n=499 program=entry process=e1", lines[-1])
 
-    def test_greenlet_that_ends_with_an_error_is_logged(self):
+    def test_failed_greenlet_is_logged(self):
         code = (
             "import gevent\n"
             "from bergamotdrift.log import start_logging\n"
@@ -167,9 +167,9 @@
             "gevent.spawn(step).join()\n"
             "gevent.spawn(step).kill()\n"
         )
-        done = run_code(code)
-        (line,) = done.stdout.splitlines()
+        result = run_python(code)
+        (line,) = result.stdout.splitlines()
         self.assertIn("event=greenlet_failed", line)
         self.assertIn("ZeroDivisionError('no rows')", line)
         self.assertIn("process=c1", line)
-        self.assertIn("Traceback", done.stderr)
+        self.assertIn("Traceback", result.stderr)
--- a/bergamotdrift/tests/test_metrics.py
+++ b/bergamotdrift/tests/test_metrics.py
@@ -11,7 +11,7 @@
 
 
 class MetricsTests(unittest.TestCase):
-    def test_text_format_with_the_common_metrics(self):
+    def test_metrics_are_served_in_the_text_format(self):
         app = falcon.App()
         app.add_route("/metrics", metrics.MetricsResource())
         answer = testing.TestClient(app).simulate_get("/metrics")
@@ -20,7 +20,7 @@
             "# TYPE bergamotdrift_log_lines_dropped_total counter", answer.text
         )
 
-    def test_delay_of_a_blocked_event_loop_is_shown(self):
+    def test_delay_of_a_blocked_event_loop_is_measured(self):
         watcher = metrics.watch_event_loop(BootClock())
         self.addCleanup(watcher.kill)
         gevent.sleep(0)
--- a/bergamotdrift/tests/test_platform_boundary.py
+++ b/bergamotdrift/tests/test_platform_boundary.py
@@ -6,7 +6,7 @@
 from bergamotdrift.platform import names
 
 _PACKAGE = Path(__file__).resolve().parents[1]
-_OTHER_NAMES = (
+_FURTHER_WIRE_NAMES = (
     "Response-Seal",
     "Warmup-Ms",
     "warmup_per_s",
@@ -17,14 +17,14 @@
 )
 
 
-def modules():
+def core_modules():
     for path in _PACKAGE.glob("**/*.py"):
         parts = path.relative_to(_PACKAGE).parts
         if parts[0] not in {"platform", "tests"}:
             yield path
 
 
-def imported(source):
+def imported_modules(source):
     for node in ast.walk(ast.parse(source)):
         if isinstance(node, ast.ImportFrom):
             yield node.module or ""
@@ -32,8 +32,8 @@
             yield from (alias.name for alias in node.names)
 
 
-def texts(source):
-    """Return all text constants of a module, as one text."""
+def string_literals(source):
+    """Return all string literals of a module, joined by line breaks."""
     nodes = ast.walk(ast.parse(source))
     return "\n".join(
         node.value
@@ -42,23 +42,23 @@
     )
 
 
-class BorderTests(unittest.TestCase):
-    """Guards against names of the platform that spread through the product."""
+class BoundaryTests(unittest.TestCase):
+    """Guards against wire names of the platform outside of the adapter."""
 
-    def test_no_module_imports_the_adapter(self):
-        for path in modules():
-            found = [m for m in imported(path.read_text()) if ".platform" in m]
+    def test_no_core_module_imports_the_adapter(self):
+        for path in core_modules():
+            found = [m for m in imported_modules(path.read_text()) if ".platform" in m]
             self.assertEqual(found, [], path.name)
 
-    def test_no_module_holds_a_name_of_the_wire(self):
-        words = [v for k, v in vars(names).items() if k.isupper()]
-        self.assertGreater(len(words), 15)
-        for path in modules():
-            text = texts(path.read_text())
+    def test_no_core_module_contains_a_wire_name(self):
+        wire_names = [v for k, v in vars(names).items() if k.isupper()]
+        self.assertGreater(len(wire_names), 15)
+        for path in core_modules():
+            text = string_literals(path.read_text())
             found = [
-                word
-                for word in [*words, *_OTHER_NAMES]
-                if re.search(rf"(?<![\w-]){re.escape(word)}", text)
+                wire_name
+                for wire_name in [*wire_names, *_FURTHER_WIRE_NAMES]
+                if re.search(rf"(?<![\w-]){re.escape(wire_name)}", text)
             ]
             self.assertEqual(found, [], path.name)
 
--- a/bergamotdrift/tests/test_platform_control_api.py
+++ b/bergamotdrift/tests/test_platform_control_api.py
@@ -7,13 +7,17 @@
 
 from bergamotdrift.operator_messages import OperatorAnswer
 from bergamotdrift.platform import control_api, names
-from bergamotdrift.platform.control_api import LeaderCalls, control_app
-from bergamotdrift.platform.leader_call_handler import INVALID, Action
-from bergamotdrift.tests.platform_support import config, encoded, heartbeat
+from bergamotdrift.platform.control_api import LeaderCallForwarder, control_app
+from bergamotdrift.platform.leader_call_handler import INVALID, LeaderAction
+from bergamotdrift.tests.platform_support import (
+    config_body,
+    encode_body,
+    heartbeat_body,
+)
 
 
 class FakeServer:
-    """Takes the calls to the leader, and answers them all alike."""
+    """Records the calls to the leader and gives the same answer to each."""
 
     def __init__(self):
         self.calls = []
@@ -23,32 +27,32 @@
         return OperatorAnswer(200, b"{}")
 
 
-def client_of(server: Any, leader: Any) -> testing.TestClient:
-    return testing.TestClient(control_app(LeaderCalls(server, leader)))
+def make_client(server: Any, leader: Any) -> testing.TestClient:
+    return testing.TestClient(control_app(LeaderCallForwarder(server, leader)))
 
 
 class ControlApiTestCase(unittest.TestCase):
     def setUp(self):
         self.server = FakeServer()
-        self.client = client_of(self.server, None)
+        self.client = make_client(self.server, None)
 
     def post(self, path, body=b"", **headers):
         return self.client.simulate_post(path, body=body, headers=headers).status_code
 
 
-class CallTests(ControlApiTestCase):
-    """Guards the mapping of the platform's calls to the leader's actions."""
+class RoutingTests(ControlApiTestCase):
+    """Guards the mapping of the platform's routes to leader actions."""
 
     def test_each_call_reaches_the_leader_with_its_subject(self):
-        beat = encoded(heartbeat())
-        whole = encoded(config())
+        heartbeat = encode_body(heartbeat_body())
+        full_config = encode_body(config_body())
         expected = [
-            (names.CONFIG_REPLACE, whole, Action.REPLACE, ""),
-            (names.CONFIG_UPDATE, whole, Action.UPDATE, ""),
-            (names.HEARTBEAT, beat, Action.ANNOUNCE, "i-1"),
-            (names.DEREGISTER, b"", Action.LEAVE, "i-1"),
-            (names.EVACUATION_START, b"", Action.EVACUATE, "a"),
-            (names.EVACUATION_STOP, b"", Action.TAKE_BACK, "a"),
+            (names.CONFIG_REPLACE, full_config, LeaderAction.REPLACE, ""),
+            (names.CONFIG_UPDATE, full_config, LeaderAction.UPDATE, ""),
+            (names.HEARTBEAT, heartbeat, LeaderAction.ANNOUNCE, "i-1"),
+            (names.DEREGISTER, b"", LeaderAction.LEAVE, "i-1"),
+            (names.EVACUATION_START, b"", LeaderAction.EVACUATE, "a"),
+            (names.EVACUATION_STOP, b"", LeaderAction.END_EVACUATION, "a"),
         ]
         for path, body, action, subject in expected:
             with self.subTest(path=path):
@@ -62,8 +66,8 @@
         self.assertEqual(len(self.server.calls), 1)
 
 
-class UnreadableTests(ControlApiTestCase):
-    """Guards against bodies that can't be read, taken or refused without a line."""
+class InvalidBodyTests(ControlApiTestCase):
+    """Guards against malformed bodies that are accepted, or refused without a log."""
 
     def assert_refused(self, path, body, **headers):
         with mock.patch.object(control_api, "log_event") as log_event:
@@ -74,18 +78,18 @@
         self.assertTrue(logged.kwargs["reason"])
         self.assertEqual(self.server.calls, [])
 
-    def test_foreign_heartbeats_are_refused_with_a_reason(self):
+    def test_malformed_heartbeats_are_refused_with_a_reason(self):
         path = names.HEARTBEAT.replace("{upstream}", "i-1")
-        missing = heartbeat()
+        missing = heartbeat_body()
         del missing["address"]
         bodies = [b"", b"\xff\xfe", b"[]", b'{"service":', json.dumps(missing).encode()]
-        bodies.append(encoded(heartbeat(state="asleep")))
+        bodies.append(encode_body(heartbeat_body(state="asleep")))
         for body in bodies:
             with self.subTest(body=body):
                 self.assert_refused(path, body)
 
-    def test_configuration_that_is_cut_short_is_refused_with_a_reason(self):
-        body = encoded(config())
+    def test_truncated_configuration_is_refused_with_a_reason(self):
+        body = encode_body(config_body())
         length = {"Content-Length": str(len(body) + 10)}
         self.assert_refused(names.CONFIG_REPLACE, body, **length)
 
--- a/bergamotdrift/tests/test_platform_forwarding.py
+++ b/bergamotdrift/tests/test_platform_forwarding.py
@@ -13,10 +13,10 @@
 from bergamotdrift.tests.entry_fakes import KEY, OK_BODY, entry_settings
 
 
-class ForwardingTests(DirectEntryTestCase):
-    """Guards what upstreams receive, and for whom."""
+class UpstreamRequestTests(DirectEntryTestCase):
+    """Guards against wrong or missing headers in requests to upstreams."""
 
-    def test_request_names_upstream_workspace_and_time_left(self):
+    def test_request_states_upstream_workspace_and_remaining_time(self):
         self.assertEqual(self.ask("/look/1?q=%20").body, OK_BODY)
         (data,) = self.requests()
         head = data.decode().split("\r\n")
@@ -28,7 +28,7 @@
         self.assertTrue(0 < int(fields["Deadline-Ms"]) <= 900)
         self.assertNotIn(KEY, data.decode())
 
-    def test_stated_workspace_of_a_caller_is_not_passed_on(self):
+    def test_workspace_header_of_a_caller_is_not_forwarded(self):
         self.ask("/look/1", headers=[("Tenant-Id", "other")])
         self.assertNotIn(b"other", self.requests()[0])
 
@@ -41,23 +41,23 @@
         self.ask("/look/deep/1", headers=[("Shard-Key", "7")])
         self.assertIn(b"Expect-Instance: k0", self.requests()[0])
 
-    def test_request_without_a_valid_key_number_is_malformed(self):
+    def test_request_without_a_valid_routing_key_is_malformed(self):
         for value in ("", "x", "65536", "-1"):
             answer = self.ask("/keys/1", headers=[("Shard-Key", value)])
             self.assertEqual(answer.status, 400)
         self.assertEqual(self.requests(), [])
 
 
-class RepeatTests(DirectEntryTestCase):
-    """Guards against requests that run twice, and refusals that are not true."""
+class RetryTests(DirectEntryTestCase):
+    """Guards against requests that run twice, and against false refusals."""
 
-    def test_unsafe_request_is_repeated_only_after_not_run(self):
+    def test_unsafe_request_is_retried_only_if_it_was_not_run(self):
         self.answer_all(lambda data: BUSY)
         answer = self.ask("/order/1", "POST", body=b"x")
         self.assertEqual((answer.status, len(self.requests())), (503, 2))
         self.assertGreater(float(answer.headers["retry-after"]), 0)
 
-    def test_unsafe_request_without_an_answer_is_not_repeated(self):
+    def test_unsafe_request_without_an_answer_is_not_retried(self):
         self.answer_all(lambda data: None)
         answer = self.ask("/order/1", "POST", body=b"x")
         self.assertEqual((answer.status, len(self.requests())), (502, 1))
@@ -67,13 +67,13 @@
         self.assertEqual(self.ask("/look/1").status, 502)
         self.assertEqual(len(self.requests()), 2)
 
-    def test_refusal_after_an_unknown_outcome_promises_nothing(self):
+    def test_refusal_after_an_unknown_outcome_is_answered_502(self):
         answers = [None, BUSY]
         self.answer_all(lambda data: answers.pop(0))
         self.assertEqual(self.ask("/look/1").status, 502)
 
-    def test_repeats_of_misdirected_requests_draw_on_the_budget(self):
-        """Each one reaches an upstream, and counts there as a repeat."""
+    def test_retries_of_misdirected_requests_count_against_the_budget(self):
+        """Each retry reaches an upstream, which counts it as a repeated request."""
         self.answer_all(lambda data: WRONG)
         started_s = time.monotonic()
         sent = 40
@@ -89,23 +89,23 @@
         self.answer_all(lambda data: answers.pop(0))
         self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 200)
 
-    def hold_answers(self, hold_s):
+    def delay_answers(self, hold_s):
         for upstream in self.upstreams:
             upstream.hold_s = hold_s
 
-    def test_slow_attempt_is_repeated_elsewhere(self):
-        self.hold_answers(0.6)
+    def test_slow_attempt_is_retried_on_another_upstream(self):
+        self.delay_answers(0.6)
         self.ask("/look/1")
         self.assertEqual(len(self.requests()), 2)
 
-    def test_slow_attempt_goes_on_while_the_entry_stops(self):
-        """A planned stop would break off a request at which its upstream works."""
-        self.hold_answers(0.6)
+    def test_slow_attempt_continues_while_the_entry_stops(self):
+        """Otherwise a planned stop aborts a request that its upstream is processing."""
+        self.delay_answers(0.6)
         self.entry._admission.stopping = True
         self.assertEqual(self.ask("/look/1").status, 200)
         self.assertEqual(len(self.requests()), 1)
 
-    def test_answer_comes_at_the_deadline(self):
+    def test_request_is_answered_at_its_deadline(self):
         for upstream in self.upstreams:
             upstream.hold_s = 3.0
         with gevent.Timeout(1.5):
@@ -113,12 +113,12 @@
         self.assertEqual(answer.status, 504)
 
 
-class SpentBudgetTests(DirectEntryTestCase):
-    """Guards requests that could be repeated but have no repeat left."""
+class ExhaustedRetryBudgetTests(DirectEntryTestCase):
+    """Guards requests that may be retried while the retry budget is empty."""
 
     entry_changes: ClassVar[dict[str, Any]] = {"retry_fleet_per_s": 0.0}
 
-    def use_up_the_budget(self):
+    def exhaust_the_retry_budget(self):
         self.answer_all(lambda data: BUSY)
         repeats = 1
         while repeats:
@@ -126,9 +126,9 @@
             self.ask("/order/1", "POST", body=b"x")
             repeats = len(self.requests()) - before - 1
 
-    def test_slow_attempt_goes_on_without_a_repeat_in_the_budget(self):
-        """The request would fail while its upstream is at work on it."""
-        self.use_up_the_budget()
+    def test_slow_attempt_continues_without_a_retry_in_the_budget(self):
+        """Otherwise the request fails while its upstream is still processing it."""
+        self.exhaust_the_retry_budget()
         before = len(self.requests())
         self.answer_all(lambda data: OK)
         for upstream in self.upstreams:
@@ -137,15 +137,15 @@
         self.assertEqual(len(self.requests()) - before, 1)
 
 
-class OddAnswerTests(DirectEntryTestCase):
-    """Guards callers against bytes that are not the answer to their request."""
+class UnusualAnswerTests(DirectEntryTestCase):
+    """Guards callers against data that is not the answer to their request."""
 
-    def test_unframed_answer_is_whole_after_an_orderly_end(self):
+    def test_unframed_answer_is_complete_after_an_orderly_close(self):
         self.answer_all(lambda data: b"HTTP/1.1 200 OK\r\nX-Close: 1\r\n\r\nall of it")
         answer = self.ask("/look/1")
         self.assertEqual((answer.status, answer.body), (200, b"all of it"))
 
-    def test_unframed_answer_that_is_reset_is_not_whole(self):
+    def test_unframed_answer_is_incomplete_after_a_reset(self):
         def serve(sock, _address):
             sock.recv(65536)
             sock.sendall(b"HTTP/1.1 200 OK\r\n\r\npart")
@@ -159,46 +159,46 @@
         answer = self.ask("/order/1", "POST", body=b"x")
         self.assertEqual(answer.status, 502)
 
-    def test_answer_to_an_earlier_request_is_not_passed_on(self):
+    def test_answer_to_an_earlier_request_is_not_forwarded(self):
         late = OK.replace(b"Backend-Load", b"Attempt-Id: old\r\nBackend-Load")
         self.answer_all(lambda data: late)
         answer = self.ask("/order/1", "POST", body=b"x")
         self.assertEqual((answer.status, answer.body == OK_BODY), (502, False))
 
-    def test_second_answer_is_not_given_to_the_next_request(self):
+    def test_extra_answer_is_not_used_for_the_next_request(self):
         self.answer_all(lambda data: OK + OK.replace(b"done", b"evil"))
         for _ in range(4):
             self.assertEqual(self.ask("/look/1").body, OK_BODY)
 
-    def test_load_is_read_and_nonsense_is_not(self):
+    def test_valid_load_is_parsed_and_malformed_load_is_ignored(self):
         self.assertEqual(parse_load("3,1,2,250"), AnswerLoad(3, 1, 2, 2.5))
         self.assertEqual(parse_load("3,1,2"), AnswerLoad(3, 1, 2, 1.0))
         for value in ("", "x", "1,2", "1,2,-3"):
             self.assertIsNone(parse_load(value))
 
 
-class HeldKeyTests(DirectEntryTestCase):
-    """Guards keys whose upstream changes, leaves or refuses them."""
+class KeyOwnershipTests(DirectEntryTestCase):
+    """Guards requests for keys whose owner changes, leaves or refuses them."""
 
     def ask_key(self, key=7):
         return self.ask("/keys/1", headers=[("Shard-Key", str(key))])
 
-    def test_request_waits_for_the_next_holder(self):
-        held = RangeRow("keys", 0, 999, "k0", "1", 4, PartitionState.RELEASING)
-        self.push(ranges=[held])
-        job = gevent.spawn(self.ask_key)
+    def test_request_waits_for_the_next_owner(self):
+        owned = RangeRow("keys", 0, 999, "k0", "1", 4, PartitionState.RELEASING)
+        self.push(ranges=[owned])
+        request = gevent.spawn(self.ask_key)
         gevent.sleep(0.15)
         self.assertEqual(self.requests(), [])
-        self.push(ranges=[held._replace(state=PartitionState.OWNED, epoch=5)])
-        self.assertEqual(job.get(timeout=1).status, 200)
+        self.push(ranges=[owned._replace(state=PartitionState.OWNED, epoch=5)])
+        self.assertEqual(request.get(timeout=1).status, 200)
 
-    def test_key_without_a_holder_is_refused_in_time_to_come_back(self):
+    def test_key_without_an_owner_is_refused_early_enough_for_a_retry(self):
         started = gevent.get_hub().loop.now()
         answer = self.ask_key(5000)
         self.assertEqual(answer.status, 503)
         self.assertLess(gevent.get_hub().loop.now() - started, 0.6)
 
-    def test_key_is_not_sent_to_a_later_life_of_its_holder(self):
+    def test_key_is_not_sent_to_a_later_incarnation_of_its_owner(self):
         later = [
             row._replace(incarnation="2") if row.service == "keys" else row
             for row in self.tables().upstreams
@@ -219,7 +219,7 @@
             self.assertEqual(self.ask_key().status, 503)
         self.assertEqual(self.requests(), [])
 
-    def test_requests_by_key_are_reported(self):
+    def test_request_counts_by_key_are_reported(self):
         self.ask_key(7)
         gevent.sleep(0.4)
         loads = [item for ping in self.control.received for item in ping.loads]
--- a/bergamotdrift/tests/test_platform_leader_call_handler.py
+++ b/bergamotdrift/tests/test_platform_leader_call_handler.py
@@ -10,28 +10,32 @@
 from bergamotdrift.node_streams import NodeStreams
 from bergamotdrift.operator_messages import LeaderCall
 from bergamotdrift.platform.heartbeats import decode_heartbeat
-from bergamotdrift.platform.leader_call_handler import Action, LeaderDesk, pack
+from bergamotdrift.platform.leader_call_handler import (
+    LeaderAction,
+    PlatformCallHandler,
+    encode_announcement,
+)
 from bergamotdrift.platform.site_config import NO_TOLERANCE
 from bergamotdrift.tables import UpstreamId
 from bergamotdrift.tests.fake_replicator import FakeLog, FakeReplicator
 from bergamotdrift.tests.platform_support import (
     ROUTE_COLUMNS,
-    config,
-    encoded,
-    heartbeat,
-    route,
+    config_body,
+    encode_body,
+    heartbeat_body,
+    route_row,
 )
 
 
 class Replica:
-    """One replica with a desk on a stand-in log."""
+    """A control replica with a call handler and a fake replicated log."""
 
     def __init__(self, log, name):
         self.state = ControlState()
         self.replicator = FakeReplicator(log, name, self.state)
         self.nodes = NodeStreams(self.state, self.replicator, BootClock(), 30_000)
         self.nodes.start()
-        self.desk = LeaderDesk(
+        self.handler = PlatformCallHandler(
             self.state,
             self.nodes.leadership,
             self.nodes.settings_changed,
@@ -41,117 +45,133 @@
             NO_TOLERANCE,
         )
 
-    def lead(self):
+    def become_leader(self):
         self.replicator.lead()
         with gevent.Timeout(3):
             while self.nodes.leadership.duties() is None:
                 gevent.sleep(0.01)
 
     def call(self, action, subject="", body=b""):
-        return self.desk.answer(LeaderCall(action, subject, body))
+        return self.handler.answer(LeaderCall(action, subject, body))
 
 
-class DeskTestCase(unittest.TestCase):
+class CallHandlerTestCase(unittest.TestCase):
     def setUp(self):
         log = FakeLog()
         self.first, self.second = Replica(log, "c1"), Replica(log, "c2")
         for replica in (self.first, self.second):
             self.addCleanup(replica.nodes.stop)
-        self.first.lead()
+        self.first.become_leader()
 
-    def put(self, body, replica=None):
-        return (replica or self.first).call(Action.REPLACE, body=encoded(body)).status
+    def replace_config(self, body, replica=None):
+        return (
+            (replica or self.first)
+            .call(LeaderAction.REPLACE, body=encode_body(body))
+            .status
+        )
 
     def routes(self):
         settings = self.first.state.settings.current
         assert settings is not None
         return settings.routes
 
-    def hand_over(self):
+    def transfer_leadership(self):
         self.first.replicator.leads = False
-        self.second.lead()
+        self.second.become_leader()
 
 
-class ChangeTests(DeskTestCase):
-    """Guards versions chosen by operators who race and resend."""
+class ConfigChangeTests(CallHandlerTestCase):
+    """Guards configuration versions when operators race or repeat a change."""
 
-    def test_resend_is_confirmed_on_any_replica(self):
-        self.assertEqual(self.put(config()), 200)
-        self.assertEqual(self.put(config()), 200)
-        self.hand_over()
-        self.assertEqual(self.put(config(), self.second), 200)
+    def test_repeated_change_is_confirmed_by_any_replica(self):
+        self.assertEqual(self.replace_config(config_body()), 200)
+        self.assertEqual(self.replace_config(config_body()), 200)
+        self.transfer_leadership()
+        self.assertEqual(self.replace_config(config_body(), self.second), 200)
         self.assertEqual(self.second.state.settings.revision, 7)
 
-    def test_resend_after_a_lost_answer_is_confirmed(self):
+    def test_repeated_change_after_a_lost_answer_is_confirmed(self):
         self.first.replicator.lose_answers = 1
-        self.assertEqual(self.put(config()), 503)
-        self.assertEqual(self.put(config()), 200)
+        self.assertEqual(self.replace_config(config_body()), 503)
+        self.assertEqual(self.replace_config(config_body()), 200)
 
     def test_one_of_two_changes_on_the_same_version_wins(self):
-        self.put(config())
-        other = config(9, 7, routes=[route(timeout="900ms")])
-        self.assertEqual(self.put(config(9, 7)), 200)
-        self.assertEqual(self.put(other), 412)
+        self.replace_config(config_body())
+        competing = config_body(9, 7, routes=[route_row(timeout="900ms")])
+        self.assertEqual(self.replace_config(config_body(9, 7)), 200)
+        self.assertEqual(self.replace_config(competing), 412)
         self.assertEqual(self.routes()[0].timeout_ms, 800)
 
-    def test_change_that_lost_may_fit_later(self):
-        self.put(config())
-        early = config(12, 9)
-        self.assertEqual(self.put(early), 412)
-        self.assertEqual(self.put(config(9, 7)), 200)
-        self.assertEqual(self.put(early), 200)
-
-    def test_version_must_rise(self):
-        self.put(config())
-        self.assertEqual(self.put(config(7, 7, routes=[route(timeout="1s")])), 412)
-        self.assertEqual(self.put(config(6, 7)), 412)
-
-    def test_patch_on_another_version_is_refused(self):
-        self.put(config())
-        new = {"columns": ROUTE_COLUMNS, "rows": [route(name="r2", path_prefix="/y/")]}
+    def test_refused_change_is_accepted_once_its_base_version_is_current(self):
+        self.replace_config(config_body())
+        premature = config_body(12, 9)
+        self.assertEqual(self.replace_config(premature), 412)
+        self.assertEqual(self.replace_config(config_body(9, 7)), 200)
+        self.assertEqual(self.replace_config(premature), 200)
+
+    def test_version_must_increase(self):
+        self.replace_config(config_body())
+        self.assertEqual(
+            self.replace_config(config_body(7, 7, routes=[route_row(timeout="1s")])),
+            412,
+        )
+        self.assertEqual(self.replace_config(config_body(6, 7)), 412)
+
+    def test_patch_of_another_base_version_is_refused(self):
+        self.replace_config(config_body())
+        new = {
+            "columns": ROUTE_COLUMNS,
+            "rows": [route_row(name="r2", path_prefix="/y/")],
+        }
         patch = {"version": 9, "base_version": 6, "upsert": {"routes": new}}
         self.assertEqual(
-            self.first.call(Action.UPDATE, body=encoded(patch)).status, 412
+            self.first.call(LeaderAction.UPDATE, body=encode_body(patch)).status, 412
         )
-        good = encoded(patch | {"base_version": 7})
-        self.assertEqual(self.first.call(Action.UPDATE, body=good).status, 200)
-        self.assertEqual(self.first.call(Action.UPDATE, body=good).status, 200)
+        valid = encode_body(patch | {"base_version": 7})
+        self.assertEqual(self.first.call(LeaderAction.UPDATE, body=valid).status, 200)
+        self.assertEqual(self.first.call(LeaderAction.UPDATE, body=valid).status, 200)
         self.assertEqual(len(self.routes()), 2)
 
-    def test_read_shows_the_newest_or_nothing(self):
-        self.assertEqual(self.first.call(Action.READ).status, 503)
-        self.put(config())
-        read = json.loads(self.first.call(Action.READ).body)
+    def test_read_returns_the_newest_configuration_or_503(self):
+        self.assertEqual(self.first.call(LeaderAction.READ).status, 503)
+        self.replace_config(config_body())
+        read = json.loads(self.first.call(LeaderAction.READ).body)
         self.assertEqual(read["version"], 7)
-        self.hand_over()
-        self.assertEqual(self.first.call(Action.READ).status, 503)
+        self.transfer_leadership()
+        self.assertEqual(self.first.call(LeaderAction.READ).status, 503)
 
     def test_invalid_change_has_no_effect(self):
-        self.put(config())
-        self.assertEqual(self.put(config(9, 7, routes=[route(timeout="0s")])), 400)
+        self.replace_config(config_body())
+        self.assertEqual(
+            self.replace_config(config_body(9, 7, routes=[route_row(timeout="0s")])),
+            400,
+        )
         self.assertEqual(self.first.state.settings.revision, 7)
 
 
-class UpstreamTests(DeskTestCase):
-    """Guards against late words of earlier lifetimes, and unfounded confirmations."""
+class UpstreamLifecycleTests(CallHandlerTestCase):
+    """Guards against late heartbeats of earlier incarnations, and false confirmations.
+
+    A heartbeat or drain may be confirmed only once it is in the replicated log.
+    """
 
     def setUp(self):
         super().setUp()
-        self.put(config())
+        self.replace_config(config_body())
 
     def announce(self, upstream="i1", replica=None, **changes):
-        item = decode_heartbeat(upstream, encoded(heartbeat(**changes)))
-        call = LeaderCall(Action.ANNOUNCE, upstream, pack(item))
-        return (replica or self.first).desk.answer(call).status
+        item = decode_heartbeat(upstream, encode_body(heartbeat_body(**changes)))
+        call = LeaderCall(LeaderAction.ANNOUNCE, upstream, encode_announcement(item))
+        return (replica or self.first).handler.answer(call).status
 
     def row(self, upstream="i1"):
         return self.first.state.rows.upstreams.get(UpstreamId("s2", upstream))
 
-    def test_confirmed_heartbeat_is_in_the_log(self):
+    def test_confirmed_heartbeat_is_committed(self):
         self.assertEqual(self.announce(), 200)
         self.assertEqual(self.row().slots, 2)
 
-    def test_confirmed_drain_is_in_the_log(self):
+    def test_confirmed_drain_is_committed(self):
         self.announce()
         self.assertEqual(self.announce(state="draining", seq=5), 200)
         self.assertEqual(self.row().state, UpstreamState.LEAVING)
@@ -162,17 +182,17 @@
         self.assertEqual(self.announce(seq=6), 200)
         self.assertEqual(self.row().state, UpstreamState.LEAVING)
 
-    def test_late_heartbeat_of_an_earlier_life_changes_nothing(self):
+    def test_late_heartbeat_of_an_earlier_incarnation_is_refused(self):
         self.announce(born=2000, seq=1)
         self.assertEqual(self.announce(born=1000, seq=50), 400)
         self.assertEqual(self.row().born_ms, 2000)
 
-    def test_next_life_under_the_same_id_replaces_the_earlier_one(self):
+    def test_next_incarnation_replaces_the_earlier_one(self):
         self.announce(born=1000, seq=50)
         self.assertEqual(self.announce(born=2000, seq=1), 200)
         self.assertEqual(self.row().born_ms, 2000)
 
-    def test_address_belongs_to_the_latest_start(self):
+    def test_address_belongs_to_the_upstream_started_last(self):
         self.announce("i1", born=1000)
         self.assertEqual(self.announce("i2", born=2000), 200)
         self.assertIsNone(self.row("i1"))
@@ -185,26 +205,26 @@
             while self.row().state is not UpstreamState.READY:
                 gevent.sleep(0.01)
 
-    def test_departure_of_another_run_changes_nothing(self):
+    def test_deregistration_of_another_incarnation_is_ignored(self):
         self.announce(born=1000)
-        self.assertEqual(self.first.call(Action.LEAVE, "i1", b"900").status, 200)
+        self.assertEqual(self.first.call(LeaderAction.LEAVE, "i1", b"900").status, 200)
         self.assertEqual(self.row().state, UpstreamState.READY)
-        self.assertEqual(self.first.call(Action.LEAVE, "i1").status, 200)
+        self.assertEqual(self.first.call(LeaderAction.LEAVE, "i1").status, 200)
         self.assertEqual(self.row().state, UpstreamState.LEAVING)
 
-    def test_replica_that_lost_the_lead_confirms_nothing(self):
+    def test_former_leader_confirms_no_heartbeat(self):
         self.first.replicator.leads = False
         self.assertEqual(self.announce(), 503)
 
-    def test_evacuation_is_confirmed_again(self):
+    def test_repeated_evacuation_is_confirmed(self):
         for _ in range(2):
-            self.assertEqual(self.first.call(Action.EVACUATE, "a").status, 200)
+            self.assertEqual(self.first.call(LeaderAction.EVACUATE, "a").status, 200)
         self.assertEqual(self.first.state.evacuated, {"a"})
-        self.assertEqual(self.first.call(Action.EVACUATE, "nowhere").status, 400)
+        self.assertEqual(self.first.call(LeaderAction.EVACUATE, "nowhere").status, 400)
 
-    def test_heartbeat_names_the_leader_for_the_next_one(self):
-        item = decode_heartbeat("i1", encoded(heartbeat()))
-        answer = self.first.call(Action.ANNOUNCE, "i1", pack(item))
+    def test_heartbeat_answer_states_the_address_of_the_leader(self):
+        item = decode_heartbeat("i1", encode_body(heartbeat_body()))
+        answer = self.first.call(LeaderAction.ANNOUNCE, "i1", encode_announcement(item))
         body = msgspec.json.decode(answer.body)
         self.assertEqual(body, {"heartbeat_address": "10.0.0.1:80"})
 
--- a/bergamotdrift/tests/test_platform_range_order_client.py
+++ b/bergamotdrift/tests/test_platform_range_order_client.py
@@ -7,14 +7,14 @@
 
 from bergamotdrift.clock import BootClock
 from bergamotdrift.messages import UpstreamRow, UpstreamState
-from bergamotdrift.platform.range_order_client import PlatformOrders
+from bergamotdrift.platform.range_order_client import RangeOrderClient
 from bergamotdrift.range_orders import GrantOrder, GrantResult, ReleaseOrder
 
 ORDER = GrantOrder(4, 9, 12, 2000, "")
 
 
-class UpstreamCallTests(unittest.TestCase):
-    """Guards against orders that take effect after their sender gave them up."""
+class RangeOrderClientTests(unittest.TestCase):
+    """Guards against orders that take effect after their sender abandoned them."""
 
     def setUp(self):
         self.listener = gevent.socket.socket()
@@ -25,44 +25,44 @@
         self.upstream = UpstreamRow(
             "cases", "u1", f"127.0.0.1:{port}", "a", "1", UpstreamState.READY, 2, 1
         )
-        self.orders = PlatformOrders(BootClock())
+        self.client = RangeOrderClient(BootClock())
 
     def accept(self):
         with gevent.Timeout(5):
             peer, _ = self.listener.accept()
-            head = peer.recv(65536)
+            request = peer.recv(65536)
         self.addCleanup(peer.close)
-        return peer, head
+        return peer, request
 
     def assert_reset(self, peer):
         with gevent.Timeout(5), self.assertRaises(OSError) as caught:
             while peer.recv(65536):
                 pass
-            self.fail("the connection was closed in order")
+            self.fail("the connection was closed without a reset")
         self.assertEqual(caught.exception.errno, errno.ECONNRESET)
 
-    def test_call_of_a_stopped_worker_is_reset(self):
-        worker = gevent.spawn(self.orders.grant, self.upstream, ORDER, 5000.0)
+    def test_call_of_a_killed_worker_is_reset(self):
+        worker = gevent.spawn(self.client.grant, self.upstream, ORDER, 5000.0)
         peer, _ = self.accept()
         worker.kill()
         self.assert_reset(peer)
 
     def test_call_without_an_answer_is_reset(self):
-        worker = gevent.spawn(self.orders.grant, self.upstream, ORDER, 100.0)
+        worker = gevent.spawn(self.client.grant, self.upstream, ORDER, 100.0)
         peer, _ = self.accept()
         self.assertIs(worker.get(timeout=5), GrantResult.NO_ANSWER)
         self.assert_reset(peer)
 
-    def test_answers_are_told_apart(self):
+    def test_status_determines_the_grant_result(self):
         cases = (
             (b"200 OK", GrantResult.ACCEPTED),
             (b"409 Conflict", GrantResult.FENCED),
             (b"400 Bad", GrantResult.REFUSED),
         )
         for status, result in cases:
-            worker = gevent.spawn(self.orders.grant, self.upstream, ORDER, 5000.0)
-            peer, head = self.accept()
-            self.assertIn(b'"fence": 12', head)
+            worker = gevent.spawn(self.client.grant, self.upstream, ORDER, 5000.0)
+            peer, request = self.accept()
+            self.assertIn(b'"fence": 12', request)
             peer.sendall(
                 b"HTTP/1.1 " + status + b"\r\nConnection: close\r\n"
                 b"Content-Length: 0\r\n\r\n"
@@ -71,16 +71,16 @@
 
     def test_release_returns_the_state_token(self):
         order = ReleaseOrder(4, 9, 12)
-        worker = gevent.spawn(self.orders.release, self.upstream, order, 5000.0)
+        worker = gevent.spawn(self.client.release, self.upstream, order, 5000.0)
         peer, _ = self.accept()
         peer.sendall(b"HTTP/1.1 200 OK\r\nHandover: abc\r\nContent-Length: 0\r\n\r\n")
         self.assertEqual(worker.get(timeout=5), "abc")
 
-    def test_refused_connection_is_no_answer(self):
+    def test_refused_connection_counts_as_no_answer(self):
         with socket.create_server(("127.0.0.1", 0)) as unused:
             port = unused.getsockname()[1]
         gone = self.upstream._replace(address=f"127.0.0.1:{port}")
-        self.assertIs(self.orders.grant(gone, ORDER, 1000.0), GrantResult.NO_ANSWER)
+        self.assertIs(self.client.grant(gone, ORDER, 1000.0), GrantResult.NO_ANSWER)
 
 
 if __name__ == "__main__":
