--- a/bergamotdrift/announcement_check.py
+++ b/bergamotdrift/announcement_check.py
@@ -1,4 +1,4 @@
-"""Checks of what upstreams announce about themselves."""
+"""Validation of upstream announcements against the settings."""
 
 import ipaddress
 import re
@@ -8,18 +8,18 @@
 from bergamotdrift.streams import parse_address
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
-_SHOWN = 64
+_MAX_SHOWN_CHARS = 64
 
 
 def check_announcement(item: Announcement, settings: SiteSettings | None) -> str:
-    """Return what is wrong with an announcement, or an empty string."""
+    """Return the error in an announcement, or an empty string if it is valid."""
     if settings is None:
         return "no settings have been accepted yet"
     service = settings.service(item.service)
     if service is None:
-        return f"unknown service {item.service[:_SHOWN]!r}"
+        return f"unknown service {item.service[:_MAX_SHOWN_CHARS]!r}"
     if not any(zone.name == item.zone for zone in settings.zones):
-        return f"unknown availability zone {item.zone[:_SHOWN]!r}"
+        return f"unknown availability zone {item.zone[:_MAX_SHOWN_CHARS]!r}"
     for field in ("upstream", "incarnation"):
         if not _NAME.fullmatch(getattr(item, field)):
             return f"{field} must be 1 to 128 letters, digits or any of . _ : -"
@@ -31,7 +31,7 @@
         host, port = parse_address(address)
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
-        return f"address {address[:_SHOWN]!r} is not an IP number and a port"
+        return f"address {address[:_MAX_SHOWN_CHARS]!r} is not an IP address and a port"
     if not 0 < port < 65536:
-        return f"address {address[:_SHOWN]!r} has no valid port"
+        return f"address {address[:_MAX_SHOWN_CHARS]!r} has no valid port"
     return ""
--- a/bergamotdrift/announcements.py
+++ b/bergamotdrift/announcements.py
@@ -1,4 +1,4 @@
-"""Announcements of upstreams, received over HTTP and relayed to control in batches."""
+"""HTTP endpoint for upstream announcements, which are relayed to control in batches."""
 
 import json
 from typing import Any, NamedTuple, NotRequired, Protocol, TypedDict
@@ -26,17 +26,18 @@
     UpstreamState,
 )
 
-# Upstreams announce every 500 ms; gathering this long costs them little of it.
-_GATHER_MS = 10
-_BATCH_MAX = 256
-_PENDING_MAX = 2048
+# Announcements are collected for this long to form a batch, a small part of the 500 ms
+# between two announcements of an upstream.
+_BATCH_DELAY_MS = 10
+_MAX_BATCH_SIZE = 256
+_MAX_PENDING = 2048
 _RELAY_TIMEOUT_MS = 1000
-_BODY_MAX_BYTES = 256 * 1024
-_NAME_MAX = 200
+_MAX_BODY_BYTES = 256 * 1024
+_MAX_NAME_CHARS = 200
 
 
 class AnnouncementBody(TypedDict):
-    """Describe the JSON that an upstream sends."""
+    """Describe the JSON body that an upstream sends."""
 
     service: str
     upstream: str
@@ -47,15 +48,15 @@
     released: NotRequired[list[PartitionEpoch]]
 
 
-class _Pending(NamedTuple):
-    """Hold an announcement whose reply is awaited."""
+class _PendingAnnouncement(NamedTuple):
+    """Associate an announcement with the future of its reply."""
 
     announcement: Announcement
     fut: AsyncResult
 
 
-class ControlCalls(Protocol):
-    """Call the control leader."""
+class ControlClient(Protocol):
+    """Send requests to the control leader."""
 
     def call(self, msg: Message, timeout_ms: float = ...) -> Message:
         """Return the leader's reply."""
@@ -63,15 +64,15 @@
 
 
 class AnnouncementRelay:
-    """Gather announcements and relay them to the control leader."""
+    """Collect announcements and relay them to the control leader in batches."""
 
-    def __init__(self, control: ControlCalls):
+    def __init__(self, control: ControlClient):
         self._control = control
-        self._pending: queue.Queue = queue.Queue(_PENDING_MAX)
+        self._pending: queue.Queue = queue.Queue(_MAX_PENDING)
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        """Start to relay in the background."""
+        """Start relaying in the background."""
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -80,10 +81,10 @@
             self._greenlet.kill(block=False)
 
     def announce(self, item: Announcement) -> AnnouncementReply | ErrorKind:
-        """Return control's reply, or the error kind when there is none."""
+        """Relay an announcement and return the reply, or an error kind without one."""
         fut: AsyncResult = AsyncResult()
         try:
-            self._pending.put_nowait(_Pending(item, fut))
+            self._pending.put_nowait(_PendingAnnouncement(item, fut))
             return fut.get(timeout=2 * _RELAY_TIMEOUT_MS / 1000.0)
         except queue.Full:
             return ErrorKind.QUEUE_FULL
@@ -93,18 +94,18 @@
     def _run(self) -> None:
         while True:
             batch = [self._pending.get()]
-            gevent.sleep(_GATHER_MS / 1000.0)
-            while len(batch) < _BATCH_MAX and not self._pending.empty():
+            gevent.sleep(_BATCH_DELAY_MS / 1000.0)
+            while len(batch) < _MAX_BATCH_SIZE and not self._pending.empty():
                 batch.append(self._pending.get_nowait())
-            # A batch must not wait for the reply to an earlier one.
+            # A batch must not wait for the reply to the previous one.
             gevent.spawn(self._relay, batch)
 
-    def _relay(self, batch: list[_Pending]) -> None:
-        replies = self._ask([item.announcement for item in batch])
+    def _relay(self, batch: list[_PendingAnnouncement]) -> None:
+        replies = self._call_control([item.announcement for item in batch])
         for item, reply in zip(batch, replies, strict=True):
             item.fut.set(reply)
 
-    def _ask(
+    def _call_control(
         self, items: list[Announcement]
     ) -> list[AnnouncementReply] | list[ErrorKind]:
         try:
@@ -121,23 +122,23 @@
 
 
 class AnnounceResource:
-    """Answer `POST /v1/announce`."""
+    """Handle `POST /v1/announce`."""
 
     def __init__(self, relay: AnnouncementRelay):
         self._relay = relay
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Relay one announcement and answer with the upstream's grants."""
+        """Relay an announcement and respond with the upstream's grants."""
         try:
-            item = parse_announcement(req.bounded_stream.read(_BODY_MAX_BYTES + 1))
+            item = parse_announcement(req.bounded_stream.read(_MAX_BODY_BYTES + 1))
         except ProtocolError as exc:
-            _refuse(resp, ErrorKind.MALFORMED_REQUEST, str(exc))
+            _send_error(resp, ErrorKind.MALFORMED_REQUEST, str(exc))
             return
         reply = self._relay.announce(item)
         if isinstance(reply, ErrorKind):
-            _refuse(resp, reply, ANSWERS[reply].text)
+            _send_error(resp, reply, ANSWERS[reply].text)
         elif reply.error:
-            _refuse(resp, _kind_of(reply.error), reply.error)
+            _send_error(resp, _error_kind(reply.error), reply.error)
         else:
             resp.media = {
                 "lease_ms": reply.lease_ms,
@@ -148,7 +149,7 @@
 
 def parse_announcement(data: bytes) -> Announcement:
     """Return the announcement in a JSON body, or raise ProtocolError."""
-    if len(data) > _BODY_MAX_BYTES:
+    if len(data) > _MAX_BODY_BYTES:
         raise ProtocolError("the announcement is too large")
     try:
         body: Any = msgspec.convert(json.loads(data), AnnouncementBody)
@@ -156,25 +157,28 @@
         raise ProtocolError(f"invalid announcement: {exc}") from exc
     item = Announcement(**body)
     names = (item.service, item.upstream, item.address, item.zone, item.incarnation)
-    if not all(0 < len(name) <= _NAME_MAX for name in names):
-        raise ProtocolError(f"names must have 1 to {_NAME_MAX} characters")
+    if not all(0 < len(name) <= _MAX_NAME_CHARS for name in names):
+        raise ProtocolError(f"names must have 1 to {_MAX_NAME_CHARS} characters")
     return item
 
 
 def announce_app(relay: AnnouncementRelay) -> falcon.App:
-    """Return the application that serves upstreams."""
+    """Return the WSGI application that receives announcements."""
     app = falcon.App()
     app.add_route("/v1/announce", AnnounceResource(relay))
     return app
 
 
-def _refuse(resp: falcon.Response, kind: ErrorKind, detail: str) -> None:
+def _send_error(resp: falcon.Response, kind: ErrorKind, detail: str) -> None:
     resp.status = falcon.code_to_http_status(ANSWERS[kind].status)
     resp.media = {"error": kind.value, "message": detail}
 
 
-def _kind_of(error: str) -> ErrorKind:
-    """Return the kind that control named; any other text says what is malformed."""
+def _error_kind(error: str) -> ErrorKind:
+    """Return the error kind that control named, else MALFORMED_REQUEST.
+
+    Any other text describes what is malformed.
+    """
     try:
         return ErrorKind(error)
     except ValueError:
--- a/bergamotdrift/clock.py
+++ b/bergamotdrift/clock.py
@@ -1,14 +1,14 @@
-"""Clocks in milliseconds: the system's boot clock and one driven by hand."""
+"""Clocks in milliseconds: the system's boot clock and one advanced manually."""
 
 import time
 from typing import Protocol
 
-# CLOCK_BOOTTIME also counts the time in which a VM is suspended.
+# CLOCK_BOOTTIME includes the time during which a VM is suspended.
 _CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
 class Clock(Protocol):
-    """Tell the time elapsed since an arbitrary start, in milliseconds."""
+    """Measure the time since an arbitrary start, in milliseconds."""
 
     def now_ms(self) -> float:
         """Return the current time in milliseconds."""
@@ -16,7 +16,7 @@
 
 
 class BootClock:
-    """Read the clock that counts since boot, suspended time included."""
+    """Read the time since boot, including time suspended."""
 
     def now_ms(self) -> float:
         """Return the time since boot in milliseconds."""
@@ -24,15 +24,15 @@
 
 
 class ManualClock:
-    """Stand still until advanced, for tests and simulations."""
+    """Change only when advanced, for tests and simulations."""
 
     def __init__(self, now_ms: float = 0.0):
         self._now_ms = now_ms
 
     def now_ms(self) -> float:
-        """Return the time that was last set, in milliseconds."""
+        """Return the current simulated time in milliseconds."""
         return self._now_ms
 
     def advance(self, delta_ms: float) -> None:
-        """Move the time forward by `delta_ms` milliseconds."""
+        """Advance the time by `delta_ms` milliseconds."""
         self._now_ms += delta_ms
--- a/bergamotdrift/fenced_partitions.py
+++ b/bergamotdrift/fenced_partitions.py
@@ -1,14 +1,14 @@
-"""Partitions whose upstream refuses their epoch because it has no grant for it yet."""
+"""Partitions whose upstream refuses their epoch because its grant is still missing."""
 
 from collections.abc import Callable
 
-# An upstream learns of its grants when it announces itself, every 500 ms. Retries of
-# each request would only use up the entry's retry budget until then.
+# An upstream receives its grants in the replies to its announcements, every 500 ms.
+# Until then, retries of each request would only use up the entry's retry budget.
 _PAUSE_MS = 50.0
 
 
 class FencedPartitions:
-    """Pause partitions after a fenced attempt and let single requests try them."""
+    """Pause partitions after a fenced attempt, then let single requests probe them."""
 
     def __init__(self) -> None:
         self._resume_at_ms: dict[int, float] = {}
@@ -21,19 +21,22 @@
         self._resume_at_ms[partition] = now_ms + _PAUSE_MS
 
     def answered(self, partition: int) -> bool:
-        """End a pause and tell whether there was one."""
+        """End the pause of a partition; return whether it was paused."""
         return self._resume_at_ms.pop(partition, None) is not None
 
     def keep(self, partitions: set[int]) -> None:
-        """Forget partitions that are not owned here any more."""
+        """Drop all partitions except those in `partitions`, which are still owned."""
         for partition in self._resume_at_ms.keys() - partitions:
             del self._resume_at_ms[partition]
 
     def holds(
-        self, partition: int, runs_in: Callable[[int], bool], now_ms: float
+        self, partition: int, is_running: Callable[[int], bool], now_ms: float
     ) -> bool:
-        """Tell whether a request for a partition must wait."""
+        """Return whether a request for a partition must wait.
+
+        `is_running` tells whether a request of the partition is running.
+        """
         resume_at_ms = self._resume_at_ms.get(partition)
         if resume_at_ms is None:
             return False
-        return now_ms < resume_at_ms or runs_in(partition)
+        return now_ms < resume_at_ms or is_running(partition)
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -1,4 +1,4 @@
-"""Messages between the system's processes, with their codec and checks."""
+"""Messages between the processes, with encoding, decoding and validation."""
 
 from enum import IntEnum, StrEnum
 from typing import Any, NamedTuple, TypeVar
@@ -23,12 +23,12 @@
 
 
 def pack_body(msg: Message) -> list[Any]:
-    """Return a message as its name and fields, ready for msgpack."""
+    """Return a message as a list of its name and fields, for msgpack."""
     return [type(msg).__name__, msg]
 
 
 def unpack_body(body: Any) -> Message:
-    """Return the typed message of a decoded body, or raise ProtocolError."""
+    """Return the typed message for a decoded body, or raise ProtocolError."""
     if not isinstance(body, list) or len(body) != 2 or not isinstance(body[0], str):
         raise ProtocolError("a message must be a name and a list of fields")
     cls = _REGISTRY.get(body[0])
@@ -46,12 +46,12 @@
 
 
 def encode_plain(value: Any) -> bytes:
-    """Return a value of known type as msgpack bytes, without its name."""
+    """Return a value as msgpack bytes without its type name."""
     return msgpack.packb(value)
 
 
 def decode(data: bytes) -> Message:
-    """Return the message held by msgpack bytes, or raise ProtocolError."""
+    """Return the message in msgpack bytes, or raise ProtocolError."""
     if len(data) > STREAM_MAX_FRAME_BYTES:
         raise ProtocolError("the message is too large")
     try:
@@ -65,7 +65,7 @@
 
 
 class Role(StrEnum):
-    """Name the programs that open streams."""
+    """Identify the programs that open streams."""
 
     ENTRY = "entry"
     ARBITER = "arbiter"
@@ -73,7 +73,7 @@
 
 
 class FrameFlag(IntEnum):
-    """Tell one-way frames, requests and replies apart."""
+    """Distinguish one-way frames, requests and replies."""
 
     ONE_WAY = 0
     REQUEST = 1
@@ -92,12 +92,12 @@
 
 @message
 class Heartbeat(NamedTuple):
-    """Show that the sender is alive."""
+    """Keep an idle stream alive."""
 
 
 @message
 class Failure(NamedTuple):
-    """Answer a request that could not be carried out."""
+    """Report that a request failed."""
 
     kind: ErrorKind
     detail: str = ""
@@ -105,14 +105,14 @@
 
 @message
 class Done(NamedTuple):
-    """Answer a request that needs no other reply."""
+    """Acknowledge a request that has no other reply."""
 
 
 # Tables that control replicates to entries and arbiters
 
 
 class UpstreamState(StrEnum):
-    """Name the states that an upstream announces."""
+    """List the states that an upstream may announce."""
 
     COLD = "cold"
     READY = "ready"
@@ -120,7 +120,7 @@
 
 
 class PartitionState(StrEnum):
-    """Name the ownership states of a partition."""
+    """List the ownership states of a partition or key range."""
 
     VACANT = "vacant"
     OWNED = "owned"
@@ -128,7 +128,7 @@
 
 
 class NodeRow(NamedTuple):
-    """Hold a live entry or arbiter; `address` is its stream address, if any."""
+    """Describe a live entry or arbiter; `address` is its stream address, if any."""
 
     node: str
     role: Role
@@ -139,10 +139,10 @@
 
 
 class UpstreamRow(NamedTuple):
-    """Hold a live upstream; `address` is host:port of its HTTP server.
+    """Describe a live upstream; `address` is the host:port of its HTTP server.
 
-    `slots` is 0 where the service's settings name them. `born_ms` is the Unix time of
-    its start, 0 if it does not say.
+    `slots` is 0 if the service's settings define them. `born_ms` is the Unix time of
+    its start in milliseconds, or 0 if it did not announce one.
     """
 
     service: str
@@ -156,7 +156,7 @@
 
 
 class PartitionRow(NamedTuple):
-    """Hold the owner of a partition; `upstream` is empty while vacant."""
+    """Describe the owner of a partition; `upstream` is empty while it is vacant."""
 
     service: str
     partition: int
@@ -166,7 +166,7 @@
 
 
 class ShardRow(NamedTuple):
-    """Hold the arbiter of a shard; `node` is empty while none is assigned."""
+    """Describe the arbiter of a shard; `node` is empty while none is assigned."""
 
     shard: str
     node: str
@@ -181,14 +181,14 @@
     partition: int
 
 
-# The highest key of a service that is divided into ranges of a numeric key.
+# The highest numeric key of a service that is sharded by key range.
 LAST_KEY = 65535
 
 
 class RangeRow(NamedTuple):
-    """Hold the owner of the keys `first` to `last`, both included.
+    """Describe the owner of the keys `first` to `last`, both inclusive.
 
-    `handover` is the state token of the last holder, empty if there is none.
+    `handover` is the state token of the previous holder, empty if there is none.
     """
 
     service: str
@@ -202,7 +202,7 @@
 
 
 class RemovedRow(NamedTuple):
-    """Name a row that no longer exists; `key` holds its key fields as text."""
+    """Identify a deleted row; `key` contains its key fields as text."""
 
     table: str
     key: tuple[str, ...]
@@ -210,7 +210,7 @@
 
 @message
 class FeedUpdate(NamedTuple):
-    """Carry changed rows after `from_index` up to `to_index`; `full` replaces all."""
+    """Send rows changed after `from_index` up to `to_index`; `full` replaces all."""
 
     from_index: int
     to_index: int
@@ -231,9 +231,9 @@
 
 
 class RateNeed(NamedTuple):
-    """Ask for rate tokens of a workspace, and give unused ones back.
+    """Request rate tokens of a workspace and return unused ones.
 
-    `held` counts the tokens that the entry keeps, without those wanted and returned.
+    `held` counts the tokens that the entry keeps, without `wanted` and `returned`.
     """
 
     workspace: str
@@ -243,10 +243,10 @@
 
 
 class RateLot(NamedTuple):
-    """Lease rate tokens of a workspace; `wait_ms` tells when one may be had.
+    """Lease rate tokens of a workspace; `wait_ms` is the time until one is available.
 
-    An entry that then reaches no leader may use `standby_per_s` tokens per second for
-    a while.
+    An entry that then can't reach a leader may use `standby_per_s` tokens per second
+    for a limited time.
     """
 
     workspace: str
@@ -257,7 +257,7 @@
 
 
 class UpstreamSpeed(NamedTuple):
-    """Report how long a request keeps a slot of an upstream busy, in milliseconds."""
+    """Report how long a request occupies a slot of an upstream, in milliseconds."""
 
     service: str
     upstream: str
@@ -274,7 +274,7 @@
 
 @message
 class Ping(NamedTuple):
-    """Renew a node's session; `unreachable` is a leader that does not answer it."""
+    """Renew a node's session; `unreachable` is a leader that does not respond to it."""
 
     row: NodeRow
     feed_index: int
@@ -286,7 +286,7 @@
 
 @message
 class Pong(NamedTuple):
-    """Confirm a session for `ttl_ms` counted from before the ping was sent."""
+    """Confirm a session for `ttl_ms`, counted from before the ping was sent."""
 
     leader: str
     term: int
@@ -304,21 +304,21 @@
 
 @message
 class Farewell(NamedTuple):
-    """End a node's session at a planned stop."""
+    """End a node's session at a graceful shutdown."""
 
     node: str
     incarnation: str
 
 
 class PartitionEpoch(NamedTuple):
-    """Name a partition of a known service under an epoch."""
+    """Identify a partition at an epoch; the service is known from the context."""
 
     partition: int
     epoch: int
 
 
 class PartitionRef(NamedTuple):
-    """Name a partition under an epoch."""
+    """Identify a partition of a service at an epoch."""
 
     service: str
     partition: int
@@ -326,7 +326,7 @@
 
 
 class Announcement(NamedTuple):
-    """Hold what an upstream announces about itself."""
+    """Describe an upstream as it announces itself."""
 
     service: str
     upstream: str
@@ -337,7 +337,7 @@
     released: list[PartitionEpoch] = []
     slots: int = 0
     born_ms: int = 0
-    # Rises with each announcement of one run, so that a late one can be told.
+    # Increases with each announcement of a process, so that a late one is detected.
     sequence: int = 0
     cold_ms: int = 0
 
@@ -362,14 +362,14 @@
 
 @message
 class AnnouncementReplies(NamedTuple):
-    """Answer a batch of announcements in the same order."""
+    """Reply to a batch of announcements, in the same order."""
 
     items: list[AnnouncementReply]
 
 
 @message
 class PartitionsDrained(NamedTuple):
-    """Report partitions under release that have no running permit left."""
+    """Report partitions under release that have no running permits left."""
 
     items: list[PartitionRef]
 
@@ -390,7 +390,7 @@
 
 @message
 class LoadReport(NamedTuple):
-    """Report the load of a keyed service as one arbiter saw it in a window."""
+    """Report the load of a keyed service that one arbiter measured in a window."""
 
     service: str
     window_ms: int
@@ -400,7 +400,7 @@
 
 @message
 class Propose(NamedTuple):
-    """Ask the leader to log an encoded command and return its outcome."""
+    """Ask the leader to append an encoded command to the log and return its outcome."""
 
     command: bytes
 
--- a/bergamotdrift/node_sessions.py
+++ b/bergamotdrift/node_sessions.py
@@ -15,7 +15,7 @@
 
 
 class PingVerdict(Enum):
-    """Tell what to answer a ping."""
+    """Determine the reply to a ping."""
 
     CONFIRMED = "confirmed"
     PENDING = "pending"
@@ -23,61 +23,61 @@
 
 
 class NodeSessions:
-    """Renew, register and expire nodes."""
+    """Register nodes, renew their sessions and expire them."""
 
     def __init__(self, state: ControlState, opened_at_ms: float):
         self._state = state
-        self._contacts: Contacts[str] = Contacts(opened_at_ms)
+        self._leases: Contacts[str] = Contacts(opened_at_ms)
         self._registering: dict[str, NodeRow] = {}
-        self._feed_index: dict[cmd.NodeIncarnation, int] = {}
+        self._applied_indexes: dict[cmd.NodeIncarnation, int] = {}
 
     def ping(self, row: NodeRow, feed_index: int, now_ms: float) -> PingVerdict:
         """Renew a node's session, or start its registration."""
-        known = self._state.rows.nodes.get(row.node)
-        if known is None:
+        registered = self._state.rows.nodes.get(row.node)
+        if registered is None:
             return self._register(row, now_ms)
-        if known.incarnation != row.incarnation:
-            # The earlier run may still act on its session, so it must end first.
+        if registered.incarnation != row.incarnation:
+            # The earlier process may still act on its session, so it must end first.
             return PingVerdict.IN_USE
-        if not self._contacts.renew(row.node, row.incarnation, now_ms):
+        if not self._leases.renew(row.node, row.incarnation, now_ms):
             return PingVerdict.PENDING
-        self.note_feed_index(row, feed_index)
-        if known != row:
+        self.record_feed_index(row, feed_index)
+        if registered != row:
             self._registering[row.node] = row
             return PingVerdict.PENDING
         return PingVerdict.CONFIRMED
 
-    def note_feed_index(self, row: NodeRow, feed_index: int) -> None:
-        """Take note of the feed index up to which a node has applied the feed."""
+    def record_feed_index(self, row: NodeRow, feed_index: int) -> None:
+        """Record the feed index up to which a node has applied the feed."""
         key = cmd.NodeIncarnation(row.node, row.incarnation)
-        self._feed_index[key] = max(feed_index, self._feed_index.get(key, 0))
+        self._applied_indexes[key] = max(feed_index, self._applied_indexes.get(key, 0))
 
-    def leave(self, node: str, incarnation: str) -> None:
-        """End the session of a node that stops in a planned way."""
+    def end_session(self, node: str, incarnation: str) -> None:
+        """End the session of a node that shuts down gracefully."""
         if self._is_known(node, incarnation):
-            self._contacts.start_expiry(node, incarnation)
+            self._leases.start_expiry(node, incarnation)
 
     def is_live(self, node: str) -> bool:
-        """Tell whether a node is registered and not about to be removed."""
+        """Return whether a node is registered and not about to be removed."""
         row = self._state.rows.nodes.get(node)
         if row is None:
             return False
-        return not self._contacts.is_expiring(node, row.incarnation)
+        return not self._leases.is_expiring(node, row.incarnation)
 
     def acknowledged(self) -> Acknowledged:
-        """Return what all live nodes, and all live arbiters, have applied."""
+        """Return the feed indexes applied by all arbiters and by all nodes."""
         arbiters = nodes = math.inf
         for row in self._state.rows.nodes.rows():
             key = cmd.NodeIncarnation(row.node, row.incarnation)
-            index = self._feed_index.get(key, 0)
+            index = self._applied_indexes.get(key, 0)
             nodes = min(nodes, index)
             if row.role is Role.ARBITER:
                 arbiters = min(arbiters, index)
         return Acknowledged(arbiters, nodes)
 
     def commands(self, now_ms: float) -> list[Message]:
-        """Return registrations and removals to log."""
-        self._forget_removed(now_ms)
+        """Return the commands that register and remove nodes."""
+        self._prune_removed(now_ms)
         commands: list[Message] = []
         expired = self._expired(now_ms)
         if expired:
@@ -92,23 +92,23 @@
         if other is not None and other.incarnation != row.incarnation:
             return PingVerdict.IN_USE
         self._registering[row.node] = row
-        self._contacts.register(row.node, row.incarnation, now_ms)
+        self._leases.register(row.node, row.incarnation, now_ms)
         return PingVerdict.PENDING
 
     def _expired(self, now_ms: float) -> list[cmd.NodeIncarnation]:
         found = []
         for row in self._state.rows.nodes.rows():
             key = cmd.NodeIncarnation(row.node, row.incarnation)
-            ended = self._contacts.has_expired(row.node, row.incarnation, now_ms)
-            if ended or self._contacts.is_expiring(row.node, row.incarnation):
-                self._contacts.start_expiry(row.node, row.incarnation)
+            ended = self._leases.has_expired(row.node, row.incarnation, now_ms)
+            if ended or self._leases.is_expiring(row.node, row.incarnation):
+                self._leases.start_expiry(row.node, row.incarnation)
                 found.append(key)
         return found
 
-    def _forget_removed(self, now_ms: float) -> None:
-        for key in [k for k in self._feed_index if not self._is_known(*k)]:
-            del self._feed_index[key]
-        self._contacts.forget_removed(self._is_known, now_ms)
+    def _prune_removed(self, now_ms: float) -> None:
+        for key in [k for k in self._applied_indexes if not self._is_known(*k)]:
+            del self._applied_indexes[key]
+        self._leases.forget_removed(self._is_known, now_ms)
 
     def _is_known(self, node: str, incarnation: str) -> bool:
         row = self._state.rows.nodes.get(node)
--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -1,4 +1,4 @@
-"""Streams of entries and arbiters at the control leader: sessions and the feed."""
+"""Control leader's streams to entries and arbiters, for sessions and the feed."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -37,32 +37,33 @@
 from bergamotdrift.replication import Replicator
 from bergamotdrift.streams import Connection, pack_one_way
 
-# A node that has still not applied an update after this time is sent it again.
+# An update that a node has not applied after this time is sent again.
 RESEND_AFTER_MS = 2000
-ANNOUNCEMENTS_PER_BATCH = 2000
-# A full update of 1,000 rows takes up to 2 ms to pack.
-_PUSHES_PER_PAUSE = 16
-_ANNOUNCEMENTS_PER_PAUSE = 64
+MAX_ANNOUNCEMENTS_PER_BATCH = 2000
+# The push loop yields after this many streams: packing a full update of 1,000 rows
+# takes up to 2 ms.
+_PUSHES_PER_YIELD = 16
+_ANNOUNCEMENTS_PER_YIELD = 64
 
 
 @dataclass
 class FeedPosition:
-    """Hold up to which feed index a stream was sent updates, and when."""
+    """Track the feed index up to which a stream was sent updates, and when."""
 
     sent_index: int
     sent_at_ms: float
 
 
 class PackedUpdate(NamedTuple):
-    """Hold an update as a frame, and the feed index that it leads to."""
+    """Describe a packed update and the feed index that it ends at."""
 
     to_index: int
     frame: bytes
 
 
 @dataclass
-class WaitingPing:
-    """Hold a ping whose registration is being logged."""
+class PendingPing:
+    """Describe a ping whose node registration is not committed yet."""
 
     conn: Connection
     number: int
@@ -70,8 +71,8 @@
 
 
 @dataclass
-class HeldBatch:
-    """Hold announcements whose grants a round is about to change."""
+class DeferredBatch:
+    """Describe a batch of announcements whose grants the next round may change."""
 
     conn: Connection
     number: int
@@ -79,7 +80,7 @@
 
 
 class NodeStreams:
-    """Answer nodes as long as this replica leads, and push them the feed."""
+    """Handle node messages and push the feed while this replica leads."""
 
     def __init__(
         self,
@@ -93,131 +94,137 @@
         self._clock = clock
         self.leadership = Leadership(state, replicator, clock, self, upstream_ttl_ms)
         self._positions: dict[Connection, FeedPosition] = {}
-        self._complaints = LeaderComplaints()
-        self._waiting: list[WaitingPing] = []
-        self._held: list[HeldBatch] = []
-        self._updates: dict[int, PackedUpdate] = {}
-        self._updates_index = -1
+        self._leader_reachability = LeaderComplaints()
+        self._pending_pings: list[PendingPing] = []
+        self._deferred: list[DeferredBatch] = []
+        self._packed_updates: dict[int, PackedUpdate] = {}
+        self._packed_at_index = -1
         self._changed = Event()
         self._pusher: gevent.Greenlet | None = None
-        # Called after a round that changed the state.
+        # Called after each round that changed the state.
         self.on_changed: Callable[[], None] = lambda: None
 
     def start(self) -> None:
-        """Start the leader's rounds and the feed."""
+        """Start the leader's rounds and the feed push loop."""
         self.leadership.start()
         self._pusher = gevent.spawn(self._push_loop)
 
     def stop(self) -> None:
-        """Stop the leader's rounds and the feed."""
+        """Stop the leader's rounds and the feed push loop."""
         self.leadership.stop()
         if self._pusher is not None:
             self._pusher.kill()
 
     def on_message(self, conn: Connection, number: int, msg: Message) -> bool:
-        """Handle a node's message and tell whether it is one."""
+        """Handle a message from a node; return False for other messages."""
         handler = _HANDLERS.get(type(msg))
         if handler is None:
             return False
-        duties = self.leadership.duties()
-        if duties is None:
+        leader_state = self.leadership.duties()
+        if leader_state is None:
             if isinstance(msg, Ping) and msg.unreachable:
-                self._note_complaint(msg)
+                self._record_unreachable(msg)
             conn.reply(number, self._not_leader())
         else:
-            handler(self, duties, conn, number, msg)
+            handler(self, leader_state, conn, number, msg)
         return True
 
-    def _note_complaint(self, msg: Ping) -> None:
+    def _record_unreachable(self, msg: Ping) -> None:
         if msg.unreachable != self._replicator.leader_address():
             return
         nodes = {row.node for row in self._state.rows.nodes.rows()}
-        if self._complaints.add(msg.row.node, nodes, self._clock.now_ms()):
+        if self._leader_reachability.add(msg.row.node, nodes, self._clock.now_ms()):
             log_event("leadership_asked_for", unreachable=msg.unreachable)
             self._replicator.ask_for_leadership()
 
     def on_close(self, conn: Connection) -> None:
-        """Drop what is kept for a stream."""
+        """Drop the feed position of a closed stream."""
         self._positions.pop(conn, None)
 
     def on_round(self, changed: bool) -> None:
-        """Push what a round changed and answer the pings that waited for it."""
-        duties = self.leadership.duties()
-        update_gauges(self._state, duties is not None)
-        # Upstreams learn of their grants before the feed sends requests to them.
-        self._answer_held(duties)
+        """Push the changes of a round and answer the pings that waited for it."""
+        leader_state = self.leadership.duties()
+        update_gauges(self._state, leader_state is not None)
+        # Upstreams must receive their grants before the feed causes requests to them.
+        self._answer_deferred(leader_state)
         if changed:
             self._changed.set()
             self.on_changed()
-        waiting, self._waiting = self._waiting, []
-        for item in waiting:
-            if duties is None:
+        pending, self._pending_pings = self._pending_pings, []
+        for item in pending:
+            if leader_state is None:
                 item.conn.reply(item.number, self._not_leader())
             else:
-                self._on_ping(duties, item.conn, item.number, item.ping)
+                self._on_ping(leader_state, item.conn, item.number, item.ping)
 
     def on_leadership_lost(self) -> None:
-        """Send the nodes away; they look for the new leader."""
+        """Redirect the pending requests, so that nodes look for the new leader."""
         update_gauges(self._state, False)
         self._positions.clear()
-        self._answer_held(None)
-        waiting, self._waiting = self._waiting, []
-        for item in waiting:
+        self._answer_deferred(None)
+        pending, self._pending_pings = self._pending_pings, []
+        for item in pending:
             item.conn.reply(item.number, self._not_leader())
 
     def settings_changed(self) -> None:
-        """Push a change that was not made by a round."""
+        """Push a settings change, which is made outside of rounds."""
         self._changed.set()
         self.leadership.wake()
 
     def _not_leader(self) -> NotLeader:
-        # A leader that has not opened its term yet must not redirect to itself.
-        leads = self._replicator.is_leader()
-        return NotLeader("" if leads else self._replicator.leader_address())
+        # A leader whose term is not open yet must not redirect to itself.
+        is_leader = self._replicator.is_leader()
+        return NotLeader("" if is_leader else self._replicator.leader_address())
 
     # Messages
 
     def _on_ping(
-        self, duties: LeaderDuties, conn: Connection, number: int, msg: Ping
+        self, leader_state: LeaderDuties, conn: Connection, number: int, msg: Ping
     ) -> None:
-        """Answer a ping; one without a number only tells the node's feed index."""
+        """Handle a ping; one without a number only reports the node's feed index."""
         if not _is_sender(conn, msg.row):
             conn.reply(
-                number, Failure(ErrorKind.FORBIDDEN, "not the node of the hello")
+                number,
+                Failure(
+                    ErrorKind.FORBIDDEN,
+                    "the ping is for a node other than that of the hello",
+                ),
             )
             return
         if msg.loads:
-            duties.ranges.add_loads(msg.loads, self._clock.now_ms())
+            leader_state.ranges.add_loads(msg.loads, self._clock.now_ms())
         if msg.speeds:
-            duties.ranges.add_speeds(msg.row.node, msg.speeds)
+            leader_state.ranges.add_speeds(msg.row.node, msg.speeds)
         if msg.feed_index > self._state.feed_index:
-            # Can only follow the loss of the cluster's data; the node must not go on.
-            detail = "the node applied a later feed than this cluster has"
+            # Possible only after the cluster lost data, so the node must not continue.
+            detail = "the node has applied a later feed index than this cluster has"
             conn.reply(number, Failure(ErrorKind.SETTINGS_STALE, detail))
             return
-        verdict = duties.ping(msg.row, msg.feed_index, self._clock.now_ms())
-        if verdict is PingVerdict.CONFIRMED:
-            self._confirm(duties, conn, number, msg)
+        result = leader_state.ping(msg.row, msg.feed_index, self._clock.now_ms())
+        if result is PingVerdict.CONFIRMED:
+            self._confirm(leader_state, conn, number, msg)
         elif not number:
             return
-        elif verdict is PingVerdict.PENDING:
-            self._waiting.append(WaitingPing(conn, number, msg))
+        elif result is PingVerdict.PENDING:
+            self._pending_pings.append(PendingPing(conn, number, msg))
             self.leadership.wake()
         else:
-            detail = "an earlier run of this node has not expired yet"
+            detail = (
+                "the session of an earlier process of this node has not expired yet"
+            )
             conn.reply(number, Failure(ErrorKind.FORBIDDEN, detail))
 
     def _confirm(
-        self, duties: LeaderDuties, conn: Connection, number: int, msg: Ping
+        self, leader_state: LeaderDuties, conn: Connection, number: int, msg: Ping
     ) -> None:
         if conn.closed:
             return
-        self._note_position(conn, msg.feed_index)
-        # The stream keeps the order, so a node that got the pong got the update.
+        self._update_position(conn, msg.feed_index)
+        # Streams preserve order, so a node that received the pong received the update.
         if not self._push(conn) or not number:
             return
         now_ms = self._clock.now_ms()
-        rates = duties.lease_rates(msg.row.node, msg.rates, now_ms)
+        rates = leader_state.lease_rates(msg.row.node, msg.rates, now_ms)
         conn.reply(
             number,
             Pong(
@@ -229,7 +236,7 @@
             ),
         )
 
-    def _note_position(self, conn: Connection, feed_index: int) -> None:
+    def _update_position(self, conn: Connection, feed_index: int) -> None:
         now_ms = self._clock.now_ms()
         position = self._positions.get(conn)
         if position is None:
@@ -241,59 +248,69 @@
             position.sent_index = feed_index
 
     def _on_farewell(
-        self, duties: LeaderDuties, conn: Connection, number: int, msg: Farewell
+        self, leader_state: LeaderDuties, conn: Connection, number: int, msg: Farewell
     ) -> None:
         if conn.peer is not None and (conn.peer.node, conn.peer.incarnation) == (
             msg.node,
             msg.incarnation,
         ):
-            duties.nodes.leave(msg.node, msg.incarnation)
+            leader_state.nodes.end_session(msg.node, msg.incarnation)
             self.leadership.wake()
         conn.reply(number, Done())
 
     def _on_announcements(
         self,
-        duties: LeaderDuties,
+        leader_state: LeaderDuties,
         conn: Connection,
         number: int,
         msg: RelayAnnouncements,
     ) -> None:
-        if not self._is_live_arbiter(duties, conn):
-            conn.reply(number, Failure(ErrorKind.FORBIDDEN, "no arbiter session"))
+        if not self._is_live_arbiter(leader_state, conn):
+            conn.reply(
+                number,
+                Failure(ErrorKind.FORBIDDEN, "the sender has no arbiter session"),
+            )
             return
-        if len(msg.items) > ANNOUNCEMENTS_PER_BATCH:
-            conn.reply(number, Failure(ErrorKind.MALFORMED_REQUEST, "batch too large"))
+        if len(msg.items) > MAX_ANNOUNCEMENTS_PER_BATCH:
+            conn.reply(
+                number,
+                Failure(
+                    ErrorKind.MALFORMED_REQUEST, "the batch has too many announcements"
+                ),
+            )
             return
         replies = []
         for count, item in enumerate(msg.items, 1):
-            replies.append(self._announce(duties, item))
-            if count % _ANNOUNCEMENTS_PER_PAUSE == 0:
+            replies.append(self._announce(leader_state, item))
+            if count % _ANNOUNCEMENTS_PER_YIELD == 0:
                 gevent.sleep(0)
-        # The leadership may have ended in a pause; the grants are void then.
-        if self.leadership.duties() is not duties:
+        # The leadership may have ended during a yield, which invalidates the grants.
+        if self.leadership.duties() is not leader_state:
             conn.reply(number, self._not_leader())
             return
-        holds = [duties.holds_reply(item) for item in msg.items]
-        if any(holds):
-            self._held.append(HeldBatch(conn, number, msg))
+        must_defer = [leader_state.holds_reply(item) for item in msg.items]
+        if any(must_defer):
+            self._deferred.append(DeferredBatch(conn, number, msg))
         else:
             conn.reply(number, AnnouncementReplies(replies))
-        if any(holds) or duties.upstreams.has_changes():
+        if any(must_defer) or leader_state.upstreams.has_changes():
             self.leadership.wake()
 
-    def _answer_held(self, duties: LeaderDuties | None) -> None:
-        """Answer the batches that waited for a round, with the grants it made."""
-        held, self._held = self._held, []
-        for batch in held:
-            if duties is None:
+    def _answer_deferred(self, leader_state: LeaderDuties | None) -> None:
+        """Answer the batches that waited for a round with the resulting grants."""
+        deferred, self._deferred = self._deferred, []
+        for batch in deferred:
+            if leader_state is None:
                 batch.conn.reply(batch.number, self._not_leader())
                 continue
             now_ms = self._clock.now_ms()
-            replies = [duties.announce(item, now_ms) for item in batch.msg.items]
+            replies = [leader_state.announce(item, now_ms) for item in batch.msg.items]
             batch.conn.reply(batch.number, AnnouncementReplies(replies))
 
-    def _announce(self, duties: LeaderDuties, item: Announcement) -> AnnouncementReply:
-        reply = duties.announce(item, self._clock.now_ms())
+    def _announce(
+        self, leader_state: LeaderDuties, item: Announcement
+    ) -> AnnouncementReply:
+        reply = leader_state.announce(item, self._clock.now_ms())
         if reply.error:
             REFUSED_ANNOUNCEMENTS.inc()
             log_event(
@@ -306,32 +323,32 @@
 
     def _on_drained(
         self,
-        duties: LeaderDuties,
+        leader_state: LeaderDuties,
         conn: Connection,
         number: int,
         msg: PartitionsDrained,
     ) -> None:
         if conn.peer is not None:
             for ref in msg.items:
-                duties.drained(ref, conn.peer.node)
+                leader_state.drained(ref, conn.peer.node)
         conn.reply(number, Done())
         self.leadership.wake()
 
     def _on_loads(
-        self, duties: LeaderDuties, conn: Connection, number: int, msg: LoadReport
+        self, leader_state: LeaderDuties, conn: Connection, number: int, msg: LoadReport
     ) -> None:
-        if self._is_live_arbiter(duties, conn):
-            duties.add_loads(msg, self._clock.now_ms())
+        if self._is_live_arbiter(leader_state, conn):
+            leader_state.add_loads(msg, self._clock.now_ms())
         conn.reply(number, Done())
 
-    def _is_live_arbiter(self, duties: LeaderDuties, conn: Connection) -> bool:
+    def _is_live_arbiter(self, leader_state: LeaderDuties, conn: Connection) -> bool:
         peer = conn.peer
         if peer is None or peer.role is not Role.ARBITER:
             return False
         row = self._state.rows.nodes.get(peer.node)
         if row is None or row.incarnation != peer.incarnation:
             return False
-        return duties.nodes.is_live(peer.node)
+        return leader_state.nodes.is_live(peer.node)
 
     # Feed
 
@@ -343,11 +360,11 @@
                 if self.leadership.duties() is None:
                     break
                 self._push(conn)
-                if count % _PUSHES_PER_PAUSE == 0:
+                if count % _PUSHES_PER_YIELD == 0:
                     gevent.sleep(0)
 
     def _push(self, conn: Connection) -> bool:
-        """Send a stream what it lacks and tell whether it is still open."""
+        """Send a stream its missing updates; return whether it is still open."""
         position = self._positions.get(conn)
         if position is None or conn.closed:
             return False
@@ -363,14 +380,16 @@
         return True
 
     def _update_since(self, index: int) -> PackedUpdate:
-        # Most streams lack the same rows.
-        if self._updates_index != self._state.feed_index:
-            self._updates_index = self._state.feed_index
-            self._updates.clear()
-        if index not in self._updates:
+        # Most streams lack the same rows, so a packed update is shared.
+        if self._packed_at_index != self._state.feed_index:
+            self._packed_at_index = self._state.feed_index
+            self._packed_updates.clear()
+        if index not in self._packed_updates:
             update = self._state.update_since(index)
-            self._updates[index] = PackedUpdate(update.to_index, pack_one_way(update))
-        return self._updates[index]
+            self._packed_updates[index] = PackedUpdate(
+                update.to_index, pack_one_way(update)
+            )
+        return self._packed_updates[index]
 
 
 def _is_sender(conn: Connection, row: NodeRow) -> bool:
--- a/bergamotdrift/program.py
+++ b/bergamotdrift/program.py
@@ -1,4 +1,4 @@
-"""Start of the daemons: arguments, settings, logs and common metrics."""
+"""Common startup of the daemons: arguments, settings, logging and metrics."""
 
 import sys
 from collections.abc import Callable
@@ -21,7 +21,7 @@
 
 @dataclass
 class ProgramArguments:
-    """Hold what every daemon takes on its command line."""
+    """Define the command-line arguments common to all daemons."""
 
     settings: Annotated[str, cappa.Arg(long=True, help="Settings file of this process")]
 
@@ -31,7 +31,7 @@
     arguments: type[ProgramArguments],
     load: Callable[[str], Result[_Settings, list[Problem]]],
 ) -> _Settings:
-    """Return the settings and start logging, or exit with 2 and all problems."""
+    """Load the settings and start logging; on errors, print all and exit with 2."""
     args = cappa.parse(arguments, version=__version__, completion=False)
     loaded = load(args.settings)
     if not isinstance(loaded, Success):
--- a/bergamotdrift/range_balance.py
+++ b/bergamotdrift/range_balance.py
@@ -1,4 +1,7 @@
-"""Choice of key ranges that move from busy upstreams to idle ones; pure."""
+"""Selection of key ranges to move from overloaded to less loaded upstreams.
+
+The functions have no side effects.
+"""
 
 from bisect import bisect_left, bisect_right
 from collections.abc import Mapping, Sequence
@@ -7,48 +10,49 @@
 from bergamotdrift.key_loads import KeyRate
 from bergamotdrift.messages import RangeRow
 
-# An upstream with this much more than the mean load gives keys away.
+# An upstream is overloaded above this multiple of the mean load.
 OVERLOAD_RATIO = 1.3
-# Below this load an upstream has hardly a queue, and each move holds requests up.
-LEAST_BUSY = 0.4
-# A move of a smaller load is not worth a hand-over.
-LEAST_MOVE = 0.05
-# A single hot key moves where it makes at most this part of the present load.
-HOT_KEY_GAIN = 0.85
+# Below this load an upstream hardly queues requests, while each move delays some.
+MIN_SOURCE_LOAD = 0.4
+# Moving less load than this does not justify a handover.
+MIN_MOVE_LOAD = 0.05
+# A single hot key moves only if the load of its target is then at most this fraction
+# of the present load of its source.
+HOT_KEY_MAX_LOAD_RATIO = 0.85
 
 
-class Cut(NamedTuple):
-    """Name the keys of a range that move to another upstream."""
+class RangeMove(NamedTuple):
+    """Identify the keys of a range that move to another upstream."""
 
     row: RangeRow
     first: int
     last: int
-    taker: str
+    target: str
 
 
-class _Found(NamedTuple):
-    """Hold a cut and the requests per second that it moves."""
+class _Candidate(NamedTuple):
+    """Describe a possible move and the requests per second that it transfers."""
 
-    cut: Cut
+    move: RangeMove
     per_s: float
 
 
 class RowLoad(NamedTuple):
-    """Hold a range and the rates of the keys within it, in the order of the keys."""
+    """Describe a range and the request rates of its keys, sorted by key."""
 
     row: RangeRow
     rates: Sequence[KeyRate]
 
     @property
     def per_s(self) -> float:
-        """Return the requests per second of the range."""
+        """Return the total requests per second of the range."""
         return sum(rate.per_s for rate in self.rates)
 
 
-def loads_of(
+def load_by_range(
     rows: Sequence[RangeRow], rates: Sequence[KeyRate]
 ) -> dict[RangeRow, RowLoad]:
-    """Return the load of each range."""
+    """Return the load of each range; `rates` must be sorted by key."""
     keys = [rate.key for rate in rates]
     return {
         row: RowLoad(
@@ -58,96 +62,107 @@
     }
 
 
-def choose_cuts(
+def choose_range_moves(
     owned: Mapping[str, Sequence[RowLoad]],
-    busy_shares: Mapping[str, float],
+    load_per_rps: Mapping[str, float],
     limit: int,
-    resting: frozenset[RangeRow],
-) -> list[Cut]:
-    """Return up to `limit` cuts that bring the upstreams' loads closer together.
+    pinned: frozenset[RangeRow],
+) -> list[RangeMove]:
+    """Return up to `limit` moves that even out the load of the upstreams.
 
-    `owned` maps each upstream that may own keys to its ranges. `busy_shares` tells
-    which part of an upstream one request per second keeps busy, so that a load of 1
-    fills it. `resting` ranges moved lately and stay.
+    `owned` maps each upstream that may own keys to its ranges. `load_per_rps` is the
+    fraction of an upstream's capacity that one request per second uses, so a load of 1
+    is full capacity. Ranges in `pinned`, such as recently moved ones, do not move.
     """
     loads = {
-        name: busy_shares[name] * sum(r.per_s for r in rows)
+        name: load_per_rps[name] * sum(r.per_s for r in rows)
         for name, rows in owned.items()
     }
-    cuts: list[Cut] = []
+    moves: list[RangeMove] = []
     if len(loads) < 2:
-        return cuts
+        return moves
     mean = sum(loads.values()) / len(loads)
-    taken: set[RangeRow] = set(resting)
-    for donor in sorted(loads, key=lambda name: -loads[name]):
-        if len(cuts) >= limit or loads[donor] <= max(LEAST_BUSY, mean * OVERLOAD_RATIO):
+    excluded: set[RangeRow] = set(pinned)
+    for source in sorted(loads, key=lambda name: -loads[name]):
+        if len(moves) >= limit or loads[source] <= max(
+            MIN_SOURCE_LOAD, mean * OVERLOAD_RATIO
+        ):
             break
-        taker = min(loads, key=lambda name: (loads[name], name))
-        gap = loads[donor] - loads[taker]
-        wanted = gap / (busy_shares[donor] + busy_shares[taker])
-        rows = [r for r in owned[donor] if r.row not in taken]
-        found = _best_cut(rows, wanted, gap / busy_shares[taker], taker)
-        if found is None or found.per_s * busy_shares[donor] < LEAST_MOVE:
-            found = _hot_key_cut(rows, donor, loads, busy_shares)
-        if found is None:
+        target = min(loads, key=lambda name: (loads[name], name))
+        gap = loads[source] - loads[target]
+        wanted_per_s = gap / (load_per_rps[source] + load_per_rps[target])
+        rows = [r for r in owned[source] if r.row not in excluded]
+        candidate = _best_window(rows, wanted_per_s, gap / load_per_rps[target], target)
+        if candidate is None or candidate.per_s * load_per_rps[source] < MIN_MOVE_LOAD:
+            candidate = _hot_key_move(rows, source, loads, load_per_rps)
+        if candidate is None:
             continue
-        cuts.append(found.cut)
-        taken.add(found.cut.row)
-        loads[donor] -= found.per_s * busy_shares[donor]
-        loads[found.cut.taker] += found.per_s * busy_shares[found.cut.taker]
-    return cuts
+        moves.append(candidate.move)
+        excluded.add(candidate.move.row)
+        loads[source] -= candidate.per_s * load_per_rps[source]
+        loads[candidate.move.target] += (
+            candidate.per_s * load_per_rps[candidate.move.target]
+        )
+    return moves
 
 
-def _hot_key_cut(
+def _hot_key_move(
     rows: Sequence[RowLoad],
-    donor: str,
+    source: str,
     loads: Mapping[str, float],
-    busy_shares: Mapping[str, float],
-) -> _Found | None:
-    """Return the move of a key that no split can spread, to a quicker upstream."""
-    rated = [(rate.per_s, rate.key, item.row) for item in rows for rate in item.rates]
-    if not rated:
+    load_per_rps: Mapping[str, float],
+) -> _Candidate | None:
+    """Return a move of the hottest key, which can't be split, to a faster upstream."""
+    candidates = [
+        (rate.per_s, rate.key, item.row) for item in rows for rate in item.rates
+    ]
+    if not candidates:
         return None
-    per_s, key, row = max(rated, key=lambda found: found[0])
-    others = [name for name in loads if name != donor]
-    taker = min(others, key=lambda name: loads[name] + per_s * busy_shares[name])
-    after = loads[taker] + per_s * busy_shares[taker]
-    if after > loads[donor] * HOT_KEY_GAIN or busy_shares[taker] >= busy_shares[donor]:
+    per_s, key, row = max(candidates, key=lambda candidate: candidate[0])
+    others = [name for name in loads if name != source]
+    target = min(others, key=lambda name: loads[name] + per_s * load_per_rps[name])
+    new_load = loads[target] + per_s * load_per_rps[target]
+    if (
+        new_load > loads[source] * HOT_KEY_MAX_LOAD_RATIO
+        or load_per_rps[target] >= load_per_rps[source]
+    ):
         return None
-    return _Found(Cut(row, key, key, taker), per_s)
+    return _Candidate(RangeMove(row, key, key, target), per_s)
 
 
-def _best_cut(
-    rows: Sequence[RowLoad], wanted: float, gap: float, taker: str
-) -> _Found | None:
-    """Return the narrowest window of keys with about the wanted load."""
-    best: _Found | None = None
+def _best_window(
+    rows: Sequence[RowLoad], wanted_per_s: float, gap: float, target: str
+) -> _Candidate | None:
+    """Return the move of the narrowest key window that has about the wanted load."""
+    best: _Candidate | None = None
     best_rank = (0, 0)
     for item in rows:
-        for first, last, per_s in _windows(item.rates, wanted):
+        for first, last, per_s in _windows(item.rates, wanted_per_s):
             if not 0.0 < per_s < gap:
                 continue
-            # The window with most of the wanted load wins, then the narrowest.
-            shortfall = int(4 * abs(wanted - per_s) / max(wanted, 0.001))
+            # Prefers the smallest difference from the wanted load, then the narrowest.
+            shortfall = int(4 * abs(wanted_per_s - per_s) / max(wanted_per_s, 0.001))
             rank = (shortfall, last - first)
             if best is None or rank < best_rank:
-                best = _Found(Cut(item.row, first, last, taker), per_s)
+                best = _Candidate(RangeMove(item.row, first, last, target), per_s)
                 best_rank = rank
     return best
 
 
-def _windows(rates: Sequence[KeyRate], wanted: float) -> list[tuple[int, int, float]]:
-    """Return for each first key the shortest window that reaches the wanted load."""
-    found = []
+def _windows(
+    rates: Sequence[KeyRate], wanted_per_s: float
+) -> list[tuple[int, int, float]]:
+    """Return the shortest window from each first key that reaches the wanted load."""
+    windows = []
     end, total = 0, 0.0
     for start, rate in enumerate(rates):
-        while end < len(rates) and total < wanted:
+        while end < len(rates) and total < wanted_per_s:
             total += rates[end].per_s
             end += 1
-        found.append((rate.key, rates[end - 1].key, total))
-        # Without its last key the window may fit where the whole one is too heavy.
+        windows.append((rate.key, rates[end - 1].key, total))
+        # The window without its last key may fit where the full one exceeds the limit.
         if end - 1 > start:
             lighter = total - rates[end - 1].per_s
-            found.append((rate.key, rates[end - 2].key, lighter))
+            windows.append((rate.key, rates[end - 2].key, lighter))
         total -= rate.per_s
-    return found
+    return windows
--- a/bergamotdrift/range_leases.py
+++ b/bergamotdrift/range_leases.py
@@ -1,35 +1,35 @@
-"""How long upstreams may still act on the key ranges that they were granted.
+"""Lease accounting for the key ranges granted to upstreams.
 
-A grant runs from its arrival, which the sender does not see. The leader therefore
-counts it from the end of the call, whether the call was answered or abandoned. A call
-of an earlier leader may have begun just before the present leader's term, so its grants
-count from the latest end of such a call.
+A grant is valid from its arrival, a time that the sender does not know. The leader
+therefore counts it from the end of the call, whether the call was answered or timed
+out. A call by an earlier leader may have begun just before the current leader's term,
+so its grants count from the latest possible end of such a call.
 
-An upstream may carry out an unanswered grant after a later release of the same keys.
-Released keys are therefore free only when no such grant can run any more.
+An upstream may apply an unanswered grant after a later release of the same keys.
+Released keys are therefore free only once every such grant has expired.
 """
 
 from typing import NamedTuple
 
 from bergamotdrift.messages import RangeRow
 
-# A lost upstream keeps its keys from others for this long; a new leader must renew
-# the grants of the last one within it.
+# The keys of a lost upstream can't be reassigned for this long. A new leader must renew
+# the grants of its predecessor within it.
 HOLD_MS = 2000
 RENEW_INTERVAL_MS = 650
-# A grant's call is abandoned and reset after this time.
+# A grant call times out and its connection is reset after this time.
 CALL_TIMEOUT_MS = 400.0
-# Upstreams measure the hold by clocks that may run this much slow.
+# The clock by which an upstream measures a hold may be slow by up to this fraction.
 CLOCK_DRIFT = 0.02
-# Covers timers that fire late on either side.
+# Allows for late timers on both sides.
 HOLD_MARGIN_MS = 150.0
-# An upstream that left grants unanswered for this long, and did not announce itself
-# meanwhile, counts as lost: its grants are no longer renewed.
+# An upstream is considered lost, and its grants are not renewed, when it has left
+# grants unanswered for this long and sent no announcement in that time.
 LOST_AFTER_MS = 800.0
 
 
 class Holder(NamedTuple):
-    """Name one run of an upstream and the epoch of its grant."""
+    """Identify an upstream process and the epoch of its grant."""
 
     service: str
     upstream: str
@@ -37,16 +37,16 @@
     epoch: int
 
 
-class GrantedSpan(NamedTuple):
-    """Name the keys that one grant covers."""
+class GrantedRange(NamedTuple):
+    """Identify the keys that a grant covers and their holder."""
 
     holder: Holder
     first: int
     last: int
 
 
-class UpstreamRun(NamedTuple):
-    """Name one run of an upstream."""
+class UpstreamProcess(NamedTuple):
+    """Identify an upstream process: an upstream and its incarnation."""
 
     service: str
     upstream: str
@@ -58,128 +58,133 @@
     return Holder(row.service, row.upstream, row.incarnation, row.epoch)
 
 
-def span_of(row: RangeRow) -> GrantedSpan:
-    """Return the keys of an owned range and their holder."""
-    return GrantedSpan(holder_of(row), row.first, row.last)
+def granted_range(row: RangeRow) -> GrantedRange:
+    """Return the keys of an owned range with their holder."""
+    return GrantedRange(holder_of(row), row.first, row.last)
 
 
-def run_of(row: RangeRow) -> UpstreamRun:
-    """Return the run of the upstream that owns a range."""
-    return UpstreamRun(row.service, row.upstream, row.incarnation)
+def owner_process(row: RangeRow) -> UpstreamProcess:
+    """Return the upstream process that owns a range."""
+    return UpstreamProcess(row.service, row.upstream, row.incarnation)
 
 
-def hold_bound_ms() -> float:
-    """Return the longest time in ms that a grant may run after its call ended."""
+def max_hold_ms() -> float:
+    """Return the longest time in ms that a grant may be valid after its call ended."""
     return HOLD_MS * (1 + CLOCK_DRIFT) + HOLD_MARGIN_MS
 
 
 class RangeLeases:
-    """Account for the grants of one leader's term; pure, with the time passed in."""
+    """Track the grants of one leader term.
+
+    It does no I/O and reads no clock; callers pass the time.
+    """
 
     def __init__(self, opened_at_ms: float):
-        self._opened_until_ms = opened_at_ms + CALL_TIMEOUT_MS + hold_bound_ms()
+        self._earlier_grants_until_ms = opened_at_ms + CALL_TIMEOUT_MS + max_hold_ms()
         self._until_ms: dict[Holder, float] = {}
-        self._calling: dict[GrantedSpan, int] = {}
-        self._unsettled_until_ms: dict[GrantedSpan, float] = {}
+        self._calls_in_flight: dict[GrantedRange, int] = {}
+        self._unsettled_until_ms: dict[GrantedRange, float] = {}
         self._released: dict[RangeRow, str] = {}
         self._accepted: set[RangeRow] = set()
-        self._given_up: set[RangeRow] = set()
-        self._failing_since_ms: dict[UpstreamRun, float] = {}
+        self._reassigning: set[RangeRow] = set()
+        self._failing_since_ms: dict[UpstreamProcess, float] = {}
 
     def begin_grant(self, row: RangeRow) -> bool:
-        """Count a grant as running from before it is sent, or refuse it."""
-        if row in self._given_up:
+        """Record a grant before it is sent; return whether it may be sent."""
+        if row in self._reassigning:
             return False
-        span = span_of(row)
-        self._calling[span] = self._calling.get(span, 0) + 1
+        span = granted_range(row)
+        self._calls_in_flight[span] = self._calls_in_flight.get(span, 0) + 1
         return True
 
     def end_grant(
-        self, row: RangeRow, answered: bool, current: bool, now_ms: float
+        self, row: RangeRow, answered: bool, unchanged: bool, now_ms: float
     ) -> None:
-        """Bound a grant whose call has ended; its hold can't have begun later.
+        """Set the expiry of a grant whose call has ended; its hold started no later.
 
-        `current` tells that the range did not change during the call. A grant that was
-        answered beside a release may have been carried out after it.
+        `unchanged` means that the range did not change during the call. A grant that
+        was answered concurrently with a release may have been applied after it.
         """
-        span = span_of(row)
-        self._calling[span] -= 1
-        if not self._calling[span]:
-            del self._calling[span]
-        until_ms = now_ms + hold_bound_ms()
+        span = granted_range(row)
+        self._calls_in_flight[span] -= 1
+        if not self._calls_in_flight[span]:
+            del self._calls_in_flight[span]
+        until_ms = now_ms + max_hold_ms()
         self._until_ms[span.holder] = until_ms
-        if not (answered and current):
+        if not (answered and unchanged):
             self._unsettled_until_ms[span] = until_ms
-        run = run_of(row)
+        process = owner_process(row)
         if answered:
-            self._failing_since_ms.pop(run, None)
+            self._failing_since_ms.pop(process, None)
         else:
-            self._failing_since_ms.setdefault(run, now_ms)
+            self._failing_since_ms.setdefault(process, now_ms)
 
-    def give_up(self, row: RangeRow) -> None:
-        """Refuse further grants of a range whose last ones have ended.
+    def mark_reassigning(self, row: RangeRow) -> None:
+        """Refuse further grants of a range whose previous grants have expired.
 
-        A command that gives it to another upstream may already be logged, while the
-        holder is heard of again before the command takes effect.
+        The command that assigns it to another upstream may already be in the log when
+        the holder responds again, before the command is applied.
         """
-        self._given_up.add(row)
+        self._reassigning.add(row)
 
-    def is_given_up(self, row: RangeRow) -> bool:
-        """Tell whether a range is surely going to another upstream."""
-        return row in self._given_up
+    def is_reassigning(self, row: RangeRow) -> bool:
+        """Return whether a range is being assigned to another upstream."""
+        return row in self._reassigning
 
-    def note_released(self, row: RangeRow, handover: str) -> None:
-        """Take note that the upstream gave a range back, with its state token."""
+    def record_released(self, row: RangeRow, handover: str) -> None:
+        """Record that the upstream released a range, with its state token."""
         self._released[row] = handover
 
-    def note_accepted(self, row: RangeRow) -> None:
-        """Take note that the upstream accepted a new grant."""
+    def record_accepted(self, row: RangeRow) -> None:
+        """Record that the upstream accepted a new grant."""
         self._accepted.add(row)
 
     def is_accepted(self, row: RangeRow) -> bool:
-        """Tell whether the upstream accepted a new grant."""
+        """Return whether the upstream accepted a new grant."""
         return row in self._accepted
 
     def handover_of(self, row: RangeRow) -> str | None:
-        """Return the state token of a released range, None if it was not released."""
+        """Return the state token of a released range, or None if it is not released."""
         return self._released.get(row)
 
-    def is_failing(self, run: UpstreamRun, seen_ms: float, now_ms: float) -> bool:
-        """Tell whether an upstream last seen at `seen_ms` leaves grants unanswered."""
-        since_ms = self._failing_since_ms.get(run)
+    def is_failing(
+        self, process: UpstreamProcess, seen_ms: float, now_ms: float
+    ) -> bool:
+        """Return whether an upstream last seen at `seen_ms` fails to answer grants."""
+        since_ms = self._failing_since_ms.get(process)
         if since_ms is None or seen_ms > since_ms:
             return False
         return now_ms - since_ms >= LOST_AFTER_MS
 
     def is_settled(self, row: RangeRow, now_ms: float) -> bool:
-        """Tell whether a release of a range would surely end all its grants."""
-        if now_ms < self._opened_until_ms:
+        """Return whether a release of a range is certain to end all its grants."""
+        if now_ms < self._earlier_grants_until_ms:
             return False
-        if any(_overlaps(span, row) for span in self._calling):
+        if any(_overlaps(span, row) for span in self._calls_in_flight):
             return False
         return not any(
             now_ms < until_ms and _overlaps(span, row)
             for span, until_ms in self._unsettled_until_ms.items()
         )
 
-    def knows_grants(self, now_ms: float) -> bool:
-        """Tell whether all grants of earlier leaders have run out."""
-        return now_ms >= self._opened_until_ms
+    def earlier_grants_expired(self, now_ms: float) -> bool:
+        """Return whether all grants of earlier leaders have expired."""
+        return now_ms >= self._earlier_grants_until_ms
 
-    def has_ended(self, row: RangeRow, now_ms: float) -> bool:
-        """Tell whether the last owner of a range surely acts on it no more."""
+    def ownership_ended(self, row: RangeRow, now_ms: float) -> bool:
+        """Return whether the last owner of a range can no longer act on it."""
         if row in self._released and self.is_settled(row, now_ms):
             return True
         holder = holder_of(row)
-        if any(span.holder == holder for span in self._calling):
+        if any(span.holder == holder for span in self._calls_in_flight):
             return False
-        return now_ms >= self._until_ms.get(holder, self._opened_until_ms)
+        return now_ms >= self._until_ms.get(holder, self._earlier_grants_until_ms)
 
-    def forget(self, rows: set[RangeRow], runs: set[UpstreamRun]) -> None:
-        """Drop what is kept of ranges and upstreams that no longer exist."""
+    def retain(self, rows: set[RangeRow], processes: set[UpstreamProcess]) -> None:
+        """Drop the state of ranges and upstream processes other than the given ones."""
         self._released = {r: h for r, h in self._released.items() if r in rows}
         self._accepted &= rows
-        self._given_up &= rows
+        self._reassigning &= rows
         holders = {holder_of(row) for row in rows}
         self._until_ms = {h: t for h, t in self._until_ms.items() if h in holders}
         self._unsettled_until_ms = {
@@ -188,10 +193,12 @@
             if span.holder in holders
         }
         self._failing_since_ms = {
-            run: since for run, since in self._failing_since_ms.items() if run in runs
+            process: since
+            for process, since in self._failing_since_ms.items()
+            if process in processes
         }
 
 
-def _overlaps(span: GrantedSpan, row: RangeRow) -> bool:
+def _overlaps(span: GrantedRange, row: RangeRow) -> bool:
     same = span.holder == holder_of(row)
     return same and span.first <= row.last and row.first <= span.last
--- a/bergamotdrift/range_orders.py
+++ b/bergamotdrift/range_orders.py
@@ -1,4 +1,4 @@
-"""Sends the leader's grants and releases of key ranges to the upstreams."""
+"""Delivery of range grants and releases from the leader to the upstreams."""
 
 from collections.abc import Sequence
 from enum import StrEnum
@@ -20,21 +20,21 @@
     CALL_TIMEOUT_MS,
     HOLD_MS,
     RENEW_INTERVAL_MS,
-    UpstreamRun,
-    run_of,
+    UpstreamProcess,
+    owner_process,
 )
 
-# A release is answered once the work on its keys has ended.
+# A release is answered only after the running requests for its keys have ended.
 RELEASE_TIMEOUT_MS = 1500.0
-# A call without an answer is repeated after this pause.
+# An unanswered call is retried after this delay.
 _RETRY_MS = 100.0
 _IDLE_WAIT_MS = 300.0
-# The loss of the leadership is noticed within this time.
+# The loss of leadership is detected within this time.
 _POLL_S = 0.1
 
 
 class GrantOrder(NamedTuple):
-    """Grant the keys `first` to `last` under an epoch for `hold_ms`."""
+    """Grant the keys `first` to `last` at an epoch for `hold_ms`."""
 
     first: int
     last: int
@@ -44,15 +44,15 @@
 
 
 class ReleaseOrder(NamedTuple):
-    """Take the keys `first` to `last` back."""
+    """Release the keys `first` to `last`."""
 
     first: int
     last: int
     epoch: int
 
 
-class _Grant(NamedTuple):
-    """Identify a grant at one upstream."""
+class _GrantKey(NamedTuple):
+    """Identify a grant to an upstream process."""
 
     first: int
     last: int
@@ -60,7 +60,7 @@
 
 
 class GrantResult(StrEnum):
-    """Tell how an upstream answered a grant."""
+    """Distinguish the results of a grant call to an upstream."""
 
     ACCEPTED = "accepted"
     FENCED = "fenced"
@@ -68,64 +68,64 @@
     NO_ANSWER = "no_answer"
 
 
-class UpstreamOrders(Protocol):
-    """Carry orders to an upstream; a call without an answer in time is abandoned."""
+class OrderTransport(Protocol):
+    """Send orders to an upstream; a call fails if it is not answered in time."""
 
     def grant(
         self, upstream: UpstreamRow, order: GrantOrder, timeout_ms: float
     ) -> GrantResult:
-        """Return how the upstream answered."""
+        """Send a grant and return its result."""
         ...
 
     def release(
         self, upstream: UpstreamRow, order: ReleaseOrder, timeout_ms: float
     ) -> str | None:
-        """Return the state token, empty if there is none, or None without an answer."""
+        """Return the state token, empty if there is none, or None if unanswered."""
         ...
 
     def forget(self, upstream: str) -> None:
-        """Close what is kept for an upstream."""
+        """Close the connections to an upstream."""
         ...
 
 
 class Leader(Protocol):
-    """Tell whether this replica leads."""
+    """Provide the leader state while this replica is the leader."""
 
     def duties(self) -> LeaderDuties | None:
-        """Return the duties of the term that this replica leads right now."""
+        """Return the state of the term that this replica leads now, or None."""
         ...
 
     def wake(self) -> None:
-        """Start the next round of commands at once."""
+        """Start the next command round immediately."""
         ...
 
 
 class RangeOrders:
-    """Run one worker for each upstream that owns or releases ranges."""
+    """Run one worker for each upstream process that owns or releases ranges."""
 
     def __init__(
-        self, leader: Leader, state: ControlState, clock: Clock, orders: UpstreamOrders
+        self, leader: Leader, state: ControlState, clock: Clock, orders: OrderTransport
     ):
         self._leader = leader
         self._state = state
         self._clock = clock
         self._orders = orders
-        self._duties: LeaderDuties | None = None
-        self._workers: dict[UpstreamRun, _Worker] = {}
+        self._leader_state: LeaderDuties | None = None
+        self._workers: dict[UpstreamProcess, _UpstreamWorker] = {}
         self._greenlet: gevent.Greenlet | None = None
-        self._seen_index = -1
+        self._synced_index = -1
         self._changed = Event()
 
     def wake(self) -> None:
-        """Look at once for orders that a change calls for."""
+        """Check immediately for orders that a change requires."""
         self._changed.set()
 
     def start(self) -> None:
-        """Start to follow the leadership in the background."""
+        """Start the background loop that follows the leadership."""
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """Send nothing more."""
+        """Stop sending orders."""
         if self._greenlet is not None:
             self._greenlet.kill()
         self._stop_workers()
@@ -133,24 +133,26 @@
     def _run(self) -> None:
         while True:
             self._changed.clear()
-            self._step()
+            self._sync_workers()
             self._changed.wait(_POLL_S)
 
-    def _step(self) -> None:
-        duties = self._leader.duties()
-        if duties is not self._duties:
+    def _sync_workers(self) -> None:
+        leader_state = self._leader.duties()
+        if leader_state is not self._leader_state:
             self._stop_workers()
-            self._duties = duties
-            self._seen_index = -1
-        if duties is None or self._seen_index == self._state.feed_index:
+            self._leader_state = leader_state
+            self._synced_index = -1
+        if leader_state is None or self._synced_index == self._state.feed_index:
             return
-        self._seen_index = self._state.feed_index
-        runs = {run_of(row) for row in self._state.rows.ranges.rows() if row.upstream}
-        for run in self._workers.keys() - runs:
-            self._workers.pop(run).stop()
-            self._orders.forget(run.upstream)
-        for run in runs - self._workers.keys():
-            self._workers[run] = _Worker(self, duties, run)
+        self._synced_index = self._state.feed_index
+        processes = {
+            owner_process(row) for row in self._state.rows.ranges.rows() if row.upstream
+        }
+        for process in self._workers.keys() - processes:
+            self._workers.pop(process).stop()
+            self._orders.forget(process.upstream)
+        for process in processes - self._workers.keys():
+            self._workers[process] = _UpstreamWorker(self, leader_state, process)
         for worker in self._workers.values():
             worker.wake.set()
 
@@ -160,31 +162,36 @@
         self._workers.clear()
 
 
-class _Worker:
-    """Send the orders for one run of an upstream, one at a time."""
+class _UpstreamWorker:
+    """Send the orders for one upstream process.
+
+    Grants are sent one at a time, releases concurrently.
+    """
 
-    def __init__(self, owner: RangeOrders, duties: LeaderDuties, run: UpstreamRun):
+    def __init__(
+        self, owner: RangeOrders, leader_state: LeaderDuties, process: UpstreamProcess
+    ):
         self._owner = owner
-        self._duties = duties
-        self._ranges = duties.ranges
-        self._run = run
-        self._due_ms: dict[_Grant, float] = {}
-        self._release_due_ms: dict[_Grant, float] = {}
-        self._releasing: set[_Grant] = set()
-        self._lost = False
+        self._leader_state = leader_state
+        self._ranges = leader_state.ranges
+        self._process = process
+        self._grant_due_ms: dict[_GrantKey, float] = {}
+        self._release_due_ms: dict[_GrantKey, float] = {}
+        self._releasing: set[_GrantKey] = set()
+        self._was_lost = False
         self.wake = Event()
         self._greenlet = gevent.spawn(self._loop)
 
     def stop(self) -> None:
-        """Stop before the next order."""
+        """Stop without waiting for a call in progress."""
         self._greenlet.kill(block=False)
 
     def _loop(self) -> None:
-        # The owner of the workers ends them. The lead may lapse for less time than it
-        # takes the owner to notice; then the renewals must go on afterwards.
+        # Only the owner stops its workers. A loss of leadership that is too short for
+        # the owner to detect must not end the renewals.
         while True:
             self.wake.clear()
-            if not self._may_act():
+            if not self._is_leading():
                 self.wake.wait(_POLL_S)
                 continue
             self._send_due()
@@ -194,52 +201,52 @@
     def _now_ms(self) -> float:
         return self._owner._clock.now_ms()
 
-    def _may_act(self) -> bool:
-        """Tell whether this replica still leads; a stalled one must send nothing."""
-        return self._owner._leader.duties() is self._duties
+    def _is_leading(self) -> bool:
+        """Return whether this replica still leads; a stalled one must send nothing."""
+        return self._owner._leader.duties() is self._leader_state
 
     def _rows(self) -> Sequence[RangeRow]:
-        return self._owner._state.rows.ranges_held(*self._run)
+        return self._owner._state.rows.ranges_held(*self._process)
 
     def _next_due_ms(self) -> float:
-        due_ms = [*self._due_ms.values(), *self._release_due_ms.values()]
+        due_ms = [*self._grant_due_ms.values(), *self._release_due_ms.values()]
         return min(due_ms, default=self._now_ms() + _IDLE_WAIT_MS)
 
     def _send_due(self) -> None:
         rows = self._rows()
-        known = {_grant_of(row) for row in rows}
-        self._due_ms = {g: t for g, t in self._due_ms.items() if g in known}
+        known = {_grant_key(row) for row in rows}
+        self._grant_due_ms = {g: t for g, t in self._grant_due_ms.items() if g in known}
         self._release_due_ms = {
             g: t for g, t in self._release_due_ms.items() if g in known
         }
-        upstream = self._ranges.row_of(self._run)
+        upstream = self._ranges.upstream_row(self._process)
         if upstream is None or self._is_lost():
             return
         for row in rows:
             if row.state is PartitionState.RELEASING:
                 self._start_release(upstream, row)
-        for row in sorted(rows, key=_unconfirmed_first):
-            is_due = self._due_ms.get(_grant_of(row), 0.0) <= self._now_ms()
-            # The calls before this one take time, in which the range may change.
-            if is_due and self._is_granted(row):
+        for row in sorted(rows, key=_grant_sort_key):
+            is_due = self._grant_due_ms.get(_grant_key(row), 0.0) <= self._now_ms()
+            # The range may have changed during the preceding calls.
+            if is_due and self._is_still_granted(row):
                 self._grant(upstream, row)
 
-    def _is_granted(self, row: RangeRow) -> bool:
-        """Tell whether a range still has this owner and is not under release."""
-        grant = _grant_of(row)
+    def _is_still_granted(self, row: RangeRow) -> bool:
+        """Return whether a range still has this owner and is not being released."""
+        grant = _grant_key(row)
         return any(
-            _grant_of(now) == grant and now.state is not PartitionState.RELEASING
+            _grant_key(now) == grant and now.state is not PartitionState.RELEASING
             for now in self._rows()
         )
 
     def _is_lost(self) -> bool:
-        lost = self._ranges.is_lost(self._run, self._now_ms())
-        if lost is not self._lost:
-            self._lost = lost
+        lost = self._ranges.is_lost(self._process, self._now_ms())
+        if lost is not self._was_lost:
+            self._was_lost = lost
             log_event(
                 "upstream_grants_paused" if lost else "upstream_grants_resumed",
-                service=self._run.service,
-                upstream=self._run.upstream,
+                service=self._process.service,
+                upstream=self._process.upstream,
             )
         return lost
 
@@ -247,23 +254,23 @@
         leases = self._ranges.leases
         order = GrantOrder(row.first, row.last, row.epoch, HOLD_MS, row.handover)
         started_ms = self._now_ms()
-        if not self._may_act():
+        if not self._is_leading():
             return
         if not leases.begin_grant(row):
-            self._due_ms[_grant_of(row)] = started_ms + _RETRY_MS
+            self._grant_due_ms[_grant_key(row)] = started_ms + _RETRY_MS
             return
         result = GrantResult.NO_ANSWER
         try:
             result = self._owner._orders.grant(upstream, order, CALL_TIMEOUT_MS)
         finally:
             answered = result is not GrantResult.NO_ANSWER
-            current = self._is_granted(row)
-            leases.end_grant(row, answered, current, self._now_ms())
+            unchanged = self._is_still_granted(row)
+            leases.end_grant(row, answered, unchanged, self._now_ms())
         accepted = result is GrantResult.ACCEPTED
         if accepted and row.state is PartitionState.VACANT:
-            leases.note_accepted(row)
+            leases.record_accepted(row)
             self._owner._leader.wake()
-        if _grant_of(row) not in self._due_ms or not accepted:
+        if _grant_key(row) not in self._grant_due_ms or not accepted:
             log_event(
                 "range_granted" if accepted else "range_grant_failed",
                 service=row.service,
@@ -274,15 +281,15 @@
                 result=result.value,
                 took_ms=round(self._now_ms() - started_ms),
             )
-        # An upstream that has seen a higher epoch must not be asked again and again.
-        pause_ms = RENEW_INTERVAL_MS
+        # Avoids a tight retry loop against an upstream that has seen a higher epoch.
+        delay_ms = RENEW_INTERVAL_MS
         if result is GrantResult.NO_ANSWER:
-            pause_ms = _RETRY_MS
-        self._due_ms[_grant_of(row)] = started_ms + pause_ms
+            delay_ms = _RETRY_MS
+        self._grant_due_ms[_grant_key(row)] = started_ms + delay_ms
 
     def _start_release(self, upstream: UpstreamRow, row: RangeRow) -> None:
-        """Release in the background, since the answer waits for the running work."""
-        grant = _grant_of(row)
+        """Release in the background, since the reply waits for running requests."""
+        grant = _grant_key(row)
         if grant in self._releasing or self._ranges.leases.handover_of(row) is not None:
             return
         if self._release_due_ms.get(grant, 0.0) > self._now_ms():
@@ -294,11 +301,11 @@
         order = ReleaseOrder(row.first, row.last, row.epoch)
         started_ms = self._now_ms()
         try:
-            if not self._may_act():
+            if not self._is_leading():
                 return
             handover = self._owner._orders.release(upstream, order, RELEASE_TIMEOUT_MS)
         finally:
-            self._releasing.discard(_grant_of(row))
+            self._releasing.discard(_grant_key(row))
         log_event(
             "range_released" if handover is not None else "range_release_failed",
             service=row.service,
@@ -309,15 +316,15 @@
             took_ms=round(self._now_ms() - started_ms),
         )
         if handover is None:
-            self._release_due_ms[_grant_of(row)] = self._now_ms() + _RETRY_MS
+            self._release_due_ms[_grant_key(row)] = self._now_ms() + _RETRY_MS
             return
-        self._ranges.leases.note_released(row, handover)
+        self._ranges.leases.record_released(row, handover)
         self._owner._leader.wake()
 
 
-def _grant_of(row: RangeRow) -> _Grant:
-    return _Grant(row.first, row.last, row.epoch)
+def _grant_key(row: RangeRow) -> _GrantKey:
+    return _GrantKey(row.first, row.last, row.epoch)
 
 
-def _unconfirmed_first(row: RangeRow) -> tuple[bool, int]:
+def _grant_sort_key(row: RangeRow) -> tuple[bool, int]:
     return row.state is not PartitionState.VACANT, row.first
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -1,4 +1,4 @@
-"""Commands that give key ranges their owners and take them away."""
+"""Planning of the commands that assign and release key ranges."""
 
 from collections.abc import Collection, Iterable, Sequence
 from functools import cached_property
@@ -18,47 +18,53 @@
     UpstreamSpeed,
     UpstreamState,
 )
-from bergamotdrift.range_balance import RowLoad, choose_cuts, loads_of
-from bergamotdrift.range_leases import RangeLeases, UpstreamRun, run_of
+from bergamotdrift.range_balance import RowLoad, choose_range_moves, load_by_range
+from bergamotdrift.range_leases import RangeLeases, UpstreamProcess, owner_process
 from bergamotdrift.tables import UpstreamId
 
-# Upstreams that start together share the keys if the first one waits for them.
+# Waits for upstreams that start together, so that the first one is not assigned all
+# keys.
 FIRST_PLACEMENT_DELAY_MS = 1500.0
 BALANCE_INTERVAL_MS = 500.0
-# A moved range stays for this long, so that noise in loads does not move it back.
-REST_MS = 2500.0
+# A moved range does not move again for this long, so that noise in the load does not
+# move it back.
+MOVE_COOLDOWN_MS = 2500.0
 MOVES_PER_BALANCE = 5
-# A large service moves one range for this many upstreams at a time.
+# A large service moves at most one range per this many upstreams at a time.
 _UPSTREAMS_PER_MOVE = 8
-# Among many upstreams some ranges always change; a small service waits for all.
+# Balancing waits while more than one range per this many upstreams is changing: with
+# many upstreams some ranges always are. A small service waits for all changes.
 _UPSTREAMS_PER_CHANGE = 16
-# Bounds of what a few slow or quick answers may make of an upstream.
+# Limits the effect of a few slow or fast responses on the estimate for an upstream.
 _BUSY_MIN_MS = 5.0
 _BUSY_MAX_MS = 2000.0
-_BUSY_UNKNOWN_MS = 100.0
-# Each range is renewed by a call of its own, so their number is bounded.
-RANGES_PER_UPSTREAM = 12
-# Announcements come about every second, and may be late.
-RECENT_MS = 4000.0
-# The keys of an upstream that leaves go to this many others at the most.
-_PIECES = 4
+_DEFAULT_BUSY_MS = 100.0
+# Each range is renewed by a separate call, so their number is limited.
+MAX_RANGES_PER_UPSTREAM = 12
+# Announcements arrive about once per second, and may be late.
+MAX_ANNOUNCEMENT_AGE_MS = 4000.0
+# A range of a leaving upstream is split among at most this many others.
+_MAX_RELEASE_PARTS = 4
 
 
 class Presence(Protocol):
-    """Tell when upstreams were last heard of."""
+    """Provide the time of the last announcement of upstreams."""
 
     def last_seen_ms(self, row: UpstreamRow) -> float:
-        """Return when an upstream announced itself last."""
+        """Return the time of an upstream's last announcement, in clock milliseconds."""
         ...
 
 
-class _Moved(NamedTuple):
+class _RangeStart(NamedTuple):
     service: str
     first: int
 
 
 class RangePlanner:
-    """Plan the next steps of all ranged services; pure, with the time passed in."""
+    """Plan the next changes of all ranged services.
+
+    It does no I/O and reads no clock; callers pass the time.
+    """
 
     def __init__(self, state: ControlState, presence: Presence, opened_at_ms: float):
         self._state = state
@@ -66,90 +72,94 @@
         self.leases = RangeLeases(opened_at_ms)
         self._loads: dict[str, KeyLoads] = {}
         self._first_seen_ms: dict[str, float] = {}
-        self._moved_ms: dict[_Moved, float] = {}
-        self._takers: dict[_Moved, str] = {}
+        self._moved_at_ms: dict[_RangeStart, float] = {}
+        self._move_targets: dict[_RangeStart, str] = {}
         self._speeds: dict[UpstreamId, dict[str, float]] = {}
-        self._balanced_ms = opened_at_ms
+        self._balanced_at_ms = opened_at_ms
 
     def add_loads(self, loads: Sequence[KeyLoad], now_ms: float) -> None:
-        """Take in an entry's report of requests by key."""
+        """Add an entry's report of requests per key."""
         for name in {item.service for item in loads}:
             known = self._loads.setdefault(name, KeyLoads())
             known.add((item for item in loads if item.service == name), now_ms)
 
     def add_speeds(self, node: str, speeds: Sequence[UpstreamSpeed]) -> None:
-        """Take in how long upstreams take, as one entry sees it."""
+        """Add the upstream response times that one entry reports."""
         for item in speeds:
-            of_nodes = self._speeds.setdefault(
+            by_node = self._speeds.setdefault(
                 UpstreamId(item.service, item.upstream), {}
             )
-            of_nodes[node] = min(max(item.busy_ms, _BUSY_MIN_MS), _BUSY_MAX_MS)
+            by_node[node] = min(max(item.busy_ms, _BUSY_MIN_MS), _BUSY_MAX_MS)
 
-    def busy_share(self, key: UpstreamId) -> float:
-        """Return which part of an upstream one request per second keeps busy."""
+    def load_per_rps(self, key: UpstreamId) -> float:
+        """Return the fraction of its capacity that an upstream uses per request/s."""
         row = self._state.rows.upstreams.get(key)
         slots = max(1, row.slots) if row is not None else 1
         busy_ms = _median_of(self._speeds.get(key, {}).values())
-        busy_ms = busy_ms or self._usual_busy_ms()
+        busy_ms = busy_ms or self._median_busy_ms()
         return busy_ms / 1000.0 / slots
 
-    def _usual_busy_ms(self) -> float:
-        """Return what is usual for all upstreams, for one that is not known yet."""
-        known = [_median_of(of_nodes.values()) for of_nodes in self._speeds.values()]
-        return _median_of(known) or _BUSY_UNKNOWN_MS
+    def _median_busy_ms(self) -> float:
+        """Return the median over all upstreams, for one without reports."""
+        known = [_median_of(by_node.values()) for by_node in self._speeds.values()]
+        return _median_of(known) or _DEFAULT_BUSY_MS
 
     def commands(self, now_ms: float) -> list[Message]:
-        """Return the changes of ranges that are due."""
+        """Return the range changes that are due."""
         commands: list[Message] = []
-        balance = now_ms - self._balanced_ms >= BALANCE_INTERVAL_MS
-        if balance:
-            self._balanced_ms = now_ms
+        is_balance_due = now_ms - self._balanced_at_ms >= BALANCE_INTERVAL_MS
+        if is_balance_due:
+            self._balanced_at_ms = now_ms
         for service in self._services():
-            steps = _Steps(self, service, now_ms)
-            due = steps.due()
+            plan = _ServicePlan(self, service, now_ms)
+            due = plan.due_changes()
             commands += due
-            if balance:
-                commands += steps.balance(len(due))
-        self._forget(now_ms)
+            if is_balance_due:
+                commands += plan.balancing_moves(len(due))
+        self._prune(now_ms)
         return commands
 
-    def is_lost(self, run: UpstreamRun, now_ms: float) -> bool:
-        """Tell whether the grants of an upstream are no longer renewed."""
-        row = self.row_of(run)
+    def is_lost(self, process: UpstreamProcess, now_ms: float) -> bool:
+        """Return whether the grants of an upstream are no longer renewed."""
+        row = self.upstream_row(process)
         if row is None:
             return True
         seen_ms = self._presence.last_seen_ms(row)
-        return self.leases.is_failing(run, seen_ms, now_ms)
+        return self.leases.is_failing(process, seen_ms, now_ms)
 
-    def row_of(self, run: UpstreamRun) -> UpstreamRow | None:
-        """Return the row of a registered run of an upstream, or None."""
-        key = UpstreamId(run.service, run.upstream)
+    def upstream_row(self, process: UpstreamProcess) -> UpstreamRow | None:
+        """Return the row of a registered upstream process, or None."""
+        key = UpstreamId(process.service, process.upstream)
         row = self._state.rows.upstreams.get(key)
-        return row if row is not None and row.incarnation == run.incarnation else None
+        return (
+            row if row is not None and row.incarnation == process.incarnation else None
+        )
 
-    def was_replaced(self, run: UpstreamRun) -> bool:
-        """Tell whether a later run of the same upstream is registered."""
-        key = UpstreamId(run.service, run.upstream)
+    def was_replaced(self, process: UpstreamProcess) -> bool:
+        """Return whether another process of the same upstream is registered."""
+        key = UpstreamId(process.service, process.upstream)
         row = self._state.rows.upstreams.get(key)
-        return row is not None and row.incarnation != run.incarnation
+        return row is not None and row.incarnation != process.incarnation
 
     def _services(self) -> list[ServiceSettings]:
         current = self._state.settings.current
         services = current.services if current is not None else ()
         return [s for s in services if s.kind is ServiceKind.RANGED]
 
-    def _forget(self, now_ms: float) -> None:
+    def _prune(self, now_ms: float) -> None:
         rows = set(self._state.rows.ranges.rows())
-        self.leases.forget(rows, {run_of(row) for row in rows})
+        self.leases.retain(rows, {owner_process(row) for row in rows})
         known = self._state.rows.upstreams
         self._speeds = {key: of for key, of in self._speeds.items() if key in known}
-        self._moved_ms = {
-            key: at for key, at in self._moved_ms.items() if now_ms - at < REST_MS
+        self._moved_at_ms = {
+            key: at
+            for key, at in self._moved_at_ms.items()
+            if now_ms - at < MOVE_COOLDOWN_MS
         }
 
 
-class _Steps:
-    """Plan one service in one round."""
+class _ServicePlan:
+    """Plan the changes of one service in one round."""
 
     def __init__(self, planner: RangePlanner, service: ServiceSettings, now_ms: float):
         self._planner = planner
@@ -157,147 +167,157 @@
         self._service = service.name
         self._now_ms = now_ms
         self._rows = self._state.rows.ranges_of(service.name)
-        # Loads given to upstreams in this round.
-        self._assigned: dict[str, float] = {}
-        self._able = self._able_upstreams()
+        # Requests per second assigned to each upstream in this round.
+        self._assigned_load: dict[str, float] = {}
+        self._eligible = self._eligible_upstreams()
 
     @cached_property
     def _loads(self) -> dict[RangeRow, RowLoad]:
-        """Return the load of each range; most rounds need none."""
+        """Return the load of each range, computed lazily as few rounds use it."""
         known = self._planner._loads.setdefault(self._service, KeyLoads())
-        return loads_of(self._rows, known.rates(self._now_ms))
+        return load_by_range(self._rows, known.rates(self._now_ms))
 
-    def due(self) -> list[Message]:
-        """Return first placements, forced releases and next owners."""
-        if not self._able:
+    def due_changes(self) -> list[Message]:
+        """Return initial placements, required releases and new owners."""
+        if not self._eligible:
             return []
         if not self._rows:
-            return self._first_placement()
+            return self._initial_placement()
         commands: list[Message] = []
         for row in self._rows:
-            commands += self._step(row)
+            commands += self._next_changes(row)
         return commands
 
-    def balance(self, due: int) -> list[Message]:
+    def balancing_moves(self, due_count: int) -> list[Message]:
         """Return releases of keys that should move to less loaded upstreams.
 
-        `due` counts the other changes of this round.
+        `due_count` is the number of other changes in this round.
         """
         changing = sum(row.state is not PartitionState.OWNED for row in self._rows)
-        if not self._able or changing + due > len(self._able) // _UPSTREAMS_PER_CHANGE:
+        if (
+            not self._eligible
+            or changing + due_count > len(self._eligible) // _UPSTREAMS_PER_CHANGE
+        ):
             return []
-        owned: dict[str, list[RowLoad]] = {name: [] for name in self._able}
+        owned: dict[str, list[RowLoad]] = {name: [] for name in self._eligible}
         for row in self._rows:
             owner = self._next_owner(row)
             if owner in owned:
                 owned[owner].append(self._loads[row])
-        moved = self._planner._moved_ms
+        moved = self._planner._moved_at_ms
         leases = self._planner.leases
-        resting = frozenset(
+        pinned = frozenset(
             row
             for row in self._rows
             if row.state is not PartitionState.OWNED
-            or _Moved(row.service, row.first) in moved
-            or leases.is_given_up(row)
+            or _RangeStart(row.service, row.first) in moved
+            or leases.is_reassigning(row)
             or not leases.is_settled(row, self._now_ms)
         )
-        room = RANGES_PER_UPSTREAM * len(self._able) - len(self._rows)
-        most = max(MOVES_PER_BALANCE, len(self._able) // _UPSTREAMS_PER_MOVE)
-        limit = min(most, room // 2)
+        free_ranges = MAX_RANGES_PER_UPSTREAM * len(self._eligible) - len(self._rows)
+        max_moves = max(MOVES_PER_BALANCE, len(self._eligible) // _UPSTREAMS_PER_MOVE)
+        limit = min(max_moves, free_ranges // 2)
         commands: list[Message] = []
-        shares = {
-            name: self._planner.busy_share(UpstreamId(self._service, name))
+        load_per_rps = {
+            name: self._planner.load_per_rps(UpstreamId(self._service, name))
             for name in owned
         }
-        for cut in choose_cuts(owned, shares, limit, resting):
-            key = _Moved(self._service, cut.first)
-            self._planner._takers[key] = cut.taker
-            self._planner._moved_ms[key] = self._now_ms
-            commands.append(self._replace(cut.row, _cut_out(cut.row, *cut[1:3])))
+        for move in choose_range_moves(owned, load_per_rps, limit, pinned):
+            key = _RangeStart(self._service, move.first)
+            self._planner._move_targets[key] = move.target
+            self._planner._moved_at_ms[key] = self._now_ms
+            commands.append(self._replace(move.row, _split_off(move.row, *move[1:3])))
         return commands
 
     def _next_owner(self, row: RangeRow) -> str:
-        """Return who is to own a range once it is released, else its owner."""
+        """Return the planned owner of a range under release, else the current owner."""
         if row.state is not PartitionState.RELEASING:
             return row.upstream
-        key = _Moved(row.service, row.first)
-        return self._planner._takers.get(key, row.upstream)
+        key = _RangeStart(row.service, row.first)
+        return self._planner._move_targets.get(key, row.upstream)
 
-    def _first_placement(self) -> list[Message]:
+    def _initial_placement(self) -> list[Message]:
         first_ms = self._planner._first_seen_ms.setdefault(self._service, self._now_ms)
         if self._now_ms - first_ms < FIRST_PLACEMENT_DELAY_MS:
             return []
         rows = []
-        count = len(self._able)
+        count = len(self._eligible)
         # Spreading by zone keeps neighbouring ranges in different zones.
-        owners = sorted(self._able.values(), key=lambda row: (row.upstream, row.zone))
+        owners = sorted(
+            self._eligible.values(), key=lambda row: (row.upstream, row.zone)
+        )
         for number, owner in enumerate(owners):
             first = number * (LAST_KEY + 1) // count
             last = (number + 1) * (LAST_KEY + 1) // count - 1
-            rows.append(self._owned(first, last, owner, ""))
+            rows.append(self._assigned_row(first, last, owner, ""))
         return [cmd.ReplaceRanges(self._service, [], rows)]
 
-    def _step(self, row: RangeRow) -> list[Message]:
+    def _next_changes(self, row: RangeRow) -> list[Message]:
         planner = self._planner
-        if not row.upstream or planner.leases.is_given_up(row):
+        if not row.upstream or planner.leases.is_reassigning(row):
             return [self._assign(row, "")]
         if row.state is PartitionState.RELEASING:
-            if self._has_ended(row):
+            if self._ownership_ended(row):
                 return [self._assign(row, planner.leases.handover_of(row) or "")]
             return []
-        owner = planner.row_of(run_of(row))
-        if owner is None or planner.is_lost(run_of(row), self._now_ms):
-            if not self._has_ended(row):
+        owner = planner.upstream_row(owner_process(row))
+        if owner is None or planner.is_lost(owner_process(row), self._now_ms):
+            if not self._ownership_ended(row):
                 return []
-            planner.leases.give_up(row)
+            planner.leases.mark_reassigning(row)
             return [self._assign(row, "")]
         if row.state is PartitionState.VACANT:
             if not planner.leases.is_accepted(row):
                 return []
             return [self._replace(row, [row._replace(state=PartitionState.OWNED)])]
-        # Keys that are released earlier would have no owner until then.
-        if self._must_leave(owner) and planner.leases.knows_grants(self._now_ms):
-            return [self._replace(row, self._pieces(row))]
+        # Keys that are released earlier would have no owner until the grants of earlier
+        # leaders expire.
+        if self._must_drain(owner) and planner.leases.earlier_grants_expired(
+            self._now_ms
+        ):
+            return [self._replace(row, self._split_for_release(row))]
         return []
 
-    def _has_ended(self, row: RangeRow) -> bool:
-        if self._planner.was_replaced(run_of(row)):
-            # The earlier run of the process is over, and its grants with it.
+    def _ownership_ended(self, row: RangeRow) -> bool:
+        if self._planner.was_replaced(owner_process(row)):
+            # The earlier process has exited, and its grants have ended with it.
             return True
-        return self._planner.leases.has_ended(row, self._now_ms)
+        return self._planner.leases.ownership_ended(row, self._now_ms)
 
     def _assign(self, row: RangeRow, handover: str) -> Message:
-        key = _Moved(row.service, row.first)
-        wanted = self._planner._takers.pop(key, "")
-        owner = self._able.get(wanted) or self._least_loaded()
-        self._planner._moved_ms[key] = self._now_ms
-        self._assigned[owner.upstream] = self._assigned.get(
+        key = _RangeStart(row.service, row.first)
+        planned = self._planner._move_targets.pop(key, "")
+        owner = self._eligible.get(planned) or self._least_loaded()
+        self._planner._moved_at_ms[key] = self._now_ms
+        self._assigned_load[owner.upstream] = self._assigned_load.get(
             owner.upstream, 0.0
-        ) + self._weight(row)
-        return self._replace(row, [self._owned(row.first, row.last, owner, handover)])
+        ) + self._range_load(row)
+        return self._replace(
+            row, [self._assigned_row(row.first, row.last, owner, handover)]
+        )
 
     def _least_loaded(self) -> UpstreamRow:
         return min(
-            self._able.values(),
-            key=lambda up: (self._load_of(up.upstream), up.upstream),
+            self._eligible.values(),
+            key=lambda up: (self._upstream_load(up.upstream), up.upstream),
         )
 
-    def _load_of(self, upstream: str) -> float:
+    def _upstream_load(self, upstream: str) -> float:
         owned = [row for row in self._rows if row.upstream == upstream]
         releasing = PartitionState.RELEASING
-        own = sum(self._weight(row) for row in owned if row.state is not releasing)
-        share = self._planner.busy_share(UpstreamId(self._service, upstream))
-        return (own + self._assigned.get(upstream, 0.0)) * share
+        own = sum(self._range_load(row) for row in owned if row.state is not releasing)
+        load_per_rps = self._planner.load_per_rps(UpstreamId(self._service, upstream))
+        return (own + self._assigned_load.get(upstream, 0.0)) * load_per_rps
 
-    def _weight(self, row: RangeRow) -> float:
-        """Return the load of a range; idle keys count a little, by their number."""
+    def _range_load(self, row: RangeRow) -> float:
+        """Return the load of a range, plus a small weight for its number of keys."""
         span = (row.last - row.first + 1) / (LAST_KEY + 1)
         return self._loads[row].per_s + span
 
-    def _pieces(self, row: RangeRow) -> list[RangeRow]:
-        """Return a range under release, in pieces of about equal load."""
+    def _split_for_release(self, row: RangeRow) -> list[RangeRow]:
+        """Return a range under release, split into parts of about equal load."""
         rates = self._loads[row].rates
-        count = min(_PIECES, len(self._able), row.last - row.first + 1)
+        count = min(_MAX_RELEASE_PARTS, len(self._eligible), row.last - row.first + 1)
         total = self._loads[row].per_s
         if count < 2 or total <= 0.0:
             return [row._replace(state=PartitionState.RELEASING)]
@@ -317,7 +337,7 @@
     def _replace(self, row: RangeRow, rows: Iterable[RangeRow]) -> Message:
         return cmd.ReplaceRanges(self._service, [row], list(rows))
 
-    def _owned(
+    def _assigned_row(
         self, first: int, last: int, owner: UpstreamRow, handover: str
     ) -> RangeRow:
         return RangeRow(
@@ -327,24 +347,28 @@
             owner.upstream,
             owner.incarnation,
             0,
-            # Requests are sent to it only once it has accepted the grant.
+            # Requests are sent to the owner only after it has accepted the grant.
             PartitionState.VACANT,
             handover,
         )
 
-    def _must_leave(self, owner: UpstreamRow) -> bool:
+    def _must_drain(self, owner: UpstreamRow) -> bool:
         leaving = owner.state is UpstreamState.LEAVING
         return leaving or owner.zone in self._state.evacuated
 
-    def _able_upstreams(self) -> dict[str, UpstreamRow]:
-        """Return the upstreams that may get keys, cold ones only if all are."""
+    def _eligible_upstreams(self) -> dict[str, UpstreamRow]:
+        """Return the upstreams that may be assigned keys.
+
+        Cold upstreams are included only if no upstream is ready.
+        """
         rows = [
             row
             for row in self._state.rows.upstreams.rows()
             if row.service == self._service
-            and not self._must_leave(row)
+            and not self._must_drain(row)
             and not self._planner.is_lost(
-                UpstreamRun(row.service, row.upstream, row.incarnation), self._now_ms
+                UpstreamProcess(row.service, row.upstream, row.incarnation),
+                self._now_ms,
             )
             and self._is_recent(row)
         ]
@@ -353,19 +377,19 @@
 
     def _is_recent(self, row: UpstreamRow) -> bool:
         seen_ms = self._planner._presence.last_seen_ms(row)
-        return self._now_ms - seen_ms < RECENT_MS
+        return self._now_ms - seen_ms < MAX_ANNOUNCEMENT_AGE_MS
 
 
 def _median_of(values: Collection[float]) -> float:
-    """Return the lower median, or 0 without values.
+    """Return the lower median, or 0 for no values.
 
-    An answer that was lost at one entry does not make an upstream look slow.
+    With a median, a response lost at one entry does not make an upstream look slow.
     """
     return sorted(values)[(len(values) - 1) // 2] if values else 0.0
 
 
-def _cut_out(row: RangeRow, first: int, last: int) -> list[RangeRow]:
-    """Return a range with the keys `first` to `last` under release."""
+def _split_off(row: RangeRow, first: int, last: int) -> list[RangeRow]:
+    """Split a range and return its parts, with `first` to `last` under release."""
     rows = [row._replace(first=first, last=last, state=PartitionState.RELEASING)]
     if row.first < first:
         rows.append(row._replace(last=first - 1))
--- a/bergamotdrift/shutdown.py
+++ b/bergamotdrift/shutdown.py
@@ -11,7 +11,10 @@
 
 
 def shutdown_event() -> Event:
-    """Return an event that is set by SIGTERM or SIGINT, however often they come."""
+    """Return an event that is set by SIGTERM or SIGINT.
+
+    Repeated signals have no further effect.
+    """
     event = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, event.set)
--- a/bergamotdrift/streams.py
+++ b/bergamotdrift/streams.py
@@ -32,32 +32,32 @@
 )
 
 _RECEIVE_BYTES = 64 * 1024
-_BATCH_FRAMES = 256
-_COMPRESSED_FROM_BYTES = 2048
+_MAX_BATCH_FRAMES = 256
+_COMPRESS_MIN_BYTES = 2048
 _COMPRESSION_LEVEL = 1
 _BACKOFF_MIN_S = 0.05
 _BACKOFF_MAX_S = 1.0
 _HEARTBEAT_FRAME = msgpack.packb([0, 0, *messages.pack_body(Heartbeat())])
 
 
-class Handler(Protocol):
-    """Handle what arrives on a connection; runs in the connection's reader."""
+class StreamHandler(Protocol):
+    """Handle the events of a connection; called in its reader greenlet."""
 
     def on_open(self, conn: "Connection") -> None:
-        """Take note of a connection whose hello was accepted."""
+        """Handle a new connection, after its hello was accepted."""
         ...
 
     def on_message(self, conn: "Connection", number: int, msg: Message) -> None:
-        """Handle a message; a request has a number above 0 and needs a reply."""
+        """Handle a message; a request has a number above 0 and requires a reply."""
         ...
 
     def on_close(self, conn: "Connection") -> None:
-        """Take note that a connection has ended."""
+        """Handle the end of a connection."""
         ...
 
 
 def parse_address(address: str) -> tuple[str, int]:
-    """Return host and port of `host:port`, or raise ValueError."""
+    """Return the host and port of `host:port`, or raise ValueError."""
     host, _, port = address.rpartition(":")
     if not host:
         raise ValueError(f"{address!r} is not of the form host:port")
@@ -65,16 +65,16 @@
 
 
 def new_socket(address: str) -> Any:
-    """Return an unconnected socket of the family of an IP number."""
+    """Return an unconnected socket for the family of an IP address."""
     host = parse_address(address)[0]
     return gevent.socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
 
 
 def connect_to(address: str, timeout_ms: float) -> Any:
-    """Return a socket connected to an IP number and port, or raise OSError.
+    """Return a socket connected to an IP address and port, or raise OSError.
 
-    It goes without the resolver, whose first use imports modules for seconds on a
-    busy machine.
+    It bypasses gevent's resolver, whose first use imports modules, which takes seconds
+    on a busy machine.
     """
     sock = new_socket(address)
     try:
@@ -93,19 +93,19 @@
 
 
 class Connection:
-    """Exchange frames with one peer until either side closes.
+    """Exchange frames with one peer until either side closes the connection.
 
     A frame is `[number, flag, name, fields]`, compressed if it is large. Heartbeats
-    keep the stream alive; silence for the read deadline closes it, since a TCP
-    connection may go dead without a reset.
+    keep the stream alive; it is closed if nothing arrives within the read deadline,
+    since a TCP connection may fail without a reset.
     """
 
-    def __init__(self, sock: Any, hello: Hello, handler: Handler):
+    def __init__(self, sock: Any, hello: Hello, handler: StreamHandler):
         self._sock = sock
         self._hello = hello
         self._handler = handler
         self._outgoing: queue.Queue = queue.Queue(constants.STREAM_QUEUE_FRAMES)
-        self._waiting: dict[int, AsyncResult] = {}
+        self._pending_replies: dict[int, AsyncResult] = {}
         self._last_number = 0
         self._unpacker = msgpack.Unpacker(
             max_buffer_size=constants.STREAM_MAX_FRAME_BYTES
@@ -113,8 +113,8 @@
         self.peer: Hello | None = None
         self.closed = False
         self.close_reason = ""
-        self._sent_lately = False
-        self._writer_sends = False
+        self._sent_since_heartbeat = False
+        self._writer_busy = False
         self.received_at_s = time.monotonic()
 
     def send(self, msg: Message) -> None:
@@ -122,17 +122,17 @@
         self.send_packed(pack_one_way(msg))
 
     def send_packed(self, frame: bytes) -> None:
-        """Queue a message from `pack_one_way`, or raise StreamClosedError."""
+        """Queue a frame from `pack_one_way`, or raise StreamClosedError."""
         if self.closed:
             raise StreamClosedError(self.close_reason)
-        self._sent_lately = True
-        if self._outgoing.empty() and not self._writer_sends:
-            frame = self._send_at_once(frame)
+        self._sent_since_heartbeat = True
+        if self._outgoing.empty() and not self._writer_busy:
+            frame = self._send_now(frame)
         if frame:
             self._queue_for_writer(frame)
 
     def reply(self, number: int, msg: Message) -> None:
-        """Queue the reply to a request; a closed connection drops it."""
+        """Queue the reply to a request; it is dropped if the connection is closed."""
         if self.closed:
             return
         self._enqueue(number, FrameFlag.REPLY, messages.pack_body(msg))
@@ -142,16 +142,16 @@
         self._last_number += 1
         number = self._last_number
         fut: AsyncResult = AsyncResult()
-        self._waiting[number] = fut
+        self._pending_replies[number] = fut
         try:
             self._enqueue(number, FrameFlag.REQUEST, messages.pack_body(msg))
         except StreamClosedError:
-            self._waiting.pop(number, None)
+            self._pending_replies.pop(number, None)
             raise
         return fut
 
     def call(self, msg: Message, timeout_ms: float) -> Message:
-        """Return the reply to a request.
+        """Send a request and return its reply.
 
         Raises StreamClosedError, CallError for a `Failure` and gevent.Timeout.
         """
@@ -160,13 +160,13 @@
         try:
             answer = fut.get(timeout=timeout_ms / 1000.0)
         finally:
-            self._waiting.pop(number, None)
+            self._pending_replies.pop(number, None)
         if isinstance(answer, Failure):
             raise CallError(Refusal(answer.kind, answer.detail))
         return answer
 
     def run(self) -> None:
-        """Exchange hellos, then read frames until the connection ends."""
+        """Exchange hellos, then read frames until the connection is closed."""
         writer = gevent.spawn(self._write_loop)
         heartbeat = gevent.spawn(self._heartbeat_loop)
         opened = False
@@ -186,7 +186,7 @@
                 self._handler.on_close(self)
 
     def close(self, reason: str) -> None:
-        """Close the connection and fail the requests that wait for replies."""
+        """Close the connection and fail the pending requests."""
         if self.closed:
             return
         self.closed = True
@@ -194,17 +194,17 @@
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
-        waiting, self._waiting = self._waiting, {}
-        for fut in waiting.values():
+        pending, self._pending_replies = self._pending_replies, {}
+        for fut in pending.values():
             fut.set_exception(StreamClosedError(reason))
 
     def _enqueue(self, number: int, flag: FrameFlag, body: list[Any]) -> None:
         self.send_packed(_pack_frame([number, int(flag), *body]))
 
-    def _send_at_once(self, data: bytes) -> bytes:
-        """Return what the socket's buffer did not take; an error closes the stream.
+    def _send_now(self, data: bytes) -> bytes:
+        """Write to the socket and return the unsent rest; an error closes the stream.
 
-        It spares the switch to the writer's greenlet, which a lone frame waits for.
+        For a single frame this saves the switch to the writer greenlet.
         """
         try:
             return data[os.write(self._sock.fileno(), data) :]
@@ -218,28 +218,32 @@
         try:
             self._outgoing.put_nowait(data)
         except queue.Full:
-            # A peer that does not drain its queue would receive stale messages.
+            # A peer that reads too slowly would receive outdated messages.
             self.close("the outgoing queue is full")
             raise StreamClosedError(self.close_reason) from None
 
     def _write_loop(self) -> None:
         while not self.closed:
             frames = [self._outgoing.get()]
-            self._writer_sends = True
-            while len(frames) < _BATCH_FRAMES and not self._outgoing.empty():
+            self._writer_busy = True
+            while len(frames) < _MAX_BATCH_FRAMES and not self._outgoing.empty():
                 frames.append(self._outgoing.get_nowait())
             try:
                 self._sock.sendall(b"".join(frames))
             except OSError as exc:
                 self.close(str(exc))
-            self._writer_sends = False
+            self._writer_busy = False
 
     def _heartbeat_loop(self) -> None:
         while not self.closed:
             gevent.sleep(constants.STREAM_HEARTBEAT_MS / 1000.0)
-            if not self._sent_lately and self._outgoing.empty() and not self.closed:
+            if (
+                not self._sent_since_heartbeat
+                and self._outgoing.empty()
+                and not self.closed
+            ):
                 self._outgoing.put_nowait(_HEARTBEAT_FRAME)
-            self._sent_lately = False
+            self._sent_since_heartbeat = False
 
     def _read_hello(self) -> None:
         _, _, msg = next(self._frames())
@@ -254,14 +258,14 @@
             if isinstance(msg, Heartbeat):
                 continue
             if flag == FrameFlag.REPLY:
-                self._complete(number, msg)
+                self._resolve_reply(number, msg)
             else:
                 self._handler.on_message(self, number, msg)
             if self.closed:
                 return
 
-    def _complete(self, number: int, msg: Message) -> None:
-        fut = self._waiting.pop(number, None)
+    def _resolve_reply(self, number: int, msg: Message) -> None:
+        fut = self._pending_replies.pop(number, None)
         if fut is not None:
             fut.set(msg)
 
@@ -282,14 +286,14 @@
 
 
 def pack_one_way(msg: Message) -> bytes:
-    """Return a message that is sent on several streams, packed once."""
+    """Return a one-way frame, which can be sent on several streams."""
     return _pack_frame([0, int(FrameFlag.ONE_WAY), *messages.pack_body(msg)])
 
 
 def _pack_frame(parts: list[Any]) -> bytes:
-    """Return a frame, compressed if it is large: settings compress to a tenth."""
+    """Return a frame, compressed if it is large; settings shrink to a tenth."""
     data = msgpack.packb(parts)
-    if len(data) < _COMPRESSED_FROM_BYTES:
+    if len(data) < _COMPRESS_MIN_BYTES:
         return data
     return msgpack.packb(zlib.compress(data, _COMPRESSION_LEVEL))
 
@@ -299,7 +303,7 @@
     try:
         plain = unpacker.decompress(data, constants.STREAM_MAX_FRAME_BYTES)
         if not unpacker.eof:
-            raise ProtocolError("the compressed frame is too large or cut short")
+            raise ProtocolError("the compressed frame is too large or truncated")
         return msgpack.unpackb(plain)
     except (zlib.error, ValueError, msgpack.UnpackException) as exc:
         raise ProtocolError(f"invalid compressed frame: {exc}") from exc
@@ -319,7 +323,7 @@
 class StreamServer:
     """Accept streams on an address and run a handler for each."""
 
-    def __init__(self, address: str, hello: Hello, handler: Handler):
+    def __init__(self, address: str, hello: Hello, handler: StreamHandler):
         self._hello = hello
         self._handler = handler
         self._server = _GeventServer(parse_address(address), self._accept)
@@ -331,14 +335,14 @@
         return f"{self._server.server_host}:{self._server.server_port}"
 
     def start(self) -> None:
-        """Start to accept connections."""
+        """Start accepting connections."""
         self._server.start()
 
     def stop(self) -> None:
-        """Stop accepting and close all connections."""
+        """Stop accepting connections and close the open ones."""
         self._server.stop(timeout=0)
         for conn in list(self.connections):
-            conn.close("the server stops")
+            conn.close("the server is stopping")
 
     def _accept(self, sock: Any, _peer_address: Any) -> None:
         set_stream_options(sock)
@@ -351,13 +355,13 @@
 
 
 class StreamClient:
-    """Keep one stream to an address, with a new connection after each loss."""
+    """Keep a stream to an address open, reconnecting with backoff."""
 
     def __init__(
         self,
         address: str,
         hello: Hello,
-        handler: Handler,
+        handler: StreamHandler,
     ):
         self.address = address
         self._hello = hello
@@ -368,7 +372,7 @@
         self.conn: Connection | None = None
 
     def start(self) -> None:
-        """Start to connect in the background."""
+        """Start connecting in the background."""
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -376,10 +380,10 @@
         if self._greenlet is not None:
             self._greenlet.kill(block=False)
         if self.conn is not None:
-            self.conn.close("the client stops")
+            self.conn.close("the client is stopping")
 
     def ready_connection(self, timeout_ms: float = 0.0) -> Connection:
-        """Return the open connection, or raise StreamClosedError."""
+        """Return the open connection, or raise StreamClosedError after the timeout."""
         if not self._ready.is_set() and timeout_ms > 0:
             self._ready.wait(timeout_ms / 1000.0)
         conn = self.conn
@@ -388,11 +392,11 @@
         return conn
 
     def call(self, msg: Message, timeout_ms: float) -> Message:
-        """Return the reply to a request on the open connection."""
+        """Send a request on the open connection and return its reply."""
         return self.ready_connection(timeout_ms).call(msg, timeout_ms)
 
     def on_open(self, conn: Connection) -> None:
-        """Mark the stream as ready and tell the handler."""
+        """Mark the stream as ready and notify the handler."""
         self._backoff_s = _BACKOFF_MIN_S
         self._ready.set()
         self._handler.on_open(conn)
@@ -402,7 +406,7 @@
         self._handler.on_message(conn, number, msg)
 
     def on_close(self, conn: Connection) -> None:
-        """Mark the stream as lost and tell the handler."""
+        """Mark the stream as closed and notify the handler."""
         self._ready.clear()
         self._handler.on_close(conn)
 
--- a/bergamotdrift/tests/test_fence_guard.py
+++ b/bergamotdrift/tests/test_fence_guard.py
@@ -7,13 +7,13 @@
 
 
 class FenceGuardTests(unittest.TestCase):
-    def test_one_request_per_interval_tries_a_fenced_epoch(self):
+    def test_one_request_per_interval_probes_a_fenced_epoch(self):
         guard = FenceGuard()
         self.assertTrue(guard.may_try(PID, 5, 0.0))
         guard.note_fenced(PID, 5, 0.0)
         self.assertFalse(guard.may_try(PID, 5, PROBE_INTERVAL_MS - 1))
-        tries = [guard.may_try(PID, 5, PROBE_INTERVAL_MS) for _ in range(5)]
-        self.assertEqual(tries, [True, False, False, False, False])
+        probes = [guard.may_try(PID, 5, PROBE_INTERVAL_MS) for _ in range(5)]
+        self.assertEqual(probes, [True, False, False, False, False])
 
     def test_other_epochs_and_partitions_are_not_held_back(self):
         guard = FenceGuard()
@@ -21,7 +21,7 @@
         self.assertTrue(guard.may_try(PID, 6, 1.0))
         self.assertTrue(guard.may_try(PartitionId("cases", 2), 5, 1.0))
 
-    def test_a_run_lets_all_requests_pass(self):
+    def test_accepted_request_ends_the_limit(self):
         guard = FenceGuard()
         guard.note_fenced(PID, 5, 0.0)
         self.assertTrue(guard.note_run(PID, 5))
--- a/bergamotdrift/tests/test_range_orders.py
+++ b/bergamotdrift/tests/test_range_orders.py
@@ -19,8 +19,8 @@
 from bergamotdrift.tests.test_range_planner import SETTINGS
 
 
-class FakeUpstreams:
-    """Answers orders as told, and records them."""
+class FakeOrderTransport:
+    """Records orders and returns configured results."""
 
     def __init__(self):
         self.result = GrantResult.ACCEPTED
@@ -42,7 +42,7 @@
 
 
 class RangeOrderTests(unittest.TestCase):
-    """Guards against orders that are lost, repeated without pause, or sent too late."""
+    """Guards against orders that are lost, sent late, or retried without a delay."""
 
     def setUp(self):
         self.clock = BootClock()
@@ -52,20 +52,20 @@
             "cases", "u1", "10.0.0.1:1", "a", "1", UpstreamState.READY, 2, 1
         )
         self.state.apply_command(1, cmd.PutUpstreams([up]))
-        self.put(PartitionState.VACANT)
-        self.leads = True
-        self.term = LeaderDuties(self.state, self.clock.now_ms())
-        self.upstreams = FakeUpstreams()
+        self.replace_with_state(PartitionState.VACANT)
+        self.is_leading = True
+        self.term_state = LeaderDuties(self.state, self.clock.now_ms())
+        self.upstreams = FakeOrderTransport()
         self.orders = RangeOrders(self, self.state, self.clock, self.upstreams)
         self.addCleanup(self.orders.stop)
 
     def duties(self):
-        return self.term if self.leads else None
+        return self.term_state if self.is_leading else None
 
     def wake(self):
         pass
 
-    def put(self, state):
+    def replace_with_state(self, state):
         self.replace([self.row(0, LAST_KEY, state)])
 
     def row(self, first, last, state):
@@ -76,32 +76,32 @@
         change = cmd.ReplaceRanges("cases", before, rows)
         self.state.apply_command(self.state.applied_index + 1, change)
 
-    def test_grant_is_renewed_before_it_runs_out(self):
+    def test_grant_is_renewed_before_it_expires(self):
         self.orders.start()
         gevent.sleep(1.5)
         self.assertIn(len(self.upstreams.grants), (2, 3))
         (row,) = self.state.rows.ranges_of("cases")
-        self.assertTrue(self.term.ranges.leases.is_accepted(row))
+        self.assertTrue(self.term_state.ranges.leases.is_accepted(row))
 
-    def test_release_follows_at_once_and_only_once(self):
+    def test_release_is_sent_immediately_and_only_once(self):
         self.orders.start()
         gevent.sleep(0.05)
-        self.put(PartitionState.RELEASING)
+        self.replace_with_state(PartitionState.RELEASING)
         self.orders.wake()
         gevent.sleep(0.3)
         self.assertEqual(len(self.upstreams.releases), 1)
         (row,) = self.state.rows.ranges_of("cases")
-        self.assertEqual(self.term.ranges.leases.handover_of(row), "token")
+        self.assertEqual(self.term_state.ranges.leases.handover_of(row), "token")
 
-    def test_release_without_an_answer_is_repeated_with_pauses(self):
-        # Refused connections once led to thousands of calls a second.
+    def test_unanswered_release_is_retried_after_a_delay(self):
+        # Without a delay, refused connections caused thousands of calls per second.
         self.upstreams.handover = None
-        self.put(PartitionState.RELEASING)
+        self.replace_with_state(PartitionState.RELEASING)
         self.orders.start()
         gevent.sleep(0.55)
         self.assertIn(len(self.upstreams.releases), range(3, 8))
 
-    def test_grant_that_meets_a_higher_epoch_is_not_repeated_at_once(self):
+    def test_fenced_grant_is_not_retried_immediately(self):
         self.upstreams.result = GrantResult.FENCED
         self.orders.start()
         gevent.sleep(0.5)
@@ -111,18 +111,16 @@
         first = self.row(0, 99, PartitionState.OWNED)
         second = self.row(100, LAST_KEY, PartitionState.OWNED)
         self.replace([first, second])
-        released = [first, second._replace(state=PartitionState.RELEASING)]
-        self.upstreams.during_grant = lambda: self.replace(released)
+        releasing = [first, second._replace(state=PartitionState.RELEASING)]
+        self.upstreams.during_grant = lambda: self.replace(releasing)
         self.orders.start()
         gevent.sleep(0.2)
         self.assertEqual([order.first for order in self.upstreams.grants], [0])
 
-    def test_range_that_is_given_up_is_not_granted_and_not_asked_for_without_pause(
-        self,
-    ):
+    def test_range_under_reassignment_is_not_granted_and_retried_after_a_delay(self):
         (row,) = self.state.rows.ranges_of("cases")
-        leases = self.term.ranges.leases
-        leases.give_up(row)
+        leases = self.term_state.ranges.leases
+        leases.mark_reassigning(row)
         refused = mock.Mock(wraps=leases.begin_grant)
         with mock.patch.object(leases, "begin_grant", refused):
             self.orders.start()
@@ -130,42 +128,45 @@
         self.assertEqual(self.upstreams.grants, [])
         self.assertIn(refused.call_count, range(3, 8))
 
-    def test_grant_that_was_answered_beside_a_release_counts_until_its_hold_ends(self):
+    def test_grant_that_was_answered_during_a_release_counts_until_its_hold_ends(self):
         first = self.row(0, LAST_KEY, PartitionState.OWNED)
         self.replace([first])
-        released = first._replace(state=PartitionState.RELEASING)
-        self.upstreams.during_grant = lambda: self.replace([released])
-        self.term.ranges.leases = RangeLeases(-10_000.0)
+        releasing = first._replace(state=PartitionState.RELEASING)
+        self.upstreams.during_grant = lambda: self.replace([releasing])
+        self.term_state.ranges.leases = RangeLeases(-10_000.0)
         self.orders.start()
         gevent.sleep(0.2)
-        leases = self.term.ranges.leases
-        self.assertEqual(leases.handover_of(released), "token")
-        self.assertFalse(leases.has_ended(released, self.clock.now_ms()))
+        leases = self.term_state.ranges.leases
+        self.assertEqual(leases.handover_of(releasing), "token")
+        self.assertFalse(leases.ownership_ended(releasing, self.clock.now_ms()))
 
-    def test_replica_that_lost_the_lead_sends_nothing(self):
+    def test_replica_that_lost_leadership_sends_nothing(self):
         self.orders.start()
         gevent.sleep(0.05)
-        self.leads = False
+        self.is_leading = False
         gevent.sleep(0.2)
         sent = len(self.upstreams.grants)
         gevent.sleep(0.9)
         self.assertEqual(len(self.upstreams.grants), sent)
 
-    def test_renewals_go_on_after_a_lapse_that_the_owner_did_not_see(self):
-        """Upstreams lost their keys while the leader went on to lead."""
+    def test_renewals_continue_after_an_undetected_loss_of_leadership(self):
+        """Guards against upstreams that lose their keys under an active leader.
+
+        A worker stopped for good on a loss of leadership that its owner did not detect.
+        """
         self.orders.start()
         gevent.sleep(0.05)
-        # The worker of the upstream looks during the lapse, the owner before and after.
-        self.leads = False
+        # Only the worker checks the leadership while it is lost.
+        self.is_leading = False
         for worker in self.orders._workers.values():
             worker.wake.set()
         gevent.sleep(0.01)
-        self.leads = True
+        self.is_leading = True
         sent = len(self.upstreams.grants)
         gevent.sleep(RENEW_INTERVAL_MS / 1000.0 + 0.2)
         self.assertGreater(len(self.upstreams.grants), sent)
-        run = next(iter(self.orders._workers))
-        self.assertFalse(self.term.ranges.leases.is_failing(run, 0.0, 1e12))
+        process = next(iter(self.orders._workers))
+        self.assertFalse(self.term_state.ranges.leases.is_failing(process, 0.0, 1e12))
 
 
 if __name__ == "__main__":
--- a/bergamotdrift/tests/test_shutdown.py
+++ b/bergamotdrift/tests/test_shutdown.py
@@ -18,7 +18,7 @@
 
 
 class SignalTests(unittest.TestCase):
-    """Guards against a planned stop that ends the process before its work."""
+    """Guards against a shutdown that ends the process before its running work."""
 
     def start(self):
         proc = subprocess.Popen(
@@ -31,7 +31,7 @@
         self.assertEqual(proc.stdout.readline(), "running\n")
         return proc
 
-    def test_work_ends_before_the_exit_even_if_signals_repeat(self):
+    def test_running_work_ends_before_the_exit_even_if_signals_repeat(self):
         for first in (signal.SIGTERM, signal.SIGINT):
             with self.subTest(signal=first):
                 proc = self.start()
--- a/bergamotdrift/tests/test_streams.py
+++ b/bergamotdrift/tests/test_streams.py
@@ -26,7 +26,7 @@
 
 
 class EchoHandler:
-    """Answers token requests with Done, or Failure for negative amounts."""
+    """Answers token requests with Done, or with Failure for negative amounts."""
 
     def __init__(self):
         self.opened = []
@@ -51,7 +51,7 @@
 
 
 class FrameTests(unittest.TestCase):
-    """Guards against settings that fill the links, and frames that fill the memory."""
+    """Guards against settings that saturate links, and oversized frames."""
 
     def parse(self, data):
         return streams._parse_frame(msgpack.unpackb(data))
@@ -114,7 +114,7 @@
             self.connect().call(TokenRequest("w", 1, -1), 2000)
         self.assertEqual(caught.exception.refusal.kind, ErrorKind.INTERNAL)
 
-    def test_waiting_calls_fail_when_the_connection_ends(self):
+    def test_pending_calls_fail_when_the_connection_closes(self):
         conn = self.connect().ready_connection(2000)
         fut = conn.request(NotLeader("never answered"))
         conn.close("test")
@@ -123,9 +123,9 @@
 
 
 class SendTests(StreamTestCase):
-    """Guards against frames that wait for a greenlet, are lost or out of order."""
+    """Guards against frames that wait for a greenlet switch, are lost or reordered."""
 
-    def test_lone_frame_is_sent_before_the_caller_goes_on(self):
+    def test_single_frame_is_sent_before_the_caller_continues(self):
         conn = self.connect().ready_connection(2000)
         gevent.sleep(0.05)
         with mock.patch.object(conn, "_queue_for_writer") as queued:
@@ -144,7 +144,7 @@
         self.wait_until(lambda: len(self.handler.received) == len(sent))
         self.assertEqual(self.handler.received, sent)
 
-    def test_waiting_calls_fail_when_the_socket_refuses_a_frame(self):
+    def test_pending_calls_fail_when_the_socket_write_fails(self):
         conn = self.connect().ready_connection(2000)
         gevent.sleep(0.05)
         with mock.patch.object(
@@ -157,9 +157,9 @@
 
 
 class ConnectTests(StreamTestCase):
-    """Guards against a first connection that waits for imports of the resolver."""
+    """Guards against a first connection that waits for the imports of the resolver."""
 
-    def test_ip_numbers_are_connected_without_the_resolver(self):
+    def test_ip_addresses_are_connected_without_the_resolver(self):
         hub = gevent.get_hub()
         resolver = mock.Mock()
         resolver.getaddrinfo.side_effect = AssertionError("the resolver was used")
@@ -195,7 +195,7 @@
         sock.close()
 
 
-class ForeignInputTests(StreamTestCase):
+class InvalidInputTests(StreamTestCase):
     def assert_refused(self, data):
         sock = self.raw_connection()
         sock.sendall(data)
@@ -204,7 +204,7 @@
                 pass
         self.assertEqual(self.handler.received, [])
 
-    def test_foreign_cluster_is_refused(self):
+    def test_peer_of_another_cluster_is_refused(self):
         self.assert_refused(
             streams.msgpack.packb([0, 0, "Hello", list(hello(cluster="other"))])
         )
