--- a/bergamotdrift/cli.py
+++ b/bergamotdrift/cli.py
@@ -21,7 +21,7 @@
 )
 @dataclass
 class Bergamotdrift:
-    """Hold the chosen command."""
+    """Hold the selected command."""
 
     command: cappa.Subcommands[Check | Apply | Show | Status | Audit]
 
@@ -31,8 +31,8 @@
     try:
         return int(cappa.invoke(Bergamotdrift, argv=argv, completion=False))
     except KeyboardInterrupt:
-        # A change that was sent may have been made.
-        Console.note("interrupted; the outcome of a call is unknown")
+        # A change may have been applied if it was already sent.
+        Console.print_note("interrupted; the outcome of a call is unknown")
         return ExitCode.UNREACHABLE
 
 
--- a/bergamotdrift/commands/apply.py
+++ b/bergamotdrift/commands/apply.py
@@ -1,4 +1,4 @@
-"""Command `apply`: replace the running settings by those of files."""
+"""The `apply` command: replace the running settings with settings files."""
 
 import getpass
 from dataclasses import dataclass
@@ -16,8 +16,8 @@
 from bergamotdrift.commands.check import report_problems
 from bergamotdrift.commands.reports import (
     changes_data,
-    changes_text,
-    problems_text,
+    format_changes,
+    format_problems,
     report_failure,
 )
 from bergamotdrift.config.diff import diff_sites
@@ -31,14 +31,14 @@
     new_request_id,
 )
 
-# Control refuses longer request ids and authors.
-NAME_MAX_CHARS = 128
+# Control rejects longer request ids and authors.
+MAX_NAME_CHARS = 128
 
 
-@cappa.command(name="apply", help="Replace the running settings by those of files.")
+@cappa.command(name="apply", help="Replace the running settings with settings files.")
 @dataclass
 class Apply:
-    """Hold the arguments of `apply`."""
+    """Hold the arguments of the `apply` command."""
 
     files: cappa.Destructured[SiteFiles]
     control: cappa.Destructured[ControlOptions]
@@ -47,69 +47,70 @@
         int | None,
         cappa.Arg(
             long=True,
-            help="Revision that the change replaces. Default: the running one.",
+            help="Revision that the change replaces. Default: the running revision.",
         ),
     ] = None
     request: Annotated[
         str,
         cappa.Arg(
             long=True,
-            help="Request id; a change sent again with it is applied once only. "
-            "Default: a new one.",
+            help="Request id; a change resent with the same id is applied only once. "
+            "Default: a new id.",
         ),
     ] = ""
     author: Annotated[
-        str, cappa.Arg(long=True, help="Author of the change. Default: the user.")
+        str,
+        cappa.Arg(long=True, help="Author of the change. Default: current user."),
     ] = ""
     dry_run: Annotated[
-        bool, cappa.Arg(long=True, help="Show the change without making it.")
+        bool, cappa.Arg(long=True, help="Show the change without applying it.")
     ] = False
 
     def __call__(self) -> ExitCode:
         """Run the command and return its exit code."""
         console = Console(self.output.json)
-        found = inspect_files(self.files.base, self.files.overlay)
-        if found.settings is None:
-            report_problems(console, found)
+        site_file = inspect_files(self.files.base, self.files.overlay)
+        if site_file.settings is None:
+            report_problems(console, site_file)
             return ExitCode.REFUSED
-        if found.problems:
-            console.note(problems_text(found.problems))
-        client = self.control.client(needs_key=not self.dry_run)
+        if site_file.problems:
+            console.print_note(format_problems(site_file.problems))
+        client = self.control.create_client(needs_key=not self.dry_run)
         if self.dry_run:
-            return self._preview(console, client, found)
-        return self._apply(console, client, found)
+            return self._preview(console, client, site_file)
+        return self._apply(console, client, site_file)
 
     def _preview(
-        self, console: Console, client: OperatorClient, found: SiteFile
+        self, console: Console, client: OperatorClient, site_file: SiteFile
     ) -> ExitCode:
         running = client.running()
         if isinstance(running, Failure):
             return report_failure(console, running.failure())
         current = running.unwrap()
-        changes = diff_sites(current.settings, found.mapping)
+        changes = diff_sites(current.settings, site_file.mapping)
         base = current.revision if self.base_revision is None else self.base_revision
-        conflicts = base != current.revision
+        is_conflict = base != current.revision
         data = {
             "dry_run": True,
             "base_revision": base,
             "running_revision": current.revision,
             "author": current.author,
-            "conflict": conflicts,
+            "conflict": is_conflict,
             "changes": changes_data(changes),
         }
-        lines = [f"would replace revision {base}:", changes_text(changes)]
-        if conflicts:
-            by = current.author or "unknown"
-            lines.append(f"would be refused: revision {current.revision} by {by}")
-        console.result(data, "\n".join(lines))
-        return ExitCode.REFUSED if conflicts else ExitCode.OK
+        lines = [f"would replace revision {base}:", format_changes(changes)]
+        if is_conflict:
+            author = current.author or "unknown"
+            lines.append(f"would be refused: revision {current.revision} by {author}")
+        console.print_result(data, "\n".join(lines))
+        return ExitCode.REFUSED if is_conflict else ExitCode.OK
 
     def _apply(
-        self, console: Console, client: OperatorClient, found: SiteFile
+        self, console: Console, client: OperatorClient, site_file: SiteFile
     ) -> ExitCode:
-        author = self.author or _user()
-        if max(len(author), len(self.request)) > NAME_MAX_CHARS:
-            limit = f"at most {NAME_MAX_CHARS} characters"
+        author = self.author or _current_user()
+        if max(len(author), len(self.request)) > MAX_NAME_CHARS:
+            limit = f"at most {MAX_NAME_CHARS} characters"
             raise usage_error(f"--author and --request must have {limit}")
         base = self.base_revision
         if base is None:
@@ -117,9 +118,11 @@
             if isinstance(running, Failure):
                 return report_failure(console, running.failure())
             base = running.unwrap().revision
-        change = Change(self.request or new_request_id(), base, author, found.mapping)
-        # Printed before the call, so that it is known however the call ends.
-        console.note(f"request {change.request} replaces revision {base}")
+        change = Change(
+            self.request or new_request_id(), base, author, site_file.mapping
+        )
+        # Printed before the call, so that the request id is known even if it fails.
+        console.print_note(f"request {change.request} replaces revision {base}")
         outcome = client.apply(change)
         if isinstance(outcome, Failure):
             return _report_failure(console, outcome.failure(), change)
@@ -130,23 +133,23 @@
             "request": change.request,
         }
         detail = f" is {accepted.outcome}" if accepted.outcome else ""
-        console.result(data, f"revision {accepted.revision}{detail}")
+        console.print_result(data, f"revision {accepted.revision}{detail}")
         return ExitCode.OK
 
 
 def _report_failure(console: Console, failure: CallFailure, change: Change) -> ExitCode:
     code = report_failure(console, failure)
     if failure.trouble is Trouble.OUTCOME_UNKNOWN:
-        console.note(
-            "the change may be in force; to learn its outcome, repeat the command "
+        console.print_note(
+            "the change may have been applied; to see its outcome, repeat the command "
             f"with --request {change.request} --base-revision {change.base_revision} "
             f"--author {change.author}"
         )
     return code
 
 
-def _user() -> str:
+def _current_user() -> str:
     try:
         return getpass.getuser()
     except (OSError, KeyError, ImportError) as exc:
-        raise usage_error("the user is unknown: use --author") from exc
+        raise usage_error("the current user is unknown: use --author") from exc
--- a/bergamotdrift/commands/arguments.py
+++ b/bergamotdrift/commands/arguments.py
@@ -1,4 +1,4 @@
-"""Arguments that several commands share."""
+"""Command-line arguments shared by several commands."""
 
 import os
 from dataclasses import dataclass, field
@@ -17,13 +17,13 @@
 
 
 def usage_error(message: str) -> cappa.Exit:
-    """Return the exit for a command line that can't be carried out."""
+    """Return the exit exception for an invalid command line."""
     return cappa.Exit(message, code=ExitCode.USAGE)
 
 
 @dataclass
 class SiteFiles:
-    """Name the settings files of a site."""
+    """Hold the paths of the settings files of a site."""
 
     base: Annotated[str, cappa.Arg(help="Base settings file.")]
     overlay: Annotated[
@@ -33,7 +33,7 @@
 
 @dataclass
 class JsonOption:
-    """Choose the form of the output."""
+    """Select the output format."""
 
     json: Annotated[bool, cappa.Arg(long=True, help="Print JSON instead of text.")] = (
         False
@@ -42,7 +42,7 @@
 
 @dataclass
 class ControlOptions:
-    """Name the control replicas and how to call them."""
+    """Hold the addresses of the control replicas, the operator key and the timeout."""
 
     control: Annotated[
         list[str],
@@ -61,21 +61,23 @@
         ),
     ] = ""
     timeout: Annotated[
-        float, cappa.Arg(long=True, help="Seconds until a call is given up.")
+        float, cappa.Arg(long=True, help="Timeout of a call in seconds.")
     ] = 10.0
 
-    def client(self, *, needs_key: bool = False) -> OperatorClient:
-        """Return a client, or exit with a usage error."""
+    def create_client(self, *, needs_key: bool = False) -> OperatorClient:
+        """Create a client, or exit with a usage error."""
         if not 0 < self.timeout <= 3600:
             raise usage_error("--timeout must be above 0 and at most 3600 seconds")
-        key = self._key()
+        key = self._read_key()
         if needs_key and not key:
             raise usage_error(f"no operator key: use --key-file or {KEY_VARIABLE}")
-        return OperatorClient(self._replicas(), key, self.timeout)
+        return OperatorClient(self._replica_addresses(), key, self.timeout)
 
-    def _replicas(self) -> list[str]:
-        listed = os.environ.get(CONTROL_VARIABLE, "").split(",")
-        replicas = self.control or [item.strip() for item in listed if item.strip()]
+    def _replica_addresses(self) -> list[str]:
+        variable_items = os.environ.get(CONTROL_VARIABLE, "").split(",")
+        replicas = self.control or [
+            item.strip() for item in variable_items if item.strip()
+        ]
         if not replicas:
             message = f"no control replica: use --control or {CONTROL_VARIABLE}"
             raise usage_error(message)
@@ -86,7 +88,7 @@
             raise usage_error("; ".join(str(p) for p in report.problems))
         return replicas
 
-    def _key(self) -> str:
+    def _read_key(self) -> str:
         key = os.environ.get(KEY_VARIABLE, "")
         if self.key_file:
             try:
--- a/bergamotdrift/commands/reports.py
+++ b/bergamotdrift/commands/reports.py
@@ -1,4 +1,4 @@
-"""Text and JSON forms of problems, changes and failed calls."""
+"""Text and JSON output of problems, changes and failed calls."""
 
 from collections.abc import Iterable
 from typing import Any
@@ -10,23 +10,23 @@
 from bergamotdrift.operator_client import CallFailure, Trouble
 
 
-def problems_text(problems: Iterable[Problem]) -> str:
-    """Return one line per problem."""
+def format_problems(problems: Iterable[Problem]) -> str:
+    """Format problems as text, one per line."""
     return "\n".join(str(problem) for problem in problems)
 
 
 def problems_data(problems: Iterable[Problem]) -> list[dict[str, Any]]:
-    """Return problems for JSON output."""
+    """Convert problems for JSON output."""
     return [problem._asdict() for problem in problems]
 
 
-def changes_text(changes: Iterable[ValueChange]) -> str:
-    """Return one line per change."""
+def format_changes(changes: Iterable[ValueChange]) -> str:
+    """Format changes as text, one per line."""
     return "\n".join(str(change) for change in changes) or "no difference"
 
 
 def changes_data(changes: Iterable[ValueChange]) -> list[dict[str, Any]]:
-    """Return changes for JSON output."""
+    """Convert changes for JSON output."""
     return [change._asdict() for change in changes]
 
 
@@ -45,7 +45,7 @@
         assert failure.refusal is not None
         data["revision"] = failure.refusal.revision
         data["author"] = failure.refusal.author
-    console.result(data, _failure_text(failure))
+    console.print_result(data, _format_failure(failure))
     if failure.trouble is Trouble.REFUSED:
         return ExitCode.REFUSED
     return ExitCode.UNREACHABLE
@@ -56,14 +56,14 @@
     return refusal is not None and refusal.is_kind(ErrorKind.REVISION_CONFLICT)
 
 
-def _failure_text(failure: CallFailure) -> str:
+def _format_failure(failure: CallFailure) -> str:
     refusal = failure.refusal
     if refusal is None or failure.trouble is not Trouble.REFUSED:
         return f"{failure.trouble}: {failure.message}"
     if _is_conflict(failure):
         return (
             f"refused: revision {refusal.revision} by {refusal.author or 'unknown'} "
-            "is in force already; compare with `check --diff` and apply again"
+            "is already applied; compare with `check --diff` and apply again"
         )
     lines = [f"refused: {refusal.error}: {failure.message}"]
     lines += [f"{p.path}: {p.message}" for p in refusal.problems]
--- a/bergamotdrift/config/containers.py
+++ b/bergamotdrift/config/containers.py
@@ -1,10 +1,16 @@
-"""Options that hold other options: lists, sections and named entries."""
+"""Options that contain other options: lists, sections and named entries."""
 
 import re
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from bergamotdrift.config.options import Name, Option, Scalar, shown, suggestion
+from bergamotdrift.config.options import (
+    Name,
+    Option,
+    Scalar,
+    closest_match,
+    format_value,
+)
 from bergamotdrift.config.problems import Path, Report
 
 _UNIT_SUFFIX = re.compile(r"_(per_s|per_min|min|us|ms|s|bytes|kb|mb|kib|mib)$")
@@ -19,35 +25,35 @@
         self._minimum = minimum
 
     def describe(self) -> str:
-        """Return what the list holds."""
-        least = f", at least {self._minimum}" if self._minimum else ""
-        return f"a list of distinct values{least}: each {self.item.describe()}"
+        """Describe the items of the list."""
+        lower_bound = f", at least {self._minimum}" if self._minimum else ""
+        return f"a list of distinct values{lower_bound}: each {self.item.describe()}"
 
     def check(self, value: Any, path: Path, report: Report) -> list[Any] | None:
-        """Return the values with None for each invalid one, or None if no list."""
+        """Return the items, None for each invalid one, or None if it is not a list."""
         if not isinstance(value, (list, tuple)):
-            self.refuse(value, path, report)
+            self.report_invalid(value, path, report)
             return None
         if len(value) < self._minimum:
-            report.error(path, f"must hold at least {self._minimum} value")
+            report.error(path, f"must contain at least {self._minimum} value")
         items: list[Any] = []
         seen = set()
-        for i, given in enumerate(value):
-            item = self.item.check(given, (*path, i), report)
+        for i, raw_item in enumerate(value):
+            item = self.item.check(raw_item, (*path, i), report)
             if item is not None and item in seen:
-                report.error((*path, i), "stands twice in the list")
+                report.error((*path, i), "duplicate value in the list")
                 item = None
             seen.add(item)
             items.append(item)
         return items
 
     def build(self, value: Any) -> tuple[Any, ...]:
-        """Return the values as a tuple."""
+        """Build a tuple of the items."""
         return tuple(self.item.build(item) for item in value)
 
 
 class Section(Option):
-    """Accept an object with known names, and build it with `factory`."""
+    """Accept an object with a fixed set of settings; `factory` builds the result."""
 
     kind = "an object"
 
@@ -57,18 +63,18 @@
         self.options = options
 
     def check(self, value: Any, path: Path, report: Report) -> dict[str, Any] | None:
-        """Return the valid values by name, or None if there is no object."""
+        """Return the valid values by name, or None if it is not an object."""
         if not isinstance(value, Mapping):
-            self.refuse(value, path, report)
+            self.report_invalid(value, path, report)
             return None
-        suggested = self._report_unknown(value, path, report)
+        suggested_names = self._report_unknown(value, path, report)
         valid: dict[str, Any] = {}
         for name, option in self.options.items():
             if name in value:
                 item = option.check(value[name], (*path, name), report)
             elif option.required:
                 item = None
-                if name not in suggested:
+                if name not in suggested_names:
                     report.error((*path, name), f"is missing: {option.describe()}")
             else:
                 item = option.default
@@ -77,23 +83,25 @@
         return valid
 
     def build(self, value: Any, **extra: Any) -> Any:
-        """Return the settings object."""
+        """Build the settings object."""
         built = {name: self.options[name].build(item) for name, item in value.items()}
         return self._factory(**built, **extra)
 
     def _report_unknown(
         self, value: Mapping[Any, Any], path: Path, report: Report
     ) -> set[str]:
-        suggested = set()
-        absent = [name for name in self.options if name not in value]
+        suggested_names = set()
+        missing = [name for name in self.options if name not in value]
         for name in value:
             if not isinstance(name, str):
-                report.error(path, f"a name must be text, not {shown(name)}")
+                report.error(path, f"a name must be a string, not {format_value(name)}")
             elif name not in self.options:
-                match = self._same_stem(name, absent) or suggestion(name, absent)
-                suggested.add(match)
+                match = self._match_without_unit(name, missing) or closest_match(
+                    name, missing
+                )
+                suggested_names.add(match)
                 report.error((*path, name), self._unknown_message(name, match))
-        return suggested
+        return suggested_names
 
     def _unknown_message(self, name: str, match: str) -> str:
         if not match:
@@ -101,14 +109,14 @@
             return f"unknown setting; the settings here are {known}"
         return f"unknown setting; did you mean {match!r}?"
 
-    def _same_stem(self, name: str, absent: list[str]) -> str:
-        """Return the absent setting that differs only in its unit, if any."""
+    def _match_without_unit(self, name: str, missing: list[str]) -> str:
+        """Return the missing setting that differs only in its unit, or empty text."""
         stem = _UNIT_SUFFIX.sub("", name)
-        return next((a for a in absent if _UNIT_SUFFIX.sub("", a) == stem), "")
+        return next((m for m in missing if _UNIT_SUFFIX.sub("", m) == stem), "")
 
 
 class NamedSections(Option):
-    """Accept an object that maps names to sections, and pass each its name."""
+    """Accept an object that maps names to sections; `name_field` stores the name."""
 
     kind = "an object of named entries"
 
@@ -126,21 +134,21 @@
         self._minimum = minimum
 
     def check(self, value: Any, path: Path, report: Report) -> dict[str, Any] | None:
-        """Return the valid part of each entry, or None if there is no object."""
+        """Return the valid part of each entry, or None if it is not an object."""
         if not isinstance(value, Mapping):
-            self.refuse(value, path, report)
+            self.report_invalid(value, path, report)
             return None
         if len(value) < self._minimum:
-            report.error(path, f"must hold at least {self._minimum} entry")
+            report.error(path, f"must contain at least {self._minimum} entry")
         valid = {}
-        for name, given in value.items():
+        for name, raw_entry in value.items():
             if _check_name(name, path, report):
-                item = self.section.check(given, (*path, name), report)
+                item = self.section.check(raw_entry, (*path, name), report)
                 valid[name] = item if item is not None else {}
         return valid
 
     def build(self, value: Any) -> tuple[Any, ...]:
-        """Return the entries as a tuple, in the order given."""
+        """Build a tuple of the entries, in the order of the file."""
         return tuple(self._build_entry(name, item) for name, item in value.items())
 
     def _build_entry(self, name: str, item: Any) -> Any:
@@ -165,32 +173,32 @@
         self._minimum = minimum
 
     def describe(self) -> str:
-        """Return what each name stands for."""
+        """Describe the value of each name."""
         return f"an object from name to value: each {self.item.describe()}"
 
     def check(self, value: Any, path: Path, report: Report) -> dict[str, Any] | None:
-        """Return the valid values by name, or None if there is no object."""
+        """Return the valid values by name, or None if it is not an object."""
         if not isinstance(value, Mapping):
-            self.refuse(value, path, report)
+            self.report_invalid(value, path, report)
             return None
         if len(value) < self._minimum:
-            report.error(path, f"must hold at least {self._minimum} entry")
+            report.error(path, f"must contain at least {self._minimum} entry")
         valid = {}
-        for name, given in value.items():
+        for name, raw_value in value.items():
             if _check_name(name, path, report):
-                item = self.item.check(given, (*path, name), report)
+                item = self.item.check(raw_value, (*path, name), report)
                 if item is not None:
                     valid[name] = item
         return valid
 
     def build(self, value: Any) -> tuple[Any, ...]:
-        """Return the entries as a tuple, in the order given."""
+        """Build a tuple of the entries, in the order of the file."""
         return tuple(self._factory(name, item) for name, item in value.items())
 
 
 def _check_name(name: Any, path: Path, report: Report) -> bool:
-    """Tell whether a name is valid, after reporting a problem if it is not."""
+    """Return whether a name is valid, and report it if it is not."""
     if not isinstance(name, str):
-        report.error(path, f"a name must be text, not {shown(name)}")
+        report.error(path, f"a name must be a string, not {format_value(name)}")
         return False
     return Name().check(name, (*path, name), report) is not None
--- a/bergamotdrift/config/diff.py
+++ b/bergamotdrift/config/diff.py
@@ -1,4 +1,4 @@
-"""Differences between two site settings, defaults filled in."""
+"""Differences between two versions of the site settings, defaults included."""
 
 from collections.abc import Iterator, Mapping
 from enum import StrEnum
@@ -8,8 +8,8 @@
 from bergamotdrift.config.problems import Path, format_path
 from bergamotdrift.plain import plain
 
-# The field that names the entries of each section.
-_NAMES = {
+# The field that identifies the entries of each section.
+_NAME_FIELDS = {
     "zones": "name",
     "services": "name",
     "routes": "path",
@@ -19,7 +19,7 @@
 
 
 class ChangeKind(StrEnum):
-    """Name how a value differs."""
+    """List the kinds of change of a value."""
 
     ADDED = "added"
     REMOVED = "removed"
@@ -27,7 +27,7 @@
 
 
 class ValueChange(NamedTuple):
-    """Hold one value that differs; `old` or `new` is None where there is none."""
+    """Describe one changed value; `old` or `new` is None if there is none."""
 
     kind: ChangeKind
     path: str
@@ -46,49 +46,49 @@
     old: Mapping[str, Any] | None, new: Mapping[str, Any]
 ) -> list[ValueChange]:
     """Return the values that differ between two merged mappings."""
-    return list(_diff(_by_name(old or {}), _by_name(new), ()))
+    return list(_diff_values(_index_sections(old or {}), _index_sections(new), ()))
 
 
 def with_defaults(mapping: Mapping[str, Any]) -> Mapping[str, Any]:
-    """Return a mapping as lists of entries with all defaults filled in."""
+    """Return the settings as lists of entries, with all defaults included."""
     settings = inspect_site(mapping).settings
-    # Settings accepted by another version may not pass the checks of this one.
+    # Settings that another version accepted may be invalid in this version.
     return mapping if settings is None else plain(settings)
 
 
-def _by_name(settings: Mapping[str, Any]) -> dict[str, Any]:
-    """Return the settings with the entries of each section by name."""
+def _index_sections(settings: Mapping[str, Any]) -> dict[str, Any]:
+    """Return the settings with each section as a mapping from name to entry."""
     return {
-        section: _entries(value, _NAMES[section])
-        if section in _NAMES and isinstance(value, list)
+        section: _index_entries(value, _NAME_FIELDS[section])
+        if section in _NAME_FIELDS and isinstance(value, list)
         else value
         for section, value in with_defaults(settings).items()
     }
 
 
-def _entries(rows: list[Any], name_field: str) -> dict[str, Any]:
-    named: dict[str, Any] = {}
+def _index_entries(rows: list[Any], name_field: str) -> dict[str, Any]:
+    entries: dict[str, Any] = {}
     for row in rows:
         fields = dict(row) if isinstance(row, Mapping) else {name_field: row}
         name = str(fields.pop(name_field, ""))
         if "methods" in fields:
-            # Two routes may share a path if their methods differ.
+            # The path alone is not unique: routes with different methods may share it.
             name += " " + ",".join(map(str, fields["methods"]))
-        named[name] = fields
-    return named
+        entries[name] = fields
+    return entries
 
 
-def _diff(old: Any, new: Any, path: Path) -> Iterator[ValueChange]:
+def _diff_values(old: Any, new: Any, path: Path) -> Iterator[ValueChange]:
     if isinstance(old, Mapping) and isinstance(new, Mapping):
         for name in [*old, *(name for name in new if name not in old)]:
-            yield from _diff(old.get(name), new.get(name), (*path, str(name)))
+            yield from _diff_values(old.get(name), new.get(name), (*path, str(name)))
     elif isinstance(old, Mapping) or isinstance(new, Mapping):
-        yield from _diff(old if isinstance(old, Mapping) else {}, {}, path)
-        yield from _diff({}, new if isinstance(new, Mapping) else {}, path)
+        yield from _diff_values(old if isinstance(old, Mapping) else {}, {}, path)
+        yield from _diff_values({}, new if isinstance(new, Mapping) else {}, path)
     elif isinstance(old, list) or isinstance(new, list):
         yield from _diff_lists(_as_list(old), _as_list(new), path)
     elif old != new:
-        yield _change(old, new, path)
+        yield _value_change(old, new, path)
 
 
 def _as_list(value: Any) -> list[Any]:
@@ -98,16 +98,16 @@
 
 
 def _diff_lists(old: list[Any], new: list[Any], path: Path) -> Iterator[ValueChange]:
-    """Compare lists by their values, since their order has no meaning."""
+    """Compare lists as sets, since their order is not significant."""
     for value in old:
         if value not in new:
-            yield _change(value, None, path)
+            yield _value_change(value, None, path)
     for value in new:
         if value not in old:
-            yield _change(None, value, path)
+            yield _value_change(None, value, path)
 
 
-def _change(old: Any, new: Any, path: Path) -> ValueChange:
+def _value_change(old: Any, new: Any, path: Path) -> ValueChange:
     kind = ChangeKind.CHANGED
     if old is None:
         kind = ChangeKind.ADDED
--- a/bergamotdrift/config/loader.py
+++ b/bergamotdrift/config/loader.py
@@ -8,7 +8,12 @@
 from bergamotdrift.config.check import inspect_site
 from bergamotdrift.config.containers import Section
 from bergamotdrift.config.problems import Problem, Severity
-from bergamotdrift.config.process import ARBITER, CONTROL, ENTRY, check_process
+from bergamotdrift.config.process import (
+    ARBITER_OPTIONS,
+    CONTROL_OPTIONS,
+    ENTRY_OPTIONS,
+    check_process,
+)
 from bergamotdrift.config.schema import (
     ArbiterSettings,
     ControlSettings,
@@ -21,22 +26,22 @@
 def load_site(
     base_path: str, overlay_path: str | None = None
 ) -> Result[SiteSettings, list[Problem]]:
-    """Return the checked settings of a site, or all problems in them."""
-    found = inspect_files(base_path, overlay_path)
-    if found.settings is None:
-        return Failure(found.problems)
-    return Success(found.settings)
+    """Load and check the settings of a site; return them or all their problems."""
+    site_file = inspect_files(base_path, overlay_path)
+    if site_file.settings is None:
+        return Failure(site_file.problems)
+    return Success(site_file.settings)
 
 
 def load_site_mapping(
     base_path: str, overlay_path: str | None = None
 ) -> Result[Mapping[str, Any], list[Problem]]:
-    """Return the merged mapping of a site, unchecked."""
+    """Load the merged mapping of a site without checking it."""
     return read_merged(base_path, overlay_path).map(lambda source: source.mapping)
 
 
 class SiteFile(NamedTuple):
-    """Hold merged settings, the checked ones if valid, and all problems."""
+    """Hold the merged mapping, the settings if it is valid, and all problems."""
 
     mapping: dict[str, Any]
     settings: SiteSettings | None
@@ -44,28 +49,30 @@
 
 
 def inspect_files(base_path: str, overlay_path: str | None = None) -> SiteFile:
-    """Read and check the settings of a site, and keep the warnings."""
-    read = read_merged(base_path, overlay_path)
-    if isinstance(read, Failure):
-        return SiteFile({}, None, read.failure())
-    source = read.unwrap()
-    found = inspect_site(source.mapping)
-    return SiteFile(source.mapping, found.settings, _located(source, found.problems))
+    """Load and check the settings of a site; the problems include warnings."""
+    merged = read_merged(base_path, overlay_path)
+    if isinstance(merged, Failure):
+        return SiteFile({}, None, merged.failure())
+    source = merged.unwrap()
+    inspection = inspect_site(source.mapping)
+    return SiteFile(
+        source.mapping, inspection.settings, _add_locations(source, inspection.problems)
+    )
 
 
 def load_entry(path: str) -> Result[EntrySettings, list[Problem]]:
-    """Return the process settings of an entry."""
-    return _load_process(path, ENTRY)
+    """Load the process settings of an entry."""
+    return _load_process(path, ENTRY_OPTIONS)
 
 
 def load_arbiter(path: str) -> Result[ArbiterSettings, list[Problem]]:
-    """Return the process settings of an arbiter."""
-    return _load_process(path, ARBITER)
+    """Load the process settings of an arbiter."""
+    return _load_process(path, ARBITER_OPTIONS)
 
 
 def load_control(path: str) -> Result[ControlSettings, list[Problem]]:
-    """Return the process settings of a control replica."""
-    return _load_process(path, CONTROL)
+    """Load the process settings of a control replica."""
+    return _load_process(path, CONTROL_OPTIONS)
 
 
 def _load_process(path: str, section: Section) -> Result[Any, list[Problem]]:
@@ -74,14 +81,14 @@
 
 def _check_process(source: Source, section: Section) -> Result[Any, list[Problem]]:
     return check_process(source.mapping, section).alt(
-        lambda problems: _located(source, problems)
+        lambda problems: _add_locations(source, problems)
     )
 
 
-def _located(source: Source, problems: list[Problem]) -> list[Problem]:
+def _add_locations(source: Source, problems: list[Problem]) -> list[Problem]:
     located = [source.locate(problem) for problem in problems]
-    return sorted(located, key=_order)
+    return sorted(located, key=_sort_key)
 
 
-def _order(problem: Problem) -> tuple[bool, str, int]:
+def _sort_key(problem: Problem) -> tuple[bool, str, int]:
     return problem.severity is Severity.WARNING, problem.file, problem.line
--- a/bergamotdrift/config/methods.py
+++ b/bergamotdrift/config/methods.py
@@ -4,7 +4,7 @@
 
 
 class Method(StrEnum):
-    """Name an HTTP method."""
+    """List the HTTP methods."""
 
     GET = "GET"
     HEAD = "HEAD"
--- a/bergamotdrift/config/options.py
+++ b/bergamotdrift/config/options.py
@@ -1,8 +1,8 @@
 """Typed options: each checks one value and reports every problem in it.
 
-`check` returns the valid part of a value, so that rules that span several options
-still run when another option is invalid. `build` turns a value without errors into
-the settings object.
+`check` returns the valid part of a value, so that rules across several options still
+run when another option is invalid. `build` converts a value without errors to the
+settings object.
 """
 
 import difflib
@@ -17,12 +17,12 @@
 REQUIRED: Any = object()
 NAME_PATTERN = r"[a-z][a-z0-9-]{0,62}"
 DIGEST_PATTERN = r"sha256:[0-9a-f]{64}"
-_SHOWN_CHARS = 40
-# Python refuses to turn integers of more than 4300 digits into text.
-_SHOWN_MAXIMUM = 10**30
-# Similarity takes time in proportion to the length, and names are short.
-_COMPARED_CHARS = 64
-_UNIT_WORDS = {
+_MAX_VALUE_CHARS = 40
+# Python raises ValueError when it formats an integer of more than 4300 digits.
+_MAX_PRINTED_INTEGER = 10**30
+# The time of a comparison grows with the length, and valid names are short.
+_MAX_COMPARED_CHARS = 64
+_UNIT_NAMES = {
     "ms": "milliseconds",
     "s": "seconds",
     "bytes": "bytes",
@@ -30,8 +30,8 @@
 }
 
 
-def shown(value: Any) -> str:
-    """Return a value as short text for a message."""
+def format_value(value: Any) -> str:
+    """Format a value as short text for an error message."""
     if isinstance(value, Mapping):
         return "an object"
     if isinstance(value, (list, tuple)):
@@ -40,27 +40,27 @@
         return "null"
     if isinstance(value, bool):
         return "true" if value else "false"
-    if isinstance(value, int) and abs(value) > _SHOWN_MAXIMUM:
+    if isinstance(value, int) and abs(value) > _MAX_PRINTED_INTEGER:
         return "a number that is too large"
     text = ascii(value)
-    return text if len(text) <= _SHOWN_CHARS else text[:_SHOWN_CHARS] + "..."
+    return text if len(text) <= _MAX_VALUE_CHARS else text[:_MAX_VALUE_CHARS] + "..."
 
 
-def suggestion(name: str, known: Iterable[str]) -> str:
-    """Return the known name most like `name`, or an empty string."""
-    matches = difflib.get_close_matches(name[:_COMPARED_CHARS], list(known), n=1)
+def closest_match(name: str, known: Iterable[str]) -> str:
+    """Return the known name most similar to `name`, or an empty string."""
+    matches = difflib.get_close_matches(name[:_MAX_COMPARED_CHARS], list(known), n=1)
     return matches[0] if matches else ""
 
 
-def unknown_name(name: str, known: Iterable[str]) -> str:
-    """Return a message about an unknown name, with a suggestion if there is one."""
-    match = suggestion(name, known)
+def unknown_name_message(name: str, known: Iterable[str]) -> str:
+    """Return the error message for an unknown name, with the closest match if any."""
+    match = closest_match(name, known)
     hint = f"; did you mean {match!r}?" if match else ""
-    return f"unknown name {shown(name)}{hint}"
+    return f"unknown name {format_value(name)}{hint}"
 
 
 class Option:
-    """Check one value; `default` is REQUIRED if the value must be given."""
+    """Check one value; `default` is REQUIRED if the option has no default."""
 
     kind = "any value"
 
@@ -69,11 +69,11 @@
 
     @property
     def required(self) -> bool:
-        """Tell whether the value must be given."""
+        """Return whether the option has no default."""
         return self.default is REQUIRED
 
     def describe(self) -> str:
-        """Return the accepted values as text for the settings reference."""
+        """Describe the accepted values for messages and the settings reference."""
         return self.kind
 
     def check(self, value: Any, path: Path, report: Report) -> Any:
@@ -84,32 +84,32 @@
         """Return the settings object for a value without errors."""
         return value
 
-    def refuse(self, value: Any, path: Path, report: Report) -> None:
-        """Report that a value is not of the accepted kind."""
-        report.error(path, f"must be {self.describe()}, not {shown(value)}")
+    def report_invalid(self, value: Any, path: Path, report: Report) -> None:
+        """Report a value that the option does not accept."""
+        report.error(path, f"must be {self.describe()}, not {format_value(value)}")
 
 
 class Scalar(Option):
-    """Check a value that holds no other values."""
+    """Check a value that contains no other values."""
 
     def accepts(self, value: Any) -> bool:
-        """Tell whether the value is valid."""
+        """Return whether the value is valid."""
         raise NotImplementedError
 
     def convert(self, value: Any) -> Any:
-        """Return the value in the type that the settings hold."""
+        """Convert the value to its type in the settings object."""
         return value
 
     def check(self, value: Any, path: Path, report: Report) -> Any:
         """Return the value, or None after reporting a problem."""
         if self.accepts(value):
             return self.convert(value)
-        self.refuse(value, path, report)
+        self.report_invalid(value, path, report)
         return None
 
 
 class Integer(Scalar):
-    """Accept a whole number within bounds."""
+    """Accept an integer within inclusive bounds."""
 
     def __init__(self, minimum: int, maximum: int, unit: str = "", **kwargs: Any):
         super().__init__(**kwargs)
@@ -118,19 +118,19 @@
         self._unit = unit
 
     def describe(self) -> str:
-        """Return the bounds and the unit."""
-        unit = f" of {_UNIT_WORDS[self._unit]}" if self._unit else ""
+        """Describe the bounds and the unit."""
+        unit = f" of {_UNIT_NAMES[self._unit]}" if self._unit else ""
         return f"a whole number{unit} from {self._minimum} to {self._maximum}"
 
     def accepts(self, value: Any) -> bool:
-        """Tell whether the value is a whole number within the bounds."""
+        """Return whether the value is an integer within the bounds."""
         if isinstance(value, bool) or not isinstance(value, int):
             return False
         return self._minimum <= value <= self._maximum
 
 
 class Number(Scalar):
-    """Accept a finite number within bounds."""
+    """Accept a finite number within inclusive bounds."""
 
     def __init__(self, minimum: float, maximum: float, unit: str = "", **kwargs: Any):
         super().__init__(**kwargs)
@@ -139,54 +139,54 @@
         self._unit = unit
 
     def describe(self) -> str:
-        """Return the bounds and the unit."""
-        unit = f" of {_UNIT_WORDS[self._unit]}" if self._unit else ""
+        """Describe the bounds and the unit."""
+        unit = f" of {_UNIT_NAMES[self._unit]}" if self._unit else ""
         return f"a number{unit} from {self._minimum:g} to {self._maximum:.10g}"
 
     def accepts(self, value: Any) -> bool:
-        """Tell whether the value is a number within the bounds."""
+        """Return whether the value is a number within the bounds."""
         if isinstance(value, bool) or not isinstance(value, (int, float)):
             return False
-        # The comparison is false for NaN too.
+        # The comparison is also false for NaN.
         return self._minimum <= value <= self._maximum
 
     def convert(self, value: Any) -> float:
-        """Return the number as a float."""
+        """Convert the number to a float."""
         return float(value)
 
 
-class Flag(Scalar):
+class Boolean(Scalar):
     """Accept true or false."""
 
     kind = "true or false"
 
     def accepts(self, value: Any) -> bool:
-        """Tell whether the value is a flag."""
+        """Return whether the value is a boolean."""
         return isinstance(value, bool)
 
 
 class Choice(Scalar):
-    """Accept one value of a closed list."""
+    """Accept one value of an enum."""
 
     def __init__(self, choices: type[StrEnum], **kwargs: Any):
         super().__init__(**kwargs)
         self._choices = choices
 
     def describe(self) -> str:
-        """Return the values to choose from."""
+        """Describe the values of the enum."""
         return "one of " + ", ".join(repr(c.value) for c in self._choices)
 
     def accepts(self, value: Any) -> bool:
-        """Tell whether the value is one of the choices."""
+        """Return whether the value is one of the enum's values."""
         return isinstance(value, str) and value in list(self._choices)
 
     def convert(self, value: Any) -> StrEnum:
-        """Return the choice."""
+        """Convert the value to its enum member."""
         return self._choices(value)
 
 
 class Text(Scalar):
-    """Accept text that matches a pattern; `kind` says what it stands for."""
+    """Accept a string that matches a pattern; `kind` describes the string."""
 
     def __init__(self, kind: str, pattern: str, **kwargs: Any):
         super().__init__(**kwargs)
@@ -194,12 +194,12 @@
         self._pattern = re.compile(pattern, re.ASCII)
 
     def accepts(self, value: Any) -> bool:
-        """Tell whether the value is text that matches the pattern."""
+        """Return whether the value is a string that matches the pattern."""
         return isinstance(value, str) and bool(self._pattern.fullmatch(value))
 
 
 class Name(Text):
-    """Accept a name of small letters, digits and hyphens."""
+    """Accept a name of lowercase letters, digits and hyphens."""
 
     def __init__(self, **kwargs: Any):
         kind = "a name of up to 63 small letters, digits and hyphens"
@@ -207,36 +207,36 @@
 
 
 class Digest(Text):
-    """Accept a key digest; the value is never shown, since it may be a key."""
+    """Accept a key digest; messages omit the value, since it may be a plain key."""
 
     def __init__(self, **kwargs: Any):
         super().__init__("'sha256:' and 64 hex digits", DIGEST_PATTERN, **kwargs)
 
-    def refuse(self, value: Any, path: Path, report: Report) -> None:
-        """Report that a value is no digest, without showing it."""
-        hint = "; a key itself must not stand in settings, only its digest"
+    def report_invalid(self, value: Any, path: Path, report: Report) -> None:
+        """Report an invalid digest without its value."""
+        hint = "; settings must contain the digest of a key, never the key"
         report.error(path, f"must be {self.kind}" + hint * isinstance(value, str))
 
 
 class Address(Scalar):
-    """Accept `IPv4:port`, with port 0 only where a process listens.
+    """Accept `IPv4:port`, with port 0 only for a listen address.
 
-    An address that other processes learn must not be 0.0.0.0.
+    An advertised address must not be 0.0.0.0, since other processes connect to it.
     """
 
     kind = "an address 'IPv4:port'"
 
-    def __init__(self, *, listen: bool = False, shared: bool = True, **kwargs: Any):
+    def __init__(self, *, listen: bool = False, advertised: bool = True, **kwargs: Any):
         super().__init__(**kwargs)
-        self._lowest_port = 0 if listen else 1
-        self._shared = shared
+        self._min_port = 0 if listen else 1
+        self._advertised = advertised
 
     def describe(self) -> str:
-        """Return the form of the address."""
-        return f"{self.kind}, not 0.0.0.0" if self._shared else self.kind
+        """Describe the format of the address."""
+        return f"{self.kind}, not 0.0.0.0" if self._advertised else self.kind
 
     def accepts(self, value: Any) -> bool:
-        """Tell whether the value is an address with a port in range."""
+        """Return whether the value is an address with a port in range."""
         if not isinstance(value, str):
             return False
         host, _, port = value.rpartition(":")
@@ -246,6 +246,6 @@
             ip = ipaddress.IPv4Address(host)
         except ValueError:
             return False
-        if self._shared and ip.is_unspecified:
+        if self._advertised and ip.is_unspecified:
             return False
-        return self._lowest_port <= int(port) <= 65535
+        return self._min_port <= int(port) <= 65535
--- a/bergamotdrift/config/positions.py
+++ b/bergamotdrift/config/positions.py
@@ -1,4 +1,4 @@
-"""Lines of the values in a JSON text with comments, by path."""
+"""Line numbers of the values in a JSON5 text, by path."""
 
 import re
 from typing import NamedTuple
@@ -19,15 +19,15 @@
 
 
 class Token(NamedTuple):
-    """Hold a token and the line on which it starts."""
+    """Hold a token and the line where it starts."""
 
     text: str
     line: int
-    is_mark: bool
+    is_punctuation: bool
 
 
 class Duplicate(NamedTuple):
-    """Name a path that stands twice in an object, with both lines."""
+    """Describe a duplicate name in an object, with the lines of both definitions."""
 
     path: Path
     first_line: int
@@ -35,14 +35,14 @@
 
 
 class Positions(NamedTuple):
-    """Hold the line of each value, and the names that stand twice."""
+    """Hold the line of each value, and the duplicate names."""
 
     lines: dict[Path, int]
     duplicates: list[Duplicate]
 
 
-class _Container:
-    """Hold the state of an open object or list."""
+class _OpenContainer:
+    """Track the current position in an object or list that is not closed yet."""
 
     def __init__(self, path: Path, is_list: bool):
         self.path = path
@@ -50,41 +50,43 @@
         self.index = 0
         self.name: str | None = None
 
-    def child(self) -> Path:
+    def child_path(self) -> Path:
         return (*self.path, self.index if self.is_list else self.name or "")
 
 
 def find_positions(text: str) -> Positions:
-    """Return the positions in a text that json5 accepts."""
+    """Return the lines of all values in a text that json5 accepts."""
     positions = Positions({}, [])
-    stack: list[_Container] = []
-    for token in _tokens(text):
-        if token.is_mark:
-            _read_mark(token, stack, positions)
+    stack: list[_OpenContainer] = []
+    for token in _tokenize(text):
+        if token.is_punctuation:
+            _handle_punctuation(token, stack, positions)
         elif stack and not stack[-1].is_list and stack[-1].name is None:
-            stack[-1].name = _name(token.text)
-            _record(positions, stack[-1].child(), token.line)
+            stack[-1].name = _parse_name(token.text)
+            _record_line(positions, stack[-1].child_path(), token.line)
         elif stack and stack[-1].is_list:
-            _record(positions, stack[-1].child(), token.line)
+            _record_line(positions, stack[-1].child_path(), token.line)
     return positions
 
 
-def _tokens(text: str) -> list[Token]:
-    found = []
+def _tokenize(text: str) -> list[Token]:
+    tokens = []
     line = 1
     for match in _TOKEN.finditer(text):
         if match.lastgroup != "skip":
-            found.append(Token(match.group(), line, match.lastgroup == "mark"))
+            tokens.append(Token(match.group(), line, match.lastgroup == "mark"))
         line += match.group().count("\n")
-    return found
+    return tokens
 
 
-def _read_mark(token: Token, stack: list[_Container], positions: Positions) -> None:
+def _handle_punctuation(
+    token: Token, stack: list[_OpenContainer], positions: Positions
+) -> None:
     if token.text in "{[":
-        path = stack[-1].child() if stack else ()
+        path = stack[-1].child_path() if stack else ()
         if not stack or stack[-1].is_list:
-            _record(positions, path, token.line)
-        stack.append(_Container(path, token.text == "["))
+            _record_line(positions, path, token.line)
+        stack.append(_OpenContainer(path, token.text == "["))
     elif token.text in "}]":
         stack.pop()
     elif token.text == ",":
@@ -92,15 +94,15 @@
         stack[-1].name = None
 
 
-def _record(positions: Positions, path: Path, line: int) -> None:
-    first = positions.lines.get(path)
-    if first is not None and isinstance(path[-1], str):
-        positions.duplicates.append(Duplicate(path, first, line))
+def _record_line(positions: Positions, path: Path, line: int) -> None:
+    first_line = positions.lines.get(path)
+    if first_line is not None and isinstance(path[-1], str):
+        positions.duplicates.append(Duplicate(path, first_line, line))
     positions.lines.setdefault(path, line)
 
 
-def _name(token: str) -> str:
-    """Return the name that a quoted or bare token stands for."""
+def _parse_name(token: str) -> str:
+    """Parse a quoted or unquoted name."""
     if token[0] in "\"'":
         return str(json5.loads(token))
     if "\\" in token:
--- a/bergamotdrift/config/process.py
+++ b/bergamotdrift/config/process.py
@@ -12,9 +12,9 @@
 )
 from bergamotdrift.config.options import (
     Address,
+    Boolean,
     Choice,
     Digest,
-    Flag,
     Integer,
     Name,
     Number,
@@ -38,30 +38,30 @@
     "vm": Name(),
     "zone": Name(),
     "control": ListOf(Address(), minimum=1),
-    "admin_listen": Address(listen=True, shared=False),
+    "admin_listen": Address(listen=True, advertised=False),
 }
 
 
-def _entry(listen: str, **values: Any) -> EntrySettings:
-    return EntrySettings(node=_take_node(values), listen=listen, **values)
+def _build_entry(listen: str, **values: Any) -> EntrySettings:
+    return EntrySettings(node=_pop_node_settings(values), listen=listen, **values)
 
 
-def _arbiter(**values: Any) -> ArbiterSettings:
-    return ArbiterSettings(node=_take_node(values), **values)
+def _build_arbiter(**values: Any) -> ArbiterSettings:
+    return ArbiterSettings(node=_pop_node_settings(values), **values)
 
 
-def _control(**values: Any) -> ControlSettings:
-    return ControlSettings(node=_take_node(values), **values)
+def _build_control(**values: Any) -> ControlSettings:
+    return ControlSettings(node=_pop_node_settings(values), **values)
 
 
-def _take_node(values: dict[str, Any]) -> NodeSettings:
+def _pop_node_settings(values: dict[str, Any]) -> NodeSettings:
     return NodeSettings(**{name: values.pop(name) for name in _NODE_OPTIONS})
 
 
-ENTRY = Section(
-    _entry,
+ENTRY_OPTIONS = Section(
+    _build_entry,
     **_NODE_OPTIONS,
-    listen=Address(listen=True, shared=False),
+    listen=Address(listen=True, advertised=False),
     header_timeout_s=Number(0.1, 300, "s", default=5.0),
     body_timeout_s=Number(0.1, 300, "s", default=10.0),
     idle_timeout_s=Number(0.1, 3600, "s", default=30.0),
@@ -73,32 +73,32 @@
     retry_fleet_per_s=Number(0, 10_000, "per_s", default=3.0),
 )
 
-ARBITER = Section(
-    _arbiter,
+ARBITER_OPTIONS = Section(
+    _build_arbiter,
     **_NODE_OPTIONS,
     listen=Address(listen=True),
-    announce_listen=Address(listen=True, shared=False),
+    announce_listen=Address(listen=True, advertised=False),
     drain_s=Number(0, 600, "s", default=5.0),
 )
 
-CONTROL = Section(
-    _control,
+CONTROL_OPTIONS = Section(
+    _build_control,
     **_NODE_OPTIONS,
     listen=Address(listen=True),
-    operator_listen=Address(listen=True, shared=False),
+    operator_listen=Address(listen=True, advertised=False),
     data_folder=Text("the path of a folder", r"[^\x00]{1,1024}"),
     voters=NamedValues(ReplicaAddress, Address(), minimum=1),
     operator_key_digests=ListOf(Digest(), minimum=1),
     snapshot_entries=Integer(16, 10_000_000, default=4096),
     upstream_ttl_ms=Integer(1000, 600_000, "ms", default=SESSION_TTL_MS),
-    open_group=Flag(default=False),
+    open_group=Boolean(default=False),
 )
 
 
 def check_process(
     mapping: Mapping[str, Any], section: Section
 ) -> Result[Any, list[Problem]]:
-    """Return the process settings of a mapping, or all problems in it."""
+    """Check process settings and return them, or all their problems."""
     report = Report()
     values = section.check(mapping, (), report)
     if report.has_errors:
--- a/bergamotdrift/config/rules.py
+++ b/bergamotdrift/config/rules.py
@@ -1,14 +1,14 @@
-"""Rules that span several options of the site settings.
+"""Validation rules across several options of the site settings.
 
-A rule reads the valid part of the values, where anything may be missing that an
-option has already reported.
+A rule reads only the valid values: those that an option has already reported as
+invalid are missing.
 """
 
 import re
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from bergamotdrift.config.options import shown, unknown_name
+from bergamotdrift.config.options import format_value, unknown_name_message
 from bergamotdrift.config.problems import Path, Report
 from bergamotdrift.config.schema import Fencing, ServiceKind, ZoneState
 from bergamotdrift.constants import UNFENCED_REQUEST_TIMEOUT_MAX_MS
@@ -19,24 +19,24 @@
 _VARIABLE = re.compile(r"\{([^}]*)\}")
 
 
-def _entries(values: Values, section: str) -> Iterator[tuple[str, Values, Path]]:
+def _iter_entries(values: Values, section: str) -> Iterator[tuple[str, Values, Path]]:
     for name, entry in (values.get(section) or {}).items():
         yield name, entry, (section, name)
 
 
 def check_zones(values: Values, report: Report) -> None:
-    """Refuse settings under which no availability zone may receive work."""
+    """Reject settings in which every availability zone is out."""
     states = values.get("zones") or {}
     if states and all(state is ZoneState.OUT for state in states.values()):
         report.error(("zones",), "every availability zone is out")
 
 
 def check_kinds(values: Values, report: Report) -> None:
-    """Refuse options of a service that contradict its kind."""
-    for _, service, path in _entries(values, "services"):
+    """Reject options of a service that conflict with its kind."""
+    for _, service, path in _iter_entries(values, "services"):
         partitions = service.get("partitions")
         if service.get("kind") is ServiceKind.RANGED:
-            message = "'ranged' needs upstreams that are granted keys by calls"
+            message = "'ranged' is supported only under a platform adapter"
             report.error((*path, "kind"), message)
         if service.get("kind") is ServiceKind.KEYED and partitions == 0:
             message = "must be at least 1 for a keyed service"
@@ -49,23 +49,23 @@
 
 
 def check_slots(values: Values, report: Report) -> None:
-    """Refuse limits of a service that contradict each other."""
-    for _, service, path in _entries(values, "services"):
+    """Reject limits of a service that conflict with each other."""
+    for _, service, path in _iter_entries(values, "services"):
         slots = service.get("slots")
         if slots is None:
             continue
-        initial = (service.get("cold_start") or {}).get("initial_slots", 0)
-        if initial > slots:
-            message = f"must not be above slots ({slots}), is {initial}"
+        initial_slots = (service.get("cold_start") or {}).get("initial_slots", 0)
+        if initial_slots > slots:
+            message = f"must not be above slots ({slots}), is {initial_slots}"
             report.error((*path, "cold_start", "initial_slots"), message)
         if service.get("connections", slots) < slots:
-            message = f"must not be below slots ({slots}), since each needs one"
+            message = f"must not be below slots ({slots}): each slot needs a connection"
             report.error((*path, "connections"), message)
 
 
 def check_unfenced_timeouts(values: Values, report: Report) -> None:
-    """Refuse timeouts after which an unfenced key is served again too late."""
-    for _, service, path in _entries(values, "services"):
+    """Reject timeouts that delay the failover of an unfenced key for too long."""
+    for _, service, path in _iter_entries(values, "services"):
         is_unfenced_keyed = (
             service.get("kind") is ServiceKind.KEYED
             and service.get("fencing") is Fencing.NONE
@@ -74,20 +74,20 @@
         if is_unfenced_keyed and service.get("request_timeout_ms", 0) > limit:
             message = (
                 f"must be at most {limit} for a keyed service with fencing 'none', "
-                "since a lost upstream's keys move only after this time"
+                "since the keys of a lost upstream are reassigned only after this time"
             )
             report.error((*path, "request_timeout_ms"), message)
 
 
 def check_route_services(values: Values, report: Report) -> None:
-    """Refuse routes to unknown services, and keys that do not fit the service."""
+    """Reject routes to unknown services, and keys that conflict with the service."""
     services = values.get("services")
-    for _, route, path in _entries(values, "routes"):
+    for _, route, path in _iter_entries(values, "routes"):
         name = route.get("service")
         if services is None or name is None:
             continue
         if name not in services:
-            report.error((*path, "service"), unknown_name(name, services))
+            report.error((*path, "service"), unknown_name_message(name, services))
         else:
             _check_route_key(route, services[name].get("kind"), path, report)
 
@@ -99,54 +99,54 @@
     if key is None or kind is None:
         return
     if kind is ServiceKind.KEYED and not key:
-        message = "is missing: a route to a keyed service names its key variable"
+        message = "is missing: a route to a keyed service needs a key variable"
         report.error((*path, "key"), message)
     elif kind is ServiceKind.POOL and key:
         report.error((*path, "key"), "must be absent: the service is a pool")
 
 
 def check_route_paths(values: Values, report: Report) -> None:
-    """Refuse paths with repeated variables, and keys that are no path variable."""
-    for _, route, path in _entries(values, "routes"):
+    """Reject paths with duplicate variables, and keys that are not path variables."""
+    for _, route, path in _iter_entries(values, "routes"):
         if "path" not in route:
             continue
         variables = _VARIABLE.findall(route["path"])
         if len(set(variables)) < len(variables):
-            report.error((*path, "path"), "names a variable twice")
+            report.error((*path, "path"), "contains a variable twice")
         key = route.get("key")
         if key and key not in variables:
-            message = f"the path has no variable {shown(key)}"
+            message = f"the path has no variable {format_value(key)}"
             report.error((*path, "key"), message)
 
 
 def check_route_conflicts(values: Values, report: Report) -> None:
-    """Refuse two routes with the same path and method, whatever their variables."""
-    taken: dict[tuple[str, str], str] = {}
-    for name, route, path in _entries(values, "routes"):
-        shape = _VARIABLE.sub("{}", route.get("path", ""))
-        for method in filter(None, route.get("methods", []) if shape else []):
-            first = taken.setdefault((shape, method), name)
-            if first != name:
-                message = f"{method} on this path belongs to route {first!r} already"
+    """Reject routes with the same path and method, ignoring variable names."""
+    owners: dict[tuple[str, str], str] = {}
+    for name, route, path in _iter_entries(values, "routes"):
+        normalized_path = _VARIABLE.sub("{}", route.get("path", ""))
+        for method in filter(None, route.get("methods", []) if normalized_path else []):
+            owner = owners.setdefault((normalized_path, method), name)
+            if owner != name:
+                message = f"{method} on this path belongs to route {owner!r} already"
                 report.error((*path, "path"), message)
 
 
 def check_workspace_services(values: Values, report: Report) -> None:
-    """Refuse workspaces that may use a service that does not exist."""
+    """Reject workspaces that list an unknown service."""
     services = values.get("services")
     if services is None:
         return
-    for _, workspace, path in _entries(values, "workspaces"):
+    for _, workspace, path in _iter_entries(values, "workspaces"):
         for i, name in enumerate(workspace.get("services", [])):
             if name is not None and name not in services:
-                message = unknown_name(name, services)
+                message = unknown_name_message(name, services)
                 report.error((*path, "services", i), message)
 
 
 def check_workspace_keys(values: Values, report: Report) -> None:
-    """Refuse a key that belongs to two workspaces; warn of one without keys."""
+    """Reject a key shared by two workspaces; warn of a workspace without keys."""
     owners: dict[str, str] = {}
-    for name, workspace, path in _entries(values, "workspaces"):
+    for name, workspace, path in _iter_entries(values, "workspaces"):
         digests = workspace.get("key_digests")
         if digests == []:
             report.warning((*path, "key_digests"), "no key: the workspace can't call")
@@ -158,13 +158,13 @@
 
 
 def check_replicas(values: Values, report: Report) -> None:
-    """Refuse replicas that share an address; warn of an even number of them."""
+    """Reject replicas with the same address; warn of an even number of replicas."""
     owners: dict[str, str] = {}
     replicas = values.get("replicas") or {}
     for name, address in replicas.items():
         owner = owners.setdefault(address, name)
         if owner != name:
-            message = f"has the address of replica {owner!r}"
+            message = f"duplicate address: also the address of replica {owner!r}"
             report.error(("replicas", name), message)
     count = len(replicas)
     if count and count % 2 == 0:
--- a/bergamotdrift/config/schema.py
+++ b/bergamotdrift/config/schema.py
@@ -1,27 +1,27 @@
-"""Site and process settings as plain data."""
+"""Data types of the site and process settings."""
 
 from enum import StrEnum
 from typing import NamedTuple
 
 
 class ServiceKind(StrEnum):
-    """Tell how the upstreams of a service divide the work."""
+    """List how requests are distributed over the upstreams of a service."""
 
     KEYED = "keyed"
     POOL = "pool"
-    # Divided into contiguous ranges of a numeric key, which upstreams hold by grant.
+    # By contiguous ranges of a numeric key, each granted to one upstream.
     RANGED = "ranged"
 
 
 class Fencing(StrEnum):
-    """Tell whether the upstreams of a service check epochs and grants."""
+    """List whether the upstreams of a service check epochs and grants."""
 
     EPOCH = "epoch"
     NONE = "none"
 
 
 class ZoneState(StrEnum):
-    """Tell whether an availability zone may receive new work."""
+    """List whether an availability zone receives new work."""
 
     IN = "in"
     OUT = "out"
@@ -35,9 +35,9 @@
 
 
 class ColdStartSettings(NamedTuple):
-    """Describe how an upstream warms up; `ramp_s` in seconds.
+    """Describe the slow start of an upstream; `ramp_s` in seconds.
 
-    `per_s` bounds its requests per second while it is cold; 0 sets no such bound.
+    `per_s` limits its requests per second while it is cold; 0 means no limit.
     """
 
     initial_slots: int
@@ -46,7 +46,7 @@
 
 
 class ServiceSettings(NamedTuple):
-    """Describe a service; times in milliseconds, limits per upstream."""
+    """Describe a service; timeouts are in milliseconds, limits apply per upstream."""
 
     name: str
     kind: ServiceKind
@@ -60,7 +60,7 @@
 
 
 class SplitShare(NamedTuple):
-    """Give a service a share of a route's requests, in proportion to its weight."""
+    """Describe a service's share of a route's requests, proportional to `weight`."""
 
     service: str
     weight: int
@@ -70,10 +70,10 @@
     """Describe a route; `key` names the path variable that is the routing key.
 
     A path that ends in `/*` accepts any further segments. `host` restricts the route
-    to requests for that host. `split` replaces `service` where it is not empty.
-    `timeout_ms` and `attempts` are 0 where only the service's bounds apply; `rank` is
-    0 for the most urgent requests. `target_ms` is the time within which an answer has
-    its full worth, 0 if there is none.
+    to requests for that host. `split` replaces `service` if it is not empty.
+    `timeout_ms` and `attempts` are 0 if only the service's limits apply; `rank` is
+    0 for the most urgent requests. `target_ms` is the latency up to which a response
+    has its full value, 0 if there is none.
     """
 
     path: str
@@ -101,19 +101,19 @@
     burst: int
     key_digests: tuple[str, ...]
     services: tuple[str, ...]
-    # None leaves the rank of a request to its route.
+    # With None, the route determines the rank of a request.
     rank: int | None = None
 
 
 class ReplicaAddress(NamedTuple):
-    """Name a control replica and its stream address."""
+    """Map a control replica to its stream address."""
 
     replica: str
     address: str
 
 
 class CallerLimits(NamedTuple):
-    """Bound what a caller may send, and how long it may take or stay idle."""
+    """Limit the size and duration of requests, and the idle time of connections."""
 
     max_header_bytes: int
     max_body_bytes: int
@@ -122,9 +122,9 @@
 
 
 class SiteSettings(NamedTuple):
-    """Hold everything that operators state about a site.
+    """Hold the settings of a site.
 
-    `limits` is None where the process settings of the entries apply.
+    If `limits` is None, the process settings of the entries apply.
     """
 
     site: str
@@ -136,20 +136,20 @@
     limits: CallerLimits | None = None
 
     def zone_is_out(self, zone: str) -> bool:
-        """Tell whether an availability zone is known and taken out."""
+        """Return whether an availability zone is known and its state is `out`."""
         return any(z.name == zone and z.state is ZoneState.OUT for z in self.zones)
 
     def service(self, name: str) -> ServiceSettings | None:
-        """Return the settings of a service, or None."""
+        """Return the settings of a service, or None if it is unknown."""
         return next((s for s in self.services if s.name == name), None)
 
     def workspace(self, name: str) -> WorkspaceSettings | None:
-        """Return the settings of a workspace, or None."""
+        """Return the settings of a workspace, or None if it is unknown."""
         return next((w for w in self.workspaces if w.name == name), None)
 
 
 class NodeSettings(NamedTuple):
-    """Describe a process: identity, VM, availability zone and control addresses."""
+    """Describe a process: its identity, VM, availability zone and control addresses."""
 
     cluster: str
     node: str
@@ -160,7 +160,7 @@
 
 
 class Dispatch(StrEnum):
-    """Tell who chooses the upstream of a request: its arbiter, or the entry itself."""
+    """List who selects the upstream of a request: its arbiter, or the entry itself."""
 
     ARBITER = "arbiter"
     DIRECT = "direct"
@@ -169,9 +169,9 @@
 class EntrySettings(NamedTuple):
     """Hold the process settings of an entry.
 
-    After the start of a shutdown the entry still takes requests for `unready_s`. With
-    direct dispatch, each service gets `retry_ratio` repeats per request, and all
-    entries together `retry_fleet_per_s` more.
+    The entry still accepts requests for `unready_s` after the start of a shutdown.
+    With direct dispatch, the retry budget of a service is `retry_ratio` retries per
+    request, plus `retry_fleet_per_s` retries per second over all entries.
     """
 
     node: NodeSettings
@@ -188,7 +188,7 @@
 
 
 class ArbiterSettings(NamedTuple):
-    """Hold the process settings of an arbiter; `listen` serves entries."""
+    """Hold the process settings of an arbiter; entries connect to `listen`."""
 
     node: NodeSettings
     listen: str
@@ -209,8 +209,9 @@
     voters: tuple[ReplicaAddress, ...]
     operator_key_digests: tuple[str, ...]
     snapshot_entries: int
-    # After how many ms without announcement an upstream is removed; None for sessions'
-    # time to live.
+    # Time in ms without an announcement after which an upstream is removed; None means
+    # the time to live of sessions.
     upstream_ttl_ms: int | None = None
-    # Whether replicas join without being listed.
+    # Whether replicas that are listed neither in the site settings nor in `voters`
+    # may join.
     open_group: bool = False
--- a/bergamotdrift/config/site.py
+++ b/bergamotdrift/config/site.py
@@ -11,9 +11,9 @@
 from bergamotdrift.config.methods import Method
 from bergamotdrift.config.options import (
     Address,
+    Boolean,
     Choice,
     Digest,
-    Flag,
     Integer,
     Name,
     Number,
@@ -34,17 +34,17 @@
 
 VARIABLE_PATTERN = r"[a-z][a-z0-9_]{0,62}"
 _SEGMENT_PATTERN = rf"(?:[A-Za-z0-9._~-]+|\{{{VARIABLE_PATTERN}\}})"
-# A last segment `*` accepts any further segments.
+# A final segment `*` matches any further segments.
 PATH_PATTERN = rf"/|(?:/{_SEGMENT_PATTERN}){{1,32}}|(?:/{_SEGMENT_PATTERN}){{0,31}}/\*"
 MAX_BODY_BYTES = 1024 * 1024 * 1024
 
 
-def _route(**values: Any) -> RouteSettings:
+def _build_route(**values: Any) -> RouteSettings:
     methods = tuple(method.value for method in values.pop("methods"))
     return RouteSettings(methods=methods, **values)
 
 
-SERVICE = Section(
+SERVICE_OPTIONS = Section(
     ServiceSettings,
     kind=Choice(ServiceKind),
     partitions=Integer(0, 1_000_000, default=0),
@@ -60,19 +60,19 @@
     queue_limit=Integer(1, 100_000),
 )
 
-ROUTE = Section(
-    _route,
+ROUTE_OPTIONS = Section(
+    _build_route,
     path=Text("a path such as '/cases/{case}/status'", PATH_PATTERN),
     methods=ListOf(Choice(Method), minimum=1),
     service=Name(),
     key=Text("the name of a path variable", rf"|{VARIABLE_PATTERN}", default=""),
-    open=Flag(default=False),
-    urgent=Flag(default=False),
-    idempotent=Flag(default=False),
+    open=Boolean(default=False),
+    urgent=Boolean(default=False),
+    idempotent=Boolean(default=False),
     max_body_bytes=Integer(0, MAX_BODY_BYTES, "bytes", default=65_536),
 )
 
-WORKSPACE = Section(
+WORKSPACE_OPTIONS = Section(
     WorkspaceSettings,
     rate_per_s=Number(0.001, 10_000_000, "per_s"),
     burst=Integer(1, 10_000_000),
@@ -80,12 +80,12 @@
     services=ListOf(Name(), minimum=1),
 )
 
-SITE = Section(
+SITE_OPTIONS = Section(
     SiteSettings,
     site=Name(),
     zones=NamedValues(ZoneSettings, Choice(ZoneState), minimum=1),
-    services=NamedSections(SERVICE, minimum=1),
-    routes=NamedSections(ROUTE, name_field=None, minimum=1),
-    workspaces=NamedSections(WORKSPACE),
+    services=NamedSections(SERVICE_OPTIONS, minimum=1),
+    routes=NamedSections(ROUTE_OPTIONS, name_field=None, minimum=1),
+    workspaces=NamedSections(WORKSPACE_OPTIONS),
     replicas=NamedValues(ReplicaAddress, Address(), default={}),
 )
--- a/bergamotdrift/config/source.py
+++ b/bergamotdrift/config/source.py
@@ -1,7 +1,7 @@
-"""Read settings files, and merge a base with an overlay.
+"""Read settings files, and merge an overlay into a base.
 
-Objects merge by name, at every depth. Any other value of the overlay, lists
-included, replaces that of the base. `null` in the overlay removes an entry of the base.
+Objects are merged recursively by name. Any other value of the overlay, lists included,
+replaces that of the base. `null` in the overlay removes an entry of the base.
 """
 
 import re
@@ -22,25 +22,25 @@
     parent_path,
 )
 
-_JSON5_PLACE = re.compile(r"^<string>:\d+ ")
+_JSON5_POSITION = re.compile(r"^<string>:\d+ ")
 MAX_FILE_BYTES = 1024 * 1024
 
 
 class Place(NamedTuple):
-    """Name a line of a file."""
+    """Identify a line of a file."""
 
     file: str
     line: int
 
 
 class Source(NamedTuple):
-    """Hold merged settings and the place of each value by its formatted path."""
+    """Hold merged settings, and the file and line of each value by formatted path."""
 
     mapping: dict[str, Any]
     places: dict[str, Place]
 
     def locate(self, problem: Problem) -> Problem:
-        """Return a problem with the file and line of its value or nearest parent."""
+        """Add the file and line of the value, or of its nearest known parent."""
         path = problem.path
         while path and path not in self.places:
             path = parent_path(path)
@@ -49,7 +49,7 @@
 
 
 def read_file(file: str) -> Result[Source, list[Problem]]:
-    """Read one settings file."""
+    """Read and parse one settings file."""
     text = _read_text(file)
     if isinstance(text, Problem):
         return Failure([text])
@@ -57,61 +57,63 @@
         value, error, position = json5.parse(text, allow_duplicate_keys=False)
         positions = find_positions(text) if _is_syntax_valid(error) else None
     except (RecursionError, ValueError) as exc:
-        reason = "nested too deep" if isinstance(exc, RecursionError) else str(exc)
+        reason = "nested too deeply" if isinstance(exc, RecursionError) else str(exc)
         return Failure([Problem(file, "", 0, f"can't be read as JSON: {reason}")])
     if positions is not None and positions.duplicates:
         return Failure(_duplicate_problems(file, positions.duplicates))
     if error is not None or positions is None:
         line = text.count("\n", 0, position) + 1
-        return Failure([Problem(file, "", line, f"invalid JSON: {_reason(error)}")])
+        return Failure([
+            Problem(file, "", line, f"invalid JSON: {_syntax_error_message(error)}")
+        ])
     if not isinstance(value, dict):
-        return Failure([Problem(file, "", 1, "must hold an object")])
-    return Success(Source(value, _places(file, positions)))
+        return Failure([Problem(file, "", 1, "must contain an object")])
+    return Success(Source(value, _find_places(file, positions)))
 
 
 def read_merged(base: str, overlay: str | None) -> Result[Source, list[Problem]]:
     """Read a base file and merge an overlay into it."""
-    first = read_file(base)
+    base_source = read_file(base)
     if overlay is None:
-        return first
-    second = read_file(overlay)
-    problems = [*first.swap().value_or([]), *second.swap().value_or([])]
+        return base_source
+    overlay_source = read_file(overlay)
+    problems = [*base_source.swap().value_or([]), *overlay_source.swap().value_or([])]
     if problems:
         return Failure(problems)
-    return _merge(first.unwrap(), second.unwrap())
+    return _merge(base_source.unwrap(), overlay_source.unwrap())
 
 
 def _merge(base: Source, overlay: Source) -> Result[Source, list[Problem]]:
-    unused = _unused_removals(base.mapping, overlay.mapping, ())
-    if unused:
-        return Failure([overlay.locate(problem) for problem in unused])
+    problems = _unused_removals(base.mapping, overlay.mapping, ())
+    if problems:
+        return Failure([overlay.locate(problem) for problem in problems])
     merger = Merger([(dict, [_remove_nulls, "merge"])], "override", "override")
     mapping = merger.merge(base.mapping, overlay.mapping)
     return Success(Source(mapping, base.places | overlay.places))
 
 
-def _remove_nulls(merger: Merger, path: list, base: dict, nxt: dict) -> Any:
-    """Drop the entries that the overlay removes, before the merge goes on."""
-    for name in [name for name, value in nxt.items() if value is None]:
+def _remove_nulls(merger: Merger, path: list, base: dict, overlay: dict) -> Any:
+    """Remove the entries that are null in the overlay, then continue the merge."""
+    for name in [name for name, value in overlay.items() if value is None]:
         base.pop(name)
-        nxt.pop(name)
+        overlay.pop(name)
     return STRATEGY_END
 
 
 def _unused_removals(
     base: Mapping[str, Any], overlay: Mapping[str, Any], path: Path
 ) -> list[Problem]:
-    """Return a problem for each null that removes nothing."""
+    """Return a problem for each null without an entry in the base to remove."""
     problems = []
     for name, value in overlay.items():
-        here = (*path, name)
-        below = base.get(name)
+        entry_path = (*path, name)
+        base_value = base.get(name)
         if value is None and name not in base:
-            message = "null removes an entry, but the base has none of this name"
-            problems.append(Problem("", format_path(here), 0, message))
+            message = "null removes an entry, but the base has no entry with this name"
+            problems.append(Problem("", format_path(entry_path), 0, message))
         elif isinstance(value, dict):
-            below = below if isinstance(below, dict) else {}
-            problems.extend(_unused_removals(below, value, here))
+            base_value = base_value if isinstance(base_value, dict) else {}
+            problems.extend(_unused_removals(base_value, value, entry_path))
     return problems
 
 
@@ -135,9 +137,9 @@
     return error is None or error.startswith("Duplicate key")
 
 
-def _reason(error: str | None) -> str:
-    """Return json5's message without its own file name and line."""
-    return _JSON5_PLACE.sub("", error or "empty")
+def _syntax_error_message(error: str | None) -> str:
+    """Return the message of json5 without its placeholder file name and line."""
+    return _JSON5_POSITION.sub("", error or "empty")
 
 
 def _duplicate_problems(file: str, duplicates: list[Duplicate]) -> list[Problem]:
@@ -147,15 +149,15 @@
             file,
             format_path(dup.path),
             dup.line,
-            f"stands twice in the file, first on line {dup.first_line}",
+            f"duplicate name, first on line {dup.first_line}",
         )
         for dup in duplicates
-        # The values within an object that stands twice need no report of their own.
+        # Values within a duplicate object are covered by the problem of the object.
         if not any(dup.path[:n] in paths for n in range(1, len(dup.path)))
     ]
 
 
-def _places(file: str, positions: Positions) -> dict[str, Place]:
+def _find_places(file: str, positions: Positions) -> dict[str, Place]:
     return {
         format_path(path): Place(file, line) for path, line in positions.lines.items()
     }
--- a/bergamotdrift/hashing.py
+++ b/bergamotdrift/hashing.py
@@ -1,4 +1,4 @@
-"""Hashes that every process must compute alike."""
+"""Hash functions whose results must be the same in every process."""
 
 import hashlib
 from collections.abc import Iterable
@@ -16,17 +16,17 @@
 
 
 def partition_of(routing_key: str, partitions: int) -> int:
-    """Return the number of the hash partition that holds a routing key."""
+    """Return the number of the hash partition of a routing key."""
     return partition_of_hash(key_hash(routing_key), partitions)
 
 
 def partition_of_hash(hash64: int, partitions: int) -> int:
-    """Return the number of the hash partition that holds a key's hash."""
+    """Return the number of the hash partition of a 64-bit routing key hash."""
     return hash64 * partitions >> (8 * _DIGEST_BYTES)
 
 
 def rendezvous(item: str, members: Iterable[str]) -> list[str]:
-    """Return the members ordered by their rendezvous weight for an item."""
+    """Return the members by descending rendezvous hashing weight for an item."""
     return sorted(
         members,
         key=lambda member: (_hash64(f"{item}\0{member}".encode()), member),
@@ -35,5 +35,5 @@
 
 
 def key_digest(secret: str) -> str:
-    """Return the digest under which a workspace key stands in settings and logs."""
+    """Return the digest that represents a workspace key in settings and logs."""
     return "sha256:" + hashlib.sha256(secret.encode()).hexdigest()
--- a/bergamotdrift/plain.py
+++ b/bergamotdrift/plain.py
@@ -1,11 +1,11 @@
-"""Named tuples as plain mappings, for JSON."""
+"""Conversion of named tuples to built-in types for JSON."""
 
 from enum import Enum
 from typing import Any
 
 
 def plain(value: Any) -> Any:
-    """Return named tuples as mappings, at every depth."""
+    """Convert named tuples to mappings and enum members to values, recursively."""
     if hasattr(value, "_asdict"):
         return {name: plain(item) for name, item in value._asdict().items()}
     if isinstance(value, (list, tuple)):
--- a/bergamotdrift/tests/test_check.py
+++ b/bergamotdrift/tests/test_check.py
@@ -24,13 +24,13 @@
 REMOVED = object()
 
 
-def changed(path, value, name="hollins-marr"):
-    """Return the shipped settings with one value changed or removed."""
+def changed_mapping(path, value, name="hollins-marr"):
+    """Return a copy of the shipped settings with one value changed or removed."""
     mapping = copy.deepcopy(MAPPINGS[name])
     *parents, last = path
     target = mapping
-    for step in parents:
-        target = target[step]
+    for component in parents:
+        target = target[component]
     if value is REMOVED:
         del target[last]
     else:
@@ -39,10 +39,10 @@
 
 
 class RuleTests(unittest.TestCase):
-    """Guards against a contradiction that reaches a running site."""
+    """Guards against accepting settings that conflict with each other."""
 
     def assert_problem(self, path, value, problem_path, text):
-        problems = check_site(changed(path, value)).failure()
+        problems = check_site(changed_mapping(path, value)).failure()
         self.assertEqual([p.path for p in problems], [problem_path])
         self.assertIn(text, problems[0].message)
 
@@ -79,7 +79,7 @@
         key = ("routes", "document", "key")
         self.assert_problem(key, "document", "routes.document.key", "is a pool")
 
-    def test_same_path_and_method_is_refused_whatever_the_variable_names(self):
+    def test_same_path_and_method_is_refused_despite_other_variable_names(self):
         route = dict(MAPPINGS["hollins-marr"]["routes"]["booking"])
         route.update(path="/hires/{other}/booking", key="other", methods=["DELETE"])
         self.assert_problem(
@@ -95,10 +95,12 @@
             "belongs to workspace 'humber-glass'",
         )
 
-    def test_plain_key_is_refused_and_never_shown(self):
-        mapping = changed(("workspaces", "depots", "key_digests"), ["s3cret-key"])
+    def test_plain_key_is_refused_and_not_printed(self):
+        mapping = changed_mapping(
+            ("workspaces", "depots", "key_digests"), ["s3cret-key"]
+        )
         [problem] = check_site(mapping).failure()
-        self.assertIn("a key itself must not stand in settings", problem.message)
+        self.assertIn("settings must contain the digest of a key", problem.message)
         self.assertNotIn("s3cret", str(problem))
 
     def test_burst_below_one_is_refused(self):
@@ -116,7 +118,7 @@
     def test_unfenced_keyed_service_with_a_long_timeout_is_refused(self):
         path = ("services", "stock-and-slots", "request_timeout_ms")
         self.assert_problem(path, 1001, ".".join(path), "at most 1000")
-        mapping = changed(path, 1001)
+        mapping = changed_mapping(path, 1001)
         mapping["services"]["stock-and-slots"]["fencing"] = "epoch"
         self.assertIsInstance(check_site(mapping).unwrap(), SiteSettings)
 
@@ -134,23 +136,25 @@
 
 
 class ValueTests(unittest.TestCase):
-    """Guards against values in a wrong unit, type or range."""
+    """Guards against accepting values of a wrong unit, type or range."""
 
     def message(self, path, value):
-        [problem] = check_site(changed(path, value)).failure()
+        [problem] = check_site(changed_mapping(path, value)).failure()
         return problem.message
 
-    def test_time_with_a_unit_in_its_text_names_the_expected_unit(self):
+    def test_time_as_text_with_a_unit_names_the_expected_unit(self):
         path = ("services", "site-documents", "request_timeout_ms")
         self.assertIn("of milliseconds", self.message(path, "30s"))
 
-    def test_setting_in_another_unit_names_the_right_one_only(self):
-        mapping = changed(("services", "site-documents", "request_timeout_s"), 30)
+    def test_setting_in_another_unit_suggests_only_the_expected_one(self):
+        mapping = changed_mapping(
+            ("services", "site-documents", "request_timeout_s"), 30
+        )
         del mapping["services"]["site-documents"]["request_timeout_ms"]
         [problem] = check_site(mapping).failure()
         self.assertIn("did you mean 'request_timeout_ms'?", problem.message)
 
-    def test_flags_are_no_numbers_and_numbers_no_flags(self):
+    def test_booleans_and_numbers_are_not_interchangeable(self):
         self.assertIn(
             "a whole number", self.message(("workspaces", "depots", "burst"), True)
         )
@@ -164,12 +168,12 @@
                     "a number of requests per second", self.message(rate, value)
                 )
 
-    def test_value_given_twice_in_a_list_is_refused(self):
+    def test_duplicate_value_in_a_list_is_refused(self):
         path = ("routes", "booking", "methods")
-        self.assertIn("stands twice", self.message(path, ["POST", "POST"]))
+        self.assertIn("duplicate value", self.message(path, ["POST", "POST"]))
 
     def test_all_problems_are_reported_at_once(self):
-        mapping = changed(("workspaces", "depots", "burst"), 0)
+        mapping = changed_mapping(("workspaces", "depots", "burst"), 0)
         mapping["routes"]["booking"]["service"] = "none"
         mapping["services"]["hire-contracts"]["slots"] = "two"
         mapping["zones"]["hm-a"] = "gone"
@@ -186,12 +190,12 @@
 
 
 class WarningTests(unittest.TestCase):
-    """Guards against warnings that refuse settings, or errors that do not."""
+    """Guards against warnings that make settings invalid."""
 
     def warning(self, path, value):
-        found = inspect_site(changed(path, value))
-        self.assertIsNotNone(found.settings)
-        [problem] = found.problems
+        inspection = inspect_site(changed_mapping(path, value))
+        self.assertIsNotNone(inspection.settings)
+        [problem] = inspection.problems
         self.assertIs(problem.severity, Severity.WARNING)
         return problem.message
 
@@ -209,8 +213,8 @@
     children = value.items() if isinstance(value, dict) else ()
     if isinstance(value, list):
         children = enumerate(value)
-    for step, child in children:
-        yield from paths_of(child, (*path, step))
+    for component, child in children:
+        yield from paths_of(child, (*path, component))
 
 
 ALL_PATHS = [
@@ -239,30 +243,30 @@
 
 
 class MutationTests(unittest.TestCase):
-    """Guards against an exception or invalid settings for any input."""
+    """Guards against exceptions, and settings that violate their schema."""
 
-    def assert_refused_or_valid(self, mapping):
-        found = inspect_site(mapping)
-        if found.settings is None:
-            self.assertTrue(found.problems)
+    def assert_valid_or_problems(self, mapping):
+        inspection = inspect_site(mapping)
+        if inspection.settings is None:
+            self.assertTrue(inspection.problems)
             return
-        body = msgpack.unpackb(msgpack.packb(found.settings))
-        self.assertEqual(msgspec.convert(body, SiteSettings), found.settings)
+        body = msgpack.unpackb(msgpack.packb(inspection.settings))
+        self.assertEqual(msgspec.convert(body, SiteSettings), inspection.settings)
 
     @settings(max_examples=300, deadline=None)
     @given(st.lists(st.tuples(st.sampled_from(ALL_PATHS), VALUES), max_size=3))
     def test_changed_values(self, changes):
         for (name, path), value in changes:
-            self.assert_refused_or_valid(changed(path, value, name))
+            self.assert_valid_or_problems(changed_mapping(path, value, name))
 
     @settings(max_examples=200, deadline=None)
     @given(st.sampled_from(ALL_PATHS), st.text(max_size=12), VALUES)
-    def test_added_names_and_removed_values(self, where, added, value):
-        name, path = where
-        self.assert_refused_or_valid(changed(path, REMOVED, name))
-        self.assert_refused_or_valid(changed((path[0],), {added: value}, name))
+    def test_added_names_and_removed_values(self, location, added, value):
+        name, path = location
+        self.assert_valid_or_problems(changed_mapping(path, REMOVED, name))
+        self.assert_valid_or_problems(changed_mapping((path[0],), {added: value}, name))
 
     @settings(max_examples=200, deadline=None)
     @given(VALUES)
     def test_any_other_input(self, value):
-        self.assert_refused_or_valid(value)
+        self.assert_valid_or_problems(value)
--- a/bergamotdrift/tests/test_cli.py
+++ b/bergamotdrift/tests/test_cli.py
@@ -21,12 +21,12 @@
 SITES = Path(__file__).resolve().parents[2] / "sites"
 BASE = str(SITES / "base.jsonc")
 OVERLAY = str(SITES / "hollins-marr.jsonc")
-# Nothing listens on the discard port of the loopback address here.
-CLOSED = "127.0.0.1:9"
+# No process listens on the discard port of the loopback address.
+CLOSED_ADDRESS = "127.0.0.1:9"
 
 
 class Run:
-    """Hold what a run of the command line left."""
+    """Run the command line and capture its exit code and output."""
 
     def __init__(self, argv):
         self.code: object = None
@@ -47,7 +47,7 @@
 class CliTestCase(unittest.TestCase):
     def setUp(self):
         self.site = FakeSite()
-        self.replicas = [self.replica(), self.replica()]
+        self.replicas = [self.start_replica(), self.start_replica()]
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
@@ -57,7 +57,7 @@
         patch.start()
         self.addCleanup(patch.stop)
 
-    def replica(self):
+    def start_replica(self):
         replica = FakeReplica(self.site)
         self.addCleanup(replica.server.stop)
         return replica
@@ -77,7 +77,7 @@
 
 
 class CheckTests(CliTestCase):
-    """Guards against exit codes and output that a script can't rely on."""
+    """Guards against changes of the exit codes and output that scripts depend on."""
 
     def test_valid_settings_exit_0(self):
         run = self.run_cli("check", BASE, OVERLAY)
@@ -113,7 +113,7 @@
 
 
 class ApplyTests(CliTestCase):
-    """Guards against a change that is applied twice, lost or misreported."""
+    """Guards against changes that are applied twice, lost or misreported."""
 
     def test_applies_over_the_running_revision(self):
         run = self.apply()
@@ -128,13 +128,13 @@
         self.assertEqual(self.site.posts, ["r1", "r1"])
         self.assertEqual(run.json["revision"], 1)
 
-    def test_request_given_again_gets_the_first_answer(self):
+    def test_repeated_request_id_gets_the_first_answer(self):
         self.apply("--request", "r1")
         run = self.apply("--request", "r1", "--base-revision", "0", "--json")
         self.assertEqual((run.code, run.json["revision"]), (0, 1))
         self.assertEqual(self.site.revision, 1)
 
-    def test_conflict_names_the_winner(self):
+    def test_conflict_names_the_running_revision_and_its_author(self):
         self.apply()
         run = self.apply("--base-revision", "0")
         self.assertEqual(run.code, 1)
@@ -169,7 +169,7 @@
         self.assertEqual(conflict.code, 1)
         self.assertIn("would be refused: revision 1 by ann", conflict.out)
 
-    def test_answer_lost_for_good_exits_3_and_names_the_request(self):
+    def test_permanently_lost_answer_exits_3_and_names_the_request(self):
         for replica in self.replicas:
             replica.faults = ["lose answer"] * 100
         argv = ("--request", "r9", "--base-revision", "0", "--timeout", "0.6")
@@ -190,7 +190,7 @@
         run = self.apply("--base-revision", "0", "--timeout", "0.6", "--json")
         self.assertEqual((run.code, run.json["error"]), (3, "outcome_unknown"))
 
-    def test_refusal_after_a_lost_answer_does_not_hide_that_it_may_have_run(self):
+    def test_refusal_after_a_lost_answer_is_an_unknown_outcome(self):
         self.replicas[0].faults = ["lose answer"]
         self.replicas[1].faults = [refusal(ErrorKind.FORBIDDEN)]
         run = self.apply("--base-revision", "0", "--json")
@@ -199,13 +199,13 @@
 
 
 class ReadTests(CliTestCase):
-    """Guards against reads that stop at one replica or hide what they got."""
+    """Guards against reads that try only one replica or omit data from the output."""
 
-    def test_next_replica_answers_when_one_is_down(self):
-        run = self.run_cli("show", "-c", CLOSED, "-c", self.replicas[1].address)
+    def test_next_replica_is_tried_when_one_is_down(self):
+        run = self.run_cli("show", "-c", CLOSED_ADDRESS, "-c", self.replicas[1].address)
         self.assertEqual((run.code, run.out), (0, "revision 0: no settings yet\n"))
 
-    def test_hint_of_a_replica_that_does_not_lead_is_followed(self):
+    def test_leader_hint_of_a_follower_is_followed(self):
         leader = self.replicas[1].address
         self.replicas[0].faults = [refusal(ErrorKind.NOT_LEADER, leader=leader)] * 99
         run = self.run_cli("status", "-c", self.replicas[0].address)
@@ -213,7 +213,7 @@
         self.assertEqual(len(self.replicas[0].faults), 98)
 
     def test_unreachable_replicas_exit_3(self):
-        run = self.run_cli("show", "-c", CLOSED, "--timeout", "0.3", "--json")
+        run = self.run_cli("show", "-c", CLOSED_ADDRESS, "--timeout", "0.3", "--json")
         self.assertEqual((run.code, run.json["error"]), (3, "unreachable"))
 
     def test_wrong_operator_key_exits_1(self):
@@ -237,7 +237,7 @@
         self.assertNotIn("\x1b", run.out)
         self.assertIn("\\x1b[2J", run.out)
 
-    def test_audit_passes_its_window(self):
+    def test_audit_passes_after_and_limit(self):
         run = self.run_cli("audit", "--after", "3", "--limit", "2", "--json")
         self.assertEqual([e["number"] for e in run.json["rows"]], [4, 5])
         text = self.run_cli("audit").out
--- a/bergamotdrift/tests/test_diff.py
+++ b/bergamotdrift/tests/test_diff.py
@@ -6,7 +6,7 @@
 
 
 class DiffTests(unittest.TestCase):
-    """Guards against a comparison that hides a change or invents one."""
+    """Guards against missing or false differences."""
 
     def setUp(self):
         self.old = MAPPINGS["iroda"]
@@ -15,12 +15,12 @@
     def lines(self):
         return [str(change) for change in diff_sites(self.old, self.new)]
 
-    def test_equal_settings_have_no_difference_whatever_their_order(self):
+    def test_order_of_entries_is_no_difference(self):
         self.new["workspaces"] = dict(reversed(self.new["workspaces"].items()))
         self.new["workspaces"]["watchdogs"]["services"].reverse()
         self.assertEqual(self.lines(), [])
 
-    def test_stated_defaults_are_no_difference(self):
+    def test_explicit_defaults_are_no_difference(self):
         self.new["routes"]["submissions"]["urgent"] = False
         self.assertEqual(self.lines(), [])
 
@@ -42,7 +42,7 @@
         routes = {line.split('"')[1] for line in lines if "routes" in line}
         self.assertEqual(len(routes), 2)
 
-    def test_first_settings_and_foreign_ones_are_compared_too(self):
+    def test_missing_and_invalid_old_settings_are_compared(self):
         self.assertTrue(all(c.old is None for c in diff_sites(None, self.new)))
         changes = diff_sites({"zones": ["a"], "site": {"x": 1}}, self.new)
         self.assertIn("site.x", {change.path for change in changes})
--- a/bergamotdrift/tests/test_docs.py
+++ b/bergamotdrift/tests/test_docs.py
@@ -7,7 +7,7 @@
 from bergamotdrift.commands import apply, audit, check, show, status
 from bergamotdrift.config import process
 from bergamotdrift.config.containers import NamedSections, NamedValues, Section
-from bergamotdrift.config.site import SITE
+from bergamotdrift.config.site import SITE_OPTIONS
 from bergamotdrift.exceptions import ANSWERS, ErrorKind
 
 _DOCS = Path(__file__).resolve().parents[2] / "docs"
@@ -20,7 +20,7 @@
 }
 
 
-def table(page, heading):
+def table_rows(page, heading):
     """Return the rows below the first table heading of a page, as lists of cells."""
     lines = (_DOCS / page).read_text().splitlines()
     start = lines.index(heading) + 2
@@ -32,7 +32,7 @@
     return rows
 
 
-class Row(NamedTuple):
+class ReferenceRow(NamedTuple):
     path: str
     values: str
     default: str
@@ -48,7 +48,7 @@
     else:
         if isinstance(option, NamedValues):
             path, option = f"{path}.<name>", option.item
-        yield Row(f"`{path}`", option.describe(), default_text(option))
+        yield ReferenceRow(f"`{path}`", option.describe(), default_text(option))
 
 
 def default_text(option):
@@ -60,7 +60,7 @@
 
 
 class ErrorTableTests(unittest.TestCase):
-    """Guards against a page that promises another answer than callers get."""
+    """Guards against error tables in the docs that differ from the actual responses."""
 
     def assert_rows(self, rows, kinds):
         documented = {}
@@ -77,33 +77,35 @@
     def test_callers(self):
         heading = "| kind | status | not run | Retry-After | what to do |"
         kinds = set(ErrorKind) - _CONTROL_KINDS
-        self.assert_rows(table("callers.md", heading), kinds)
+        self.assert_rows(table_rows("callers.md", heading), kinds)
 
     def test_operators(self):
         heading = "| kind | status | not run | Retry-After | meaning |"
-        self.assert_rows(table("operators.md", heading), _CONTROL_KINDS)
+        self.assert_rows(table_rows("operators.md", heading), _CONTROL_KINDS)
 
 
 class SettingsReferenceTests(unittest.TestCase):
-    """Guards against a reference that differs from the checked options."""
+    """Guards against a settings reference that differs from the defined options."""
 
     def assert_section(self, first_column, section):
-        rows = table("operators.md", f"| {first_column} | values | default | meaning |")
+        rows = table_rows(
+            "operators.md", f"| {first_column} | values | default | meaning |"
+        )
         self.assertTrue(all(len(row) == 4 and row[3] for row in rows))
-        documented = [Row(*row[:3]) for row in rows]
+        documented = [ReferenceRow(*row[:3]) for row in rows]
         self.assertEqual(documented, list(reference_rows(section)))
 
     def test_site(self):
-        self.assert_section("site setting", SITE)
+        self.assert_section("site setting", SITE_OPTIONS)
 
     def test_processes(self):
-        self.assert_section("entry setting", process.ENTRY)
-        self.assert_section("arbiter setting", process.ARBITER)
-        self.assert_section("control setting", process.CONTROL)
+        self.assert_section("entry setting", process.ENTRY_OPTIONS)
+        self.assert_section("arbiter setting", process.ARBITER_OPTIONS)
+        self.assert_section("control setting", process.CONTROL_OPTIONS)
 
 
 class CommandTests(unittest.TestCase):
-    """Guards against options of the command line that no page names."""
+    """Guards against undocumented command-line options."""
 
     def test_each_option_is_named(self):
         text = (_DOCS / "operators.md").read_text()
@@ -116,7 +118,7 @@
 
 
 class ExampleTests(unittest.TestCase):
-    """Guards against examples of the library page that do not run."""
+    """Guards against examples in library.md that fail."""
 
     def test_examples_run(self):
         text = (_DOCS / "library.md").read_text()
@@ -128,7 +130,7 @@
 
 
 def logged_events(source):
-    """Yield the names that calls of `log_event` pass as text."""
+    """Yield the event names that calls of `log_event` pass as string literals."""
     for call in ast.walk(ast.parse(source)):
         if not isinstance(call, ast.Call) or not call.args:
             continue
@@ -140,7 +142,7 @@
 
 
 class LogEventTests(unittest.TestCase):
-    """Guards against events that an operator meets in a log and can't look up."""
+    """Guards against undocumented log events."""
 
     def test_each_event_is_explained(self):
         page = (_DOCS / "operators.md").read_text()
--- a/bergamotdrift/tests/test_loader.py
+++ b/bergamotdrift/tests/test_loader.py
@@ -15,7 +15,7 @@
 
 
 class ShippedSettingsTests(unittest.TestCase):
-    """Guards against shipped settings that no longer pass their own checks."""
+    """Guards against shipped settings that fail the settings check."""
 
     def check_site(self, name, zones, services):
         site = load_site(BASE, str(SITES / f"{name}.jsonc")).unwrap()
--- a/bergamotdrift/tests/test_positions.py
+++ b/bergamotdrift/tests/test_positions.py
@@ -10,7 +10,7 @@
 
 
 class PositionTests(unittest.TestCase):
-    """Guards against problems that name the wrong line."""
+    """Guards against problems reported with a wrong line."""
 
     def test_lines_of_values_between_comments(self):
         text = "// {a: 1\n{ a /* b:\n */ : 1,\n 'b': [ 2, // x\n  {\"c\\n\": 3} ] , }"
@@ -26,14 +26,14 @@
     @settings(max_examples=200, deadline=None)
     @given(VALUES, st.sampled_from([None, 0, 2]))
     def test_every_value_has_a_line(self, value, indent):
-        # json5 does not join escaped surrogate pairs, so none may be escaped.
+        # json5 does not combine escaped surrogate pairs, so the text is not escaped.
         text = json.dumps(value, indent=indent, ensure_ascii=False)
         lines = find_positions(text).lines
-        # A value that is no container at the top has no path of its own.
+        # A top-level scalar has no path.
         expected = set(paths_of(value)) if isinstance(value, (dict, list)) else set()
         self.assertEqual(set(lines), expected)
         if indent is not None and isinstance(value, (dict, list)):
-            # Each value starts its own line, so lines follow the order of paths.
+            # With indentation, each value starts on its own line.
             self.assertEqual(len(set(lines.values())), len(lines))
 
     @settings(max_examples=200, deadline=None)
--- a/bergamotdrift/tests/test_problems.py
+++ b/bergamotdrift/tests/test_problems.py
@@ -5,21 +5,21 @@
 
 from bergamotdrift.config.problems import Problem, Severity, format_path, parent_path
 
-STEPS = st.one_of(
+PATH_COMPONENTS = st.one_of(
     st.integers(0, 20), st.text(alphabet='ab."\\[]\n-', max_size=6), st.text()
 )
 
 
 class PathTests(unittest.TestCase):
-    """Guards against a path that names another value, or breaks its line."""
+    """Guards against ambiguous formatted paths and paths with a line break."""
 
-    @given(st.lists(STEPS, min_size=1, max_size=4))
-    def test_parent_of_a_formatted_path(self, steps):
-        text = format_path(tuple(steps))
-        self.assertEqual(parent_path(text), format_path(tuple(steps[:-1])))
+    @given(st.lists(PATH_COMPONENTS, min_size=1, max_size=4))
+    def test_parent_of_a_formatted_path(self, components):
+        text = format_path(tuple(components))
+        self.assertEqual(parent_path(text), format_path(tuple(components[:-1])))
         self.assertNotIn("\n", text)
 
-    @given(st.lists(STEPS, max_size=3), st.lists(STEPS, max_size=3))
+    @given(st.lists(PATH_COMPONENTS, max_size=3), st.lists(PATH_COMPONENTS, max_size=3))
     def test_different_paths_have_different_text(self, one, other):
         same = format_path(tuple(one)) == format_path(tuple(other))
         self.assertEqual(same, one == other)
--- a/bergamotdrift/tests/test_source.py
+++ b/bergamotdrift/tests/test_source.py
@@ -25,7 +25,7 @@
 
 
 class MergeTests(FileTestCase):
-    """Guards against an overlay that changes more or less than it states."""
+    """Guards against an overlay that changes other values than those it contains."""
 
     def merge(self, base, overlay):
         return read_merged(
@@ -46,7 +46,7 @@
 
 
 class UnreadableFileTests(FileTestCase):
-    """Guards against an exception or a silent choice instead of a problem."""
+    """Guards against unreadable files that raise an exception or pass silently."""
 
     def failure(self, text):
         result = read_merged(self.write("base.jsonc", text), None)
@@ -57,7 +57,7 @@
         [problem] = self.failure('{\n  "a": 1,\n  "b" 2\n}')
         self.assertEqual(problem.line, 3)
 
-    def test_names_that_stand_twice_are_all_reported_with_both_lines(self):
+    def test_all_duplicate_names_are_reported_with_both_lines(self):
         problems = self.failure('{\n"a": 1,\n"b": {"c": 1,\n"c": 2},\n"a": 3}')
         found = [(p.path, p.line) for p in problems]
         self.assertEqual(found, [("b.c", 4), ("a", 5)])
@@ -77,8 +77,8 @@
         self.assertEqual(problem.line, 2)
 
 
-class OverlayPlaceTests(FileTestCase):
-    """Guards against a problem that names the file which does not hold the value."""
+class OverlayLocationTests(FileTestCase):
+    """Guards against problems reported with the wrong file of base and overlay."""
 
     BASE = """{
       "site": "s", "zones": {"a": "in"},
@@ -97,7 +97,7 @@
           "GOT"], "urgnet": 1}},
       "services": {"p": {"queue_limit": 0}}}"""
 
-    def test_problems_name_the_line_of_the_value_in_its_own_file(self):
+    def test_problems_name_the_file_and_line_of_the_value(self):
         base = self.write("base.jsonc", self.BASE)
         overlay = self.write("overlay.jsonc", self.OVERLAY)
         problems = load_site(base, overlay).failure()
@@ -118,20 +118,20 @@
         self.assertIn(("services.p.slots", 3), [(p.path, p.line) for p in problems])
 
 
-SHIPPED = (SITES / "iroda.jsonc").read_text()
+SHIPPED_OVERLAY = (SITES / "iroda.jsonc").read_text()
 
 
 class MutatedTextTests(FileTestCase):
-    """Guards against an exception for any damaged file."""
+    """Guards against exceptions for malformed files."""
 
     @settings(max_examples=40, deadline=None)
     @given(
-        st.integers(0, len(SHIPPED)),
+        st.integers(0, len(SHIPPED_OVERLAY)),
         st.integers(0, 40),
         st.text(alphabet="{}[]:,'\"ab/*\\ \n1", max_size=4),
     )
     def test_damaged_overlay_is_refused_or_valid(self, start, length, inserted):
-        text = SHIPPED[:start] + inserted + SHIPPED[start + length :]
+        text = SHIPPED_OVERLAY[:start] + inserted + SHIPPED_OVERLAY[start + length :]
         overlay = self.write("overlay.jsonc", text)
         result = load_site(str(SITES / "base.jsonc"), overlay)
         if not is_successful(result):
