--- a/scripts/bare_proxy.py
+++ b/scripts/bare_proxy.py
@@ -1,4 +1,4 @@
-"""Bare falcon and geventhttpclient proxy, the baseline of the added latency."""
+"""Minimal falcon and geventhttpclient proxy, the baseline for added latency."""
 
 import sys
 from typing import Any
@@ -14,7 +14,7 @@
 
 
 class BareProxy:
-    """Forward GET requests to one upstream with a pool, without any rule."""
+    """Forward requests without bodies to one upstream over a connection pool."""
 
     def __init__(self, address: str):
         self._client = HTTPClient.from_url(
@@ -23,13 +23,13 @@
 
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_: Any) -> None:
         """Forward one request."""
-        answer = self._client.request(req.method, req.path, headers=_SERVICE_HEADERS)
-        resp.data = answer.read()
-        resp.status = answer.status_code
+        response = self._client.request(req.method, req.path, headers=_SERVICE_HEADERS)
+        resp.data = response.read()
+        resp.status = response.status_code
 
 
 def main() -> None:
-    """Serve `listen` by forwarding to `upstream`."""
+    """Listen on the first argument and forward to the upstream in the second."""
     listen, upstream = sys.argv[1:3]
     app = falcon.App()
     app.add_sink(BareProxy(upstream))
--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -1,8 +1,9 @@
-"""Compare the product's decisions with the naive version on simulated sites.
+"""Compare the product's routing with a naive baseline on simulated sites.
 
-A discrete-event loop drives the product's own decision code: control's state and
-duties, arbiters' shards, rate buckets and caches, retry rules. Upstreams, latencies
-and faults are modelled. Both versions get the same seeded requests and faults.
+A discrete-event simulation runs the product's own decision code: the control state
+and the leader's duties, the arbiters' shards, rate buckets and caches, and the retry
+rules. Upstreams, latencies and faults are modelled. Both versions get the same seeded
+requests and faults.
 """
 
 import argparse
@@ -15,27 +16,27 @@
 
 from tabulate import tabulate
 
-from scripts.measure_loop import Loop
+from scripts.measure_loop import EventLoop
 from scripts.measure_naive import NaiveRouter
 from scripts.measure_report import (
     MEASURES,
     MUST_BE_ZERO,
-    Ledger,
+    RunStats,
     refusal_rows,
     table_rows,
 )
-from scripts.measure_routers import OurRouter
+from scripts.measure_routers import ProductRouter
 from scripts.measure_sites import SITES, make_site
 from scripts.measure_upstreams import Fleet
 
 VERSIONS = ("naive", "ours")
-# Requests of the last moment still get their answers.
-_TAIL_MS = 6000.0
-_PROCESSES = 3
+# Lets requests that arrive at the end of the traffic finish.
+_DRAIN_MS = 6000.0
+_WORKER_PROCESSES = 3
 
 
 class Run(NamedTuple):
-    """Name one run."""
+    """Identify a simulation run."""
 
     site: str
     seed: int
@@ -44,42 +45,44 @@
 
 
 class Outcome(NamedTuple):
-    """Hold the measures and the refusals by kind of one run."""
+    """Hold the measures of one run and its shares of unserved requests by kind."""
 
     figures: dict[str, float]
     refusals: dict[str, float]
 
 
 def simulate(run: Run) -> Outcome:
-    """Carry out one run."""
-    loop = Loop()
+    """Simulate one run and return its measures."""
+    loop = EventLoop()
     site = make_site(run.site, run.seed, run.seconds)
     fleet = Fleet(loop, site, run.seed)
-    ledger = Ledger(site)
-    router: NaiveRouter | OurRouter
+    stats = RunStats(site)
+    router: NaiveRouter | ProductRouter
     if run.version == "naive":
-        router = NaiveRouter(loop, site, fleet, ledger)
+        router = NaiveRouter(loop, site, fleet, stats)
     else:
-        router = OurRouter(loop, site, fleet, ledger, run.seed)
+        router = ProductRouter(loop, site, fleet, stats, run.seed)
     for req in site.requests:
-        loop.at(req.at_ms, router.arrive, req)
-    loop.run(site.plan.end_ms + _TAIL_MS)
-    return Outcome(ledger.figures(fleet), ledger.refusal_shares())
+        loop.call_at(req.at_ms, router.arrive, req)
+    loop.run(site.plan.end_ms + _DRAIN_MS)
+    return Outcome(stats.figures(fleet), stats.refusal_shares())
 
 
 def simulate_all(sites: list[str], seeds: int, seconds: float) -> dict[Run, Outcome]:
-    """Carry out the runs of all sites, seeds and versions."""
+    """Simulate all sites, seeds and versions in worker processes."""
     runs = [
         Run(site, seed, seconds, version)
         for site in sites
         for seed in range(1, seeds + 1)
         for version in VERSIONS
     ]
-    with ProcessPoolExecutor(_PROCESSES) as pool:
+    with ProcessPoolExecutor(_WORKER_PROCESSES) as pool:
         return dict(zip(runs, pool.map(simulate, runs), strict=True))
 
 
-def _of(outcomes: dict[Run, Outcome], site: str, version: str) -> list[Outcome]:
+def _select_outcomes(
+    outcomes: dict[Run, Outcome], site: str, version: str
+) -> list[Outcome]:
     return [
         outcome
         for run, outcome in outcomes.items()
@@ -90,10 +93,16 @@
 def print_tables(
     outcomes: dict[Run, Outcome], sites: list[str], earlier: dict[str, dict]
 ) -> None:
-    """Print a table for each site, with ours of an earlier run where one is given."""
+    """Print a table for each site, with the product's earlier figures if given."""
     for site in sites:
-        figures = {v: [o.figures for o in _of(outcomes, site, v)] for v in VERSIONS}
-        refusals = {v: [o.refusals for o in _of(outcomes, site, v)] for v in VERSIONS}
+        figures = {
+            v: [o.figures for o in _select_outcomes(outcomes, site, v)]
+            for v in VERSIONS
+        }
+        refusals = {
+            v: [o.refusals for o in _select_outcomes(outcomes, site, v)]
+            for v in VERSIONS
+        }
         if site in earlier:
             figures = {"earlier": earlier[site]["figures"], **figures}
             refusals = {"earlier": earlier[site]["refusals"], **refusals}
@@ -103,8 +112,8 @@
         print(tabulate(rows, ["measure", "unit", *headers], tablefmt="github"))
 
 
-def overshoots(outcomes: dict[Run, Outcome]) -> list[str]:
-    """Return what our version exceeded in any run."""
+def exceeded_limits(outcomes: dict[Run, Outcome]) -> list[str]:
+    """Return a line for each limit that the product exceeded in a run."""
     return [
         f"{run.site}, seed {run.seed}: {name} of {outcome.figures[name]:.0f}"
         for run, outcome in outcomes.items()
@@ -115,24 +124,24 @@
 
 
 def _as_json(outcomes: dict[Run, Outcome], sites: list[str]) -> str:
-    kept = {
+    by_site = {
         site: {
-            "figures": [o.figures for o in _of(outcomes, site, "ours")],
-            "refusals": [o.refusals for o in _of(outcomes, site, "ours")],
+            "figures": [o.figures for o in _select_outcomes(outcomes, site, "ours")],
+            "refusals": [o.refusals for o in _select_outcomes(outcomes, site, "ours")],
         }
         for site in sites
     }
-    return json.dumps(kept, indent=1)
+    return json.dumps(by_site, indent=1)
 
 
 def main() -> int:
-    """Run, print the tables and return 1 if our version exceeded a limit."""
+    """Simulate, print the tables and return 1 if the product exceeded a limit."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--seeds", type=int, default=5, help="how many, from 1")
-    parser.add_argument("--seconds", type=float, default=60.0, help="of traffic")
-    parser.add_argument("--site", choices=sorted(SITES), help="only this one")
-    parser.add_argument("--json", type=Path, help="write the figures of ours here")
-    parser.add_argument("--against", type=Path, help="show ours of an earlier --json")
+    parser.add_argument("--seeds", type=int, default=5, help="number of seeds, from 1")
+    parser.add_argument("--seconds", type=float, default=60.0, help="time of traffic")
+    parser.add_argument("--site", choices=sorted(SITES), help="simulate only this site")
+    parser.add_argument("--json", type=Path, help="file for the figures of ours")
+    parser.add_argument("--against", type=Path, help="earlier --json file to show")
     args = parser.parse_args()
     sites = [args.site] if args.site else list(SITES)
     earlier = json.loads(args.against.read_text()) if args.against else {}
@@ -141,7 +150,7 @@
     print_tables(outcomes, sites, earlier)
     if args.json:
         args.json.write_text(_as_json(outcomes, sites))
-    exceeded = overshoots(outcomes)
+    exceeded = exceeded_limits(outcomes)
     print(f"\n{len(MEASURES)} measures, {args.seeds} seeds, {args.seconds:g} s of")
     print(f"traffic each, in {time.monotonic() - started_s:.0f} s")
     for line in exceeded:
--- a/scripts/measure_cluster.py
+++ b/scripts/measure_cluster.py
@@ -1,4 +1,4 @@
-"""Control and arbiters of one site around the product's decision code."""
+"""Simulated control and arbiters of a site that run the product's decision code."""
 
 import random
 from collections.abc import Callable
@@ -23,206 +23,223 @@
 from bergamotdrift.shard_set import ShardSet
 from bergamotdrift.tables import PartitionId, Tables
 from bergamotdrift.takeover import EntryId
-from scripts.measure_loop import Loop
-from scripts.measure_report import Ledger
+from scripts.measure_loop import EventLoop
+from scripts.measure_report import RunStats
 from scripts.measure_sites import ENTRIES, Site
-from scripts.measure_upstreams import Fleet, Upstream, zones_with
+from scripts.measure_upstreams import Fleet, Upstream, with_zone_state
 
 _TICK_MS = 10.0
-_LEAD_MS = 50.0
-# A commit syncs on two disks; then the feed goes out.
+_LEADER_ROUND_MS = 50.0
+# A commit is synced to disk on two replicas before the feed is sent.
 _COMMIT_MS = 8.0
-_POWER_OFF_MS = 4000.0
-_POWER_ON_MS = 1000.0
-_ARBITER_DOWN_MS = 5000.0
+_POWER_OFF_DELAY_MS = 4000.0
+_POWER_ON_LEAD_MS = 1000.0
+_ARBITER_DOWNTIME_MS = 5000.0
 
-Answer = Callable[[Message], None]
+ReplyCallback = Callable[[Message], None]
 
 
-class EntrySide(Protocol):
-    """What the cluster tells an entry."""
+class EntryListener(Protocol):
+    """Receive the cluster's messages to an entry."""
 
     def on_feed(self, update: FeedUpdate) -> None:
-        """Follow changed tables."""
+        """Handle an update of the tables."""
         ...
 
     def on_notice(self, msg: Message) -> None:
-        """Take a one-way message of an arbiter."""
+        """Handle a one-way message from an arbiter."""
         ...
 
 
 class _Ticket:
-    """Hold the answer that an entry waits for; told once."""
+    """Deliver the reply of a pending call to an entry, at most once."""
 
-    __slots__ = ("answer", "is_told")
+    __slots__ = ("is_resolved", "on_reply")
 
-    def __init__(self, answer: Answer):
-        self.answer = answer
-        self.is_told = False
+    def __init__(self, on_reply: ReplyCallback):
+        self.on_reply = on_reply
+        self.is_resolved = False
 
-    def tell(self, msg: Message) -> None:
-        if not self.is_told:
-            self.is_told = True
-            self.answer(msg)
+    def resolve(self, msg: Message) -> None:
+        if not self.is_resolved:
+            self.is_resolved = True
+            self.on_reply(msg)
 
 
 class Node:
-    """Hold one entry or arbiter process."""
+    """Model an entry or arbiter process."""
 
     def __init__(self, role: Role, number: int, zone: str):
         self.role, self.number, self.zone = role, number, zone
         self.name = f"{role.value}-{number}"
-        self.run = 1
+        self.incarnation = 1
         self.is_up = True
         self.shards: ShardSet | None = None
-        self.asked: dict[_Ticket, None] = {}
+        self.pending_calls: dict[_Ticket, None] = {}
 
     @property
     def row(self) -> NodeRow:
         """Return the node's row."""
-        run = f"i{self.run}"
+        incarnation = f"i{self.incarnation}"
         vm = f"vm-{self.number}"
-        return NodeRow(self.name, self.role, run, vm, self.zone, f"{self.name}:1")
+        return NodeRow(
+            self.name, self.role, incarnation, vm, self.zone, f"{self.name}:1"
+        )
 
     @property
     def entry_id(self) -> EntryId:
-        """Return the identity of an entry's run."""
-        return EntryId(self.name, f"i{self.run}")
+        """Return the identity of the entry's current incarnation."""
+        return EntryId(self.name, f"i{self.incarnation}")
 
 
-class _Announced(NamedTuple):
-    """Hold an announcement that waits for its reply."""
+class _PendingAnnouncement(NamedTuple):
+    """Hold an announcement that is waiting for its reply."""
 
     up: Upstream
-    item: Announcement
-    asked_ms: float
-    run: int
+    announcement: Announcement
+    sent_ms: float
+    incarnation: int
 
 
 class Cluster:
-    """Run control's leader and the arbiters, and carry messages with latency."""
+    """Simulate control's leader, the arbiters and the latency of their messages."""
 
-    def __init__(self, loop: Loop, site: Site, fleet: Fleet, ledger: Ledger, seed: int):
-        self.loop, self.site, self._ledger = loop, site, ledger
+    def __init__(
+        self, loop: EventLoop, site: Site, fleet: Fleet, stats: RunStats, seed: int
+    ):
+        self.loop, self.site, self._stats = loop, site, stats
         self._rng = random.Random(f"cluster-{seed}")
         self._state = ControlState()
-        self._index = 0
+        self._log_index = 0
         self._revision = 0
         self.tables = Tables()
         self._owners: dict[PartitionId, str] = {}
-        self._held: list[_Announced] = []
-        self.entry_sides: dict[str, EntrySide] = {}
+        self._pending_announcements: list[_PendingAnnouncement] = []
+        self.entry_listeners: dict[str, EntryListener] = {}
         self._apply(self._settings_change(site.settings))
         self._duties = LeaderDuties(self._state, 0.0)
         self._nodes = {
             node.name: node
             for number in range(ENTRIES)
-            for node in self._vm(number, site.zone_of(number))
+            for node in self._vm_nodes(number, site.zone_of(number))
         }
         self._fleet = fleet
-        self._start()
+        self._schedule_events()
 
     @staticmethod
-    def _vm(number: int, zone: str) -> list[Node]:
+    def _vm_nodes(number: int, zone: str) -> list[Node]:
         return [Node(role, number, zone) for role in (Role.ENTRY, Role.ARBITER)]
 
     def entry(self, number: int) -> Node:
         """Return the node of an entry."""
         return self._nodes[f"entry-{number}"]
 
-    def call(self, entry: Node, shard: str, msg: Message, answer: Answer) -> None:
-        """Send a request to a shard's arbiter; `answer` gets the reply or a Failure."""
-        ticket = _Ticket(answer)
+    def call(
+        self, entry: Node, shard: str, msg: Message, on_reply: ReplyCallback
+    ) -> None:
+        """Call a shard's arbiter; `on_reply` gets the reply or a Failure."""
+        ticket = _Ticket(on_reply)
         node = self._arbiter(shard)
         hop_ms = self.site.model.hop_ms
         if node is None:
-            self.loop.after(0.0, ticket.tell, _unreachable())
+            self.loop.call_later(0.0, ticket.resolve, _unreachable_failure())
             return
-        node.asked[ticket] = None
-        self.loop.after(hop_ms, self._deliver_to, node, node.run, entry, msg, ticket)
+        node.pending_calls[ticket] = None
+        self.loop.call_later(
+            hop_ms, self._handle_message, node, node.incarnation, entry, msg, ticket
+        )
 
     def send(self, entry: Node, shard: str, msg: Message) -> None:
         """Send a one-way message to a shard's arbiter."""
         node = self._arbiter(shard)
         if node is not None:
             hop_ms = self.site.model.hop_ms
-            self.loop.after(hop_ms, self._deliver_to, node, node.run, entry, msg, None)
+            self.loop.call_later(
+                hop_ms, self._handle_message, node, node.incarnation, entry, msg, None
+            )
 
     def _arbiter(self, shard: str) -> Node | None:
         row = self.tables.shards.get(shard)
         node = self._nodes.get(row.node) if row is not None else None
         return node if node is not None and node.is_up else None
 
-    def _deliver_to(
-        self, node: Node, run: int, entry: Node, msg: Message, ticket: _Ticket | None
+    def _handle_message(
+        self,
+        node: Node,
+        incarnation: int,
+        entry: Node,
+        msg: Message,
+        ticket: _Ticket | None,
     ) -> None:
-        if node.is_up and node.run == run and node.shards is not None:
-            self._deliver(node, node.shards.handle(entry.entry_id, msg, ticket))
+        if node.is_up and node.incarnation == incarnation and node.shards is not None:
+            self._deliver_outputs(node, node.shards.handle(entry.entry_id, msg, ticket))
 
-    def _deliver(self, node: Node, outputs: list[Output]) -> None:
+    def _deliver_outputs(self, node: Node, outputs: list[Output]) -> None:
         hop_ms = self.site.model.hop_ms
         for output in outputs:
             if isinstance(output, Reply) and output.ticket is not None:
-                node.asked.pop(output.ticket, None)
-                self.loop.after(hop_ms, output.ticket.tell, output.message)
+                node.pending_calls.pop(output.ticket, None)
+                self.loop.call_later(hop_ms, output.ticket.resolve, output.message)
             elif isinstance(output, Notice):
-                side = self.entry_sides.get(output.entry.node)
-                if side is not None:
-                    self.loop.after(hop_ms, side.on_notice, output.message)
+                listener = self.entry_listeners.get(output.entry.node)
+                if listener is not None:
+                    self.loop.call_later(hop_ms, listener.on_notice, output.message)
 
     # Timers
 
-    def _start(self) -> None:
+    def _schedule_events(self) -> None:
         loop, plan = self.loop, self.site.plan
         for number, node in enumerate(self._nodes.values()):
-            self._run_node(node)
-            loop.every(250.0, self._ping_of(node), number * 7.0)
-        loop.every(_LEAD_MS, self._lead, 1.0)
-        loop.every(_TICK_MS, self._tick, 3.0)
-        loop.every(100.0, self._report_drained, 5.0)
-        loop.every(2000.0, self._report_loads, 9.0)
-        loop.every(1000.0, self._poll_loads, 11.0)
+            self._start_node(node)
+            loop.call_every(250.0, self._make_ping(node), number * 7.0)
+        loop.call_every(_LEADER_ROUND_MS, self._run_leader_round, 1.0)
+        loop.call_every(_TICK_MS, self._tick, 3.0)
+        loop.call_every(100.0, self._report_drained, 5.0)
+        loop.call_every(2000.0, self._report_loads, 9.0)
+        loop.call_every(1000.0, self._poll_loads, 11.0)
         self._fleet.start_announcing(self._announce)
-        out = plan.zone_out
-        loop.at(out.start_ms, self._set_zone, ZoneState.OUT)
-        loop.at(out.end_ms, self._set_zone, ZoneState.IN)
+        zone_out = plan.zone_out_window
+        loop.call_at(zone_out.start_ms, self._set_zone, ZoneState.OUT)
+        loop.call_at(zone_out.end_ms, self._set_zone, ZoneState.IN)
         for node in self._nodes.values():
-            if node.zone == self.site.lost_zone:
-                loop.at(out.start_ms + _POWER_OFF_MS, self._crash, node)
-                loop.at(out.end_ms - _POWER_ON_MS, self._restart, node)
-        loop.at(plan.arbiter_crash_ms, self._crash_busiest)
+            if node.zone == self.site.outage_zone:
+                loop.call_at(zone_out.start_ms + _POWER_OFF_DELAY_MS, self._crash, node)
+                loop.call_at(zone_out.end_ms - _POWER_ON_LEAD_MS, self._restart, node)
+        loop.call_at(plan.arbiter_crash_ms, self._crash_busiest_arbiter)
 
-    def _run_node(self, node: Node) -> None:
+    def _start_node(self, node: Node) -> None:
         if node.role is Role.ARBITER:
             rng = random.Random(self._rng.random())
-            may_act = self._may_act_of(node, node.run)
+            may_act = self._make_may_act(node, node.incarnation)
             node.shards = ShardSet(node.name, self.loop.clock, rng, may_act)
             if self.tables.index:
-                self._deliver(node, node.shards.update(self.tables))
+                self._deliver_outputs(node, node.shards.update(self.tables))
 
     @staticmethod
-    def _may_act_of(node: Node, run: int) -> Callable[[], bool]:
-        return lambda: node.is_up and node.run == run
+    def _make_may_act(node: Node, incarnation: int) -> Callable[[], bool]:
+        return lambda: node.is_up and node.incarnation == incarnation
 
-    def _crash_busiest(self) -> None:
+    def _crash_busiest_arbiter(self) -> None:
         arbiters = [n for n in self._nodes.values() if n.shards is not None and n.is_up]
         busiest = max(arbiters, key=lambda n: (n.shards.count(), n.name))  # type: ignore[union-attr]
         self._crash(busiest)
-        self.loop.after(_ARBITER_DOWN_MS, self._restart, busiest)
+        self.loop.call_later(_ARBITER_DOWNTIME_MS, self._restart, busiest)
 
     def _crash(self, node: Node) -> None:
         node.is_up = False
         node.shards = None
-        for ticket in list(node.asked):
-            self.loop.after(self.site.model.hop_ms, ticket.tell, _unreachable())
-        node.asked.clear()
+        for ticket in list(node.pending_calls):
+            self.loop.call_later(
+                self.site.model.hop_ms, ticket.resolve, _unreachable_failure()
+            )
+        node.pending_calls.clear()
 
     def _restart(self, node: Node) -> None:
         node.is_up = True
-        node.run += 1
-        self._run_node(node)
+        node.incarnation += 1
+        self._start_node(node)
 
-    def _ping_of(self, node: Node) -> Callable[[], None]:
+    def _make_ping(self, node: Node) -> Callable[[], None]:
         def ping() -> None:
             if node.is_up:
                 self._duties.ping(node.row, self.tables.index, self.loop.now_ms)
@@ -232,14 +249,14 @@
     def _tick(self) -> None:
         for node in self._nodes.values():
             if node.shards is not None:
-                self._deliver(node, node.shards.tick())
+                self._deliver_outputs(node, node.shards.tick())
 
     def _report_drained(self) -> None:
         for node in self._nodes.values():
             if node.shards is None:
                 continue
-            for ref in node.shards.drained():
-                self._duties.drained(ref, node.name)
+            for partition in node.shards.drained():
+                self._duties.drained(partition, node.name)
 
     def _report_loads(self) -> None:
         for node in self._nodes.values():
@@ -249,77 +266,91 @@
                 self._duties.add_loads(report, self.loop.now_ms)
 
     def _poll_loads(self) -> None:
-        hints = {key: up.report() for key, up in self._fleet.upstreams.items()}
+        hints = {key: up.load_report() for key, up in self._fleet.upstreams.items()}
         for node in self._nodes.values():
             if node.shards is None:
                 continue
             for shard in list(node.shards.permits.values()):
                 for load in list(shard.upstreams):
                     hint = hints.get((load.row.service, load.row.upstream))
-                    self._deliver(node, shard.probed(load.row.upstream, hint))
+                    self._deliver_outputs(node, shard.probed(load.row.upstream, hint))
 
     # Control
 
-    def _announce(self, up: Upstream, item: Announcement) -> None:
-        call = _Announced(up, item, self.loop.now_ms, up.run)
-        reply = self._duties.announce(item, call.asked_ms)
-        is_held = self._duties.holds_reply(item)
+    def _announce(self, up: Upstream, announcement: Announcement) -> None:
+        pending = _PendingAnnouncement(
+            up, announcement, self.loop.now_ms, up.incarnation
+        )
+        reply = self._duties.announce(announcement, pending.sent_ms)
+        is_held = self._duties.holds_reply(announcement)
         if is_held or self._duties.upstreams.has_changes():
-            self.loop.after(1.0, self._lead)
+            self.loop.call_later(1.0, self._run_leader_round)
         if is_held:
-            self._held.append(call)
+            self._pending_announcements.append(pending)
         else:
-            self._answer_announced(call, reply)
+            self._reply_to_announcement(pending, reply)
 
-    def _answer_announced(self, call: _Announced, reply: AnnouncementReply) -> None:
-        # The relay gathers for 10 ms.
+    def _reply_to_announcement(
+        self, pending: _PendingAnnouncement, reply: AnnouncementReply
+    ) -> None:
+        # The relay collects announcements for 10 ms before it sends a batch.
         delay_ms = 10.0 + 4 * self.site.model.hop_ms
-        self.loop.after(delay_ms, call.up.on_reply, reply, call.asked_ms, call.run)
+        self.loop.call_later(
+            delay_ms, pending.up.on_reply, reply, pending.sent_ms, pending.incarnation
+        )
 
-    def _lead(self) -> None:
-        before = self._state.feed_index
+    def _run_leader_round(self) -> None:
+        previous_index = self._state.feed_index
         for command in self._duties.commands(self.loop.now_ms):
             self._apply(command)
-        held, self._held = self._held, []
-        for call in held:
-            reply = self._duties.announce(call.item, self.loop.now_ms)
-            self._answer_announced(call, reply)
-        if self._state.feed_index != before:
-            self.loop.after(_COMMIT_MS + self.site.model.hop_ms, self._push)
+        pending_announcements, self._pending_announcements = (
+            self._pending_announcements,
+            [],
+        )
+        for pending in pending_announcements:
+            reply = self._duties.announce(pending.announcement, self.loop.now_ms)
+            self._reply_to_announcement(pending, reply)
+        if self._state.feed_index != previous_index:
+            self.loop.call_later(_COMMIT_MS + self.site.model.hop_ms, self._push_feed)
 
     def _apply(self, command: Message) -> Any:
-        self._index += 1
-        return self._state.apply_command(self._index, command)
+        self._log_index += 1
+        return self._state.apply_command(self._log_index, command)
 
-    def _push(self) -> None:
+    def _push_feed(self) -> None:
         update = self._state.update_since(self.tables.index)
         self.tables.apply(update)
-        for part in update.partitions:
-            self._note_owner(part.service, part.partition, part.upstream, part.state)
+        for partition in update.partitions:
+            self._record_owner(
+                partition.service,
+                partition.partition,
+                partition.upstream,
+                partition.state,
+            )
         for node in self._nodes.values():
             if node.shards is not None:
-                self._deliver(node, node.shards.update(self.tables))
-        for side in self.entry_sides.values():
-            side.on_feed(update)
+                self._deliver_outputs(node, node.shards.update(self.tables))
+        for listener in self.entry_listeners.values():
+            listener.on_feed(update)
         if update.partitions or update.isolated:
             for node in self._nodes.values():
-                self.loop.after(self.site.model.hop_ms, self._ping_of(node))
+                self.loop.call_later(self.site.model.hop_ms, self._make_ping(node))
 
-    def _note_owner(
+    def _record_owner(
         self, service: str, number: int, upstream: str, state: PartitionState
     ) -> None:
         if state is not PartitionState.OWNED:
             return
         key = PartitionId(service, number)
-        before = self._owners.get(key)
+        previous = self._owners.get(key)
         self._owners[key] = upstream
-        if before is not None and before != upstream:
-            self._ledger.moved(self.loop.now_ms)
+        if previous is not None and previous != upstream:
+            self._stats.count_move(self.loop.now_ms)
 
     def _set_zone(self, state: ZoneState) -> None:
-        self._apply(self._settings_change(zones_with(self.site, state).settings))
-        self.loop.after(_COMMIT_MS, self._push)
-        self.loop.after(_COMMIT_MS, self._lead)
+        self._apply(self._settings_change(with_zone_state(self.site, state).settings))
+        self.loop.call_later(_COMMIT_MS, self._push_feed)
+        self.loop.call_later(_COMMIT_MS, self._run_leader_round)
 
     def _settings_change(self, settings: SiteSettings) -> cmd.ApplySettings:
         base, self._revision = self._revision, self._revision + 1
@@ -327,11 +358,11 @@
             f"r{base}", "operator", base, 0, f"f{base}", settings, b"{}"
         )
 
-    def count_unplaced(self) -> int:
-        """Return how many partitions have no owner."""
+    def count_unowned(self) -> int:
+        """Return the number of partitions without an owner."""
         rows = self.tables.partitions.values()
         return sum(row.state is not PartitionState.OWNED for row in rows)
 
 
-def _unreachable() -> Failure:
+def _unreachable_failure() -> Failure:
     return Failure(ErrorKind.ARBITER_UNREACHABLE)
--- a/scripts/measure_consensus.py
+++ b/scripts/measure_consensus.py
@@ -1,6 +1,6 @@
-"""Measure the replicated log on loopback and print its figures as tables.
+"""Measure the throughput, idle cost and recovery of the replicated log.
 
-All replicas run in this process, so processor time is that of the whole group.
+All replicas run in this process over loopback, so CPU time is that of the whole group.
 """
 
 import random
@@ -20,24 +20,24 @@
 from bergamotdrift.tests.replica_group import Group
 
 _COMMAND = bytes(100)
-_BATCHES = (1, 8, 64, 512)
-_REPLICAS = (1, 3, 5, 7)
-_RECOVERIES = (1_000, 10_000, 100_000)
+_BATCH_SIZES = (1, 8, 64, 512)
+_GROUP_SIZES = (1, 3, 5, 7)
+_RECOVERY_ENTRIES = (1_000, 10_000, 100_000)
 _PROPOSALS = 2_000
 _IDLE_S = 3.0
 
 
 def measure_proposals(batch):
-    """Return the figures of three voters with that many proposals at a time."""
+    """Return a row for three voters with `batch` concurrent proposals."""
     group = Group(3, snapshot_entries=10 * _PROPOSALS)
     try:
         group.start()
         group.leader()
         rounds = max(20, _PROPOSALS // batch)
-        processor_s = time.process_time()
+        cpu_s = time.process_time()
         wall_s = time.monotonic()
-        latencies = [_propose_at_once(group, batch) for _ in range(rounds)]
-        processor_s = time.process_time() - processor_s
+        latencies = [_propose_concurrently(group, batch) for _ in range(rounds)]
+        cpu_s = time.process_time() - cpu_s
         wall_s = time.monotonic() - wall_s
         count = rounds * batch
         leader = group.leader()
@@ -46,7 +46,7 @@
         return (
             batch,
             count,
-            1e6 * processor_s / count,
+            1e6 * cpu_s / count,
             1e3 * sorted(latencies)[rounds // 2],
             count / wall_s,
             log_bytes / entries,
@@ -55,16 +55,16 @@
         group.close()
 
 
-def _propose_at_once(group, count):
-    """Propose through whichever replica leads, and return the time spent."""
+def _propose_concurrently(group, count):
+    """Propose commands concurrently to the current leader; return the seconds taken."""
     started_s = time.monotonic()
-    jobs = [gevent.spawn(group.propose, _COMMAND) for _ in range(count)]
-    gevent.joinall(jobs, raise_error=True)
+    greenlets = [gevent.spawn(group.propose, _COMMAND) for _ in range(count)]
+    gevent.joinall(greenlets, raise_error=True)
     return time.monotonic() - started_s
 
 
 def measure_heartbeats(voters):
-    """Return the processor time of an idle group."""
+    """Return a row with the CPU time of an idle group."""
     group = Group(voters)
     try:
         group.start()
@@ -72,51 +72,57 @@
         gevent.sleep(1.0)
         started_s = time.process_time()
         gevent.sleep(_IDLE_S)
-        per_s = (time.process_time() - started_s) / _IDLE_S
+        cpu_share = (time.process_time() - started_s) / _IDLE_S
         peers = voters - 1
-        # Both sides of ten heartbeats a second, and of the streams' own ones.
-        per_peer = 1e3 * per_s / peers if peers else 0.0
-        return (voters, 1e2 * per_s, per_peer)
+        # Covers both ends of ten Raft heartbeats a second and of the stream heartbeats.
+        per_peer = 1e3 * cpu_share / peers if peers else 0.0
+        return (voters, 1e2 * cpu_share, per_peer)
     finally:
         group.close()
 
 
 def measure_recovery(entries):
-    """Return the median time of five recoveries of a data folder."""
+    """Return a row with the median time of five recoveries of a data folder."""
     folder = Path(tempfile.mkdtemp(prefix="bergamotdrift-"))
     try:
-        _fill(folder, entries)
+        _write_log(folder, entries)
         size = (folder / "log").stat().st_size
-        spent_s = sorted(_recover(folder, entries) for _ in range(5))[2]
-        return (entries, size, size / entries, 1e3 * spent_s, 1e6 * spent_s / entries)
+        duration_s = sorted(_recover(folder, entries) for _ in range(5))[2]
+        return (
+            entries,
+            size,
+            size / entries,
+            1e3 * duration_s,
+            1e6 * duration_s / entries,
+        )
     finally:
         shutil.rmtree(folder)
 
 
 def _recover(folder, entries):
-    """Read a data folder and hand all entries out, and return the time spent."""
+    """Load a data folder, apply all entries and return the seconds taken."""
     started_s = time.monotonic()
     log = RaftLog(folder, "c1")
-    loaded = log.open()
-    memory = MemoryLog(loaded.snapshot, loaded.entries)
-    raft = Raft(log.replica, loaded.hard_state, memory, random.Random(1), 0.0)
+    stored = log.open()
+    memory = MemoryLog(stored.snapshot, stored.entries)
+    raft = Raft(log.replica, stored.hard_state, memory, random.Random(1), 0.0)
     batches = iter(lambda: raft.take_ready().committed, [])
     applied = sum(len(b) for b in batches)
-    spent_s = time.monotonic() - started_s
+    duration_s = time.monotonic() - started_s
     log.close()
     if applied != entries:
         raise RuntimeError(f"{applied} of {entries} entries were applied")
-    return spent_s
+    return duration_s
 
 
-def _fill(folder, entries):
+def _write_log(folder, entries):
     log = RaftLog(folder, "c1")
     log.open()
     for first in range(1, entries + 1, 100):
         indexes = range(first, min(first + 100, entries + 1))
         batch = [Entry(i, 1, EntryKind.COMMAND, _COMMAND) for i in indexes]
-        hard = HardState(1, "c1-1", indexes[-1], "g")
-        log.write(SyncBatch(hard, None, batch, True, []))
+        hard_state = HardState(1, "c1-1", indexes[-1], "g")
+        log.write(SyncBatch(hard_state, None, batch, True, []))
     log.close()
 
 
@@ -124,7 +130,7 @@
     """Print all tables."""
     print(
         tabulate(
-            [measure_proposals(batch) for batch in _BATCHES],
+            [measure_proposals(batch) for batch in _BATCH_SIZES],
             [
                 "proposals at once",
                 "proposals",
@@ -139,7 +145,7 @@
     print()
     print(
         tabulate(
-            [measure_heartbeats(voters) for voters in _REPLICAS],
+            [measure_heartbeats(voters) for voters in _GROUP_SIZES],
             ["replicas", "idle processor %, all", "processor ms/s per peer"],
             floatfmt=".2f",
         )
@@ -147,7 +153,7 @@
     print()
     print(
         tabulate(
-            [measure_recovery(entries) for entries in _RECOVERIES],
+            [measure_recovery(entries) for entries in _RECOVERY_ENTRIES],
             ["entries", "log bytes", "bytes/entry", "recovery ms", "us/entry"],
             floatfmt=".1f",
         )
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -1,4 +1,4 @@
-"""Measure what control spends per node, announcement, partition row and change."""
+"""Measure control's cost per session, announcement, partition and change."""
 
 import argparse
 import gc
@@ -47,41 +47,41 @@
 
 
 class InstantLog:
-    """Commit in this process; the log itself is measured elsewhere."""
+    """Commit at once in this process; measure_consensus measures the replicated log."""
 
     def __init__(self, state: ControlState):
         self.state = state
         self.index = 0
 
     def is_leader(self) -> bool:
-        """Always lead."""
+        """Return True: the only replica leads."""
         return True
 
     def term(self) -> int:
-        """Return the only term."""
+        """Return 1: there are no elections."""
         return 1
 
     def leader_address(self) -> str:
-        """Return no address."""
+        """Return an empty address: no other replica leads."""
         return ""
 
     def propose(self, command: bytes, timeout_ms: float) -> bytes:
-        """Apply at once."""
+        """Apply an encoded command at once and return the encoded result."""
         self.index += 1
         return self.state.apply(self.index, command)
 
     def commit(self, command: messages.Message) -> messages.Message:
-        """Apply a decoded command."""
+        """Apply a command at once and return its result."""
         return messages.decode(self.propose(messages.encode(command), 0))
 
     def ask_for_leadership(self) -> None:
-        """Lead already."""
+        """Do nothing: this replica already leads."""
 
     def add_learner(self, replica: str, address: str, timeout_ms: float) -> None:
-        """Not measured."""
+        """Do nothing: changes of members are not measured."""
 
     def remove_member(self, replica: str, timeout_ms: float) -> None:
-        """Not measured."""
+        """Do nothing: changes of members are not measured."""
 
     def status(self) -> ReplicaStatus:
         """Return the status of a group of one."""
@@ -89,9 +89,9 @@
 
 
 def keyed_site(partitions: int, services: int = 1) -> SiteSettings:
-    """Return settings with `partitions` split over keyed services."""
-    cold = ColdStartSettings(1, 8.0)
-    found = tuple(
+    """Return settings whose keyed services share `partitions` evenly."""
+    cold_start = ColdStartSettings(1, 8.0)
+    service_settings = tuple(
         ServiceSettings(
             f"s{n}",
             ServiceKind.KEYED,
@@ -99,22 +99,24 @@
             Fencing.EPOCH,
             4,
             110,
-            cold,
+            cold_start,
             5000,
             64,
         )
         for n in range(services)
     )
-    return SiteSettings("site", _ZONES, found, (), ())
+    return SiteSettings("site", _ZONES, service_settings, (), ())
 
 
-def change(site: SiteSettings, base: int) -> cmd.ApplySettings:
-    """Return a settings change."""
-    return cmd.ApplySettings(f"r{base}", "ann", base, 0, "f", site, b"{}")
+def settings_change(site: SiteSettings, base_revision: int) -> cmd.ApplySettings:
+    """Return a settings change that is based on a revision."""
+    return cmd.ApplySettings(
+        f"r{base_revision}", "ann", base_revision, 0, "f", site, b"{}"
+    )
 
 
 def announcement(number: int, released: tuple = ()) -> Announcement:
-    """Return the announcement of an upstream."""
+    """Return the announcement of the upstream with a number."""
     return Announcement(
         "s0",
         f"u{number}",
@@ -126,10 +128,10 @@
     )
 
 
-def populated(partitions: int, upstreams: int) -> tuple[InstantLog, LeaderDuties]:
-    """Return a state in which all partitions are owned, at 2000 ms."""
+def build_populated(partitions: int, upstreams: int) -> tuple[InstantLog, LeaderDuties]:
+    """Return a log and leader duties in which all partitions are owned."""
     log = InstantLog(ControlState())
-    log.commit(change(keyed_site(partitions), 0))
+    log.commit(settings_change(keyed_site(partitions), 0))
     duties = LeaderDuties(log.state, 0.0)
     for number in range(upstreams):
         duties.announce(announcement(number), 0.0)
@@ -143,40 +145,40 @@
     return log, duties
 
 
-def timed_ms(action: Callable[[], object], rounds: int = 5) -> float:
-    """Return the median processor time of an action in milliseconds."""
-    spent = []
+def median_cpu_ms(action: Callable[[], object], rounds: int = 5) -> float:
+    """Return the median CPU time of an action in milliseconds."""
+    durations_ms = []
     for _ in range(rounds):
         gc.collect()
         started = time.process_time()
         action()
-        spent.append((time.process_time() - started) * 1000)
-    return statistics.median(spent)
+        durations_ms.append((time.process_time() - started) * 1000)
+    return statistics.median(durations_ms)
 
 
-class _Ignore:
+class _NullHandler:
     def on_open(self, conn: object) -> None:
-        """Ignore the opening."""
+        """Ignore an opened stream."""
 
     def on_message(self, conn: object, number: int, msg: object) -> None:
         """Ignore a message."""
 
     def on_close(self, conn: object) -> None:
-        """Ignore the end."""
+        """Ignore a closed stream."""
 
 
-class _NodeHandler(_Ignore):
+class _NodeHandler(_NullHandler):
     def __init__(self, nodes: NodeStreams):
         self._nodes = nodes
 
     def on_message(self, conn, number, msg) -> None:
-        """Pass a message on."""
+        """Forward a message to the node streams."""
         self._nodes.on_message(conn, number, msg)
 
 
 def measure_sessions(sizes: list[int], seconds: float) -> Table:
-    """Measure sessions over loopback in real time, both ends in this process."""
-    rows: list[list[object]] = [_sessions(count, seconds) for count in sizes]
+    """Measure node sessions over loopback, with both ends in this process."""
+    rows: list[list[object]] = [_session_row(count, seconds) for count in sizes]
     headers = [
         "sessions",
         "CPU us/session/s, heartbeats",
@@ -186,9 +188,9 @@
     return "Node sessions (both ends)", headers, rows
 
 
-def _sessions(count: int, seconds: float) -> list[object]:
+def _session_row(count: int, seconds: float) -> list[object]:
     log = InstantLog(ControlState())
-    log.commit(change(keyed_site(256), 0))
+    log.commit(settings_change(keyed_site(256), 0))
     nodes = NodeStreams(log.state, log, BootClock())
     hello = Hello("m", "c", Role.CONTROL, "i")
     server = StreamServer("127.0.0.1:0", hello, _NodeHandler(nodes))
@@ -196,28 +198,28 @@
     nodes.start()
     gevent.sleep(0.2)
     process = psutil.Process()
-    before = process.memory_info().rss
+    rss_before = process.memory_info().rss
     clients = []
     for number in range(count):
         peer = Hello("m", f"n{number}", Role.ENTRY, "i")
-        client = StreamClient(server.address, peer, _Ignore())
+        client = StreamClient(server.address, peer, _NullHandler())
         client.start()
         clients.append(client)
     gevent.sleep(0.5)
-    idle = _spent_us(seconds) / count
-    pingers = [gevent.spawn(_ping, log, c, n) for n, c in enumerate(clients)]
+    idle_us = _cpu_us_per_s(seconds) / count
+    ping_loops = [gevent.spawn(_ping_loop, log, c, n) for n, c in enumerate(clients)]
     gevent.sleep(0.5)
-    resident = (process.memory_info().rss - before) / 1024 / count
-    busy = _spent_us(seconds) / count
-    gevent.killall(pingers)
+    resident_kb = (process.memory_info().rss - rss_before) / 1024 / count
+    pinging_us = _cpu_us_per_s(seconds) / count
+    gevent.killall(ping_loops)
     for client in clients:
         client.stop()
     nodes.stop()
     server.stop()
-    return [count, idle, busy, resident]
+    return [count, idle_us, pinging_us, resident_kb]
 
 
-def _ping(log: InstantLog, client: StreamClient, number: int) -> None:
+def _ping_loop(log: InstantLog, client: StreamClient, number: int) -> None:
     row = NodeRow(f"n{number}", Role.ENTRY, "i", "vm", "z0", "")
     gevent.sleep(random.uniform(0, 0.25))
     while True:
@@ -225,35 +227,35 @@
         gevent.sleep(PING_INTERVAL_MS / 1000)
 
 
-def _spent_us(seconds: float) -> float:
-    """Return the processor time spent per second in microseconds."""
+def _cpu_us_per_s(seconds: float) -> float:
+    """Return the CPU microseconds used per second over a period."""
     started = time.process_time()
     gevent.sleep(seconds)
     return (time.process_time() - started) * 1e6 / seconds
 
 
 def measure_announcements(sizes: list[int]) -> Table:
-    """Measure decoding, answering and encoding of relayed batches."""
+    """Measure decoding, replying to and encoding relayed batches."""
     rows: list[list[object]] = []
     for upstreams in sizes:
-        _, duties = populated(upstreams * 16, upstreams)
+        _, duties = build_populated(upstreams * 16, upstreams)
         for batch in (1, 8, 64):
             items = [announcement(n % upstreams) for n in range(batch)]
             data = messages.encode(RelayAnnouncements(items))
 
-            def answer(data: bytes = data, duties: LeaderDuties = duties) -> None:
+            def handle_batch(data: bytes = data, duties: LeaderDuties = duties) -> None:
                 msg = messages.decode(data)
-                found = [duties.announce(item, 1040.0) for item in msg.items]
-                messages.encode(messages.AnnouncementReplies(found))
+                replies = [duties.announce(item, 1040.0) for item in msg.items]
+                messages.encode(messages.AnnouncementReplies(replies))
 
             rounds = 2000 // batch
 
-            def repeat(answer=answer, rounds=rounds) -> None:
+            def handle_batches(handle_batch=handle_batch, rounds=rounds) -> None:
                 for _ in range(rounds):
-                    answer()
+                    handle_batch()
 
-            spent = timed_ms(repeat, 3) * 1000 / rounds / batch
-            rows.append([upstreams, batch, spent])
+            cpu_us = median_cpu_ms(handle_batches, 3) * 1000 / rounds / batch
+            rows.append([upstreams, batch, cpu_us])
     return (
         "Announcements (16 partitions each)",
         ["upstreams", "batch", "CPU us/announcement"],
@@ -262,27 +264,27 @@
 
 
 def measure_partitions(sizes: list[int], upstreams: int) -> Table:
-    """Measure what partition rows cost in memory, snapshots and the feed."""
+    """Measure the cost of partition rows in memory, snapshots and the feed."""
     rows: list[list[object]] = []
     for count in sizes:
         tracemalloc.start()
-        log, _ = populated(count, upstreams)
+        log, _ = build_populated(count, upstreams)
         gc.collect()
-        held = tracemalloc.get_traced_memory()[0] / count
+        state_bytes = tracemalloc.get_traced_memory()[0] / count
         tracemalloc.stop()
         state = log.state
-        data = state.snapshot()
-        full = len(messages.encode(state.update_since(0)))
-        delta = _delta_bytes(log, min(count, 500))
+        snapshot = state.snapshot()
+        full_feed_bytes = len(messages.encode(state.update_since(0)))
+        delta_bytes = _delta_bytes(log, min(count, 500))
         rows.append([
             count,
-            held,
-            len(data) / count,
-            timed_ms(state.snapshot),
-            timed_ms(partial(state.restore, data)),
-            full / count,
-            delta,
-            timed_ms(partial(_encode_feed, state)),
+            state_bytes,
+            len(snapshot) / count,
+            median_cpu_ms(state.snapshot),
+            median_cpu_ms(partial(state.restore, snapshot)),
+            full_feed_bytes / count,
+            delta_bytes,
+            median_cpu_ms(partial(_encode_feed, state)),
         ])
     headers = [
         "partitions",
@@ -302,23 +304,25 @@
 
 
 def _delta_bytes(log: InstantLog, count: int) -> float:
-    before = log.state.feed_index
+    previous_index = log.state.feed_index
     refs = [
         messages.PartitionRef(row.service, row.partition, row.epoch)
         for row in list(log.state.rows.partitions.rows())[:count]
     ]
     log.commit(cmd.ReleasePartitions(refs))
-    return len(messages.encode(log.state.update_since(before))) / count
+    return len(messages.encode(log.state.update_since(previous_index))) / count
 
 
 def measure_placement(sizes: list[int], upstreams: int) -> Table:
-    """Measure a first placement, a crash, an idle round and a balance round."""
+    """Measure a first placement, an idle round, a balance round and a crash."""
     rows: list[list[object]] = []
     for count in sizes:
-        pauses = _Pauses()
+        timer = _PauseTimer()
         log = InstantLog(ControlState())
-        created = timed_ms(partial(log.commit, change(keyed_site(count), 0)), 1)
-        duties = LeaderDuties(log.state, 0.0, pauses)
+        create_ms = median_cpu_ms(
+            partial(log.commit, settings_change(keyed_site(count), 0)), 1
+        )
+        duties = LeaderDuties(log.state, 0.0, timer)
         for now_ms in (0.0, 10.0):
             for number in range(upstreams):
                 duties.announce(announcement(number), now_ms)
@@ -326,19 +330,28 @@
                 log.commit(command)
         for number in range(upstreams):
             duties.announce(announcement(number), 1015.0)
-        _, spent = pauses.timed(partial(duties.commands, 1020.0))
-        block = pauses.longest
+        _, placement_ms = timer.time_action(partial(duties.commands, 1020.0))
+        longest_block_ms = timer.longest_ms
         for number in range(upstreams):
             duties.holds_reply(announcement(number))
-        commands, assigned = pauses.timed(partial(duties.commands, 1021.0))
-        spent += assigned
-        block = max(block, pauses.longest)
-        applied = timed_ms(partial(_commit_all, log, commands), 1)
+        commands, assign_ms = timer.time_action(partial(duties.commands, 1021.0))
+        placement_ms += assign_ms
+        longest_block_ms = max(longest_block_ms, timer.longest_ms)
+        apply_ms = median_cpu_ms(partial(_commit_all, log, commands), 1)
         assert not log.state.rows.unowned
-        idle = timed_ms(partial(duties.commands, 1030.0))
-        _, balance = pauses.timed(partial(duties.commands, 2025.0))
-        crash = _crash(log, duties, upstreams)
-        rows.append([count, created, spent, block, applied, idle, balance, crash])
+        idle_ms = median_cpu_ms(partial(duties.commands, 1030.0))
+        _, balance_ms = timer.time_action(partial(duties.commands, 2025.0))
+        crash_ms = _measure_crash(log, duties, upstreams)
+        rows.append([
+            count,
+            create_ms,
+            placement_ms,
+            longest_block_ms,
+            apply_ms,
+            idle_ms,
+            balance_ms,
+            crash_ms,
+        ])
     headers = [
         "partitions",
         "create ms",
@@ -357,53 +370,53 @@
         log.commit(command)
 
 
-class _Pauses:
-    """Note the longest time between two pauses of a computation."""
+class _PauseTimer:
+    """Record the longest time that a computation runs between two pauses."""
 
     def __init__(self) -> None:
-        self.longest = 0.0
-        self._since = time.perf_counter()
+        self.longest_ms = 0.0
+        self._last_pause_s = time.perf_counter()
 
     def __call__(self) -> None:
-        now = time.perf_counter()
-        self.longest = max(self.longest, (now - self._since) * 1000)
-        self._since = now
-
-    def timed(self, action: Callable[[], list]) -> tuple[list, float]:
-        """Return the result and its time in milliseconds."""
-        self.longest = 0.0
-        self._since = started = time.perf_counter()
+        now_s = time.perf_counter()
+        self.longest_ms = max(self.longest_ms, (now_s - self._last_pause_s) * 1000)
+        self._last_pause_s = now_s
+
+    def time_action(self, action: Callable[[], list]) -> tuple[list, float]:
+        """Run an action and return its result and the milliseconds it took."""
+        self.longest_ms = 0.0
+        self._last_pause_s = started = time.perf_counter()
         result = action()
         self()
         return result, (time.perf_counter() - started) * 1000
 
 
-def _crash(log: InstantLog, duties: LeaderDuties, upstreams: int) -> float:
+def _measure_crash(log: InstantLog, duties: LeaderDuties, upstreams: int) -> float:
     for number in range(1, upstreams):
         duties.announce(announcement(number), 2500.0)
 
-    def handle() -> None:
+    def handle_crash() -> None:
         for _ in range(3):
             for number in range(1, upstreams):
                 duties.holds_reply(announcement(number))
             for command in duties.commands(2520.0):
                 log.commit(command)
 
-    return timed_ms(handle, 1)
+    return median_cpu_ms(handle_crash, 1)
 
 
 def measure_changes(sizes: list[int]) -> Table:
-    """Measure settings changes with an audit trail of a growing length."""
+    """Measure settings changes by the length of the audit trail."""
     rows: list[list[object]] = []
     site = keyed_site(256)
     for count in sizes:
         log = InstantLog(ControlState())
         started = time.process_time()
-        for base in range(count):
-            log.commit(change(site, base))
-        spent = (time.process_time() - started) * 1000 / count
-        data = log.state.snapshot()
-        rows.append([count, spent, len(data), timed_ms(log.state.snapshot)])
+        for base_revision in range(count):
+            log.commit(settings_change(site, base_revision))
+        apply_ms = (time.process_time() - started) * 1000 / count
+        snapshot = log.state.snapshot()
+        rows.append([count, apply_ms, len(snapshot), median_cpu_ms(log.state.snapshot)])
     headers = ["changes", "apply ms/change", "snapshot B", "snapshot ms"]
     return "Settings changes", headers, rows
 
--- a/scripts/measure_loop.py
+++ b/scripts/measure_loop.py
@@ -1,4 +1,4 @@
-"""Discrete-event loop on a hand-driven clock."""
+"""Event loop of the discrete-event simulation, on a simulated clock."""
 
 import heapq
 from collections.abc import Callable
@@ -7,41 +7,43 @@
 from bergamotdrift.clock import ManualClock
 
 
-class Loop:
-    """Run actions in the order of their times; times in milliseconds."""
+class EventLoop:
+    """Run actions in order of their times in milliseconds, then of scheduling."""
 
     def __init__(self) -> None:
         self.clock = ManualClock()
         self._events: list[tuple[float, int, Callable[..., Any], tuple]] = []
-        self._count = 0
+        self._sequence_number = 0
 
     @property
     def now_ms(self) -> float:
-        """Return the time of the running action."""
+        """Return the simulated time."""
         return self.clock.now_ms()
 
-    def at(self, at_ms: float, action: Callable[..., Any], *args: Any) -> None:
-        """Run an action at a time that is not past."""
-        self._count += 1
-        heapq.heappush(self._events, (at_ms, self._count, action, args))
+    def call_at(self, at_ms: float, action: Callable[..., Any], *args: Any) -> None:
+        """Schedule an action at a time, which must not be in the past."""
+        self._sequence_number += 1
+        heapq.heappush(self._events, (at_ms, self._sequence_number, action, args))
 
-    def after(self, delay_ms: float, action: Callable[..., Any], *args: Any) -> None:
-        """Run an action after a delay."""
-        self.at(self.now_ms + delay_ms, action, *args)
+    def call_later(
+        self, delay_ms: float, action: Callable[..., Any], *args: Any
+    ) -> None:
+        """Schedule an action after a delay."""
+        self.call_at(self.now_ms + delay_ms, action, *args)
 
-    def every(
+    def call_every(
         self, interval_ms: float, action: Callable[[], Any], offset_ms: float = 0.0
     ) -> None:
-        """Run an action at an interval for good."""
+        """Run an action periodically, first after the offset."""
 
-        def repeat() -> None:
-            self.after(interval_ms, repeat)
+        def run_and_reschedule() -> None:
+            self.call_later(interval_ms, run_and_reschedule)
             action()
 
-        self.after(offset_ms, repeat)
+        self.call_later(offset_ms, run_and_reschedule)
 
     def run(self, until_ms: float) -> None:
-        """Run all actions up to a time."""
+        """Run all actions that are due up to a time, inclusive."""
         while self._events and self._events[0][0] <= until_ms:
             at_ms, _, action, args = heapq.heappop(self._events)
             self.clock.advance(max(0.0, at_ms - self.now_ms))
--- a/scripts/measure_sites.py
+++ b/scripts/measure_sites.py
@@ -1,4 +1,4 @@
-"""Seeded request sequences and faults of the shipped sites."""
+"""Seeded request traces and fault schedules for the shipped sites."""
 
 import math
 import random
@@ -18,19 +18,19 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 ENTRIES = 9
-# The ramps and first placements are over before requests arrive.
+# Cold-start ramps and first placements finish before requests arrive.
 WARM_UP_MS = 12_000.0
 SETTLE_MS = 6_000.0
-_HOT_KEYS = 12
+_POPULAR_KEYS = 12
 _KEYS = 20_000
 _ZIPF_EXPONENT = 1.0
-_GREEDY_FACTOR = 5.0
-# A zone that is out is switched off for a while, also in short runs.
+_NOISY_RATE_FACTOR = 5.0
+# Leaves time for the power-off of the zone that is out, also in short runs.
 _ZONE_OUT_MIN_MS = 6000.0
 
 
 class ServiceLoad(NamedTuple):
-    """Describe the load of a service: share of requests and median work."""
+    """Describe a service's load: upstreams, share of requests, median service time."""
 
     upstreams: int
     share: float
@@ -39,12 +39,12 @@
 
 
 class SiteModel(NamedTuple):
-    """Describe sizes and latencies of a site; one-way latencies."""
+    """Describe a site's load and its one-way network latency `hop_ms`."""
 
     overlay: str
     hop_ms: float
     loads: dict[str, ServiceLoad]
-    open_share: float
+    anonymous_share: float
     has_urgent_burst: bool
 
 
@@ -75,7 +75,7 @@
 
 
 class Request(NamedTuple):
-    """Hold one request as callers send it; `work_ms` is what it costs."""
+    """Describe a request of a caller; `work_ms` is its service time at an upstream."""
 
     number: int
     at_ms: float
@@ -91,70 +91,73 @@
 
 
 class Window(NamedTuple):
-    """Hold a span of time."""
+    """Describe a half-open time interval."""
 
     start_ms: float
     end_ms: float
 
-    def holds(self, at_ms: float) -> bool:
-        """Tell whether a time lies within."""
+    def contains(self, at_ms: float) -> bool:
+        """Return whether a time is in the interval."""
         return self.start_ms <= at_ms < self.end_ms
 
 
 class Plan(NamedTuple):
-    """Hold when which fault happens."""
+    """Hold the times of the faults and load changes of a run."""
 
     end_ms: float
-    stragglers: tuple[Window, ...]
-    zone_out: Window
-    hot_change_ms: float
-    loss_ms: float
-    restart_ms: float
+    straggler_windows: tuple[Window, ...]
+    zone_out_window: Window
+    popularity_change_ms: float
+    upstream_crash_ms: float
+    upstream_restart_ms: float
     arbiter_crash_ms: float
-    greedy: Window
-    urgent: Window
+    noisy_workspace: Window
+    urgent_window: Window
 
 
 def make_plan(seconds: float) -> Plan:
-    """Return the faults, spread over a run of some seconds of traffic."""
-    span = seconds * 1000.0
+    """Return a plan whose faults are spread over `seconds` of traffic."""
+    span_ms = seconds * 1000.0
 
-    def at(part: float) -> float:
-        return WARM_UP_MS + part * span
+    def at_fraction(fraction: float) -> float:
+        return WARM_UP_MS + fraction * span_ms
 
     def window(start: float, end: float) -> Window:
-        return Window(at(start), at(end))
+        return Window(at_fraction(start), at_fraction(end))
 
     return Plan(
-        at(1.0),
+        at_fraction(1.0),
         (window(0.06, 0.18), window(0.84, 0.96)),
-        Window(at(0.22), max(at(0.42), at(0.22) + _ZONE_OUT_MIN_MS)),
-        at(0.5),
-        at(0.56),
-        at(0.6),
-        at(0.7),
+        Window(
+            at_fraction(0.22),
+            max(at_fraction(0.42), at_fraction(0.22) + _ZONE_OUT_MIN_MS),
+        ),
+        at_fraction(0.5),
+        at_fraction(0.56),
+        at_fraction(0.6),
+        at_fraction(0.7),
         window(0.64, 0.8),
         window(0.8, 0.9),
     )
 
 
 class Site(NamedTuple):
-    """Hold a site's settings, sizes, faults and requests."""
+    """Hold a site's settings, load model, fault plan and requests."""
 
     settings: SiteSettings
     model: SiteModel
     plan: Plan
     requests: list[Request]
-    greedy: str
+    noisy_workspace: str
 
     def zone_of(self, number: int) -> str:
-        """Return the zone of the entry, arbiter or upstream of a number."""
+        """Return the zone of the entry, arbiter or upstream with a number."""
         zones = self.settings.zones
         return zones[number % len(zones)].name
 
     @property
-    def lost_zone(self) -> str:
-        """Return the zone that operators take out and restore."""
+    def outage_zone(self) -> str:
+        """Return the zone that operators take out of service and restore."""
         return self.settings.zones[-1].name
 
 
@@ -168,76 +171,81 @@
 
 
 def make_site(name: str, seed: int, seconds: float) -> Site:
-    """Return a site with the requests of a seed."""
+    """Return a site with the requests that a seed generates."""
     settings, model, plan = load_settings(name), SITES[name], make_plan(seconds)
-    greedy = settings.workspaces[1].name
-    site = Site(settings, model, plan, [], greedy)
+    noisy_workspace = settings.workspaces[1].name
+    site = Site(settings, model, plan, [], noisy_workspace)
     rng = random.Random(f"{name}-{seed}")
-    draw = _Draw(site, rng)
-    found = []
+    generator = _RequestGenerator(site, rng)
+    requests = []
     for workspace in settings.workspaces:
-        found += draw.workspace(workspace)
-    total = sum(w.rate_per_s for w in settings.workspaces)
-    found += draw.anonymous(total * model.open_share)
-    found.sort(key=lambda req: req.at_ms)
+        requests += generator.workspace_requests(workspace)
+    total_rate_per_s = sum(w.rate_per_s for w in settings.workspaces)
+    requests += generator.anonymous_requests(total_rate_per_s * model.anonymous_share)
+    requests.sort(key=lambda req: req.at_ms)
     site.requests.extend(
-        req._replace(number=number) for number, req in enumerate(found)
+        req._replace(number=number) for number, req in enumerate(requests)
     )
     return site
 
 
-class _Draw:
-    """Draw the requests of the workspaces."""
+class _RequestGenerator:
+    """Generate the random requests of the workspaces."""
 
     def __init__(self, site: Site, rng: random.Random):
         self._site = site
         self._rng = rng
-        self._hot = [rng.sample(range(_KEYS), _KEYS) for _ in range(2)]
+        self._popularity_orders = [rng.sample(range(_KEYS), _KEYS) for _ in range(2)]
         weights = [1.0 / (n + 1) ** _ZIPF_EXPONENT for n in range(_KEYS)]
-        total, self._cumulated = sum(weights), []
-        level = 0.0
+        total, self._cumulative_weights = sum(weights), []
+        cumulative_weight = 0.0
         for weight in weights:
-            level += weight / total
-            self._cumulated.append(level)
+            cumulative_weight += weight / total
+            self._cumulative_weights.append(cumulative_weight)
 
-    def workspace(self, workspace: WorkspaceSettings) -> list[Request]:
-        """Return the requests of a workspace, within its rate unless it is greedy."""
+    def workspace_requests(self, workspace: WorkspaceSettings) -> list[Request]:
+        """Return a workspace's requests, within its rate unless it is the noisy one."""
         bucket = NaiveBucket(workspace.rate_per_s, workspace.burst, WARM_UP_MS)
         is_large = workspace.rate_per_s >= 150
         entries = self._rng.sample(range(ENTRIES), 6 if is_large else 2)
-        found = []
-        for at_ms in self._times(workspace):
+        requests = []
+        for at_ms in self._arrival_times(workspace):
             in_rate = bucket.take(at_ms)
-            is_greedy = workspace.name == self._site.greedy
-            if in_rate or (is_greedy and self._site.plan.greedy.holds(at_ms)):
-                found.append(self._request(at_ms, workspace, entries, in_rate))
-        return found
-
-    def anonymous(self, rate_per_s: float) -> list[Request]:
-        """Return requests on routes open to all, which no workspace bounds."""
+            is_noisy = workspace.name == self._site.noisy_workspace
+            if in_rate or (
+                is_noisy and self._site.plan.noisy_workspace.contains(at_ms)
+            ):
+                requests.append(self._make_request(at_ms, workspace, entries, in_rate))
+        return requests
+
+    def anonymous_requests(self, rate_per_s: float) -> list[Request]:
+        """Return requests on open routes, which no workspace limits."""
         limits = WorkspaceSettings("", rate_per_s, 0, (), ())
         return [
-            self._request(at_ms, limits, list(range(ENTRIES)), True)
-            for at_ms in self._times(limits)
+            self._make_request(at_ms, limits, list(range(ENTRIES)), True)
+            for at_ms in self._arrival_times(limits)
         ]
 
-    def _times(self, workspace: WorkspaceSettings) -> list[float]:
-        """Return arrival times: bursts and lulls of half a second to two seconds."""
+    def _arrival_times(self, workspace: WorkspaceSettings) -> list[float]:
+        """Return arrival times; their rate changes every half to two seconds."""
         plan, rng = self._site.plan, self._rng
         times, now_ms = [], WARM_UP_MS
         while now_ms < plan.end_ms:
             end_ms = min(plan.end_ms, now_ms + rng.uniform(500.0, 2000.0))
             rate = workspace.rate_per_s * rng.choice((0.2, 0.5, 0.7, 1.0))
-            if workspace.name == self._site.greedy and plan.greedy.holds(now_ms):
-                rate = workspace.rate_per_s * _GREEDY_FACTOR
-                end_ms = min(end_ms, plan.greedy.end_ms)
+            if (
+                workspace.name == self._site.noisy_workspace
+                and plan.noisy_workspace.contains(now_ms)
+            ):
+                rate = workspace.rate_per_s * _NOISY_RATE_FACTOR
+                end_ms = min(end_ms, plan.noisy_workspace.end_ms)
             at_ms = now_ms
             while (at_ms := at_ms + rng.expovariate(rate / 1000.0)) < end_ms:
                 times.append(at_ms)
             now_ms = end_ms
         return times
 
-    def _request(
+    def _make_request(
         self,
         at_ms: float,
         workspace: WorkspaceSettings,
@@ -246,9 +254,13 @@
     ) -> Request:
         rng, plan, model = self._rng, self._site.plan, self._site.model
         is_urgent = False
-        if model.has_urgent_burst and plan.urgent.holds(at_ms) and workspace.name:
+        if (
+            model.has_urgent_burst
+            and plan.urgent_window.contains(at_ms)
+            and workspace.name
+        ):
             is_urgent = rng.random() < 0.5
-        name = self._service(workspace, is_urgent)
+        name = self._choose_service(workspace, is_urgent)
         load = model.loads[name]
         service = self._site.settings.service(name)
         assert service is not None
@@ -259,16 +271,16 @@
             at_ms,
             workspace.name,
             name,
-            f"k{self._key(at_ms)}" if keyed else "",
+            f"k{self._choose_key(at_ms)}" if keyed else "",
             is_urgent,
             is_urgent or rng.random() < load.idempotent_share,
-            self._entry(entries, at_ms),
+            self._choose_entry(entries, at_ms),
             timeout,
             load.work_ms * math.exp(rng.gauss(0.0, 0.5)),
             in_rate,
         )
 
-    def _service(self, workspace: WorkspaceSettings, is_urgent: bool) -> str:
+    def _choose_service(self, workspace: WorkspaceSettings, is_urgent: bool) -> str:
         loads = self._site.model.loads
         names = [n for n in loads if not workspace.services or n in workspace.services]
         if is_urgent:
@@ -276,16 +288,18 @@
         weights = [loads[name].share for name in names]
         return self._rng.choices(names, weights)[0]
 
-    def _key(self, at_ms: float) -> int:
-        order = self._hot[int(at_ms >= self._site.plan.hot_change_ms)]
-        rank = min(bisect(self._cumulated, self._rng.random()), _KEYS - 1)
+    def _choose_key(self, at_ms: float) -> int:
+        order = self._popularity_orders[
+            int(at_ms >= self._site.plan.popularity_change_ms)
+        ]
+        rank = min(bisect(self._cumulative_weights, self._rng.random()), _KEYS - 1)
         return order[rank]
 
-    def _entry(self, entries: list[int], at_ms: float) -> int:
-        """Return the entry that the balancer picks: none of a zone that is out."""
+    def _choose_entry(self, entries: list[int], at_ms: float) -> int:
+        """Return the entry that the load balancer picks, outside a zone that is out."""
         entry, site = self._rng.choice(entries), self._site
-        out = site.plan.zone_out
-        if Window(out.start_ms + 500.0, out.end_ms + 500.0).holds(at_ms):
-            while site.zone_of(entry) == site.lost_zone:
+        zone_out = site.plan.zone_out_window
+        if Window(zone_out.start_ms + 500.0, zone_out.end_ms + 500.0).contains(at_ms):
+            while site.zone_of(entry) == site.outage_zone:
                 entry = (entry + 1) % ENTRIES
         return entry
