--- a/bergamotdrift/tests/test_cold_start_share.py
+++ b/bergamotdrift/tests/test_cold_start_share.py
@@ -7,7 +7,7 @@
 
 
 class ColdStartShareTests(unittest.TestCase):
-    """The requests of all entries together stay within the limit of a cold upstream."""
+    """Guards against entries that together send a cold upstream more than its limit."""
 
     def shares(self, entries):
         members = frozenset(f"e{n}" for n in range(entries))
--- a/bergamotdrift/tests/test_direct_load.py
+++ b/bergamotdrift/tests/test_direct_load.py
@@ -8,7 +8,7 @@
 
 
 class SpeedTests(unittest.TestCase):
-    """Slow upstreams are measured as slow, also when queues or lost callers hide it."""
+    """Guards against slow upstreams that are not measured as slow."""
 
     def setUp(self):
         row = UpstreamRow("s", "u", "10.0.0.1:1", "a", "1", UpstreamState.READY, 2, 1)
--- a/bergamotdrift/tests/test_direct_selection.py
+++ b/bergamotdrift/tests/test_direct_selection.py
@@ -86,7 +86,7 @@
 
 
 class ZoneTests(DirectSelectorTestCase):
-    """Large bodies stay in the zone while its upstreams have room."""
+    """Guards against large bodies that cross zones while near upstreams have room."""
 
     def test_entries_of_a_zone_share_its_upstreams(self):
         names = self.select_until_blocked(64 * 1024)
