--- a/bergamotdrift/tests/cluster_case.py
+++ b/bergamotdrift/tests/cluster_case.py
@@ -1,4 +1,4 @@
-"""Base of the end-to-end tests: a small site of real processes under load."""
+"""Base class of the end-to-end tests, which run a small site of real processes."""
 
 import time
 import unittest
@@ -6,21 +6,21 @@
 from typing import ClassVar
 
 from scripts import load
-from scripts.load import CallRecord, LoadRun, RequestPlan, Run
+from scripts.load import CallRecord, LoadGenerator, RecordedExecution, RequestTemplate
 from scripts.local_cluster import LocalCluster, SitePlan, small_plan, wait_until
 
-# Targets of the design page, in seconds.
-SERVED_AGAIN_S = 3.0
-FEW_SECONDS = 5.0
-EVERYWHERE_S = 17.0
+# Time limits in docs/design.md, in seconds.
+RECOVERY_S = 3.0
+SETTLE_S = 5.0
+PROPAGATION_S = 17.0
 _WARM_UP_S = 1.0
-_CALM_S = 30.0
+_READY_TIMEOUT_S = 30.0
 
 
 class ClusterTestCase(unittest.TestCase):
-    """Share one cluster between the tests of a class; each test restores it."""
+    """Run the tests of a class on one cluster, which is restored after each test."""
 
-    plan: ClassVar[SitePlan] = small_plan("iroda", vms=3, per_service=3)
+    plan: ClassVar[SitePlan] = small_plan("iroda", vms=3, upstreams_per_service=3)
     cluster: ClassVar[LocalCluster]
 
     @classmethod
@@ -30,66 +30,66 @@
         cls.cluster.start()
 
     def tearDown(self) -> None:
-        # Cleanups undo a test's changes, which readiness depends on.
+        # Readiness depends on the cleanups, which revert the changes of the test.
         self.doCleanups()
-        for name in self.cluster.stopped():
+        for name in self.cluster.stopped_processes():
             self.cluster.restart(name)
-        self.cluster.wait_ready(_CALM_S)
+        self.cluster.wait_ready(_READY_TIMEOUT_S)
 
     @property
-    def keyed(self) -> str:
-        """Return the site's keyed service."""
+    def keyed_service(self) -> str:
+        """Return the name of the keyed service."""
         return next(iter(self.plan.upstreams))
 
     def start_load(
-        self, callers: int = 6, plans: tuple[RequestPlan, ...] = ()
-    ) -> LoadRun:
-        """Start callers and let them run for a moment."""
-        run = LoadRun(
+        self, caller_count: int = 6, templates: tuple[RequestTemplate, ...] = ()
+    ) -> LoadGenerator:
+        """Start a load generator and return it after the warm-up."""
+        generator = LoadGenerator(
             self.cluster,
-            plans or load.SITE_REQUESTS[self.plan.site],
-            callers=callers,
-            prefix=self.id().rsplit(".", 1)[1],
+            templates or load.SITE_REQUESTS[self.plan.site],
+            caller_count=caller_count,
+            key_prefix=self.id().rsplit(".", 1)[1],
         )
-        self.addCleanup(run.stop)
-        run.start()
+        self.addCleanup(generator.stop)
+        generator.start()
         time.sleep(_WARM_UP_S)
-        return run
+        return generator
 
-    def finish(self, run: LoadRun) -> list[CallRecord]:
-        """Stop the callers and check what they saw against what was run."""
-        records = run.stop()
+    def stop_load(self, generator: LoadGenerator) -> list[CallRecord]:
+        """Stop the load and check the call records against the executions."""
+        records = generator.stop()
         time.sleep(0.2)
-        runs = self.runs()
+        executions = self.recorded_executions()
         self.assertGreater(len(records), 100)
-        self.assertEqual(load.find_violations(records, runs), [])
-        self.assertEqual(load.shared_ownership(runs), [])
+        self.assertEqual(load.find_violations(records, executions), [])
+        self.assertEqual(load.find_ownership_overlaps(executions), [])
         return records
 
-    def runs(self) -> list[Run]:
-        """Return all runs that the stand-in upstreams recorded."""
-        return load.recorded_runs(self.cluster.executions())
+    def recorded_executions(self) -> list[RecordedExecution]:
+        """Return all executions that the stand-in upstreams did not abandon."""
+        return load.recorded_executions(self.cluster.executions())
 
-    def assert_served_after(self, records: list[CallRecord], since: float) -> None:
-        """Check that every request that started after a time was served."""
+    def assert_all_served_after(self, records: list[CallRecord], since: float) -> None:
+        """Check that every request that started at or after `since` was served."""
         later = [r for r in records if r.started >= since]
         self.assertGreater(len(later), 20)
         refused = Counter((r.status, r.kind) for r in later if r.status != 200)
         self.assertEqual(refused, Counter(), f"of {len(later)} requests")
 
-    def leader(self) -> str:
-        """Return the name of the control replica that leads."""
+    def control_leader(self) -> str:
+        """Return the name of the leading control replica."""
 
-        def find() -> str:
+        def find_leader() -> str:
             reply = self.cluster.operator_call("GET", "/v1/status")
             if reply.status != 200:
                 return ""
             return reply.json()["control"]["leader"].rsplit("-", 1)[0]
 
-        return wait_until(find, _CALM_S, "a control leader is known")
+        return wait_until(find_leader, _READY_TIMEOUT_S, "a control leader is known")
 
     def revision(self) -> int:
-        """Return the revision in force."""
+        """Return the current settings revision."""
         reply = self.cluster.operator_call("GET", "/v1/settings")
         self.assertEqual(reply.status, 200, reply.body)
         return reply.json()["revision"]
--- a/bergamotdrift/tests/test_cluster_changes.py
+++ b/bergamotdrift/tests/test_cluster_changes.py
@@ -1,46 +1,49 @@
-"""Operators change a running site: zones, keys, races, restarts."""
+"""End-to-end tests of settings changes: zones, keys, races and restarts."""
 
 import http.client
 import json
 import time
 
 from bergamotdrift.hashing import key_digest
-from bergamotdrift.tests.cluster_case import FEW_SECONDS, ClusterTestCase
+from bergamotdrift.tests.cluster_case import SETTLE_S, ClusterTestCase
 from scripts.local_cluster import wait_until
 
 
 class SettingsTests(ClusterTestCase):
-    """Apply settings while callers are served."""
+    """Guards against settings changes that don't take effect on a site under load."""
 
-    def change(self, edit, request: str) -> None:
-        before = self.cluster.overlay.read_text()
-        self.addCleanup(self.restore, before, request + "-undone")
+    def apply_change(self, edit, request: str) -> None:
+        previous_overlay = self.cluster.overlay.read_text()
+        self.addCleanup(self.restore_overlay, previous_overlay, request + "-undone")
         self.cluster.edit_overlay(edit)
         reply = self.cluster.apply(self.revision(), request)
         self.assertEqual(reply.status, 200, reply.body)
 
-    def restore(self, overlay: str, request: str) -> None:
+    def restore_overlay(self, overlay: str, request: str) -> None:
         self.cluster.overlay.write_text(overlay)
         reply = self.cluster.apply(self.revision(), request)
         self.assertEqual(reply.status, 200, reply.body)
 
     def test_zone_out_gets_no_new_work_and_returns(self):
         zone = self.cluster.zones()[0]
-        run = self.start_load()
-        run.entries.remove("entry-1")  # unready, so the balancer takes it out
-        self.change(lambda overlay: overlay["zones"].update({zone: "out"}), "zone-out")
+        generator = self.start_load()
+        # not ready, so the load balancer removes it
+        generator.entries.remove("entry-1")
+        self.apply_change(
+            lambda overlay: overlay["zones"].update({zone: "out"}), "zone-out"
+        )
         out_at = time.time()
-        time.sleep(FEW_SECONDS + 2.0)
-        records = self.finish(run)
+        time.sleep(SETTLE_S + 2.0)
+        records = self.stop_load(generator)
         in_zone = {f"{service}-1" for service in self.plan.upstreams}
         late = [
             r
-            for r in self.runs()
-            if r.upstream in in_zone and r.started > out_at + FEW_SECONDS
+            for r in self.recorded_executions()
+            if r.upstream in in_zone and r.started > out_at + SETTLE_S
         ]
         self.assertEqual(late, [])
         self.assertFalse(self.cluster.is_ready("entry-1"))
-        self.assert_served_after(records, out_at + FEW_SECONDS)
+        self.assert_all_served_after(records, out_at + SETTLE_S)
 
     def test_withdrawn_key_stops_on_an_open_connection(self):
         host, _, port = self.cluster.entries["entry-2"].rpartition(":")
@@ -56,13 +59,13 @@
 
         self.assertEqual(status(), 200)
         digests = [key_digest("another key")]
-        self.change(
+        self.apply_change(
             lambda overlay: overlay["workspaces"]["watchdogs"].update({
                 "key_digests": digests
             }),
             "withdraw",
         )
-        wait_until(lambda: status() == 401, FEW_SECONDS, "the withdrawn key is refused")
+        wait_until(lambda: status() == 401, SETTLE_S, "the withdrawn key is refused")
 
     def test_operators_race_and_resend(self):
         base = self.revision()
@@ -76,14 +79,14 @@
 
 
 class RestartTests(ClusterTestCase):
-    """Restart all control replicas after hundreds of changes."""
+    """Guards against state lost when all replicas restart after hundreds of changes."""
 
     def test_state_survives_the_restart_of_every_control_replica(self):
         first = self.revision()
         for number in range(200):
             reply = self.cluster.apply(first + number, f"change-{number}")
             self.assertEqual(reply.status, 200, reply.body)
-        names = list(self.cluster.control)
+        names = list(self.cluster.control_addresses)
         for name in names:
             self.cluster.kill(name)
         for name in names:
--- a/bergamotdrift/tests/test_cluster_cuts.py
+++ b/bergamotdrift/tests/test_cluster_cuts.py
@@ -1,28 +1,32 @@
-"""Connections to the control replicas of a running site go silent."""
+"""End-to-end tests of blocked connections to the control replicas."""
 
 import time
 
-from bergamotdrift.tests.cluster_case import SERVED_AGAIN_S, ClusterTestCase
+from bergamotdrift.tests.cluster_case import RECOVERY_S, ClusterTestCase
 from scripts.local_cluster import LocalCluster, free_address
-from scripts.relay import CutRelay
+from scripts.relay import FaultRelay
 
 _LONG_ISOLATION_S = 8.0
 
 
 class CutTests(ClusterTestCase):
-    """Cut streams without closing them; every control stream passes a relay."""
+    """Guards against requests refused later than RECOVERY_S after links are blocked.
 
-    relays: dict[str, CutRelay]
+    Every connection to a control replica goes through a relay, which stops passing
+    bytes without closing the connection.
+    """
+
+    relays: dict[str, FaultRelay]
 
     @classmethod
     def setUpClass(cls) -> None:
         cls.cluster = LocalCluster(cls.plan)
         cls.addClassCleanup(cls.cluster.stop)
         cls.relays = {}
-        for name, address in cls.cluster.control.items():
+        for name, address in cls.cluster.control_addresses.items():
             listen = free_address()
-            cls.cluster.control_listen[name] = listen
-            cls.relays[name] = CutRelay(address, listen)
+            cls.cluster.control_listen_addresses[name] = listen
+            cls.relays[name] = FaultRelay(address, listen)
             cls.addClassCleanup(cls.relays[name].stop)
         cls.cluster.start()
 
@@ -30,39 +34,39 @@
         return self.cluster.operator_call("GET", "/v1/status").json()["control"]["term"]
 
     def test_open_connections_go_silent_for_good(self):
-        run = self.start_load()
-        cut_at = time.time()
+        generator = self.start_load()
+        blocked_at = time.time()
         for relay in self.relays.values():
-            relay.silence_open_connections()
-        time.sleep(SERVED_AGAIN_S + 3.0)
-        records = self.finish(run)
-        self.assert_served_after(records, cut_at + SERVED_AGAIN_S)
+            relay.blackhole_open_connections()
+        time.sleep(RECOVERY_S + 3.0)
+        records = self.stop_load(generator)
+        self.assert_all_served_after(records, blocked_at + RECOVERY_S)
 
-    def cut_the_leader(self, forward: bool, backward: bool) -> None:
-        leader = self.leader()
-        run = self.start_load()
-        cut_at = time.time()
-        self.relays[leader].cut(forward, backward)
-        time.sleep(SERVED_AGAIN_S + 3.0)
+    def block_leader_links(self, forward: bool, backward: bool) -> None:
+        leader = self.control_leader()
+        generator = self.start_load()
+        blocked_at = time.time()
+        self.relays[leader].block(forward, backward)
+        time.sleep(RECOVERY_S + 3.0)
         self.relays[leader].heal()
-        records = self.finish(run)
-        self.assert_served_after(records, cut_at + SERVED_AGAIN_S)
+        records = self.stop_load(generator)
+        self.assert_all_served_after(records, blocked_at + RECOVERY_S)
 
     def test_leader_is_unreachable(self):
-        self.cut_the_leader(forward=True, backward=True)
+        self.block_leader_links(forward=True, backward=True)
 
     def test_leader_hears_but_its_replies_are_lost(self):
-        self.cut_the_leader(forward=False, backward=True)
+        self.block_leader_links(forward=False, backward=True)
 
     def test_leader_hears_nothing_on_open_connections(self):
-        self.cut_the_leader(forward=True, backward=False)
+        self.block_leader_links(forward=True, backward=False)
 
     def test_long_isolated_follower_does_not_unseat_the_leader(self):
-        leader = self.leader()
+        leader = self.control_leader()
         term = self.term()
-        follower = next(n for n in self.cluster.control if n != leader)
-        run = self.start_load()
-        self.relays[follower].cut()
+        follower = next(n for n in self.cluster.control_addresses if n != leader)
+        generator = self.start_load()
+        self.relays[follower].block()
         base = self.revision()
         for number in range(3):
             reply = self.cluster.apply(base + number, f"meanwhile-{number}")
@@ -70,9 +74,9 @@
         time.sleep(_LONG_ISOLATION_S)
         self.relays[follower].heal()
         healed_at = time.time()
-        time.sleep(SERVED_AGAIN_S)
-        records = self.finish(run)
-        self.assertEqual((self.leader(), self.term()), (leader, term))
-        self.assert_served_after(records, healed_at)
+        time.sleep(RECOVERY_S)
+        records = self.stop_load(generator)
+        self.assertEqual((self.control_leader(), self.term()), (leader, term))
+        self.assert_all_served_after(records, healed_at)
         reply = self.cluster.operator_call("GET", "/v1/settings", replica=follower)
         self.assertEqual(reply.json()["revision"], base + 3)
--- a/bergamotdrift/tests/test_cluster_losses.py
+++ b/bergamotdrift/tests/test_cluster_losses.py
@@ -1,71 +1,72 @@
-"""Processes of a running site are killed; keys are served again within 3 s."""
+"""End-to-end tests of killed processes; keys are served again within 3 s."""
 
 import time
 
-from bergamotdrift.tests.cluster_case import SERVED_AGAIN_S, ClusterTestCase
+from bergamotdrift.tests.cluster_case import RECOVERY_S, ClusterTestCase
 from scripts.local_cluster import small_plan
 
 
 class LossTests(ClusterTestCase):
-    """Kill processes under load; nothing is lost, doubled or falsely refused."""
+    """Guards against lost, repeated or falsely refused requests after a kill."""
 
-    def run_with_losses(self, names: list[str]) -> None:
-        run = self.start_load()
+    def check_recovery_after_kills(self, names: list[str]) -> None:
+        generator = self.start_load()
         for name in names:
-            if name in run.entries:
-                run.entries.remove(name)  # the platform's balancer takes it out
-        lost_at = time.time()
+            if name in generator.entries:
+                # the platform's load balancer removes it
+                generator.entries.remove(name)
+        killed_at = time.time()
         for name in names:
             self.cluster.kill(name)
-        time.sleep(SERVED_AGAIN_S + 2.0)
-        records = self.finish(run)
-        self.assert_served_after(records, lost_at + SERVED_AGAIN_S)
+        time.sleep(RECOVERY_S + 2.0)
+        records = self.stop_load(generator)
+        self.assert_all_served_after(records, killed_at + RECOVERY_S)
 
     def test_upstream_lost(self):
-        self.run_with_losses([f"{self.keyed}-1"])
+        self.check_recovery_after_kills([f"{self.keyed_service}-1"])
 
     def test_pool_upstream_lost(self):
-        self.run_with_losses(["submission-filing-1"])
+        self.check_recovery_after_kills(["submission-filing-1"])
 
     def test_arbiter_lost(self):
-        self.run_with_losses(["arbiter-2"])
+        self.check_recovery_after_kills(["arbiter-2"])
 
     def test_entry_lost(self):
-        self.run_with_losses(["entry-3"])
+        self.check_recovery_after_kills(["entry-3"])
 
     def test_control_leader_lost(self):
-        self.run_with_losses([self.leader()])
+        self.check_recovery_after_kills([self.control_leader()])
 
     def test_vm_of_the_control_leader_lost(self):
-        number = self.leader().rsplit("-", 1)[1]
-        self.run_with_losses([
+        number = self.control_leader().rsplit("-", 1)[1]
+        self.check_recovery_after_kills([
             f"control-{number}",
             f"arbiter-{number}",
             f"entry-{number}",
         ])
 
     def test_arbiter_and_upstream_lost_together(self):
-        self.run_with_losses(["arbiter-1", f"{self.keyed}-2"])
+        self.check_recovery_after_kills(["arbiter-1", f"{self.keyed_service}-2"])
 
 
 class UnfencedLossTests(ClusterTestCase):
-    """Lose upstreams that check neither epochs nor grants."""
+    """Guards against the same failures at upstreams that check no epoch or grant."""
 
-    plan = small_plan("hollins-marr", vms=3, per_service=3)
+    plan = small_plan("hollins-marr", vms=3, upstreams_per_service=3)
 
     def test_upstream_lost(self):
-        run = self.start_load()
-        lost_at = time.time()
-        self.cluster.kill(f"{self.keyed}-1")
-        time.sleep(SERVED_AGAIN_S + 2.0)
-        records = self.finish(run)
-        self.assert_served_after(records, lost_at + SERVED_AGAIN_S)
+        generator = self.start_load()
+        killed_at = time.time()
+        self.cluster.kill(f"{self.keyed_service}-1")
+        time.sleep(RECOVERY_S + 2.0)
+        records = self.stop_load(generator)
+        self.assert_all_served_after(records, killed_at + RECOVERY_S)
 
     def test_upstream_freezes_and_returns(self):
-        run = self.start_load()
+        generator = self.start_load()
         frozen_at = time.time()
-        self.cluster.pause(f"{self.keyed}-1")
-        time.sleep(SERVED_AGAIN_S + 2.0)
-        self.cluster.resume(f"{self.keyed}-1")
-        records = self.finish(run)
-        self.assert_served_after(records, frozen_at + SERVED_AGAIN_S)
+        self.cluster.pause(f"{self.keyed_service}-1")
+        time.sleep(RECOVERY_S + 2.0)
+        self.cluster.resume(f"{self.keyed_service}-1")
+        records = self.stop_load(generator)
+        self.assert_all_served_after(records, frozen_at + RECOVERY_S)
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,4 +1,4 @@
-"""Run a whole site on loopback with stand-in upstreams until interrupted."""
+"""Run a complete site on loopback with stand-in upstreams until interrupted."""
 
 import signal
 import sys
@@ -10,7 +10,7 @@
 
 from scripts.local_cluster import SITE_PLANS, LocalCluster
 
-_EXAMPLES = {
+_EXAMPLE_REQUESTS = {
     "iroda": (
         ("GET", "/cases/2026-117/status", "press-desk"),
         ("POST", "/submissions", "caseworkers"),
@@ -29,39 +29,41 @@
     """Run the demo of one site."""
 
     site: Annotated[str, cappa.Arg(long=True, help="iroda or hollins-marr")] = "iroda"
-    once: Annotated[bool, cappa.Arg(long=True, help="stop once it serves")] = False
+    once: Annotated[
+        bool, cappa.Arg(long=True, help="stop after the first responses")
+    ] = False
 
 
-def print_guide(cluster: LocalCluster) -> None:
-    """Print how to send requests and how to change the settings."""
+def print_usage(cluster: LocalCluster) -> None:
+    """Print example requests and the operator command line."""
     address = cluster.entries["entry-1"]
-    print(f"\n{cluster.plan.site} is served; entries:", *cluster.entries.values())
-    for method, path, workspace in _EXAMPLES[cluster.plan.site]:
+    print(f"\n{cluster.plan.site} is running; entries:", *cluster.entries.values())
+    for method, path, workspace in _EXAMPLE_REQUESTS[cluster.plan.site]:
         key = f" -H 'Authorization: Bearer demo-{workspace}'" if workspace else ""
         body = " -d 'text'" if method == "POST" else ""
         print(f"  curl -i -X {method}{key}{body} http://{address}{path}")
-    replicas = ",".join(cluster.operator.values())
-    print("\nThe operator's command line (key: demo-operator):")
+    replicas = ",".join(cluster.operator_addresses.values())
+    print("\nOperator command line (key: demo-operator):")
     print(f"  BERGAMOTDRIFT_CONTROL={replicas} .venv/bin/bergamotdrift status")
     print(f"Settings and logs are in {cluster.folder}. Stop with Ctrl-C.", flush=True)
 
 
 def main() -> int:
-    """Return 0 once every service of the site has answered."""
+    """Return 0 if every example request got status 200, otherwise 1."""
     options = cappa.parse(Options, completion=False)
     stop = threading.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        signal.signal(number, lambda *_: stop.set())
+    for signum in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(signum, lambda *_: stop.set())
     cluster = LocalCluster(SITE_PLANS[options.site])
     try:
         print(f"Starting {options.site} ...", flush=True)
         cluster.start()
-        for method, path, workspace in _EXAMPLES[options.site]:
+        for method, path, workspace in _EXAMPLE_REQUESTS[options.site]:
             reply = cluster.request("entry-1", method, path, workspace)
             print(f"  {method} {path}: {reply.status}")
             if reply.status != 200:
                 return 1
-        print_guide(cluster)
+        print_usage(cluster)
         if not options.once:
             stop.wait()
     finally:
--- a/scripts/http_calls.py
+++ b/scripts/http_calls.py
@@ -1,14 +1,14 @@
-"""Plain HTTP calls for scripts and tests."""
+"""HTTP client helpers for scripts and tests."""
 
 import http.client
 import json
 from typing import Any, NamedTuple
 
-NO_ANSWER = 0
+NO_REPLY = 0
 
 
 class HttpReply(NamedTuple):
-    """Hold an answer; status 0 means that none arrived."""
+    """Store an HTTP response; status 0 means that no response was received."""
 
     status: int
     headers: dict[str, str]
@@ -27,7 +27,7 @@
     headers: dict[str, str] | None = None,
     timeout_s: float = 5.0,
 ) -> HttpReply:
-    """Return the answer of one request on a new connection."""
+    """Send one request over a new connection and return the response."""
     host, _, port = address.rpartition(":")
     conn = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
     try:
@@ -35,8 +35,8 @@
         reply = conn.getresponse()
         data = reply.read()
     except (OSError, http.client.HTTPException):
-        return HttpReply(NO_ANSWER, {}, b"")
+        return HttpReply(NO_REPLY, {}, b"")
     finally:
         conn.close()
-    fields = {name.lower(): value for name, value in reply.getheaders()}
-    return HttpReply(reply.status, fields, data)
+    reply_headers = {name.lower(): value for name, value in reply.getheaders()}
+    return HttpReply(reply.status, reply_headers, data)
--- a/scripts/load.py
+++ b/scripts/load.py
@@ -1,4 +1,4 @@
-"""Load from callers, and checks of what they saw against what upstreams ran."""
+"""Load generator, and checks of its call records against upstream execution records."""
 
 import http.client
 import itertools
@@ -11,14 +11,14 @@
 from typing import Any, NamedTuple
 
 from bergamotdrift.dialect import NATIVE
-from scripts.http_calls import NO_ANSWER
+from scripts.http_calls import NO_REPLY
 from scripts.local_cluster import LocalCluster
 
-_PAUSE_S = 0.005
+_REQUEST_INTERVAL_S = 0.005
 
 
-class RequestPlan(NamedTuple):
-    """Describe one sort of request; `{key}` in the path is filled in."""
+class RequestTemplate(NamedTuple):
+    """Describe one kind of request; `{key}` in the path is a placeholder."""
 
     method: str
     path: str
@@ -27,24 +27,24 @@
 
 SITE_REQUESTS = {
     "iroda": (
-        RequestPlan("GET", "/cases/{key}", "caseworkers"),
-        RequestPlan("POST", "/cases/{key}/notes", "press-desk"),
-        RequestPlan("POST", "/submissions", "caseworkers"),
-        RequestPlan("GET", "/answers/{key}", ""),
+        RequestTemplate("GET", "/cases/{key}", "caseworkers"),
+        RequestTemplate("POST", "/cases/{key}/notes", "press-desk"),
+        RequestTemplate("POST", "/submissions", "caseworkers"),
+        RequestTemplate("GET", "/answers/{key}", ""),
     ),
     "hollins-marr": (
-        RequestPlan("GET", "/hires/{key}/availability", "depots"),
-        RequestPlan("POST", "/hires/{key}/booking", "fenland-growers"),
-        RequestPlan("POST", "/contracts", "humber-glass"),
-        RequestPlan("POST", "/documents", "fenland-growers"),
+        RequestTemplate("GET", "/hires/{key}/availability", "depots"),
+        RequestTemplate("POST", "/hires/{key}/booking", "fenland-growers"),
+        RequestTemplate("POST", "/contracts", "humber-glass"),
+        RequestTemplate("POST", "/documents", "fenland-growers"),
     ),
 }
 
 
 class CallRecord(NamedTuple):
-    """Hold what a caller saw; times in seconds since the epoch."""
+    """Store the outcome of one call; times in seconds since the epoch."""
 
-    tag: str
+    idempotency_key: str
     method: str
     path: str
     workspace: str
@@ -53,91 +53,91 @@
     status: int
     kind: str
     not_run: bool
-    answered_key: str
-    # The id under which the entry logs the request, empty without an answer.
+    echoed_path: str
+    # The request id in the entry's log; empty if there was no response.
     request_id: str = ""
 
 
-class LoadRun:
-    """Send requests from several callers until stopped."""
+class LoadGenerator:
+    """Send requests from concurrent callers until stopped."""
 
     def __init__(
         self,
         cluster: LocalCluster,
-        plans: tuple[RequestPlan, ...],
-        callers: int = 8,
-        keys: int = 200,
+        templates: tuple[RequestTemplate, ...],
+        caller_count: int = 8,
+        path_key_count: int = 200,
         seed: int = 1,
-        prefix: str = "t",
+        key_prefix: str = "t",
     ):
         self._cluster = cluster
-        self._plans = plans
-        self._keys = keys
-        self._prefix = prefix
-        self._numbers = itertools.count()
+        self._templates = templates
+        self._path_key_count = path_key_count
+        self._key_prefix = key_prefix
+        self._sequence = itertools.count()
         self._stopping = threading.Event()
         self.entries = list(cluster.entries)
         self.records: list[CallRecord] = []
         self._threads = [
-            threading.Thread(target=self._call_loop, args=(random.Random(seed + n),))
-            for n in range(callers)
+            threading.Thread(target=self._run_caller, args=(random.Random(seed + n),))
+            for n in range(caller_count)
         ]
 
     def start(self) -> None:
-        """Start all callers."""
+        """Start the caller threads."""
         for thread in self._threads:
             thread.start()
 
     def stop(self) -> list[CallRecord]:
-        """Stop the callers and return all records."""
+        """Stop the caller threads and return all call records."""
         self._stopping.set()
         for thread in self._threads:
             thread.join(timeout=30)
         return self.records
 
-    def _call_loop(self, rng: random.Random) -> None:
+    def _run_caller(self, rng: random.Random) -> None:
         connections: dict[str, http.client.HTTPConnection] = {}
         while not self._stopping.is_set():
             entry = rng.choice(self.entries)
-            plan = rng.choice(self._plans)
-            self.records.append(self._call(connections, entry, plan, rng))
-            time.sleep(_PAUSE_S)
+            template = rng.choice(self._templates)
+            self.records.append(self._send_request(connections, entry, template, rng))
+            time.sleep(_REQUEST_INTERVAL_S)
 
-    def _call(
+    def _send_request(
         self,
         connections: dict[str, http.client.HTTPConnection],
         entry: str,
-        plan: RequestPlan,
+        template: RequestTemplate,
         rng: random.Random,
     ) -> CallRecord:
-        tag = f"{self._prefix}-{next(self._numbers)}"
-        path = plan.path.format(key=f"k{rng.randrange(self._keys)}")
-        headers = {"Idempotency-Key": tag, "X-Deadline-Ms": "5000"}
-        if plan.workspace:
-            headers["Authorization"] = f"Bearer demo-{plan.workspace}"
+        idempotency_key = f"{self._key_prefix}-{next(self._sequence)}"
+        path = template.path.format(key=f"k{rng.randrange(self._path_key_count)}")
+        headers = {"Idempotency-Key": idempotency_key, "X-Deadline-Ms": "5000"}
+        if template.workspace:
+            headers["Authorization"] = f"Bearer demo-{template.workspace}"
         conn = connections.pop(entry, None) or self._connect(entry)
-        body = b"x" if plan.method == "POST" else None
+        body = b"x" if template.method == "POST" else None
         started = time.time()
-        status, answer, request_id = NO_ANSWER, {}, ""
+        status, payload, request_id = NO_REPLY, {}, ""
         try:
-            conn.request(plan.method, path, body, headers)
+            conn.request(template.method, path, body, headers)
             reply = conn.getresponse()
-            status, answer = reply.status, json.loads(reply.read())
+            status, payload = reply.status, json.loads(reply.read())
             request_id = reply.getheader(NATIVE.request_id, "")
             connections[entry] = conn
         except (OSError, http.client.HTTPException, ValueError):
             conn.close()
         return CallRecord(
-            tag,
-            plan.method,
+            idempotency_key,
+            template.method,
             path,
-            plan.workspace,
+            template.workspace,
             started,
             time.time(),
             status,
-            answer.get("error", ""),
-            bool(answer.get("not_run")),
-            answer.get("key", ""),
+            payload.get("error", ""),
+            bool(payload.get("not_run")),
+            payload.get("key", ""),
             request_id,
         )
 
@@ -146,13 +146,13 @@
         return http.client.HTTPConnection(host, int(port), timeout=8)
 
 
-class Run(NamedTuple):
-    """Hold one execution that a stand-in upstream recorded."""
+class RecordedExecution(NamedTuple):
+    """Store one execution recorded by a stand-in upstream."""
 
     upstream: str
     key: str
     workspace: str
-    tag: str
+    idempotency_key: str
     epoch: int
     partition: int
     started: float
@@ -160,14 +160,14 @@
     leaked: bool
 
 
-def recorded_runs(lines: Iterable[dict[str, Any]]) -> list[Run]:
-    """Return the runs that took effect; a run without an end stays open."""
-    runs = []
+def recorded_executions(lines: Iterable[dict[str, Any]]) -> list[RecordedExecution]:
+    """Return executions that were not abandoned; a running one ends at infinity."""
+    executions = []
     for line in lines:
         if line["abandoned"]:
             continue
-        runs.append(
-            Run(
+        executions.append(
+            RecordedExecution(
                 line["upstream"],
                 line["key"],
                 line["workspace"],
@@ -179,71 +179,82 @@
                 line["leaked"],
             )
         )
-    return runs
+    return executions
 
 
-def find_violations(records: list[CallRecord], runs: list[Run]) -> list[str]:
-    """Return every case of lost, doubled, foreign or falsely refused work."""
-    by_tag: dict[str, list[Run]] = defaultdict(list)
-    for run in runs:
-        by_tag[run.tag].append(run)
-    found: list[str] = []
+def find_violations(
+    records: list[CallRecord], executions: list[RecordedExecution]
+) -> list[str]:
+    """Return lost, repeated, misrouted and falsely refused requests and leaked keys."""
+    by_idempotency_key: dict[str, list[RecordedExecution]] = defaultdict(list)
+    for execution in executions:
+        by_idempotency_key[execution.idempotency_key].append(execution)
+    violations: list[str] = []
     for record in records:
-        found += _record_violations(record, by_tag[record.tag])
-    found += [
-        f"workspace key leaked to {r.upstream}: {r.key}" for r in runs if r.leaked
+        violations += _record_violations(
+            record, by_idempotency_key[record.idempotency_key]
+        )
+    violations += [
+        f"workspace key leaked to {e.upstream}: {e.key}" for e in executions if e.leaked
     ]
-    return found
-
-
-def _record_violations(record: CallRecord, runs: list[Run]) -> list[str]:
-    where = f"{record.tag} {record.method} {record.path} {record.status} {record.kind}"
-    found = []
-    if record.method == "POST" and len(runs) > 1:
-        found.append(f"run {len(runs)} times: {where}")
-    if record.status == 200 and not runs:
-        found.append(f"answered but not run: {where}")
-    if record.not_run and runs:
-        found.append(f"refused as not run but run: {where}")
-    if record.status == 200 and record.answered_key != record.path:
-        found.append(f"answer of another request {record.answered_key}: {where}")
-    if any(run.workspace != record.workspace for run in runs):
-        found.append(f"run for another workspace: {where}")
-    return found
-
-
-def shared_ownership(runs: list[Run]) -> list[str]:
-    """Return pairs of runs of one partition that overlap on two upstreams."""
-    by_partition: dict[int, list[Run]] = defaultdict(list)
-    for run in runs:
-        if run.partition >= 0:
-            by_partition[run.partition].append(run)
-    found = []
-    for partition, group in by_partition.items():
-        group.sort(key=lambda run: run.started)
-        for number, first in enumerate(group):
-            for second in group[number + 1 :]:
+    return violations
+
+
+def _record_violations(
+    record: CallRecord, executions: list[RecordedExecution]
+) -> list[str]:
+    call = (
+        f"{record.idempotency_key} {record.method} {record.path} "
+        f"{record.status} {record.kind}"
+    )
+    violations = []
+    if record.method == "POST" and len(executions) > 1:
+        violations.append(f"executed {len(executions)} times: {call}")
+    if record.status == 200 and not executions:
+        violations.append(f"answered but not executed: {call}")
+    if record.not_run and executions:
+        violations.append(f"refused as not run but executed: {call}")
+    if record.status == 200 and record.echoed_path != record.path:
+        violations.append(f"response to another request {record.echoed_path}: {call}")
+    if any(execution.workspace != record.workspace for execution in executions):
+        violations.append(f"executed for another workspace: {call}")
+    return violations
+
+
+def find_ownership_overlaps(executions: list[RecordedExecution]) -> list[str]:
+    """Return executions in one partition that overlap in time on two upstreams."""
+    by_partition: dict[int, list[RecordedExecution]] = defaultdict(list)
+    for execution in executions:
+        if execution.partition >= 0:
+            by_partition[execution.partition].append(execution)
+    overlaps = []
+    for partition, partition_executions in by_partition.items():
+        partition_executions.sort(key=lambda execution: execution.started)
+        for index, first in enumerate(partition_executions):
+            for second in partition_executions[index + 1 :]:
                 if second.started >= first.ended:
                     break
                 if second.upstream != first.upstream:
-                    found.append(
+                    overlaps.append(
                         f"partition {partition}: {_describe(first)} and "
                         f"{_describe(second)}"
                     )
-    return found
+    return overlaps
 
 
-def _describe(run: Run) -> str:
-    """Return what finds a run in the records of callers and the logs."""
+def _describe(execution: RecordedExecution) -> str:
+    """Describe an execution by the values that identify it in call records and logs."""
     return (
-        f"{run.tag} at {run.upstream} epoch {run.epoch} "
-        f"from {run.started:.3f} to {run.ended:.3f}"
+        f"{execution.idempotency_key} at {execution.upstream} epoch {execution.epoch} "
+        f"from {execution.started:.3f} to {execution.ended:.3f}"
     )
 
 
-def longest_gap_s(records: list[CallRecord], key_path: str = "") -> float:
-    """Return the longest time in seconds without a served request."""
-    times = sorted(
-        r.ended for r in records if r.status == 200 and r.path.startswith(key_path)
+def longest_gap_s(records: list[CallRecord], path_prefix: str = "") -> float:
+    """Return the longest interval in seconds between served requests."""
+    served_times = sorted(
+        r.ended for r in records if r.status == 200 and r.path.startswith(path_prefix)
+    )
+    return max(
+        (b - a for a, b in itertools.pairwise(served_times)), default=float("inf")
     )
-    return max((b - a for a, b in itertools.pairwise(times)), default=float("inf"))
--- a/scripts/local_cluster.py
+++ b/scripts/local_cluster.py
@@ -1,4 +1,4 @@
-"""All programs of a site on loopback, for the demo, the smoke run and tests."""
+"""Run all processes of a site on loopback, for the demo, the smoke run and tests."""
 
 import json
 import os
@@ -24,18 +24,18 @@
 from scripts.http_calls import HttpReply, call_http
 
 ROOT = Path(__file__).resolve().parents[1]
-_BASE = ROOT / "sites" / "base.jsonc"
+_BASE_SETTINGS = ROOT / "sites" / "base.jsonc"
 OPERATOR_KEY = "demo-operator"
 CONTROL_REPLICAS = 3
-_SHUTDOWN_S = 10.0
+_SHUTDOWN_TIMEOUT_S = 10.0
 _PORT_MIN = 20_000
 _PORT_MAX = 32_000
-_RESERVED: list[socket.socket] = []
-_RESERVING = threading.Lock()
+_RESERVED_SOCKETS: list[socket.socket] = []
+_RESERVE_LOCK = threading.Lock()
 
 
 class SitePlan(NamedTuple):
-    """Say how much of a site to start; `upstreams` counts per service."""
+    """Describe the size of a site; `upstreams` maps each service to a count."""
 
     site: str
     vms: int
@@ -56,60 +56,66 @@
 }
 
 
-def small_plan(site: str, vms: int = 3, per_service: int = 2) -> SitePlan:
-    """Return a plan with few processes, for tests."""
+def small_plan(site: str, vms: int = 3, upstreams_per_service: int = 2) -> SitePlan:
+    """Return a plan for tests with few processes."""
     services = SITE_PLANS[site].upstreams
-    return SitePlan(site, vms, dict.fromkeys(services, per_service))
+    return SitePlan(site, vms, dict.fromkeys(services, upstreams_per_service))
 
 
 def wait_until(
-    condition: Callable[[], Any], timeout_s: float, what: str, pause_s: float = 0.05
+    condition: Callable[[], Any],
+    timeout_s: float,
+    description: str,
+    poll_interval_s: float = 0.05,
 ) -> Any:
-    """Return the first true value of a condition, or raise TimeoutError."""
-    end = time.monotonic() + timeout_s
+    """Poll a condition and return its first true value.
+
+    Raises TimeoutError after `timeout_s` seconds.
+    """
+    deadline = time.monotonic() + timeout_s
     while True:
         value = condition()
         if value:
             return value
-        if time.monotonic() > end:
-            raise TimeoutError(f"not within {timeout_s} s: {what}")
-        time.sleep(pause_s)
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"timed out after {timeout_s} s: {description}")
+        time.sleep(poll_interval_s)
 
 
 def free_address() -> str:
-    """Return a loopback address and keep its port reserved for this process.
+    """Return a loopback address whose port stays reserved for this process.
 
-    The port lies below the range that the system gives to port 0. The reserving
-    socket does not listen, so a server that sets SO_REUSEADDR can still bind it,
-    while another call here, in any process, can't.
+    The port is below the ephemeral range that the kernel uses for port 0. The
+    reserving socket doesn't listen, so a server with SO_REUSEADDR can still bind the
+    port, while another call of this function, in any process, can't.
     """
-    with _RESERVING:
+    with _RESERVE_LOCK:
         while True:
             port = random.randrange(_PORT_MIN, _PORT_MAX)
-            if _reserve(port):
+            if _reserve_port(port):
                 return f"127.0.0.1:{port}"
 
 
-def _reserve(port: int) -> bool:
-    """Reserve a port and tell whether nobody else had it."""
-    holder = socket.socket()
-    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+def _reserve_port(port: int) -> bool:
+    """Reserve a port; return False if it is already in use."""
+    reserving = socket.socket()
+    reserving.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", port))
-        holder.bind(("127.0.0.1", port))
+        reserving.bind(("127.0.0.1", port))
     except OSError:
-        holder.close()
+        reserving.close()
         return False
-    _RESERVED.append(holder)
+    _RESERVED_SOCKETS.append(reserving)
     return True
 
 
-class ProcessLoss(NamedTuple):
-    """Say when a process was killed, in seconds since the epoch."""
+class ProcessKill(NamedTuple):
+    """Record when a process was killed, in seconds since the epoch."""
 
     name: str
-    at: float
+    killed_at: float
 
 
 class LocalCluster:
@@ -119,33 +125,33 @@
     three VMs run a control replica.
     """
 
-    def __init__(self, plan: SitePlan, changes: dict[str, Any] | None = None):
+    def __init__(self, plan: SitePlan, overrides: dict[str, Any] | None = None):
         self.plan = plan
-        self._changes = changes or {}
-        self._temporary = tempfile.TemporaryDirectory(prefix="bergamotdrift-")
-        self.folder = Path(self._temporary.name)
+        self._overrides = overrides or {}
+        self._temporary_directory = tempfile.TemporaryDirectory(prefix="bergamotdrift-")
+        self.folder = Path(self._temporary_directory.name)
         self.processes: dict[str, subprocess.Popen] = {}
         self._commands: dict[str, list[str]] = {}
         vms = range(1, plan.vms + 1)
         controls = range(1, CONTROL_REPLICAS + 1)
-        self.control = {f"control-{i}": free_address() for i in controls}
-        # Tests put relays between the two addresses.
-        self.control_listen = dict(self.control)
-        self.operator = {f"control-{i}": free_address() for i in controls}
-        self.announce = {f"arbiter-{i}": free_address() for i in vms}
+        self.control_addresses = {f"control-{i}": free_address() for i in controls}
+        # Differs from `control_addresses` if a test puts a relay in front of a replica.
+        self.control_listen_addresses = dict(self.control_addresses)
+        self.operator_addresses = {f"control-{i}": free_address() for i in controls}
+        self.announce_addresses = {f"arbiter-{i}": free_address() for i in vms}
         self.entries = {f"entry-{i}": free_address() for i in vms}
-        self.admin: dict[str, str] = {}
-        self.upstreams: dict[str, str] = {}
-        self._losses: list[ProcessLoss] = []
-        self._parsed_overlay = ""
-        self._mapping: Any = None
+        self.admin_addresses: dict[str, str] = {}
+        self.upstream_addresses: dict[str, str] = {}
+        self._kills: list[ProcessKill] = []
+        self._cached_overlay = ""
+        self._cached_mapping: Any = None
         self.overlay = self._write_overlay()
 
     # Settings
 
     def site(self) -> SiteSettings:
-        """Return the site settings as a typed value."""
-        result = load_site(str(_BASE), str(self.overlay))
+        """Load and return the site settings."""
+        result = load_site(str(_BASE_SETTINGS), str(self.overlay))
         assert is_successful(result), result
         return result.unwrap()
 
@@ -153,14 +159,14 @@
         """Return the names of the site's availability zones."""
         return [zone.name for zone in self.site().zones]
 
-    def edit_overlay(self, change: Callable[[dict[str, Any]], None]) -> None:
-        """Change the overlay file; it takes effect with `apply`."""
+    def edit_overlay(self, edit: Callable[[dict[str, Any]], None]) -> None:
+        """Edit the overlay file; `apply` makes the change take effect."""
         mapping = json.loads(self.overlay.read_text())
-        change(mapping)
+        edit(mapping)
         self.overlay.write_text(json.dumps(mapping))
 
     def apply(self, base_revision: int, request: str) -> HttpReply:
-        """Apply the overlay file through the first control replica that answers."""
+        """Apply the overlay file through the first control replica that responds."""
         body = {
             "request": request,
             "base_revision": base_revision,
@@ -172,11 +178,14 @@
     def operator_call(
         self, method: str, path: str, body: Any = None, replica: str = ""
     ) -> HttpReply:
-        """Return the answer of a replica, or of the first one that answers."""
+        """Call the given control replica, or each in turn until one handles the call.
+
+        Statuses 0, 421 and 503 go on to the next replica.
+        """
         reply = HttpReply(0, {}, b"")
-        for name in [replica] if replica else self.operator:
+        for name in [replica] if replica else self.operator_addresses:
             reply = call_http(
-                self.operator[name],
+                self.operator_addresses[name],
                 method,
                 path,
                 json.dumps(body).encode() if body is not None else b"",
@@ -192,10 +201,10 @@
     # Processes
 
     def start(self) -> None:
-        """Start all programs, apply the settings and wait until entries are ready."""
-        for name in self.control:
+        """Start all processes, apply the settings and wait until the site is ready."""
+        for name in self.control_addresses:
             self.start_control(name)
-        wait_until(self._apply_first_settings, 20, "the first settings are accepted")
+        wait_until(self._apply_initial_settings, 20, "initial settings are accepted")
         for number in range(1, self.plan.vms + 1):
             self.start_arbiter(number)
             self.start_entry(number)
@@ -203,14 +212,14 @@
         self.wait_ready(30)
 
     def start_control(self, name: str, folder: str = "") -> None:
-        """Start a control replica, with its data in `folder` or under its name."""
+        """Start a control replica; the data folder defaults to its name."""
         index = int(name.rsplit("-", 1)[1])
-        settings = self._node(name, index)
+        settings = self._node_settings(name, index)
         settings |= {
-            "listen": self.control_listen[name],
-            "operator_listen": self.operator[name],
+            "listen": self.control_listen_addresses[name],
+            "operator_listen": self.operator_addresses[name],
             "data_folder": str(self.folder / (folder or name)),
-            "voters": self.control,
+            "voters": self.control_addresses,
             "operator_key_digests": [key_digest(OPERATOR_KEY)],
             "snapshot_entries": 64,
         }
@@ -219,22 +228,22 @@
     def start_arbiter(self, number: int) -> None:
         """Start the arbiter of a VM."""
         name = f"arbiter-{number}"
-        settings = self._node(name, number)
+        settings = self._node_settings(name, number)
         settings |= {
             "listen": "127.0.0.1:0",
-            "announce_listen": self.announce[name],
+            "announce_listen": self.announce_addresses[name],
         }
         self._start_program("bergamotdrift.arbiter", name, settings)
 
     def start_entry(self, number: int) -> None:
         """Start the entry of a VM."""
         name = f"entry-{number}"
-        settings = self._node(name, number)
+        settings = self._node_settings(name, number)
         settings |= {"listen": self.entries[name]}
         self._start_program("bergamotdrift.entry", name, settings)
 
     def start_upstreams(self) -> None:
-        """Start the stand-in upstreams of all services, spread over the zones."""
+        """Start the stand-in upstreams of all services, distributed over the zones."""
         for service in self.site().services:
             for number in range(1, self.plan.upstreams[service.name] + 1):
                 self.start_upstream(service.name, number)
@@ -245,8 +254,8 @@
         assert service is not None, service_name
         name = f"{service_name}-{number}"
         zones = self.zones()
-        address = self.upstreams.setdefault(name, free_address())
-        self._start(
+        address = self.upstream_addresses.setdefault(name, free_address())
+        self._start_process(
             name,
             [
                 str(ROOT / "scripts" / "stand_in_upstream.py"),
@@ -254,7 +263,7 @@
                 f"--upstream={name}",
                 f"--zone={zones[(number - 1) % len(zones)]}",
                 f"--listen={address}",
-                f"--arbiters={','.join(self.announce.values())}",
+                f"--arbiters={','.join(self.announce_addresses.values())}",
                 f"--slots={service.slots}",
                 f"--connections={service.connections}",
                 f"--service-ms={self.plan.service_ms}",
@@ -266,7 +275,7 @@
         return name
 
     def wait_ready(self, timeout_s: float) -> None:
-        """Wait until every entry is ready and serves every service."""
+        """Wait until running entries are ready and every partition has an owner."""
         for name in self.entries:
             if name in self.processes:
                 ready = partial(self.is_ready, name)
@@ -274,13 +283,13 @@
 
         def all_owned() -> bool:
             reply = self.operator_call("GET", "/v1/status")
-            return reply.status == 200 and self._has_no_vacancy(reply.json())
+            return reply.status == 200 and self._all_partitions_owned(reply.json())
 
         wait_until(all_owned, timeout_s, "every partition has an owner")
 
     def is_ready(self, name: str) -> bool:
-        """Tell whether a program's readiness check answers 200."""
-        return call_http(self.admin[name], "GET", "/ready").status == 200
+        """Return whether the readiness check of a process returns 200."""
+        return call_http(self.admin_addresses[name], "GET", "/ready").status == 200
 
     def request(
         self,
@@ -291,66 +300,75 @@
         body: bytes = b"",
         **headers: str,
     ) -> HttpReply:
-        """Send a caller's request; header names use `_` for `-`."""
-        sent = {name.replace("_", "-"): value for name, value in headers.items()}
+        """Send a request to an entry; header names use `_` for `-`."""
+        request_headers = {
+            name.replace("_", "-"): value for name, value in headers.items()
+        }
         if workspace:
-            sent["Authorization"] = f"Bearer demo-{workspace}"
-        return call_http(self.entries[entry], method, path, body, sent, timeout_s=10)
+            request_headers["Authorization"] = f"Bearer demo-{workspace}"
+        return call_http(
+            self.entries[entry],
+            method,
+            path,
+            body,
+            request_headers,
+            timeout_s=10,
+        )
 
     def executions(self) -> list[dict[str, Any]]:
-        """Return the last known state of every run at every stand-in upstream."""
-        runs: dict[tuple[str, str, float], dict[str, Any]] = {}
+        """Return the last recorded state of each execution at any stand-in upstream."""
+        executions: dict[tuple[str, str, float], dict[str, Any]] = {}
         for path in self.folder.glob("*.executions"):
             for text in path.read_text().splitlines():
                 line = json.loads(text)
-                run_id = (line["upstream"], line["request_id"], line["started"])
-                runs[run_id] = line
-        return [self._end_if_lost(line) for line in runs.values()]
+                execution_id = (line["upstream"], line["request_id"], line["started"])
+                executions[execution_id] = line
+        return [self._with_kill_time(line) for line in executions.values()]
 
-    def _end_if_lost(self, line: dict[str, Any]) -> dict[str, Any]:
-        """Return a run with the time at which its upstream was killed under it."""
+    def _with_kill_time(self, line: dict[str, Any]) -> dict[str, Any]:
+        """Return an execution that ends when its upstream was killed, if it was."""
         if line["ended"] is not None:
             return line
-        ends = [
-            loss.at
-            for loss in self._losses
-            if loss.name == line["upstream"] and loss.at >= line["started"]
+        kill_times = [
+            kill.killed_at
+            for kill in self._kills
+            if kill.name == line["upstream"] and kill.killed_at >= line["started"]
         ]
-        return {**line, "ended": min(ends, default=None)}
+        return {**line, "ended": min(kill_times, default=None)}
 
-    def switch_upstream(self, name: str, **switches: Any) -> None:
-        """Change a stand-in upstream's behaviour, such as `leave=True`."""
-        body = json.dumps(switches).encode()
+    def configure_upstream(self, name: str, **changes: Any) -> None:
+        """Change the behaviour of a stand-in upstream, for example `leave=True`."""
+        body = json.dumps(changes).encode()
         headers = {"Content-Type": "application/json"}
-        call_http(self.upstreams[name], "POST", "/control", body, headers)
+        call_http(self.upstream_addresses[name], "POST", "/control", body, headers)
 
     def kill(self, name: str) -> None:
-        """End a process at once, as the loss of its VM would."""
+        """Kill a process with SIGKILL to simulate the loss of its VM."""
         proc = self.processes.pop(name)
         proc.kill()
         proc.wait()
-        self._losses.append(ProcessLoss(name, time.time()))
+        self._kills.append(ProcessKill(name, time.time()))
 
     def pause(self, name: str) -> None:
-        """Stop a process without ending it."""
+        """Suspend a process with SIGSTOP."""
         self.processes[name].send_signal(signal.SIGSTOP)
 
     def resume(self, name: str) -> None:
-        """Continue a paused process."""
+        """Resume a suspended process with SIGCONT."""
         self.processes[name].send_signal(signal.SIGCONT)
 
     def terminate(self, name: str) -> int:
-        """Ask a process to shut down and return its exit code."""
+        """Send SIGTERM to a process, wait for it and return its exit code."""
         proc = self.processes.pop(name)
         proc.terminate()
-        return proc.wait(timeout=_SHUTDOWN_S * 3)
+        return proc.wait(timeout=_SHUTDOWN_TIMEOUT_S * 3)
 
     def restart(self, name: str) -> None:
-        """Start a process again with the command of its first start."""
-        self._start(name, self._commands[name])
+        """Start a process again with its original command."""
+        self._start_process(name, self._commands[name])
 
-    def stopped(self) -> list[str]:
-        """Return the names of processes that were started and do not run."""
+    def stopped_processes(self) -> list[str]:
+        """Return the names of processes that were started and are not running."""
         return [
             name
             for name in self._commands
@@ -358,67 +376,68 @@
         ]
 
     def stop(self) -> None:
-        """End all processes that were started here and remove the folder."""
+        """Stop all processes of the cluster and remove its temporary folder."""
         for proc in self.processes.values():
             proc.send_signal(signal.SIGCONT)
             proc.terminate()
-        end = time.monotonic() + _SHUTDOWN_S
+        deadline = time.monotonic() + _SHUTDOWN_TIMEOUT_S
         for proc in self.processes.values():
             try:
-                proc.wait(timeout=max(0.1, end - time.monotonic()))
+                proc.wait(timeout=max(0.1, deadline - time.monotonic()))
             except subprocess.TimeoutExpired:
                 proc.kill()
                 proc.wait()
         self.processes.clear()
-        self._temporary.cleanup()
+        self._temporary_directory.cleanup()
 
-    def log_of(self, name: str) -> str:
-        """Return what a process wrote to its log."""
+    def read_log(self, name: str) -> str:
+        """Return the log of a process, or an empty string if there is none."""
         path = self.folder / f"{name}.log"
         return path.read_text() if path.exists() else ""
 
     # Internals
 
     def _site_mapping(self) -> Any:
-        """Return the site's settings, parsed once for each overlay.
+        """Return the site settings, cached until the overlay file changes.
 
-        Parsing takes 0.14 s of processor time, and some tests apply hundreds of times.
+        Parsing takes 0.14 s of CPU time, and some tests apply settings hundreds of
+        times.
         """
         text = self.overlay.read_text()
-        if text != self._parsed_overlay:
-            loaded = load_site_mapping(str(_BASE), str(self.overlay))
-            self._mapping, self._parsed_overlay = loaded.unwrap(), text
-        return self._mapping
+        if text != self._cached_overlay:
+            loaded = load_site_mapping(str(_BASE_SETTINGS), str(self.overlay))
+            self._cached_mapping, self._cached_overlay = loaded.unwrap(), text
+        return self._cached_mapping
 
     def _write_overlay(self) -> Path:
         source = ROOT / "sites" / f"{self.plan.site}.jsonc"
-        loaded = _read_jsonc(source)
-        loaded["replicas"] = self.control
-        for name, value in self._changes.items():
-            loaded[name] = {**loaded.get(name, {}), **value}
+        mapping = _read_jsonc(source)
+        mapping["replicas"] = self.control_addresses
+        for name, value in self._overrides.items():
+            mapping[name] = {**mapping.get(name, {}), **value}
         path = self.folder / "overlay.jsonc"
-        path.write_text(json.dumps(loaded))
+        path.write_text(json.dumps(mapping))
         return path
 
-    def _node(self, name: str, number: int) -> dict[str, Any]:
+    def _node_settings(self, name: str, vm_number: int) -> dict[str, Any]:
         zones = list(_read_jsonc(self.overlay)["zones"])
-        self.admin[name] = self.admin.get(name) or free_address()
+        self.admin_addresses[name] = self.admin_addresses.get(name) or free_address()
         return {
             "cluster": f"local-{self.plan.site}",
             "node": name,
-            "vm": f"vm-{number}",
-            "zone": zones[(number - 1) % len(zones)],
-            "control": list(self.control.values()),
-            "admin_listen": self.admin[name],
+            "vm": f"vm-{vm_number}",
+            "zone": zones[(vm_number - 1) % len(zones)],
+            "control": list(self.control_addresses.values()),
+            "admin_listen": self.admin_addresses[name],
         }
 
     def _start_program(self, module: str, name: str, settings: dict) -> None:
         path = self.folder / f"{name}.jsonc"
         path.write_text(json.dumps(settings))
         code = f"import sys; from {module} import main; sys.exit(main())"
-        self._start(name, ["-c", code, "--settings", str(path)])
+        self._start_process(name, ["-c", code, "--settings", str(path)])
 
-    def _start(self, name: str, arguments: list[str]) -> None:
+    def _start_process(self, name: str, arguments: list[str]) -> None:
         self._commands[name] = arguments
         environment = {**os.environ, "PYTHONPATH": str(ROOT)}
         with (self.folder / f"{name}.log").open("ab") as log:
@@ -431,10 +450,10 @@
                 stderr=log,
             )
 
-    def _apply_first_settings(self) -> bool:
+    def _apply_initial_settings(self) -> bool:
         return self.apply(0, "first-settings").status == 200
 
-    def _has_no_vacancy(self, status: dict[str, Any]) -> bool:
+    def _all_partitions_owned(self, status: dict[str, Any]) -> bool:
         keyed = [s for s in self.site().services if s.kind is ServiceKind.KEYED]
         owned = {s["name"]: s["partitions"]["owned"] for s in status["services"]}
         return all(owned.get(s.name, 0) >= s.partitions for s in keyed)
--- a/scripts/relay.py
+++ b/scripts/relay.py
@@ -1,4 +1,4 @@
-"""TCP relay that cuts, silences, resets or delays connections."""
+"""TCP relay that injects network faults: blocked traffic, resets and delays."""
 
 import contextlib
 import socket
@@ -6,13 +6,13 @@
 import threading
 import time
 
-_CONNECT_S = 2.0
-# Makes the kernel reset a connection instead of ending it in order.
-_RESET = struct.pack("ii", 1, 0)
+_CONNECT_TIMEOUT_S = 2.0
+# SO_LINGER with timeout 0 makes close() reset the connection.
+_LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class _Gate:
-    """Let bytes pass in one direction, or hold them back."""
+    """Pass, block or delay the bytes of one direction."""
 
     def __init__(self):
         self._open = threading.Event()
@@ -31,44 +31,44 @@
             time.sleep(self.delay_s)
 
 
-class CutRelay:
-    """Relay connections to a target; each direction can be cut on its own."""
+class FaultRelay:
+    """Relay connections to a target; each direction can be blocked separately."""
 
     def __init__(self, listen: str, target: str):
-        self._target = _parse(target)
+        self._target = _parse_address(target)
         self._forward, self._backward = _Gate(), _Gate()
         self._sockets: set[socket.socket] = set()
-        self._server = socket.create_server(_parse(listen))
+        self._server = socket.create_server(_parse_address(listen))
         threading.Thread(target=self._accept_loop, daemon=True).start()
 
-    def cut(self, forward: bool = True, backward: bool = True) -> None:
-        """Stop passing bytes in the chosen directions; connections stay open."""
+    def block(self, forward: bool = True, backward: bool = True) -> None:
+        """Block traffic in the given directions while connections stay open."""
         if forward:
             self._forward.close()
         if backward:
             self._backward.close()
 
     def heal(self) -> None:
-        """Pass bytes again without delay, those held back included."""
+        """Remove delays and blocks; blocked bytes are delivered."""
         self.delay(0.0)
         self._forward.open()
         self._backward.open()
 
     def delay(self, delay_s: float) -> None:
-        """Hold each piece of bytes back for some time, in both directions."""
+        """Delay each chunk by `delay_s` seconds in both directions."""
         self._forward.delay_s = self._backward.delay_s = delay_s
 
     def reset(self) -> None:
-        """Reset all open connections; new ones work."""
+        """Reset all open connections; new connections work."""
         for sock in list(self._sockets):
             with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
             _close(sock)
         self._sockets.clear()
 
-    def silence_open_connections(self) -> None:
-        """Leave open connections silent for good while new ones work."""
-        self.cut()
+    def blackhole_open_connections(self) -> None:
+        """Block open connections permanently while new connections work."""
+        self.block()
         self._forward, self._backward = _Gate(), _Gate()
 
     def stop(self) -> None:
@@ -83,26 +83,28 @@
                 client, _ = self._server.accept()
             except OSError:
                 return
-            threading.Thread(target=self._relay, args=(client,), daemon=True).start()
+            threading.Thread(
+                target=self._relay_connection, args=(client,), daemon=True
+            ).start()
 
-    def _relay(self, client: socket.socket) -> None:
+    def _relay_connection(self, client: socket.socket) -> None:
         forward, backward = self._forward, self._backward
         forward.wait()
         try:
-            target = socket.create_connection(self._target, timeout=_CONNECT_S)
+            target = socket.create_connection(self._target, timeout=_CONNECT_TIMEOUT_S)
         except OSError:
             _close(client)
             return
         target.settimeout(None)
         self._sockets |= {client, target}
-        back = threading.Thread(
-            target=_pump, args=(target, client, backward), daemon=True
+        backward_thread = threading.Thread(
+            target=_forward_bytes, args=(target, client, backward), daemon=True
         )
-        back.start()
-        _pump(client, target, forward)
+        backward_thread.start()
+        _forward_bytes(client, target, forward)
 
 
-def _pump(source: socket.socket, sink: socket.socket, gate: _Gate) -> None:
+def _forward_bytes(source: socket.socket, sink: socket.socket, gate: _Gate) -> None:
     with contextlib.suppress(OSError):
         while data := source.recv(65536):
             gate.wait()
@@ -117,6 +119,6 @@
     sock.close()
 
 
-def _parse(address: str) -> tuple[str, int]:
+def _parse_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/scripts/smoke.py
+++ b/scripts/smoke.py
@@ -1,4 +1,4 @@
-"""Send real requests of every service of both sites and compare with a bare proxy."""
+"""Send requests to every service of both sites; compare latency with a bare proxy."""
 
 import http.client
 import statistics
@@ -11,7 +11,12 @@
 from typing import NamedTuple
 
 from scripts.http_calls import call_http
-from scripts.load import SITE_REQUESTS, LoadRun, find_violations, recorded_runs
+from scripts.load import (
+    SITE_REQUESTS,
+    LoadGenerator,
+    find_violations,
+    recorded_executions,
+)
 from scripts.local_cluster import (
     ROOT,
     SITE_PLANS,
@@ -20,19 +25,19 @@
     wait_until,
 )
 
-_LOAD_S = 3.0
+_LOAD_DURATION_S = 3.0
 _LATENCY_ROUNDS = 3
-_LATENCY_REQUESTS = 100
-# The aim of the design page for the median against the bare proxy.
-_RATIO_MAX = 2.0
-_SITES_TIMEOUT_S = 60.0
-_LOADED = threading.Barrier(len(SITE_PLANS))
-_COMPARED = threading.Barrier(len(SITE_PLANS))
-_COMPARING = threading.Lock()
+_REQUESTS_PER_ROUND = 100
+# Target in docs/design.md for the entry's median latency over the bare proxy's.
+_MAX_LATENCY_RATIO = 2.0
+_BARRIER_TIMEOUT_S = 60.0
+_LOAD_DONE = threading.Barrier(len(SITE_PLANS))
+_COMPARISON_DONE = threading.Barrier(len(SITE_PLANS))
+_COMPARISON_LOCK = threading.Lock()
 
 
 class SiteReport(NamedTuple):
-    """Hold what the smoke run saw of one site."""
+    """Store the smoke run results of one site."""
 
     site: str
     served: Counter
@@ -44,36 +49,37 @@
 
 
 class LatencyRequest(NamedTuple):
-    """Name the request whose latency is compared, served by a pool."""
+    """Describe the request to a pool service that is used to compare latency."""
 
     service: str
     path: str
     workspace: str
 
 
-_LATENCY_REQUEST = {
+_LATENCY_REQUESTS = {
     "iroda": LatencyRequest("archive", "/archive/search", "caseworkers"),
     "hollins-marr": LatencyRequest("hire-contracts", "/contracts/1", "humber-glass"),
 }
 
 
 def run_site(site: str) -> SiteReport:
-    """Start a site, load it, compare latencies and stop it."""
-    # Without service time, so that the ratio shows what the entry itself adds.
+    """Start a site, load it, compare latency with the bare proxy and stop it."""
+    # A service time of 0 makes the ratio show the overhead of the entry itself.
     cluster = LocalCluster(SITE_PLANS[site]._replace(service_ms=0.0))
     try:
         cluster.start()
-        run = LoadRun(cluster, SITE_REQUESTS[site], callers=4)
-        run.start()
-        time.sleep(_LOAD_S)
-        records = run.stop()
+        generator = LoadGenerator(cluster, SITE_REQUESTS[site], caller_count=4)
+        generator.start()
+        time.sleep(_LOAD_DURATION_S)
+        records = generator.stop()
         time.sleep(0.2)
-        violations = find_violations(records, recorded_runs(cluster.executions()))
-        # A site that starts or stops would distort the other's latencies.
-        _LOADED.wait(_SITES_TIMEOUT_S)
-        with _COMPARING:
+        violations = find_violations(records, recorded_executions(cluster.executions()))
+        # Both sites wait here, since starting or stopping one site would distort the
+        # latencies of the other.
+        _LOAD_DONE.wait(_BARRIER_TIMEOUT_S)
+        with _COMPARISON_LOCK:
             entry_ms, proxy_ms = compare_latency(cluster)
-        _COMPARED.wait(_SITES_TIMEOUT_S)
+        _COMPARISON_DONE.wait(_BARRIER_TIMEOUT_S)
     finally:
         cluster.stop()
     served = Counter(service_of(r.path) for r in records if r.status == 200)
@@ -83,45 +89,52 @@
 
 
 def service_of(path: str) -> str:
-    """Return the first part of a path, which stands for one service."""
+    """Return the first path segment, which identifies the service."""
     return path.split("/")[1]
 
 
 def compare_latency(cluster: LocalCluster) -> tuple[float, float]:
     """Return the median latencies in milliseconds through an entry and the proxy.
 
-    Both forward the same request to the same stand-in in turns, so that noise of
-    the machine falls on both.
+    Rounds alternate between the two, with the same request to the same stand-in, so
+    that other load on the machine affects both.
     """
-    request = _LATENCY_REQUEST[cluster.plan.site]
-    upstream = cluster.upstreams[f"{request.service}-1"]
-    listen = free_address()
+    request = _LATENCY_REQUESTS[cluster.plan.site]
+    upstream = cluster.upstream_addresses[f"{request.service}-1"]
+    proxy_address = free_address()
     proxy = subprocess.Popen(
-        [sys.executable, "-m", "scripts.bare_proxy", listen, upstream], cwd=ROOT
+        [sys.executable, "-m", "scripts.bare_proxy", proxy_address, upstream], cwd=ROOT
     )
     try:
         wait_until(
-            lambda: call_http(listen, "GET", "/load").status == 200, 10, "the proxy"
+            lambda: call_http(proxy_address, "GET", "/load").status == 200,
+            10,
+            "the proxy",
         )
         headers = {"Authorization": f"Bearer demo-{request.workspace}"}
-        entry = cluster.entries["entry-1"]
+        entry_address = cluster.entries["entry-1"]
         through_entry: list[float] = []
         through_proxy: list[float] = []
         for _ in range(_LATENCY_ROUNDS):
-            through_entry += latencies_ms(entry, request.path, headers)
-            through_proxy += latencies_ms(listen, request.path, {})
+            through_entry += measure_latencies_ms(entry_address, request.path, headers)
+            through_proxy += measure_latencies_ms(proxy_address, request.path, {})
     finally:
         proxy.terminate()
         proxy.wait()
     return statistics.median(through_entry), statistics.median(through_proxy)
 
 
-def latencies_ms(address: str, path: str, headers: dict[str, str]) -> list[float]:
-    """Return latencies in milliseconds over one connection."""
+def measure_latencies_ms(
+    address: str, path: str, headers: dict[str, str]
+) -> list[float]:
+    """Return the latencies in milliseconds of requests over one connection.
+
+    Raises RuntimeError if a response has another status than 200.
+    """
     host, _, port = address.rpartition(":")
     conn = http.client.HTTPConnection(host, int(port), timeout=5)
     times = []
-    for _ in range(_LATENCY_REQUESTS):
+    for _ in range(_REQUESTS_PER_ROUND):
         started = time.perf_counter()
         conn.request("GET", path, headers=headers)
         reply = conn.getresponse()
@@ -133,40 +146,46 @@
     return times
 
 
-def failures(report: SiteReport) -> list[str]:
-    """Return what is wrong with a site's report."""
-    found = list(report.violations)
+def find_problems(report: SiteReport) -> list[str]:
+    """Return the failed checks of a site report."""
+    problems = list(report.violations)
     expected = {service_of(plan.path) for plan in SITE_REQUESTS[report.site]}
-    found += [f"/{part} was not served" for part in expected - set(report.served)]
+    problems += [
+        f"/{service} was not served" for service in expected - set(report.served)
+    ]
     if report.refused:
-        found.append(f"requests within the rates were refused: {dict(report.refused)}")
-    if report.ratio > _RATIO_MAX:
-        found.append(f"the median is {report.ratio:.2f} times the bare proxy's")
-    return found
+        problems.append(
+            f"requests within the rates were refused: {dict(report.refused)}"
+        )
+    if report.ratio > _MAX_LATENCY_RATIO:
+        problems.append(f"the median is {report.ratio:.2f} times the bare proxy's")
+    return problems
 
 
 def main() -> int:
-    """Return 0 if every service was served and nothing else went wrong."""
+    """Return 0 if all checks pass for both sites, otherwise 1."""
     started = time.monotonic()
     with ThreadPoolExecutor(len(SITE_PLANS)) as pool:
         reports = list(pool.map(run_site, SITE_PLANS))
-    found: list[str] = []
+    problems: list[str] = []
     for report in reports:
         print(f"{report.site}:")
-        for part, count in sorted(report.served.items()):
-            print(f"  /{part}: {count} served")
+        for service, count in sorted(report.served.items()):
+            print(f"  /{service}: {count} served")
         print(f"  refused: {dict(report.refused) or 0}")
         print(
             f"  median through an entry {report.entry_ms:.2f} ms, through the bare "
             f"proxy {report.proxy_ms:.2f} ms, ratio {report.ratio:.2f}"
         )
-        found += [f"{report.site}: {text}" for text in failures(report)]
-    for text in found:
+        problems += [f"{report.site}: {text}" for text in find_problems(report)]
+    for text in problems:
         print(f"failed: {text}")
     print(
-        f"{time.monotonic() - started:.0f} s", "failed" if found else "ok", flush=True
+        f"{time.monotonic() - started:.0f} s",
+        "failed" if problems else "ok",
+        flush=True,
     )
-    return 1 if found else 0
+    return 1 if problems else 0
 
 
 if __name__ == "__main__":
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,4 +1,4 @@
-"""Soak a small site of real processes in random faults, and check its promises."""
+"""Soak test: run a small site under random faults and check its guarantees."""
 
 import random
 import shutil
@@ -16,9 +16,9 @@
 
 from bergamotdrift.hashing import key_digest
 from scripts import load
-from scripts.load import CallRecord, LoadRun, RequestPlan, Run
+from scripts.load import CallRecord, LoadGenerator, RecordedExecution, RequestTemplate
 from scripts.local_cluster import LocalCluster, free_address, small_plan
-from scripts.relay import CutRelay
+from scripts.relay import FaultRelay
 from scripts.soak_plan import (
     LINK_FAULTS,
     SETTINGS_FAULTS,
@@ -27,66 +27,75 @@
     plan_faults,
 )
 
-# Bounds of the design page, in seconds.
-_FEW_S = 5.0
-_CALM_S = 30.0
-_SERVED_S = 2.0
-_ANSWER_S = 20.0
-_DELAY_S = 0.15
-_PAUSE_S = 0.1
-_REVOKED = "watchdogs"
-_CALLERS = 8
-_PROGRAMS = ("entry-", "arbiter-", "control-")
+# Time limits in docs/design.md, in seconds.
+_SETTLE_S = 5.0
+_RECOVERY_TIMEOUT_S = 30.0
+_FINAL_LOAD_S = 2.0
+_MAX_REQUEST_S = 20.0
+_LINK_DELAY_S = 0.15
+_POLL_INTERVAL_S = 0.1
+_REVOKED_WORKSPACE = "watchdogs"
+_CALLER_COUNT = 8
+_PROGRAM_PREFIXES = ("entry-", "arbiter-", "control-")
 
 
 @dataclass
 class Options:
-    """Run the soak with one seed, or with several in a row."""
+    """Run the soak for one seed or for consecutive seeds."""
 
     seed: Annotated[int, cappa.Arg(long=True)] = 1
-    seeds: Annotated[int, cappa.Arg(long=True, help="how many, from --seed on")] = 1
-    seconds: Annotated[float, cappa.Arg(long=True, help="time with faults")] = 20.0
-    keep: Annotated[str, cappa.Arg(long=True, help="folder for failed runs")] = ""
+    seeds: Annotated[int, cappa.Arg(long=True, help="number of seeds, from --seed")] = 1
+    seconds: Annotated[
+        float, cappa.Arg(long=True, help="duration of fault injection")
+    ] = 20.0
+    keep: Annotated[
+        str, cappa.Arg(long=True, help="folder for data of failed runs")
+    ] = ""
 
 
-class Soak:
-    """Run one seed; `violations` holds what was promised and not kept."""
+class SoakRun:
+    """Run one seed and collect violated guarantees in `violations`."""
 
     def __init__(self, seed: int, seconds: float, keep: str = ""):
         self.seed = seed
         self._keep = keep
-        self.cluster = LocalCluster(small_plan("iroda", vms=3, per_service=3))
-        # The callers stay below the rate, so that every refusal by rate is wrong.
+        self.cluster = LocalCluster(small_plan("iroda", vms=3, upstreams_per_service=3))
+        # The callers stay below this rate, so every refusal by rate is a violation.
         self.cluster.edit_overlay(_raise_rate)
         self._relays = self._start_relays()
         self.violations: list[str] = []
         self._rng = random.Random(seed)
-        self._seconds = seconds
-        self._acknowledged = 0
-        self._revoked: list[tuple[float, float]] = []
+        self._fault_duration_s = seconds
+        self._confirmed_revision = 0
+        self._revocations: list[tuple[float, float]] = []
         self._stopping = threading.Event()
-        # A stop may take longer than planned; the next fault of a process waits for it.
-        self._busy: defaultdict[str, threading.Lock] = defaultdict(threading.Lock)
+        # A shutdown may take longer than planned, so the next fault of the same process
+        # waits for it.
+        self._process_locks: defaultdict[str, threading.Lock] = defaultdict(
+            threading.Lock
+        )
 
     def run(self) -> Counter[tuple[int, str]]:
-        """Play all faults under load and return how the requests ended."""
+        """Inject all faults under load and return counts of (status, error kind)."""
         try:
             self.cluster.start()
-            self._acknowledged = self._revision("") or 0
-            names = [*self.cluster.processes]
-            faults = plan_faults(self.seed, self._seconds, names)
+            self._confirmed_revision = self._read_revision("") or 0
+            process_names = [*self.cluster.processes]
+            faults = plan_faults(self.seed, self._fault_duration_s, process_names)
             print(*faults, sep="\n", flush=True)
-            plans = (
+            templates = (
                 *load.SITE_REQUESTS["iroda"],
-                RequestPlan("GET", "/cases/{key}", _REVOKED),
+                RequestTemplate("GET", "/cases/{key}", _REVOKED_WORKSPACE),
             )
-            run = LoadRun(self.cluster, plans, callers=_CALLERS, seed=self.seed)
-            run.start()
-            self._play(faults)
-            calm_from = self._await_calm()
-            records = run.stop()
-            self._check(records, calm_from)
-            self._check_stops()
+            generator = LoadGenerator(
+                self.cluster, templates, caller_count=_CALLER_COUNT, seed=self.seed
+            )
+            generator.start()
+            self._inject_faults(faults)
+            recovered_at = self._wait_for_recovery()
+            records = generator.stop()
+            self._check_records(records, recovered_at)
+            self._check_shutdown()
             if self._keep and self.violations:
                 shutil.copytree(self.cluster.folder, f"{self._keep}/seed-{self.seed}")
             return Counter((r.status, r.kind) for r in records)
@@ -96,54 +105,54 @@
             for relay in self._relays.values():
                 relay.stop()
 
-    def _start_relays(self) -> dict[str, CutRelay]:
+    def _start_relays(self) -> dict[str, FaultRelay]:
         relays = {}
-        for name, address in self.cluster.control.items():
+        for name, address in self.cluster.control_addresses.items():
             listen = free_address()
-            self.cluster.control_listen[name] = listen
-            relays[name] = CutRelay(address, listen)
+            self.cluster.control_listen_addresses[name] = listen
+            relays[name] = FaultRelay(address, listen)
         return relays
 
     # Faults
 
-    def _play(self, faults: list[Fault]) -> None:
+    def _inject_faults(self, faults: list[Fault]) -> None:
         started = time.monotonic()
-        reader = threading.Thread(target=self._read_revisions)
-        reader.start()
+        revision_thread = threading.Thread(target=self._check_revisions)
+        revision_thread.start()
         with ThreadPoolExecutor(max(1, len(faults))) as pool:
-            jobs = []
+            futures = []
             for fault in faults:
                 time.sleep(max(0.0, started + fault.at_s - time.monotonic()))
-                jobs.append(pool.submit(self._apply, fault))
-            for job in jobs:
-                job.result()
+                futures.append(pool.submit(self._inject_fault, fault))
+            for future in futures:
+                future.result()
         self._stopping.set()
-        reader.join()
+        revision_thread.join()
 
-    def _apply(self, fault: Fault) -> None:
+    def _inject_fault(self, fault: Fault) -> None:
         if fault.kind in SETTINGS_FAULTS:
-            self._change_settings(fault)
+            self._inject_settings_fault(fault)
         elif fault.kind in LINK_FAULTS:
-            self._harm_link(fault)
+            self._inject_link_fault(fault)
         else:
-            with self._busy[fault.target]:
-                self._harm_process(fault)
+            with self._process_locks[fault.target]:
+                self._inject_process_fault(fault)
 
-    def _harm_link(self, fault: Fault) -> None:
+    def _inject_link_fault(self, fault: Fault) -> None:
         relay = self._relays[fault.target]
-        begin: dict[FaultKind, Callable[[], None]] = {
-            FaultKind.CUT: relay.cut,
-            FaultKind.CUT_TO: partial(relay.cut, backward=False),
-            FaultKind.CUT_FROM: partial(relay.cut, forward=False),
-            FaultKind.SILENCE: relay.silence_open_connections,
+        actions: dict[FaultKind, Callable[[], None]] = {
+            FaultKind.CUT: relay.block,
+            FaultKind.CUT_TO: partial(relay.block, backward=False),
+            FaultKind.CUT_FROM: partial(relay.block, forward=False),
+            FaultKind.SILENCE: relay.blackhole_open_connections,
             FaultKind.RESET: relay.reset,
-            FaultKind.DELAY: partial(relay.delay, _DELAY_S),
+            FaultKind.DELAY: partial(relay.delay, _LINK_DELAY_S),
         }
-        begin[fault.kind]()
+        actions[fault.kind]()
         time.sleep(fault.for_s)
         relay.heal()
 
-    def _harm_process(self, fault: Fault) -> None:
+    def _inject_process_fault(self, fault: Fault) -> None:
         name, cluster = fault.target, self.cluster
         if fault.kind is FaultKind.PAUSE:
             cluster.pause(name)
@@ -161,137 +170,153 @@
 
     # Settings
 
-    def _change_settings(self, fault: Fault) -> None:
-        """Change the settings, and undo the change; both until they are confirmed."""
-        before = self.cluster.overlay.read_text()
-        self.cluster.edit_overlay(partial(self._edit, fault.kind))
+    def _inject_settings_fault(self, fault: Fault) -> None:
+        """Change the settings and revert the change, waiting for each confirmation."""
+        previous_overlay = self.cluster.overlay.read_text()
+        self.cluster.edit_overlay(partial(self._edit_overlay, fault.kind))
         self._apply_until_confirmed(f"{fault.at_s:.3f}-{fault.kind}")
-        confirmed = time.time()
-        time.sleep(fault.for_s + (_FEW_S if fault.kind is FaultKind.REVOKE else 0.0))
+        confirmed_at = time.time()
+        time.sleep(fault.for_s + (_SETTLE_S if fault.kind is FaultKind.REVOKE else 0.0))
         if fault.kind is FaultKind.REVOKE:
-            self._revoked.append((confirmed, time.time()))
-        self.cluster.overlay.write_text(before)
+            self._revocations.append((confirmed_at, time.time()))
+        self.cluster.overlay.write_text(previous_overlay)
         self._apply_until_confirmed(f"{fault.at_s:.3f}-{fault.kind}-undone")
 
-    def _edit(self, kind: FaultKind, overlay: dict[str, Any]) -> None:
+    def _edit_overlay(self, kind: FaultKind, overlay: dict[str, Any]) -> None:
         if kind is FaultKind.RATES:
-            overlay["workspaces"][_REVOKED]["rate_per_s"] += 1
+            overlay["workspaces"][_REVOKED_WORKSPACE]["rate_per_s"] += 1
         elif kind is FaultKind.REVOKE:
-            overlay["workspaces"][_REVOKED]["key_digests"] = [key_digest("other")]
+            overlay["workspaces"][_REVOKED_WORKSPACE]["key_digests"] = [
+                key_digest("other")
+            ]
         else:
             zone = self._rng.choice(self.cluster.zones())
             overlay["zones"][zone] = "out"
 
     def _apply_until_confirmed(self, request: str) -> None:
-        """Send one change again and again, as an operator would, to any replica."""
-        base = self._acknowledged
-        end = time.monotonic() + _CALM_S
-        while time.monotonic() < end:
-            reply = self.cluster.apply(base, request)
+        """Resend one settings change to any replica until it is confirmed."""
+        base_revision = self._confirmed_revision
+        deadline = time.monotonic() + _RECOVERY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            reply = self.cluster.apply(base_revision, request)
             if reply.status == 200:
-                self._acknowledged = reply.json()["revision"]
+                self._confirmed_revision = reply.json()["revision"]
                 return
             if reply.status in (400, 409, 422):
-                self.violations.append(f"{request} on {base}: {reply.status}")
+                self.violations.append(
+                    f"{request} based on {base_revision}: status {reply.status}"
+                )
                 return
-            time.sleep(_PAUSE_S)
-        self.violations.append(f"{request} was not confirmed within {_CALM_S} s")
-
-    def _read_revisions(self) -> None:
-        """Check that no replica shows settings older than the confirmed ones."""
-        while not self._stopping.wait(_PAUSE_S):
-            known = self._acknowledged
-            name = self._rng.choice([*self.cluster.operator])
-            shown = self._revision(name)
-            if shown is not None and shown < known:
-                self.violations.append(f"{name} shows {shown} after {known}")
-
-    def _revision(self, replica: str) -> int | None:
-        """Return the revision that a replica shows, or None if it is not sure."""
+            time.sleep(_POLL_INTERVAL_S)
+        self.violations.append(
+            f"{request} was not confirmed within {_RECOVERY_TIMEOUT_S} s"
+        )
+
+    def _check_revisions(self) -> None:
+        """Check that no replica returns settings older than the confirmed revision."""
+        while not self._stopping.wait(_POLL_INTERVAL_S):
+            confirmed = self._confirmed_revision
+            name = self._rng.choice([*self.cluster.operator_addresses])
+            reported = self._read_revision(name)
+            if reported is not None and reported < confirmed:
+                self.violations.append(
+                    f"{name} returned revision {reported} after {confirmed}"
+                )
+
+    def _read_revision(self, replica: str) -> int | None:
+        """Return the revision that a replica reports, or None without status 200."""
         reply = self.cluster.operator_call("GET", "/v1/settings", replica=replica)
         return reply.json()["revision"] if reply.status == 200 else None
 
     # Checks
 
-    def _await_calm(self) -> float:
-        """Wait until all faults are over, and return since when all must be served."""
-        calm_at = time.time()
+    def _wait_for_recovery(self) -> float:
+        """Wait for recovery; return the time after which no request may fail."""
+        faults_ended_at = time.time()
         try:
-            self.cluster.wait_ready(_CALM_S)
+            self.cluster.wait_ready(_RECOVERY_TIMEOUT_S)
         except TimeoutError as exc:
             self.violations.append(str(exc))
-        time.sleep(max(0.0, calm_at + _FEW_S - time.time()))
-        served_from = time.time()
-        time.sleep(_SERVED_S)
-        return served_from
-
-    def _check(self, records: list[CallRecord], calm_from: float) -> None:
-        time.sleep(_PAUSE_S)
-        runs = load.recorded_runs(self.cluster.executions())
-        self.violations += load.find_violations(records, runs)
-        self.violations += load.shared_ownership(runs)
-        self.violations += self._revoked_runs(runs)
+        time.sleep(max(0.0, faults_ended_at + _SETTLE_S - time.time()))
+        recovered_at = time.time()
+        time.sleep(_FINAL_LOAD_S)
+        return recovered_at
+
+    def _check_records(self, records: list[CallRecord], recovered_at: float) -> None:
+        time.sleep(_POLL_INTERVAL_S)
+        executions = load.recorded_executions(self.cluster.executions())
+        self.violations += load.find_violations(records, executions)
+        self.violations += load.find_ownership_overlaps(executions)
+        self.violations += self._executions_after_revocation(executions)
         self.violations += [
-            f"refused in calm: {r}"
+            f"refused after recovery: {r}"
             for r in records
-            if r.started >= calm_from and r.status != 200
+            if r.started >= recovered_at and r.status != 200
         ]
         self.violations += [
-            f"answered late: {r}" for r in records if r.ended - r.started > _ANSWER_S
+            f"response took too long: {r}"
+            for r in records
+            if r.ended - r.started > _MAX_REQUEST_S
         ]
-        if not any(r.started >= calm_from for r in records):
+        if not any(r.started >= recovered_at for r in records):
             self.violations.append("no request was sent after the faults")
-        revision = self._revision("")
-        if revision != self._acknowledged:
+        revision = self._read_revision("")
+        if revision != self._confirmed_revision:
             self.violations.append(
-                f"{revision} in force, {self._acknowledged} confirmed"
+                f"{revision} in force, {self._confirmed_revision} confirmed"
             )
         for name in self.cluster.processes:
-            for word in ("Traceback", "event=greenlet_failed"):
-                if word in self.cluster.log_of(name):
-                    self.violations.append(f"{word} in the log of {name}")
+            for pattern in ("Traceback", "event=greenlet_failed"):
+                if pattern in self.cluster.read_log(name):
+                    self.violations.append(f"{pattern} in the log of {name}")
+
+    def _executions_after_revocation(
+        self, executions: list[RecordedExecution]
+    ) -> list[str]:
+        """Return executions for a workspace after its key was revoked.
 
-    def _revoked_runs(self, runs: list[Run]) -> list[str]:
-        """Return runs for a workspace whose key was withdrawn seconds before."""
+        Executions within _SETTLE_S seconds of the confirmed revocation are allowed.
+        """
         return [
-            f"run with a withdrawn key: {run}"
-            for since, until in self._revoked
-            for run in runs
-            if run.workspace == _REVOKED and since + _FEW_S < run.started < until
+            f"executed with a revoked key: {execution}"
+            for since, until in self._revocations
+            for execution in executions
+            if execution.workspace == _REVOKED_WORKSPACE
+            and since + _SETTLE_S < execution.started < until
         ]
 
-    def _check_stops(self) -> None:
-        """Check that every program of ours ends in order after SIGTERM."""
+    def _check_shutdown(self) -> None:
+        """Check that every program of this project exits with 0 after SIGTERM."""
         for name in [*self.cluster.processes]:
             self._terminate(name)
 
     def _terminate(self, name: str) -> None:
-        """Stop a process; only programs of ours owe an orderly end."""
+        """Terminate a process; stand-in upstreams may exit with any code."""
         code = self.cluster.terminate(name)
-        if code != 0 and name.startswith(_PROGRAMS):
-            self.violations.append(f"{name} ended with {code} after SIGTERM")
+        if code != 0 and name.startswith(_PROGRAM_PREFIXES):
+            self.violations.append(f"{name} exited with {code} after SIGTERM")
 
 
 def _raise_rate(overlay: dict[str, Any]) -> None:
-    overlay["workspaces"][_REVOKED].update(rate_per_s=500, burst=1000)
+    overlay["workspaces"][_REVOKED_WORKSPACE].update(rate_per_s=500, burst=1000)
 
 
-def soak(seed: int, seconds: float, keep: str) -> list[str]:
-    """Run one seed, print the outcome and return the violations."""
-    trial = Soak(seed, seconds, keep)
-    ends = trial.run()
-    print(f"seed {seed}: {sum(ends.values())} requests {dict(ends)}")
-    for text in trial.violations:
+def run_seed(seed: int, seconds: float, keep: str) -> list[str]:
+    """Run one seed, print a summary and return the violations."""
+    seed_run = SoakRun(seed, seconds, keep)
+    outcomes = seed_run.run()
+    print(f"seed {seed}: {sum(outcomes.values())} requests {dict(outcomes)}")
+    for text in seed_run.violations:
         print(f"seed {seed}: VIOLATION {text}")
-    print(f"seed {seed}: {len(trial.violations)} violations", flush=True)
-    return trial.violations
+    print(f"seed {seed}: {len(seed_run.violations)} violations", flush=True)
+    return seed_run.violations
 
 
 def main() -> int:
-    """Return 0 if no seed showed a violation."""
+    """Return 0 if no seed has violations, otherwise 1."""
     options = cappa.parse(Options, completion=False)
     seeds = range(options.seed, options.seed + options.seeds)
-    failed = [s for s in seeds if soak(s, options.seconds, options.keep)]
+    failed = [s for s in seeds if run_seed(s, options.seconds, options.keep)]
     print(f"{len(seeds)} seeds, failed: {failed}")
     return 1 if failed else 0
 
--- a/scripts/soak_plan.py
+++ b/scripts/soak_plan.py
@@ -1,20 +1,21 @@
-"""Random plans of faults for the soak, repeatable by seed."""
+"""Random fault schedules for the soak test, reproducible by seed."""
 
 import random
 from enum import StrEnum
 from typing import NamedTuple
 
-_GAP_MEAN_S = 0.9
-_LENGTH_MIN_S = 0.2
-_LENGTH_MAX_S = 3.0
-# A control replica counts as lost until it has caught up again.
-_CATCH_UP_S = 4.0
-# A program takes SIGTERM in order only once it has started.
-_START_S = 2.0
+_MEAN_FAULT_INTERVAL_S = 0.9
+_MIN_DURATION_S = 0.2
+_MAX_DURATION_S = 3.0
+# Time for a control replica to catch up with the log after a fault. Until then a fault
+# in another replica could lose the quorum.
+_CONTROL_RECOVERY_S = 4.0
+# Time for a process to start. Before that, SIGTERM doesn't cause an orderly shutdown.
+_STARTUP_S = 2.0
 
 
 class FaultKind(StrEnum):
-    """Name what happens to a process, to a link or to the settings."""
+    """Enumerate the faults of processes, links and settings."""
 
     KILL = "kill"
     PAUSE = "pause"
@@ -44,7 +45,7 @@
 
 
 class Fault(NamedTuple):
-    """Hold one fault; times in seconds from the start of the soak."""
+    """Describe one fault; times in seconds from the start of the soak."""
 
     at_s: float
     for_s: float
@@ -53,46 +54,49 @@
 
     @property
     def end_s(self) -> float:
-        """Return when the fault is undone."""
+        """Return the time at which the fault is reverted."""
         return self.at_s + self.for_s
 
 
-def plan_faults(seed: int, seconds: float, names: list[str]) -> list[Fault]:
-    """Return faults that begin within `seconds`, in the order of their begin.
+def plan_faults(seed: int, duration_s: float, process_names: list[str]) -> list[Fault]:
+    """Return faults that start within `duration_s` seconds, ordered by start time.
 
-    Faults overlap, but a process has one at a time, at most one control replica is
-    lost or cut off at a time, and changes of the settings come one after the other.
+    Faults overlap, with three limits: a process has one fault at a time, at most one
+    control replica is faulty or disconnected at a time, and settings change one at a
+    time.
     """
     rng = random.Random(seed)
     free_at: dict[str, float] = {}
     faults = []
     at_s = 0.0
-    while (at_s := at_s + rng.expovariate(1 / _GAP_MEAN_S)) < seconds:
-        fault = _draw(rng, at_s, names)
-        slot = _slot_of(fault)
-        if free_at.get(slot, 0.0) > at_s:
+    while (at_s := at_s + rng.expovariate(1 / _MEAN_FAULT_INTERVAL_S)) < duration_s:
+        fault = _random_fault(rng, at_s, process_names)
+        group = _exclusion_group(fault)
+        if free_at.get(group, 0.0) > at_s:
             continue
         is_control = fault.target.startswith("control-")
-        free_at[slot] = fault.end_s + (_CATCH_UP_S if is_control else _START_S)
+        free_at[group] = fault.end_s + (
+            _CONTROL_RECOVERY_S if is_control else _STARTUP_S
+        )
         faults.append(fault)
     return faults
 
 
-def _draw(rng: random.Random, at_s: float, names: list[str]) -> Fault:
-    for_s = rng.uniform(_LENGTH_MIN_S, _LENGTH_MAX_S)
-    sort = rng.random()
-    if sort < 0.15:
+def _random_fault(rng: random.Random, at_s: float, process_names: list[str]) -> Fault:
+    for_s = rng.uniform(_MIN_DURATION_S, _MAX_DURATION_S)
+    draw = rng.random()
+    if draw < 0.15:
         return Fault(at_s, for_s, rng.choice(SETTINGS_FAULTS), "settings")
-    controls = [name for name in names if name.startswith("control-")]
-    if sort < 0.4:
+    controls = [name for name in process_names if name.startswith("control-")]
+    if draw < 0.4:
         return Fault(at_s, for_s, rng.choice(LINK_FAULTS), rng.choice(controls))
-    name = rng.choice(names)
+    name = rng.choice(process_names)
     kinds = PROCESS_FAULTS
     if name in controls:
         kinds = (*PROCESS_FAULTS, FaultKind.WIPE)
     return Fault(at_s, for_s, rng.choice(kinds), name)
 
 
-def _slot_of(fault: Fault) -> str:
-    """Return what a fault occupies; control replicas share one slot."""
+def _exclusion_group(fault: Fault) -> str:
+    """Return the group whose faults must not overlap; control replicas share one."""
     return "control" if fault.target.startswith("control-") else fault.target
--- a/scripts/stand_in_upstream.py
+++ b/scripts/stand_in_upstream.py
@@ -1,7 +1,7 @@
 """Stand-in upstream for the demo and end-to-end tests.
 
-It announces itself to arbiters, serves requests with bounded slots and a cold
-start, checks epochs and grants if told so, and records every execution.
+It announces itself to arbiters, serves requests with limited slots and a cold start,
+checks epochs and grants if fencing is enabled, and records every execution.
 """
 
 import collections
@@ -22,18 +22,18 @@
 
 from bergamotdrift.http_input import peer_has_closed
 
-# The least time between announcements, also when there is news.
-EARLY_ANNOUNCE_S = 0.05
-ANNOUNCE_S = 0.5
-_DEADLINE_MS = 60_000
+# Minimum interval between announcements, also for early ones.
+MIN_ANNOUNCE_INTERVAL_S = 0.05
+ANNOUNCE_INTERVAL_S = 0.5
+_DEFAULT_DEADLINE_MS = 60_000
 _CALL_TIMEOUT_S = 1.0
-_PIECE = b"x" * 65536
-_SOCKET = "stand_in.socket"
+_CHUNK = b"x" * 65536
+_SOCKET_KEY = "stand_in.socket"
 
 
 @dataclass
 class Options:
-    """Serve as an upstream of one service."""
+    """Run as an upstream of one service."""
 
     service: Annotated[str, cappa.Arg(long=True)]
     upstream: Annotated[str, cappa.Arg(long=True)]
@@ -47,12 +47,12 @@
     cold_s: Annotated[float, cappa.Arg(long=True)] = 0.0
     fencing: Annotated[str, cappa.Arg(long=True, help="epoch or none")] = "epoch"
     load_lag_s: Annotated[float, cappa.Arg(long=True)] = 1.0
-    record: Annotated[str, cappa.Arg(long=True, help="file that outlives it")] = ""
+    record: Annotated[str, cappa.Arg(long=True, help="file for execution records")] = ""
 
 
 @dataclass
 class Execution:
-    """Record one run of a request; times in seconds since the epoch."""
+    """Record one execution of a request; times in seconds since the epoch."""
 
     key: str
     method: str
@@ -69,14 +69,14 @@
 
 
 class Grant(NamedTuple):
-    """Hold a partition's epoch and the end of its lease."""
+    """Store the epoch of a partition and the monotonic time its lease ends."""
 
     epoch: int
     end_s: float
 
 
 class LoadSample(NamedTuple):
-    """Hold a past load, since load reports lag."""
+    """Store the load at one time, for delayed load reports."""
 
     at_s: float
     in_flight: int
@@ -84,52 +84,54 @@
 
 @dataclass
 class Upstream:
-    """Hold the state of the stand-in."""
+    """Store the state of the stand-in upstream."""
 
     options: Options
     incarnation: str = field(default_factory=lambda: secrets.token_hex(8))
     grants: dict[int, Grant] = field(default_factory=dict)
     releasing: dict[int, int] = field(default_factory=dict)
-    running: collections.Counter = field(default_factory=collections.Counter)
+    running_by_partition: collections.Counter = field(
+        default_factory=collections.Counter
+    )
     executions: list[Execution] = field(default_factory=list)
     shed: int = 0
     fenced: int = 0
     cancelled: int = 0
-    samples: collections.deque = field(
+    load_samples: collections.deque = field(
         default_factory=lambda: collections.deque(maxlen=200)
     )
     secrets: list[str] = field(default_factory=list)
     cold_since_s: float = field(default_factory=time.monotonic)
-    extra_ms: float = 0.0
+    extra_service_ms: float = 0.0
     lease_end_s: float = 0.0
     leaving: bool = False
     frozen: bool = False
-    has_news: Event = field(default_factory=Event)
+    announce_early: Event = field(default_factory=Event)
 
     @property
     def in_flight(self) -> int:
-        """Return how many requests run now."""
-        return sum(self.running.values())
+        """Return the number of running requests."""
+        return sum(self.running_by_partition.values())
 
     def state(self) -> str:
-        """Return the announced state."""
+        """Return the state to announce."""
         if self.leaving:
             return "leaving"
-        return "cold" if self.warmth() < 1.0 else "ready"
+        return "cold" if self.warm_up_fraction() < 1.0 else "ready"
 
-    def warmth(self) -> float:
+    def warm_up_fraction(self) -> float:
         """Return the progress of the cold start, from 0 to 1."""
         if self.options.cold_s <= 0:
             return 1.0
         return min(1.0, (time.monotonic() - self.cold_since_s) / self.options.cold_s)
 
-    def bearable(self) -> int:
-        """Return how many requests can run at once."""
+    def capacity(self) -> int:
+        """Return the number of requests that can run concurrently."""
         cold, full = self.options.cold_slots, self.options.slots
-        return cold + int((full - cold) * self.warmth())
+        return cold + int((full - cold) * self.warm_up_fraction())
 
     def is_fenced(self, partition: int, epoch: int) -> bool:
-        """Tell whether a request comes under a grant that does not hold."""
+        """Return whether the partition lacks a valid grant with this epoch."""
         if self.options.fencing != "epoch" or partition < 0:
             return False
         grant = self.grants.get(partition)
@@ -137,8 +139,11 @@
             return True
         return time.monotonic() >= grant.end_s or partition in self.releasing
 
-    def may_commit(self, partition: int, epoch: int, deadline_s: float) -> bool:
-        """Tell whether a run may take effect; one that was frozen may be too late."""
+    def can_commit(self, partition: int, epoch: int, deadline_s: float) -> bool:
+        """Return whether an execution may commit.
+
+        While the process was suspended, the deadline or the lease may have expired.
+        """
         now_s = time.monotonic()
         if now_s >= deadline_s:
             return False
@@ -150,8 +155,12 @@
         return self.releasing.get(partition) == epoch and now_s < self.lease_end_s
 
     def announcement(self) -> dict[str, Any]:
-        """Return the JSON that announces this upstream."""
-        done = [[p, e] for p, e in self.releasing.items() if not self.running[p]]
+        """Return the announcement as a JSON object."""
+        drained = [
+            [p, e]
+            for p, e in self.releasing.items()
+            if not self.running_by_partition[p]
+        ]
         return {
             "service": self.options.service,
             "upstream": self.options.upstream,
@@ -159,29 +168,31 @@
             "zone": self.options.zone,
             "incarnation": self.incarnation,
             "state": self.state(),
-            "released": done,
+            "released": drained,
         }
 
-    def append_record(self, run: Execution) -> None:
-        """Append a run's start or end to the record file, if there is one."""
+    def append_execution(self, execution: Execution) -> None:
+        """Append the start or end of an execution to the record file, if configured."""
         if not self.options.record:
             return
-        line = {"upstream": self.options.upstream, **vars(run)}
+        line = {"upstream": self.options.upstream, **vars(execution)}
         with open(self.options.record, "a") as record:
             record.write(json.dumps(line) + "\n")
 
-    def take_reply(self, asked_s: float, reply: dict[str, Any]) -> None:
-        """Store the grants and the partitions to release."""
-        end_s = asked_s + reply["lease_ms"] / 1000.0
+    def apply_reply(self, requested_at_s: float, reply: dict[str, Any]) -> None:
+        """Store the grants and the partitions to release from an announcement reply."""
+        end_s = requested_at_s + reply["lease_ms"] / 1000.0
         self.lease_end_s = end_s
         self.grants = {p: Grant(e, end_s) for p, e in reply.get("grants", [])}
-        before = set(self.releasing)
+        previous = set(self.releasing)
         self.releasing = {p: e for p, e in reply.get("release", [])}
-        if any(not self.running[p] for p in self.releasing.keys() - before):
-            self.has_news.set()
+        if any(
+            not self.running_by_partition[p] for p in self.releasing.keys() - previous
+        ):
+            self.announce_early.set()
 
 
-def _number(environ: dict[str, Any], name: str, default: int) -> int:
+def _environ_int(environ: dict[str, Any], name: str, default: int) -> int:
     try:
         return int(environ.get(name, default))
     except ValueError:
@@ -189,72 +200,78 @@
 
 
 class ServiceApp:
-    """Serve requests of the service."""
+    """Serve the requests of the service."""
 
     def __init__(self, upstream: Upstream):
-        self._up = upstream
+        self._upstream = upstream
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Any:
-        """Run one request as a WSGI application."""
-        up = self._up
-        while up.frozen:
+        """Handle one request as a WSGI application."""
+        upstream = self._upstream
+        while upstream.frozen:
             gevent.sleep(0.05)
-        if peer_has_closed(environ[_SOCKET]) is True:
-            # A frozen process finds requests whose caller has left long ago.
-            up.cancelled += 1
-            return _refuse(start_response, "503 Service Unavailable", "cancelled")
-        partition = _number(environ, "HTTP_X_PARTITION", -1)
-        epoch = _number(environ, "HTTP_X_EPOCH", 0)
-        if up.is_fenced(partition, epoch):
-            up.fenced += 1
-            up.has_news.set()
-            return _refuse(start_response, "409 Conflict", "fenced")
-        if up.in_flight >= up.bearable():
-            up.shed += 1
-            return _refuse(start_response, "503 Service Unavailable", "shed")
-        return self._run(environ, start_response, partition, epoch)
-
-    def _run(
+        if peer_has_closed(environ[_SOCKET_KEY]) is True:
+            # A process that resumes after a freeze finds requests whose caller has
+            # disconnected meanwhile.
+            upstream.cancelled += 1
+            return _reject(start_response, "503 Service Unavailable", "cancelled")
+        partition = _environ_int(environ, "HTTP_X_PARTITION", -1)
+        epoch = _environ_int(environ, "HTTP_X_EPOCH", 0)
+        if upstream.is_fenced(partition, epoch):
+            upstream.fenced += 1
+            upstream.announce_early.set()
+            return _reject(start_response, "409 Conflict", "fenced")
+        if upstream.in_flight >= upstream.capacity():
+            upstream.shed += 1
+            return _reject(start_response, "503 Service Unavailable", "shed")
+        return self._execute(environ, start_response, partition, epoch)
+
+    def _execute(
         self, environ: dict[str, Any], start_response: Any, partition: int, epoch: int
     ) -> Any:
-        up = self._up
-        deadline_ms = _number(environ, "HTTP_X_DEADLINE_MS", _DEADLINE_MS)
+        upstream = self._upstream
+        deadline_ms = _environ_int(environ, "HTTP_X_DEADLINE_MS", _DEFAULT_DEADLINE_MS)
         deadline_s = time.monotonic() + deadline_ms / 1000.0
-        run = self._record(environ, partition, epoch)
-        up.running[partition] += 1
+        execution = self._record_execution(environ, partition, epoch)
+        upstream.running_by_partition[partition] += 1
         try:
-            while piece := environ["wsgi.input"].read(65536):
-                run.body_bytes += len(piece)
-            gevent.sleep((up.options.service_ms + up.extra_ms) / 1000.0)
-            run.abandoned = not up.may_commit(partition, epoch, deadline_s)
+            while chunk := environ["wsgi.input"].read(65536):
+                execution.body_bytes += len(chunk)
+            gevent.sleep(
+                (upstream.options.service_ms + upstream.extra_service_ms) / 1000.0
+            )
+            execution.abandoned = not upstream.can_commit(partition, epoch, deadline_s)
         except OSError:
-            run.abandoned = True  # the body was cut off
+            execution.abandoned = True  # the request body was truncated
             raise
         finally:
-            run.ended = time.time()
-            up.append_record(run)
-            up.running[partition] -= 1
-            if partition in up.releasing:
-                up.has_news.set()
-        if run.abandoned:
-            return _refuse(start_response, "409 Conflict", "fenced")
-        return self._answer(environ, start_response, run)
-
-    def _answer(
-        self, environ: dict[str, Any], start_response: Any, run: Execution
+            execution.ended = time.time()
+            upstream.append_execution(execution)
+            upstream.running_by_partition[partition] -= 1
+            if partition in upstream.releasing:
+                upstream.announce_early.set()
+        if execution.abandoned:
+            return _reject(start_response, "409 Conflict", "fenced")
+        return self._respond(environ, start_response, execution)
+
+    def _respond(
+        self, environ: dict[str, Any], start_response: Any, execution: Execution
     ) -> Any:
         name, _, value = environ.get("QUERY_STRING", "").partition("=")
         if name == "bytes":
             size = int(value)
             start_response("200 OK", [("Content-Length", str(size))])
-            whole, rest = divmod(size, len(_PIECE))
-            return (_PIECE if n < whole else _PIECE[:rest] for n in range(whole + 1))
+            full_chunks, remainder = divmod(size, len(_CHUNK))
+            return (
+                _CHUNK if n < full_chunks else _CHUNK[:remainder]
+                for n in range(full_chunks + 1)
+            )
         body = json.dumps({
-            "upstream": self._up.options.upstream,
-            "key": run.key,
-            "request_id": run.request_id,
-            "body_bytes": run.body_bytes,
-            "execution": len(self._up.executions),
+            "upstream": self._upstream.options.upstream,
+            "key": execution.key,
+            "request_id": execution.request_id,
+            "body_bytes": execution.body_bytes,
+            "execution": len(self._upstream.executions),
         }).encode()
         start_response(
             "200 OK",
@@ -262,12 +279,14 @@
         )
         return [b"" if environ["REQUEST_METHOD"] == "HEAD" else body]
 
-    def _record(self, environ: dict[str, Any], partition: int, epoch: int) -> Execution:
+    def _record_execution(
+        self, environ: dict[str, Any], partition: int, epoch: int
+    ) -> Execution:
         headers = [str(v) for k, v in environ.items() if k.startswith("HTTP_")]
         leaked = "HTTP_AUTHORIZATION" in environ or any(
-            secret in value for secret in self._up.secrets for value in headers
+            secret in value for secret in self._upstream.secrets for value in headers
         )
-        run = Execution(
+        execution = Execution(
             environ["PATH_INFO"],
             environ["REQUEST_METHOD"],
             environ.get("HTTP_X_WORKSPACE", ""),
@@ -278,12 +297,12 @@
             time.time(),
             leaked=leaked,
         )
-        self._up.executions.append(run)
-        self._up.append_record(run)
-        return run
+        self._upstream.executions.append(execution)
+        self._upstream.append_execution(execution)
+        return execution
 
 
-def _refuse(start_response: Any, status: str, reason: str) -> list[bytes]:
+def _reject(start_response: Any, status: str, reason: str) -> list[bytes]:
     body = json.dumps({"error": reason}).encode()
     start_response(
         status,
@@ -297,104 +316,106 @@
 
 
 class _Handler(pywsgi.WSGIHandler):
-    """Hand the connection's socket to the application."""
+    """Pass the connection socket to the application in the WSGI environment."""
 
     def get_environ(self) -> dict[str, Any]:
         environ = super().get_environ()
-        environ[_SOCKET] = self.socket
+        environ[_SOCKET_KEY] = self.socket
         return environ
 
 
 class LoadResource:
-    """Report a load that lags."""
+    """Report the load with a delay of `load_lag_s` seconds."""
 
     def __init__(self, upstream: Upstream):
-        self._up = upstream
+        self._upstream = upstream
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Answer with the load of a moment ago."""
-        up = self._up
-        limit_s = time.monotonic() - up.options.load_lag_s
-        past = [s.in_flight for s in up.samples if s.at_s <= limit_s]
+        """Return the load of `load_lag_s` seconds ago."""
+        upstream = self._upstream
+        cutoff_s = time.monotonic() - upstream.options.load_lag_s
+        past_loads = [s.in_flight for s in upstream.load_samples if s.at_s <= cutoff_s]
         resp.media = {
-            "in_flight": past[-1] if past else 0,
-            "slots": up.options.slots,
-            "state": up.state(),
+            "in_flight": past_loads[-1] if past_loads else 0,
+            "slots": upstream.options.slots,
+            "state": upstream.state(),
         }
 
 
 class ExecutionsResource:
-    """Serve the record of executions."""
+    """Serve the recorded executions."""
 
     def __init__(self, upstream: Upstream):
-        self._up = upstream
+        self._upstream = upstream
 
     def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Answer with all executions and the counts of refused requests."""
+        """Return all executions and the counts of refused requests."""
         resp.media = {
-            "upstream": self._up.options.upstream,
-            "incarnation": self._up.incarnation,
-            "shed": self._up.shed,
-            "fenced": self._up.fenced,
-            "cancelled": self._up.cancelled,
-            "executions": [vars(run) for run in self._up.executions],
+            "upstream": self._upstream.options.upstream,
+            "incarnation": self._upstream.incarnation,
+            "shed": self._upstream.shed,
+            "fenced": self._upstream.fenced,
+            "cancelled": self._upstream.cancelled,
+            "executions": [vars(execution) for execution in self._upstream.executions],
         }
 
 
 class ControlResource:
-    """Switch the stand-in's behaviour."""
+    """Change the behaviour of the stand-in upstream."""
 
     def __init__(self, upstream: Upstream):
-        self._up = upstream
+        self._upstream = upstream
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Apply `straggle_ms`, `cold`, `leave`, `freeze`, `slots` or `secrets`."""
-        up, body = self._up, req.get_media()
-        up.extra_ms = float(body.get("straggle_ms", up.extra_ms))
-        up.leaving = bool(body.get("leave", up.leaving))
-        up.frozen = bool(body.get("freeze", up.frozen))
-        up.secrets = list(body.get("secrets", up.secrets))
-        up.options.slots = int(body.get("slots", up.options.slots))
+        upstream, body = self._upstream, req.get_media()
+        upstream.extra_service_ms = float(
+            body.get("straggle_ms", upstream.extra_service_ms)
+        )
+        upstream.leaving = bool(body.get("leave", upstream.leaving))
+        upstream.frozen = bool(body.get("freeze", upstream.frozen))
+        upstream.secrets = list(body.get("secrets", upstream.secrets))
+        upstream.options.slots = int(body.get("slots", upstream.options.slots))
         if body.get("cold"):
-            up.cold_since_s = time.monotonic()
-        resp.media = {"state": up.state(), "frozen": up.frozen}
+            upstream.cold_since_s = time.monotonic()
+        resp.media = {"state": upstream.state(), "frozen": upstream.frozen}
 
 
 def build_app(upstream: Upstream) -> Any:
-    """Return the WSGI application; admin paths work even while frozen."""
+    """Return the WSGI application; admin routes also work while it is frozen."""
     admin = falcon.App()
     admin.add_route("/load", LoadResource(upstream))
     admin.add_route("/executions", ExecutionsResource(upstream))
     admin.add_route("/control", ControlResource(upstream))
     service = ServiceApp(upstream)
-    paths = {"/load", "/executions", "/control"}
+    admin_paths = {"/load", "/executions", "/control"}
 
-    def app(environ: dict[str, Any], start_response: Any) -> Any:
-        chosen = admin if environ["PATH_INFO"] in paths else service
-        return chosen(environ, start_response)
+    def dispatch(environ: dict[str, Any], start_response: Any) -> Any:
+        handler = admin if environ["PATH_INFO"] in admin_paths else service
+        return handler(environ, start_response)
 
-    return app
+    return dispatch
 
 
 def announce_loop(upstream: Upstream, arbiters: list[str]) -> None:
-    """Announce the upstream to one arbiter, the next one after a failure."""
-    number = 0
+    """Announce the upstream to an arbiter, switching to the next one on failure."""
+    index = 0
     while True:
         if not upstream.frozen and arbiters:
-            asked_s = time.monotonic()
-            address = arbiters[number % len(arbiters)]
-            reply = _announce(address, upstream.announcement())
+            requested_at_s = time.monotonic()
+            address = arbiters[index % len(arbiters)]
+            reply = _send_announcement(address, upstream.announcement())
             if reply is None:
-                number += 1
-                gevent.sleep(ANNOUNCE_S / 5)
+                index += 1
+                gevent.sleep(ANNOUNCE_INTERVAL_S / 5)
                 continue
-            upstream.has_news.clear()
-            upstream.take_reply(asked_s, reply)
-        gevent.sleep(EARLY_ANNOUNCE_S)
-        upstream.has_news.wait(ANNOUNCE_S - EARLY_ANNOUNCE_S)
+            upstream.announce_early.clear()
+            upstream.apply_reply(requested_at_s, reply)
+        gevent.sleep(MIN_ANNOUNCE_INTERVAL_S)
+        upstream.announce_early.wait(ANNOUNCE_INTERVAL_S - MIN_ANNOUNCE_INTERVAL_S)
 
 
-def _announce(address: str, body: dict[str, Any]) -> dict[str, Any] | None:
+def _send_announcement(address: str, body: dict[str, Any]) -> dict[str, Any] | None:
     client = HTTPClient.from_url(
         f"http://{address}",
         connection_timeout=_CALL_TIMEOUT_S,
@@ -413,14 +434,14 @@
 
 
 def sample_loop(upstream: Upstream) -> None:
-    """Remember the load for the lagging reports."""
+    """Sample the load periodically for the delayed load reports."""
     while True:
-        upstream.samples.append(LoadSample(time.monotonic(), upstream.in_flight))
+        upstream.load_samples.append(LoadSample(time.monotonic(), upstream.in_flight))
         gevent.sleep(0.05)
 
 
 def start_upstream(options: Options) -> tuple[Upstream, pywsgi.WSGIServer]:
-    """Start to serve and announce in the background."""
+    """Start serving and announcing in background greenlets."""
     upstream = Upstream(options)
     host, _, port = options.listen.rpartition(":")
     server = pywsgi.WSGIServer(
@@ -441,7 +462,7 @@
 
 
 def main() -> None:
-    """Run until the process is stopped; prints the bound address."""
+    """Print the bound address and serve until SIGTERM."""
     options = cappa.parse(Options, completion=False)
     _, server = start_upstream(options)
     print(json.dumps({"address": options.listen}), flush=True)
