Rename modules of the control leader, rate tokens and records

Several modules had figurative names or names that only this project used. They and their tests take the names of what they hold; only imports follow.

--- a/bergamotdrift/arbiter.py
+++ b/bergamotdrift/arbiter.py
@@ -9,7 +9,7 @@
 from bergamotdrift.arbiter_server import ArbiterServer
 from bergamotdrift.clock import BootClock
 from bergamotdrift.config.loader import load_arbiter
-from bergamotdrift.program import ProgramArguments, start_program
+from bergamotdrift.daemon_startup import ProgramArguments, start_program
 from bergamotdrift.shutdown import shutdown_event
 
 _INCARNATION_BYTES = 8
--- a/bergamotdrift/arbiter_client.py
+++ b/bergamotdrift/arbiter_client.py
@@ -16,6 +16,7 @@
 )
 from bergamotdrift.constants import STREAM_HEARTBEAT_MS
 from bergamotdrift.exceptions import StreamClosedError
+from bergamotdrift.feed_tables import Tables
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
     FeedUpdate,
@@ -25,7 +26,6 @@
     ShardRow,
 )
 from bergamotdrift.streams import Connection, StreamClient
-from bergamotdrift.tables import Tables
 
 # One resume per shard can overflow a stream's send queue; the writer runs between
 # batches.
--- a/bergamotdrift/audit_trail.py
+++ b/bergamotdrift/audit_trail.py
@@ -5,7 +5,7 @@
 import msgpack
 import msgspec
 
-from bergamotdrift.commands_log import ChangeOutcome
+from bergamotdrift.control_commands import ChangeOutcome
 
 # At 420 changes a day, resends are recognized for more than three weeks.
 MAX_REQUEST_IDS = 10_000
--- a/bergamotdrift/control.py
+++ b/bergamotdrift/control.py
@@ -8,9 +8,9 @@
 from bergamotdrift.clock import BootClock
 from bergamotdrift.config.loader import load_control
 from bergamotdrift.control_node import Control, wait_for_end
+from bergamotdrift.daemon_startup import ProgramArguments, start_program
 from bergamotdrift.exceptions import StorageError
 from bergamotdrift.log import log_event
-from bergamotdrift.program import ProgramArguments, start_program
 from bergamotdrift.shutdown import EXIT_FAILED, shutdown_event
 
 
--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -16,6 +16,7 @@
     Refusal,
     StreamClosedError,
 )
+from bergamotdrift.feed_tables import Tables
 from bergamotdrift.lease import HeldLease
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
@@ -33,7 +34,6 @@
     UpstreamSpeed,
 )
 from bergamotdrift.streams import Connection, StreamClient
-from bergamotdrift.tables import Tables
 
 _CALL_TIMEOUT_MS = 1000
 _CONNECT_TIMEOUT_MS = 300
--- a/bergamotdrift/control_log_events.py
+++ b/bergamotdrift/control_log_events.py
@@ -4,7 +4,7 @@
 
 from prometheus_client import Counter, Gauge
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import Message
--- a/bergamotdrift/control_rows.py
+++ b/bergamotdrift/control_rows.py
@@ -3,7 +3,8 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
-from bergamotdrift.commands_log import Hold
+from bergamotdrift.control_commands import Hold
+from bergamotdrift.feed_tables import IsolatedKeyId, PartitionId, RangeId, UpstreamId
 from bergamotdrift.messages import (
     IsolatedKeyRow,
     NodeRow,
@@ -17,7 +18,6 @@
     UpstreamState,
 )
 from bergamotdrift.row_table import RowTable
-from bergamotdrift.tables import IsolatedKeyId, PartitionId, RangeId, UpstreamId
 
 MAX_INCARNATIONS_PER_UPSTREAM = 8
 MAX_INCARNATION_LISTS = 10_000
--- a/bergamotdrift/control_server.py
+++ b/bergamotdrift/control_server.py
@@ -20,7 +20,7 @@
     Message,
 )
 from bergamotdrift.node_streams import NodeStreams
-from bergamotdrift.operator_desk import OperatorDesk, SettingsCheck, refusal
+from bergamotdrift.operator_call_handler import OperatorDesk, SettingsCheck, refusal
 from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer, OperatorCall
 from bergamotdrift.operator_resources import operator_app
 from bergamotdrift.replication import Replicator
--- a/bergamotdrift/control_state.py
+++ b/bergamotdrift/control_state.py
@@ -5,11 +5,12 @@
 
 import msgpack
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift import messages
-from bergamotdrift.commands_log import Applied, ChangeOutcome, Hold
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
+from bergamotdrift.control_commands import Applied, ChangeOutcome, Hold
 from bergamotdrift.control_rows import ControlRows
+from bergamotdrift.feed_tables import IsolatedKeyId, PartitionId, UpstreamId
 from bergamotdrift.hashing import partition_of_hash
 from bergamotdrift.messages import (
     FeedUpdate,
@@ -22,7 +23,6 @@
     UpstreamRow,
 )
 from bergamotdrift.settings_log import SettingsLog
-from bergamotdrift.tables import IsolatedKeyId, PartitionId, UpstreamId
 
 ISOLATED_KEYS_PER_SERVICE = 64
 
--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -8,6 +8,8 @@
 from bergamotdrift.config.schema import EntrySettings, ServiceSettings
 from bergamotdrift.direct_permits import DirectPermits
 from bergamotdrift.direct_selection import DirectSelector
+from bergamotdrift.feed_tables import Tables
+from bergamotdrift.leader_token_client import RateAllowance
 from bergamotdrift.messages import (
     FeedUpdate,
     KeyLoad,
@@ -16,9 +18,7 @@
     Role,
     UpstreamSpeed,
 )
-from bergamotdrift.rate_allowance import RateAllowance
 from bergamotdrift.retry_policy import SharedRetryBudget
-from bergamotdrift.tables import Tables
 
 # Requests by which all entries together may deviate from the weights of a traffic
 # split, to keep requests in their zone. Shares are evaluated over a few hundred
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -25,12 +25,12 @@
     cold_start_ms,
 )
 from bergamotdrift.exceptions import ErrorKind, Refusal
+from bergamotdrift.feed_tables import PartitionId, Tables, UpstreamId
 from bergamotdrift.fence_guard import FenceGuard
 from bergamotdrift.messages import KeyLoad
 from bergamotdrift.request import Permit, RoutedRequest
 from bergamotdrift.shards import pool_shard, upstream_shard
 from bergamotdrift.stages.permit import AttemptNumbers
-from bergamotdrift.tables import PartitionId, Tables, UpstreamId
 
 # Capacity may free up without an event: a probe falls due, or the next second of a
 # cold start begins.
--- a/bergamotdrift/direct_selection.py
+++ b/bergamotdrift/direct_selection.py
@@ -8,6 +8,7 @@
 from bergamotdrift.cold_start_share import ColdStartShare
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.direct_load import DirectLoad
+from bergamotdrift.feed_tables import Tables, UpstreamId
 from bergamotdrift.messages import (
     PartitionState,
     RangeRow,
@@ -17,7 +18,6 @@
 )
 from bergamotdrift.request import RoutedRequest
 from bergamotdrift.routing_key import key_number
-from bergamotdrift.tables import Tables, UpstreamId
 
 # Cost of an upstream in another availability zone, as a multiple of the usual
 # response time.
--- a/bergamotdrift/entry.py
+++ b/bergamotdrift/entry.py
@@ -6,8 +6,8 @@
 
 from bergamotdrift.clock import BootClock
 from bergamotdrift.config.loader import load_entry
+from bergamotdrift.daemon_startup import ProgramArguments, start_program
 from bergamotdrift.entry_node import Entry
-from bergamotdrift.program import ProgramArguments, start_program
 from bergamotdrift.shutdown import shutdown_event
 
 
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -24,8 +24,10 @@
 from bergamotdrift.direct_dispatch import DirectDispatch
 from bergamotdrift.entry_server import EntryApp
 from bergamotdrift.feed_signal import FeedSignal
+from bergamotdrift.feed_tables import Tables
 from bergamotdrift.http_input import HttpLimits
 from bergamotdrift.http_server import HttpServer, admin_app
+from bergamotdrift.local_records import RecordBook
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
     FeedUpdate,
@@ -34,13 +36,11 @@
     Role,
 )
 from bergamotdrift.pipeline import Pipeline, SettingsView, Stages
-from bergamotdrift.record_book import RecordBook
 from bergamotdrift.route_split import RouteSplits
 from bergamotdrift.shard_view import is_workspace_shard
 from bergamotdrift.stages.claim import ClaimStage, NoClaims
 from bergamotdrift.stages.forward import ForwardStage
 from bergamotdrift.stages.permit import PermitStage
-from bergamotdrift.tables import Tables
 from bergamotdrift.token_cache import spent_window_ms
 from bergamotdrift.token_client import TokenClient
 from bergamotdrift.upstream_connections import UpstreamConnections
--- a/bergamotdrift/fence_guard.py
+++ b/bergamotdrift/fence_guard.py
@@ -2,7 +2,7 @@
 
 from cachetools import TTLCache
 
-from bergamotdrift.tables import PartitionId
+from bergamotdrift.feed_tables import PartitionId
 
 # An upstream receives a grant in the reply to its next announcement, up to 500 ms after
 # the feed has informed the entries. Until then single requests probe the owner. At this
--- a/bergamotdrift/handover.py
+++ b/bergamotdrift/handover.py
@@ -3,16 +3,16 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from bergamotdrift.commands_log import Hold
 from bergamotdrift.config.schema import Fencing, SiteSettings
 from bergamotdrift.constants import SESSION_TTL_MS
+from bergamotdrift.control_commands import Hold
 from bergamotdrift.control_state import ControlState, parent_of
+from bergamotdrift.feed_tables import IsolatedKeyId, PartitionId
 from bergamotdrift.messages import (
     PartitionRef,
     PartitionRow,
     PartitionState,
 )
-from bergamotdrift.tables import IsolatedKeyId, PartitionId
 
 # A fencing upstream that reported a release no longer serves the partition. The drain
 # report only confirms that its responses have passed, so losing that report must not
--- a/bergamotdrift/leader_duties.py
+++ b/bergamotdrift/leader_state.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 
 from bergamotdrift.control_state import ControlState
+from bergamotdrift.feed_tables import PartitionId, UpstreamId
 from bergamotdrift.handover import Handover
 from bergamotdrift.messages import (
     Announcement,
@@ -18,10 +19,9 @@
 from bergamotdrift.node_sessions import NodeSessions, PingVerdict
 from bergamotdrift.partition_planner import PartitionPlanner
 from bergamotdrift.range_planner import RangePlanner
-from bergamotdrift.rate_desk import RateDesk
+from bergamotdrift.rate_buckets import RateDesk
 from bergamotdrift.shard_planner import ShardPlanner
 from bergamotdrift.shards import upstream_shard
-from bergamotdrift.tables import PartitionId, UpstreamId
 from bergamotdrift.upstream_sessions import UpstreamSessions
 
 
--- a/bergamotdrift/rate_allowance.py
+++ b/bergamotdrift/leader_token_client.py
@@ -14,7 +14,7 @@
     RateLot,
     RateNeed,
 )
-from bergamotdrift.rate_desk import STANDBY_FROM_MS, STANDBY_UNTIL_MS
+from bergamotdrift.rate_buckets import STANDBY_FROM_MS, STANDBY_UNTIL_MS
 
 # An entry holds tokens for this much time of its recent demand, so that the election
 # of a new leader doesn't stop it.
--- a/bergamotdrift/leadership.py
+++ b/bergamotdrift/leadership.py
@@ -5,13 +5,13 @@
 import gevent
 from gevent.event import Event
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift import messages
 from bergamotdrift.clock import Clock
 from bergamotdrift.control_log_events import log_command
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import CallError
-from bergamotdrift.leader_duties import LeaderDuties
+from bergamotdrift.leader_state import LeaderDuties
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import Message
 from bergamotdrift.replication import Replicator
--- a/bergamotdrift/node_sessions.py
+++ b/bergamotdrift/node_sessions.py
@@ -3,8 +3,7 @@
 import math
 from enum import Enum
 
-from bergamotdrift import commands_log as cmd
-from bergamotdrift.contacts import Contacts
+from bergamotdrift import control_commands as cmd
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.handover import Acknowledged
 from bergamotdrift.messages import (
@@ -12,6 +11,7 @@
     NodeRow,
     Role,
 )
+from bergamotdrift.session_leases import Contacts
 
 
 class PingVerdict(Enum):
--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -12,8 +12,8 @@
 from bergamotdrift.control_log_events import REFUSED_ANNOUNCEMENTS, update_gauges
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import ErrorKind, StreamClosedError
-from bergamotdrift.leader_complaints import LeaderComplaints
-from bergamotdrift.leader_duties import LeaderDuties
+from bergamotdrift.leader_reachability import LeaderComplaints
+from bergamotdrift.leader_state import LeaderDuties
 from bergamotdrift.leadership import Leadership
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
--- a/bergamotdrift/operator_desk.py
+++ b/bergamotdrift/operator_call_handler.py
@@ -9,7 +9,7 @@
 import msgspec
 from returns.result import Failure, Result
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift.config.schema import SiteSettings
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import ANSWERS, CallError, ErrorKind
--- a/bergamotdrift/operator_resources.py
+++ b/bergamotdrift/operator_resources.py
@@ -7,7 +7,7 @@
 
 from bergamotdrift.exceptions import ErrorKind
 from bergamotdrift.hashing import key_digest
-from bergamotdrift.operator_desk import refusal
+from bergamotdrift.operator_call_handler import refusal
 from bergamotdrift.operator_messages import (
     OperatorAction,
     OperatorAnswer,
--- a/bergamotdrift/partition_planner.py
+++ b/bergamotdrift/partition_planner.py
@@ -3,9 +3,10 @@
 from collections.abc import Callable, Collection, Iterator, Sequence
 from typing import Any, NamedTuple
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift.config.schema import Fencing, ServiceKind, ServiceSettings
 from bergamotdrift.control_state import ISOLATED_KEYS_PER_SERVICE, ControlState
+from bergamotdrift.feed_tables import PartitionId, UpstreamId
 from bergamotdrift.handover import Acknowledged, Handover
 from bergamotdrift.messages import (
     IsolatedKeyRow,
@@ -20,7 +21,6 @@
 from bergamotdrift.partition_loads import PartitionLoads
 from bergamotdrift.placement import Candidate, Weighted, choose_moves, place
 from bergamotdrift.reply_gate import ReplyGate
-from bergamotdrift.tables import PartitionId, UpstreamId
 from bergamotdrift.upstream_sessions import UpstreamSessions
 
 BALANCE_INTERVAL_MS = 1000
--- a/bergamotdrift/platform/leader_call_handler.py
+++ b/bergamotdrift/platform/leader_call_handler.py
@@ -8,12 +8,13 @@
 import gevent
 import msgspec
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift import messages
 from bergamotdrift.clock import Clock
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import CallError, ErrorKind
-from bergamotdrift.leader_duties import LeaderDuties
+from bergamotdrift.feed_tables import UpstreamId
+from bergamotdrift.leader_state import LeaderDuties
 from bergamotdrift.leadership import Leadership
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
@@ -24,7 +25,6 @@
 from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer
 from bergamotdrift.platform import site_config
 from bergamotdrift.platform.decoding import WireError
-from bergamotdrift.tables import UpstreamId
 
 # Upstreams count a heartbeat only if it is answered within 1 s.
 COMMIT_TIMEOUT_MS = 800.0
--- a/bergamotdrift/range_orders.py
+++ b/bergamotdrift/range_orders.py
@@ -9,7 +9,7 @@
 
 from bergamotdrift.clock import Clock
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.leader_duties import LeaderDuties
+from bergamotdrift.leader_state import LeaderDuties
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
     PartitionState,
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -4,9 +4,10 @@
 from functools import cached_property
 from typing import NamedTuple, Protocol
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.control_state import ControlState
+from bergamotdrift.feed_tables import UpstreamId
 from bergamotdrift.key_loads import KeyLoads
 from bergamotdrift.messages import (
     LAST_KEY,
@@ -20,7 +21,6 @@
 )
 from bergamotdrift.range_balance import RowLoad, choose_range_moves, load_by_range
 from bergamotdrift.range_leases import RangeLeases, UpstreamProcess, owner_process
-from bergamotdrift.tables import UpstreamId
 
 # Waits for upstreams that start together, so that the first one is not assigned all
 # keys.
--- a/bergamotdrift/record_sender.py
+++ b/bergamotdrift/record_sender.py
@@ -10,6 +10,7 @@
 
 from bergamotdrift.arbiter_messages import RecordMirror
 from bergamotdrift.exceptions import CallError, StreamClosedError
+from bergamotdrift.feed_tables import Tables
 from bergamotdrift.hashing import rendezvous
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
@@ -20,7 +21,6 @@
 )
 from bergamotdrift.outputs import Mirror
 from bergamotdrift.streams import Connection, StreamClient
-from bergamotdrift.tables import Tables
 
 # The records of a lost entry are queued all at once, and a stream's queue holds 4096
 # frames.
--- a/bergamotdrift/reply_gate.py
+++ b/bergamotdrift/reply_gate.py
@@ -6,7 +6,7 @@
 announcement, and the reply to that announcement waits for the change.
 """
 
-from bergamotdrift.tables import UpstreamId
+from bergamotdrift.feed_tables import UpstreamId
 
 
 class ReplyGate:
--- a/bergamotdrift/settings_log.py
+++ b/bergamotdrift/settings_log.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from bergamotdrift.audit_trail import AuditRow, AuditTrail
-from bergamotdrift.commands_log import ApplySettings, ChangeOutcome, RecordRefusal
 from bergamotdrift.config.schema import SiteSettings
+from bergamotdrift.control_commands import ApplySettings, ChangeOutcome, RecordRefusal
 from bergamotdrift.exceptions import ErrorKind
 from bergamotdrift.settings_diff import summarize_change
 
--- a/bergamotdrift/shard_planner.py
+++ b/bergamotdrift/shard_planner.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift.config.schema import ServiceKind, SiteSettings
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.messages import (
--- a/bergamotdrift/shard_set.py
+++ b/bergamotdrift/shard_set.py
@@ -25,6 +25,7 @@
 from bergamotdrift.clock import Clock
 from bergamotdrift.early_messages import EARLY_WAIT_MS, EarlyMessage, EarlyMessages
 from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.feed_tables import Tables
 from bergamotdrift.hot_keys import LoadCounter
 from bergamotdrift.messages import (
     Done,
@@ -38,7 +39,6 @@
 from bergamotdrift.record_mirror import MirroredRecord, RecordMirrors
 from bergamotdrift.shard_view import TableIndex, is_workspace_shard, split_shard
 from bergamotdrift.shards import workspace_shard
-from bergamotdrift.tables import Tables
 from bergamotdrift.takeover import EntryId
 from bergamotdrift.upstream_ages import LimitAges, UpstreamAges
 from bergamotdrift.workspace_arbitration import WorkspaceArbitration
--- a/bergamotdrift/shard_view.py
+++ b/bergamotdrift/shard_view.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from bergamotdrift.config.schema import ServiceSettings, WorkspaceSettings
+from bergamotdrift.feed_tables import Tables, UpstreamId
 from bergamotdrift.messages import (
     PartitionRow,
     Role,
@@ -12,7 +13,6 @@
     UpstreamState,
 )
 from bergamotdrift.shards import workspace_shard
-from bergamotdrift.tables import Tables, UpstreamId
 from bergamotdrift.takeover import EntryId
 from bergamotdrift.upstream_ages import LimitAges, UpstreamAges
 
--- a/bergamotdrift/stages/claim.py
+++ b/bergamotdrift/stages/claim.py
@@ -25,15 +25,15 @@
     StreamClosedError,
 )
 from bergamotdrift.feed_signal import FeedSignal
+from bergamotdrift.feed_tables import Tables
 from bergamotdrift.hashing import key_digest, rendezvous
+from bergamotdrift.local_records import RecordBook, RecordId
 from bergamotdrift.messages import (
     Done,
     Role,
 )
-from bergamotdrift.record_book import RecordBook, RecordId
 from bergamotdrift.request import RoutedRequest
 from bergamotdrift.shards import workspace_shard
-from bergamotdrift.tables import Tables
 
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 _MAX_KEY_CHARS = 256
--- a/bergamotdrift/stages/permit.py
+++ b/bergamotdrift/stages/permit.py
@@ -24,12 +24,12 @@
     StreamClosedError,
 )
 from bergamotdrift.feed_signal import FeedSignal
+from bergamotdrift.feed_tables import PartitionId, Tables
 from bergamotdrift.fence_guard import FenceGuard
 from bergamotdrift.hashing import key_hash
 from bergamotdrift.messages import PartitionState
 from bergamotdrift.request import Permit, RoutedRequest
 from bergamotdrift.shards import pool_shard, upstream_shard
-from bergamotdrift.tables import PartitionId, Tables
 
 # A refusal for a stale epoch or a lost arbiter is resolved by a feed update. Without an
 # update, the permit is requested again after this pause.
--- a/bergamotdrift/tests/control_model.py
+++ b/bergamotdrift/tests/control_simulation.py
@@ -10,7 +10,7 @@
 import random
 from typing import Any
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift import messages
 from bergamotdrift.config.schema import (
     ColdStartSettings,
@@ -24,7 +24,8 @@
 )
 from bergamotdrift.constants import SESSION_TTL_MS
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.leader_duties import LeaderDuties
+from bergamotdrift.feed_tables import PartitionId, Tables
+from bergamotdrift.leader_state import LeaderDuties
 from bergamotdrift.lease import HeldLease
 from bergamotdrift.messages import (
     Announcement,
@@ -37,7 +38,6 @@
 )
 from bergamotdrift.node_sessions import PingVerdict
 from bergamotdrift.shards import upstream_shard
-from bergamotdrift.tables import PartitionId, Tables
 
 STEP_MS = 10
 ZONES = ("a", "b", "c")
--- a/bergamotdrift/tests/test_control_rows.py
+++ b/bergamotdrift/tests/test_control_rows.py
@@ -4,8 +4,8 @@
 
 from bergamotdrift import control_rows
 from bergamotdrift.control_rows import ControlRows
+from bergamotdrift.feed_tables import RangeId
 from bergamotdrift.messages import PartitionState, RangeRow, UpstreamRow, UpstreamState
-from bergamotdrift.tables import RangeId
 
 
 def range_row(service, first, upstream, incarnation="1"):
--- a/bergamotdrift/tests/test_control_server.py
+++ b/bergamotdrift/tests/test_control_server.py
@@ -23,7 +23,7 @@
     UpstreamState,
 )
 from bergamotdrift.streams import StreamServer, parse_address
-from bergamotdrift.tests.control_model import change, service, site
+from bergamotdrift.tests.control_simulation import change, service, site
 from bergamotdrift.tests.fake_replicator import FakeLog, FakeReplicator
 
 KEY = "operator"
--- a/bergamotdrift/tests/test_control_state.py
+++ b/bergamotdrift/tests/test_control_state.py
@@ -3,12 +3,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift import row_table
-from bergamotdrift.commands_log import Hold
 from bergamotdrift.config.schema import ServiceKind
+from bergamotdrift.control_commands import Hold
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.feed_tables import PartitionId, Tables, UpstreamId
 from bergamotdrift.messages import (
     NodeRow,
     PartitionRef,
@@ -18,8 +19,7 @@
     UpstreamState,
 )
 from bergamotdrift.row_table import RowTable
-from bergamotdrift.tables import PartitionId, Tables, UpstreamId
-from bergamotdrift.tests.control_model import change, service, site
+from bergamotdrift.tests.control_simulation import change, service, site
 
 
 def node(name, incarnation="i1"):
--- a/bergamotdrift/tests/test_direct_selection.py
+++ b/bergamotdrift/tests/test_direct_selection.py
@@ -12,6 +12,7 @@
     ZoneState,
 )
 from bergamotdrift.direct_selection import Blocked, Chosen, DirectSelector
+from bergamotdrift.feed_tables import Tables, UpstreamId
 from bergamotdrift.messages import (
     FeedUpdate,
     NodeRow,
@@ -19,7 +20,6 @@
     UpstreamRow,
     UpstreamState,
 )
-from bergamotdrift.tables import Tables, UpstreamId
 
 SLOTS = 4
 NOW_MS = 1000.0
--- a/bergamotdrift/tests/test_fence_guard.py
+++ b/bergamotdrift/tests/test_fence_guard.py
@@ -1,7 +1,7 @@
 import unittest
 
+from bergamotdrift.feed_tables import PartitionId
 from bergamotdrift.fence_guard import PROBE_INTERVAL_MS, FenceGuard
-from bergamotdrift.tables import PartitionId
 
 PID = PartitionId("cases", 1)
 
--- a/bergamotdrift/tests/test_leader_complaints.py
+++ b/bergamotdrift/tests/test_leader_reachability.py
@@ -1,6 +1,6 @@
 import unittest
 
-from bergamotdrift.leader_complaints import REPORT_TTL_MS, LeaderComplaints
+from bergamotdrift.leader_reachability import REPORT_TTL_MS, LeaderComplaints
 
 NODES = ("n1", "n2", "n3", "n4")
 
--- a/bergamotdrift/tests/test_leader_duties.py
+++ b/bergamotdrift/tests/test_leader_state.py
@@ -3,10 +3,10 @@
 import unittest
 from unittest import mock
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift.config.schema import Fencing
 from bergamotdrift.handover import Handover
-from bergamotdrift.leader_duties import LeaderDuties
+from bergamotdrift.leader_state import LeaderDuties
 from bergamotdrift.messages import (
     Announcement,
     KeyCount,
@@ -15,7 +15,7 @@
     UpstreamState,
 )
 from bergamotdrift.reply_gate import ReplyGate
-from bergamotdrift.tests.control_model import (
+from bergamotdrift.tests.control_simulation import (
     ZONES,
     Model,
     site,
@@ -148,7 +148,7 @@
         self.assertTrue(any(violations))
 
     def test_lease_that_the_leader_ends_early(self):
-        with mock.patch("bergamotdrift.contacts.SESSION_TTL_MS", 800):
+        with mock.patch("bergamotdrift.session_leases.SESSION_TTL_MS", 800):
             self.assert_violations_found(Fencing.EPOCH, (freeze, freeze, restart))
 
     def test_next_owner_before_permits_end(self):
--- a/bergamotdrift/tests/test_leadership.py
+++ b/bergamotdrift/tests/test_leadership.py
@@ -5,7 +5,7 @@
 
 from bergamotdrift.clock import BootClock
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.leader_duties import LeaderDuties
+from bergamotdrift.leader_state import LeaderDuties
 from bergamotdrift.leadership import Leadership
 from bergamotdrift.tests.fake_replicator import FakeLog, FakeReplicator
 
--- a/bergamotdrift/tests/test_record_book.py
+++ b/bergamotdrift/tests/test_local_records.py
@@ -5,7 +5,7 @@
     SavedAnswer,
 )
 from bergamotdrift.clock import ManualClock
-from bergamotdrift.record_book import RecordBook, RecordId
+from bergamotdrift.local_records import RecordBook, RecordId
 from bergamotdrift.shards import upstream_shard, workspace_shard
 
 RID = RecordId("w1", "digest")
--- a/bergamotdrift/tests/test_platform_leader_call_handler.py
+++ b/bergamotdrift/tests/test_platform_leader_call_handler.py
@@ -6,6 +6,7 @@
 
 from bergamotdrift.clock import BootClock
 from bergamotdrift.control_state import ControlState
+from bergamotdrift.feed_tables import UpstreamId
 from bergamotdrift.messages import UpstreamState
 from bergamotdrift.node_streams import NodeStreams
 from bergamotdrift.operator_messages import LeaderCall
@@ -16,7 +17,6 @@
     encode_announcement,
 )
 from bergamotdrift.platform.site_config import NO_TOLERANCE
-from bergamotdrift.tables import UpstreamId
 from bergamotdrift.tests.fake_replicator import FakeLog, FakeReplicator
 from bergamotdrift.tests.platform_support import (
     ROUTE_COLUMNS,
--- a/bergamotdrift/tests/test_range_orders.py
+++ b/bergamotdrift/tests/test_range_orders.py
@@ -3,10 +3,10 @@
 
 import gevent
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift.clock import BootClock
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.leader_duties import LeaderDuties
+from bergamotdrift.leader_state import LeaderDuties
 from bergamotdrift.messages import (
     LAST_KEY,
     PartitionState,
--- a/bergamotdrift/tests/test_range_planner.py
+++ b/bergamotdrift/tests/test_range_planner.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift.config.schema import (
     ColdStartSettings,
     Fencing,
@@ -17,6 +17,7 @@
     ZoneState,
 )
 from bergamotdrift.control_state import ControlState
+from bergamotdrift.feed_tables import UpstreamId
 from bergamotdrift.key_loads import KeyRate
 from bergamotdrift.messages import (
     LAST_KEY,
@@ -36,7 +37,6 @@
     owner_process,
 )
 from bergamotdrift.range_planner import RangePlanner
-from bergamotdrift.tables import UpstreamId
 
 SERVICE = ServiceSettings(
     "cases",
--- a/bergamotdrift/tests/test_rate_desk.py
+++ b/bergamotdrift/tests/test_rate_buckets.py
@@ -6,12 +6,12 @@
 
 from bergamotdrift.clock import ManualClock
 from bergamotdrift.config.schema import SiteSettings, WorkspaceSettings
+from bergamotdrift.leader_token_client import RateAllowance, WorkspaceTokens
 from bergamotdrift.messages import (
     RateLot,
     RateNeed,
 )
-from bergamotdrift.rate_allowance import RateAllowance, WorkspaceTokens
-from bergamotdrift.rate_desk import RATE_LEASE_MS, RateBucket, RateDesk
+from bergamotdrift.rate_buckets import RATE_LEASE_MS, RateBucket, RateDesk
 
 LIMITS = WorkspaceSettings("w", 20.0, 20, (), ())
 STEP = st.tuples(
--- a/bergamotdrift/tests/test_shard_set.py
+++ b/bergamotdrift/tests/test_shard_set.py
@@ -19,10 +19,10 @@
 )
 from bergamotdrift.clock import ManualClock
 from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.feed_tables import Tables
 from bergamotdrift.messages import Done
 from bergamotdrift.outputs import Mirror, Notice, Reply
 from bergamotdrift.shard_set import ShardSet
-from bergamotdrift.tables import Tables
 from bergamotdrift.tests import arbiter_support as support
 
 
--- a/bergamotdrift/upstream_ages.py
+++ b/bergamotdrift/upstream_ages.py
@@ -4,11 +4,11 @@
 from typing import NamedTuple
 
 from bergamotdrift.config.schema import WorkspaceSettings
+from bergamotdrift.feed_tables import UpstreamId
 from bergamotdrift.messages import (
     UpstreamRow,
     UpstreamState,
 )
-from bergamotdrift.tables import UpstreamId
 
 
 class _UpstreamAge(NamedTuple):
--- a/bergamotdrift/upstream_sessions.py
+++ b/bergamotdrift/upstream_sessions.py
@@ -1,11 +1,11 @@
 """Upstream leases at the control leader: announcements, grants and expiry."""
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift.announcement_check import check_announcement
 from bergamotdrift.config.schema import ServiceKind
 from bergamotdrift.constants import DRIFT_MARGIN_MS, SESSION_TTL_MS
-from bergamotdrift.contacts import Contacts
 from bergamotdrift.control_state import ControlState
+from bergamotdrift.feed_tables import UpstreamId
 from bergamotdrift.handover import Handover
 from bergamotdrift.messages import (
     Announcement,
@@ -17,7 +17,7 @@
     UpstreamRow,
     UpstreamState,
 )
-from bergamotdrift.tables import UpstreamId
+from bergamotdrift.session_leases import Contacts
 
 # Upstreams don't know the clock drift margin, so it is subtracted from their lease.
 UPSTREAM_LEASE_MS = SESSION_TTL_MS - DRIFT_MARGIN_MS
--- a/scripts/measure_cluster.py
+++ b/scripts/measure_cluster.py
@@ -4,11 +4,12 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift.config.schema import SiteSettings, ZoneState
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.leader_duties import LeaderDuties
+from bergamotdrift.feed_tables import PartitionId, Tables
+from bergamotdrift.leader_state import LeaderDuties
 from bergamotdrift.messages import (
     Announcement,
     AnnouncementReply,
@@ -21,7 +22,6 @@
 )
 from bergamotdrift.outputs import Notice, Output, Reply
 from bergamotdrift.shard_set import ShardSet
-from bergamotdrift.tables import PartitionId, Tables
 from bergamotdrift.takeover import EntryId
 from scripts.measure_loop import EventLoop
 from scripts.measure_report import RunStats
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -14,7 +14,7 @@
 import psutil
 from tabulate import tabulate
 
-from bergamotdrift import commands_log as cmd
+from bergamotdrift import control_commands as cmd
 from bergamotdrift import messages
 from bergamotdrift.clock import BootClock
 from bergamotdrift.config.schema import (
@@ -28,7 +28,7 @@
 )
 from bergamotdrift.constants import PING_INTERVAL_MS
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.leader_duties import LeaderDuties
+from bergamotdrift.leader_state import LeaderDuties
 from bergamotdrift.messages import (
     Announcement,
     Hello,
--- a/scripts/measure_routers.py
+++ b/scripts/measure_routers.py
@@ -23,6 +23,7 @@
 )
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings, WorkspaceSettings
 from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.feed_tables import PartitionId
 from bergamotdrift.fence_guard import FenceGuard
 from bergamotdrift.hashing import key_hash
 from bergamotdrift.messages import (
@@ -34,7 +35,6 @@
 from bergamotdrift.retry_policy import RetryBudget
 from bergamotdrift.shard_view import is_workspace_shard, split_shard
 from bergamotdrift.shards import pool_shard, upstream_shard, workspace_shard
-from bergamotdrift.tables import PartitionId
 from bergamotdrift.token_cache import TokenCache, TokenLease, spent_window_ms
 from scripts.measure_attempts import IdleConnections, Job, send
 from scripts.measure_cluster import Cluster, Node
