--- a/bergamotdrift/admission.py
+++ b/bergamotdrift/admission.py
@@ -53,7 +53,7 @@
 
     A newer revision, already active elsewhere, may have added it.
     """
-    return settings_age_ms <= constants.DENIAL_AGE_MAX_MS
+    return settings_age_ms <= constants.DENIAL_SETTINGS_AGE_MAX_MS
 
 
 def may_run_stale(routed: RoutedRequest) -> bool:
--- a/bergamotdrift/announcements.py
+++ b/bergamotdrift/announcements.py
@@ -10,7 +10,7 @@
 from gevent.event import AsyncResult
 
 from bergamotdrift.exceptions import (
-    ANSWERS,
+    ERROR_ANSWERS,
     CallError,
     ErrorKind,
     ProtocolError,
@@ -136,7 +136,7 @@
             return
         reply = self._relay.announce(item)
         if isinstance(reply, ErrorKind):
-            _send_error(resp, reply, ANSWERS[reply].text)
+            _send_error(resp, reply, ERROR_ANSWERS[reply].text)
         elif reply.error:
             _send_error(resp, _error_kind(reply.error), reply.error)
         else:
@@ -170,7 +170,7 @@
 
 
 def _send_error(resp: falcon.Response, kind: ErrorKind, detail: str) -> None:
-    resp.status = falcon.code_to_http_status(ANSWERS[kind].status)
+    resp.status = falcon.code_to_http_status(ERROR_ANSWERS[kind].status)
     resp.media = {"error": kind.value, "message": detail}
 
 
--- a/bergamotdrift/arbiter_client.py
+++ b/bergamotdrift/arbiter_client.py
@@ -16,7 +16,7 @@
 )
 from bergamotdrift.constants import STREAM_HEARTBEAT_MS
 from bergamotdrift.exceptions import StreamClosedError
-from bergamotdrift.feed_tables import Tables
+from bergamotdrift.feed_tables import FeedTables
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
     FeedUpdate,
@@ -67,7 +67,7 @@
     def __init__(
         self,
         hello: Hello,
-        tables: Callable[[], Tables],
+        tables: Callable[[], FeedTables],
         held: HeldResources,
         on_revoke: Callable[[Revoke], None],
     ):
--- a/bergamotdrift/arbiter_server.py
+++ b/bergamotdrift/arbiter_server.py
@@ -278,7 +278,7 @@
     def _on_load_report(self, target: PollTarget, hint: LoadHint | None) -> None:
         shard = self.shards.permits.get(target.shard)
         if shard is not None:
-            self._deliver(shard.probed(target.upstream, hint))
+            self._deliver(shard.on_load_report(target.upstream, hint))
 
 
 def _entry_of(conn: Connection) -> EntryId:
--- a/bergamotdrift/arbitration.py
+++ b/bergamotdrift/arbitration.py
@@ -127,7 +127,11 @@
         refusal = self._admission_refusal(waiter)
         if refusal is not None:
             return [Reply(waiter.ticket, refusal)]
-        if not self._queue and self.is_granting and self.upstreams.pick(waiter, now_ms):
+        if (
+            not self._queue
+            and self.is_granting
+            and self.upstreams.select(waiter, now_ms)
+        ):
             return [self._grant(waiter, now_ms)]
         refusal = self._deadline_refusal(waiter.req, now_ms)
         if refusal is not None:
@@ -146,9 +150,9 @@
         if msg.outcome in {AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR}:
             self._service_time.add(latency_ms, now_ms)
         self.upstreams.end(permit, msg.kept)
-        self.upstreams.learn(permit.upstream, msg.outcome, latency_ms, now_ms)
+        self.upstreams.record_result(permit.upstream, msg.outcome, latency_ms, now_ms)
         outputs: list[Output] = []
-        if self._parked.learn(permit, msg.outcome, now_ms):
+        if self._parked.record_result(permit, msg.outcome, now_ms):
             outputs = self._park_queued(permit.partition, now_ms)
         elif self._parked:
             outputs = self._admit_parked(now_ms)
@@ -172,7 +176,7 @@
 
     def drop_connections(self, entry: EntryId, msg: ConnectionDropped) -> list[Output]:
         """Record that an entry closed idle connections."""
-        self.upstreams.drop_connections(entry, msg.upstream, msg.connections)
+        self.upstreams.remove_idle_connections(entry, msg.upstream, msg.connections)
         return self._grant_waiting(self._clock.now_ms())
 
     def resume(self, entry: EntryId, msg: Resume) -> list[Output]:
@@ -180,18 +184,18 @@
         if msg.shard_epoch != self.view.epoch or entry not in self.view.entries:
             return []
         now_ms = self._clock.now_ms()
-        self._reports.take(entry, msg, now_ms)
+        self._reports.apply_report(entry, msg, now_ms)
         was_open = self._gate.is_open
         self._gate.report(entry)
         if self._gate.is_open and not was_open:
-            self.upstreams.warm_to_adopted(now_ms)
+            self.upstreams.raise_ramps_to_adopted(now_ms)
         outputs = self._revoke_unknown_upstreams(entry)
         return outputs + self._grant_waiting(now_ms)
 
     def disconnect(self, entry: EntryId) -> list[Output]:
         """Drop the waiting requests of an entry; keep its permits until it reports."""
         self._drop_waiters(entry)
-        self._reports.disconnected(entry)
+        self._reports.mark_disconnected(entry)
         return []
 
     def update(self, view: ShardView) -> list[Output]:
@@ -203,22 +207,22 @@
         self._parked.on_rows_changed()
         for entry in before.entries - view.entries:
             self._drop_waiters(entry)
-            self._reports.left(entry)
-        self._reports.joined(view.entries - before.entries)
+            self._reports.remove_entry(entry)
+        self._reports.add_entries(view.entries - before.entries)
         was_open = self._gate.is_open
         self._gate.keep_members(view.entries)
         stopped = self.upstreams.update(view, self.permits, now_ms)
         if self._gate.is_open and not was_open:
-            self.upstreams.warm_to_adopted(now_ms)
+            self.upstreams.raise_ramps_to_adopted(now_ms)
         outputs = self._revoke(stopped)
         outputs += self._refuse_unroutable()
         outputs += self._admit_parked(now_ms)
         return outputs + self._grant_waiting(now_ms)
 
-    def probed(self, upstream: str, hint: LoadHint | None) -> list[Output]:
+    def on_load_report(self, upstream: str, hint: LoadHint | None) -> list[Output]:
         """Apply a load report of an upstream, or None if it did not answer."""
         now_ms = self._clock.now_ms()
-        self.upstreams.probed(upstream, hint, now_ms)
+        self.upstreams.on_load_report(upstream, hint, now_ms)
         return self._grant_waiting(now_ms)
 
     def tick(self) -> list[Output]:
@@ -243,7 +247,7 @@
             return []
         return [
             ref
-            for ref in self._partitions.releasing()
+            for ref in self._partitions.releasing_partitions()
             if not self.permits.is_partition_in_use(ref.partition)
         ]
 
@@ -279,10 +283,10 @@
             return PermitRefusal(
                 ErrorKind.CONFLICT_IN_PROGRESS, "duplicate permit request"
             )
-        detail = self._partitions.refusal(req)
+        detail = self._partitions.refusal_reason(req)
         if detail:
             return PermitRefusal(ErrorKind.NO_UPSTREAM, detail)
-        if not self.upstreams.has_open():
+        if not self.upstreams.has_open_upstream():
             return PermitRefusal(
                 ErrorKind.NO_UPSTREAM, "no upstream accepts new requests"
             )
@@ -323,15 +327,15 @@
         return outputs
 
     def _serve_next(self, now_ms: float, upstream: str | None) -> Waiter | None:
-        candidates = self.upstreams.with_room(now_ms, upstream)
+        candidates = self.upstreams.with_free_slots(now_ms, upstream)
         if not candidates:
             return None
         return self._queue.serve_next(
-            lambda waiter: self.upstreams.pick(waiter, now_ms, candidates)
+            lambda waiter: self.upstreams.select(waiter, now_ms, candidates)
         )
 
     def _grant(self, waiter: Waiter, now_ms: float) -> Reply:
-        load = self.upstreams.picked
+        load = self.upstreams.selected
         assert load is not None
         use = self.upstreams.start(load, waiter.entry)
         permit = self.permits.add(waiter, load.row.upstream, use, now_ms)
@@ -350,9 +354,11 @@
         self._parked.drop_entry(entry)
 
     def _refuse_unroutable(self) -> list[Output]:
-        is_open = self.upstreams.has_open()
+        is_open = self.upstreams.has_open_upstream()
         moved = self._queue.pop_matching(
-            lambda waiter: not is_open or bool(self._partitions.refusal(waiter.req))
+            lambda waiter: (
+                not is_open or bool(self._partitions.refusal_reason(waiter.req))
+            )
         )
         return [_refusal(waiter, ErrorKind.NO_UPSTREAM) for waiter in moved]
 
--- a/bergamotdrift/attempts.py
+++ b/bergamotdrift/attempts.py
@@ -18,7 +18,7 @@
         self.cancel_reason = ""
         # Time at which the attempt is abandoned for a retry; None for the request's
         # deadline.
-        self.limit_ms: float | None = None
+        self.attempt_deadline_ms: float | None = None
         # Called at the limit; the attempt continues if it returns False.
         self.may_abandon: Callable[[], bool] = lambda: True
         # The load that the upstream reported in its response, if any.
--- a/bergamotdrift/caller.py
+++ b/bergamotdrift/caller.py
@@ -55,7 +55,7 @@
         """Return up to `size` bytes, empty at the end of the body."""
         if self._raw.at_end:
             return b""
-        target = bytearray(min(size, self._raw.left_bytes or size))
+        target = bytearray(min(size, self._raw.remaining_bytes or size))
         count = self._raw.readinto(target)
         self._watch_at_end()
         return bytes(memoryview(target)[:count])
--- a/bergamotdrift/commands/apply.py
+++ b/bergamotdrift/commands/apply.py
@@ -26,8 +26,8 @@
 from bergamotdrift.operator_api import Change
 from bergamotdrift.operator_client import (
     CallFailure,
+    CallFailureKind,
     OperatorClient,
-    Trouble,
     new_request_id,
 )
 
@@ -83,7 +83,7 @@
     def _preview(
         self, console: Console, client: OperatorClient, site_file: SiteFile
     ) -> ExitCode:
-        running = client.running()
+        running = client.current_settings()
         if isinstance(running, Failure):
             return report_failure(console, running.failure())
         current = running.unwrap()
@@ -114,7 +114,7 @@
             raise usage_error(f"--author and --request must have {limit}")
         base = self.base_revision
         if base is None:
-            running = client.running()
+            running = client.current_settings()
             if isinstance(running, Failure):
                 return report_failure(console, running.failure())
             base = running.unwrap().revision
@@ -139,7 +139,7 @@
 
 def _report_failure(console: Console, failure: CallFailure, change: Change) -> ExitCode:
     code = report_failure(console, failure)
-    if failure.trouble is Trouble.OUTCOME_UNKNOWN:
+    if failure.kind is CallFailureKind.OUTCOME_UNKNOWN:
         console.print_note(
             "the change may have been applied; to see its outcome, repeat the command "
             f"with --request {change.request} --base-revision {change.base_revision} "
--- a/bergamotdrift/commands/check.py
+++ b/bergamotdrift/commands/check.py
@@ -44,7 +44,7 @@
         return ExitCode.OK
 
     def _compare(self, console: Console, site_file: SiteFile) -> ExitCode:
-        running = self.control.create_client().running()
+        running = self.control.create_client().current_settings()
         if isinstance(running, Failure):
             return report_failure(console, running.failure())
         current = running.unwrap()
--- a/bergamotdrift/commands/reports.py
+++ b/bergamotdrift/commands/reports.py
@@ -7,7 +7,7 @@
 from bergamotdrift.config.problems import Problem
 from bergamotdrift.console import Console, ExitCode
 from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.operator_client import CallFailure, Trouble
+from bergamotdrift.operator_client import CallFailure, CallFailureKind
 
 
 def format_problems(problems: Iterable[Problem]) -> str:
@@ -33,7 +33,7 @@
 def report_failure(console: Console, failure: CallFailure) -> ExitCode:
     """Print why a call failed, and return the exit code."""
     data: dict[str, Any] = {
-        "error": failure.trouble.value,
+        "error": failure.kind.value,
         "message": failure.message,
     }
     if failure.refusal is not None:
@@ -46,7 +46,7 @@
         data["revision"] = failure.refusal.revision
         data["author"] = failure.refusal.author
     console.print_result(data, _format_failure(failure))
-    if failure.trouble is Trouble.REFUSED:
+    if failure.kind is CallFailureKind.REFUSED:
         return ExitCode.REFUSED
     return ExitCode.UNREACHABLE
 
@@ -58,8 +58,8 @@
 
 def _format_failure(failure: CallFailure) -> str:
     refusal = failure.refusal
-    if refusal is None or failure.trouble is not Trouble.REFUSED:
-        return f"{failure.trouble}: {failure.message}"
+    if refusal is None or failure.kind is not CallFailureKind.REFUSED:
+        return f"{failure.kind}: {failure.message}"
     if _is_conflict(failure):
         return (
             f"refused: revision {refusal.revision} by {refusal.author or 'unknown'} "
--- a/bergamotdrift/commands/show.py
+++ b/bergamotdrift/commands/show.py
@@ -26,7 +26,7 @@
     def __call__(self) -> ExitCode:
         """Run the command and return its exit code."""
         console = Console(self.output.json)
-        running = self.control.create_client().running()
+        running = self.control.create_client().current_settings()
         if isinstance(running, Failure):
             return report_failure(console, running.failure())
         current = running.unwrap()
--- a/bergamotdrift/control.py
+++ b/bergamotdrift/control.py
@@ -7,7 +7,7 @@
 
 from bergamotdrift.clock import BootClock
 from bergamotdrift.config.loader import load_control
-from bergamotdrift.control_node import Control, wait_for_end
+from bergamotdrift.control_node import ControlNode, wait_for_shutdown
 from bergamotdrift.daemon_startup import ProgramArguments, start_program
 from bergamotdrift.exceptions import StorageError
 from bergamotdrift.log import log_event
@@ -24,13 +24,13 @@
     """Run a control replica until SIGTERM."""
     cfg = start_program("control", Arguments, load_control)
     stop = shutdown_event()
-    control = Control(cfg, BootClock())
+    control = ControlNode(cfg, BootClock())
     try:
         control.start()
     except StorageError as exc:
         log_event("start_refused", reason=str(exc))
         sys.exit(EXIT_FAILED)
-    if not wait_for_end(stop, control.replica.failed):
+    if not wait_for_shutdown(stop, control.replica.failed):
         sys.exit(EXIT_FAILED)
     control.stop()
 
--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -16,7 +16,7 @@
     Refusal,
     StreamClosedError,
 )
-from bergamotdrift.feed_tables import Tables
+from bergamotdrift.feed_tables import FeedTables
 from bergamotdrift.lease import HeldLease
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
@@ -98,7 +98,7 @@
         self._leader_address = ""
         self._unreachable_leader = ""
         self._greenlet: gevent.Greenlet | None = None
-        self.tables = Tables()
+        self.tables = FeedTables()
         self.session = HeldLease(float("-inf"), 0.0)
         self.ready = Event()
 
--- a/bergamotdrift/control_commands.py
+++ b/bergamotdrift/control_commands.py
@@ -14,7 +14,7 @@
 )
 
 
-class Hold(StrEnum):
+class ReassignmentWait(StrEnum):
     """What must expire before a vacant partition can be assigned again."""
 
     NONE = "none"
--- a/bergamotdrift/control_node.py
+++ b/bergamotdrift/control_node.py
@@ -23,7 +23,7 @@
 _TRANSFER_TIMEOUT_MS = 1000.0
 
 
-class Control:
+class ControlNode:
     """Run a control replica with its servers."""
 
     def __init__(self, cfg: ControlSettings, clock: Clock):
@@ -71,7 +71,7 @@
     return named.get(cfg.node.node, cfg.listen)
 
 
-def wait_for_end(stop: Event, failed: Event) -> bool:
+def wait_for_shutdown(stop: Event, failed: Event) -> bool:
     """Wait for a stop or a failure; return False if the replica failed."""
     gevent.wait([stop, failed], count=1)
     return not failed.is_set()
--- a/bergamotdrift/control_rows.py
+++ b/bergamotdrift/control_rows.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
-from bergamotdrift.control_commands import Hold
+from bergamotdrift.control_commands import ReassignmentWait
 from bergamotdrift.feed_tables import IsolatedKeyId, PartitionId, RangeId, UpstreamId
 from bergamotdrift.messages import (
     IsolatedKeyRow,
@@ -50,7 +50,7 @@
         # Partitions in state VACANT or RELEASING.
         self.unowned: set[PartitionId] = set()
         # Condition for reassigning each vacant partition; absent means Hold.NONE.
-        self.reassignment_waits: dict[PartitionId, Hold] = {}
+        self.reassignment_waits: dict[PartitionId, ReassignmentWait] = {}
         # Highest epoch that removed partitions of each service have used.
         self.last_used_epochs: dict[str, int] = {}
         self.next_isolated_partition: dict[str, int] = {}
@@ -64,9 +64,9 @@
         rows = (self.partitions.get(key) for key in self._owned.get(upstream, ()))
         return sorted(row for row in rows if row is not None)
 
-    def hold(self, key: PartitionId) -> Hold:
+    def reassignment_wait(self, key: PartitionId) -> ReassignmentWait:
         """Return the condition for reassigning a vacant partition."""
-        return self.reassignment_waits.get(key, Hold.NONE)
+        return self.reassignment_waits.get(key, ReassignmentWait.NONE)
 
     def is_superseded(self, upstream: UpstreamId, incarnation: str) -> bool:
         """Return whether a later incarnation of the upstream has registered."""
@@ -103,12 +103,12 @@
         last_used_epoch = self.last_used_epochs.get(key.service, 0)
         self.last_used_epochs[key.service] = max(last_used_epoch, row.epoch)
 
-    def vacate(self, index: int, key: PartitionId, wait: Hold) -> bool:
+    def vacate(self, index: int, key: PartitionId, wait: ReassignmentWait) -> bool:
         """Remove a partition's owner; `wait` is the condition for the next one."""
         row = self.partitions.get(key)
         if row is None or row.state is PartitionState.VACANT:
             return False
-        if wait is not Hold.NONE:
+        if wait is not ReassignmentWait.NONE:
             self.reassignment_waits[key] = wait
         vacant = row._replace(upstream="", state=PartitionState.VACANT)
         return self.put_partition(index, vacant)
@@ -117,7 +117,7 @@
         """Return the ranges of a service, sorted by key."""
         return self._current_sorted_ranges().by_service.get(service, ())
 
-    def ranges_held(
+    def ranges_owned(
         self, service: str, upstream: str, incarnation: str
     ) -> Sequence[RangeRow]:
         """Return the ranges that one incarnation of an upstream owns, sorted by key."""
@@ -149,7 +149,7 @@
 
     def free_ranges(self, index: int, upstream: UpstreamRow) -> None:
         """Vacate the ranges of an upstream whose process is known to have ended."""
-        for row in self.ranges_held(*_incarnation_key(upstream)):
+        for row in self.ranges_owned(*_incarnation_key(upstream)):
             free = row._replace(
                 upstream="", incarnation="", state=PartitionState.VACANT
             )
@@ -188,7 +188,9 @@
         self.shards.load(tables[3], str, _decode_shard_row)
         self.isolated.load(tables[4], _decode_isolated_key_id, _decode_isolated_key_row)
         self.ranges.load(tables[5], _decode_range_key, _decode_range_row)
-        self.reassignment_waits = {PartitionId(*key): Hold(wait) for key, wait in waits}
+        self.reassignment_waits = {
+            PartitionId(*key): ReassignmentWait(wait) for key, wait in waits
+        }
         self._incarnations = {UpstreamId(*key): names for key, names in incarnations}
         self._owned = {}
         self.unowned = set()
--- a/bergamotdrift/control_server.py
+++ b/bergamotdrift/control_server.py
@@ -20,7 +20,11 @@
     Message,
 )
 from bergamotdrift.node_streams import NodeStreams
-from bergamotdrift.operator_call_handler import OperatorDesk, SettingsCheck, refusal
+from bergamotdrift.operator_call_handler import (
+    OperatorCallHandler,
+    SettingsCheck,
+    refusal,
+)
 from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer, OperatorCall
 from bergamotdrift.operator_resources import operator_app
 from bergamotdrift.replication import Replicator
@@ -41,12 +45,12 @@
 class LeaderCallHandler(Protocol):
     """Handle, on the leader, external calls that any replica accepts."""
 
-    def answer(self, call: LeaderCall) -> OperatorAnswer:
+    def handle(self, call: LeaderCall) -> OperatorAnswer:
         """Return the answer, or NOT_LEADER if this replica does not lead."""
         ...
 
 
-class LeaderCaller(Protocol):
+class LeaderClient(Protocol):
     """Send requests to the leader on a persistent stream."""
 
     def call_leader(self, msg: Message, timeout_ms: float) -> Message:
@@ -84,27 +88,27 @@
         self._replicator = replicator
         self._replica_messages = replica_messages
         # Set by programs that accept further external calls.
-        self.calls: LeaderCallHandler | None = None
-        self.nodes = NodeStreams(state, replicator, clock, cfg.upstream_ttl_ms)
-        self._operator_api = OperatorDesk(
+        self.leader_call_handler: LeaderCallHandler | None = None
+        self.node_streams = NodeStreams(state, replicator, clock, cfg.upstream_ttl_ms)
+        self._operator_api = OperatorCallHandler(
             state,
-            self.nodes.leadership,
+            self.node_streams.leadership,
             replicator,
             check,
-            self.nodes.settings_changed,
+            self.node_streams.on_settings_changed,
         )
         app = operator_app(self.answer, cfg.operator_key_digests)
         self.http = HttpServer(cfg.operator_listen, app)
 
     def start(self) -> None:
         """Start serving nodes and the operator API."""
-        self.nodes.start()
+        self.node_streams.start()
         self.http.start()
 
     def stop(self) -> None:
         """Stop serving; nodes look for another leader."""
         self.http.stop()
-        self.nodes.stop()
+        self.node_streams.stop()
 
     def is_ready(self) -> bool:
         """Tell whether this replica knows a leader."""
@@ -113,13 +117,13 @@
     def answer(self, call: OperatorCall) -> OperatorAnswer:
         """Return the leader's answer to an operator, forwarding the call if needed."""
         if self._replicator.is_leader():
-            return self._operator_api.answer(call)
+            return self._operator_api.handle(call)
         address = self._replicator.leader_address()
         if not address:
             return refusal(ErrorKind.NO_QUORUM, "no leader is known")
         return self._forward(address, call)
 
-    def call_leader(self, call: LeaderCall, leader: LeaderCaller) -> OperatorAnswer:
+    def call_leader(self, call: LeaderCall, leader: LeaderClient) -> OperatorAnswer:
         """Return the leader's answer to an external call; forwards it by `leader`."""
         if self._replicator.is_leader():
             return self._answer_locally(call)
@@ -139,7 +143,7 @@
             conn, number, msg
         ):
             return
-        if self.nodes.on_message(conn, number, msg):
+        if self.node_streams.on_message(conn, number, msg):
             return
         if isinstance(msg, OperatorCall):
             gevent.spawn(self._answer_forwarded, conn, number, msg)
@@ -150,20 +154,20 @@
 
     def on_close(self, conn: Connection) -> None:
         """Discard the feed position of a stream."""
-        self.nodes.on_close(conn)
+        self.node_streams.on_close(conn)
 
     def _answer_locally(self, call: LeaderCall) -> OperatorAnswer:
-        if self.calls is None:
+        if self.leader_call_handler is None:
             return refusal(
                 ErrorKind.INTERNAL, "this program does not handle external calls"
             )
-        return self.calls.answer(call)
+        return self.leader_call_handler.handle(call)
 
     def _answer_forwarded(
         self, conn: Connection, number: int, call: OperatorCall
     ) -> None:
         # Replies only as leader; forwarding the call again could create a loop.
-        conn.reply(number, self._operator_api.answer(call))
+        conn.reply(number, self._operator_api.handle(call))
 
     def _forward(self, address: str, call: OperatorCall) -> OperatorAnswer:
         client = StreamClient(address, self._hello, _IgnoringHandler())
--- a/bergamotdrift/control_state.py
+++ b/bergamotdrift/control_state.py
@@ -8,7 +8,7 @@
 from bergamotdrift import control_commands as cmd
 from bergamotdrift import messages
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
-from bergamotdrift.control_commands import Applied, ChangeOutcome, Hold
+from bergamotdrift.control_commands import Applied, ChangeOutcome, ReassignmentWait
 from bergamotdrift.control_rows import ControlRows
 from bergamotdrift.feed_tables import IsolatedKeyId, PartitionId, UpstreamId
 from bergamotdrift.hashing import partition_of_hash
@@ -24,7 +24,7 @@
 )
 from bergamotdrift.settings_log import SettingsLog
 
-ISOLATED_KEYS_PER_SERVICE = 64
+MAX_ISOLATED_KEYS_PER_SERVICE = 64
 
 
 class ControlState:
@@ -191,7 +191,7 @@
             row = self.rows.upstreams.get(key)
             if row is None or row.incarnation != item.incarnation:
                 continue
-            self._remove_upstream(index, key, Hold.PERMITS)
+            self._remove_upstream(index, key, ReassignmentWait.PERMITS)
             changed += 1
         return self._record_changes(index, changed)
 
@@ -218,7 +218,7 @@
         if row is None or row.epoch != item.epoch or row.state is PartitionState.OWNED:
             return False
         if not item.upstream:
-            return self.rows.vacate(index, key, Hold.NONE)
+            return self.rows.vacate(index, key, ReassignmentWait.NONE)
         upstream = self.rows.upstreams.get(UpstreamId(item.service, item.upstream))
         if upstream is None or upstream.incarnation != item.incarnation:
             return False
@@ -254,9 +254,9 @@
         isolated_count = sum(
             row.service == service.name for row in self.rows.isolated.rows()
         )
-        if key in self.rows.isolated or isolated_count >= ISOLATED_KEYS_PER_SERVICE:
+        if key in self.rows.isolated or isolated_count >= MAX_ISOLATED_KEYS_PER_SERVICE:
             return Applied(0)
-        parent = self.rows.partitions.get(parent_of(service, command.key_hash))
+        parent = self.rows.partitions.get(parent_partition(service, command.key_hash))
         if parent is None or parent.state is not PartitionState.OWNED:
             return Applied(0)
         number = self.rows.next_isolated_partition[service.name]
@@ -317,7 +317,7 @@
             if last_used_epoch:
                 # Upstreams may still hold leases on the earlier partitions.
                 self.rows.reassignment_waits[PartitionId(service.name, number)] = (
-                    Hold.LEASE
+                    ReassignmentWait.LEASE
                 )
 
     def _drop_partitions(self, index: int, service: str) -> None:
@@ -332,9 +332,11 @@
     def _drop_upstreams(self, index: int, service: str) -> None:
         for key in self.rows.upstreams.list_keys():
             if key.service == service:
-                self._remove_upstream(index, key, Hold.LEASE)
+                self._remove_upstream(index, key, ReassignmentWait.LEASE)
 
-    def _remove_upstream(self, index: int, key: UpstreamId, wait: Hold) -> None:
+    def _remove_upstream(
+        self, index: int, key: UpstreamId, wait: ReassignmentWait
+    ) -> None:
         for row in self.rows.partitions_of(key):
             self.rows.vacate(index, PartitionId(row.service, row.partition), wait)
         self.rows.upstreams.remove(key, index)
@@ -345,7 +347,7 @@
         return Applied(changed)
 
 
-def parent_of(service: ServiceSettings, key_hash: int) -> PartitionId:
+def parent_partition(service: ServiceSettings, key_hash: int) -> PartitionId:
     """Return the hash partition of a key, regardless of key isolation."""
     number = partition_of_hash(key_hash, service.partitions)
     return PartitionId(service.name, number)
--- a/bergamotdrift/dialect.py
+++ b/bergamotdrift/dialect.py
@@ -18,10 +18,10 @@
     slowness: float = 1.0
 
 
-HeaderOf = Callable[[str], str | None]
+HeaderGetter = Callable[[str], str | None]
 
 
-def _native_not_run_outcome(status: int, header: HeaderOf) -> AttemptOutcome | None:
+def _native_not_run_outcome(status: int, header: HeaderGetter) -> AttemptOutcome | None:
     stated = header("x-not-run")
     if status == 503 and stated == "shed":
         return AttemptOutcome.SHED
@@ -53,10 +53,12 @@
     # Whether a caller's request id is forwarded instead of generating one.
     keeps_request_id: bool = False
     # Whether a response without framing is complete once the connection closes cleanly.
-    takes_unframed: bool = False
+    accepts_close_delimited: bool = False
     # Whether Retry-After may be fractional.
     fine_retry_after: bool = False
-    not_run: Callable[[int, HeaderOf], AttemptOutcome | None] = _native_not_run_outcome
+    not_run: Callable[[int, HeaderGetter], AttemptOutcome | None] = (
+        _native_not_run_outcome
+    )
     parse_load: Callable[[str], AnswerLoad | None] = _parse_no_load
 
     def own_headers(self) -> frozenset[str]:
--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -8,8 +8,8 @@
 from bergamotdrift.config.schema import EntrySettings, ServiceSettings
 from bergamotdrift.direct_permits import DirectPermits
 from bergamotdrift.direct_selection import DirectSelector
-from bergamotdrift.feed_tables import Tables
-from bergamotdrift.leader_token_client import RateAllowance
+from bergamotdrift.feed_tables import FeedTables
+from bergamotdrift.leader_token_client import LeaderTokenClient
 from bergamotdrift.messages import (
     FeedUpdate,
     KeyLoad,
@@ -32,7 +32,7 @@
     def __init__(
         self,
         cfg: EntrySettings,
-        tables: Callable[[], Tables],
+        tables: Callable[[], FeedTables],
         registry: AttemptRegistry,
         clock: Clock,
     ):
@@ -42,7 +42,7 @@
         rng = random.Random()
         self._selector = DirectSelector(cfg.node.node, cfg.node.zone, rng)
         self.permits = DirectPermits(tables, self._selector, registry, clock)
-        self.tokens = RateAllowance(clock, self._rate_of)
+        self.tokens = LeaderTokenClient(clock, self._rate_of)
         self._entries = 1
 
     def on_tables_changed(self, update: FeedUpdate) -> None:
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -25,12 +25,12 @@
     cold_start_ms,
 )
 from bergamotdrift.exceptions import ErrorKind, Refusal
-from bergamotdrift.feed_tables import PartitionId, Tables, UpstreamId
+from bergamotdrift.feed_tables import FeedTables, PartitionId, UpstreamId
 from bergamotdrift.fence_guard import FenceGuard
 from bergamotdrift.messages import KeyLoad
 from bergamotdrift.request import Permit, RoutedRequest
 from bergamotdrift.shards import pool_shard, upstream_shard
-from bergamotdrift.stages.permit import AttemptNumbers
+from bergamotdrift.stages.permit import AttemptHistory
 
 # Capacity may free up without an event: a probe falls due, or the next second of a
 # cold start begins.
@@ -63,7 +63,7 @@
 
     def __init__(
         self,
-        tables: Callable[[], Tables],
+        tables: Callable[[], FeedTables],
         choice: DirectSelector,
         registry: AttemptRegistry,
         clock: Clock,
@@ -80,7 +80,7 @@
         self._key_counts: Counter[tuple[str, int]] = Counter()
 
     def acquire(
-        self, routed: RoutedRequest, numbers: AttemptNumbers
+        self, routed: RoutedRequest, numbers: AttemptHistory
     ) -> Result[RunningAttempt, Refusal]:
         """Return a registered attempt, or a refusal (NO_UPSTREAM, QUEUE_FULL)."""
         if numbers.next() == 1 and routed.service.kind is ServiceKind.RANGED:
@@ -110,7 +110,7 @@
             self._record_result(load, routed, running, msg)
         self.notify()
 
-    def note_outcome(
+    def record_outcome(
         self, routed: RoutedRequest, running: RunningAttempt, fenced: bool
     ) -> None:
         """Hold back requests for a range after one of them was fenced."""
@@ -120,8 +120,8 @@
         partition = PartitionId(routed.service.name, permit.partition)
         if fenced:
             now_ms = self._clock.now_ms()
-            self._fence_guard.note_fenced(partition, permit.partition_epoch, now_ms)
-        elif self._fence_guard.note_run(partition, permit.partition_epoch):
+            self._fence_guard.record_fenced(partition, permit.partition_epoch, now_ms)
+        elif self._fence_guard.record_accepted(partition, permit.partition_epoch):
             self.notify()
 
     def notify(self) -> None:
@@ -152,14 +152,14 @@
         selection = self._selector.select(routed, self._tables(), excluded, now_ms)
         if isinstance(selection, Chosen) and selection.key_range is not None:
             partition = PartitionId(routed.service.name, selection.key_range.first)
-            if not self._fence_guard.may_try(
+            if not self._fence_guard.may_send(
                 partition, selection.key_range.epoch, now_ms
             ):
                 return Blocked("the upstream does not know its grant yet")
         return selection
 
     def _wait(
-        self, routed: RoutedRequest, numbers: AttemptNumbers
+        self, routed: RoutedRequest, numbers: AttemptHistory
     ) -> Result[RunningAttempt, Refusal]:
         started_ms = self._clock.now_ms()
         waiter = _Waiter(rank_of(routed), next(self._numbers), routed, numbers.excluded)
@@ -193,7 +193,7 @@
             waiter.fut.wait(min(left_ms, _RECHECK_MS) / 1000.0)
 
     def _with_attempt_limit(
-        self, running: RunningAttempt, routed: RoutedRequest, numbers: AttemptNumbers
+        self, running: RunningAttempt, routed: RoutedRequest, numbers: AttemptHistory
     ) -> RunningAttempt:
         """Set a time limit on an attempt that can be retried at another upstream."""
         is_last = numbers.sent + 1 >= (routed.route.attempts or _DEFAULT_ATTEMPTS)
@@ -208,7 +208,7 @@
         left_ms = routed.deadline_ms - now_ms
         limit_ms = max(_ATTEMPT_LIMIT_MEANS * mean_ms, _ATTEMPT_LIMIT_RATIO * left_ms)
         if limit_ms < left_ms:
-            running.limit_ms = now_ms + limit_ms
+            running.attempt_deadline_ms = now_ms + limit_ms
         return running
 
     def _release_unclaimed(self, waiter: _Waiter) -> None:
--- a/bergamotdrift/direct_selection.py
+++ b/bergamotdrift/direct_selection.py
@@ -8,7 +8,7 @@
 from bergamotdrift.cold_start_share import ColdStartShare
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.direct_load import DirectLoad
-from bergamotdrift.feed_tables import Tables, UpstreamId
+from bergamotdrift.feed_tables import FeedTables, UpstreamId
 from bergamotdrift.messages import (
     PartitionState,
     RangeRow,
@@ -73,7 +73,7 @@
         self._ranged_services: frozenset[str] = frozenset()
         self._reported_speeds: dict[UpstreamId, float] = {}
 
-    def update(self, tables: Tables, now_ms: float) -> None:
+    def update(self, tables: FeedTables, now_ms: float) -> None:
         """Apply changed tables."""
         entries = list(tables.nodes_of(Role.ENTRY))
         in_zone = sum(row.zone == self._zone for row in entries)
@@ -101,7 +101,7 @@
         for key, load in self.loads.items():
             self._by_service.setdefault(key.service, []).append(load)
 
-    def _update_upstreams(self, tables: Tables, now_ms: float) -> None:
+    def _update_upstreams(self, tables: FeedTables, now_ms: float) -> None:
         for key in self.loads.keys() - tables.upstreams.keys():
             del self.loads[key]
         for key, row in tables.upstreams.items():
@@ -114,7 +114,7 @@
             elif load.row != row:
                 load.replace_row(row, cold_start_ms(service), now_ms)
 
-    def _update_evacuations(self, tables: Tables, now_ms: float) -> None:
+    def _update_evacuations(self, tables: FeedTables, now_ms: float) -> None:
         """Treat upstreams of a zone as cold once its evacuation ends; they may be."""
         returned = self._evacuated - tables.evacuated
         self._evacuated = tables.evacuated
@@ -138,7 +138,7 @@
     def select(
         self,
         routed: RoutedRequest,
-        tables: Tables,
+        tables: FeedTables,
         excluded: Collection[str],
         now_ms: float,
     ) -> Chosen | Blocked:
@@ -148,7 +148,7 @@
         return self._select_from_pool(routed, excluded, now_ms)
 
     def _select_key_owner(
-        self, routed: RoutedRequest, tables: Tables, now_ms: float
+        self, routed: RoutedRequest, tables: FeedTables, now_ms: float
     ) -> Chosen | Blocked:
         row = tables.range_of(routed.service.name, int(routed.routing_key))
         if row is None:
@@ -191,7 +191,7 @@
         return Chosen(min(free, key=self._cost(routed, now_ms)))
 
     def has_upstream_in_zone(
-        self, service: ServiceSettings, routing_key: str, tables: Tables
+        self, service: ServiceSettings, routing_key: str, tables: FeedTables
     ) -> bool:
         """Return whether an upstream in the entry's zone can serve a request."""
         if service.kind is not ServiceKind.RANGED:
--- a/bergamotdrift/early_messages.py
+++ b/bergamotdrift/early_messages.py
@@ -84,7 +84,7 @@
         self._remove_if(lambda item: _has_expired(item, now_ms))
         return expired
 
-    def forget(self, entry: EntryId) -> None:
+    def remove_entry(self, entry: EntryId) -> None:
         """Remove the messages of an entry whose stream was lost."""
         if self._held:
             self._remove_if(lambda item: item.entry == entry)
--- a/bergamotdrift/entry.py
+++ b/bergamotdrift/entry.py
@@ -7,7 +7,7 @@
 from bergamotdrift.clock import BootClock
 from bergamotdrift.config.loader import load_entry
 from bergamotdrift.daemon_startup import ProgramArguments, start_program
-from bergamotdrift.entry_node import Entry
+from bergamotdrift.entry_node import EntryNode
 from bergamotdrift.shutdown import shutdown_event
 
 
@@ -21,7 +21,7 @@
     """Run the entry until SIGTERM."""
     cfg = start_program("entry", Arguments, load_entry)
     stop = shutdown_event()
-    entry = Entry(cfg, BootClock())
+    entry = EntryNode(cfg, BootClock())
     entry.start()
     stop.wait()
     entry.stop()
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -24,10 +24,10 @@
 from bergamotdrift.direct_dispatch import DirectDispatch
 from bergamotdrift.entry_server import EntryApp
 from bergamotdrift.feed_signal import FeedSignal
-from bergamotdrift.feed_tables import Tables
+from bergamotdrift.feed_tables import FeedTables
 from bergamotdrift.http_input import HttpLimits
 from bergamotdrift.http_server import HttpServer, admin_app
-from bergamotdrift.local_records import RecordBook
+from bergamotdrift.local_records import LocalRecords
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
     FeedUpdate,
@@ -43,7 +43,7 @@
 from bergamotdrift.stages.permit import PermitStage
 from bergamotdrift.token_cache import spent_window_ms
 from bergamotdrift.token_client import TokenClient
-from bergamotdrift.upstream_connections import UpstreamConnections
+from bergamotdrift.upstream_connections import UpstreamConnectionPool
 
 _WATCH_INTERVAL_S = 0.05
 _SWEEP_INTERVAL_S = 0.5
@@ -54,7 +54,7 @@
 _IDLE_MARGIN_S = 1.0
 
 
-class Entry:
+class EntryNode:
     """Set up and run an entry."""
 
     def __init__(self, cfg: EntrySettings, clock: Clock, dialect: Dialect = NATIVE):
@@ -68,8 +68,8 @@
         self._feed = FeedSignal()
         self._admission = Admission(cfg.node.zone, clock)
         self.registry = AttemptRegistry()
-        self._book = RecordBook(clock)
-        self._connections = UpstreamConnections(clock, self._on_connections_dropped)
+        self._book = LocalRecords(clock)
+        self._connections = UpstreamConnectionPool(clock, self._on_connections_dropped)
         self._direct: DirectDispatch | None = None
         if cfg.dispatch is Dispatch.DIRECT:
             self._direct = DirectDispatch(
@@ -120,7 +120,7 @@
         self._wait_until_idle(min(_UNREADY_GRACE_S, self._remaining_s(end_ms)))
         gevent.killall(self._greenlets)
         self._tokens.stop()
-        self._connections.drop_all()
+        self._connections.close_all()
         # Lets queued permit releases and token returns go out before streams close.
         gevent.sleep(_WATCH_INTERVAL_S)
         self.control.stop()
@@ -134,7 +134,7 @@
         self.server.stop()
         gevent.killall(self._greenlets)
         self._tokens.stop()
-        self._connections.drop_all()
+        self._connections.close_all()
         self.control.stop()
         self.arbiters.stop()
         self.admin.stop()
@@ -165,7 +165,7 @@
             self.arbiters.on_tables_changed(update)
         if update.full or update.upstreams or update.removed:
             addresses = {row.address for row in tables.upstreams.values()}
-            self._connections.drop_unknown(addresses)
+            self._connections.close_unlisted(addresses)
         self._feed.notify()
 
     def running_permits(self, shard: str) -> list[RunningPermit]:
@@ -174,7 +174,7 @@
 
     def kept_connections(self, shard: str) -> list[KeptConnections]:
         """Return the idle connections of a shard."""
-        return self._connections.kept(shard)
+        return self._connections.idle_counts(shard)
 
     def records(self, shard: str) -> list[RecordRow]:
         """Return the idempotency records of a shard."""
@@ -216,12 +216,12 @@
             self._dialect,
         )
         if self._direct is not None:
-            self._direct.tokens.ask_now = self.control.ping_now
+            self._direct.tokens.request_ping = self.control.ping_now
             return Stages(
                 self._direct.tokens, NoClaims(), self._direct.permits, forward
             )
 
-        def tables() -> Tables:
+        def tables() -> FeedTables:
             return self.control.tables
 
         claims = ClaimStage(
@@ -263,7 +263,7 @@
 
     def _on_revoke(self, msg: Revoke) -> None:
         count = self.registry.cancel(msg.shard, "revoked", msg.upstream)
-        self._connections.drop(msg.shard, msg.upstream)
+        self._connections.close_idle(msg.shard, msg.upstream)
         log_event("revoked", shard=msg.shard, upstream=msg.upstream, attempts=count)
 
     def _may_send(self, shard: str) -> bool:
@@ -296,7 +296,7 @@
     def _sweep_loop(self) -> None:
         while True:
             gevent.sleep(_SWEEP_INTERVAL_S)
-            self._connections.drop_old()
+            self._connections.close_stale()
 
     def _remaining_s(self, end_ms: float) -> float:
         return max(0.0, end_ms - self._clock.now_ms()) / 1000.0
--- a/bergamotdrift/entry_reports.py
+++ b/bergamotdrift/entry_reports.py
@@ -20,23 +20,23 @@
         # Entries that haven't yet reported idle connections on their current stream.
         self._unreported = set(entries)
 
-    def disconnected(self, entry: EntryId) -> None:
+    def mark_disconnected(self, entry: EntryId) -> None:
         """Mark the permits of an entry as unconfirmed until its next report."""
         self._unreported.add(entry)
-        self._permits.unconfirm(entry)
+        self._permits.mark_unconfirmed(entry)
 
-    def joined(self, entries: frozenset[EntryId]) -> None:
+    def add_entries(self, entries: frozenset[EntryId]) -> None:
         """Add new entries, whose first report is expected."""
         self._unreported |= entries
 
-    def left(self, entry: EntryId) -> None:
+    def remove_entry(self, entry: EntryId) -> None:
         """Release the permits and connections of an entry whose session has ended."""
         self._unreported.discard(entry)
         for permit in self._permits.remove_entry(entry):
             self._upstreams.end(permit, kept=False)
-        self._upstreams.forget_connections(entry)
+        self._upstreams.clear_idle_connections(entry)
 
-    def take(self, entry: EntryId, msg: Resume, now_ms: float) -> None:
+    def apply_report(self, entry: EntryId, msg: Resume, now_ms: float) -> None:
         """Adopt what an entry reports, and release permits that it no longer lists."""
         self._release_unreported(entry, {running.permit for running in msg.permits})
         for running in msg.permits:
@@ -50,12 +50,12 @@
             self._replace_connections(entry, msg)
 
     def _release_unreported(self, entry: EntryId, reported: set[str]) -> None:
-        for permit in self._permits.unconfirmed_of(entry):
+        for permit in self._permits.unconfirmed_permits_of(entry):
             if permit.permit not in reported:
                 self._permits.remove(entry, permit.permit)
                 self._upstreams.end(permit, kept=False)
 
     def _replace_connections(self, entry: EntryId, msg: Resume) -> None:
-        self._upstreams.forget_connections(entry)
+        self._upstreams.clear_idle_connections(entry)
         for kept in msg.kept:
-            self._upstreams.replace_connections(entry, kept.upstream, kept.connections)
+            self._upstreams.set_idle_connections(entry, kept.upstream, kept.connections)
--- a/bergamotdrift/entry_server.py
+++ b/bergamotdrift/entry_server.py
@@ -70,7 +70,7 @@
             head.fields,
             environ["REMOTE_ADDR"],
             self._clock.now_ms(),
-            CallerBody(raw, raw.left_bytes, watch),
+            CallerBody(raw, raw.remaining_bytes, watch),
         )
         try:
             return self._pipeline.handle(req)
--- a/bergamotdrift/exceptions.py
+++ b/bergamotdrift/exceptions.py
@@ -43,7 +43,7 @@
     text: str
 
 
-ANSWERS: dict[ErrorKind, Answer] = {
+ERROR_ANSWERS: dict[ErrorKind, Answer] = {
     ErrorKind.MALFORMED_REQUEST: Answer(400, True, 0, "the request is malformed"),
     ErrorKind.UNAUTHENTICATED: Answer(401, True, 0, "no valid workspace key was sent"),
     ErrorKind.FORBIDDEN: Answer(403, True, 0, "the workspace may not use this route"),
--- a/bergamotdrift/feed_tables.py
+++ b/bergamotdrift/feed_tables.py
@@ -47,7 +47,7 @@
     first: int
 
 
-class Tables:
+class FeedTables:
     """Settings and rows as of a feed index; the settings revision never decreases."""
 
     def __init__(self) -> None:
--- a/bergamotdrift/fence_guard.py
+++ b/bergamotdrift/fence_guard.py
@@ -21,16 +21,16 @@
             _MAX_PARTITIONS, _FORGET_AFTER_MS, timer=lambda: self._now_ms
         )
 
-    def note_fenced(self, partition: PartitionId, epoch: int, now_ms: float) -> None:
+    def record_fenced(self, partition: PartitionId, epoch: int, now_ms: float) -> None:
         """Record that the owner refused the epoch."""
         self._now_ms = now_ms
         self._next_probe_ms[partition, epoch] = now_ms + PROBE_INTERVAL_MS
 
-    def note_run(self, partition: PartitionId, epoch: int) -> bool:
+    def record_accepted(self, partition: PartitionId, epoch: int) -> bool:
         """Record that the owner accepts the epoch; return whether it was fenced."""
         return self._next_probe_ms.pop((partition, epoch), None) is not None
 
-    def may_try(self, partition: PartitionId, epoch: int, now_ms: float) -> bool:
+    def may_send(self, partition: PartitionId, epoch: int, now_ms: float) -> bool:
         """Return whether a request may be sent to the owner now."""
         self._now_ms = now_ms
         next_try_ms = self._next_probe_ms.get((partition, epoch))
--- a/bergamotdrift/fenced_partitions.py
+++ b/bergamotdrift/fenced_partitions.py
@@ -16,20 +16,20 @@
     def __bool__(self) -> bool:
         return bool(self._resume_at_ms)
 
-    def fenced(self, partition: int, now_ms: float) -> None:
+    def pause(self, partition: int, now_ms: float) -> None:
         """Pause a partition."""
         self._resume_at_ms[partition] = now_ms + _PAUSE_MS
 
-    def answered(self, partition: int) -> bool:
+    def resume(self, partition: int) -> bool:
         """End the pause of a partition; return whether it was paused."""
         return self._resume_at_ms.pop(partition, None) is not None
 
-    def keep(self, partitions: set[int]) -> None:
+    def retain(self, partitions: set[int]) -> None:
         """Drop all partitions except those in `partitions`, which are still owned."""
         for partition in self._resume_at_ms.keys() - partitions:
             del self._resume_at_ms[partition]
 
-    def holds(
+    def is_paused(
         self, partition: int, is_running: Callable[[int], bool], now_ms: float
     ) -> bool:
         """Return whether a request for a partition must wait.
--- a/bergamotdrift/handover.py
+++ b/bergamotdrift/handover.py
@@ -5,8 +5,8 @@
 
 from bergamotdrift.config.schema import Fencing, SiteSettings
 from bergamotdrift.constants import SESSION_TTL_MS
-from bergamotdrift.control_commands import Hold
-from bergamotdrift.control_state import ControlState, parent_of
+from bergamotdrift.control_commands import ReassignmentWait
+from bergamotdrift.control_state import ControlState, parent_partition
 from bergamotdrift.feed_tables import IsolatedKeyId, PartitionId
 from bergamotdrift.messages import (
     PartitionRef,
@@ -71,7 +71,7 @@
         self._bounds: dict[str, _Bounds] = {}
         self._bounds_revision = -1
 
-    def note_released(self, ref: PartitionRef, now_ms: float) -> None:
+    def record_released(self, ref: PartitionRef, now_ms: float) -> None:
         """Record that the upstream no longer serves a releasing partition."""
         self._released.setdefault(ref, now_ms)
 
@@ -79,7 +79,7 @@
         """Return whether the upstream has reported the release."""
         return ref in self._released
 
-    def note_drained(self, ref: PartitionRef) -> None:
+    def record_drained(self, ref: PartitionRef) -> None:
         """Record that no permit for a releasing partition is in use."""
         self._drained.add(ref)
 
@@ -137,15 +137,15 @@
             service = self._state.service(key.service)
             if row is not None and service is not None:
                 found.add(PartitionId(row.service, row.partition))
-                found.add(parent_of(service, row.key_hash))
+                found.add(parent_partition(service, row.key_hash))
         return found
 
     def _is_over(
         self, row: PartitionRow, acknowledged: Acknowledged, now_ms: float
     ) -> bool:
         key = PartitionId(row.service, row.partition)
-        hold = self._state.rows.hold(key)
-        if row.state is PartitionState.VACANT and hold is Hold.NONE:
+        hold = self._state.rows.reassignment_wait(key)
+        if row.state is PartitionState.VACANT and hold is ReassignmentWait.NONE:
             return True
         # Starts both waiting times even if another condition is not met yet.
         change = self._row_change(row)
@@ -154,7 +154,7 @@
         if row.state is PartitionState.RELEASING:
             return self._release_is_complete(row, permits_over, now_ms)
         fenced = not self._is_unfenced(row.service)
-        if hold is Hold.PERMITS:
+        if hold is ReassignmentWait.PERMITS:
             return fenced or permits_over
         lease_over = now_ms - seen_ms >= SESSION_TTL_MS
         known = acknowledged.nodes >= change.changed_at
@@ -198,7 +198,9 @@
             self._bounds_revision = log.revision
             self._bounds.clear()
         if service not in self._bounds:
-            self._bounds[service] = _strictest_bounds(service, log.recent.values())
+            self._bounds[service] = _strictest_bounds(
+                service, log.recent_revisions.values()
+            )
         return self._bounds[service]
 
     def _drop_settled(self) -> None:
--- a/bergamotdrift/http_handler.py
+++ b/bergamotdrift/http_handler.py
@@ -11,7 +11,7 @@
 from gevent import pywsgi
 
 from bergamotdrift.exceptions import (
-    ANSWERS,
+    ERROR_ANSWERS,
     CallerGoneError,
     ErrorKind,
     Refusal,
@@ -199,7 +199,7 @@
     def _body_can_be_discarded(self) -> bool:
         if self._body.at_end:
             return True
-        left = self._body.left_bytes
+        left = self._body.remaining_bytes
         small = left is not None and left <= _MAX_DISCARD_BYTES
         return small and not (self._body.needs_continue or self._body.failed)
 
@@ -214,7 +214,7 @@
     def _refuse(self, refusal: Refusal) -> None:
         body = refusal_body(refusal, "")
         headers = [*refusal_headers(refusal, body, ""), ("Connection", "close")]
-        lines = [f"HTTP/1.1 {status_line(ANSWERS[refusal.kind].status)}"]
+        lines = [f"HTTP/1.1 {status_line(ERROR_ANSWERS[refusal.kind].status)}"]
         lines += [f"{name}: {value}" for name, value in headers]
         data = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
         self.close_connection = True
--- a/bergamotdrift/http_input.py
+++ b/bergamotdrift/http_input.py
@@ -240,7 +240,7 @@
         return True
 
     @property
-    def left_bytes(self) -> int | None:
+    def remaining_bytes(self) -> int | None:
         """Number of bytes still to be read, or None for a chunked body."""
         return None if self._chunked and not self.at_end else self._remaining
 
--- a/bergamotdrift/http_server.py
+++ b/bergamotdrift/http_server.py
@@ -138,7 +138,7 @@
         resp.media = {"ready": ready}
 
 
-def ready_app(path: str, is_ready: Callable[[], bool]) -> falcon.App:
+def readiness_app(path: str, is_ready: Callable[[], bool]) -> falcon.App:
     """Return an application that serves only the readiness check at `path`."""
     app = falcon.App()
     app.add_route(path, ReadinessResource(is_ready))
--- a/bergamotdrift/leader_reachability.py
+++ b/bergamotdrift/leader_reachability.py
@@ -8,7 +8,7 @@
 _REQUEST_INTERVAL_MS = 2000.0
 
 
-class LeaderComplaints:
+class LeaderReachability:
     """Decide when a follower requests a leadership transfer.
 
     After a one-way network partition the leader may keep its quorum while its replies
--- a/bergamotdrift/leader_state.py
+++ b/bergamotdrift/leader_state.py
@@ -16,10 +16,10 @@
     RateLot,
     RateNeed,
 )
-from bergamotdrift.node_sessions import NodeSessions, PingVerdict
+from bergamotdrift.node_sessions import NodeSessions, PingResult
 from bergamotdrift.partition_planner import PartitionPlanner
 from bergamotdrift.range_planner import RangePlanner
-from bergamotdrift.rate_buckets import RateDesk
+from bergamotdrift.rate_buckets import RateBuckets
 from bergamotdrift.shard_planner import ShardPlanner
 from bergamotdrift.shards import upstream_shard
 from bergamotdrift.upstream_sessions import UpstreamSessions
@@ -29,7 +29,7 @@
     """Do nothing; for callers without an event loop."""
 
 
-class LeaderDuties:
+class LeaderState:
     """Hold the sessions and planners of one term; does no I/O and reads no clock.
 
     Every lease holder counts as seen at `opened_at_ms`, since the previous leader may
@@ -51,14 +51,14 @@
             state, self._handover, opened_at_ms, upstream_ttl_ms
         )
         self.ranges = RangePlanner(state, self.upstreams, opened_at_ms)
-        self._rates = RateDesk()
-        self._rates.open(state.settings.current, opened_at_ms)
+        self._rates = RateBuckets()
+        self._rates.add_buckets(state.settings.current, opened_at_ms)
         self._partitions = PartitionPlanner(
             state, self.upstreams, self._handover, opened_at_ms, yield_to_loop
         )
         self._shards = ShardPlanner(state, self.nodes, yield_to_loop)
 
-    def ping(self, row: NodeRow, feed_index: int, now_ms: float) -> PingVerdict:
+    def ping(self, row: NodeRow, feed_index: int, now_ms: float) -> PingResult:
         """Renew a node's session, or start its registration."""
         return self.nodes.ping(row, feed_index, now_ms)
 
@@ -66,7 +66,7 @@
         """Renew an upstream's lease and return its grants; an error changes nothing."""
         return self.upstreams.announce(item, now_ms)
 
-    def holds_reply(self, item: Announcement) -> bool:
+    def defers_reply(self, item: Announcement) -> bool:
         """Tell whether a reply must wait for the next round of commands.
 
         The round may change the grants, so the reply is computed again after it.
@@ -74,7 +74,7 @@
         upstream = UpstreamId(item.service, item.upstream)
         return self._partitions.holds_reply(upstream)
 
-    def drained(self, ref: PartitionRef, node: str) -> bool:
+    def record_drain_report(self, ref: PartitionRef, node: str) -> bool:
         """Record a drain report; return False if outdated or not the shard owner's."""
         row = self._state.rows.partitions.get(PartitionId(ref.service, ref.partition))
         if row is None or row.epoch != ref.epoch:
@@ -84,21 +84,21 @@
         shard = self._state.rows.shards.get(upstream_shard(row.service, row.upstream))
         if shard is None or shard.node != node or not self.nodes.is_live(node):
             return False
-        self._handover.note_drained(ref)
+        self._handover.record_drained(ref)
         return True
 
     def add_loads(self, report: LoadReport, now_ms: float) -> None:
         """Record an arbiter's load report."""
         self._partitions.add_loads(report, now_ms)
 
-    def lease_rates(
+    def lease_rate_tokens(
         self, node: str, needs: Sequence[RateNeed], now_ms: float
     ) -> list[RateLot]:
         """Lease rate tokens to an entry."""
         settings = self._state.settings.current
         if settings is None:
             return []
-        return self._rates.answer(node, needs, settings, now_ms)
+        return self._rates.lease(node, needs, settings, now_ms)
 
     def commands(self, now_ms: float) -> list[Message]:
         """Return the commands that are due, in the order in which to propose them."""
--- a/bergamotdrift/leader_token_client.py
+++ b/bergamotdrift/leader_token_client.py
@@ -93,7 +93,7 @@
         return len(self.demand_at_ms) * 1000.0 / _DEMAND_WINDOW_MS
 
 
-class RateAllowance:
+class LeaderTokenClient:
     """Hand out rate tokens, and tell what the next ping to the leader requests."""
 
     def __init__(self, clock: Clock, rate_of: Callable[[str], float]):
@@ -101,7 +101,7 @@
         self._rate_of = rate_of
         self._workspaces: dict[str, WorkspaceTokens] = {}
         # Set by the owner of the control session; sends a ping ahead of its interval.
-        self.ask_now: Callable[[], None] = lambda: None
+        self.request_ping: Callable[[], None] = lambda: None
 
     def acquire(self, workspace: str, deadline_ms: float) -> Result[None, Refusal]:
         """Consume a token, after a short wait if necessary.
@@ -157,7 +157,7 @@
     ) -> Result[None, Refusal]:
         """Wait for a token, until a reply of the leader says that none is left."""
         while (left_ms := end_ms - self._clock.now_ms()) > 0:
-            self.ask_now()
+            self.request_ping()
             answered = tokens.changed.wait(min(left_ms, _RECHECK_MS) / 1000.0)
             if tokens.take(self._clock.now_ms()):
                 return Success(None)
--- a/bergamotdrift/leadership.py
+++ b/bergamotdrift/leadership.py
@@ -11,7 +11,7 @@
 from bergamotdrift.control_log_events import log_command
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import CallError
-from bergamotdrift.leader_state import LeaderDuties
+from bergamotdrift.leader_state import LeaderState
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import Message
 from bergamotdrift.replication import Replicator
@@ -53,7 +53,7 @@
         self._clock = clock
         self._observer = observer
         self._upstream_ttl_ms = upstream_ttl_ms
-        self._leader_state: LeaderDuties | None = None
+        self._leader_state: LeaderState | None = None
         self._term = 0
         self._replica = ""
         self._last_progress_ms = 0.0
@@ -74,7 +74,7 @@
         """Start the next round without waiting for the interval."""
         self._wake.set()
 
-    def duties(self) -> LeaderDuties | None:
+    def leader_state(self) -> LeaderState | None:
         """Return the leader state while this replica leads the term it belongs to."""
         state = self._leader_state
         if state is None or not self._replicator.is_leader():
@@ -141,7 +141,7 @@
             return
         self._term = status.term
         self._replica = status.replica
-        self._leader_state = LeaderDuties(
+        self._leader_state = LeaderState(
             self._state,
             self._clock.now_ms(),
             lambda: gevent.sleep(0),
@@ -156,7 +156,7 @@
         log_event("leadership_closed", term=self._term, reason=reason)
         self._observer.on_leadership_lost()
 
-    def _run_round(self, state: LeaderDuties) -> None:
+    def _run_round(self, state: LeaderState) -> None:
         commands = state.commands(self._clock.now_ms())
         try:
             for command in commands:
--- a/bergamotdrift/local_records.py
+++ b/bergamotdrift/local_records.py
@@ -36,7 +36,7 @@
     began_at_ms: float
 
 
-class RecordBook:
+class LocalRecords:
     """Keep the records of requests that ran here, to report them to a new arbiter."""
 
     def __init__(self, clock: Clock):
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -45,7 +45,7 @@
     return msgpack.packb(pack_body(msg))
 
 
-def encode_plain(value: Any) -> bytes:
+def encode_unnamed(value: Any) -> bytes:
     """Return a value as msgpack bytes without its type name."""
     return msgpack.packb(value)
 
--- a/bergamotdrift/node_sessions.py
+++ b/bergamotdrift/node_sessions.py
@@ -11,10 +11,10 @@
     NodeRow,
     Role,
 )
-from bergamotdrift.session_leases import Contacts
+from bergamotdrift.session_leases import SessionLeases
 
 
-class PingVerdict(Enum):
+class PingResult(Enum):
     """Determine the reply to a ping."""
 
     CONFIRMED = "confirmed"
@@ -27,25 +27,25 @@
 
     def __init__(self, state: ControlState, opened_at_ms: float):
         self._state = state
-        self._leases: Contacts[str] = Contacts(opened_at_ms)
+        self._leases: SessionLeases[str] = SessionLeases(opened_at_ms)
         self._registering: dict[str, NodeRow] = {}
         self._applied_indexes: dict[cmd.NodeIncarnation, int] = {}
 
-    def ping(self, row: NodeRow, feed_index: int, now_ms: float) -> PingVerdict:
+    def ping(self, row: NodeRow, feed_index: int, now_ms: float) -> PingResult:
         """Renew a node's session, or start its registration."""
         registered = self._state.rows.nodes.get(row.node)
         if registered is None:
             return self._register(row, now_ms)
         if registered.incarnation != row.incarnation:
             # The earlier process may still act on its session, so it must end first.
-            return PingVerdict.IN_USE
+            return PingResult.IN_USE
         if not self._leases.renew(row.node, row.incarnation, now_ms):
-            return PingVerdict.PENDING
+            return PingResult.PENDING
         self.record_feed_index(row, feed_index)
         if registered != row:
             self._registering[row.node] = row
-            return PingVerdict.PENDING
-        return PingVerdict.CONFIRMED
+            return PingResult.PENDING
+        return PingResult.CONFIRMED
 
     def record_feed_index(self, row: NodeRow, feed_index: int) -> None:
         """Record the feed index up to which a node has applied the feed."""
@@ -55,7 +55,7 @@
     def end_session(self, node: str, incarnation: str) -> None:
         """End the session of a node that shuts down gracefully."""
         if self._is_known(node, incarnation):
-            self._leases.start_expiry(node, incarnation)
+            self._leases.mark_expiring(node, incarnation)
 
     def is_live(self, node: str) -> bool:
         """Return whether a node is registered and not about to be removed."""
@@ -87,13 +87,13 @@
             self._registering.clear()
         return commands
 
-    def _register(self, row: NodeRow, now_ms: float) -> PingVerdict:
+    def _register(self, row: NodeRow, now_ms: float) -> PingResult:
         other = self._registering.get(row.node)
         if other is not None and other.incarnation != row.incarnation:
-            return PingVerdict.IN_USE
+            return PingResult.IN_USE
         self._registering[row.node] = row
         self._leases.register(row.node, row.incarnation, now_ms)
-        return PingVerdict.PENDING
+        return PingResult.PENDING
 
     def _expired(self, now_ms: float) -> list[cmd.NodeIncarnation]:
         found = []
@@ -101,14 +101,14 @@
             key = cmd.NodeIncarnation(row.node, row.incarnation)
             ended = self._leases.has_expired(row.node, row.incarnation, now_ms)
             if ended or self._leases.is_expiring(row.node, row.incarnation):
-                self._leases.start_expiry(row.node, row.incarnation)
+                self._leases.mark_expiring(row.node, row.incarnation)
                 found.append(key)
         return found
 
     def _prune_removed(self, now_ms: float) -> None:
         for key in [k for k in self._applied_indexes if not self._is_known(*k)]:
             del self._applied_indexes[key]
-        self._leases.forget_removed(self._is_known, now_ms)
+        self._leases.prune_removed(self._is_known, now_ms)
 
     def _is_known(self, node: str, incarnation: str) -> bool:
         row = self._state.rows.nodes.get(node)
--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -12,8 +12,8 @@
 from bergamotdrift.control_log_events import REFUSED_ANNOUNCEMENTS, update_gauges
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import ErrorKind, StreamClosedError
-from bergamotdrift.leader_reachability import LeaderComplaints
-from bergamotdrift.leader_state import LeaderDuties
+from bergamotdrift.leader_reachability import LeaderReachability
+from bergamotdrift.leader_state import LeaderState
 from bergamotdrift.leadership import Leadership
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
@@ -33,7 +33,7 @@
     RelayAnnouncements,
     Role,
 )
-from bergamotdrift.node_sessions import PingVerdict
+from bergamotdrift.node_sessions import PingResult
 from bergamotdrift.replication import Replicator
 from bergamotdrift.streams import Connection, pack_one_way
 
@@ -94,7 +94,7 @@
         self._clock = clock
         self.leadership = Leadership(state, replicator, clock, self, upstream_ttl_ms)
         self._positions: dict[Connection, FeedPosition] = {}
-        self._leader_reachability = LeaderComplaints()
+        self._leader_reachability = LeaderReachability()
         self._pending_pings: list[PendingPing] = []
         self._deferred: list[DeferredBatch] = []
         self._packed_updates: dict[int, PackedUpdate] = {}
@@ -120,7 +120,7 @@
         handler = _HANDLERS.get(type(msg))
         if handler is None:
             return False
-        leader_state = self.leadership.duties()
+        leader_state = self.leadership.leader_state()
         if leader_state is None:
             if isinstance(msg, Ping) and msg.unreachable:
                 self._record_unreachable(msg)
@@ -135,7 +135,7 @@
         nodes = {row.node for row in self._state.rows.nodes.rows()}
         if self._leader_reachability.add(msg.row.node, nodes, self._clock.now_ms()):
             log_event("leadership_asked_for", unreachable=msg.unreachable)
-            self._replicator.ask_for_leadership()
+            self._replicator.request_leadership()
 
     def on_close(self, conn: Connection) -> None:
         """Drop the feed position of a closed stream."""
@@ -143,7 +143,7 @@
 
     def on_round(self, changed: bool) -> None:
         """Push the changes of a round and answer the pings that waited for it."""
-        leader_state = self.leadership.duties()
+        leader_state = self.leadership.leader_state()
         update_gauges(self._state, leader_state is not None)
         # Upstreams must receive their grants before the feed causes requests to them.
         self._answer_deferred(leader_state)
@@ -166,7 +166,7 @@
         for item in pending:
             item.conn.reply(item.number, self._not_leader())
 
-    def settings_changed(self) -> None:
+    def on_settings_changed(self) -> None:
         """Push a settings change, which is made outside of rounds."""
         self._changed.set()
         self.leadership.wake()
@@ -179,7 +179,7 @@
     # Messages
 
     def _on_ping(
-        self, leader_state: LeaderDuties, conn: Connection, number: int, msg: Ping
+        self, leader_state: LeaderState, conn: Connection, number: int, msg: Ping
     ) -> None:
         """Handle a ping; one without a number only reports the node's feed index."""
         if not _is_sender(conn, msg.row):
@@ -201,11 +201,11 @@
             conn.reply(number, Failure(ErrorKind.SETTINGS_STALE, detail))
             return
         result = leader_state.ping(msg.row, msg.feed_index, self._clock.now_ms())
-        if result is PingVerdict.CONFIRMED:
+        if result is PingResult.CONFIRMED:
             self._confirm(leader_state, conn, number, msg)
         elif not number:
             return
-        elif result is PingVerdict.PENDING:
+        elif result is PingResult.PENDING:
             self._pending_pings.append(PendingPing(conn, number, msg))
             self.leadership.wake()
         else:
@@ -215,7 +215,7 @@
             conn.reply(number, Failure(ErrorKind.FORBIDDEN, detail))
 
     def _confirm(
-        self, leader_state: LeaderDuties, conn: Connection, number: int, msg: Ping
+        self, leader_state: LeaderState, conn: Connection, number: int, msg: Ping
     ) -> None:
         if conn.closed:
             return
@@ -224,7 +224,7 @@
         if not self._push(conn) or not number:
             return
         now_ms = self._clock.now_ms()
-        rates = leader_state.lease_rates(msg.row.node, msg.rates, now_ms)
+        rates = leader_state.lease_rate_tokens(msg.row.node, msg.rates, now_ms)
         conn.reply(
             number,
             Pong(
@@ -248,7 +248,7 @@
             position.sent_index = feed_index
 
     def _on_farewell(
-        self, leader_state: LeaderDuties, conn: Connection, number: int, msg: Farewell
+        self, leader_state: LeaderState, conn: Connection, number: int, msg: Farewell
     ) -> None:
         if conn.peer is not None and (conn.peer.node, conn.peer.incarnation) == (
             msg.node,
@@ -260,7 +260,7 @@
 
     def _on_announcements(
         self,
-        leader_state: LeaderDuties,
+        leader_state: LeaderState,
         conn: Connection,
         number: int,
         msg: RelayAnnouncements,
@@ -285,10 +285,10 @@
             if count % _ANNOUNCEMENTS_PER_YIELD == 0:
                 gevent.sleep(0)
         # The leadership may have ended during a yield, which invalidates the grants.
-        if self.leadership.duties() is not leader_state:
+        if self.leadership.leader_state() is not leader_state:
             conn.reply(number, self._not_leader())
             return
-        must_defer = [leader_state.holds_reply(item) for item in msg.items]
+        must_defer = [leader_state.defers_reply(item) for item in msg.items]
         if any(must_defer):
             self._deferred.append(DeferredBatch(conn, number, msg))
         else:
@@ -296,7 +296,7 @@
         if any(must_defer) or leader_state.upstreams.has_changes():
             self.leadership.wake()
 
-    def _answer_deferred(self, leader_state: LeaderDuties | None) -> None:
+    def _answer_deferred(self, leader_state: LeaderState | None) -> None:
         """Answer the batches that waited for a round with the resulting grants."""
         deferred, self._deferred = self._deferred, []
         for batch in deferred:
@@ -308,7 +308,7 @@
             batch.conn.reply(batch.number, AnnouncementReplies(replies))
 
     def _announce(
-        self, leader_state: LeaderDuties, item: Announcement
+        self, leader_state: LeaderState, item: Announcement
     ) -> AnnouncementReply:
         reply = leader_state.announce(item, self._clock.now_ms())
         if reply.error:
@@ -323,25 +323,25 @@
 
     def _on_drained(
         self,
-        leader_state: LeaderDuties,
+        leader_state: LeaderState,
         conn: Connection,
         number: int,
         msg: PartitionsDrained,
     ) -> None:
         if conn.peer is not None:
             for ref in msg.items:
-                leader_state.drained(ref, conn.peer.node)
+                leader_state.record_drain_report(ref, conn.peer.node)
         conn.reply(number, Done())
         self.leadership.wake()
 
     def _on_loads(
-        self, leader_state: LeaderDuties, conn: Connection, number: int, msg: LoadReport
+        self, leader_state: LeaderState, conn: Connection, number: int, msg: LoadReport
     ) -> None:
         if self._is_live_arbiter(leader_state, conn):
             leader_state.add_loads(msg, self._clock.now_ms())
         conn.reply(number, Done())
 
-    def _is_live_arbiter(self, leader_state: LeaderDuties, conn: Connection) -> bool:
+    def _is_live_arbiter(self, leader_state: LeaderState, conn: Connection) -> bool:
         peer = conn.peer
         if peer is None or peer.role is not Role.ARBITER:
             return False
@@ -357,7 +357,7 @@
             self._changed.wait()
             self._changed.clear()
             for count, conn in enumerate(list(self._positions), 1):
-                if self.leadership.duties() is None:
+                if self.leadership.leader_state() is None:
                     break
                 self._push(conn)
                 if count % _PUSHES_PER_YIELD == 0:
@@ -404,7 +404,7 @@
 
 
 _HANDLERS: dict[
-    type, Callable[[NodeStreams, LeaderDuties, Connection, int, Any], None]
+    type, Callable[[NodeStreams, LeaderState, Connection, int, Any], None]
 ] = {
     Ping: NodeStreams._on_ping,
     Farewell: NodeStreams._on_farewell,
--- a/bergamotdrift/operator_call_handler.py
+++ b/bergamotdrift/operator_call_handler.py
@@ -12,7 +12,7 @@
 from bergamotdrift import control_commands as cmd
 from bergamotdrift.config.schema import SiteSettings
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.exceptions import ANSWERS, CallError, ErrorKind
+from bergamotdrift.exceptions import ERROR_ANSWERS, CallError, ErrorKind
 from bergamotdrift.leadership import Leadership
 from bergamotdrift.operator_messages import (
     OperatorAction,
@@ -51,7 +51,7 @@
         return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
 
 
-class OperatorDesk:
+class OperatorCallHandler:
     """Validate and propose settings changes, and serve views of the state."""
 
     def __init__(
@@ -68,9 +68,9 @@
         self._check = check
         self._on_change = on_change
 
-    def answer(self, call: OperatorCall) -> OperatorAnswer:
+    def handle(self, call: OperatorCall) -> OperatorAnswer:
         """Return the answer to a call; NOT_LEADER if this replica does not lead."""
-        if self._leadership.duties() is None:
+        if self._leadership.leader_state() is None:
             return refusal(ErrorKind.NOT_LEADER)
         if call.action is OperatorAction.APPLY:
             return self._apply(call.body)
@@ -90,7 +90,7 @@
         if problem:
             return refusal(ErrorKind.MALFORMED_REQUEST, problem)
         fingerprint = body.fingerprint()
-        earlier = self._state.settings.first_outcome(body.request, fingerprint)
+        earlier = self._state.settings.recorded_outcome(body.request, fingerprint)
         if earlier is not None:
             return _outcome_answer(earlier)
         try:
@@ -129,7 +129,7 @@
 
 def refusal(kind: ErrorKind, detail: str = "") -> OperatorAnswer:
     """Return the answer to a call that is refused without a log entry."""
-    answer = ANSWERS[kind]
+    answer = ERROR_ANSWERS[kind]
     return _answer(
         answer.status, {"error": str(kind), "message": detail or answer.text}
     )
@@ -138,7 +138,7 @@
 def _outcome_answer(outcome: cmd.ChangeOutcome) -> OperatorAnswer:
     if not outcome.kind:
         return _answer(200, {"revision": outcome.revision, "outcome": "accepted"})
-    answer = ANSWERS[ErrorKind(outcome.kind)]
+    answer = ERROR_ANSWERS[ErrorKind(outcome.kind)]
     return _answer(
         answer.status,
         {
--- a/bergamotdrift/operator_client.py
+++ b/bergamotdrift/operator_client.py
@@ -30,7 +30,7 @@
 })
 
 
-class Trouble(StrEnum):
+class CallFailureKind(StrEnum):
     """Kinds of call failures."""
 
     REFUSED = "refused"
@@ -41,7 +41,7 @@
 class CallFailure(NamedTuple):
     """Reason why a call failed; `refusal` is set if a replica refused it."""
 
-    trouble: Trouble
+    kind: CallFailureKind
     message: str
     refusal: RefusalBody | None = None
 
@@ -81,7 +81,7 @@
         self._timeout_s = timeout_s
         self._clock = clock or BootClock()
 
-    def running(self) -> Result[Running, CallFailure]:
+    def current_settings(self) -> Result[Running, CallFailure]:
         """Return the current settings."""
         return self._call(_ApiCall("GET", "/v1/settings"), Running)
 
@@ -123,8 +123,12 @@
                 untried = list(replicas)
                 gevent.sleep(min(ROUND_DELAY_S, remaining_s))
         is_unknown = may_have_run and call.method != "GET"
-        trouble = Trouble.OUTCOME_UNKNOWN if is_unknown else Trouble.UNREACHABLE
-        return Failure(CallFailure(trouble, reason))
+        kind = (
+            CallFailureKind.OUTCOME_UNKNOWN
+            if is_unknown
+            else CallFailureKind.UNREACHABLE
+        )
+        return Failure(CallFailure(kind, reason))
 
     def _attempt(
         self, replica: str, call: _ApiCall, answer_type: type[_T], timeout_s: float
@@ -185,12 +189,12 @@
 
 def _refusal_failure(refusal: RefusalBody, may_have_run: bool) -> CallFailure:
     is_conclusive = refusal.error in _CONCLUSIVE_REFUSALS
-    trouble = Trouble.REFUSED
+    kind = CallFailureKind.REFUSED
     message = refusal.message or refusal.error
     if may_have_run and not is_conclusive:
-        trouble = Trouble.OUTCOME_UNKNOWN
+        kind = CallFailureKind.OUTCOME_UNKNOWN
         message = f"the outcome of an earlier attempt is unknown; then {message}"
-    return CallFailure(trouble, message, refusal)
+    return CallFailure(kind, message, refusal)
 
 
 def _is_address(text: str) -> bool:
--- a/bergamotdrift/parked_requests.py
+++ b/bergamotdrift/parked_requests.py
@@ -52,25 +52,27 @@
         if len(self._parked) >= _MAX_PARKED or waiter.key in self._parked:
             return False
         until_ms = waiter.expires_ms
-        if self._guard.is_ahead(req):
+        if self._guard.names_newer_epoch(req):
             until_ms = min(until_ms, now_ms + _FEED_WAIT_MS)
         self._parked[waiter.key] = _Parked(waiter, until_ms)
         return True
 
-    def learn(self, permit: Permit, outcome: AttemptOutcome, now_ms: float) -> bool:
+    def record_result(
+        self, permit: Permit, outcome: AttemptOutcome, now_ms: float
+    ) -> bool:
         """Record an attempt's outcome; return whether its partition is now paused."""
         if permit.partition == NO_PARTITION:
             return False
         if outcome is AttemptOutcome.FENCED:
-            self._fenced.fenced(permit.partition, now_ms)
+            self._fenced.pause(permit.partition, now_ms)
             return True
         if outcome is AttemptOutcome.ANSWERED and self._fenced:
-            self._fenced.answered(permit.partition)
+            self._fenced.resume(permit.partition)
         return False
 
     def on_rows_changed(self) -> None:
         """Drop the pauses of partitions that this shard no longer owns."""
-        self._fenced.keep(self._guard.owned())
+        self._fenced.retain(self._guard.owned_partitions())
 
     def pop_ready(self, now_ms: float) -> Waiter | None:
         """Remove and return a request that can run now, or None."""
@@ -98,9 +100,9 @@
             self._pop_matching(lambda parked: parked.waiter.entry == entry)
 
     def _must_wait(self, req: PermitRequest, now_ms: float) -> bool:
-        if self._guard.is_ahead(req):
+        if self._guard.names_newer_epoch(req):
             return True
-        return bool(self._fenced) and self._fenced.holds(
+        return bool(self._fenced) and self._fenced.is_paused(
             req.partition, self._is_partition_in_use, now_ms
         )
 
--- a/bergamotdrift/partition_guard.py
+++ b/bergamotdrift/partition_guard.py
@@ -26,7 +26,7 @@
         """Replace the partition rows with those of a changed view."""
         self._rows = {row.partition: row for row in view.partitions}
 
-    def refusal(self, req: PermitRequest) -> str:
+    def refusal_reason(self, req: PermitRequest) -> str:
         """Return the reason for refusing a request, or an empty string."""
         if req.partition == NO_PARTITION:
             return ""
@@ -39,18 +39,18 @@
             return "the partition is being released by its owner"
         return ""
 
-    def is_ahead(self, req: PermitRequest) -> bool:
+    def names_newer_epoch(self, req: PermitRequest) -> bool:
         """Return whether the request names a newer epoch than this arbiter's feed."""
         if req.partition == NO_PARTITION:
             return False
         row = self._rows.get(req.partition)
         return row is None or row.epoch < req.partition_epoch
 
-    def owned(self) -> set[int]:
+    def owned_partitions(self) -> set[int]:
         """Return the numbers of the upstream's partitions."""
         return set(self._rows)
 
-    def releasing(self) -> list[PartitionRef]:
+    def releasing_partitions(self) -> list[PartitionRef]:
         """Return the partitions that are being released and need to be drained."""
         return [
             PartitionRef(row.service, row.partition, row.epoch)
--- a/bergamotdrift/partition_planner.py
+++ b/bergamotdrift/partition_planner.py
@@ -5,7 +5,7 @@
 
 from bergamotdrift import control_commands as cmd
 from bergamotdrift.config.schema import Fencing, ServiceKind, ServiceSettings
-from bergamotdrift.control_state import ISOLATED_KEYS_PER_SERVICE, ControlState
+from bergamotdrift.control_state import MAX_ISOLATED_KEYS_PER_SERVICE, ControlState
 from bergamotdrift.feed_tables import PartitionId, UpstreamId
 from bergamotdrift.handover import Acknowledged, Handover
 from bergamotdrift.messages import (
@@ -19,7 +19,7 @@
     UpstreamState,
 )
 from bergamotdrift.partition_loads import PartitionLoads
-from bergamotdrift.placement import Candidate, Weighted, choose_moves, place
+from bergamotdrift.placement import Candidate, WeightedPartition, choose_moves, place
 from bergamotdrift.reply_gate import ReplyGate
 from bergamotdrift.upstream_sessions import UpstreamSessions
 
@@ -34,7 +34,7 @@
 FIRST_PLACEMENT_DELAY_MS = 1000
 # Keys that cooled down return to their hash partition only while more keys than this
 # are isolated.
-RESTORE_THRESHOLD = ISOLATED_KEYS_PER_SERVICE * 3 // 4
+RESTORE_THRESHOLD = MAX_ISOLATED_KEYS_PER_SERVICE * 3 // 4
 _ITEMS_PER_COMMAND = 1000
 
 
@@ -271,7 +271,7 @@
         rows: list[PartitionRow],
         upstreams: dict[str, UpstreamRow],
         now_ms: float,
-    ) -> tuple[list[Candidate], list[Weighted]]:
+    ) -> tuple[list[Candidate], list[WeightedPartition]]:
         owned: dict[str, list[int]] = {}
         for name in upstreams:
             owned[name] = self._owned_partitions(service, name)
@@ -283,10 +283,10 @@
         weights = self._weights(service, owned, partitions, now_ms)
         candidates = []
         for name, row in sorted(upstreams.items()):
-            held = tuple(Weighted(n, weights[n]) for n in owned[name])
+            held = tuple(WeightedPartition(n, weights[n]) for n in owned[name])
             candidates.append(Candidate(name, row.zone, held))
             self._pause()
-        return candidates, [Weighted(n, weights[n]) for n in partitions]
+        return candidates, [WeightedPartition(n, weights[n]) for n in partitions]
 
     def _weights(
         self,
@@ -364,7 +364,7 @@
         isolated = self._isolated_keys(service.name)
         hashes = {row.key_hash for row in isolated}
         hot = [key for key in loads.hot_keys(upstreams, now_ms) if key not in hashes]
-        room = ISOLATED_KEYS_PER_SERVICE - len(isolated)
+        room = MAX_ISOLATED_KEYS_PER_SERVICE - len(isolated)
         for key_hash in hot[:room]:
             yield cmd.IsolateKey(service.name, key_hash)
         if len(isolated) > RESTORE_THRESHOLD:
--- a/bergamotdrift/permit_table.py
+++ b/bergamotdrift/permit_table.py
@@ -115,11 +115,11 @@
         """Return the permits of an entry."""
         return [permit for permit in self._permits.values() if permit.entry == entry]
 
-    def unconfirm(self, entry: EntryId) -> None:
+    def mark_unconfirmed(self, entry: EntryId) -> None:
         """Mark the permits of an entry as unconfirmed after its stream was lost."""
         self._unconfirmed.update(permit.permit for permit in self.permits_of(entry))
 
-    def unconfirmed_of(self, entry: EntryId) -> list[Permit]:
+    def unconfirmed_permits_of(self, entry: EntryId) -> list[Permit]:
         """Return the unconfirmed permits of an entry."""
         return [p for p in self.permits_of(entry) if p.permit in self._unconfirmed]
 
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -14,7 +14,7 @@
 from bergamotdrift.config.schema import SiteSettings
 from bergamotdrift.dialect import NATIVE, Dialect
 from bergamotdrift.exceptions import (
-    ANSWERS,
+    ERROR_ANSWERS,
     ErrorKind,
     Refusal,
     RequestError,
@@ -23,13 +23,13 @@
 from bergamotdrift.feed_signal import FeedSignal
 from bergamotdrift.log import log_event
 from bergamotdrift.request import IncomingRequest, Reply, RoutedRequest
-from bergamotdrift.retry_policy import Attempt, Budget, RetryBudget, may_repeat
+from bergamotdrift.retry_policy import Budget, FailedAttempt, RetryBudget, may_retry
 from bergamotdrift.route_split import RouteSplits
 from bergamotdrift.stages import reply as replies
 from bergamotdrift.stages.authenticate import KeyIndex, authenticate
 from bergamotdrift.stages.claim import Claim, Claims
 from bergamotdrift.stages.forward import AttemptFailure, ForwardStage, UpstreamResponse
-from bergamotdrift.stages.permit import AttemptNumbers, Permits
+from bergamotdrift.stages.permit import AttemptHistory, Permits
 from bergamotdrift.stages.rate import RateTokens, take_rate_token
 from bergamotdrift.stages.route import RouteTable, route
 
@@ -118,7 +118,7 @@
         refused = outcome.failure()
         kind = refused.refusal.kind
         entry_metrics.count_refused(service, refused.stage, kind.value)
-        not_run = ANSWERS[kind].not_run
+        not_run = ERROR_ANSWERS[kind].not_run
         log_event(
             "request_refused" if not_run else "outcome_not_known",
             request=req.request_id,
@@ -183,7 +183,7 @@
             self._stages.claims.end(claim, None)
             raise
         if isinstance(result, Failure):
-            if ANSWERS[result.failure().refusal.kind].not_run:
+            if ERROR_ANSWERS[result.failure().refusal.kind].not_run:
                 self._stages.claims.forget(claim)
             else:
                 self._stages.claims.end(claim, None)
@@ -213,7 +213,7 @@
     def _run_attempts(
         self, routed: RoutedRequest, body: BodySource
     ) -> Result[Reply, StageRefusal]:
-        history = AttemptNumbers()
+        history = AttemptHistory()
         earlier: StageRefusal | None = None
         unknown: StageRefusal | None = None
         self._budget_for(routed).count_request(self._clock.now_ms())
@@ -240,7 +240,7 @@
                 self._feed.wait(_KEYED_RETRY_PAUSE_MS)
 
     def _run_attempt(
-        self, routed: RoutedRequest, body: BodySource, history: AttemptNumbers
+        self, routed: RoutedRequest, body: BodySource, history: AttemptHistory
     ) -> Result[Reply, tuple[StageRefusal, AttemptFailure | None]]:
         permit = self._stages.permits.acquire(routed, history)
         if isinstance(permit, Failure):
@@ -253,16 +253,16 @@
             return Failure((StageRefusal("permit", refusal), None))
         running.may_abandon = partial(self._reserve_retry, routed, body, history)
         result = self._stages.forward.attempt(routed, running, body)
-        if running.conn is not None and running.conn.bytes_left:
+        if running.conn is not None and running.conn.any_bytes_sent:
             history.sent += 1
         if isinstance(result, Success):
-            self._stages.permits.note_outcome(routed, running, fenced=False)
+            self._stages.permits.record_outcome(routed, running, fenced=False)
             result = self._receive(routed, result.unwrap())
         if isinstance(result, Success):
             return result
         failure = result.failure()
         if failure.outcome is AttemptOutcome.FENCED:
-            self._stages.permits.note_outcome(routed, running, fenced=True)
+            self._stages.permits.record_outcome(routed, running, fenced=True)
         failure = failure._replace(upstream=running.permit.upstream)
         if not routed.is_keyed:
             history.excluded.append(running.permit.upstream)
@@ -303,18 +303,18 @@
         routed: RoutedRequest,
         body: BodySource,
         failure: AttemptFailure,
-        history: AttemptNumbers,
+        history: AttemptHistory,
         is_first: bool,
     ) -> bool:
         reserved, history.retry_reserved = history.retry_reserved, False
         now_ms = self._clock.now_ms()
-        attempt = Attempt(
+        attempt = FailedAttempt(
             failure.not_run,
             routed.route.idempotent,
             body.can_be_resent,
             routed.deadline_ms - now_ms,
         )
-        if not may_repeat(attempt):
+        if not may_retry(attempt):
             return False
         if reserved:
             return True
@@ -330,7 +330,7 @@
         return self._budget_for(routed).take(now_ms)
 
     def _reserve_retry(
-        self, routed: RoutedRequest, body: BodySource, history: AttemptNumbers
+        self, routed: RoutedRequest, body: BodySource, history: AttemptHistory
     ) -> bool:
         """Reserve a retry from the budget before a slow attempt is abandoned.
 
@@ -344,7 +344,7 @@
         return history.retry_reserved
 
     def _log_response(
-        self, routed: RoutedRequest, reply: Reply, history: AttemptNumbers
+        self, routed: RoutedRequest, reply: Reply, history: AttemptHistory
     ) -> None:
         """Log a response that is late, a server error, or took several attempts."""
         took_ms = self._clock.now_ms() - routed.req.received_ms
@@ -374,7 +374,7 @@
         return self._budgets[name]
 
 
-def _attempts_exhausted(routed: RoutedRequest, history: AttemptNumbers) -> bool:
+def _attempts_exhausted(routed: RoutedRequest, history: AttemptHistory) -> bool:
     """Return True if the route's maximum number of attempts has been sent."""
     return 0 < routed.route.attempts <= history.sent
 
@@ -383,7 +383,7 @@
     routed: RoutedRequest,
     refused: StageRefusal,
     failure: AttemptFailure,
-    history: AttemptNumbers,
+    history: AttemptHistory,
 ) -> None:
     log_event(
         "attempt_failed",
--- a/bergamotdrift/placement.py
+++ b/bergamotdrift/placement.py
@@ -15,7 +15,7 @@
 _MOVES_PER_PAUSE = 64
 
 
-class Weighted(NamedTuple):
+class WeightedPartition(NamedTuple):
     """Hold a partition and its weight; an average partition has a weight of 1.0."""
 
     partition: int
@@ -27,7 +27,7 @@
 
     upstream: str
     zone: str
-    owned: tuple[Weighted, ...]
+    owned: tuple[WeightedPartition, ...]
 
 
 class Placement(NamedTuple):
@@ -70,7 +70,7 @@
 
 
 def place(
-    vacant: Iterable[Weighted],
+    vacant: Iterable[WeightedPartition],
     candidates: Collection[Candidate],
     pause: Callable[[], None],
 ) -> list[Placement]:
@@ -89,7 +89,7 @@
 
 def choose_moves(
     candidates: Collection[Candidate],
-    pending: Collection[Weighted],
+    pending: Collection[WeightedPartition],
     recently_moved: Collection[int],
     limit: int,
     pause: Callable[[], None],
@@ -140,7 +140,7 @@
 
 def _improves(
     candidates: Collection[Candidate],
-    pending: Collection[Weighted],
+    pending: Collection[WeightedPartition],
     moves: set[int],
 ) -> bool:
     """Return whether reassigning the moved partitions makes the loads more even.
@@ -159,7 +159,7 @@
 
 
 def _squared_loads(
-    candidates: Collection[Candidate], unowned: Collection[Weighted]
+    candidates: Collection[Candidate], unowned: Collection[WeightedPartition]
 ) -> float:
     heaps = _LoadHeaps(candidates)
     for item in sorted(unowned, key=lambda item: (-item.weight, item.partition)):
@@ -171,7 +171,9 @@
     return highest > mean * (1 + LOAD_TOLERANCE) or lowest < mean * (1 - LOAD_TOLERANCE)
 
 
-def _best_partition_to_move(items: Collection[Weighted], gap: float) -> Weighted | None:
+def _best_partition_to_move(
+    items: Collection[WeightedPartition], gap: float
+) -> WeightedPartition | None:
     """Return the partition whose move narrows the gap most, or None if none does."""
     fitting = [item for item in items if 0 < item.weight < gap]
     if not fitting:
--- a/bergamotdrift/platform/control.py
+++ b/bergamotdrift/platform/control.py
@@ -3,7 +3,7 @@
 import sys
 
 from bergamotdrift.clock import BootClock
-from bergamotdrift.control_node import Control, wait_for_end
+from bergamotdrift.control_node import ControlNode, wait_for_shutdown
 from bergamotdrift.exceptions import StorageError
 from bergamotdrift.http_server import HttpServer
 from bergamotdrift.log import log_event
@@ -13,7 +13,7 @@
 from bergamotdrift.platform.leader_call_handler import PlatformCallHandler
 from bergamotdrift.platform.range_order_client import RangeOrderClient
 from bergamotdrift.platform.site_config import RateTolerance
-from bergamotdrift.range_orders import RangeOrders
+from bergamotdrift.range_orders import RangeOrderSender
 from bergamotdrift.shutdown import EXIT_FAILED, shutdown_event
 
 
@@ -22,18 +22,18 @@
     boot = startup.start("control")
     stop = shutdown_event()
     clock = BootClock()
-    control = Control(control_settings(boot), clock)
-    nodes = control.server.nodes
-    control.server.calls = PlatformCallHandler(
+    control = ControlNode(control_settings(boot), clock)
+    nodes = control.server.node_streams
+    control.server.leader_call_handler = PlatformCallHandler(
         control.state,
         nodes.leadership,
-        nodes.settings_changed,
+        nodes.on_settings_changed,
         clock,
         boot.zones,
         boot.control,
         RateTolerance(boot.bounds.rate_overage, boot.bounds.rate_slack),
     )
-    order_sender = RangeOrders(
+    order_sender = RangeOrderSender(
         nodes.leadership, control.state, clock, RangeOrderClient(clock)
     )
     nodes.on_changed = order_sender.wake
@@ -41,7 +41,7 @@
     http = HttpServer(boot.control, control_app(forwarder))
 
     def apply(changed: Boot) -> None:
-        control.replica.add_candidates(stream_addresses(changed))
+        control.replica.add_join_addresses(stream_addresses(changed))
 
     startup.on_reload(apply)
     try:
@@ -51,7 +51,7 @@
         sys.exit(EXIT_FAILED)
     order_sender.start()
     http.start()
-    if not wait_for_end(stop, control.replica.failed):
+    if not wait_for_shutdown(stop, control.replica.failed):
         sys.exit(EXIT_FAILED)
     order_sender.stop()
     control.stop()
--- a/bergamotdrift/platform/control_api.py
+++ b/bergamotdrift/platform/control_api.py
@@ -2,7 +2,7 @@
 
 import falcon
 
-from bergamotdrift.control_server import ControlServer, LeaderCaller
+from bergamotdrift.control_server import ControlServer, LeaderClient
 from bergamotdrift.log import log_event
 from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer
 from bergamotdrift.platform import names
@@ -20,7 +20,7 @@
 class LeaderCallForwarder:
     """Forward calls to the control leader."""
 
-    def __init__(self, server: ControlServer, leader: LeaderCaller):
+    def __init__(self, server: ControlServer, leader: LeaderClient):
         self._server = server
         self._leader = leader
 
--- a/bergamotdrift/platform/entry.py
+++ b/bergamotdrift/platform/entry.py
@@ -1,11 +1,11 @@
 """Entry that uses the platform's header names and readiness route."""
 
 from bergamotdrift.clock import BootClock
-from bergamotdrift.entry_node import Entry
-from bergamotdrift.http_server import HttpServer, ready_app
+from bergamotdrift.entry_node import EntryNode
+from bergamotdrift.http_server import HttpServer, readiness_app
 from bergamotdrift.platform import names, startup
 from bergamotdrift.platform.boot import Boot, entry_settings, stream_addresses
-from bergamotdrift.platform.wire_dialect import PLATFORM
+from bergamotdrift.platform.wire_dialect import PLATFORM_DIALECT
 from bergamotdrift.shutdown import shutdown_event
 
 
@@ -13,8 +13,8 @@
     """Run the entry until SIGTERM."""
     boot = startup.start("entry")
     stop = shutdown_event()
-    entry = Entry(entry_settings(boot), BootClock(), PLATFORM)
-    readiness = HttpServer(boot.ready, ready_app(names.READY, entry.is_ready))
+    entry = EntryNode(entry_settings(boot), BootClock(), PLATFORM_DIALECT)
+    readiness = HttpServer(boot.ready, readiness_app(names.READY, entry.is_ready))
 
     def apply(changed: Boot) -> None:
         entry.control.add_replicas(stream_addresses(changed))
--- a/bergamotdrift/platform/leader_call_handler.py
+++ b/bergamotdrift/platform/leader_call_handler.py
@@ -14,7 +14,7 @@
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import CallError, ErrorKind
 from bergamotdrift.feed_tables import UpstreamId
-from bergamotdrift.leader_state import LeaderDuties
+from bergamotdrift.leader_state import LeaderState
 from bergamotdrift.leadership import Leadership
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
@@ -68,23 +68,23 @@
         self._heartbeat_address = heartbeat_address
         self._tolerance = tolerance
 
-    def answer(self, call: LeaderCall) -> OperatorAnswer:
+    def handle(self, call: LeaderCall) -> OperatorAnswer:
         """Handle a call; the answer is 503 unless this replica is the leader."""
-        duties = self._leadership.duties()
-        if duties is None:
+        leader_state = self._leadership.leader_state()
+        if leader_state is None:
             return _answer(UNAVAILABLE, "this replica is not the leader")
         try:
-            return self._dispatch(duties, call)
+            return self._dispatch(leader_state, call)
         except WireError as exc:
             log_event("platform_call_invalid", action=call.action, reason=str(exc))
             return _answer(INVALID, str(exc))
         except CallError as exc:
             return _answer(UNAVAILABLE, str(exc))
 
-    def _dispatch(self, duties: LeaderDuties, call: LeaderCall) -> OperatorAnswer:
+    def _dispatch(self, leader_state: LeaderState, call: LeaderCall) -> OperatorAnswer:
         action = LeaderAction(call.action)
         if action is LeaderAction.ANNOUNCE:
-            return self._announce(duties, _ANNOUNCEMENT.decode(call.body))
+            return self._announce(leader_state, _ANNOUNCEMENT.decode(call.body))
         if action is LeaderAction.LEAVE:
             return self._deregister(call.subject, call.body)
         if action is LeaderAction.READ:
@@ -99,7 +99,7 @@
         fingerprint = hashlib.blake2b(body, digest_size=16).hexdigest()
         request = f"{action}-{fingerprint}"
         log = self._state.settings
-        recorded = log.first_outcome(request, fingerprint)
+        recorded = log.recorded_outcome(request, fingerprint)
         if recorded is not None and not recorded.kind:
             return _answer(OK)
         if action is LeaderAction.REPLACE:
@@ -156,8 +156,10 @@
         self._on_change()
         return _answer(OK)
 
-    def _announce(self, duties: LeaderDuties, item: Announcement) -> OperatorAnswer:
-        reply = duties.announce(item, self._clock.now_ms())
+    def _announce(
+        self, leader_state: LeaderState, item: Announcement
+    ) -> OperatorAnswer:
+        reply = leader_state.announce(item, self._clock.now_ms())
         if reply.error:
             log_event(
                 "announcement_refused",
@@ -167,7 +169,7 @@
             )
             has_settings = self._state.settings.revision > 0
             return _answer(INVALID if has_settings else UNAVAILABLE, reply.error)
-        if duties.upstreams.has_changes():
+        if leader_state.upstreams.has_changes():
             self._leadership.wake()
         if not self._wait_until_committed(item):
             return _answer(UNAVAILABLE, "the announcement was not committed in time")
@@ -181,7 +183,10 @@
         """
         deadline_ms = self._clock.now_ms() + COMMIT_TIMEOUT_MS
         while not self._is_committed(item):
-            if self._clock.now_ms() >= deadline_ms or self._leadership.duties() is None:
+            if (
+                self._clock.now_ms() >= deadline_ms
+                or self._leadership.leader_state() is None
+            ):
                 return False
             gevent.sleep(_POLL_INTERVAL_S)
         return True
@@ -214,7 +219,7 @@
 
 def encode_announcement(item: Announcement) -> bytes:
     """Encode an announcement as the body of a call to the leader."""
-    return messages.encode_plain(item)
+    return messages.encode_unnamed(item)
 
 
 def _answer(status: int, error: str = "") -> OperatorAnswer:
--- a/bergamotdrift/platform/range_order_client.py
+++ b/bergamotdrift/platform/range_order_client.py
@@ -12,8 +12,8 @@
 from bergamotdrift.stages.forward import header_of
 from bergamotdrift.upstream_connections import (
     UpstreamConnection,
-    UpstreamConnections,
-    read_head,
+    UpstreamConnectionPool,
+    read_response_head,
 )
 
 _POOL = "orders"
@@ -32,7 +32,7 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
-        self._connections = UpstreamConnections(clock, lambda *_: None)
+        self._connections = UpstreamConnectionPool(clock, lambda *_: None)
 
     def grant(
         self, upstream: UpstreamRow, order: GrantOrder, timeout_ms: float
@@ -59,15 +59,15 @@
         answer = self._call(upstream, names.RELEASE, body, timeout_ms)
         return answer.token if answer is not None and answer.status == 200 else None
 
-    def forget(self, upstream: str) -> None:
+    def disconnect(self, upstream: str) -> None:
         """Close the connections to an upstream."""
-        self._connections.drop(_POOL, upstream)
+        self._connections.close_idle(_POOL, upstream)
 
     def _call(
         self, upstream: UpstreamRow, path: str, body: dict[str, Any], timeout_ms: float
     ) -> _Answer | None:
-        conn = self._connections.take(_POOL, upstream.upstream, upstream.address)
-        conn.begin(self._clock.now_ms() + timeout_ms)
+        conn = self._connections.acquire(_POOL, upstream.upstream, upstream.address)
+        conn.start_request(self._clock.now_ms() + timeout_ms)
         try:
             if not conn.reused:
                 conn.connect()
@@ -84,12 +84,12 @@
             raise
 
     def _receive(self, conn: UpstreamConnection) -> _Answer:
-        parser = read_head(conn, "POST")
+        parser = read_response_head(conn, "POST")
         while not parser.message_complete:
             conn.receive_into(parser)
         token = header_of(parser)(names.STATE_TOKEN) or ""
         reusable = not (parser.should_close() or parser.extra_data)
-        if not (reusable and self._connections.keep(conn)):
+        if not (reusable and self._connections.put_idle(conn)):
             conn.close()
         return _Answer(parser.status, token)
 
--- a/bergamotdrift/platform/wire_dialect.py
+++ b/bergamotdrift/platform/wire_dialect.py
@@ -1,14 +1,14 @@
 """Dialect with the header names of the platform's callers and upstreams."""
 
 from bergamotdrift.arbiter_messages import AttemptOutcome
-from bergamotdrift.dialect import AnswerLoad, Dialect, HeaderOf
+from bergamotdrift.dialect import AnswerLoad, Dialect, HeaderGetter
 from bergamotdrift.platform import names
 
 _MISDIRECTED = 421
 _BASELINE_PERCENT = 100.0
 
 
-def not_run_outcome(status: int, header: HeaderOf) -> AttemptOutcome | None:
+def not_run_outcome(status: int, header: HeaderGetter) -> AttemptOutcome | None:
     """Return the outcome if the answer states that the request was not run, or None."""
     if status == _MISDIRECTED:
         return AttemptOutcome.FENCED
@@ -31,7 +31,7 @@
     return AnswerLoad(running, waiting, slots, percent / _BASELINE_PERCENT)
 
 
-PLATFORM = Dialect(
+PLATFORM_DIALECT = Dialect(
     request_id=names.REQUEST_ID,
     deadline=names.DEADLINE,
     workspace=names.WORKSPACE,
@@ -42,7 +42,7 @@
     load=names.LOAD,
     forwarded_headers=False,
     keeps_request_id=True,
-    takes_unframed=True,
+    accepts_close_delimited=True,
     fine_retry_after=True,
     not_run=not_run_outcome,
     parse_load=parse_load,
--- a/bergamotdrift/raft.py
+++ b/bergamotdrift/raft.py
@@ -82,7 +82,7 @@
         entry = Entry(1, self.state.term, EntryKind.MEMBERS, data)
         self.state.append([entry])
 
-    def is_confirmed_leader(self, now_ms: float) -> bool:
+    def holds_leader_lease(self, now_ms: float) -> bool:
         """Return whether this replica leads, holds its lease and may serve reads.
 
         The first entry of its term must be applied, and with it all earlier ones.
@@ -122,13 +122,13 @@
         lead = self.leadership
         return lead is not None and lead.propose_members(members, now_ms)
 
-    def transfer(self, targets: Iterable[str], now_ms: float) -> None:
+    def transfer_leadership(self, targets: Iterable[str], now_ms: float) -> None:
         """Transfer leadership to the most up-to-date active voter among `targets`."""
         if self.leadership is not None:
             self.leadership.start_transfer(targets, now_ms)
             self._try_finish_transfer(now_ms)
 
-    def ask_for_leadership(self) -> None:
+    def request_leadership(self) -> None:
         """Ask the current leader to transfer leadership to this replica."""
         state = self.state
         if state.leader and state.leader != state.replica and state.is_voter:
@@ -184,7 +184,7 @@
                 if self.state.role is RaftRole.FOLLOWER and self.state.is_voter:
                     self._election.campaign(True, now_ms)
             case TransferRequest():
-                self.transfer([msg.head.sender], now_ms)
+                self.transfer_leadership([msg.head.sender], now_ms)
             case _:
                 self._on_election_message(msg, now_ms)
 
--- a/bergamotdrift/raft_membership.py
+++ b/bergamotdrift/raft_membership.py
@@ -12,7 +12,7 @@
 _LOST_CONTACT_MS = 2000.0
 
 
-class Contact:
+class JoinMonitor:
     """Decide when a replica must send a join request.
 
     It must if it is not a member, if its address has changed, or if it has known no
@@ -24,7 +24,7 @@
         self._address = address
         self._leader_seen_ms = now_ms
 
-    def must_ask(self, now_ms: float) -> bool:
+    def should_request_join(self, now_ms: float) -> bool:
         """Return whether to send a join request now; call it a few times a second."""
         state = self._raft.state
         if state.leader:
@@ -211,7 +211,7 @@
         remaining = [m for m in members if m.replica != state.replica]
         if _preserves_quorum(members, remaining, lead, now_ms):
             listed = [m.replica for m in remaining if self._is_listed(m)]
-            self._raft.transfer(listed, now_ms)
+            self._raft.transfer_leadership(listed, now_ms)
 
 
 def _preserves_quorum(
--- a/bergamotdrift/raft_messages.py
+++ b/bergamotdrift/raft_messages.py
@@ -229,13 +229,14 @@
     """Hold state to be synced together, and the messages that must wait for it.
 
     With a snapshot, `entries` are all entries after it. Otherwise they overwrite the
-    log from the index of the first one. `changed` is unset if there is nothing to sync.
+    log from the index of the first one. `must_sync` is unset
+    if there is nothing to sync.
     """
 
     hard_state: HardState
     snapshot: Snapshot | None
     entries: list[Entry]
-    changed: bool
+    must_sync: bool
     dependents: list[RaftMessage]
 
 
--- a/bergamotdrift/range_orders.py
+++ b/bergamotdrift/range_orders.py
@@ -9,7 +9,7 @@
 
 from bergamotdrift.clock import Clock
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.leader_state import LeaderDuties
+from bergamotdrift.leader_state import LeaderState
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
     PartitionState,
@@ -83,7 +83,7 @@
         """Return the state token, empty if there is none, or None if unanswered."""
         ...
 
-    def forget(self, upstream: str) -> None:
+    def disconnect(self, upstream: str) -> None:
         """Close the connections to an upstream."""
         ...
 
@@ -91,7 +91,7 @@
 class Leader(Protocol):
     """Provide the leader state while this replica is the leader."""
 
-    def duties(self) -> LeaderDuties | None:
+    def leader_state(self) -> LeaderState | None:
         """Return the state of the term that this replica leads now, or None."""
         ...
 
@@ -100,7 +100,7 @@
         ...
 
 
-class RangeOrders:
+class RangeOrderSender:
     """Run one worker for each upstream process that owns or releases ranges."""
 
     def __init__(
@@ -110,7 +110,7 @@
         self._state = state
         self._clock = clock
         self._orders = orders
-        self._leader_state: LeaderDuties | None = None
+        self._leader_state: LeaderState | None = None
         self._workers: dict[UpstreamProcess, _UpstreamWorker] = {}
         self._greenlet: gevent.Greenlet | None = None
         self._synced_index = -1
@@ -137,7 +137,7 @@
             self._changed.wait(_POLL_S)
 
     def _sync_workers(self) -> None:
-        leader_state = self._leader.duties()
+        leader_state = self._leader.leader_state()
         if leader_state is not self._leader_state:
             self._stop_workers()
             self._leader_state = leader_state
@@ -150,7 +150,7 @@
         }
         for process in self._workers.keys() - processes:
             self._workers.pop(process).stop()
-            self._orders.forget(process.upstream)
+            self._orders.disconnect(process.upstream)
         for process in processes - self._workers.keys():
             self._workers[process] = _UpstreamWorker(self, leader_state, process)
         for worker in self._workers.values():
@@ -169,7 +169,10 @@
     """
 
     def __init__(
-        self, owner: RangeOrders, leader_state: LeaderDuties, process: UpstreamProcess
+        self,
+        owner: RangeOrderSender,
+        leader_state: LeaderState,
+        process: UpstreamProcess,
     ):
         self._owner = owner
         self._leader_state = leader_state
@@ -203,10 +206,10 @@
 
     def _is_leading(self) -> bool:
         """Return whether this replica still leads; a stalled one must send nothing."""
-        return self._owner._leader.duties() is self._leader_state
+        return self._owner._leader.leader_state() is self._leader_state
 
     def _rows(self) -> Sequence[RangeRow]:
-        return self._owner._state.rows.ranges_held(*self._process)
+        return self._owner._state.rows.ranges_owned(*self._process)
 
     def _next_due_ms(self) -> float:
         due_ms = [*self._grant_due_ms.values(), *self._release_due_ms.values()]
--- a/bergamotdrift/rate_buckets.py
+++ b/bergamotdrift/rate_buckets.py
@@ -107,13 +107,13 @@
         self._level = min(self._level + gained, capacity)
 
 
-class RateDesk:
+class RateBuckets:
     """Lease tokens to entries during one leader's term."""
 
     def __init__(self) -> None:
         self._buckets: dict[str, RateBucket] = {}
 
-    def answer(
+    def lease(
         self,
         node: str,
         needs: Iterable[RateNeed],
@@ -121,7 +121,7 @@
         now_ms: float,
     ) -> list[RateLot]:
         """Return the tokens leased for each need; unknown workspaces are left out."""
-        self.open(settings, now_ms)
+        self.add_buckets(settings, now_ms)
         limits = {item.name: item for item in settings.workspaces}
         lots = []
         for need in needs:
@@ -133,7 +133,7 @@
             lots.append(bucket.lease(node, need, now_ms))
         return lots
 
-    def open(self, settings: SiteSettings | None, now_ms: float) -> None:
+    def add_buckets(self, settings: SiteSettings | None, now_ms: float) -> None:
         """Add buckets for new workspaces; they fill from now on, not from first use."""
         for limits in settings.workspaces if settings is not None else ():
             if limits.name not in self._buckets:
--- a/bergamotdrift/record_mirror.py
+++ b/bergamotdrift/record_mirror.py
@@ -31,7 +31,7 @@
     row: RecordRow
 
 
-class RecordMirrors:
+class MirroredRecordStore:
     """Hold mirrored records by workspace and key; the oldest is evicted when full."""
 
     def __init__(self, clock: Clock, limit: int = _ROWS_MAX):
@@ -61,7 +61,7 @@
         row = known.row._replace(state=state, answer=msg.answer)
         self._rows[key] = known._replace(row=row)
 
-    def take(self, workspace: str) -> list[MirroredRecord]:
+    def pop_workspace(self, workspace: str) -> list[MirroredRecord]:
         """Remove and return the records of a workspace, with their current age."""
         now_ms = self._clock.now_ms()
         keys = [key for key in list(self._rows) if key[0] == workspace]
--- a/bergamotdrift/record_sender.py
+++ b/bergamotdrift/record_sender.py
@@ -10,7 +10,7 @@
 
 from bergamotdrift.arbiter_messages import RecordMirror
 from bergamotdrift.exceptions import CallError, StreamClosedError
-from bergamotdrift.feed_tables import Tables
+from bergamotdrift.feed_tables import FeedTables
 from bergamotdrift.hashing import rendezvous
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
@@ -32,7 +32,7 @@
 class RecordSender:
     """Mirror records in the background, on one stream per arbiter."""
 
-    def __init__(self, hello: Hello, vm: str, tables: Tables):
+    def __init__(self, hello: Hello, vm: str, tables: FeedTables):
         self._hello = hello
         self._vm = vm
         self._tables = tables
--- a/bergamotdrift/refusals.py
+++ b/bergamotdrift/refusals.py
@@ -5,7 +5,7 @@
 import math
 
 from bergamotdrift.dialect import NATIVE, Dialect
-from bergamotdrift.exceptions import ANSWERS, Refusal
+from bergamotdrift.exceptions import ERROR_ANSWERS, Refusal
 
 
 def status_line(status: int) -> str:
@@ -18,7 +18,7 @@
 
 def refusal_body(refusal: Refusal, request_id: str) -> bytes:
     """Return the JSON body of a refusal."""
-    answer = ANSWERS[refusal.kind]
+    answer = ERROR_ANSWERS[refusal.kind]
     text = f"{answer.text}: {refusal.detail}" if refusal.detail else answer.text
     return json.dumps({
         "error": refusal.kind.value,
@@ -41,7 +41,7 @@
         headers.append((dialect.request_id, request_id))
     retry_after_s = refusal.retry_after_s
     if retry_after_s is None:
-        retry_after_s = ANSWERS[refusal.kind].retry_after_s
+        retry_after_s = ERROR_ANSWERS[refusal.kind].retry_after_s
     if retry_after_s > 0:
         fine = f"{retry_after_s:.3f}"
         whole = str(math.ceil(retry_after_s))
--- a/bergamotdrift/replica.py
+++ b/bergamotdrift/replica.py
@@ -145,7 +145,7 @@
         """
         self._allowed_names_source = source
 
-    def add_candidates(self, addresses: Iterable[str]) -> None:
+    def add_join_addresses(self, addresses: Iterable[str]) -> None:
         """Add addresses to which join requests are sent."""
         self._joiner.add_join_addresses(addresses)
 
@@ -159,7 +159,7 @@
             return False
         if self._applied_index < self._raft.state.applied:
             return False
-        return self._raft.is_confirmed_leader(self._clock.now_ms())
+        return self._raft.holds_leader_lease(self._clock.now_ms())
 
     def term(self) -> int:
         """Return the current term."""
@@ -171,9 +171,9 @@
         found = (m.address for m in state.log.members if m.replica == state.leader)
         return next(found, "")
 
-    def ask_for_leadership(self) -> None:
+    def request_leadership(self) -> None:
         """Ask the leader to transfer leadership here, since nodes can't reach it."""
-        self._raft.ask_for_leadership()
+        self._raft.request_leadership()
         self._wake.set()
 
     def propose(self, command: bytes, timeout_ms: float) -> bytes:
@@ -419,7 +419,7 @@
         """Transfer leadership; wait, as the election may need this replica's vote."""
         if self._raft.leadership is None:
             return
-        self._raft.transfer(self._raft.state.voters, self._clock.now_ms())
+        self._raft.transfer_leadership(self._raft.state.voters, self._clock.now_ms())
         self._wake.set()
         end_ms = self._clock.now_ms() + timeout_ms
         while self._clock.now_ms() < end_ms:
--- a/bergamotdrift/replica_join.py
+++ b/bergamotdrift/replica_join.py
@@ -11,7 +11,7 @@
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import NotLeader
 from bergamotdrift.raft import Raft
-from bergamotdrift.raft_membership import Contact
+from bergamotdrift.raft_membership import JoinMonitor
 from bergamotdrift.raft_messages import JoinReply, JoinRequest, Member
 from bergamotdrift.replica_peers import ReplicaPeers
 
@@ -49,7 +49,7 @@
         self._address = address
         self._clock = clock
         self._observer = observer
-        self._contact = Contact(raft, address, clock.now_ms())
+        self._contact = JoinMonitor(raft, address, clock.now_ms())
         self._configured_addresses = tuple({
             *cfg.node.control,
             *(v.address for v in cfg.voters),
@@ -74,7 +74,7 @@
     def run(self) -> None:
         """Send join requests while this replica is no member or hears no leader."""
         while True:
-            if self._contact.must_ask(self._clock.now_ms()):
+            if self._contact.should_request_join(self._clock.now_ms()):
                 self._send_join_requests()
             gevent.sleep(_JOIN_INTERVAL_S)
 
--- a/bergamotdrift/replica_sync.py
+++ b/bergamotdrift/replica_sync.py
@@ -33,7 +33,7 @@
     def start(self, batch: SyncBatch) -> None:
         """Start to sync a batch; `take_synced` must have returned the previous one."""
         self._batch = batch
-        if not batch.changed:
+        if not batch.must_sync:
             self._wake()
             return
         self._submit(batch)
--- a/bergamotdrift/replication.py
+++ b/bergamotdrift/replication.py
@@ -55,7 +55,7 @@
         """Return the leader's stream address, or an empty string."""
         ...
 
-    def ask_for_leadership(self) -> None:
+    def request_leadership(self) -> None:
         """Ask the leader to transfer leadership here; it may refuse."""
         ...
 
--- a/bergamotdrift/retry_policy.py
+++ b/bergamotdrift/retry_policy.py
@@ -10,7 +10,7 @@
 _BUCKET_SIZE = 2.0
 
 
-class Attempt(NamedTuple):
+class FailedAttempt(NamedTuple):
     """Describe a failed attempt for the retry rules."""
 
     not_run: bool
@@ -19,7 +19,7 @@
     remaining_ms: float
 
 
-def may_repeat(attempt: Attempt) -> bool:
+def may_retry(attempt: FailedAttempt) -> bool:
     """Return True if the rules allow a retry; the budget is checked separately."""
     if not attempt.body_can_be_resent or attempt.remaining_ms <= 0:
         return False
--- a/bergamotdrift/session_leases.py
+++ b/bergamotdrift/session_leases.py
@@ -16,7 +16,7 @@
     lease: GrantedLease
 
 
-class Contacts(Generic[K]):
+class SessionLeases(Generic[K]):
     """Renew and expire leases; a holder that expired is not renewed until its removal.
 
     A holder without a recorded contact counts as seen when the leader's term was
@@ -38,7 +38,7 @@
         if (key, incarnation) in self._expiring:
             return False
         if self.has_expired(key, incarnation, now_ms):
-            self.start_expiry(key, incarnation)
+            self.mark_expiring(key, incarnation)
             return False
         self._leases[key] = SessionLease(
             incarnation, GrantedLease(now_ms, self._ttl_ms)
@@ -57,7 +57,7 @@
         seen_at_ms = self.last_seen_ms(key, incarnation)
         return GrantedLease(seen_at_ms, self._ttl_ms).has_expired(now_ms)
 
-    def start_expiry(self, key: K, incarnation: str) -> None:
+    def mark_expiring(self, key: K, incarnation: str) -> None:
         """Refuse renewals from now on, since the removal may already be in the log."""
         self._expiring.add((key, incarnation))
 
@@ -65,7 +65,7 @@
         """Return whether a holder is about to be removed."""
         return (key, incarnation) in self._expiring
 
-    def forget_removed(self, is_known: Callable[[K, str], bool], now_ms: float) -> None:
+    def prune_removed(self, is_known: Callable[[K, str], bool], now_ms: float) -> None:
         """Drop the state of holders that are no longer registered."""
         self._expiring = {item for item in self._expiring if is_known(*item)}
         stale = [
--- a/bergamotdrift/settings_log.py
+++ b/bergamotdrift/settings_log.py
@@ -23,10 +23,10 @@
         self.changed_at = 0
         self.current: SiteSettings | None = None
         self.mapping = b"null"
-        self.recent: dict[int, SiteSettings] = {}
+        self.recent_revisions: dict[int, SiteSettings] = {}
         self.audit = AuditTrail()
 
-    def first_outcome(self, request: str, fingerprint: str) -> ChangeOutcome | None:
+    def recorded_outcome(self, request: str, fingerprint: str) -> ChangeOutcome | None:
         """Return the recorded outcome of a request id, or None if it is new.
 
         A request id that was used for a different change is refused.
@@ -41,7 +41,7 @@
 
     def apply(self, index: int, command: ApplySettings) -> ChangeOutcome:
         """Replace the settings, or refuse the change with REVISION_CONFLICT."""
-        earlier = self.first_outcome(command.request, command.fingerprint)
+        earlier = self.recorded_outcome(command.request, command.fingerprint)
         # A refused change with a chosen revision is tried again on a resend, since
         # its base revision may have been accepted in the meantime.
         is_final = not command.revision or earlier is None or not earlier.kind
@@ -68,7 +68,7 @@
 
     def record_refusal(self, command: RecordRefusal) -> ChangeOutcome:
         """Record a change that failed the leader's validation."""
-        earlier = self.first_outcome(command.request, command.fingerprint)
+        earlier = self.recorded_outcome(command.request, command.fingerprint)
         if earlier is not None:
             return earlier
         return self._refuse(command, command.kind, command.detail)
@@ -80,26 +80,26 @@
             self.author,
             self.changed_at,
             self.mapping,
-            self.recent,
+            self.recent_revisions,
             self.audit.dump(),
         ]
 
     def load(self, data: list[Any]) -> None:
         """Replace the content with that of a snapshot."""
         self.revision, self.author, self.changed_at, self.mapping, recent, audit = data
-        self.recent = {
+        self.recent_revisions = {
             revision: msgspec.convert(fields, SiteSettings)
             for revision, fields in recent.items()
         }
-        self.current = self.recent.get(self.revision)
+        self.current = self.recent_revisions.get(self.revision)
         self.audit = AuditTrail()
         self.audit.load(audit)
 
     def _keep_recent(self) -> None:
         assert self.current is not None
-        self.recent[self.revision] = self.current
-        if len(self.recent) > MAX_RECENT_REVISIONS:
-            del self.recent[next(iter(self.recent))]
+        self.recent_revisions[self.revision] = self.current
+        if len(self.recent_revisions) > MAX_RECENT_REVISIONS:
+            del self.recent_revisions[next(iter(self.recent_revisions))]
 
     def _current_revision_text(self) -> str:
         if self.revision == 0:
--- a/bergamotdrift/shard_set.py
+++ b/bergamotdrift/shard_set.py
@@ -25,7 +25,7 @@
 from bergamotdrift.clock import Clock
 from bergamotdrift.early_messages import EARLY_WAIT_MS, EarlyMessage, EarlyMessages
 from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.feed_tables import Tables
+from bergamotdrift.feed_tables import FeedTables
 from bergamotdrift.hot_keys import LoadCounter
 from bergamotdrift.messages import (
     Done,
@@ -36,8 +36,8 @@
     ShardRow,
 )
 from bergamotdrift.outputs import Output, Reply, Ticket
-from bergamotdrift.record_mirror import MirroredRecord, RecordMirrors
-from bergamotdrift.shard_view import TableIndex, is_workspace_shard, split_shard
+from bergamotdrift.record_mirror import MirroredRecord, MirroredRecordStore
+from bergamotdrift.shard_view import TableIndex, is_workspace_shard, parse_permit_shard
 from bergamotdrift.shards import workspace_shard
 from bergamotdrift.takeover import EntryId
 from bergamotdrift.upstream_ages import LimitAges, UpstreamAges
@@ -76,12 +76,12 @@
         self._early = EarlyMessages()
         self._ages = UpstreamAges()
         self._limit_ages = LimitAges()
-        self._mirrors = RecordMirrors(clock)
+        self._mirrors = MirroredRecordStore(clock)
         self._counters: dict[str, LoadCounter] = {}
         self.permits: dict[str, Arbitration] = {}
         self.workspaces: dict[str, WorkspaceArbitration] = {}
 
-    def update(self, tables: Tables) -> list[Output]:
+    def update(self, tables: FeedTables) -> list[Output]:
         """Apply changed tables to the shards."""
         now_ms = self._clock.now_ms()
         self._ages.update(tables.upstreams, now_ms)
@@ -121,7 +121,7 @@
 
     def disconnect(self, entry: EntryId) -> list[Output]:
         """Handle the loss of an entry's stream."""
-        self._early.forget(entry)
+        self._early.remove_entry(entry)
         outputs: list[Output] = []
         for shard in self._all_shards():
             outputs += shard.disconnect(entry)
@@ -186,7 +186,7 @@
     def _drop_shard(self, shard: str, index: TableIndex) -> list[Output]:
         workspace = self.workspaces.pop(shard, None)
         if workspace is not None:
-            return workspace.close() + workspace.mirror_single()
+            return workspace.close() + workspace.mirror_single_copies()
         permits = self.permits.pop(shard, None)
         if permits is None:
             return []
@@ -215,7 +215,7 @@
         if known is not None:
             return known.update(view) if known.view != view else []
         created = WorkspaceArbitration(row.shard, view, self._clock, self._may_grant)
-        created.take_mirrored(self._mirrors.take(view.workspace.name))
+        created.merge_mirrored(self._mirrors.pop_workspace(view.workspace.name))
         self.workspaces[row.shard] = created
         return []
 
@@ -287,7 +287,7 @@
     def _store_mirror(self, entry: EntryId, msg: RecordMirror) -> None:
         owned = self.workspaces.get(workspace_shard(msg.row.workspace))
         if owned is not None:
-            owned.take_mirrored([MirroredRecord(entry, msg.row)])
+            owned.merge_mirrored([MirroredRecord(entry, msg.row)])
         else:
             self._mirrors.store(entry, msg.row)
 
@@ -296,7 +296,7 @@
     shard: WorkspaceArbitration, entry: EntryId, msg: Message, ticket: Ticket
 ) -> list[Output]:
     if isinstance(msg, TokenRequest):
-        return shard.take_tokens(entry, msg, ticket)
+        return shard.lease_tokens(entry, msg, ticket)
     if isinstance(msg, TokenReturn):
         return shard.return_tokens(entry, msg)
     if isinstance(msg, RecordBegin):
@@ -320,7 +320,9 @@
 
 
 def _refuse_early(item: EarlyMessage) -> list[Output]:
-    detail = f"{split_shard(item.shard).service[:64]!r} is not served by this arbiter"
+    detail = (
+        f"{parse_permit_shard(item.shard).service[:64]!r} is not served by this arbiter"
+    )
     if isinstance(item.message, PermitRequest):
         refusal = PermitRefusal(ErrorKind.ARBITER_UNREACHABLE, detail)
         return [Reply(item.ticket, refusal)]
--- a/bergamotdrift/shard_view.py
+++ b/bergamotdrift/shard_view.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from bergamotdrift.config.schema import ServiceSettings, WorkspaceSettings
-from bergamotdrift.feed_tables import Tables, UpstreamId
+from bergamotdrift.feed_tables import FeedTables, UpstreamId
 from bergamotdrift.messages import (
     PartitionRow,
     Role,
@@ -56,7 +56,7 @@
     warm_since_ms: Mapping[str, float] = {}
 
 
-def entries_of(tables: Tables) -> frozenset[EntryId]:
+def entries_of(tables: FeedTables) -> frozenset[EntryId]:
     """Return the entries in the current membership."""
     rows = tables.nodes_of(Role.ENTRY)
     return frozenset(EntryId(row.node, row.incarnation) for row in rows)
@@ -67,7 +67,7 @@
 
     def __init__(
         self,
-        tables: Tables,
+        tables: FeedTables,
         ages: UpstreamAges | None = None,
         limit_ages: LimitAges | None = None,
     ):
@@ -86,7 +86,7 @@
 
     def view(self, row: ShardRow) -> ShardView | None:
         """Return the view of a permit shard, or None if its service is unknown."""
-        name = split_shard(row.shard)
+        name = parse_permit_shard(row.shard)
         if self.settings is None:
             return None
         service = self.settings.service(name.service)
@@ -138,7 +138,7 @@
         )
 
 
-def split_shard(shard: str) -> UpstreamId:
+def parse_permit_shard(shard: str) -> UpstreamId:
     """Return the service and upstream of a permit shard; a pool's upstream is empty."""
     kind, _, name = shard.partition(":")
     if kind == "pool":
--- a/bergamotdrift/stages/claim.py
+++ b/bergamotdrift/stages/claim.py
@@ -25,9 +25,9 @@
     StreamClosedError,
 )
 from bergamotdrift.feed_signal import FeedSignal
-from bergamotdrift.feed_tables import Tables
+from bergamotdrift.feed_tables import FeedTables
 from bergamotdrift.hashing import key_digest, rendezvous
-from bergamotdrift.local_records import RecordBook, RecordId
+from bergamotdrift.local_records import LocalRecords, RecordId
 from bergamotdrift.messages import (
     Done,
     Role,
@@ -108,8 +108,8 @@
     def __init__(
         self,
         arbiters: ArbiterClient,
-        book: RecordBook,
-        tables: Callable[[], Tables],
+        book: LocalRecords,
+        tables: Callable[[], FeedTables],
         feed: FeedSignal,
         clock: Clock,
         vm: str,
@@ -272,7 +272,7 @@
         return rendezvous(shard, others)
 
 
-def _zone_is_out(tables: Tables, zone: str) -> bool:
+def _zone_is_out(tables: FeedTables, zone: str) -> bool:
     return tables.settings is not None and tables.settings.zone_is_out(zone)
 
 
--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -15,7 +15,7 @@
 from bergamotdrift.attempts import RunningAttempt
 from bergamotdrift.body_source import BodySource
 from bergamotdrift.clock import Clock
-from bergamotdrift.dialect import NATIVE, AnswerLoad, Dialect, HeaderOf
+from bergamotdrift.dialect import NATIVE, AnswerLoad, Dialect, HeaderGetter
 from bergamotdrift.exceptions import (
     CallerGoneError,
     ErrorKind,
@@ -29,8 +29,8 @@
 from bergamotdrift.upstream_connections import (
     ResponseParser,
     UpstreamConnection,
-    UpstreamConnections,
-    read_head,
+    UpstreamConnectionPool,
+    read_response_head,
 )
 
 HOP_BY_HOP = frozenset({
@@ -124,7 +124,7 @@
             return
         self._ended = True
         parser = self._parser
-        closes = parser.ends_with_connection or parser.should_close()
+        closes = parser.ends_on_close or parser.should_close()
         whole = self._conn.request_sent and not closes
         reusable = may_reuse and whole
         self._on_end(outcome, reusable and not parser.extra_data)
@@ -149,7 +149,7 @@
 
     def __init__(
         self,
-        connections: UpstreamConnections,
+        connections: UpstreamConnectionPool,
         release: Callable[[RunningAttempt, PermitRelease], None],
         clock: Clock,
         via: str,
@@ -209,7 +209,7 @@
         conn = self._send_first(routed, running, first, body.can_be_resent)
         if body.read is not None:
             self._send_rest(conn, body)
-        parser = read_head(conn, routed.req.method)
+        parser = read_response_head(conn, routed.req.method)
         self._check_response(routed, parser)
         return parser
 
@@ -218,7 +218,7 @@
 
         Raises HTTPParseError.
         """
-        if not (self._dialect.takes_unframed or parser.has_framing()):
+        if not (self._dialect.accepts_close_delimited or parser.has_framing()):
             raise HTTPParseError(
                 "the response has neither Content-Length nor chunked encoding"
             )
@@ -237,9 +237,13 @@
     ) -> UpstreamConnection:
         permit = running.permit
         while True:
-            conn = self._connections.take(permit.shard, permit.upstream, permit.address)
+            conn = self._connections.acquire(
+                permit.shard, permit.upstream, permit.address
+            )
             running.conn = conn
-            conn.begin(routed.deadline_ms, running.limit_ms, running.may_abandon)
+            conn.start_request(
+                routed.deadline_ms, running.attempt_deadline_ms, running.may_abandon
+            )
             try:
                 if not conn.reused:
                     conn.connect()
@@ -250,7 +254,7 @@
             except OSError:
                 # The upstream may have closed an idle connection; as nothing was sent,
                 # another connection is safe to use.
-                if conn.bytes_left or not conn.reused or running.cancel_reason:
+                if conn.any_bytes_sent or not conn.reused or running.cancel_reason:
                     raise
                 conn.close()
 
@@ -267,7 +271,7 @@
     def _send_rest(self, conn: UpstreamConnection, body: BodySource) -> None:
         assert body.read is not None
         # An upstream may respond before it has read the whole body.
-        while not conn.answer_has_begun():
+        while not conn.has_readable_data():
             data = body.read(_READ_BYTES)
             end = b"0\r\n\r\n" if body.length is None else b""
             try:
@@ -289,12 +293,12 @@
         kept = False
         if conn is not None:
             may_keep = running.permit.may_keep and not running.cancel_reason
-            kept = may_reuse and may_keep and self._connections.keep(conn)
+            kept = may_reuse and may_keep and self._connections.put_idle(conn)
             if not kept:
                 conn.close()
             if outcome is AttemptOutcome.TIMEOUT:
                 # Other idle connections to an unresponsive upstream may be dead too.
-                self._connections.drop(conn.shard, conn.upstream)
+                self._connections.close_idle(conn.shard, conn.upstream)
         permit = running.permit
         latency_ms = self._clock.now_ms() - started_ms
         self._release(
@@ -371,7 +375,7 @@
 
 def _classify_failure(exc: BaseException, running: RunningAttempt) -> AttemptFailure:
     conn = running.conn
-    sent = conn is not None and conn.bytes_left
+    sent = conn is not None and conn.any_bytes_sent
     if not sent:
         if isinstance(exc, RequestError):
             return AttemptFailure(exc.refusal, AttemptOutcome.CANCELLED, True)
@@ -394,7 +398,7 @@
     return AttemptFailure(refusal, AttemptOutcome.CANCELLED, False)
 
 
-def header_of(parser: ResponseParser) -> HeaderOf:
+def header_of(parser: ResponseParser) -> HeaderGetter:
     """Return a function that looks up the first value of a response header."""
 
     def value(name: str) -> str | None:
--- a/bergamotdrift/stages/permit.py
+++ b/bergamotdrift/stages/permit.py
@@ -24,7 +24,7 @@
     StreamClosedError,
 )
 from bergamotdrift.feed_signal import FeedSignal
-from bergamotdrift.feed_tables import PartitionId, Tables
+from bergamotdrift.feed_tables import FeedTables, PartitionId
 from bergamotdrift.fence_guard import FenceGuard
 from bergamotdrift.hashing import key_hash
 from bergamotdrift.messages import PartitionState
@@ -51,12 +51,12 @@
     """Grant permits for attempts at upstreams."""
 
     def acquire(
-        self, routed: RoutedRequest, history: "AttemptNumbers"
+        self, routed: RoutedRequest, history: "AttemptHistory"
     ) -> Result[RunningAttempt, Refusal]:
         """Return a registered permit or the refusal."""
         ...
 
-    def note_outcome(
+    def record_outcome(
         self, routed: RoutedRequest, running: RunningAttempt, fenced: bool
     ) -> None:
         """Record whether the upstream accepted the partition's epoch."""
@@ -68,7 +68,7 @@
 
     def __init__(
         self,
-        tables: Callable[[], Tables],
+        tables: Callable[[], FeedTables],
         arbiters: ArbiterClient,
         registry: AttemptRegistry,
         feed: FeedSignal,
@@ -82,7 +82,7 @@
         self._guard = FenceGuard()
 
     def acquire(
-        self, routed: RoutedRequest, history: "AttemptNumbers"
+        self, routed: RoutedRequest, history: "AttemptHistory"
     ) -> Result[RunningAttempt, Refusal]:
         """Return a registered permit.
 
@@ -106,7 +106,7 @@
         return Failure(last)
 
     def _request_permit(
-        self, routed: RoutedRequest, history: "AttemptNumbers", end_ms: float
+        self, routed: RoutedRequest, history: "AttemptHistory", end_ms: float
     ) -> Result[RunningAttempt, Refusal]:
         target = self._target(routed)
         if target is None:
@@ -144,7 +144,7 @@
                 cancel = PermitCancel(target.shard, routed.req.request_id, number)
                 self._arbiters.send(target.shard, cancel, node)
 
-    def note_outcome(
+    def record_outcome(
         self, routed: RoutedRequest, running: RunningAttempt, fenced: bool
     ) -> None:
         """Record the fencing of a partition, which holds other requests back.
@@ -157,21 +157,21 @@
         partition = PartitionId(routed.service.name, permit.partition)
         if fenced:
             now_ms = self._clock.now_ms()
-            self._guard.note_fenced(partition, permit.partition_epoch, now_ms)
-        elif self._guard.note_run(partition, permit.partition_epoch):
+            self._guard.record_fenced(partition, permit.partition_epoch, now_ms)
+        elif self._guard.record_accepted(partition, permit.partition_epoch):
             self._feed.notify()
 
     def _owner_may_be_ready(self, routed: RoutedRequest, target: _Target) -> bool:
         if target.partition == NO_PARTITION:
             return True
         partition = PartitionId(routed.service.name, target.partition)
-        return self._guard.may_try(partition, target.epoch, self._clock.now_ms())
+        return self._guard.may_send(partition, target.epoch, self._clock.now_ms())
 
     def _permit_request(
         self,
         routed: RoutedRequest,
         target: _Target,
-        history: "AttemptNumbers",
+        history: "AttemptHistory",
         end_ms: float,
         shard_epoch: int,
     ) -> PermitRequest:
@@ -230,7 +230,7 @@
         return _Target(upstream_shard(service.name, row.upstream), number, row.epoch)
 
 
-class AttemptNumbers:
+class AttemptHistory:
     """Track the attempts of one request and the upstreams to exclude."""
 
     def __init__(self) -> None:
--- a/bergamotdrift/stages/reply.py
+++ b/bergamotdrift/stages/reply.py
@@ -5,7 +5,7 @@
     SavedAnswer,
 )
 from bergamotdrift.dialect import NATIVE, Dialect
-from bergamotdrift.exceptions import ANSWERS, Refusal
+from bergamotdrift.exceptions import ERROR_ANSWERS, Refusal
 from bergamotdrift.http_input import connection_tokens
 from bergamotdrift.refusals import refusal_body, refusal_headers
 from bergamotdrift.request import Reply
@@ -28,7 +28,7 @@
     """Return the error reply for a refusal."""
     body = refusal_body(refusal, request_id)
     headers = refusal_headers(refusal, body, request_id, dialect)
-    return Reply(ANSWERS[refusal.kind].status, headers, iter((body,)))
+    return Reply(ERROR_ANSWERS[refusal.kind].status, headers, iter((body,)))
 
 
 def caller_headers(
--- a/bergamotdrift/streams.py
+++ b/bergamotdrift/streams.py
@@ -80,14 +80,14 @@
     try:
         sock.settimeout(timeout_ms / 1000.0)
         sock.connect(parse_address(address))
-        set_stream_options(sock)
+        disable_nagle(sock)
     except OSError:
         sock.close()
         raise
     return sock
 
 
-def set_stream_options(sock: Any) -> None:
+def disable_nagle(sock: Any) -> None:
     """Disable Nagle's algorithm, which delays small frames by up to 40 ms."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -345,7 +345,7 @@
             conn.close("the server is stopping")
 
     def _accept(self, sock: Any, _peer_address: Any) -> None:
-        set_stream_options(sock)
+        disable_nagle(sock)
         conn = Connection(sock, self._hello, self._handler)
         self.connections.add(conn)
         try:
--- a/bergamotdrift/tests/control_simulation.py
+++ b/bergamotdrift/tests/control_simulation.py
@@ -24,8 +24,8 @@
 )
 from bergamotdrift.constants import SESSION_TTL_MS
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.feed_tables import PartitionId, Tables
-from bergamotdrift.leader_state import LeaderDuties
+from bergamotdrift.feed_tables import FeedTables, PartitionId
+from bergamotdrift.leader_state import LeaderState
 from bergamotdrift.lease import HeldLease
 from bergamotdrift.messages import (
     Announcement,
@@ -36,7 +36,7 @@
     Role,
     UpstreamState,
 )
-from bergamotdrift.node_sessions import PingVerdict
+from bergamotdrift.node_sessions import PingResult
 from bergamotdrift.shards import upstream_shard
 
 STEP_MS = 10
@@ -71,7 +71,7 @@
         self.name, self.zone, self.incarnation = name, zone, incarnation
         self.state = UpstreamState.READY
         self.crashed = False
-        self.frozen_until = 0.0
+        self.paused_until = 0.0
         self.next_announcement = model.rng.uniform(0, 500)
         self.rate = model.rng.uniform(0.98, 1.02)
         self.lease = (0.0, 0.0)
@@ -85,7 +85,7 @@
         return self.model.now * self.rate
 
     def step(self):
-        if self.crashed or self.model.now < self.frozen_until:
+        if self.crashed or self.model.now < self.paused_until:
             return
         self.expire_lease()
         for grant in list(self.draining):
@@ -112,8 +112,8 @@
     def on_reply(self, reply, announcement_id):
         if self.crashed:
             return
-        if self.model.now < self.frozen_until:
-            delay = self.frozen_until - self.model.now
+        if self.model.now < self.paused_until:
+            delay = self.paused_until - self.model.now
             self.model.schedule(delay, lambda: self.on_reply(reply, announcement_id))
             return
         number, sent_at = announcement_id
@@ -137,9 +137,9 @@
             self.model.abort_requests(self.name)
 
     def accepts(self, grant):
-        return grant in self.grants and grant in self.may_serve()
+        return grant in self.grants and grant in self.served_grants()
 
-    def may_serve(self):
+    def served_grants(self):
         if self.crashed or not self.lease[0] <= self.local_now() < self.lease[1]:
             return set()
         return self.grants | self.draining
@@ -151,17 +151,17 @@
     def __init__(self, model, name, role):
         self.model, self.role = model, role
         self.row = NodeRow(name, role, "i1", name, "a", "")
-        self.tables = Tables()
+        self.tables = FeedTables()
         self.session = HeldLease(float("-inf"), 0.0)
         self.next_ping = model.rng.uniform(0, 250)
-        self.cut_until = 0.0
+        self.disconnected_until = 0.0
         self.last_permit = {}
 
     def is_valid(self):
         return self.session.is_valid(self.model.now)
 
     def step(self):
-        if self.model.now < self.cut_until:
+        if self.model.now < self.disconnected_until:
             return
         if self.model.now >= self.next_ping:
             self.next_ping = self.model.now + 250
@@ -171,12 +171,12 @@
             self.report_drains()
 
     def on_update(self, update):
-        if self.model.now >= self.cut_until and self.tables.apply(update):
+        if self.model.now >= self.disconnected_until and self.tables.apply(update):
             index = self.tables.index
             self.model.send(lambda: self.model.on_feed_acknowledged(self, index))
 
     def on_pong(self, update, sent_at):
-        if self.model.now >= self.cut_until:
+        if self.model.now >= self.disconnected_until:
             self.tables.apply(update)
             self.session = HeldLease(
                 max(sent_at, self.session.asked_at_ms), SESSION_TTL_MS
@@ -205,7 +205,7 @@
             self.model.send(lambda: self.model.on_drained(self, drained))
 
 
-class Model:
+class ControlSimulation:
     """Simulated site; checks that no key is served by two upstreams at once."""
 
     def __init__(self, seed, fencing=Fencing.EPOCH, upstreams=4, partitions=8):
@@ -213,19 +213,19 @@
         self.now = 0.0
         self.events = []
         self.event_counter = itertools.count()
-        self.loss = 0.02
-        self.slow = 0.02
-        self.unknown = 0.02
+        self.loss_probability = 0.02
+        self.delay_probability = 0.02
+        self.unknown_outcome_probability = 0.02
         self.service = service(fencing=fencing, partitions=partitions)
         self.log_index = 0
         self.replicas = [ControlState() for _ in range(3)]
         self.undecided_commands = []
-        self.duties: Any = None
+        self.leader_state: Any = None
         self.no_leader_until = 0.0
         self.violations = []
         self.epochs = {}
-        self.moves = 0
-        self.fenced = 0
+        self.assignment_count = 0
+        self.fenced_requests = 0
         self.running = {}
         self.served_at = {}
         self.isolated_hashes = []
@@ -255,9 +255,9 @@
         )
 
     def send(self, action):
-        if self.rng.random() < self.loss:
+        if self.rng.random() < self.loss_probability:
             return
-        slow = self.rng.random() < self.slow
+        slow = self.rng.random() < self.delay_probability
         self.schedule(
             self.rng.uniform(0, 1400) if slow else self.rng.uniform(0, 20), action
         )
@@ -273,7 +273,7 @@
         assert len(outcomes) == 1
         self.check_epochs()
         if isinstance(command, cmd.AssignPartitions):
-            self.moves += sum(bool(item.upstream) for item in command.items)
+            self.assignment_count += sum(bool(item.upstream) for item in command.items)
 
     def check_epochs(self):
         for row in self.state.rows.partitions.rows():
@@ -294,23 +294,26 @@
         assert restored.update_since(0) == self.state.update_since(0)
         self.replicas[0] = restored
         self.commit(cmd.OpenTerm("c", 1))
-        self.duties = LeaderDuties(self.state, self.now)
+        self.leader_state = LeaderState(self.state, self.now)
 
     def lose_leader(self):
-        self.duties = None
+        self.leader_state = None
         self.no_leader_until = self.now + self.rng.uniform(400, 800)
 
     def run_leader(self):
-        if self.duties is None:
+        if self.leader_state is None:
             if self.now >= self.no_leader_until:
                 self.elect_leader()
             return
-        for command in [*self.undecided_commands, *self.duties.commands(self.now)]:
+        for command in [
+            *self.undecided_commands,
+            *self.leader_state.commands(self.now),
+        ]:
             if command in self.undecided_commands:
                 self.undecided_commands.remove(command)
                 if self.rng.random() < 0.5:
                     continue
-            elif self.rng.random() < self.unknown:
+            elif self.rng.random() < self.unknown_outcome_probability:
                 self.undecided_commands.append(command)
                 break
             self.commit(command)
@@ -326,29 +329,29 @@
     # Messages to the leader
 
     def on_announcement(self, upstream, item, announcement_id):
-        if self.duties is not None:
-            reply = self.duties.announce(item, self.now)
-            if self.duties.holds_reply(item):
+        if self.leader_state is not None:
+            reply = self.leader_state.announce(item, self.now)
+            if self.leader_state.defers_reply(item):
                 self.run_leader()
-                reply = self.duties.announce(item, self.now)
+                reply = self.leader_state.announce(item, self.now)
             self.send(lambda: upstream.on_reply(reply, announcement_id))
 
     def on_ping(self, node, index, sent_at):
-        if self.duties is None or self.now < node.cut_until:
+        if self.leader_state is None or self.now < node.disconnected_until:
             return
-        verdict = self.duties.ping(node.row, index, self.now)
-        if verdict is PingVerdict.CONFIRMED:
+        verdict = self.leader_state.ping(node.row, index, self.now)
+        if verdict is PingResult.CONFIRMED:
             update = self.state.update_since(index)
             self.send(lambda: node.on_pong(update, sent_at))
 
     def on_feed_acknowledged(self, node, index):
-        if self.duties is not None:
-            self.duties.ping(node.row, index, self.now)
+        if self.leader_state is not None:
+            self.leader_state.ping(node.row, index, self.now)
 
     def on_drained(self, node, drained):
-        if self.duties is not None:
+        if self.leader_state is not None:
             for ref in drained:
-                self.duties.drained(ref, node.row.node)
+                self.leader_state.record_drain_report(ref, node.row.node)
 
     # Requests
 
@@ -391,7 +394,7 @@
     def serve_requests(self):
         holders: dict[int, set[str]] = {}
         for up in self.upstreams:
-            for grant in up.may_serve():
+            for grant in up.served_grants():
                 holders.setdefault(grant.partition, set()).add(up.name + up.incarnation)
         if self.service.fencing is Fencing.EPOCH:
             for partition, names in holders.items():
@@ -408,9 +411,9 @@
             up = self.upstream(row.upstream)
             grant = PartitionEpoch(row.partition, row.epoch)
             if self.service.fencing is Fencing.EPOCH and not up.accepts(grant):
-                self.fenced += 1
+                self.fenced_requests += 1
                 continue
-            if not up.crashed and self.now >= up.frozen_until:
+            if not up.crashed and self.now >= up.paused_until:
                 self.served_at[key_hash] = self.now
             # An upstream without fencing may run a request up to its deadline.
             runs_to_deadline = (
@@ -432,7 +435,7 @@
             return False
         if self.service.fencing is Fencing.NONE:
             return True
-        return bool(self.upstream(run[0]).may_serve())
+        return bool(self.upstream(run[0]).served_grants())
 
     def upstream_of(self, partition):
         return self.state.rows.partitions.get(PartitionId("s", partition)).upstream
@@ -471,7 +474,7 @@
             self.now - self.served_at.get(k, -1e9) <= within_ms for k in self.key_hashes
         )
 
-    def live(self):
+    def live_upstreams(self):
         return [u for u in self.upstreams if not u.crashed]
 
     def restart(self, upstream):
--- a/bergamotdrift/tests/direct_entry.py
+++ b/bergamotdrift/tests/direct_entry.py
@@ -17,7 +17,7 @@
     ZoneSettings,
     ZoneState,
 )
-from bergamotdrift.entry_node import Entry
+from bergamotdrift.entry_node import EntryNode
 from bergamotdrift.hashing import key_digest
 from bergamotdrift.messages import (
     FeedUpdate,
@@ -29,7 +29,7 @@
     UpstreamRow,
     UpstreamState,
 )
-from bergamotdrift.platform.wire_dialect import PLATFORM
+from bergamotdrift.platform.wire_dialect import PLATFORM_DIALECT
 from bergamotdrift.tests.entry_fakes import (
     KEY,
     OK_BODY,
@@ -107,7 +107,7 @@
             dispatch=Dispatch.DIRECT,
             **self.entry_changes,
         )
-        self.entry = Entry(cfg, BootClock(), PLATFORM)
+        self.entry = EntryNode(cfg, BootClock(), PLATFORM_DIALECT)
         self.entry.start()
         self.addCleanup(self.tear_down)
         self.assertTrue(self.entry.control.ready.wait(5))
@@ -135,9 +135,9 @@
         )
         return update._replace(**changes)
 
-    def answer_all(self, script):
+    def set_response_script(self, script):
         for upstream in self.upstreams:
-            upstream.script = script
+            upstream.respond = script
 
     def requests(self):
         return [data for up in self.upstreams for data in up.requests]
--- a/bergamotdrift/tests/entry_fakes.py
+++ b/bergamotdrift/tests/entry_fakes.py
@@ -34,7 +34,7 @@
     ZoneSettings,
     ZoneState,
 )
-from bergamotdrift.entry_node import Entry
+from bergamotdrift.entry_node import EntryNode
 from bergamotdrift.hashing import key_digest
 from bergamotdrift.messages import (
     Done,
@@ -144,7 +144,7 @@
 
 
 class FakeArbiter:
-    """Grants every request unless `answer` returns another reply to the message."""
+    """Grants every request unless `reply_for` returns another reply to the message."""
 
     def __init__(self, node="arb1"):
         self.node = node
@@ -155,7 +155,7 @@
         self.received = []
         self.addresses = []
         self.may_keep = True
-        self.answer: Callable[[Any], Any] = lambda msg: None
+        self.reply_for: Callable[[Any], Any] = lambda msg: None
         self._permits = itertools.count(1)
 
     def of_type(self, cls):
@@ -171,7 +171,7 @@
         self.received.append(msg)
         if not number:
             return
-        reply = self.answer(msg)
+        reply = self.reply_for(msg)
         if reply is None:
             reply = self._default(msg)
         if reply != "silence":
@@ -195,16 +195,17 @@
 class FakeUpstream:
     """Records complete requests and responds as scripted.
 
-    `script` maps a request's bytes to the bytes of the response. None closes the
-    connection, and a list of bytes is sent part by part. `hold_s` delays responses.
+    `respond` maps a request's bytes to the bytes of the response. None closes the
+    connection, and a list of bytes is sent part by part. `response_delay_s`
+    delays responses.
     """
 
-    def __init__(self, script=lambda data: OK_ANSWER):
-        self.script = script
+    def __init__(self, respond=lambda data: OK_ANSWER):
+        self.respond = respond
         self.requests = []
         self.connections = []
         self.closed = 0
-        self.hold_s = 0.0
+        self.response_delay_s = 0.0
         self.server = RawServer(("127.0.0.1", 0), self._serve)
         self.server.start()
         self.address = f"127.0.0.1:{self.server.server_port}"
@@ -214,8 +215,8 @@
         try:
             while data := read_message(sock):
                 self.requests.append(data)
-                gevent.sleep(self.hold_s)
-                answer = self.script(data)
+                gevent.sleep(self.response_delay_s)
+                answer = self.respond(data)
                 if answer is None:
                     return
                 parts = answer if isinstance(answer, list) else [answer]
@@ -326,7 +327,7 @@
         self.arbiter.addresses = [self.upstream.address]
         self.control.update = self.tables()
         address = self.control.server.address
-        self.entry = Entry(
+        self.entry = EntryNode(
             entry_settings(address, **self.settings_overrides), BootClock()
         )
         self.entry.start()
--- a/bergamotdrift/tests/fake_control.py
+++ b/bergamotdrift/tests/fake_control.py
@@ -3,7 +3,7 @@
 import falcon
 
 from bergamotdrift.config.check import check_site
-from bergamotdrift.exceptions import ANSWERS, ErrorKind
+from bergamotdrift.exceptions import ERROR_ANSWERS, ErrorKind
 from bergamotdrift.hashing import key_digest
 from bergamotdrift.http_server import HttpServer
 
@@ -43,7 +43,7 @@
 
 
 def refusal(kind, **extra):
-    answer = ANSWERS[kind]
+    answer = ERROR_ANSWERS[kind]
     body = {"error": kind, "not_run": answer.not_run, "message": answer.text}
     return f"{answer.status} {kind}", body | extra
 
--- a/bergamotdrift/tests/fake_replicator.py
+++ b/bergamotdrift/tests/fake_replicator.py
@@ -24,8 +24,8 @@
 class FakeReplicator:
     """Leads while `leads` is set.
 
-    The next `fail` proposals are dropped and the next `lose_answers` ones committed;
-    both end with NO_QUORUM.
+    The next `dropped_proposals` proposals are dropped and the next `lost_replies`
+    ones committed; both end with NO_QUORUM.
     """
 
     def __init__(self, log, name, machine):
@@ -33,10 +33,10 @@
         log.machines.append(machine)
         self.leads = False
         self.address = ""
-        self.fail = 0
-        self.lose_answers = 0
+        self.dropped_proposals = 0
+        self.lost_replies = 0
 
-    def lead(self):
+    def become_leader(self):
         self.log.term += 1
         self.leads = True
 
@@ -53,16 +53,16 @@
         gevent.sleep(0.001)
         if not self.leads:
             raise CallError(Refusal(ErrorKind.NOT_LEADER))
-        if self.fail > 0:
-            self.fail -= 1
+        if self.dropped_proposals > 0:
+            self.dropped_proposals -= 1
             raise CallError(Refusal(ErrorKind.NO_QUORUM))
         outcome = self.log.commit(command)
-        if self.lose_answers > 0:
-            self.lose_answers -= 1
+        if self.lost_replies > 0:
+            self.lost_replies -= 1
             raise CallError(Refusal(ErrorKind.NO_QUORUM))
         return outcome
 
-    def ask_for_leadership(self):
+    def request_leadership(self):
         """Do nothing; tests choose the leader."""
 
     def add_learner(self, replica, address, timeout_ms):
--- a/bergamotdrift/tests/raft_simulation.py
+++ b/bergamotdrift/tests/raft_simulation.py
@@ -9,7 +9,7 @@
 
 from bergamotdrift import messages
 from bergamotdrift.raft import Raft
-from bergamotdrift.raft_membership import Contact, Membership
+from bergamotdrift.raft_membership import JoinMonitor, Membership
 from bergamotdrift.raft_memory import MemoryLog
 from bergamotdrift.raft_messages import (
     EMPTY_HARD_STATE,
@@ -139,7 +139,7 @@
             self.now_ms(),
         )
         self.membership = Membership(self.raft, self.sim.allowed, self.name)
-        self.join_monitor = Contact(self.raft, self.name, self.now_ms())
+        self.join_monitor = JoinMonitor(self.raft, self.name, self.now_ms())
         self.applied_commands = []
         self.applied_command_set = set()
         self.applied = 0
@@ -164,7 +164,7 @@
 
     def serves(self):
         """Return whether the replica may serve; a paused one replies to nothing."""
-        return self.is_awake() and self.raft.is_confirmed_leader(self.now_ms())
+        return self.is_awake() and self.raft.holds_leader_lease(self.now_ms())
 
     def is_awake(self):
         return self.running and self.sim.now_ms >= self.paused_until
@@ -227,7 +227,7 @@
         duration_ms = (
             self.sim.rng.uniform(50, 400) if slow else self.sim.rng.uniform(0, 15)
         )
-        self.synced_ms = self.sim.now_ms + (duration_ms if batch.changed else 0.0)
+        self.synced_ms = self.sim.now_ms + (duration_ms if batch.must_sync else 0.0)
 
     def restore(self, snapshot):
         self.applied_commands = (
@@ -334,7 +334,9 @@
     def _deliver_join_requests(self):
         for node in self.running():
             state = node.raft.state
-            if not node.is_awake() or not node.join_monitor.must_ask(node.now_ms()):
+            if not node.is_awake() or not node.join_monitor.should_request_join(
+                node.now_ms()
+            ):
                 continue
             req = JoinRequest(state.replica, node.name, node.name)
             for other in self.running():
@@ -477,7 +479,9 @@
         if self.rng.random() < 0.002:
             leader = self.rng.choice(list(self.nodes.values()))
             if leader.is_awake():
-                leader.raft.transfer(leader.raft.state.voters, leader.now_ms())
+                leader.raft.transfer_leadership(
+                    leader.raft.state.voters, leader.now_ms()
+                )
 
     def run_faults(self, duration_ms, interval_ms=250.0):
         """Run with random commands, and random faults at random intervals."""
--- a/bergamotdrift/tests/replica_group.py
+++ b/bergamotdrift/tests/replica_group.py
@@ -100,7 +100,7 @@
         shutil.rmtree(self.folder)
 
 
-class Group:
+class ReplicaGroup:
     """A group of nodes that is bootstrapped by the first `voters` of them."""
 
     def __init__(self, voters, snapshot_entries=1000):
--- a/bergamotdrift/tests/test_arbitration.py
+++ b/bergamotdrift/tests/test_arbitration.py
@@ -62,14 +62,14 @@
 
     def test_schedules_find_permits_forgotten_with_their_stream(self):
         def forget(arbiter, entry):
-            return arbiter._reports.left(entry) or []
+            return arbiter._reports.remove_entry(entry) or []
 
         with mock.patch.object(Arbitration, "disconnect", forget):
             self.assertGreater(self.count_violations(), 0)
 
     def test_schedules_find_a_drain_report_before_the_last_release(self):
         def all_releasing(arbiter):
-            return arbiter._partitions.releasing()
+            return arbiter._partitions.releasing_partitions()
 
         with mock.patch.object(Arbitration, "drained", all_releasing):
             self.assertGreater(self.count_violations(upstreams=1, partitions=3), 0)
--- a/bergamotdrift/tests/test_control_rows.py
+++ b/bergamotdrift/tests/test_control_rows.py
@@ -34,7 +34,7 @@
             self.assertEqual(list(self.rows.ranges_of(service)), of_service)
             for upstream in ("u1", "u2", "u3"):
                 held = [r for r in of_service if r.upstream == upstream]
-                found = self.rows.ranges_held(service, upstream, "1")
+                found = self.rows.ranges_owned(service, upstream, "1")
                 self.assertEqual(list(found), held)
 
     def apply_random_change(self):
@@ -73,5 +73,5 @@
             control_rows, "_sort_ranges", side_effect=sort_ranges
         ) as mock_sort:
             for _ in range(100):
-                self.rows.ranges_held("cases", "u1", "1")
+                self.rows.ranges_owned("cases", "u1", "1")
         self.assertEqual(mock_sort.call_count, 1)
--- a/bergamotdrift/tests/test_control_server.py
+++ b/bergamotdrift/tests/test_control_server.py
@@ -83,8 +83,10 @@
             replica.replicator.leads = False
             replica.replicator.address = self.replicas[number].streams.address
         self.leader = self.replicas[number]
-        self.leader.replicator.lead()
-        self.wait_until(lambda: self.leader.server.nodes.leadership.duties())
+        self.leader.replicator.become_leader()
+        self.wait_until(
+            lambda: self.leader.server.node_streams.leadership.leader_state()
+        )
 
     def wait_until(self, condition, timeout_s=5.0):
         with gevent.Timeout(timeout_s):
@@ -155,7 +157,7 @@
         self.lead(1)
         self.apply(1, "r2")
         self.wait_until(lambda: client.tables.revision == 2)
-        self.assertEqual(self.replicas[0].server.nodes._positions, {})
+        self.assertEqual(self.replicas[0].server.node_streams._positions, {})
 
     def test_leader_without_quorum_confirms_and_pushes_nothing(self):
         client = self.client()
@@ -187,17 +189,17 @@
         self.wait_until(lambda: not len(self.leader.state.rows.nodes), timeout_s=0.5)
 
     def test_failed_proposals_are_retried(self):
-        self.leader.replicator.fail = 3
+        self.leader.replicator.dropped_proposals = 3
         client = self.client()
         self.wait_until(lambda: client.session_is_valid())
 
     def test_stalled_leader_restarts_all_times_to_live(self):
         client = self.client()
         self.wait_until(lambda: client.session_is_valid())
-        leadership = self.leader.server.nodes.leadership
-        before = leadership.duties()
+        leadership = self.leader.server.node_streams.leadership
+        before = leadership.leader_state()
         leadership._last_progress_ms -= 10_000
-        self.wait_until(lambda: leadership.duties() not in (None, before))
+        self.wait_until(lambda: leadership.leader_state() not in (None, before))
 
     def test_ping_with_the_row_of_another_node_is_refused(self):
         client = self.client(start=False)
@@ -264,7 +266,7 @@
         self.assertEqual(lost["author"], "ann")
 
     def test_retry_after_a_lost_reply(self):
-        self.leader.replicator.lose_answers = 1
+        self.leader.replicator.lost_replies = 1
         self.assertEqual(self.apply(0, "r1")[0], 503)
         self.lead(1)
         self.assertEqual(self.apply(0, "r1")[1]["revision"], 1)
--- a/bergamotdrift/tests/test_control_state.py
+++ b/bergamotdrift/tests/test_control_state.py
@@ -6,10 +6,10 @@
 from bergamotdrift import control_commands as cmd
 from bergamotdrift import row_table
 from bergamotdrift.config.schema import ServiceKind
-from bergamotdrift.control_commands import Hold
+from bergamotdrift.control_commands import ReassignmentWait
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.feed_tables import PartitionId, Tables, UpstreamId
+from bergamotdrift.feed_tables import FeedTables, PartitionId, UpstreamId
 from bergamotdrift.messages import (
     NodeRow,
     PartitionRef,
@@ -93,7 +93,7 @@
     def test_revisions_are_bounded_but_the_audit_trail_is_not(self):
         for base in range(1, 61):
             self.do(change(site([]), base, f"r{base + 1}"))
-        self.assertEqual(len(self.state.settings.recent), 16)
+        self.assertEqual(len(self.state.settings.recent_revisions), 16)
         self.assertEqual(len(self.state.settings.audit), 61)
 
     @given(st.lists(st.tuples(st.integers(0, 6), st.integers(0, 8)), max_size=30))
@@ -132,7 +132,10 @@
     def test_expiry_vacates_partitions_until_permits_end(self):
         self.do(cmd.ExpireUpstreams([cmd.UpstreamIncarnation("s", "u1", "i1")]))
         self.assertEqual(self.partition(0).state, PartitionState.VACANT)
-        self.assertEqual(self.state.rows.hold(PartitionId("s", 0)), Hold.PERMITS)
+        self.assertEqual(
+            self.state.rows.reassignment_wait(PartitionId("s", 0)),
+            ReassignmentWait.PERMITS,
+        )
 
     def test_keyed_upstream_is_not_replaced_before_it_expires(self):
         self.assertEqual(self.do(cmd.PutUpstreams([upstream("u1", "i2")])).changed, 0)
@@ -166,13 +169,19 @@
         self.assertEqual(len(self.state.rows.upstreams), 0)
         self.do(change(site([service()]), 2, "r3"))
         self.assertEqual(self.partition(0).epoch, 1)
-        self.assertEqual(self.state.rows.hold(PartitionId("s", 0)), Hold.LEASE)
+        self.assertEqual(
+            self.state.rows.reassignment_wait(PartitionId("s", 0)),
+            ReassignmentWait.LEASE,
+        )
 
     def test_repartitioning_vacates_all_partitions(self):
         self.do(change(site([service(partitions=4)]), 1, "r2"))
         self.assertEqual(len(self.state.rows.partitions), 4)
         self.assertEqual(self.state.rows.partitions_of(UpstreamId("s", "u1")), [])
-        self.assertEqual(self.state.rows.hold(PartitionId("s", 0)), Hold.LEASE)
+        self.assertEqual(
+            self.state.rows.reassignment_wait(PartitionId("s", 0)),
+            ReassignmentWait.LEASE,
+        )
 
     def test_service_change_from_keyed_to_pool_removes_partitions(self):
         self.do(change(site([service(kind=ServiceKind.POOL)]), 1, "r2"))
@@ -184,7 +193,7 @@
     """Guards nodes against missing rows, and against updates of an earlier leader."""
 
     def test_deltas_and_full_update_give_equal_tables(self):
-        tables, updates = Tables(), []
+        tables, updates = FeedTables(), []
         for step in range(40):
             name = f"x{step % 5}"
             if step % 7 == 6:
@@ -196,7 +205,7 @@
                 updates.append(self.state.update_since(tables.index))
                 self.assertTrue(tables.apply(updates[-1]))
         tables.apply(self.state.update_since(tables.index))
-        fresh = Tables()
+        fresh = FeedTables()
         fresh.apply(self.state.update_since(0))
         self.assertEqual(vars(tables), vars(fresh))
         for update in updates[:-1]:
--- a/bergamotdrift/tests/test_direct_selection.py
+++ b/bergamotdrift/tests/test_direct_selection.py
@@ -12,7 +12,7 @@
     ZoneState,
 )
 from bergamotdrift.direct_selection import Blocked, Chosen, DirectSelector
-from bergamotdrift.feed_tables import Tables, UpstreamId
+from bergamotdrift.feed_tables import FeedTables, UpstreamId
 from bergamotdrift.messages import (
     FeedUpdate,
     NodeRow,
@@ -61,7 +61,7 @@
     def setUp(self):
         entries = [entry(n, "a" if n <= 2 else "b") for n in range(1, 10)]
         rows = [upstream("near", "a"), upstream("far", "b")]
-        tables = Tables()
+        tables = FeedTables()
         tables.apply(
             FeedUpdate(0, 1, True, 1, SETTINGS, entries, rows, [], [], [], [], [], [])
         )
--- a/bergamotdrift/tests/test_docs.py
+++ b/bergamotdrift/tests/test_docs.py
@@ -8,7 +8,7 @@
 from bergamotdrift.config import process
 from bergamotdrift.config.containers import NamedSections, NamedValues, Section
 from bergamotdrift.config.site import SITE_OPTIONS
-from bergamotdrift.exceptions import ANSWERS, ErrorKind
+from bergamotdrift.exceptions import ERROR_ANSWERS, ErrorKind
 
 _DOCS = Path(__file__).resolve().parents[2] / "docs"
 _PACKAGE = _DOCS.parent / "bergamotdrift"
@@ -68,7 +68,7 @@
             documented[ErrorKind(kind.strip("`"))] = (int(code), not_run, retry)
         expected = {}
         for kind in kinds:
-            answer = ANSWERS[kind]
+            answer = ERROR_ANSWERS[kind]
             retry = f"{answer.retry_after_s} s" if answer.retry_after_s else "no"
             not_run = "yes" if answer.not_run else "no"
             expected[kind] = (answer.status, not_run, retry)
--- a/bergamotdrift/tests/test_entry.py
+++ b/bergamotdrift/tests/test_entry.py
@@ -86,7 +86,7 @@
 
     def test_sigterm_drains_in_flight_requests_and_exits_with_0(self):
         gevent.sleep(0.4)
-        self.upstream.hold_s = 0.8
+        self.upstream.response_delay_s = 0.8
         caller, late = Caller(self.address), Caller(self.address)
         self.addCleanup(caller.sock.close)
         self.addCleanup(late.sock.close)
--- a/bergamotdrift/tests/test_entry_node.py
+++ b/bergamotdrift/tests/test_entry_node.py
@@ -59,7 +59,7 @@
 
 class CallerGoneTests(EntryTestCase):
     def test_caller_disconnect_cancels_the_attempt_and_releases_the_permit(self):
-        self.upstream.hold_s = 0.4
+        self.upstream.response_delay_s = 0.4
         caller = self.caller()
         caller.send("GET", "/status/1")
         self.wait_until(lambda: self.upstream.requests)
@@ -70,7 +70,7 @@
         self.wait_until(lambda: self.entry.app.running == 0)
 
     def test_disconnect_of_a_queued_caller_cancels_its_permit_request(self):
-        self.arbiter.answer = lambda m: (
+        self.arbiter.reply_for = lambda m: (
             "silence" if isinstance(m, PermitRequest) else None
         )
         caller = self.caller()
@@ -82,7 +82,7 @@
     def test_caller_that_stops_reading_a_download_frees_its_permit(self):
         size = 50_000_000
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
-        self.upstream.script = lambda data: head + b"a" * size
+        self.upstream.respond = lambda data: head + b"a" * size
         self.caller().send("GET", "/files/1")
         self.wait_until(lambda: self.arbiter.of_type(PermitRelease), 4.0)
 
@@ -102,7 +102,7 @@
         self.assertEqual(self.ask("GET", "/status/1", key="new").status, 200)
 
     def test_key_revoked_while_its_request_waits_refuses_the_request(self):
-        self.arbiter.answer = lambda m: (
+        self.arbiter.reply_for = lambda m: (
             "silence" if isinstance(m, PermitRequest) else None
         )
         job = gevent.spawn(self.ask, "GET", "/status/1")
@@ -120,7 +120,7 @@
 class RevokeTests(EntryTestCase):
     def test_revoke_cancels_running_attempts_and_idle_connections(self):
         self.ask("GET", "/cases/1")
-        self.upstream.hold_s = 1.0
+        self.upstream.response_delay_s = 1.0
         job = gevent.spawn(self.ask, "POST", "/cases/1")
         self.wait_until(lambda: len(self.upstream.requests) == 2)
         self.arbiter.conn.send(Revoke(SHARD, "u1"))
@@ -137,7 +137,7 @@
 
 class SessionLossTests(EntryTestCase):
     def test_attempts_end_when_control_and_the_arbiter_are_lost(self):
-        self.upstream.hold_s = 1.9
+        self.upstream.response_delay_s = 1.9
         job = gevent.spawn(self.ask, "POST", "/cases/1")
         self.wait_until(lambda: self.upstream.requests)
         self.control.silent = True
@@ -146,7 +146,7 @@
         self.assertEqual(answer.kind, "outcome_unknown")
 
     def test_attempts_continue_while_the_arbiter_is_reachable(self):
-        self.upstream.hold_s = 1.8
+        self.upstream.response_delay_s = 1.8
         job = gevent.spawn(self.ask, "POST", "/cases/1")
         self.wait_until(lambda: self.upstream.requests)
         self.control.silent = True
@@ -182,7 +182,7 @@
     def test_entry_reports_permits_and_records_to_the_new_arbiter(self):
         headers = [("Idempotency-Key", "k1")]
         self.ask("GET", "/cases/1")
-        self.upstream.hold_s = 0.5
+        self.upstream.response_delay_s = 0.5
         jobs = [
             gevent.spawn(self.ask, "POST", "/cases/1", headers),
             gevent.spawn(self.ask, "GET", "/status/1"),
@@ -206,7 +206,7 @@
     def test_grant_of_the_previous_arbiter_is_not_used_after_the_move(self):
         # The new arbiter knows only the permits that the entry reported, not one that
         # was granted afterwards.
-        self.arbiter.answer = lambda m: (
+        self.arbiter.reply_for = lambda m: (
             "silence" if isinstance(m, PermitRequest) else None
         )
         job = gevent.spawn(self.ask, "POST", "/cases/1")
@@ -227,7 +227,7 @@
                 return PermitRefusal(ErrorKind.NO_UPSTREAM)
             return None
 
-        self.arbiter.answer = refuse_first
+        self.arbiter.reply_for = refuse_first
         self.assertEqual(self.ask("POST", "/cases/1").status, 200)
         self.assertEqual(self.arbiter.of_type(PermitCancel), [])
 
@@ -248,10 +248,10 @@
 
 class ShutdownTests(EntryTestCase):
     def test_in_flight_requests_finish_and_new_ones_are_refused(self):
-        self.arbiter.answer = lambda m: (
+        self.arbiter.reply_for = lambda m: (
             TokenGrant(5, 200, 0) if isinstance(m, TokenRequest) else None
         )
-        self.upstream.hold_s = 0.5
+        self.upstream.response_delay_s = 0.5
         job = gevent.spawn(self.ask, "POST", "/cases/1")
         kept = self.caller()
         self.wait_until(lambda: self.upstream.requests)
--- a/bergamotdrift/tests/test_failure_lines.py
+++ b/bergamotdrift/tests/test_failure_lines.py
@@ -99,7 +99,7 @@
         self.assert_logged("cold at k0")
 
     def test_upstream_that_is_full(self):
-        self.upstreams[0].hold_s = 0.8
+        self.upstreams[0].response_delay_s = 0.8
         headers = [("Shard-Key", "7")]
         jobs = [
             gevent.spawn(
@@ -113,26 +113,26 @@
         gevent.joinall(jobs, timeout=3)
 
     def test_upstream_that_sheds(self):
-        self.answer_all(lambda data: BUSY)
+        self.set_response_script(lambda data: BUSY)
         self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 503)
         self.assert_logged("event=attempt_failed", "outcome=shed", "not_run=true")
         self.assert_logged("event=request_refused", "kind=upstream_shed")
 
     def test_upstream_without_an_answer(self):
         for upstream in self.upstreams:
-            upstream.hold_s = 3.0
+            upstream.response_delay_s = 3.0
         self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 504)
         self.assert_logged("event=attempt_failed", "outcome=timeout", "upstream=i")
         self.assert_logged("event=outcome_not_known", "kind=upstream_timeout")
 
     def test_connection_that_breaks(self):
-        self.answer_all(lambda data: None)
+        self.set_response_script(lambda data: None)
         self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 502)
         self.assert_logged("outcome=broken", "not_run=false", "sent=1")
 
     def test_answer_to_another_request(self):
         misdirected = OK.replace(b"Backend-Load", b"Attempt-Id: old\r\nBackend-Load")
-        self.answer_all(lambda data: misdirected)
+        self.set_response_script(lambda data: misdirected)
         self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 502)
         self.assert_logged("outcome=broken", "another request")
 
@@ -143,7 +143,7 @@
         self.assert_logged("outcome=connect_failed", "not_run=true")
 
     def test_caller_that_leaves(self):
-        self.upstreams[0].hold_s = self.upstreams[1].hold_s = 1.0
+        self.upstreams[0].response_delay_s = self.upstreams[1].response_delay_s = 1.0
         caller = Caller(self.entry.server.address)
         headers = [("Attempt-Id", "a1"), ("Deadline-Ms", "900")]
         caller.send("POST", "/order/1", headers, b"x", KEY)
--- a/bergamotdrift/tests/test_forward.py
+++ b/bergamotdrift/tests/test_forward.py
@@ -21,7 +21,7 @@
     """Guards against HTTP libraries or connections that resend a request."""
 
     def test_no_method_is_resent_when_the_upstream_closes_without_a_response(self):
-        self.upstream.script = lambda data: None
+        self.upstream.respond = lambda data: None
         for method in METHODS:
             with self.subTest(method=method):
                 self.upstream.requests.clear()
@@ -32,11 +32,11 @@
     def test_no_method_is_resent_on_a_reused_connection(self):
         for method in METHODS:
             with self.subTest(method=method):
-                self.upstream.script = lambda data: OK_ANSWER
+                self.upstream.respond = lambda data: OK_ANSWER
                 self.ask("POST", "/cases/1")
                 self.upstream.requests.clear()
                 opened = len(self.upstream.connections)
-                self.upstream.script = lambda data: None
+                self.upstream.respond = lambda data: None
                 self.assertEqual(self.ask(method, "/cases/1").kind, "outcome_unknown")
                 self.assertEqual(len(self.upstream.requests), 1)
                 self.assertEqual(len(self.upstream.connections), opened)
@@ -64,7 +64,7 @@
             b"not http at all\r\n\r\n",
         ):
             with self.subTest(truncated=truncated[:60]):
-                self.upstream.script = lambda data, truncated=truncated: [
+                self.upstream.respond = lambda data, truncated=truncated: [
                     truncated,
                     b"",
                 ]
@@ -74,14 +74,14 @@
 
     def serve_once(self, sock, _address):
         sock.recv(65536)
-        for part in self.upstream.script(b""):
+        for part in self.upstream.respond(b""):
             sock.sendall(part)
         sock.close()
 
     def test_truncated_small_response_to_an_idempotent_request_is_retried(self):
         truncated = b"HTTP/1.1 200 OK\r\nX-Close: 1\r\nContent-Length: 10\r\n\r\nabc"
         answers = [truncated, OK_ANSWER]
-        self.upstream.script = lambda data: answers.pop(0)
+        self.upstream.respond = lambda data: answers.pop(0)
         answer = self.ask("GET", "/status/1")
         self.assertEqual((answer.status, answer.body), (200, OK_BODY))
 
@@ -94,7 +94,7 @@
                 return head(4) + b"LATE"
             return OK_ANSWER
 
-        self.upstream.script = script
+        self.upstream.respond = script
         late = self.ask("GET", "/status/late", [("X-Deadline-Ms", "100")])
         self.assertEqual(late.kind, "upstream_timeout")
         for _ in range(20):
@@ -102,7 +102,7 @@
             gevent.sleep(0.02)
 
     def test_connection_with_data_after_the_response_is_not_reused(self):
-        self.upstream.script = lambda data: OK_ANSWER + head(5) + b"EXTRA"
+        self.upstream.respond = lambda data: OK_ANSWER + head(5) + b"EXTRA"
         for _ in range(3):
             self.assertEqual(self.ask("GET", "/status/1").body, OK_BODY)
         self.assertEqual(len(self.upstream.connections), 3)
@@ -120,7 +120,7 @@
             gevent.sleep(0.002 * (hash(name) % 5))
             return head(len(name)) + name
 
-        self.upstream.script = script
+        self.upstream.respond = script
         names = [f"n{number}" for number in range(15)]
         jobs = [gevent.spawn(self.ask, "GET", f"/status/{n}") for n in names]
         gevent.joinall(jobs, timeout=5)
@@ -135,7 +135,7 @@
         self.assertFalse(self.arbiter.of_type(PermitRelease)[0].kept)
 
     def test_connection_of_a_request_that_timed_out_is_closed(self):
-        self.upstream.hold_s = 0.3
+        self.upstream.response_delay_s = 0.3
         self.ask("GET", "/status/1", [("X-Deadline-Ms", "100")])
         self.wait_until(lambda: self.upstream.closed == 1)
         self.assertEqual(self.arbiter.of_type(PermitRelease)[0].outcome, "timeout")
@@ -153,11 +153,11 @@
             ("GET", CHUNKED + b"3\r\nabc\r\n0\r\n\r\n", 200),
         ):
             with self.subTest(answer=answer[:40]):
-                self.upstream.script = lambda data, answer=answer: answer
+                self.upstream.respond = lambda data, answer=answer: answer
                 self.assertEqual(caller.ask(method, "/cases/1").status, status)
 
     def test_hop_by_hop_headers_are_removed_in_both_directions(self):
-        self.upstream.script = lambda data: (
+        self.upstream.respond = lambda data: (
             b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: x-gone\r\n"
             b"X-Gone: 1\r\nKeep-Alive: 1\r\nX-Stays: 1\r\n\r\ndone"
         )
@@ -176,7 +176,7 @@
             self.assertNotIn(name, seen)
 
     def test_chunked_upload_is_forwarded_completely(self):
-        self.upstream.script = lambda data: OK_ANSWER
+        self.upstream.respond = lambda data: OK_ANSWER
         lines = (
             "PUT /files/a HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-of-w1\r\n"
         )
--- a/bergamotdrift/tests/test_idempotency.py
+++ b/bergamotdrift/tests/test_idempotency.py
@@ -17,7 +17,7 @@
 from bergamotdrift.idempotency import RECORD_TTL_MS, RecordStore
 from bergamotdrift.messages import Failure
 from bergamotdrift.outputs import Mirror, Reply
-from bergamotdrift.record_mirror import MirroredRecord, RecordMirrors
+from bergamotdrift.record_mirror import MirroredRecord, MirroredRecordStore
 from bergamotdrift.shard_view import WorkspaceView
 from bergamotdrift.tests import arbiter_support as support
 from bergamotdrift.workspace_arbitration import WorkspaceArbitration
@@ -125,11 +125,11 @@
         self.assertEqual(self.begin("r3"), [])
 
     def test_mirrored_claim_without_owner_is_unknown(self):
-        mirrors = RecordMirrors(self.clock)
+        mirrors = MirroredRecordStore(self.clock)
         row = RecordRow("w", "k", "f", "r1", RecordState.RUNNING, 0, None)
         mirrors.store(self.entry, row)
         self.clock.advance(50)
-        (item,) = mirrors.take("w")
+        (item,) = mirrors.pop_workspace("w")
         self.assertEqual(item.row.age_ms, 50)
         self.store.merge(None, item.row)
         self.store.close_unowned()
@@ -148,7 +148,7 @@
         self.clock = ManualClock()
         self.stores_mirrors = stores_mirrors
         self.entries: dict = {support.entry(n): {} for n in range(3)}
-        self.mirrors = RecordMirrors(self.clock)
+        self.mirrors = MirroredRecordStore(self.clock)
         self.epoch = 0
         self.requests = 0
         self.unresolved: Counter = Counter()
@@ -160,7 +160,7 @@
         self.local = self.rng.choice([None, *sorted(self.entries)])
         view = self.view()
         self.arbiter = WorkspaceArbitration("workspace:w", view, self.clock)
-        self.arbiter.take_mirrored(self.mirrors.take("w"))
+        self.arbiter.merge_mirrored(self.mirrors.pop_workspace("w"))
         for entry, rows in self.entries.items():
             report = support.resume(
                 "workspace:w", self.epoch, records=list(rows.values())
@@ -284,7 +284,7 @@
         item = MirroredRecord(support.entry(9), RecordMirror(row).row)
         view = WorkspaceView(1, support.workspace(), frozenset({support.entry(0)}))
         arbiter = WorkspaceArbitration("workspace:w", view, ManualClock())
-        arbiter.take_mirrored([item])
+        arbiter.merge_mirrored([item])
         entry = support.entry(0)
         arbiter.resume(entry, support.resume("workspace:w"))
         outputs = arbiter.begin_record(entry, begin("r1"), "t")
--- a/bergamotdrift/tests/test_leader_state.py
+++ b/bergamotdrift/tests/test_leader_state.py
@@ -6,7 +6,7 @@
 from bergamotdrift import control_commands as cmd
 from bergamotdrift.config.schema import Fencing
 from bergamotdrift.handover import Handover
-from bergamotdrift.leader_state import LeaderDuties
+from bergamotdrift.leader_state import LeaderState
 from bergamotdrift.messages import (
     Announcement,
     KeyCount,
@@ -17,7 +17,7 @@
 from bergamotdrift.reply_gate import ReplyGate
 from bergamotdrift.tests.control_simulation import (
     ZONES,
-    Model,
+    ControlSimulation,
     site,
 )
 
@@ -26,7 +26,7 @@
 
 
 def crash(model):
-    live = model.live()
+    live = model.live_upstreams()
     if len(live) > 2:
         model.rng.choice(live).crashed = True
 
@@ -39,18 +39,18 @@
 
 def freeze(model):
     up = model.rng.choice(model.upstreams)
-    up.frozen_until = model.now + model.rng.uniform(200, 4000)
+    up.paused_until = model.now + model.rng.uniform(200, 4000)
 
 
 def leave(model):
-    if len(model.live()) > 2:
-        model.rng.choice(model.live()).state = UpstreamState.LEAVING
+    if len(model.live_upstreams()) > 2:
+        model.rng.choice(model.live_upstreams()).state = UpstreamState.LEAVING
 
 
 def restart_departed(model):
     """Restart each leaving upstream that no longer serves, as a new incarnation."""
-    for up in [u for u in model.live() if u.state is UpstreamState.LEAVING]:
-        if not up.may_serve():
+    for up in [u for u in model.live_upstreams() if u.state is UpstreamState.LEAVING]:
+        if not up.served_grants():
             up.crashed = True
             model.restart(up)
 
@@ -62,7 +62,7 @@
 
 def disconnect_node(model):
     node = model.rng.choice(model.nodes)
-    node.cut_until = model.now + model.rng.uniform(200, 3000)
+    node.disconnected_until = model.now + model.rng.uniform(200, 3000)
 
 
 def isolate(model):
@@ -98,7 +98,7 @@
 
 def run_schedule(seed, fencing, faults=FAULTS, duration_ms=15_000):
     """Run randomly chosen faults at random intervals and return the model."""
-    model = Model(seed, fencing)
+    model = ControlSimulation(seed, fencing)
     model.run(2500)
     end = model.now + duration_ms
     while model.now < end:
@@ -110,12 +110,12 @@
 def end_faults(model):
     """End all faults."""
     for up in list(model.upstreams):
-        up.frozen_until = 0.0
+        up.paused_until = 0.0
         if up.crashed or up.state is UpstreamState.LEAVING:
             up.crashed = True
             model.restart(up)
     for node in model.nodes:
-        node.cut_until = 0.0
+        node.disconnected_until = 0.0
     model.apply_settings(site([model.service]))
 
 
@@ -166,11 +166,13 @@
 
     def longest_outage_ms(self, seed, fencing, inject_fault):
         """Return the longest time in ms that any key was unserved after a failure."""
-        model = Model(seed, fencing)
-        model.loss = model.slow = model.unknown = 0.0
+        model = ControlSimulation(seed, fencing)
+        model.loss_probability = model.delay_probability = (
+            model.unknown_outcome_probability
+        ) = 0.0
         model.run(6000 + 70 * seed)
         self.assertTrue(model.all_served())
-        moves_before, started = model.moves, model.now
+        moves_before, started = model.assignment_count, model.now
         inject_fault(model)
         last_served_ms = dict.fromkeys(model.key_hashes, started)
         longest = 0.0
@@ -182,7 +184,7 @@
             longest = max(longest, *(model.now - t for t in last_served_ms.values()))
         self.assertEqual(model.violations[:3], [])
         # Each of the 4 upstreams owns 2 partitions; those of the others must not move.
-        self.assertLessEqual(model.moves - moves_before, 4)
+        self.assertLessEqual(model.assignment_count - moves_before, 4)
         return longest
 
     def assert_outage_is_bounded(self, fencing, inject_fault):
@@ -198,7 +200,7 @@
 
     def test_freeze(self):
         def freeze_long(model):
-            model.upstreams[0].frozen_until = model.now + 60_000
+            model.upstreams[0].paused_until = model.now + 60_000
 
         for fencing in Fencing:
             self.assert_outage_is_bounded(fencing, freeze_long)
@@ -214,7 +216,7 @@
     def test_crash_together_with_an_arbiter(self):
         def crash_both(model):
             crash(model)
-            model.nodes[2].cut_until = model.now + 60_000
+            model.nodes[2].disconnected_until = model.now + 60_000
 
         for fencing in Fencing:
             self.assert_outage_is_bounded(fencing, crash_both)
@@ -242,14 +244,16 @@
         """Return how many requests new owners fenced while a zone was taken out."""
         fenced = 0
         for seed in range(4):
-            model = Model(seed)
-            model.loss = model.slow = model.unknown = 0.0
+            model = ControlSimulation(seed)
+            model.loss_probability = model.delay_probability = (
+                model.unknown_outcome_probability
+            ) = 0.0
             model.run(6000 + 70 * seed)
-            fenced_before = model.fenced
+            fenced_before = model.fenced_requests
             model.apply_settings(site([model.service], ["b"]))
             model.run(4000)
             self.assertTrue(model.all_served())
-            fenced += model.fenced - fenced_before
+            fenced += model.fenced_requests - fenced_before
         return fenced
 
     def test_owner_learns_of_its_grants_with_the_change(self):
@@ -260,30 +264,30 @@
         self.assertLess(fenced_with_gate * 5, fenced_without_gate)
 
 
-def announce(duties, name="u1", now_ms=0.0, **kwargs):
+def announce(leader_state, name="u1", now_ms=0.0, **kwargs):
     item = Announcement(
         "s", name, "127.0.0.1:1", "a", "i1", UpstreamState.READY, []
     )._replace(**kwargs)
-    duties.holds_reply(item)
-    return duties.announce(item, now_ms)
+    leader_state.defers_reply(item)
+    return leader_state.announce(item, now_ms)
 
 
 class AnnouncementTests(unittest.TestCase):
     """Guards against announcements that are invalid, late or of another run."""
 
     def setUp(self):
-        self.model = Model(1, upstreams=0)
-        self.duties: LeaderDuties = self.model.duties
-        announce(self.duties)
+        self.model = ControlSimulation(1, upstreams=0)
+        self.leader_state: LeaderState = self.model.leader_state
+        announce(self.leader_state)
         self.run_round(0.0)
 
     def run_round(self, now_ms):
-        for command in self.duties.commands(now_ms):
+        for command in self.leader_state.commands(now_ms):
             self.model.commit(command)
 
     def assert_refused(self, message_part, now_ms=10.0, **kwargs):
         before = self.model.state.snapshot()
-        reply = announce(self.duties, now_ms=now_ms, **kwargs)
+        reply = announce(self.leader_state, now_ms=now_ms, **kwargs)
         self.assertIn(message_part, reply.error)
         self.assertEqual((reply.lease_ms, reply.grants), (0, []))
         self.run_round(now_ms)
@@ -311,44 +315,46 @@
 
     def test_delayed_announcement_of_an_earlier_incarnation(self):
         self.run_round(1600.0)
-        announce(self.duties, now_ms=1700.0, incarnation="i2")
+        announce(self.leader_state, now_ms=1700.0, incarnation="i2")
         self.run_round(1700.0)
         self.assert_refused("later incarnation", now_ms=1800.0)
 
     def test_no_renewal_once_the_expiry_may_be_logged(self):
-        commands = self.duties.commands(1500.0)
+        commands = self.leader_state.commands(1500.0)
         self.assertTrue(any(isinstance(c, cmd.ExpireUpstreams) for c in commands))
-        reply = announce(self.duties, now_ms=1501.0)
+        reply = announce(self.leader_state, now_ms=1501.0)
         self.assertIn("ran out", reply.error)
         self.assertEqual((reply.lease_ms, reply.grants), (0, []))
 
     def test_leaving_is_not_undone_by_a_delayed_announcement(self):
-        announce(self.duties, now_ms=10.0, state=UpstreamState.LEAVING)
+        announce(self.leader_state, now_ms=10.0, state=UpstreamState.LEAVING)
         self.run_round(10.0)
-        announce(self.duties, now_ms=20.0)
+        announce(self.leader_state, now_ms=20.0)
         self.run_round(20.0)
         row = self.model.state.rows.upstreams.get(("s", "u1"))
         self.assertEqual(row.state, UpstreamState.LEAVING)
 
     def test_upstream_lease_ends_before_the_leader_expires_it(self):
-        self.assertLess(announce(self.duties, now_ms=10.0).lease_ms, 1500)
+        self.assertLess(announce(self.leader_state, now_ms=10.0).lease_ms, 1500)
 
     def test_drain_report_of_a_node_without_the_shard(self):
         for now_ms in (500.0, 1000.0, 1500.0, 1600.0):
-            announce(self.duties, now_ms=now_ms)
+            announce(self.leader_state, now_ms=now_ms)
             self.run_round(now_ms)
         self.assertEqual(self.model.upstream_of(0), "u1")
         ref = cmd.PartitionRef("s", 0, 1)
         self.model.commit(cmd.ReleasePartitions([ref]))
-        self.assertFalse(self.duties.drained(ref, "stranger"))
+        self.assertFalse(self.leader_state.record_drain_report(ref, "stranger"))
 
 
 class HotKeyTests(unittest.TestCase):
     """Guards the isolation of hot keys, which must not interrupt their service."""
 
     def test_hot_key_is_isolated_and_moves_to_a_less_loaded_upstream(self):
-        model = Model(3, upstreams=3, partitions=12)
-        model.loss = model.slow = model.unknown = 0.0
+        model = ControlSimulation(3, upstreams=3, partitions=12)
+        model.loss_probability = model.delay_probability = (
+            model.unknown_outcome_probability
+        ) = 0.0
         model.run(5000)
         hot = model.key_hashes[0]
         home = model.upstream_of(0)
@@ -361,7 +367,7 @@
                 loads.append(PartitionLoad(isolated.partition, 180))
             report = LoadReport("s", 1000, loads, [KeyCount(hot, 180)])
             if model.now % 1000 == 0:
-                model.duties.add_loads(report, model.now)
+                model.leader_state.add_loads(report, model.now)
             model.step()
         self.assertEqual(model.violations[:3], [])
         isolated = model.state.rows.isolated.get(("s", hot))
@@ -371,7 +377,7 @@
         # Either the key or the other partitions have moved off the overloaded upstream.
         self.assertTrue(len(homes) == 2 or len(others) < 3)
         # 12 initial assignments, then at most 8 moves although new loads keep arriving.
-        self.assertLessEqual(model.moves, 12 + 8)
+        self.assertLessEqual(model.assignment_count, 12 + 8)
         model.run_until(model.all_served, MAX_OUTAGE_MS)
 
 
--- a/bergamotdrift/tests/test_leadership.py
+++ b/bergamotdrift/tests/test_leadership.py
@@ -5,7 +5,7 @@
 
 from bergamotdrift.clock import BootClock
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.leader_state import LeaderDuties
+from bergamotdrift.leader_state import LeaderState
 from bergamotdrift.leadership import Leadership
 from bergamotdrift.tests.fake_replicator import FakeLog, FakeReplicator
 
@@ -30,7 +30,7 @@
     def setUp(self):
         state = ControlState()
         replicator = FakeReplicator(FakeLog(), "c1", state)
-        replicator.lead()
+        replicator.become_leader()
         self.observer = Observer()
         self.leadership = Leadership(state, replicator, BootClock(), self.observer)
         self.addCleanup(self.leadership.stop)
@@ -42,12 +42,12 @@
 
     def test_term_is_opened_again_after_an_error(self):
         error = mock.patch.object(
-            LeaderDuties, "commands", side_effect=ZeroDivisionError("test")
+            LeaderState, "commands", side_effect=ZeroDivisionError("test")
         )
         with error, mock.patch("bergamotdrift.leadership.log_event") as log:
             self.leadership.start()
             self.wait_until(lambda: self.observer.times_lost)
         logged = {call.args[0]: call.kwargs for call in log.call_args_list}
         self.assertIn("ZeroDivisionError", logged["leader_round_failed"]["error"])
-        self.wait_until(self.leadership.duties)
+        self.wait_until(self.leadership.leader_state)
         self.assertEqual(self.observer.times_lost, 1)
--- a/bergamotdrift/tests/test_local_records.py
+++ b/bergamotdrift/tests/test_local_records.py
@@ -5,17 +5,17 @@
     SavedAnswer,
 )
 from bergamotdrift.clock import ManualClock
-from bergamotdrift.local_records import RecordBook, RecordId
+from bergamotdrift.local_records import LocalRecords, RecordId
 from bergamotdrift.shards import upstream_shard, workspace_shard
 
 RID = RecordId("w1", "digest")
 ANSWER = SavedAnswer(200, [], b"done")
 
 
-class RecordBookTests(unittest.TestCase):
+class LocalRecordsTests(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock()
-        self.book = RecordBook(self.clock)
+        self.book = LocalRecords(self.clock)
 
     def states(self, workspace="w1"):
         rows = self.book.rows_of_shard(workspace_shard(workspace))
