--- a/bergamotdrift/tests/test_operator_api.py
+++ b/bergamotdrift/tests/test_operator_api.py
@@ -8,7 +8,7 @@
 from bergamotdrift.clock import BootClock
 from bergamotdrift.commands.arguments import CONTROL_VARIABLE, KEY_VARIABLE
 from bergamotdrift.config.schema import ControlSettings, NodeSettings, ReplicaAddress
-from bergamotdrift.control_node import Control
+from bergamotdrift.control_node import ControlNode
 from bergamotdrift.hashing import key_digest
 from bergamotdrift.tests.fake_control import OPERATOR_KEY
 from bergamotdrift.tests.test_cli import BASE, OVERLAY, Run
@@ -34,7 +34,7 @@
             (key_digest(OPERATOR_KEY),),
             1000,
         )
-        control = Control(cfg, BootClock())
+        control = ControlNode(cfg, BootClock())
         control.start()
         self.addCleanup(control.stop)
         with gevent.Timeout(10):
--- a/bergamotdrift/tests/test_operator_client.py
+++ b/bergamotdrift/tests/test_operator_client.py
@@ -3,7 +3,7 @@
 from gevent.server import StreamServer
 
 from bergamotdrift.operator_api import Change
-from bergamotdrift.operator_client import OperatorClient, Trouble
+from bergamotdrift.operator_client import CallFailureKind, OperatorClient
 from bergamotdrift.tests.fake_control import OPERATOR_KEY, FakeReplica, FakeSite
 from bergamotdrift.tests.test_check import MAPPINGS
 
@@ -49,8 +49,8 @@
     def test_outcome_is_unknown_if_the_only_replica_is_unresponsive(self):
         unresponsive = self.faulty_replica(b"", stays_open=True)
         failure = self.apply(unresponsive, timeout_s=0.3, with_healthy=False).failure()
-        self.assertEqual(failure.trouble, Trouble.OUTCOME_UNKNOWN)
+        self.assertEqual(failure.kind, CallFailureKind.OUTCOME_UNKNOWN)
 
     def test_change_is_not_sent_if_the_connection_is_refused(self):
         failure = self.apply("127.0.0.1:9", timeout_s=0.3, with_healthy=False).failure()
-        self.assertEqual(failure.trouble, Trouble.UNREACHABLE)
+        self.assertEqual(failure.kind, CallFailureKind.UNREACHABLE)
--- a/bergamotdrift/tests/test_pipeline.py
+++ b/bergamotdrift/tests/test_pipeline.py
@@ -20,7 +20,7 @@
     TokenGrant,
     TokenRequest,
 )
-from bergamotdrift.exceptions import ANSWERS, ErrorKind
+from bergamotdrift.exceptions import ERROR_ANSWERS, ErrorKind
 from bergamotdrift.messages import (
     NodeRow,
     PartitionState,
@@ -61,7 +61,7 @@
     """Checks each "not run" refusal against the requests that the upstream read."""
 
     def assert_not_run(self, answer, kind, requests=0):
-        expected = ANSWERS[ErrorKind(kind)]
+        expected = ERROR_ANSWERS[ErrorKind(kind)]
         self.assertEqual((answer.kind, answer.status), (kind, expected.status))
         body = json.loads(answer.body)
         self.assertEqual((body["error"], body["not_run"]), (kind, True))
@@ -104,19 +104,19 @@
         for kind in ("queue_full", "deadline_unreachable", "no_upstream"):
             with self.subTest(kind=kind):
                 refusal = PermitRefusal(ErrorKind(kind), "", 7.0)
-                self.arbiter.answer = replies(PermitRequest, refusal)
+                self.arbiter.reply_for = replies(PermitRequest, refusal)
                 answer = self.ask("POST", "/cases/1", SHORT)
                 self.assert_not_run(answer, kind)
                 self.assertEqual(answer.headers["retry-after"], "7")
 
     def test_exceeded_rate_states_when_to_retry(self):
-        self.arbiter.answer = replies(TokenRequest, TokenGrant(0, 200, 2500))
+        self.arbiter.reply_for = replies(TokenRequest, TokenGrant(0, 200, 2500))
         answer = self.ask("POST", "/cases/1")
         self.assert_not_run(answer, "rate_exceeded")
         self.assertEqual(answer.headers["retry-after"], "3")
 
     def test_silent_arbiter_is_cancelled_and_reported(self):
-        self.arbiter.answer = replies(PermitRequest, "silence")
+        self.arbiter.reply_for = replies(PermitRequest, "silence")
         self.assert_not_run(self.ask("POST", "/cases/1", SHORT), "arbiter_unreachable")
         self.wait_until(lambda: self.arbiter.of_type(PermitCancel))
 
@@ -134,7 +134,7 @@
     def test_shed_and_fenced_requests_were_not_run(self):
         for answer in (SHED, FENCED):
             self.upstream.requests.clear()
-            self.upstream.script = lambda data, answer=answer: answer
+            self.upstream.respond = lambda data, answer=answer: answer
             refused = self.ask("POST", "/cases/1", SHORT)
             self.assert_not_run(refused, "upstream_shed", len(self.upstream.requests))
 
@@ -147,7 +147,7 @@
         self.assert_not_run(self.ask("GET", "/else"), "no_route")
         self.control.silent = True
         age_ms = self.entry.control.settings_age_ms
-        self.wait_until(lambda: age_ms() > constants.DENIAL_AGE_MAX_MS)
+        self.wait_until(lambda: age_ms() > constants.DENIAL_SETTINGS_AGE_MAX_MS)
         self.assertLess(age_ms(), constants.SETTINGS_STALE_MS)
         self.assert_not_run(self.ask("GET", "/else"), "settings_stale")
         answer = self.ask("GET", "/cases/1", key="withdrawn")
@@ -175,18 +175,18 @@
         for kind in ("no_upstream", "queue_full", "deadline_unreachable"):
             with self.subTest(kind=kind):
                 self.upstream.requests.clear()
-                self.upstream.script = lambda data: None
+                self.upstream.respond = lambda data: None
                 refusal = PermitRefusal(ErrorKind(kind))
                 granted: list[PermitRequest] = []
-                self.arbiter.answer = grant_once(granted, refusal)
+                self.arbiter.reply_for = grant_once(granted, refusal)
                 answer = self.ask("GET", "/status/1", SHORT)
                 self.assert_unknown(answer, "outcome_unknown")
 
     def test_lost_connection_and_timeout(self):
-        self.upstream.script = lambda data: None
+        self.upstream.respond = lambda data: None
         self.assert_unknown(self.ask("POST", "/cases/1"), "outcome_unknown")
         self.upstream.requests.clear()
-        self.upstream.hold_s = 0.5
+        self.upstream.response_delay_s = 0.5
         self.assert_unknown(self.ask("POST", "/cases/1", SHORT), "upstream_timeout")
 
     def test_interrupted_upload(self):
@@ -211,7 +211,7 @@
             (RecordState.UNKNOWN, "outcome_unknown"),
             (RecordState.MISMATCH, "malformed_request"),
         ):
-            self.arbiter.answer = replies(RecordBegin, RecordReply(state))
+            self.arbiter.reply_for = replies(RecordBegin, RecordReply(state))
             self.assertEqual(self.ask("POST", "/cases/1", headers).kind, kind)
         self.assertEqual(self.upstream.requests, [])
 
@@ -219,7 +219,7 @@
 class RetryTests(EntryTestCase):
     def test_shed_request_is_retried_with_its_body(self):
         answers = [SHED, FENCED, OK_ANSWER]
-        self.upstream.script = lambda data: answers.pop(0)
+        self.upstream.respond = lambda data: answers.pop(0)
         answer = self.ask("POST", "/cases/1", body=b"payload")
         self.assertEqual((answer.status, answer.body), (200, OK_BODY))
         for request in self.upstream.requests:
@@ -230,7 +230,7 @@
     def test_fenced_requests_do_not_use_up_the_budget(self):
         # The owner of a new epoch learns its grant up to 500 ms after the entries.
         granted_at = time.monotonic() + 0.45
-        self.upstream.script = lambda data: (
+        self.upstream.respond = lambda data: (
             OK_ANSWER if time.monotonic() > granted_at else FENCED
         )
         jobs = [gevent.spawn(self.ask, "POST", "/cases/1")]
@@ -242,7 +242,7 @@
 
     def test_retry_in_a_pool_excludes_the_failed_upstream(self):
         answers = [SHED, OK_ANSWER]
-        self.upstream.script = lambda data: answers.pop(0)
+        self.upstream.respond = lambda data: answers.pop(0)
         self.assertEqual(self.ask("PUT", "/files/1", body=b"x").status, 200)
         excluded = [msg.excluded for msg in self.arbiter.of_type(PermitRequest)]
         self.assertEqual(excluded, [[], ["u1"]])
@@ -266,17 +266,17 @@
             ("POST", "/cases/1", 502),
         ):
             answers = [None, OK_ANSWER]
-            self.upstream.script = lambda data, answers=answers: answers.pop(0)
+            self.upstream.respond = lambda data, answers=answers: answers.pop(0)
             self.assertEqual(self.ask(method, target).status, expected)
 
     def test_large_upload_is_not_retried(self):
-        self.upstream.script = lambda data: SHED
+        self.upstream.respond = lambda data: SHED
         body = b"x" * (constants.RETRY_BODY_BYTES + 1)
         self.assertEqual(self.ask("PUT", "/files/1", body=body).kind, "upstream_shed")
         self.assertEqual(len(self.upstream.requests), 1)
 
     def test_retries_stay_within_the_budget(self):
-        self.upstream.script = lambda data: SHED
+        self.upstream.respond = lambda data: SHED
         for _ in range(10):
             self.ask("PUT", "/files/1", body=b"x")
         self.assertEqual(len(self.upstream.requests), 10 + 3)
@@ -294,7 +294,9 @@
 
     def test_repeated_request_gets_the_saved_response(self):
         saved = SavedAnswer(201, [], b"saved")
-        self.arbiter.answer = replies(RecordBegin, RecordReply(RecordState.DONE, saved))
+        self.arbiter.reply_for = replies(
+            RecordBegin, RecordReply(RecordState.DONE, saved)
+        )
         answer = self.ask("POST", "/cases/1", self.HEADERS)
         self.assertEqual((answer.status, answer.body), (201, b"saved"))
         self.assertEqual(self.upstream.requests, [])
@@ -302,7 +304,7 @@
     def test_record_end_distinguishes_not_run_from_unknown(self):
         for answer, forget in ((SHED, True), (None, False)):
             self.arbiter.received.clear()
-            self.upstream.script = lambda data, answer=answer: answer
+            self.upstream.respond = lambda data, answer=answer: answer
             self.ask("POST", "/cases/1", [*self.HEADERS, *SHORT])
             self.wait_until(lambda: self.arbiter.of_type(RecordEnd))
             end = self.arbiter.of_type(RecordEnd)[0]
@@ -321,7 +323,7 @@
         self.wait_until(lambda: len(other.of_type(RecordMirror)) == 2)
         states = [msg.row.state for msg in other.of_type(RecordMirror)]
         self.assertEqual(states, [RecordState.RUNNING, RecordState.DONE])
-        other.answer = replies(RecordMirror, "silence")
+        other.reply_for = replies(RecordMirror, "silence")
         refused = self.ask("POST", "/cases/1", self.HEADERS)
         self.assertEqual(refused.kind, "arbiter_unreachable")
         self.assertEqual(len(self.upstream.requests), 1)
--- a/bergamotdrift/tests/test_placement.py
+++ b/bergamotdrift/tests/test_placement.py
@@ -6,7 +6,7 @@
 from bergamotdrift.placement import (
     LOAD_TOLERANCE,
     Candidate,
-    Weighted,
+    WeightedPartition,
     choose_moves,
     choose_shard_owners,
     place,
@@ -25,7 +25,7 @@
 
 
 def ones(numbers):
-    return [Weighted(number, 1.0) for number in numbers]
+    return [WeightedPartition(number, 1.0) for number in numbers]
 
 
 class PlaceTests(unittest.TestCase):
@@ -33,7 +33,7 @@
 
     @given(st.lists(st.floats(0.1, 20), max_size=60), st.integers(1, 9))
     def test_load_is_bounded(self, weights, upstreams):
-        items = [Weighted(n, weight) for n, weight in enumerate(weights)]
+        items = [WeightedPartition(n, weight) for n, weight in enumerate(weights)]
         placed = place(items, candidates([()] * upstreams), pause)
         self.assertEqual(sorted(p.partition for p in placed), list(range(len(items))))
         loads = dict.fromkeys((f"u{n}" for n in range(upstreams)), 0.0)
@@ -67,7 +67,7 @@
             for placed in place(freed, candidates(owned), pause):
                 weight = next(w for n, w in freed if n == placed.partition)
                 owned[int(placed.upstream[1:])].append(
-                    Weighted(placed.partition, weight)
+                    WeightedPartition(placed.partition, weight)
                 )
 
     def test_joining_upstream_takes_its_share_and_no_more(self):
@@ -82,7 +82,9 @@
     @given(st.lists(st.lists(st.floats(0.2, 5), max_size=12), min_size=2, max_size=6))
     def test_moves_come_to_an_end(self, weights):
         numbers = iter(range(1000))
-        owned = [[Weighted(next(numbers), w) for w in items] for items in weights]
+        owned = [
+            [WeightedPartition(next(numbers), w) for w in items] for items in weights
+        ]
         total = sum(len(items) for items in owned)
         self.assertLessEqual(self.moves_until_stable(owned), 4 * total + 1)
 
--- a/bergamotdrift/tests/test_platform_forwarding.py
+++ b/bergamotdrift/tests/test_platform_forwarding.py
@@ -52,29 +52,29 @@
     """Guards against requests that run twice, and against false refusals."""
 
     def test_unsafe_request_is_retried_only_if_it_was_not_run(self):
-        self.answer_all(lambda data: BUSY)
+        self.set_response_script(lambda data: BUSY)
         answer = self.ask("/order/1", "POST", body=b"x")
         self.assertEqual((answer.status, len(self.requests())), (503, 2))
         self.assertGreater(float(answer.headers["retry-after"]), 0)
 
     def test_unsafe_request_without_an_answer_is_not_retried(self):
-        self.answer_all(lambda data: None)
+        self.set_response_script(lambda data: None)
         answer = self.ask("/order/1", "POST", body=b"x")
         self.assertEqual((answer.status, len(self.requests())), (502, 1))
 
     def test_safe_request_is_sent_to_no_more_upstreams_than_its_route_allows(self):
-        self.answer_all(lambda data: None)
+        self.set_response_script(lambda data: None)
         self.assertEqual(self.ask("/look/1").status, 502)
         self.assertEqual(len(self.requests()), 2)
 
     def test_refusal_after_an_unknown_outcome_is_answered_502(self):
         answers = [None, BUSY]
-        self.answer_all(lambda data: answers.pop(0))
+        self.set_response_script(lambda data: answers.pop(0))
         self.assertEqual(self.ask("/look/1").status, 502)
 
     def test_retries_of_misdirected_requests_count_against_the_budget(self):
         """Each retry reaches an upstream, which counts it as a repeated request."""
-        self.answer_all(lambda data: WRONG)
+        self.set_response_script(lambda data: WRONG)
         started_s = time.monotonic()
         sent = 40
         for _ in range(sent):
@@ -86,12 +86,12 @@
 
     def test_misdirected_request_goes_to_another_upstream(self):
         answers = [WRONG, OK]
-        self.answer_all(lambda data: answers.pop(0))
+        self.set_response_script(lambda data: answers.pop(0))
         self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 200)
 
-    def delay_answers(self, hold_s):
+    def delay_answers(self, response_delay_s):
         for upstream in self.upstreams:
-            upstream.hold_s = hold_s
+            upstream.response_delay_s = response_delay_s
 
     def test_slow_attempt_is_retried_on_another_upstream(self):
         self.delay_answers(0.6)
@@ -107,7 +107,7 @@
 
     def test_request_is_answered_at_its_deadline(self):
         for upstream in self.upstreams:
-            upstream.hold_s = 3.0
+            upstream.response_delay_s = 3.0
         with gevent.Timeout(1.5):
             answer = self.ask("/order/1", "POST", body=b"x")
         self.assertEqual(answer.status, 504)
@@ -119,7 +119,7 @@
     entry_changes: ClassVar[dict[str, Any]] = {"retry_fleet_per_s": 0.0}
 
     def exhaust_the_retry_budget(self):
-        self.answer_all(lambda data: BUSY)
+        self.set_response_script(lambda data: BUSY)
         repeats = 1
         while repeats:
             before = len(self.requests())
@@ -130,9 +130,9 @@
         """Otherwise the request fails while its upstream is still processing it."""
         self.exhaust_the_retry_budget()
         before = len(self.requests())
-        self.answer_all(lambda data: OK)
+        self.set_response_script(lambda data: OK)
         for upstream in self.upstreams:
-            upstream.hold_s = 0.6
+            upstream.response_delay_s = 0.6
         self.assertEqual(self.ask("/look/1").status, 200)
         self.assertEqual(len(self.requests()) - before, 1)
 
@@ -141,7 +141,9 @@
     """Guards callers against data that is not the answer to their request."""
 
     def test_unframed_answer_is_complete_after_an_orderly_close(self):
-        self.answer_all(lambda data: b"HTTP/1.1 200 OK\r\nX-Close: 1\r\n\r\nall of it")
+        self.set_response_script(
+            lambda data: b"HTTP/1.1 200 OK\r\nX-Close: 1\r\n\r\nall of it"
+        )
         answer = self.ask("/look/1")
         self.assertEqual((answer.status, answer.body), (200, b"all of it"))
 
@@ -161,12 +163,12 @@
 
     def test_answer_to_an_earlier_request_is_not_forwarded(self):
         late = OK.replace(b"Backend-Load", b"Attempt-Id: old\r\nBackend-Load")
-        self.answer_all(lambda data: late)
+        self.set_response_script(lambda data: late)
         answer = self.ask("/order/1", "POST", body=b"x")
         self.assertEqual((answer.status, answer.body == OK_BODY), (502, False))
 
     def test_extra_answer_is_not_used_for_the_next_request(self):
-        self.answer_all(lambda data: OK + OK.replace(b"done", b"evil"))
+        self.set_response_script(lambda data: OK + OK.replace(b"done", b"evil"))
         for _ in range(4):
             self.assertEqual(self.ask("/look/1").body, OK_BODY)
 
--- a/bergamotdrift/tests/test_platform_leader_call_handler.py
+++ b/bergamotdrift/tests/test_platform_leader_call_handler.py
@@ -38,7 +38,7 @@
         self.handler = PlatformCallHandler(
             self.state,
             self.nodes.leadership,
-            self.nodes.settings_changed,
+            self.nodes.on_settings_changed,
             BootClock(),
             ("a", "b"),
             "10.0.0.1:80",
@@ -46,13 +46,13 @@
         )
 
     def become_leader(self):
-        self.replicator.lead()
+        self.replicator.become_leader()
         with gevent.Timeout(3):
-            while self.nodes.leadership.duties() is None:
+            while self.nodes.leadership.leader_state() is None:
                 gevent.sleep(0.01)
 
     def call(self, action, subject="", body=b""):
-        return self.handler.answer(LeaderCall(action, subject, body))
+        return self.handler.handle(LeaderCall(action, subject, body))
 
 
 class CallHandlerTestCase(unittest.TestCase):
@@ -91,7 +91,7 @@
         self.assertEqual(self.second.state.settings.revision, 7)
 
     def test_repeated_change_after_a_lost_answer_is_confirmed(self):
-        self.first.replicator.lose_answers = 1
+        self.first.replicator.lost_replies = 1
         self.assertEqual(self.replace_config(config_body()), 503)
         self.assertEqual(self.replace_config(config_body()), 200)
 
@@ -162,7 +162,7 @@
     def announce(self, upstream="i1", replica=None, **changes):
         item = decode_heartbeat(upstream, encode_body(heartbeat_body(**changes)))
         call = LeaderCall(LeaderAction.ANNOUNCE, upstream, encode_announcement(item))
-        return (replica or self.first).handler.answer(call).status
+        return (replica or self.first).handler.handle(call).status
 
     def row(self, upstream="i1"):
         return self.first.state.rows.upstreams.get(UpstreamId("s2", upstream))
--- a/bergamotdrift/tests/test_raft.py
+++ b/bergamotdrift/tests/test_raft.py
@@ -409,7 +409,7 @@
     def test_transfer_does_not_wait_for_an_election_timeout(self):
         sim, leader = self.make_group()
         sim.run(500)
-        leader.raft.transfer(leader.raft.state.voters, leader.now_ms())
+        leader.raft.transfer_leadership(leader.raft.state.voters, leader.now_ms())
         # The transferee's voters ignore its lease, so it must have stepped down.
         self.assertIsNone(leader.raft.leadership)
         sim.run_until(lambda: sim.serving() not in (None, leader), 150, "the transfer")
@@ -417,7 +417,7 @@
     def test_leader_continues_if_its_transferee_crashes(self):
         sim, leader = self.make_group()
         leader.propose([b"x"])
-        leader.raft.transfer(leader.raft.state.voters, leader.now_ms())
+        leader.raft.transfer_leadership(leader.raft.state.voters, leader.now_ms())
         transferee = leader.raft.leadership.transferee
         sim.nodes_by_identity[transferee].crash()
         sim.run(1000)
--- a/bergamotdrift/tests/test_range_orders.py
+++ b/bergamotdrift/tests/test_range_orders.py
@@ -6,7 +6,7 @@
 from bergamotdrift import control_commands as cmd
 from bergamotdrift.clock import BootClock
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.leader_state import LeaderDuties
+from bergamotdrift.leader_state import LeaderState
 from bergamotdrift.messages import (
     LAST_KEY,
     PartitionState,
@@ -15,7 +15,7 @@
     UpstreamState,
 )
 from bergamotdrift.range_leases import RENEW_INTERVAL_MS, RangeLeases
-from bergamotdrift.range_orders import GrantResult, RangeOrders
+from bergamotdrift.range_orders import GrantResult, RangeOrderSender
 from bergamotdrift.tests.test_range_planner import SETTINGS
 
 
@@ -37,7 +37,7 @@
         self.releases.append(order)
         return self.handover
 
-    def forget(self, upstream):
+    def disconnect(self, upstream):
         pass
 
 
@@ -54,12 +54,12 @@
         self.state.apply_command(1, cmd.PutUpstreams([up]))
         self.replace_with_state(PartitionState.VACANT)
         self.is_leading = True
-        self.term_state = LeaderDuties(self.state, self.clock.now_ms())
+        self.term_state = LeaderState(self.state, self.clock.now_ms())
         self.upstreams = FakeOrderTransport()
-        self.orders = RangeOrders(self, self.state, self.clock, self.upstreams)
+        self.orders = RangeOrderSender(self, self.state, self.clock, self.upstreams)
         self.addCleanup(self.orders.stop)
 
-    def duties(self):
+    def leader_state(self):
         return self.term_state if self.is_leading else None
 
     def wake(self):
--- a/bergamotdrift/tests/test_rate_buckets.py
+++ b/bergamotdrift/tests/test_rate_buckets.py
@@ -6,12 +6,12 @@
 
 from bergamotdrift.clock import ManualClock
 from bergamotdrift.config.schema import SiteSettings, WorkspaceSettings
-from bergamotdrift.leader_token_client import RateAllowance, WorkspaceTokens
+from bergamotdrift.leader_token_client import LeaderTokenClient, WorkspaceTokens
 from bergamotdrift.messages import (
     RateLot,
     RateNeed,
 )
-from bergamotdrift.rate_buckets import RATE_LEASE_MS, RateBucket, RateDesk
+from bergamotdrift.rate_buckets import RATE_LEASE_MS, RateBucket, RateBuckets
 
 LIMITS = WorkspaceSettings("w", 20.0, 20, (), ())
 STEP = st.tuples(
@@ -69,20 +69,22 @@
             self.assertLessEqual(inside, 20 * 5 + 20 + 1 + 5)
 
 
-class RateDeskTests(unittest.TestCase):
+class NewWorkspaceTests(unittest.TestCase):
     """Guards against refusing the first requests of workspaces new in the settings."""
 
     def test_bucket_fills_from_the_first_settings(self):
         settings = SiteSettings("s", (), (), (), (LIMITS,))
-        desk = RateDesk()
-        desk.open(None, 0.0)
-        self.assertEqual(desk.answer("e1", [], settings, 1000.0), [])
-        (lot,) = desk.answer("e1", [RateNeed("w", 9)], settings, 5000.0)
+        desk = RateBuckets()
+        desk.add_buckets(None, 0.0)
+        self.assertEqual(desk.lease("e1", [], settings, 1000.0), [])
+        (lot,) = desk.lease("e1", [RateNeed("w", 9)], settings, 5000.0)
         self.assertEqual(lot.tokens, 9)
 
     def test_unknown_workspace_gets_none(self):
         settings = SiteSettings("s", (), (), (), ())
-        self.assertEqual(RateDesk().answer("e1", [RateNeed("x", 1)], settings, 0.0), [])
+        self.assertEqual(
+            RateBuckets().lease("e1", [RateNeed("x", 1)], settings, 0.0), []
+        )
 
 
 class StandbyTests(unittest.TestCase):
@@ -94,7 +96,7 @@
         Returns the bucket, the time at the end and the tokens used without a leader.
         """
         clock = ManualClock(0.0)
-        allowance = RateAllowance(clock, lambda name: 20.0)
+        allowance = LeaderTokenClient(clock, lambda name: 20.0)
         bucket = RateBucket(LIMITS, -5000.0)
         tokens = WorkspaceTokens()
         for _ in range(40):
@@ -130,19 +132,19 @@
         self.assertLessEqual(got + used, 20 * 2.4 + 20 + 8)
 
 
-class RateAllowanceTests(unittest.TestCase):
+class LeaderTokenClientTests(unittest.TestCase):
     """Guards against waits of requests over the rate, and against idle tokens kept."""
 
     def setUp(self):
         self.clock = ManualClock(1000.0)
-        self.allowance = RateAllowance(self.clock, lambda name: 20.0)
+        self.allowance = LeaderTokenClient(self.clock, lambda name: 20.0)
 
     def test_request_is_refused_at_once_when_the_leader_has_no_token(self):
         def ask():
             self.allowance.take_rates([RateLot("w", 0, 1500, 250)], 1000.0)
 
         waited = []
-        self.allowance.ask_now = lambda: waited.append(1)
+        self.allowance.request_ping = lambda: waited.append(1)
 
         job = gevent.spawn(self.allowance.acquire, "w", 9000.0)
         gevent.sleep(0)
@@ -152,7 +154,7 @@
         self.assertEqual(refusal.retry_after_s, 0.25)
 
     def test_unlimited_workspace_needs_no_token(self):
-        free = RateAllowance(self.clock, lambda name: 0.0)
+        free = LeaderTokenClient(self.clock, lambda name: 0.0)
         self.assertIsNone(free.acquire("w", 2000.0).unwrap())
         self.assertEqual(free.rate_needs(), [])
 
--- a/bergamotdrift/tests/test_replica.py
+++ b/bergamotdrift/tests/test_replica.py
@@ -12,12 +12,12 @@
     StorageError,
 )
 from bergamotdrift.replica_sync import DISK_FULL_RETRY_S
-from bergamotdrift.tests.replica_group import Group
+from bergamotdrift.tests.replica_group import ReplicaGroup
 
 
 class GroupTestCase(unittest.TestCase):
     def make_group(self, voters, **kwargs):
-        group = Group(voters, **kwargs)
+        group = ReplicaGroup(voters, **kwargs)
         self.addCleanup(group.close)
         group.start()
         group.leader()
--- a/bergamotdrift/tests/test_retry_policy.py
+++ b/bergamotdrift/tests/test_retry_policy.py
@@ -3,18 +3,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bergamotdrift.retry_policy import Attempt, RetryBudget, may_repeat
+from bergamotdrift.retry_policy import FailedAttempt, RetryBudget, may_retry
 
 
 class RetryRulesTests(unittest.TestCase):
     def test_non_idempotent_request_of_unknown_outcome_is_never_retried(self):
-        self.assertFalse(may_repeat(Attempt(False, False, True, 1000)))
+        self.assertFalse(may_retry(FailedAttempt(False, False, True, 1000)))
 
     def test_not_run_or_idempotent_is_retried_if_the_body_can_be_resent(self):
         for not_run, idempotent in ((True, False), (False, True)):
-            self.assertTrue(may_repeat(Attempt(not_run, idempotent, True, 1)))
-            self.assertFalse(may_repeat(Attempt(not_run, idempotent, False, 1)))
-            self.assertFalse(may_repeat(Attempt(not_run, idempotent, True, 0)))
+            self.assertTrue(may_retry(FailedAttempt(not_run, idempotent, True, 1)))
+            self.assertFalse(may_retry(FailedAttempt(not_run, idempotent, False, 1)))
+            self.assertFalse(may_retry(FailedAttempt(not_run, idempotent, True, 0)))
 
 
 class RetryBudgetTests(unittest.TestCase):
--- a/bergamotdrift/tests/test_shard_set.py
+++ b/bergamotdrift/tests/test_shard_set.py
@@ -19,7 +19,7 @@
 )
 from bergamotdrift.clock import ManualClock
 from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.feed_tables import Tables
+from bergamotdrift.feed_tables import FeedTables
 from bergamotdrift.messages import Done
 from bergamotdrift.outputs import Mirror, Notice, Reply
 from bergamotdrift.shard_set import ShardSet
@@ -30,7 +30,7 @@
     def setUp(self):
         self.clock = ManualClock()
         self.shards = ShardSet("a1", self.clock, random.Random(1))
-        self.tables = Tables()
+        self.tables = FeedTables()
         self.index = 0
         self.entry = support.entry(0)
 
--- a/bergamotdrift/tests/test_token_cache.py
+++ b/bergamotdrift/tests/test_token_cache.py
@@ -48,7 +48,7 @@
             elif action == "wait":
                 now += number
             else:
-                returned += sum(lease.tokens for lease in cache.take_expired(now))
+                returned += sum(lease.tokens for lease in cache.pop_expired(now))
         returned += sum(lease.tokens for lease in cache.pop_all())
         self.assertEqual(granted, used + returned)
 
@@ -76,6 +76,6 @@
         cache.add(TokenLease(2, 100, 1))
         cache.add(TokenLease(3, 100, 2))
         self.assertEqual(
-            [(x.tokens, x.shard_epoch) for x in cache.take_expired(100)],
+            [(x.tokens, x.shard_epoch) for x in cache.pop_expired(100)],
             [(2, 1), (3, 2)],
         )
--- a/bergamotdrift/tests/test_token_client.py
+++ b/bergamotdrift/tests/test_token_client.py
@@ -24,7 +24,7 @@
                 return None
             return remaining.pop(0) if len(remaining) > 1 else remaining[0]
 
-        self.arbiter.answer = answer
+        self.arbiter.reply_for = answer
 
     def test_waiting_requests_share_one_call(self):
         jobs = [gevent.spawn(self.ask, "GET", "/status/1") for _ in range(10)]
@@ -54,7 +54,7 @@
             is_due = time.monotonic() - started > 0.45
             return TokenGrant(1, 100, 0) if is_due else TokenGrant(0, 100, 20)
 
-        self.arbiter.answer = answer
+        self.arbiter.reply_for = answer
         self.assertEqual(self.ask("GET", "/status/1").status, 200)
 
     def test_wait_for_a_slow_reply_is_not_refused_by_rate(self):
@@ -68,7 +68,7 @@
                 gevent.sleep((TOKEN_LEASE_MS + 50) / 1000)
             return TokenGrant(msg.wanted, TOKEN_LEASE_MS, 0)
 
-        self.arbiter.answer = answer
+        self.arbiter.reply_for = answer
         reply = self.ask("GET", "/status/1")
         self.assertEqual((reply.status, reply.kind), (200, None))
 
@@ -83,7 +83,7 @@
                 return TokenGrant(0, TOKEN_LEASE_MS, 5)
             return TokenGrant(msg.wanted, TOKEN_LEASE_MS, 0)
 
-        self.arbiter.answer = answer
+        self.arbiter.reply_for = answer
         self.assertEqual(self.ask("GET", "/status/1").status, 200)
 
     def test_requests_beyond_the_granted_tokens_are_refused(self):
--- a/bergamotdrift/tests/test_upstream_connections.py
+++ b/bergamotdrift/tests/test_upstream_connections.py
@@ -5,7 +5,7 @@
 from bergamotdrift.arbiter_messages import KeptConnections
 from bergamotdrift.clock import ManualClock
 from bergamotdrift.tests.entry_fakes import OK_ANSWER, EntryTestCase, FakeUpstream
-from bergamotdrift.upstream_connections import MAX_IDLE_MS, UpstreamConnections
+from bergamotdrift.upstream_connections import MAX_IDLE_MS, UpstreamConnectionPool
 
 
 class IdleConnectionTests(unittest.TestCase):
@@ -14,33 +14,33 @@
         self.upstream = FakeUpstream()
         self.addCleanup(self.upstream.server.stop, timeout=0)
         self.dropped: list[tuple] = []
-        self.pool = UpstreamConnections(
+        self.pool = UpstreamConnectionPool(
             self.clock, lambda *args: self.dropped.append(args)
         )
-        self.addCleanup(self.pool.drop_all)
+        self.addCleanup(self.pool.close_all)
 
     def open(self):
-        conn = self.pool.take("s", "u1", self.upstream.address)
+        conn = self.pool.acquire("s", "u1", self.upstream.address)
         if not conn.reused:
             self.addCleanup(conn.close)
-            conn.begin(self.clock.now_ms() + 1000)
+            conn.start_request(self.clock.now_ms() + 1000)
             conn.connect()
         return conn
 
     def test_kept_connection_is_reused_and_reported(self):
         conn = self.open()
-        self.assertTrue(self.pool.keep(conn))
-        self.assertEqual(self.pool.kept("s"), [KeptConnections("u1", 1)])
+        self.assertTrue(self.pool.put_idle(conn))
+        self.assertEqual(self.pool.idle_counts("s"), [KeptConnections("u1", 1)])
         self.assertIs(self.open(), conn)
-        self.assertEqual(self.pool.kept("s"), [])
+        self.assertEqual(self.pool.idle_counts("s"), [])
 
     def test_expired_connections_are_closed_and_reported_as_dropped(self):
         first, second = self.open(), self.open()
-        self.pool.keep(first)
+        self.pool.put_idle(first)
         self.clock.advance(MAX_IDLE_MS / 2)
-        self.pool.keep(second)
+        self.pool.put_idle(second)
         self.clock.advance(MAX_IDLE_MS / 2)
-        self.pool.drop_old()
+        self.pool.close_stale()
         self.assertEqual((first.closed, second.closed), (True, False))
         self.clock.advance(MAX_IDLE_MS)
         self.assertIsNot(self.open(), second)
@@ -49,24 +49,24 @@
     def test_closed_connection_is_not_kept(self):
         conn = self.open()
         conn.close()
-        self.assertFalse(self.pool.keep(conn))
+        self.assertFalse(self.pool.put_idle(conn))
 
     def test_connections_to_a_changed_address_are_closed(self):
         conn = self.open()
-        self.pool.keep(conn)
-        self.pool.drop_unknown({"127.0.0.1:1"})
+        self.pool.put_idle(conn)
+        self.pool.close_unlisted({"127.0.0.1:1"})
         self.assertTrue(conn.closed)
 
 
 class UnresponsiveConnectionTests(EntryTestCase):
     def test_unresponsive_connections_fail_at_most_one_request(self):
         # Established connections may stop responding while new ones work.
-        self.upstream.hold_s = 0.1
+        self.upstream.response_delay_s = 0.1
         jobs = [gevent.spawn(self.ask, "GET", "/cases/1") for _ in range(4)]
         gevent.joinall(jobs, timeout=3)
         old = list(self.upstream.connections)
         self.assertEqual(len(old), 4)
-        self.upstream.hold_s = 0.0
+        self.upstream.response_delay_s = 0.0
         silent = gevent.event.Event()
 
         def script(data):
@@ -74,7 +74,7 @@
                 silent.wait(5)
             return OK_ANSWER
 
-        self.upstream.script = script
+        self.upstream.respond = script
         self.addCleanup(silent.set)
         short = [("X-Deadline-Ms", "200")]
         kinds = [self.ask("POST", "/cases/1", short).kind for _ in range(4)]
--- a/bergamotdrift/tests/test_upstream_pool.py
+++ b/bergamotdrift/tests/test_upstream_pool.py
@@ -141,13 +141,13 @@
 
     def test_load_reports_count_only_without_fresh_observations(self):
         hint = LoadHint(2, 2, UpstreamState.READY, self.clock.now_ms())
-        self.arbiter.probed("u1", hint)
+        self.arbiter.on_load_report("u1", hint)
         self.assertEqual(
             {self.ask().upstream for _ in range(5)}, {"u0", "u2", "u3", "u4", "u5"}
         )
         self.start()
         self.run_requests(60, lambda name: 10.0)
-        self.arbiter.probed("u1", hint)
+        self.arbiter.on_load_report("u1", hint)
         self.assertIn("u1", {self.ask().upstream for _ in range(6)})
 
 
--- a/bergamotdrift/tests/test_workspace_arbitration.py
+++ b/bergamotdrift/tests/test_workspace_arbitration.py
@@ -31,7 +31,7 @@
 
     def granted(self):
         msg = TokenRequest("w", 1, 50)
-        reply: Any = self.arbiter.take_tokens(support.entry(0), msg, 1)[0]
+        reply: Any = self.arbiter.lease_tokens(support.entry(0), msg, 1)[0]
         found = reply.message
         return found.tokens if isinstance(found, TokenGrant) else 0
 
--- a/bergamotdrift/token_cache.py
+++ b/bergamotdrift/token_cache.py
@@ -86,7 +86,7 @@
         """Return the number of unexpired tokens."""
         return sum(lease.tokens for lease in self._leases if lease.end_ms > now_ms)
 
-    def take_expired(self, now_ms: float) -> list[TokenLease]:
+    def pop_expired(self, now_ms: float) -> list[TokenLease]:
         """Remove and return the expired leases, whose tokens are to be returned."""
         expired = [lease for lease in self._leases if lease.end_ms <= now_ms]
         if expired:
--- a/bergamotdrift/token_client.py
+++ b/bergamotdrift/token_client.py
@@ -183,7 +183,7 @@
             gevent.sleep(_RETURN_INTERVAL_S)
             now_ms = self._clock.now_ms()
             for state in list(self._workspaces.values()):
-                self._return_leases(state, state.cache.take_expired(now_ms))
+                self._return_leases(state, state.cache.pop_expired(now_ms))
 
     def _return_leases(self, state: _WorkspaceState, leases: list[TokenLease]) -> None:
         shard = workspace_shard(state.name)
--- a/bergamotdrift/upstream_connections.py
+++ b/bergamotdrift/upstream_connections.py
@@ -12,7 +12,7 @@
 from bergamotdrift.arbiter_messages import KeptConnections
 from bergamotdrift.clock import Clock
 from bergamotdrift.http_input import peer_has_closed
-from bergamotdrift.streams import new_socket, parse_address, set_stream_options
+from bergamotdrift.streams import disable_nagle, new_socket, parse_address
 
 _RECEIVE_BYTES = 64 * 1024
 _CONNECT_TIMEOUT_MS = 500
@@ -30,7 +30,7 @@
         self.status = 0
         self.extra_data = False
         # A response without framing is complete once the upstream closes cleanly.
-        self.ends_with_connection = False
+        self.ends_on_close = False
 
     def _on_message_begin(self) -> None:
         if self.message_complete and self.status >= 200:
@@ -68,31 +68,31 @@
         self.shard = shard
         self.upstream = upstream
         self.address = address
-        self.bytes_left = False
+        self.any_bytes_sent = False
         self.request_sent = False
         self.reused = False
         self.idle_since_ms = 0.0
         self._clock = clock
         self._deadline_ms = 0.0
         self._limit_ms: float | None = None
-        self._may_give_up: Callable[[], bool] = lambda: True
+        self._may_abandon: Callable[[], bool] = lambda: True
         self._closed = False
         self._sock = new_socket(address)
 
-    def begin(
+    def start_request(
         self,
         deadline_ms: float,
         limit_ms: float | None = None,
-        may_give_up: Callable[[], bool] = lambda: True,
+        may_abandon: Callable[[], bool] = lambda: True,
     ) -> None:
         """Prepare for a request that must end by the deadline.
 
-        It times out at the earlier `limit_ms` if `may_give_up` returns true then.
+        It times out at the earlier `limit_ms` if `may_abandon` returns true then.
         """
         self._deadline_ms = deadline_ms
         self._limit_ms = limit_ms
-        self._may_give_up = may_give_up
-        self.bytes_left = False
+        self._may_abandon = may_abandon
+        self.any_bytes_sent = False
         self.request_sent = False
 
     def connect(self) -> None:
@@ -100,18 +100,18 @@
         left_ms = min(self._remaining_ms(), _CONNECT_TIMEOUT_MS)
         self._sock.settimeout(left_ms / 1000.0)
         self._sock.connect(parse_address(self.address))
-        set_stream_options(self._sock)
+        disable_nagle(self._sock)
 
     def send(self, data: bytes) -> None:
-        """Send all data; `bytes_left` is set once any byte has left this process."""
+        """Send all data; `any_bytes_sent` is set once any byte left this process."""
         view = memoryview(data)
         while view:
             self._sock.settimeout(self._remaining_ms() / 1000.0)
             sent = self._sock.send(view)
-            self.bytes_left = True
+            self.any_bytes_sent = True
             view = view[sent:]
 
-    def answer_has_begun(self) -> bool:
+    def has_readable_data(self) -> bool:
         """Return whether the upstream has sent data or closed the connection."""
         poller = select.poll()
         poller.register(self._sock.fileno(), select.POLLIN)
@@ -144,7 +144,7 @@
         """Complete a response without framing; any other response is truncated."""
         if not parser.head_is_final or parser.has_framing():
             raise ConnectionResetError("the upstream closed the connection")
-        parser.ends_with_connection = True
+        parser.ends_on_close = True
         parser.message_complete = True
         return 0
 
@@ -184,13 +184,13 @@
             return left_ms
         if now_ms < self._limit_ms:
             return min(left_ms, self._limit_ms - now_ms)
-        if self._may_give_up():
+        if self._may_abandon():
             raise TimeoutError("the attempt's limit has passed")
         self._limit_ms = None
         return left_ms
 
 
-def read_head(conn: UpstreamConnection, method: str) -> ResponseParser:
+def read_response_head(conn: UpstreamConnection, method: str) -> ResponseParser:
     """Read up to the end of the final response's headers and return the parser."""
     parser = ResponseParser(method)
     received = 0
@@ -203,7 +203,7 @@
     return parser
 
 
-class UpstreamConnections:
+class UpstreamConnectionPool:
     """Pool of idle connections by shard and upstream."""
 
     def __init__(self, clock: Clock, on_dropped: Callable[[str, str, int], None]):
@@ -211,7 +211,7 @@
         self._on_dropped = on_dropped
         self._idle: dict[tuple[str, str], list[UpstreamConnection]] = {}
 
-    def take(self, shard: str, upstream: str, address: str) -> UpstreamConnection:
+    def acquire(self, shard: str, upstream: str, address: str) -> UpstreamConnection:
         """Return a usable idle connection, or a new unconnected one."""
         idle = self._idle.get((shard, upstream), [])
         dropped = 0
@@ -229,7 +229,7 @@
         found.reused = True
         return found
 
-    def keep(self, conn: UpstreamConnection) -> bool:
+    def put_idle(self, conn: UpstreamConnection) -> bool:
         """Return a connection to the pool after a complete response.
 
         Returns False if the connection is closed and was not kept.
@@ -240,7 +240,7 @@
         self._idle.setdefault((conn.shard, conn.upstream), []).append(conn)
         return True
 
-    def kept(self, shard: str) -> list[KeptConnections]:
+    def idle_counts(self, shard: str) -> list[KeptConnections]:
         """Return the number of idle connections to each upstream of a shard."""
         return [
             KeptConnections(upstream, len(conns))
@@ -248,14 +248,14 @@
             if owner == shard and conns
         ]
 
-    def drop(self, shard: str, upstream: str) -> None:
+    def close_idle(self, shard: str, upstream: str) -> None:
         """Close all idle connections to an upstream."""
         conns = self._idle.pop((shard, upstream), [])
         for conn in conns:
             conn.close()
         self._report_dropped(shard, upstream, len(conns))
 
-    def drop_old(self) -> None:
+    def close_stale(self) -> None:
         """Close connections that are dead or have been idle for too long."""
         for (shard, upstream), conns in list(self._idle.items()):
             usable = [c for c in conns if self._is_fresh(c) and c.is_usable()]
@@ -268,16 +268,16 @@
                 del self._idle[shard, upstream]
             self._report_dropped(shard, upstream, len(stale))
 
-    def drop_unknown(self, addresses: set[str]) -> None:
+    def close_unlisted(self, addresses: set[str]) -> None:
         """Close connections to upstreams that left or changed their address."""
         for (shard, upstream), conns in list(self._idle.items()):
             if any(conn.address not in addresses for conn in conns):
-                self.drop(shard, upstream)
+                self.close_idle(shard, upstream)
 
-    def drop_all(self) -> None:
+    def close_all(self) -> None:
         """Close all idle connections."""
         for shard, upstream in list(self._idle):
-            self.drop(shard, upstream)
+            self.close_idle(shard, upstream)
 
     def _is_fresh(self, conn: UpstreamConnection) -> bool:
         return self._clock.now_ms() - conn.idle_since_ms < MAX_IDLE_MS
--- a/bergamotdrift/upstream_pool.py
+++ b/bergamotdrift/upstream_pool.py
@@ -38,7 +38,7 @@
         self._outliers = OutlierDetector()
         self._latency = PoolLatency(0.0, 0.0)
         self._evaluated_at_ms = float("-inf")
-        self.picked: UpstreamLoad | None = None
+        self.selected: UpstreamLoad | None = None
         self.update(view, (), now_ms)
 
     def __iter__(self) -> Iterator[UpstreamLoad]:
@@ -52,7 +52,7 @@
         """Return the load of a listed upstream, or None."""
         return self._loads.get(upstream)
 
-    def has_open(self) -> bool:
+    def has_open_upstream(self) -> bool:
         """Return whether any listed upstream accepts new requests."""
         return any(not load.is_closed for load in self._loads.values())
 
@@ -64,31 +64,33 @@
             if not load.is_closed and not load.is_down
         )
 
-    def with_room(self, now_ms: float, only: str | None = None) -> list[UpstreamLoad]:
+    def with_free_slots(
+        self, now_ms: float, only: str | None = None
+    ) -> list[UpstreamLoad]:
         """Return the upstreams with a free slot, limited to `only` if given."""
         if only is None:
             return [load for load in self._load_list if load.free_slots(now_ms) > 0]
         load = self._loads.get(only)
         return [load] if load is not None and load.free_slots(now_ms) > 0 else []
 
-    def pick(
+    def select(
         self, waiter: Waiter, now_ms: float, among: list[UpstreamLoad] | None = None
     ) -> bool:
-        """Set `picked` to an upstream for a waiter and return whether there is one.
+        """Set `selected` to an upstream for a waiter and return whether there is one.
 
         A large pool is sampled first: a contiguous run from a random start.
         """
         self._evaluate(now_ms)
         pool = self._load_list if among is None else among
-        self.picked = None
+        self.selected = None
         if len(pool) > _SAMPLE_SIZE:
             start = int(self._rng.random() * len(pool))
             sample = pool[start : start + _SAMPLE_SIZE]
             sample += pool[: _SAMPLE_SIZE - len(sample)]
-            self.picked = self._select(sample, waiter, now_ms)
-        if self.picked is None:
-            self.picked = self._select(pool, waiter, now_ms)
-        return self.picked is not None
+            self.selected = self._select(sample, waiter, now_ms)
+        if self.selected is None:
+            self.selected = self._select(pool, waiter, now_ms)
+        return self.selected is not None
 
     def _select(
         self, pool: list[UpstreamLoad], waiter: Waiter, now_ms: float
@@ -135,7 +137,7 @@
         load.started_ms[permit.permit] = permit.granted_at_ms
         self._adopted[permit.upstream] = self._adopted.get(permit.upstream, 0) + 1
 
-    def warm_to_adopted(self, now_ms: float) -> None:
+    def raise_ramps_to_adopted(self, now_ms: float) -> None:
         """Raise the ramps to the requests that upstreams were found to run."""
         for upstream, running in self._adopted.items():
             load = self._loads.get(upstream)
@@ -143,7 +145,7 @@
                 load.ramp.raise_to(float(running), now_ms)
         self._adopted.clear()
 
-    def learn(
+    def record_result(
         self, upstream: str, outcome: AttemptOutcome, latency_ms: float, now_ms: float
     ) -> None:
         """Record the result of an attempt, and update the outlier detection."""
@@ -159,20 +161,24 @@
             self._outliers.record_probe(load, latency_ms, median_ms, now_ms)
         self._evaluate(now_ms)
 
-    def probed(self, upstream: str, hint: LoadHint | None, now_ms: float) -> None:
+    def on_load_report(
+        self, upstream: str, hint: LoadHint | None, now_ms: float
+    ) -> None:
         """Record a load report, or None if the upstream did not respond."""
         load = self._loads.get(upstream)
         if load is not None:
             load.on_load_report(hint, now_ms)
             load.expected_ms = expected_ms(load, self._latency, now_ms)
 
-    def drop_connections(self, entry: EntryId, upstream: str, connections: int) -> None:
+    def remove_idle_connections(
+        self, entry: EntryId, upstream: str, connections: int
+    ) -> None:
         """Count idle connections of an entry as closed."""
         load = self._loads.get(upstream)
         if load is not None:
             load.connections.remove_idle(entry, connections)
 
-    def replace_connections(
+    def set_idle_connections(
         self, entry: EntryId, upstream: str, connections: int
     ) -> None:
         """Set the number of idle connections that an entry reports."""
@@ -180,7 +186,7 @@
         if load is not None:
             load.connections.set_idle(entry, connections)
 
-    def forget_connections(self, entry: EntryId) -> None:
+    def clear_idle_connections(self, entry: EntryId) -> None:
         """Count all idle connections of an entry as closed."""
         for load in self._loads.values():
             load.connections.clear_idle(entry)
--- a/bergamotdrift/upstream_sessions.py
+++ b/bergamotdrift/upstream_sessions.py
@@ -17,7 +17,7 @@
     UpstreamRow,
     UpstreamState,
 )
-from bergamotdrift.session_leases import Contacts
+from bergamotdrift.session_leases import SessionLeases
 
 # Upstreams don't know the clock drift margin, so it is subtracted from their lease.
 UPSTREAM_LEASE_MS = SESSION_TTL_MS - DRIFT_MARGIN_MS
@@ -41,7 +41,7 @@
     ):
         self._state = state
         self._handover = handover
-        self._contacts: Contacts[UpstreamId] = Contacts(opened_at_ms, ttl_ms)
+        self._contacts: SessionLeases[UpstreamId] = SessionLeases(opened_at_ms, ttl_ms)
         self._pending_rows: dict[UpstreamId, UpstreamRow] = {}
         self._sequences: dict[cmd.UpstreamIncarnation, int] = {}
         self._cold_until_ms: dict[cmd.UpstreamIncarnation, float] = {}
@@ -105,7 +105,7 @@
 
     def commands(self, now_ms: float) -> list[Message]:
         """Return the commands for registrations, state changes and removals."""
-        self._contacts.forget_removed(self._is_known, now_ms)
+        self._contacts.prune_removed(self._is_known, now_ms)
         self._end_cold_starts(now_ms)
         commands: list[Message] = []
         expired = self._expired(now_ms)
@@ -214,7 +214,7 @@
                 continue
             ref = PartitionRef(row.service, row.partition, row.epoch)
             if held in reported:
-                self._handover.note_released(ref, now_ms)
+                self._handover.record_released(ref, now_ms)
             if not self._handover.is_released(ref):
                 release.append(held)
         return AnnouncementReply(
@@ -230,7 +230,7 @@
         for row in self._state.rows.upstreams.rows():
             if self.has_expired(row, now_ms):
                 key = UpstreamId(row.service, row.upstream)
-                self._contacts.start_expiry(key, row.incarnation)
+                self._contacts.mark_expiring(key, row.incarnation)
                 found.append(cmd.UpstreamIncarnation(*key, row.incarnation))
         return found
 
--- a/bergamotdrift/workspace_arbitration.py
+++ b/bergamotdrift/workspace_arbitration.py
@@ -50,13 +50,13 @@
         shard: str,
         view: WorkspaceView,
         clock: Clock,
-        may_act: Callable[[], bool] = lambda: True,
+        may_grant: Callable[[], bool] = lambda: True,
         records_max: int = RECORDS_MAX,
     ):
         self.shard = shard
         self.view = view
         self._clock = clock
-        self._may_act = may_act
+        self._may_grant = may_grant
         self._gate = TakeoverGate(view.entries)
         self._pending_claims: list[_PendingClaim] = []
         self._usage_reports: dict[EntryId, TokensSpent | None] = {}
@@ -74,14 +74,14 @@
     @property
     def is_granting(self) -> bool:
         """Return whether tokens and claims may be granted now."""
-        return self._gate.is_open and self._may_act()
+        return self._gate.is_open and self._may_grant()
 
     @property
     def missing_entries(self) -> frozenset[EntryId]:
         """Return the entries whose reports the takeover waits for."""
         return self._gate.missing
 
-    def take_tokens(
+    def lease_tokens(
         self, entry: EntryId, msg: TokenRequest, ticket: Ticket
     ) -> list[Output]:
         """Lease tokens of the workspace."""
@@ -137,7 +137,7 @@
         self._gate.report(entry)
         return self._open_if_complete(was_open)
 
-    def take_mirrored(self, items: list[MirroredRecord]) -> None:
+    def merge_mirrored(self, items: list[MirroredRecord]) -> None:
         """Merge records that entries mirrored to this arbiter.
 
         Records of an entry that isn't a member any more have no owner to close them.
@@ -169,12 +169,12 @@
             self.disconnect(entry)
             outputs += self.records.remove_entry(entry)
         if removed and self._gate.is_open:
-            outputs += self.mirror_single()
+            outputs += self.mirror_single_copies()
         was_open = self._gate.is_open
         self._gate.keep_members(view.entries)
         return outputs + self._open_if_complete(was_open)
 
-    def mirror_single(self) -> list[Output]:
+    def mirror_single_copies(self) -> list[Output]:
         """Return `Mirror` outputs for the records that have no copy on another VM.
 
         Their entry has been removed or runs on this VM. A local entry mirrors its
@@ -201,7 +201,7 @@
 
     def close(self, kind: ErrorKind = ErrorKind.ARBITER_UNREACHABLE) -> list[Output]:
         """Refuse all waiting claims and stop granting."""
-        self._may_act = lambda: False
+        self._may_grant = lambda: False
         claims, self._pending_claims = self._pending_claims, []
         outputs: list[Output] = [Reply(c.ticket, Failure(kind)) for c in claims]
         return outputs + self.records.refuse_waiters(kind)
@@ -210,8 +210,8 @@
         if was_open or not self._gate.is_open:
             return []
         self._open()
-        outputs = self.mirror_single()
-        return outputs + self._begin_pending_claims() if self._may_act() else outputs
+        outputs = self.mirror_single_copies()
+        return outputs + self._begin_pending_claims() if self._may_grant() else outputs
 
     def _open(self) -> None:
         now_ms = self._clock.now_ms()
--- a/scripts/measure_arbiter.py
+++ b/scripts/measure_arbiter.py
@@ -181,7 +181,7 @@
     started = time.process_time()
     for number in range(_PERMITS):
         clock.advance(1.0)
-        shard.take_tokens(entry_ids[number % entries], TokenRequest("w", 1, 4), number)
+        shard.lease_tokens(entry_ids[number % entries], TokenRequest("w", 1, 4), number)
     return (time.process_time() - started) / _PERMITS * 1e6
 
 
--- a/scripts/measure_attempts.py
+++ b/scripts/measure_attempts.py
@@ -7,7 +7,7 @@
     AttemptOutcome,
 )
 from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.retry_policy import Attempt, RetryBudget, may_repeat
+from bergamotdrift.retry_policy import FailedAttempt, RetryBudget, may_retry
 from scripts.measure_loop import EventLoop
 from scripts.measure_report import RunStats
 from scripts.measure_sites import Request
@@ -58,10 +58,10 @@
 
     def allow_retry(self, outcome: AttemptOutcome, budget: RetryBudget) -> bool:
         """Return whether the retry rules and the budget allow another attempt."""
-        attempt = Attempt(
+        attempt = FailedAttempt(
             outcome in _NOT_EXECUTED, self.req.idempotent, True, self.remaining_ms
         )
-        return may_repeat(attempt) and budget.take(self._loop.now_ms)
+        return may_retry(attempt) and budget.take(self._loop.now_ms)
 
     def _finish(self, kind: ErrorKind | None) -> None:
         if not self.is_finished:
--- a/scripts/measure_cluster.py
+++ b/scripts/measure_cluster.py
@@ -8,8 +8,8 @@
 from bergamotdrift.config.schema import SiteSettings, ZoneState
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import ErrorKind
-from bergamotdrift.feed_tables import PartitionId, Tables
-from bergamotdrift.leader_state import LeaderDuties
+from bergamotdrift.feed_tables import FeedTables, PartitionId
+from bergamotdrift.leader_state import LeaderState
 from bergamotdrift.messages import (
     Announcement,
     AnnouncementReply,
@@ -112,12 +112,12 @@
         self._state = ControlState()
         self._log_index = 0
         self._revision = 0
-        self.tables = Tables()
+        self.tables = FeedTables()
         self._owners: dict[PartitionId, str] = {}
         self._pending_announcements: list[_PendingAnnouncement] = []
         self.entry_listeners: dict[str, EntryListener] = {}
         self._apply(self._settings_change(site.settings))
-        self._duties = LeaderDuties(self._state, 0.0)
+        self._leader_state = LeaderState(self._state, 0.0)
         self._nodes = {
             node.name: node
             for number in range(ENTRIES)
@@ -210,8 +210,8 @@
     def _start_node(self, node: Node) -> None:
         if node.role is Role.ARBITER:
             rng = random.Random(self._rng.random())
-            may_act = self._make_may_act(node, node.incarnation)
-            node.shards = ShardSet(node.name, self.loop.clock, rng, may_act)
+            may_grant = self._make_may_act(node, node.incarnation)
+            node.shards = ShardSet(node.name, self.loop.clock, rng, may_grant)
             if self.tables.index:
                 self._deliver_outputs(node, node.shards.update(self.tables))
 
@@ -242,7 +242,7 @@
     def _make_ping(self, node: Node) -> Callable[[], None]:
         def ping() -> None:
             if node.is_up:
-                self._duties.ping(node.row, self.tables.index, self.loop.now_ms)
+                self._leader_state.ping(node.row, self.tables.index, self.loop.now_ms)
 
         return ping
 
@@ -256,14 +256,14 @@
             if node.shards is None:
                 continue
             for partition in node.shards.drained():
-                self._duties.drained(partition, node.name)
+                self._leader_state.record_drain_report(partition, node.name)
 
     def _report_loads(self) -> None:
         for node in self._nodes.values():
             if node.shards is None:
                 continue
             for report in node.shards.take_load_reports():
-                self._duties.add_loads(report, self.loop.now_ms)
+                self._leader_state.add_loads(report, self.loop.now_ms)
 
     def _poll_loads(self) -> None:
         hints = {key: up.load_report() for key, up in self._fleet.upstreams.items()}
@@ -273,7 +273,9 @@
             for shard in list(node.shards.permits.values()):
                 for load in list(shard.upstreams):
                     hint = hints.get((load.row.service, load.row.upstream))
-                    self._deliver_outputs(node, shard.probed(load.row.upstream, hint))
+                    self._deliver_outputs(
+                        node, shard.on_load_report(load.row.upstream, hint)
+                    )
 
     # Control
 
@@ -281,9 +283,9 @@
         pending = _PendingAnnouncement(
             up, announcement, self.loop.now_ms, up.incarnation
         )
-        reply = self._duties.announce(announcement, pending.sent_ms)
-        is_held = self._duties.holds_reply(announcement)
-        if is_held or self._duties.upstreams.has_changes():
+        reply = self._leader_state.announce(announcement, pending.sent_ms)
+        is_held = self._leader_state.defers_reply(announcement)
+        if is_held or self._leader_state.upstreams.has_changes():
             self.loop.call_later(1.0, self._run_leader_round)
         if is_held:
             self._pending_announcements.append(pending)
@@ -301,14 +303,14 @@
 
     def _run_leader_round(self) -> None:
         previous_index = self._state.feed_index
-        for command in self._duties.commands(self.loop.now_ms):
+        for command in self._leader_state.commands(self.loop.now_ms):
             self._apply(command)
         pending_announcements, self._pending_announcements = (
             self._pending_announcements,
             [],
         )
         for pending in pending_announcements:
-            reply = self._duties.announce(pending.announcement, self.loop.now_ms)
+            reply = self._leader_state.announce(pending.announcement, self.loop.now_ms)
             self._reply_to_announcement(pending, reply)
         if self._state.feed_index != previous_index:
             self.loop.call_later(_COMMIT_MS + self.site.model.hop_ms, self._push_feed)
--- a/scripts/measure_consensus.py
+++ b/scripts/measure_consensus.py
@@ -17,7 +17,7 @@
 from bergamotdrift.raft_log import RaftLog
 from bergamotdrift.raft_memory import MemoryLog
 from bergamotdrift.raft_messages import Entry, EntryKind, HardState, SyncBatch
-from bergamotdrift.tests.replica_group import Group
+from bergamotdrift.tests.replica_group import ReplicaGroup
 
 _COMMAND = bytes(100)
 _BATCH_SIZES = (1, 8, 64, 512)
@@ -29,7 +29,7 @@
 
 def measure_proposals(batch):
     """Return a row for three voters with `batch` concurrent proposals."""
-    group = Group(3, snapshot_entries=10 * _PROPOSALS)
+    group = ReplicaGroup(3, snapshot_entries=10 * _PROPOSALS)
     try:
         group.start()
         group.leader()
@@ -65,7 +65,7 @@
 
 def measure_heartbeats(voters):
     """Return a row with the CPU time of an idle group."""
-    group = Group(voters)
+    group = ReplicaGroup(voters)
     try:
         group.start()
         group.leader()
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -28,7 +28,7 @@
 )
 from bergamotdrift.constants import PING_INTERVAL_MS
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.leader_state import LeaderDuties
+from bergamotdrift.leader_state import LeaderState
 from bergamotdrift.messages import (
     Announcement,
     Hello,
@@ -74,7 +74,7 @@
         """Apply a command at once and return its result."""
         return messages.decode(self.propose(messages.encode(command), 0))
 
-    def ask_for_leadership(self) -> None:
+    def request_leadership(self) -> None:
         """Do nothing: this replica already leads."""
 
     def add_learner(self, replica: str, address: str, timeout_ms: float) -> None:
@@ -128,21 +128,21 @@
     )
 
 
-def build_populated(partitions: int, upstreams: int) -> tuple[InstantLog, LeaderDuties]:
-    """Return a log and leader duties in which all partitions are owned."""
+def build_populated(partitions: int, upstreams: int) -> tuple[InstantLog, LeaderState]:
+    """Return a log and leader state in which all partitions are owned."""
     log = InstantLog(ControlState())
     log.commit(settings_change(keyed_site(partitions), 0))
-    duties = LeaderDuties(log.state, 0.0)
+    leader_state = LeaderState(log.state, 0.0)
     for number in range(upstreams):
-        duties.announce(announcement(number), 0.0)
+        leader_state.announce(announcement(number), 0.0)
     for now_ms in (0.0, 10.0, 1020.0, 1030.0):
         for number in range(upstreams):
-            duties.announce(announcement(number), now_ms)
-            duties.holds_reply(announcement(number))
-        for command in duties.commands(now_ms):
+            leader_state.announce(announcement(number), now_ms)
+            leader_state.defers_reply(announcement(number))
+        for command in leader_state.commands(now_ms):
             log.commit(command)
     assert not log.state.rows.unowned
-    return log, duties
+    return log, leader_state
 
 
 def median_cpu_ms(action: Callable[[], object], rounds: int = 5) -> float:
@@ -238,14 +238,16 @@
     """Measure decoding, replying to and encoding relayed batches."""
     rows: list[list[object]] = []
     for upstreams in sizes:
-        _, duties = build_populated(upstreams * 16, upstreams)
+        _, leader_state = build_populated(upstreams * 16, upstreams)
         for batch in (1, 8, 64):
             items = [announcement(n % upstreams) for n in range(batch)]
             data = messages.encode(RelayAnnouncements(items))
 
-            def handle_batch(data: bytes = data, duties: LeaderDuties = duties) -> None:
+            def handle_batch(
+                data: bytes = data, leader_state: LeaderState = leader_state
+            ) -> None:
                 msg = messages.decode(data)
-                replies = [duties.announce(item, 1040.0) for item in msg.items]
+                replies = [leader_state.announce(item, 1040.0) for item in msg.items]
                 messages.encode(messages.AnnouncementReplies(replies))
 
             rounds = 2000 // batch
@@ -322,26 +324,26 @@
         create_ms = median_cpu_ms(
             partial(log.commit, settings_change(keyed_site(count), 0)), 1
         )
-        duties = LeaderDuties(log.state, 0.0, timer)
+        leader_state = LeaderState(log.state, 0.0, timer)
         for now_ms in (0.0, 10.0):
             for number in range(upstreams):
-                duties.announce(announcement(number), now_ms)
-            for command in duties.commands(now_ms):
+                leader_state.announce(announcement(number), now_ms)
+            for command in leader_state.commands(now_ms):
                 log.commit(command)
         for number in range(upstreams):
-            duties.announce(announcement(number), 1015.0)
-        _, placement_ms = timer.time_action(partial(duties.commands, 1020.0))
+            leader_state.announce(announcement(number), 1015.0)
+        _, placement_ms = timer.time_action(partial(leader_state.commands, 1020.0))
         longest_block_ms = timer.longest_ms
         for number in range(upstreams):
-            duties.holds_reply(announcement(number))
-        commands, assign_ms = timer.time_action(partial(duties.commands, 1021.0))
+            leader_state.defers_reply(announcement(number))
+        commands, assign_ms = timer.time_action(partial(leader_state.commands, 1021.0))
         placement_ms += assign_ms
         longest_block_ms = max(longest_block_ms, timer.longest_ms)
         apply_ms = median_cpu_ms(partial(_commit_all, log, commands), 1)
         assert not log.state.rows.unowned
-        idle_ms = median_cpu_ms(partial(duties.commands, 1030.0))
-        _, balance_ms = timer.time_action(partial(duties.commands, 2025.0))
-        crash_ms = _measure_crash(log, duties, upstreams)
+        idle_ms = median_cpu_ms(partial(leader_state.commands, 1030.0))
+        _, balance_ms = timer.time_action(partial(leader_state.commands, 2025.0))
+        crash_ms = _measure_crash(log, leader_state, upstreams)
         rows.append([
             count,
             create_ms,
@@ -391,15 +393,15 @@
         return result, (time.perf_counter() - started) * 1000
 
 
-def _measure_crash(log: InstantLog, duties: LeaderDuties, upstreams: int) -> float:
+def _measure_crash(log: InstantLog, leader_state: LeaderState, upstreams: int) -> float:
     for number in range(1, upstreams):
-        duties.announce(announcement(number), 2500.0)
+        leader_state.announce(announcement(number), 2500.0)
 
     def handle_crash() -> None:
         for _ in range(3):
             for number in range(1, upstreams):
-                duties.holds_reply(announcement(number))
-            for command in duties.commands(2520.0):
+                leader_state.defers_reply(announcement(number))
+            for command in leader_state.commands(2520.0):
                 log.commit(command)
 
     return median_cpu_ms(handle_crash, 1)
--- a/scripts/measure_routers.py
+++ b/scripts/measure_routers.py
@@ -33,7 +33,7 @@
     ShardRow,
 )
 from bergamotdrift.retry_policy import RetryBudget
-from bergamotdrift.shard_view import is_workspace_shard, split_shard
+from bergamotdrift.shard_view import is_workspace_shard, parse_permit_shard
 from bergamotdrift.shards import pool_shard, upstream_shard, workspace_shard
 from bergamotdrift.token_cache import TokenCache, TokenLease, spent_window_ms
 from scripts.measure_attempts import IdleConnections, Job, send
@@ -83,7 +83,7 @@
 
     def return_expired(self) -> None:
         """Return tokens whose leases have expired to the arbiter."""
-        for lease in self._cache.take_expired(self._entry.loop.now_ms):
+        for lease in self._cache.pop_expired(self._entry.loop.now_ms):
             msg = TokenReturn(self._name, lease.shard_epoch, lease.tokens)
             self._entry.cluster.send(self._entry.node, self._shard, msg)
 
@@ -194,7 +194,7 @@
         permits = list(self._running_permits.get(row.shard, {}).values())
         idle_connections = []
         if not is_workspace_shard(row.shard):
-            name = split_shard(row.shard)
+            name = parse_permit_shard(row.shard)
             for up in self._router.fleet.upstreams.values():
                 is_match = name.upstream in {"", up.name}
                 idle = self._connections.count(up)
@@ -277,7 +277,7 @@
         if target.partition == NO_PARTITION:
             return True
         partition = PartitionId(req.service, target.partition)
-        return self._guard.may_try(partition, target.epoch, self.loop.now_ms)
+        return self._guard.may_send(partition, target.epoch, self.loop.now_ms)
 
     def _target(self, req: Request) -> _Target | None:
         service = self._router.service(req.service)
@@ -374,8 +374,8 @@
         partition = PartitionId(req.service, target.partition)
         if outcome is AttemptOutcome.FENCED:
             now_ms = self.loop.now_ms
-            self._guard.note_fenced(partition, grant.partition_epoch, now_ms)
-        elif outcome is AttemptOutcome.ANSWERED and self._guard.note_run(
+            self._guard.record_fenced(partition, grant.partition_epoch, now_ms)
+        elif outcome is AttemptOutcome.ANSWERED and self._guard.record_accepted(
             partition, grant.partition_epoch
         ):
             self._resume_waiting()
