--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -141,7 +141,7 @@
         return reply
 
     def session_is_valid(self) -> bool:
-        """Tell whether the session lease is valid, by this node's clock."""
+        """Return whether the session lease is valid, by this node's clock."""
         return self.session.is_valid(self._clock.now_ms())
 
     def settings_age_ms(self) -> float:
--- a/bergamotdrift/control_server.py
+++ b/bergamotdrift/control_server.py
@@ -111,7 +111,7 @@
         self.node_streams.stop()
 
     def is_ready(self) -> bool:
-        """Tell whether this replica knows a leader."""
+        """Return whether this replica knows a leader."""
         return self._replicator.is_leader() or bool(self._replicator.leader_address())
 
     def answer(self, call: OperatorCall) -> OperatorAnswer:
--- a/bergamotdrift/leader_state.py
+++ b/bergamotdrift/leader_state.py
@@ -67,7 +67,7 @@
         return self.upstreams.announce(item, now_ms)
 
     def defers_reply(self, item: Announcement) -> bool:
-        """Tell whether a reply must wait for the next round of commands.
+        """Return whether a reply must wait for the next round of commands.
 
         The round may change the grants, so the reply is computed again after it.
         """
--- a/bergamotdrift/replica.py
+++ b/bergamotdrift/replica.py
@@ -154,7 +154,7 @@
         self._wake.set()
 
     def is_leader(self) -> bool:
-        """Tell whether this replica leads with a valid quorum lease."""
+        """Return whether this replica leads with a valid quorum lease."""
         if not self._running or self.failed.is_set():
             return False
         if self._applied_index < self._raft.state.applied:
--- a/bergamotdrift/replication.py
+++ b/bergamotdrift/replication.py
@@ -44,7 +44,7 @@
     """Replicate commands through the Raft log of the control group."""
 
     def is_leader(self) -> bool:
-        """Tell whether this replica leads with a valid quorum lease."""
+        """Return whether this replica leads with a valid quorum lease."""
         ...
 
     def term(self) -> int:
--- a/bergamotdrift/tests/test_check.py
+++ b/bergamotdrift/tests/test_check.py
@@ -190,7 +190,7 @@
 
 
 class WarningTests(unittest.TestCase):
-    """Guards against warnings that make settings invalid."""
+    """Guards against warnings that make settings invalid, or errors that do not."""
 
     def warning(self, path, value):
         inspection = inspect_site(changed_mapping(path, value))
--- a/bergamotdrift/tests/test_rate_buckets.py
+++ b/bergamotdrift/tests/test_rate_buckets.py
@@ -44,8 +44,8 @@
 
     def test_empty_bucket_states_when_to_ask_again(self):
         bucket = RateBucket(LIMITS, 0.0)
-        lot = bucket.lease("e1", RateNeed("w", 5), 0.0)
-        self.assertEqual((lot.tokens, lot.wait_ms), (0, 50))
+        grant = bucket.lease("e1", RateNeed("w", 5), 0.0)
+        self.assertEqual((grant.tokens, grant.wait_ms), (0, 50))
 
     @given(st.lists(STEP, max_size=60))
     def test_no_window_sees_more_than_rate_and_burst(self, steps):
@@ -74,11 +74,11 @@
 
     def test_bucket_fills_from_the_first_settings(self):
         settings = SiteSettings("s", (), (), (), (LIMITS,))
-        desk = RateBuckets()
-        desk.add_buckets(None, 0.0)
-        self.assertEqual(desk.lease("e1", [], settings, 1000.0), [])
-        (lot,) = desk.lease("e1", [RateNeed("w", 9)], settings, 5000.0)
-        self.assertEqual(lot.tokens, 9)
+        buckets = RateBuckets()
+        buckets.add_buckets(None, 0.0)
+        self.assertEqual(buckets.lease("e1", [], settings, 1000.0), [])
+        (grant,) = buckets.lease("e1", [RateNeed("w", 9)], settings, 5000.0)
+        self.assertEqual(grant.tokens, 9)
 
     def test_unknown_workspace_gets_none(self):
         settings = SiteSettings("s", (), (), (), ())
@@ -102,8 +102,8 @@
         for _ in range(40):
             clock.advance(250)
             now = clock.now_ms()
-            lots = [bucket.lease("e1", need, now) for need in allowance.rate_needs()]
-            allowance.take_rates(lots, now)
+            grants = [bucket.lease("e1", need, now) for need in allowance.rate_needs()]
+            allowance.take_rates(grants, now)
             tokens = allowance._workspaces.setdefault("w", WorkspaceTokens())
             for _ in range(3):
                 tokens.demand_at_ms.append(now)
