Log the session with the control leader and delays of the event loop

Change: an entry and an arbiter log control_found, control_lost, control_ping_failed and control_ping_slow with the age and index of their settings, and export the ping time and the settings age as metrics.

--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -9,6 +9,7 @@
 
 from bergamotdrift import constants
 from bergamotdrift.clock import Clock
+from bergamotdrift.control_client_metrics import PING_TIME, report_settings_age
 from bergamotdrift.exceptions import (
     CallError,
     ErrorKind,
@@ -38,6 +39,9 @@
 _CALL_TIMEOUT_MS = 1000
 _CONNECT_TIMEOUT_MS = 300
 _FAREWELL_TIMEOUT_MS = 300
+# Two ping intervals: a slower reply delays the next ping.
+_SLOW_PING_MS = 2 * constants.PING_INTERVAL_MS
+_LOGGED_AGE_MAX_MS = 1e9
 
 
 class SessionObserver(Protocol):
@@ -97,6 +101,7 @@
         self._term = 0
         self._leader_address = ""
         self._unreachable_leader = ""
+        self._is_connected = False
         self._greenlet: gevent.Greenlet | None = None
         self.tables = FeedTables()
         self.session = HeldLease(float("-inf"), 0.0)
@@ -104,6 +109,7 @@
 
     def start(self) -> None:
         """Start pinging the leader in the background."""
+        report_settings_age(self.settings_age_ms)
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -177,19 +183,61 @@
         try:
             client.ready_connection(_CONNECT_TIMEOUT_MS)
             reply = client.call(self._build_ping(), _CALL_TIMEOUT_MS)
-        except (StreamClosedError, CallError, ProtocolError, gevent.Timeout):
+        except (StreamClosedError, CallError, ProtocolError, gevent.Timeout) as exc:
             if client.address == self._leader_address:
                 self._unreachable_leader = client.address
+            self._log_failed_ping(client, str(exc) or type(exc).__name__, sent_at_ms)
             return False
         if isinstance(reply, NotLeader):
+            reason = f"not the leader, hint {reply.hint or 'none'}"
+            self._log_failed_ping(client, reason, sent_at_ms)
             return self._follow_redirect(reply.hint)
         if not isinstance(reply, Pong) or reply.term < self._term:
+            self._log_failed_ping(client, "the reply is of an old term", sent_at_ms)
             return False
+        self._log_pong(client, reply, sent_at_ms)
         self._renew_session(reply, sent_at_ms)
         if self._payload is not None:
             self._payload.take_rates(reply.rates, sent_at_ms)
         return True
 
+    def _log_failed_ping(
+        self, client: StreamClient, reason: str, sent_at_ms: float
+    ) -> None:
+        """Log a ping without a confirmation; the first one means the leader is lost."""
+        log_event(
+            "control_lost" if self._is_connected else "control_ping_failed",
+            replica=client.address,
+            reason=reason,
+            after_ms=round(self._clock.now_ms() - sent_at_ms),
+            **self._settings_state(),
+        )
+        self._is_connected = False
+
+    def _log_pong(self, client: StreamClient, pong: Pong, sent_at_ms: float) -> None:
+        """Log the first reply of a leader, and slow replies."""
+        took_ms = self._clock.now_ms() - sent_at_ms
+        PING_TIME.observe(took_ms / 1000.0)
+        if self._is_connected and took_ms <= _SLOW_PING_MS:
+            return
+        log_event(
+            "control_ping_slow" if self._is_connected else "control_found",
+            replica=client.address,
+            term=pong.term,
+            took_ms=round(took_ms),
+            leader_index=pong.feed_index,
+            **self._settings_state(),
+        )
+        self._is_connected = True
+
+    def _settings_state(self) -> dict[str, int]:
+        """Return log fields for the applied settings and their age."""
+        return {
+            "index": self.tables.index,
+            "revision": self.tables.revision,
+            "settings_age_ms": round(min(self.settings_age_ms(), _LOGGED_AGE_MAX_MS)),
+        }
+
     def _build_ping(self) -> Ping:
         ping = Ping(self._node_row(), self.tables.index, self._unreachable_leader)
         if self._payload is None:
--- a/bergamotdrift/daemon_startup.py
+++ b/bergamotdrift/daemon_startup.py
@@ -12,8 +12,8 @@
 from bergamotdrift.clock import BootClock
 from bergamotdrift.config.problems import Problem
 from bergamotdrift.config.schema import ArbiterSettings, ControlSettings, EntrySettings
+from bergamotdrift.event_loop_watch import watch_event_loop
 from bergamotdrift.log import start_logging
-from bergamotdrift.metrics import watch_event_loop
 from bergamotdrift.shutdown import EXIT_SETTINGS
 
 _Settings = TypeVar("_Settings", EntrySettings, ArbiterSettings, ControlSettings)
--- a/bergamotdrift/metrics.py
+++ b/bergamotdrift/metrics.py
@@ -1,7 +1,6 @@
 """Prometheus endpoint, and the metrics that all programs share."""
 
 import falcon
-import gevent
 from prometheus_client import (
     CONTENT_TYPE_LATEST,
     REGISTRY,
@@ -10,10 +9,6 @@
     generate_latest,
 )
 
-from bergamotdrift.clock import Clock
-
-LOOP_CHECK_INTERVAL_MS = 500
-
 EVENTS = Counter("bergamotdrift_events", "Log events by name.", ["event"])
 LOG_LINES_DROPPED = Counter(
     "bergamotdrift_log_lines_dropped", "Log lines that could not be written."
@@ -34,15 +29,3 @@
         """Respond with all metrics of the default registry in the text format."""
         resp.content_type = CONTENT_TYPE_LATEST
         resp.data = generate_latest(REGISTRY)
-
-
-def watch_event_loop(clock: Clock) -> gevent.Greenlet:
-    """Start measuring the delay of the event loop; kill the greenlet to stop."""
-    return gevent.spawn(_measure_delay, clock)
-
-
-def _measure_delay(clock: Clock) -> None:
-    while True:
-        due_ms = clock.now_ms() + LOOP_CHECK_INTERVAL_MS
-        gevent.sleep(LOOP_CHECK_INTERVAL_MS / 1000)
-        LOOP_DELAY.set(max(0.0, clock.now_ms() - due_ms) / 1000)
--- a/bergamotdrift/platform/startup.py
+++ b/bergamotdrift/platform/startup.py
@@ -7,9 +7,9 @@
 import gevent
 
 from bergamotdrift.clock import BootClock
+from bergamotdrift.event_loop_watch import watch_event_loop
 from bergamotdrift.exceptions import ConfigurationError
 from bergamotdrift.log import log_event, start_logging
-from bergamotdrift.metrics import watch_event_loop
 from bergamotdrift.platform.boot import Boot, read_boot
 from bergamotdrift.shutdown import EXIT_SETTINGS
 
--- a/bergamotdrift/tests/entry_fakes.py
+++ b/bergamotdrift/tests/entry_fakes.py
@@ -110,7 +110,10 @@
 
 
 class FakeControl:
-    """Confirms sessions and pushes tables; `silent` stops all replies."""
+    """Confirms sessions and pushes tables; `silent` stops all replies.
+
+    `reply_delay_s` delays the replies to pings.
+    """
 
     def __init__(self):
         self.server = StreamServer(
@@ -119,6 +122,7 @@
         self.server.start()
         self.update = FeedUpdate(0, 1, True, 1, None, [], [], [], [], [], [])
         self.silent = False
+        self.reply_delay_s = 0.0
         self.received = []
 
     def push(self, **changes):
@@ -138,6 +142,7 @@
         if self.silent:
             return
         if isinstance(msg, Ping):
+            gevent.sleep(self.reply_delay_s)
             conn.reply(number, Pong("c1", 1, self.update.to_index, 1500))
         elif number:
             conn.reply(number, Done())
--- a/bergamotdrift/tests/test_failure_lines.py
+++ b/bergamotdrift/tests/test_failure_lines.py
@@ -1,28 +1,17 @@
 import contextlib
 import unittest
 
-import eliot
 import gevent
 
 from bergamotdrift.constants import SETTINGS_STALE_MS
-from bergamotdrift.log import LineDestination
 from bergamotdrift.messages import PartitionState, RangeRow, UpstreamState
 from bergamotdrift.tests.direct_entry import BUSY, OK, DirectEntryTestCase
 from bergamotdrift.tests.entry_fakes import KEY, Caller
+from bergamotdrift.tests.log_capture import capture_log
 
 OWNED_RANGE = RangeRow("keys", 0, 999, "k0", "1", 4, PartitionState.OWNED)
 
 
-class LogCapture:
-    """Captures the log lines of a test."""
-
-    def __init__(self):
-        self.captured = []
-
-    def write(self, line):
-        self.captured.append(line)
-
-
 class FailureLinesTests(DirectEntryTestCase):
     """Guards against failed requests whose log lines do not state the cause.
 
@@ -30,10 +19,7 @@
     """
 
     def setUp(self):
-        self.log = LogCapture()
-        destination = LineDestination(self.log)
-        eliot.add_destinations(destination)
-        self.addCleanup(eliot.remove_destination, destination)
+        self.log = capture_log(self)
         super().setUp()
 
     def assert_logged(self, *parts, request="a1"):
