Keep the leader's term open while its lease lapses

What callers saw: entries refused requests, or served by settings up to 3 s old, on a grown site, since they were without a leader for up to 5.8 s at a time. Cause: a lapse of the 300 ms lease, which a busy leader had every second, counted as the end of its leadership. It answered pings with NotLeader, upon which entries closed their streams and looked for the leader at the other replicas. The state of the term was discarded: workers that renew grants were stopped and granted all ranges anew at the same moment, and rate buckets were filled anew. That burst brought about the next lapse. Change: the term stays open while the replica still leads it in Raft. Without the lease nothing is answered; pings wait until it is renewed, or are redirected once the leadership ends. After 500 ms the term state is still replaced, as after a stall of the process. Why it is safe: no other replica can have led in between if a quorum renews the lease in the same term.

--- a/bergamotdrift/leadership.py
+++ b/bergamotdrift/leadership.py
@@ -57,6 +57,7 @@
         self._term = 0
         self._replica = ""
         self._last_progress_ms = 0.0
+        self._lapse_logged = False
         self._greenlet: gevent.Greenlet | None = None
         self._wake = Event()
 
@@ -76,10 +77,13 @@
 
     def leader_state(self) -> LeaderState | None:
         """Return the leader state while this replica leads the term it belongs to."""
-        state = self._leader_state
-        if state is None or not self._replicator.is_leader():
+        return self.open_state() if self._replicator.is_leader() else None
+
+    def open_state(self) -> LeaderState | None:
+        """Return the leader state of the open term, even if the lease has lapsed."""
+        if not self._replicator.leads_term():
             return None
-        return state if self._replicator.term() == self._term else None
+        return self._leader_state if self._replicator.term() == self._term else None
 
     def term(self) -> int:
         """Return the term that was opened last."""
@@ -117,9 +121,13 @@
             gevent.sleep(0)
 
     def _step_if_leading(self) -> None:
-        if not self._replicator.is_leader():
+        if not self._replicator.leads_term():
             self._close_term("the leadership was lost")
             return
+        if not self._replicator.is_leader():
+            self._log_lapse()
+            return
+        self._lapse_logged = False
         now_ms = self._clock.now_ms()
         if (
             self._leader_state is not None
@@ -132,6 +140,12 @@
         if self._leader_state is not None:
             self._run_round(self._leader_state)
 
+    def _log_lapse(self) -> None:
+        """Log once that the lease has lapsed; the term stays open meanwhile."""
+        if self._leader_state is not None and not self._lapse_logged:
+            self._lapse_logged = True
+            log_event("leader_lease_lapsed", term=self._term)
+
     def _open_term(self) -> None:
         status = self._replicator.status()
         self._leader_state = None
--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -63,7 +63,7 @@
 
 @dataclass
 class PendingPing:
-    """Describe a ping whose node registration is not committed yet."""
+    """Describe a ping that waits for the registration of its node, or for the lease."""
 
     conn: Connection
     number: int
@@ -121,14 +121,23 @@
         if handler is None:
             return False
         leader_state = self.leadership.leader_state()
-        if leader_state is None:
-            if isinstance(msg, Ping) and msg.unreachable:
-                self._record_unreachable(msg)
-            conn.reply(number, self._not_leader())
-        else:
+        if leader_state is not None:
             handler(self, leader_state, conn, number, msg)
+        elif isinstance(msg, Ping):
+            self._on_ping_without_lease(conn, number, msg)
+        else:
+            conn.reply(number, self._not_leader())
         return True
 
+    def _on_ping_without_lease(self, conn: Connection, number: int, msg: Ping) -> None:
+        """Redirect a ping, or keep it until the lapsed lease is renewed or lost."""
+        if msg.unreachable:
+            self._record_unreachable(msg)
+        if self.leadership.open_state() is None:
+            conn.reply(number, self._not_leader())
+        elif number:
+            self._pending_pings.append(PendingPing(conn, number, msg))
+
     def _record_unreachable(self, msg: Ping) -> None:
         if msg.unreachable != self._replicator.leader_address():
             return
@@ -145,11 +154,15 @@
         """Push the changes of a round and answer the pings that waited for it."""
         leader_state = self.leadership.leader_state()
         update_gauges(self._state, leader_state is not None)
-        # Upstreams must receive their grants before the feed causes requests to them.
-        self._answer_deferred(leader_state)
         if changed:
             self._changed.set()
             self.on_changed()
+        if leader_state is None and self.leadership.open_state() is not None:
+            # The lease has lapsed; requests wait until it is renewed or lost.
+            return
+        # Upstreams must receive their grants before the feed causes requests to them;
+        # the push loop runs after this method.
+        self._answer_deferred(leader_state)
         pending, self._pending_pings = self._pending_pings, []
         for item in pending:
             if leader_state is None:
@@ -173,8 +186,8 @@
 
     def _not_leader(self) -> NotLeader:
         # A leader whose term is not open yet must not redirect to itself.
-        is_leader = self._replicator.is_leader()
-        return NotLeader("" if is_leader else self._replicator.leader_address())
+        leads = self._replicator.leads_term()
+        return NotLeader("" if leads else self._replicator.leader_address())
 
     # Messages
 
--- a/bergamotdrift/range_orders.py
+++ b/bergamotdrift/range_orders.py
@@ -95,6 +95,10 @@
         """Return the state of the term that this replica leads now, or None."""
         ...
 
+    def open_state(self) -> LeaderState | None:
+        """Return the leader state of the open term, even if the lease has lapsed."""
+        ...
+
     def wake(self) -> None:
         """Start the next command round immediately."""
         ...
@@ -137,7 +141,7 @@
             self._changed.wait(_POLL_S)
 
     def _sync_workers(self) -> None:
-        leader_state = self._leader.leader_state()
+        leader_state = self._leader.open_state()
         if leader_state is not self._leader_state:
             self._stop_workers()
             self._leader_state = leader_state
@@ -190,8 +194,8 @@
         self._greenlet.kill(block=False)
 
     def _loop(self) -> None:
-        # Only the owner stops its workers. A loss of leadership that is too short for
-        # the owner to detect must not end the renewals.
+        # Only the owner stops its workers. A lapse of the leader's lease must not end
+        # the renewals.
         while True:
             self.wake.clear()
             if not self._is_leading():
--- a/bergamotdrift/replica.py
+++ b/bergamotdrift/replica.py
@@ -161,6 +161,12 @@
             return False
         return self._raft.holds_leader_lease(self._clock.now_ms())
 
+    def leads_term(self) -> bool:
+        """Return whether this replica leads its term, even if its lease lapsed."""
+        if not self._running or self.failed.is_set():
+            return False
+        return self._raft.leadership is not None
+
     def term(self) -> int:
         """Return the current term."""
         return self._raft.state.term
--- a/bergamotdrift/replication.py
+++ b/bergamotdrift/replication.py
@@ -47,6 +47,14 @@
         """Return whether this replica leads with a valid quorum lease."""
         ...
 
+    def leads_term(self) -> bool:
+        """Return whether this replica leads its term, even if its lease lapsed.
+
+        While the lease has lapsed it must not act as the leader, but no other replica
+        has led since if it gets the lease again in the same term.
+        """
+        ...
+
     def term(self) -> int:
         """Return the current term; cheaper than the whole status."""
         ...
--- a/bergamotdrift/tests/fake_replicator.py
+++ b/bergamotdrift/tests/fake_replicator.py
@@ -22,7 +22,7 @@
 
 
 class FakeReplicator:
-    """Leads while `leads` is set.
+    """Leads while `leads` is set, and holds its quorum lease while `has_lease` is.
 
     The next `dropped_proposals` proposals are dropped and the next `lost_replies`
     ones committed; both end with NO_QUORUM.
@@ -32,6 +32,7 @@
         self.log, self.name = log, name
         log.machines.append(machine)
         self.leads = False
+        self.has_lease = True
         self.address = ""
         self.dropped_proposals = 0
         self.lost_replies = 0
@@ -41,6 +42,9 @@
         self.leads = True
 
     def is_leader(self):
+        return self.leads and self.has_lease
+
+    def leads_term(self):
         return self.leads
 
     def term(self):
@@ -51,7 +55,7 @@
 
     def propose(self, command, timeout_ms):
         gevent.sleep(0.001)
-        if not self.leads:
+        if not self.is_leader():
             raise CallError(Refusal(ErrorKind.NOT_LEADER))
         if self.dropped_proposals > 0:
             self.dropped_proposals -= 1
--- a/bergamotdrift/tests/test_control_server.py
+++ b/bergamotdrift/tests/test_control_server.py
@@ -173,6 +173,42 @@
         self.assertFalse(client.session_is_valid())
         self.assertGreater(client.settings_age_ms(), 1000)
 
+    # Guards against entries that all reconnect, and grants that all start again, since
+    # the quorum lease of their leader lapsed for less than an election takes.
+    def test_short_lapse_of_the_lease_keeps_streams_and_leader_state(self):
+        client = self.client()
+        self.apply(0, "r1")
+        self.wait_until(client.ready.is_set)
+        leadership = self.leader.server.node_streams.leadership
+        stream, state = client._client, leadership.leader_state()
+        self.leader.replicator.has_lease = False
+        gevent.sleep(0.35)
+        self.assertIsNone(leadership.leader_state())
+        self.leader.replicator.has_lease = True
+        self.wait_until(lambda: client.settings_age_ms() < 200, timeout_s=0.5)
+        self.assertIs(client._client, stream)
+        self.assertIs(leadership.leader_state(), state)
+
+    # Guards against confirming pings, and against keeping them, while a replica that
+    # had the lead can't reach a quorum.
+    def test_ping_in_a_lapse_is_redirected_once_the_leadership_is_lost(self):
+        client = self.client()
+        self.wait_until(lambda: client.session_is_valid())
+        self.leader.replicator.has_lease = False
+        gevent.sleep(0.3)
+        self.assertEqual(len(self.leader.server.node_streams._pending_pings), 1)
+        self.lead(1)
+        self.replicas[0].replicator.leads = False
+        self.wait_until(lambda: client.settings_age_ms() > 0, timeout_s=1.0)
+        self.wait_until(
+            lambda: (
+                client._leader_address == self.leader.streams.address
+                and client.session_is_valid()
+            ),
+            timeout_s=1.0,
+        )
+        self.assertEqual(self.replicas[0].server.node_streams._pending_pings, [])
+
     def test_new_incarnation_of_a_node_waits_for_the_old_session_to_expire(self):
         first = self.client()
         self.wait_until(lambda: first.session_is_valid())
--- a/bergamotdrift/tests/test_range_orders.py
+++ b/bergamotdrift/tests/test_range_orders.py
@@ -53,13 +53,16 @@
         )
         self.state.apply_command(1, cmd.PutUpstreams([up]))
         self.replace_with_state(PartitionState.VACANT)
-        self.is_leading = True
+        self.is_leading = self.has_lease = True
         self.term_state = LeaderState(self.state, self.clock.now_ms())
         self.upstreams = FakeOrderTransport()
         self.orders = RangeOrderSender(self, self.state, self.clock, self.upstreams)
         self.addCleanup(self.orders.stop)
 
     def leader_state(self):
+        return self.open_state() if self.has_lease else None
+
+    def open_state(self):
         return self.term_state if self.is_leading else None
 
     def wake(self):
@@ -149,19 +152,20 @@
         gevent.sleep(0.9)
         self.assertEqual(len(self.upstreams.grants), sent)
 
-    def test_renewals_continue_after_an_undetected_loss_of_leadership(self):
-        """Guards against upstreams that lose their keys under an active leader.
-
-        A worker stopped for good on a loss of leadership that its owner did not detect.
-        """
+    # Guards against upstreams that lose their keys, or are all granted theirs anew at
+    # the same moment, since the lease of an active leader lapsed.
+    def test_renewals_continue_after_a_lapse_of_the_lease(self):
         self.orders.start()
         gevent.sleep(0.05)
-        # Only the worker checks the leadership while it is lost.
-        self.is_leading = False
-        for worker in self.orders._workers.values():
+        workers = dict(self.orders._workers)
+        self.has_lease = False
+        self.orders.wake()
+        for worker in workers.values():
             worker.wake.set()
-        gevent.sleep(0.01)
-        self.is_leading = True
+        gevent.sleep(0.25)
+        self.assertEqual(len(self.upstreams.grants), 1)
+        self.has_lease = True
+        self.assertEqual(self.orders._workers, workers)
         sent = len(self.upstreams.grants)
         gevent.sleep(RENEW_INTERVAL_MS / 1000.0 + 0.2)
         self.assertGreater(len(self.upstreams.grants), sent)
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -57,6 +57,10 @@
         """Return True: the only replica leads."""
         return True
 
+    def leads_term(self) -> bool:
+        """Return True: the only replica leads."""
+        return True
+
     def term(self) -> int:
         """Return 1: there are no elections."""
         return 1
