--- a/bergamotdrift/range_orders.py
+++ b/bergamotdrift/range_orders.py
@@ -1,5 +1,6 @@
 """Delivery of range grants and releases from the leader to the upstreams."""
 
+import random
 from collections.abc import Sequence
 from enum import StrEnum
 from typing import NamedTuple, Protocol
@@ -26,6 +27,9 @@
 
 # A release is answered only after the running requests for its keys have ended.
 RELEASE_TIMEOUT_MS = 1500.0
+# The first renewal of a grant comes after a random part of the interval, at least this.
+# Grants that begin together would otherwise be renewed in bursts.
+_FIRST_RENEWAL_MIN_PART = 0.2
 # An unanswered call is retried after this delay.
 _RETRY_MS = 100.0
 _IDLE_WAIT_MS = 300.0
@@ -274,10 +278,11 @@
             unchanged = self._is_still_granted(row)
             leases.end_grant(row, answered, unchanged, self._now_ms())
         accepted = result is GrantResult.ACCEPTED
+        is_first = _grant_key(row) not in self._grant_due_ms
         if accepted and row.state is PartitionState.VACANT:
             leases.record_accepted(row)
             self._owner._leader.wake()
-        if _grant_key(row) not in self._grant_due_ms or not accepted:
+        if is_first or not accepted:
             log_event(
                 "range_granted" if accepted else "range_grant_failed",
                 service=row.service,
@@ -289,9 +294,11 @@
                 took_ms=round(self._now_ms() - started_ms),
             )
         # Avoids a tight retry loop against an upstream that has seen a higher epoch.
-        delay_ms = RENEW_INTERVAL_MS
+        delay_ms: float = RENEW_INTERVAL_MS
         if result is GrantResult.NO_ANSWER:
             delay_ms = _RETRY_MS
+        elif accepted and is_first:
+            delay_ms *= random.uniform(_FIRST_RENEWAL_MIN_PART, 1.0)
         self._grant_due_ms[_grant_key(row)] = started_ms + delay_ms
 
     def _start_release(self, upstream: UpstreamRow, row: RangeRow) -> None:
--- a/bergamotdrift/tests/test_range_orders.py
+++ b/bergamotdrift/tests/test_range_orders.py
@@ -172,6 +172,42 @@
         process = next(iter(self.orders._workers))
         self.assertFalse(self.term_state.ranges.leases.is_failing(process, 0.0, 1e12))
 
+    # Guards against renewals that come in bursts, which delay the leader's heartbeats,
+    # since the grants of many upstreams began at the same moment.
+    def test_renewals_of_grants_that_began_together_are_spread(self):
+        count = 32
+        self.own_by_many(count)
+        times = []
+        self.upstreams.during_grant = lambda: times.append(self.clock.now_ms())
+        self.orders.start()
+        gevent.sleep(RENEW_INTERVAL_MS * 2.5 / 1000.0)
+        renewals = times[count:]
+        self.assertGreaterEqual(len(renewals), count)
+        together = max(
+            sum(start <= other < start + RENEW_INTERVAL_MS / 10 for other in renewals)
+            for start in renewals
+        )
+        self.assertLess(together, count / 2)
+
+    def own_by_many(self, count):
+        """Split the keys evenly among `count` upstreams."""
+        names = [f"v{number:02}" for number in range(count)]
+        ups = [
+            UpstreamRow(
+                "cases", name, "10.0.0.1:1", "a", "1", UpstreamState.READY, 2, 1
+            )
+            for name in names
+        ]
+        put = cmd.PutUpstreams(ups)
+        self.state.apply_command(self.state.applied_index + 1, put)
+        size = (LAST_KEY + 1) // count
+        self.replace([
+            self.row(n * size, (n + 1) * size - 1, PartitionState.VACANT)._replace(
+                upstream=name
+            )
+            for n, name in enumerate(names)
+        ])
+
 
 if __name__ == "__main__":
     unittest.main()
