Serve, deny and send nothing by settings older than 1.8 s

An entry served a request 2.6 s after the confirmation of version 13 by version 10 or older. Cause: an entry served by settings confirmed up to 3 s ago, though a change has to be in force 2 s after its confirmation. bound only denials to 1.8 s. Sending to upstreams used the 3 s too, though a leaving upstream gets nothing 2 s after its confirmation. Evidence: the constant; and both new tests of test_platform_forwarding.StaleSettingsTests, where an entry gets no updates: before the change it answers 200 by settings 2.0 s old, and sends a waiting request after 1.95 s. Change: one limit, settings_max_age_ms, replaces the two, for routes, keys, denials, readiness and each send. On the platform it is the shortest of config_apply, drain, evacuate and revoke less 0.2 s for requests on their way. With direct dispatch open routes are refused at once as well; before, they were admitted and then refused when sent. Tests: test_unconfirmed_settings_deny_neither_routes_nor_keys also required that a request is served between 1.8 and 3 s, which was the fault. It is merged with the test of stale settings, which now requires refusals of routes, unknown routes and keys from 1.8 s on, before 2 s.

--- a/bergamotdrift/config/process.py
+++ b/bergamotdrift/config/process.py
@@ -30,7 +30,7 @@
     NodeSettings,
     ReplicaAddress,
 )
-from bergamotdrift.constants import SESSION_TTL_MS
+from bergamotdrift.constants import SESSION_TTL_MS, SETTINGS_MAX_AGE_MS
 
 _NODE_OPTIONS: dict[str, Option] = {
     "cluster": Name(),
@@ -71,6 +71,7 @@
     unready_s=Number(0, 600, "s", default=0.0),
     retry_ratio=Number(0, 1, default=0.1),
     retry_fleet_per_s=Number(0, 10_000, "per_s", default=3.0),
+    settings_max_age_ms=Integer(500, 600_000, "ms", default=SETTINGS_MAX_AGE_MS),
 )
 
 ARBITER_OPTIONS = Section(
--- a/bergamotdrift/config/schema.py
+++ b/bergamotdrift/config/schema.py
@@ -3,6 +3,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from bergamotdrift.constants import SETTINGS_MAX_AGE_MS
+
 
 class ServiceKind(StrEnum):
     """List how requests are distributed over the upstreams of a service."""
@@ -171,7 +173,9 @@
 
     The entry still accepts requests for `unready_s` after the start of a shutdown.
     With direct dispatch, the retry budget of a service is `retry_ratio` retries per
-    request, plus `retry_fleet_per_s` retries per second over all entries.
+    request, plus `retry_fleet_per_s` retries per second over all entries. With settings
+    last confirmed longer than `settings_max_age_ms` ago, only open routes on a pool are
+    served, and none with direct dispatch.
     """
 
     node: NodeSettings
@@ -185,6 +189,7 @@
     unready_s: float = 0.0
     retry_ratio: float = 0.1
     retry_fleet_per_s: float = 3.0
+    settings_max_age_ms: int = SETTINGS_MAX_AGE_MS
 
 
 class ArbiterSettings(NamedTuple):
--- a/bergamotdrift/constants.py
+++ b/bergamotdrift/constants.py
@@ -17,10 +17,9 @@
 STREAM_QUEUE_FRAMES = 4096
 STREAM_MAX_FRAME_BYTES = 16 * 1024 * 1024
 
-SETTINGS_STALE_MS = 3000
-# A settings change takes effect within 2 s. With older settings, a route or key that
-# looks unknown may be new, so requests are not denied for it.
-DENIAL_SETTINGS_AGE_MAX_MS = 1800
+# A settings change is in force 2 s after its confirmation. The rest of the 2 s is for
+# requests on their way.
+SETTINGS_MAX_AGE_MS = 1800
 PERMIT_WAIT_MS = 2500
 TOKEN_LEASE_MS = 200
 ZONE_OUT_GRACE_MS = 3000
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from bergamotdrift.admission import Admission, is_stale
+from bergamotdrift.admission import Admission
 from bergamotdrift.arbiter_client import ArbiterClient
 from bergamotdrift.arbiter_messages import (
     ConnectionDropped,
@@ -66,7 +66,7 @@
         self._view: SettingsView | None = None
         self._splits = RouteSplits()
         self._feed = FeedSignal()
-        self._admission = Admission(cfg.node.zone, clock)
+        self._admission = Admission(cfg, clock)
         self.registry = AttemptRegistry()
         self._book = LocalRecords(clock)
         self._connections = UpstreamConnectionPool(clock, self._on_connections_dropped)
@@ -269,7 +269,7 @@
     def _may_send(self, shard: str) -> bool:
         """Return True if a request may be sent now under a permit of a shard."""
         if self._direct is not None:
-            return not is_stale(self.control.settings_age_ms())
+            return not self._admission.is_stale(self.control.settings_age_ms())
         return self._holds_permits(shard)
 
     def _holds_permits(self, shard: str) -> bool:
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from bergamotdrift import entry_metrics
-from bergamotdrift.admission import Admission, is_stale, may_deny, may_run_stale
+from bergamotdrift.admission import Admission
 from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.body_source import BodySource, open_body
 from bergamotdrift.clock import Clock
@@ -140,7 +140,7 @@
         view = self._view()
         if view is None:
             return Failure(StageRefusal("admit", Refusal(ErrorKind.SETTINGS_STALE)))
-        stale = is_stale(self._settings_age_ms())
+        stale = self._admission.is_stale(self._settings_age_ms())
         identity: Result[str, Refusal] = (
             Failure(Refusal(ErrorKind.SETTINGS_STALE))
             if stale
@@ -149,10 +149,7 @@
         result = route(req, identity, view.routes).map(
             lambda routed: routed._replace(revision=view.revision)
         )
-        denied = isinstance(result, Failure)
-        if denied and not may_deny(self._settings_age_ms()):
-            return Failure(StageRefusal("admit", Refusal(ErrorKind.SETTINGS_STALE)))
-        if stale and not result.map(may_run_stale).value_or(False):
+        if stale and not result.map(self._admission.may_run_stale).value_or(False):
             return Failure(StageRefusal("admit", Refusal(ErrorKind.SETTINGS_STALE)))
         return result.alt(lambda refusal: StageRefusal("route", refusal))
 
--- a/bergamotdrift/platform/boot.py
+++ b/bergamotdrift/platform/boot.py
@@ -44,10 +44,18 @@
 # the retries that each entry may have saved up.
 _RETRY_RATIO_FRACTION = 0.95
 _RETRY_SLACK_FRACTION = 0.35
+# Part of a bound on how soon a change is in force that is left for requests on their
+# way to an entry or to an upstream.
+_IN_FLIGHT_MARGIN_MS = 200
+_IN_FORCE_BOUNDS = ("config_apply", "drain", "evacuate", "revoke")
 
 
 class Bounds(NamedTuple):
-    """Hold the platform's bounds on retries, request rates and the grace period."""
+    """Hold the platform's bounds.
+
+    `in_force_ms` is the shortest of the times after which a confirmed change of the
+    settings, a leaving upstream, an evacuation or a withdrawn key binds every entry.
+    """
 
     grace_s: float = 6.0
     retry_ratio: float = 0.2
@@ -55,6 +63,7 @@
     retry_window_s: float = 10.0
     rate_overage: float = 0.0
     rate_slack: float = 0.0
+    in_force_ms: float = 2000.0
 
 
 class Boot(NamedTuple):
@@ -126,6 +135,14 @@
         duration_ms(window) / 1000.0 if window else defaults.retry_window_s,
         float(fields.get("quota_overage", defaults.rate_overage)),
         float(fields.get("quota_slack", defaults.rate_slack)),
+        min(
+            (
+                duration_ms(fields[name])
+                for name in _IN_FORCE_BOUNDS
+                if fields.get(name)
+            ),
+            default=defaults.in_force_ms,
+        ),
     )
 
 
@@ -145,6 +162,7 @@
         _UNREADY_PERIOD_S,
         bounds.retry_ratio * _RETRY_RATIO_FRACTION,
         bounds.retry_slack / bounds.retry_window_s * _RETRY_SLACK_FRACTION,
+        round(bounds.in_force_ms - _IN_FLIGHT_MARGIN_MS),
     )
 
 
--- a/bergamotdrift/tests/test_failure_lines.py
+++ b/bergamotdrift/tests/test_failure_lines.py
@@ -3,7 +3,7 @@
 
 import gevent
 
-from bergamotdrift.constants import SETTINGS_STALE_MS
+from bergamotdrift.constants import SETTINGS_MAX_AGE_MS
 from bergamotdrift.messages import PartitionState, RangeRow, UpstreamState
 from bergamotdrift.tests.direct_entry import BUSY, OK, DirectEntryTestCase
 from bergamotdrift.tests.entry_fakes import KEY, Caller
@@ -44,9 +44,9 @@
 
     def test_settings_that_can_not_be_confirmed(self):
         self.control.silent = True
-        gevent.sleep(SETTINGS_STALE_MS / 1000.0 + 0.3)
+        gevent.sleep(SETTINGS_MAX_AGE_MS / 1000.0 + 0.3)
         self.assertEqual(self.ask("/look/1").status, 503)
-        self.assert_logged("kind=settings_stale", "stage=admit", "settings_age_ms=3")
+        self.assert_logged("kind=settings_stale", "stage=admit", "settings_age_ms=2")
 
     def test_rate_that_is_used_up(self):
         self.control.withholds_rates = True
--- a/bergamotdrift/tests/test_pipeline.py
+++ b/bergamotdrift/tests/test_pipeline.py
@@ -142,25 +142,18 @@
         self.upstream.server.stop()
         self.assert_not_run(self.ask("POST", "/cases/1", SHORT), "no_upstream")
 
-    def test_unconfirmed_settings_deny_neither_routes_nor_keys(self):
-        """Guards against a final 404 for a route that a newer revision has added."""
+    # Guards against serving by a revision that was replaced over 2 s ago, and against a
+    # final 404 or 401 for a route or key that a newer revision has added.
+    def test_stale_settings_allow_only_open_pool_routes_and_deny_nothing(self):
         self.assert_not_run(self.ask("GET", "/else"), "no_route")
         self.control.silent = True
         age_ms = self.entry.control.settings_age_ms
-        self.wait_until(lambda: age_ms() > constants.DENIAL_SETTINGS_AGE_MAX_MS)
-        self.assertLess(age_ms(), constants.SETTINGS_STALE_MS)
-        self.assert_not_run(self.ask("GET", "/else"), "settings_stale")
+        self.wait_until(lambda: age_ms() > constants.SETTINGS_MAX_AGE_MS)
+        self.assertLess(age_ms(), 2000)
+        for path in ("/status/1", "/files/1", "/else"):
+            self.assert_not_run(self.ask("GET", path), "settings_stale")
         answer = self.ask("GET", "/cases/1", key="withdrawn")
         self.assert_not_run(answer, "settings_stale")
-        self.assertEqual(self.ask("GET", "/status/1").status, 200)
-
-    def test_stale_settings_refuse_all_but_open_pool_routes(self):
-        self.control.silent = True
-        age_ms = self.entry.control.settings_age_ms
-        limit = constants.SETTINGS_STALE_MS
-        self.wait_until(lambda: age_ms() > limit)
-        self.assert_not_run(self.ask("GET", "/status/1"), "settings_stale")
-        self.assert_not_run(self.ask("GET", "/files/1"), "settings_stale")
         self.assertFalse(self.entry.is_ready())
         self.assertEqual(self.ask("GET", "/answers/1", key="").status, 200)
 
--- a/bergamotdrift/tests/test_platform_config.py
+++ b/bergamotdrift/tests/test_platform_config.py
@@ -214,6 +214,20 @@
         self.assertNotEqual(first_run.node.node, second_run.node.node)
         self.assertLess(first_run.drain_s, 6.0)
 
+    # Guards against entries that act longer than allowed on a state that a change, a
+    # leaving upstream, an evacuation or a withdrawn key has replaced.
+    def test_settings_age_stays_below_the_shortest_bound(self):
+        bounds = {
+            "config_apply": "2s",
+            "drain": "1500ms",
+            "evacuate": "5s",
+            "revoke": "5s",
+        }
+        cfg = entry_settings(decode_boot(self.fields | {"bounds": bounds}))
+        self.assertEqual(cfg.settings_max_age_ms, 1300)
+        without_bounds = entry_settings(decode_boot(self.fields))
+        self.assertLess(without_bounds.settings_max_age_ms, 2000)
+
     def test_invalid_settings_are_refused(self):
         for changes in ({"ip": ""}, {"port_range": None}, {"node": 5}):
             with self.assertRaises(WireError):
--- a/bergamotdrift/tests/test_platform_forwarding.py
+++ b/bergamotdrift/tests/test_platform_forwarding.py
@@ -179,6 +179,45 @@
             self.assertIsNone(parse_load(value))
 
 
+class StaleSettingsTests(DirectEntryTestCase):
+    """Guards against acting on a state that a change replaced over 2 s ago."""
+
+    entry_changes: ClassVar[dict[str, Any]] = {"settings_max_age_ms": 1800}
+
+    def setUp(self):
+        super().setUp()
+        # The leader still leases tokens, but its updates do not arrive.
+        applied = self.control.update
+        self.control.update = applied._replace(to_index=applied.to_index + 9)
+
+    def send_late(self, steps, row):
+        """Send a part of the updates that are missing."""
+        update = self.tables(ranges=[row])._replace(to_index=1 + steps)
+        for conn in self.control.server.connections:
+            conn.send(update)
+
+    # Guards against a change that an entry without confirmation keeps out of force.
+    def test_request_is_not_served_once_a_change_may_be_in_force(self):
+        gevent.sleep(2.0)
+        for target in ("/look/1", "/order/1", "/open/1"):
+            self.assertEqual(self.ask(target).status, 503)
+        keyed = self.ask("/keys/1", headers=[("Shard-Key", "7")])
+        self.assertEqual(keyed.status, 503)
+        self.assertEqual(self.requests(), [])
+
+    # Guards against requests to an upstream whose leaving was confirmed over 2 s ago.
+    def test_waiting_request_is_not_sent_once_the_settings_are_stale(self):
+        owned = RangeRow("keys", 0, 999, "k0", "1", 4, PartitionState.OWNED)
+        gevent.sleep(1.7)
+        self.send_late(1, owned._replace(state=PartitionState.RELEASING))
+        gevent.sleep(0.05)
+        request = gevent.spawn(self.ask, "/keys/1", headers=[("Shard-Key", "7")])
+        gevent.sleep(0.2)
+        self.send_late(2, owned._replace(epoch=5))
+        self.assertEqual(request.get(timeout=1).status, 503)
+        self.assertEqual(self.requests(), [])
+
+
 class KeyOwnershipTests(DirectEntryTestCase):
     """Guards requests for keys whose owner changes, leaves or refuses them."""
 
