Bound every read of an upstream's bytes that do not end

What callers saw: nothing yet; reported as a possible trouble of servers. An upstream that sends without end made a reader's memory grow until the timeout, on a control node of 64 MB. Cause: the load poll read heads without a limit (geventhttpclient's own client), range orders read bodies without one, and an answer that ends with its connection was buffered whole however long. Trailers of a chunked answer had no limit on any path. Change: the parser refuses 64 KiB of headers, trailers, interim answers or chunk sizes without a byte of the body between. One bounded read of a body serves range orders (64 KiB) and the load poll (4 KiB), which now uses the same connections as the forwarding path. An unframed answer is buffered up to 4 MiB and refused above it. Not bounded yet: answers to the operator's command line.

--- a/bergamotdrift/load_poller.py
+++ b/bergamotdrift/load_poller.py
@@ -7,13 +7,16 @@
 import gevent
 import msgspec
 from gevent.pool import Pool
-from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
 from bergamotdrift.clock import Clock
 from bergamotdrift.messages import UpstreamState
 from bergamotdrift.observations import LoadHint
-from bergamotdrift.streams import parse_address
+from bergamotdrift.upstream_connections import (
+    UpstreamConnection,
+    read_response_body,
+    read_response_head,
+)
 
 _INTERVAL_S = 1.0
 _TIMEOUT_S = 0.5
@@ -87,22 +90,28 @@
 def fetch_load(address: str, clock: Clock) -> LoadHint | None:
     """Return the load report of an upstream, or None if it can't be read."""
     try:
-        host, port = parse_address(address)
-        client = HTTPClient(
-            host,
-            port,
-            concurrency=1,
-            connection_timeout=_TIMEOUT_S,
-            network_timeout=_TIMEOUT_S,
-        )
-        try:
-            response = client.get("/load")
-            if response.status_code != 200:
-                return None
-            body = json.loads(response.read(_MAX_BODY_BYTES))
-        finally:
-            client.close()
-        load = msgspec.convert(body, _LoadBody)
+        body = _fetch_body(address, clock)
+        if body is None:
+            return None
+        load = msgspec.convert(json.loads(body), _LoadBody)
     except (OSError, ValueError, TypeError, EOFError, HTTPParseError):
         return None
     return LoadHint(load["in_flight"], load["slots"], load["state"], clock.now_ms())
+
+
+def _fetch_body(address: str, clock: Clock) -> bytes | None:
+    """Return the body of a load report, or None for another status than 200.
+
+    Raises OSError, HTTPParseError and ValueError.
+    """
+    conn = UpstreamConnection("", "", address, clock)
+    try:
+        conn.start_request(clock.now_ms() + _TIMEOUT_S * 1000.0)
+        conn.connect()
+        conn.send(f"GET /load HTTP/1.1\r\nHost: {address}\r\n\r\n".encode())
+        parser = read_response_head(conn, "GET")
+        if parser.status != 200:
+            return None
+        return read_response_body(conn, parser, _MAX_BODY_BYTES)
+    finally:
+        conn.close()
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -289,7 +289,7 @@
         if not replies.should_buffer(response):
             return Success(replies.streamed_reply(response, request_id))
         try:
-            body = b"".join(response.iter_body())
+            body = response.read_body(replies.CLOSE_DELIMITED_MAX_BYTES)
         except TruncatedAnswerError as exc:
             refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, str(exc))
             return Failure(AttemptFailure(refusal, AttemptOutcome.BROKEN, False))
--- a/bergamotdrift/platform/range_order_client.py
+++ b/bergamotdrift/platform/range_order_client.py
@@ -13,10 +13,13 @@
 from bergamotdrift.upstream_connections import (
     UpstreamConnection,
     UpstreamConnectionPool,
+    read_response_body,
     read_response_head,
 )
 
 _POOL = "orders"
+# The answer to an order is in its status and headers.
+_BODY_MAX_BYTES = 64 * 1024
 _RESULT_BY_STATUS = {200: GrantResult.ACCEPTED, 409: GrantResult.FENCED}
 
 
@@ -85,8 +88,7 @@
 
     def _receive(self, conn: UpstreamConnection) -> _Answer:
         parser = read_response_head(conn, "POST")
-        while not parser.message_complete:
-            conn.receive_into(parser)
+        read_response_body(conn, parser, _BODY_MAX_BYTES)
         token = header_of(parser)(names.STATE_TOKEN) or ""
         reusable = not (parser.should_close() or parser.extra_data)
         if not (reusable and self._connections.put_idle(conn)):
--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -114,6 +114,19 @@
         finally:
             self.abandon()
 
+    def read_body(self, max_bytes: int) -> bytes:
+        """Return the whole body.
+
+        Raises TruncatedAnswerError if it ends early or is too large.
+        """
+        body = bytearray()
+        for data in self.iter_body():
+            body += data
+            if len(body) > max_bytes:
+                self.end(AttemptOutcome.BROKEN, may_reuse=False)
+                raise TruncatedAnswerError("the response body is too large")
+        return bytes(body)
+
     def abandon(self) -> None:
         """Release the permit as cancelled unless the response has ended."""
         self.end(AttemptOutcome.CANCELLED, may_reuse=False)
--- a/bergamotdrift/stages/reply.py
+++ b/bergamotdrift/stages/reply.py
@@ -17,6 +17,9 @@
 # Responses up to this size are buffered before they are forwarded, so that a truncated
 # one can still be retried or refused.
 BUFFERED_RESPONSE_BYTES = 64 * 1024
+# Responses that end with the connection are buffered whole up to this size, and refused
+# above it.
+CLOSE_DELIMITED_MAX_BYTES = 4 * 1024 * 1024
 SAVED_RESPONSE_BYTES = 16 * 1024
 _OWN_HEADERS = frozenset({"x-error-kind", "x-not-run", "x-request-id"})
 _BODILESS_STATUSES = frozenset({204, 304})
--- a/bergamotdrift/tests/test_forward.py
+++ b/bergamotdrift/tests/test_forward.py
@@ -7,6 +7,11 @@
 from bergamotdrift.arbiter_messages import PermitRelease
 from bergamotdrift.http_input import HeaderLine, connection_tokens
 from bergamotdrift.stages.forward import end_to_end
+from bergamotdrift.tests.endless_server import (
+    ENDLESS_ANSWERS,
+    SENT_MAX_BYTES,
+    EndlessAnswer,
+)
 from bergamotdrift.tests.entry_fakes import OK_ANSWER, OK_BODY, EntryTestCase
 
 METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "PATCH", "POST")
@@ -86,6 +91,40 @@
         self.assertEqual((answer.status, answer.body), (200, OK_BODY))
 
 
+class EndlessResponseTests(EntryTestCase):
+    """Guards against memory that grows until the deadline of a request."""
+
+    def start_answer(self, name):
+        answer = EndlessAnswer(*ENDLESS_ANSWERS[name])
+        self.upstream.server.set_handle(answer.serve)
+        return answer
+
+    def test_response_that_can_not_be_forwarded_is_abandoned(self):
+        for name in ("bytes", "head", "header", "interim", "unframed body"):
+            with self.subTest(name):
+                answer = self.start_answer(name)
+                refused = self.ask("POST", "/cases/1")
+                self.assertEqual(refused.kind, "outcome_unknown")
+                self.assertLess(answer.sent, SENT_MAX_BYTES)
+        self.wait_until(lambda: not self.entry.registry.shards())
+
+    def test_endless_trailers_end_the_response(self):
+        answer = self.start_answer("trailers")
+        reply = self.ask("POST", "/cases/1")
+        self.assertFalse(reply.complete and reply.status == 200)
+        self.assertLess(answer.sent, SENT_MAX_BYTES)
+
+    def test_body_is_read_no_faster_than_the_caller_reads(self):
+        for name in ("sized body", "chunked body"):
+            with self.subTest(name):
+                answer = self.start_answer(name)
+                caller = self.caller()
+                caller.send("POST", "/cases/1", [])
+                gevent.sleep(0.5)
+                self.assertLess(answer.sent, SENT_MAX_BYTES)
+                caller.sock.close()
+
+
 class MisdirectedResponseTests(EntryTestCase):
     def test_late_response_never_reaches_another_caller(self):
         def script(data):
--- a/bergamotdrift/tests/test_load_poller.py
+++ b/bergamotdrift/tests/test_load_poller.py
@@ -4,10 +4,15 @@
 from gevent import pywsgi, socket
 from gevent.server import StreamServer
 
-from bergamotdrift.clock import ManualClock
+from bergamotdrift.clock import BootClock, ManualClock
 from bergamotdrift.load_poller import LoadPoller, PollTarget, fetch_load
 from bergamotdrift.messages import UpstreamState
 from bergamotdrift.observations import LoadHint
+from bergamotdrift.tests.endless_server import (
+    ENDLESS_ANSWERS,
+    SENT_MAX_BYTES,
+    serve_endlessly,
+)
 
 
 class FetchTests(unittest.TestCase):
@@ -36,6 +41,16 @@
             with self.subTest(status=status, body=body[:20]):
                 self.assertIsNone(fetch_load(self.serve(status, body), ManualClock()))
 
+    # Guards against memory that grows until the timeout while an upstream sends without
+    # end.
+    def test_endless_answers_are_abandoned(self):
+        for name in ENDLESS_ANSWERS:
+            with self.subTest(name):
+                answer, address = serve_endlessly(self, name)
+                with gevent.Timeout(5):
+                    self.assertIsNone(fetch_load(address, BootClock()))
+                self.assertLess(answer.sent, SENT_MAX_BYTES)
+
     def test_refused_connection_returns_no_report(self):
         sock = socket.socket()
         sock.bind(("127.0.0.1", 0))
--- a/bergamotdrift/tests/test_platform_forwarding.py
+++ b/bergamotdrift/tests/test_platform_forwarding.py
@@ -10,6 +10,11 @@
 from bergamotdrift.messages import PartitionState, RangeRow, UpstreamState
 from bergamotdrift.platform.wire_dialect import parse_load
 from bergamotdrift.tests.direct_entry import BUSY, OK, WRONG, DirectEntryTestCase
+from bergamotdrift.tests.endless_server import (
+    ENDLESS_ANSWERS,
+    SENT_MAX_BYTES,
+    EndlessAnswer,
+)
 from bergamotdrift.tests.entry_fakes import KEY, OK_BODY, entry_settings
 
 
@@ -161,6 +166,14 @@
         answer = self.ask("/order/1", "POST", body=b"x")
         self.assertEqual(answer.status, 502)
 
+    # Guards against memory that grows until the deadline of a request.
+    def test_endless_unframed_answer_is_abandoned(self):
+        answer = EndlessAnswer(*ENDLESS_ANSWERS["unframed body"])
+        for upstream in self.upstreams:
+            upstream.server.set_handle(answer.serve)
+        self.assertEqual(self.ask("/order/1", "POST", body=b"x").status, 502)
+        self.assertLess(answer.sent, SENT_MAX_BYTES)
+
     def test_answer_to_an_earlier_request_is_not_forwarded(self):
         late = OK.replace(b"Backend-Load", b"Attempt-Id: old\r\nBackend-Load")
         self.set_response_script(lambda data: late)
--- a/bergamotdrift/tests/test_platform_range_order_client.py
+++ b/bergamotdrift/tests/test_platform_range_order_client.py
@@ -9,6 +9,11 @@
 from bergamotdrift.messages import UpstreamRow, UpstreamState
 from bergamotdrift.platform.range_order_client import RangeOrderClient
 from bergamotdrift.range_orders import GrantOrder, GrantResult, ReleaseOrder
+from bergamotdrift.tests.endless_server import (
+    ENDLESS_ANSWERS,
+    SENT_MAX_BYTES,
+    serve_endlessly,
+)
 
 ORDER = GrantOrder(4, 9, 12, 2000, "")
 
@@ -76,6 +81,17 @@
         peer.sendall(b"HTTP/1.1 200 OK\r\nHandover: abc\r\nContent-Length: 0\r\n\r\n")
         self.assertEqual(worker.get(timeout=5), "abc")
 
+    # Guards against memory that grows until the timeout while an upstream sends without
+    # end.
+    def test_endless_answers_are_abandoned(self):
+        for name in ENDLESS_ANSWERS:
+            with self.subTest(name):
+                answer, address = serve_endlessly(self, name)
+                upstream = self.upstream._replace(address=address)
+                result = self.client.grant(upstream, ORDER, 2000.0)
+                self.assertIs(result, GrantResult.NO_ANSWER)
+                self.assertLess(answer.sent, SENT_MAX_BYTES)
+
     def test_refused_connection_counts_as_no_answer(self):
         with socket.create_server(("127.0.0.1", 0)) as unused:
             port = unused.getsockname()[1]
--- a/bergamotdrift/upstream_connections.py
+++ b/bergamotdrift/upstream_connections.py
@@ -18,7 +18,8 @@
 _CONNECT_TIMEOUT_MS = 500
 # Well below 5 s, after which upstreams commonly close idle connections.
 MAX_IDLE_MS = 3000
-_MAX_HEAD_BYTES = 64 * 1024
+# Bytes of headers, trailers and chunk sizes that may arrive without any of the body.
+_MAX_OVERHEAD_BYTES = 64 * 1024
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -31,6 +32,8 @@
         self.extra_data = False
         # A response without framing is complete once the upstream closes cleanly.
         self.ends_on_close = False
+        self._overhead_bytes = 0
+        self._has_new_body = False
 
     def _on_message_begin(self) -> None:
         if self.message_complete and self.status >= 200:
@@ -43,6 +46,24 @@
         self.status = self.get_code()
         return result
 
+    def _on_body(self, buf: bytearray) -> None:
+        super()._on_body(buf)
+        self._has_new_body = True
+
+    def feed_bounded(self, data: bytes) -> None:
+        """Parse received bytes; raises HTTPParseError, also if the head has no end."""
+        self._has_new_body = False
+        try:
+            self.feed(data)
+        except HTTPParseError:
+            if not self.extra_data:
+                raise
+        self._overhead_bytes = (
+            0 if self._has_new_body else self._overhead_bytes + len(data)
+        )
+        if self._overhead_bytes > _MAX_OVERHEAD_BYTES:
+            raise HTTPParseError("the response headers or trailers are too large")
+
     @property
     def head_is_final(self) -> bool:
         """Whether the headers of the final (non-1xx) response are complete."""
@@ -125,11 +146,7 @@
         data = self._receive()
         if not data:
             return self._handle_eof(parser)
-        try:
-            parser.feed(data)
-        except HTTPParseError:
-            if not parser.extra_data:
-                raise
+        parser.feed_bounded(data)
         return len(data)
 
     def _receive(self) -> bytes:
@@ -193,16 +210,29 @@
 def read_response_head(conn: UpstreamConnection, method: str) -> ResponseParser:
     """Read up to the end of the final response's headers and return the parser."""
     parser = ResponseParser(method)
-    received = 0
     while not parser.head_is_final:
-        if received > _MAX_HEAD_BYTES:
-            raise HTTPParseError("the response headers are too large")
-        received += conn.receive_into(parser)
+        conn.receive_into(parser)
         if parser.status == 101:
             raise HTTPParseError("the upstream switched protocols")
     return parser
 
 
+def read_response_body(
+    conn: UpstreamConnection, parser: ResponseParser, max_bytes: int
+) -> bytes:
+    """Return the rest of a response's body.
+
+    Raises OSError, and HTTPParseError if the body is invalid or too large.
+    """
+    body = bytearray(parser.take_body())
+    while not parser.message_complete and len(body) <= max_bytes:
+        conn.receive_into(parser)
+        body += parser.take_body()
+    if len(body) > max_bytes:
+        raise HTTPParseError("the response body is too large")
+    return bytes(body)
+
+
 class UpstreamConnectionPool:
     """Pool of idle connections by shard and upstream."""
 
