Read answers of the operator API over the same bounded connections

Cause: the command line read heads and trailers of an answer without a limit, so its memory grew until an attempt's timeout of 3 s: 276 MB of headers and 502 MB of trailers in the new test. Change: the connection that sends a request once and reads a bounded response moves from upstream_connections to http_connection as HttpConnection; UpstreamConnection adds what the pool needs. The operator's client and the load poll use it; the package's own client is gone. An attempt that failed before its first byte left is known not to have run, also on a timeout of the connection.

--- a/bergamotdrift/load_poller.py
+++ b/bergamotdrift/load_poller.py
@@ -10,13 +10,13 @@
 from geventhttpclient.response import HTTPParseError
 
 from bergamotdrift.clock import Clock
-from bergamotdrift.messages import UpstreamState
-from bergamotdrift.observations import LoadHint
-from bergamotdrift.upstream_connections import (
-    UpstreamConnection,
+from bergamotdrift.http_connection import (
+    HttpConnection,
     read_response_body,
     read_response_head,
 )
+from bergamotdrift.messages import UpstreamState
+from bergamotdrift.observations import LoadHint
 
 _INTERVAL_S = 1.0
 _TIMEOUT_S = 0.5
@@ -104,7 +104,7 @@
 
     Raises OSError, HTTPParseError and ValueError.
     """
-    conn = UpstreamConnection("", "", address, clock)
+    conn = HttpConnection(address, clock)
     try:
         conn.start_request(clock.now_ms() + _TIMEOUT_S * 1000.0)
         conn.connect()
--- a/bergamotdrift/operator_client.py
+++ b/bergamotdrift/operator_client.py
@@ -1,18 +1,21 @@
 """Client of the operator API that retries a call on each control replica in turn."""
 
-import socket
 import uuid
 from enum import StrEnum
 from typing import Any, NamedTuple, TypeVar
 
 import gevent
 import msgspec
-from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 from returns.result import Failure, Result, Success
 
 from bergamotdrift.clock import BootClock, Clock
 from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.http_connection import (
+    HttpConnection,
+    read_response_body,
+    read_response_head,
+)
 from bergamotdrift.operator_api import Accepted, Change, RefusalBody, Running
 from bergamotdrift.streams import parse_address
 
@@ -21,8 +24,6 @@
 ATTEMPT_TIMEOUT_S = 3.0
 ROUND_DELAY_S = 0.2
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
-# With these errors no byte of the request has been sent.
-_NOT_SENT_ERRORS = (ConnectionRefusedError, socket.gaierror)
 # Refusals that are also conclusive for earlier attempts of unknown outcome.
 _CONCLUSIVE_REFUSALS = frozenset({
     ErrorKind.REVISION_CONFLICT,
@@ -147,26 +148,33 @@
     def _send(
         self, replica: str, call: _ApiCall, timeout_s: float
     ) -> _Reply | _FailedAttempt:
-        host, port = parse_address(replica)
-        client = HTTPClient(
-            host, port, connection_timeout=timeout_s, network_timeout=timeout_s
-        )
-        headers = {"Content-Type": "application/json"}
-        if self._operator_key:
-            headers["Authorization"] = f"Bearer {self._operator_key}"
+        conn = HttpConnection(replica, self._clock)
+        conn.start_request(self._clock.now_ms() + timeout_s * 1000)
         try:
-            with gevent.Timeout(timeout_s):
-                answer = client.request(call.method, call.path, call.body, headers)
-                body = bytes(answer.read(MAX_ANSWER_BYTES))
-                return _Reply(answer.get_code(), body)
-        except _NOT_SENT_ERRORS as exc:
-            return _FailedAttempt(f"connection failed: {exc}", may_have_run=False)
-        except gevent.Timeout:
-            return _FailedAttempt("request timed out", may_have_run=True)
+            conn.connect()
+            conn.send(self._request(replica, call))
+            parser = read_response_head(conn, call.method)
+            body = read_response_body(conn, parser, MAX_ANSWER_BYTES)
+            return _Reply(parser.status, body)
+        except TimeoutError:
+            return _FailedAttempt("request timed out", conn.any_bytes_sent)
         except (OSError, HTTPParseError) as exc:
+            if not conn.any_bytes_sent:
+                return _FailedAttempt(f"connection failed: {exc}", may_have_run=False)
             return _FailedAttempt(f"response is incomplete: {exc}", may_have_run=True)
         finally:
-            client.close()
+            conn.close()
+
+    def _request(self, replica: str, call: _ApiCall) -> bytes:
+        lines = [
+            f"{call.method} {call.path} HTTP/1.1",
+            f"Host: {replica}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(call.body)}",
+        ]
+        if self._operator_key:
+            lines.append(f"Authorization: Bearer {self._operator_key}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + call.body
 
 
 def new_request_id() -> str:
--- a/bergamotdrift/platform/range_order_client.py
+++ b/bergamotdrift/platform/range_order_client.py
@@ -6,6 +6,7 @@
 from geventhttpclient.response import HTTPParseError
 
 from bergamotdrift.clock import Clock
+from bergamotdrift.http_connection import read_response_body, read_response_head
 from bergamotdrift.messages import UpstreamRow
 from bergamotdrift.platform import names
 from bergamotdrift.range_orders import GrantOrder, GrantResult, ReleaseOrder
@@ -13,8 +14,6 @@
 from bergamotdrift.upstream_connections import (
     UpstreamConnection,
     UpstreamConnectionPool,
-    read_response_body,
-    read_response_head,
 )
 
 _POOL = "orders"
--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -23,14 +23,13 @@
     RequestError,
     TruncatedAnswerError,
 )
+from bergamotdrift.http_connection import ResponseParser, read_response_head
 from bergamotdrift.http_input import HeaderLine, connection_tokens
 from bergamotdrift.log import log_event
 from bergamotdrift.request import IncomingRequest, RoutedRequest
 from bergamotdrift.upstream_connections import (
-    ResponseParser,
     UpstreamConnection,
     UpstreamConnectionPool,
-    read_response_head,
 )
 
 HOP_BY_HOP = frozenset({
--- a/bergamotdrift/tests/test_operator_client.py
+++ b/bergamotdrift/tests/test_operator_client.py
@@ -4,6 +4,11 @@
 
 from bergamotdrift.operator_api import Change
 from bergamotdrift.operator_client import CallFailureKind, OperatorClient
+from bergamotdrift.tests.endless_server import (
+    ENDLESS_ANSWERS,
+    SENT_MAX_BYTES,
+    serve_endlessly,
+)
 from bergamotdrift.tests.fake_control import OPERATOR_KEY, FakeReplica, FakeSite
 from bergamotdrift.tests.test_check import MAPPINGS
 
@@ -42,6 +47,14 @@
                 self.assertEqual(outcome.unwrap().revision, 1)
         self.assertEqual(set(self.site.posts), {"r1"})
 
+    # Guards against memory that grows until the timeout of an attempt.
+    def test_endless_response_is_abandoned(self):
+        for name in ENDLESS_ANSWERS:
+            with self.subTest(name):
+                answer, address = serve_endlessly(self, name)
+                self.assertEqual(self.apply(address).unwrap().revision, 1)
+                self.assertLess(answer.sent, SENT_MAX_BYTES)
+
     def test_unresponsive_replica_is_abandoned_after_the_attempt_timeout(self):
         outcome = self.apply(self.faulty_replica(b"", stays_open=True), timeout_s=6.0)
         self.assertEqual(outcome.unwrap().revision, 1)
--- a/bergamotdrift/upstream_connections.py
+++ b/bergamotdrift/upstream_connections.py
@@ -1,236 +1,24 @@
 """Upstream connections and their keep-alive pool; requests are never resent."""
 
-import contextlib
-import select
-import struct
 from collections.abc import Callable
-from typing import Any
-
-import gevent.socket
-from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from bergamotdrift.arbiter_messages import KeptConnections
 from bergamotdrift.clock import Clock
-from bergamotdrift.http_input import peer_has_closed
-from bergamotdrift.streams import disable_nagle, new_socket, parse_address
+from bergamotdrift.http_connection import HttpConnection
 
-_RECEIVE_BYTES = 64 * 1024
-_CONNECT_TIMEOUT_MS = 500
 # Well below 5 s, after which upstreams commonly close idle connections.
 MAX_IDLE_MS = 3000
-# Bytes of headers, trailers and chunk sizes that may arrive without any of the body.
-_MAX_OVERHEAD_BYTES = 64 * 1024
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
-
-class ResponseParser(HTTPResponse):
-    """Parser of a single response; sets `extra_data` if more data follows it."""
-
-    def __init__(self, method: str):
-        super().__init__(method=method)
-        self.status = 0
-        self.extra_data = False
-        # A response without framing is complete once the upstream closes cleanly.
-        self.ends_on_close = False
-        self._overhead_bytes = 0
-        self._has_new_body = False
-
-    def _on_message_begin(self) -> None:
-        if self.message_complete and self.status >= 200:
-            self.extra_data = True
-            raise HTTPParseError("data after the end of the response")
-        super()._on_message_begin()
-
-    def _on_headers_complete(self) -> Any:
-        result = super()._on_headers_complete()
-        self.status = self.get_code()
-        return result
-
-    def _on_body(self, buf: bytearray) -> None:
-        super()._on_body(buf)
-        self._has_new_body = True
-
-    def feed_bounded(self, data: bytes) -> None:
-        """Parse received bytes; raises HTTPParseError, also if the head has no end."""
-        self._has_new_body = False
-        try:
-            self.feed(data)
-        except HTTPParseError:
-            if not self.extra_data:
-                raise
-        self._overhead_bytes = (
-            0 if self._has_new_body else self._overhead_bytes + len(data)
-        )
-        if self._overhead_bytes > _MAX_OVERHEAD_BYTES:
-            raise HTTPParseError("the response headers or trailers are too large")
-
-    @property
-    def head_is_final(self) -> bool:
-        """Whether the headers of the final (non-1xx) response are complete."""
-        return self.headers_complete and self.status >= 200
 
-    def has_framing(self) -> bool:
-        """Return whether the end of the body can be told from a lost connection."""
-        if self.method == "HEAD" or self.status in {204, 304}:
-            return True
-        return "content-length" in self or "transfer-encoding" in self
 
-    def take_body(self) -> bytes:
-        """Return the body bytes parsed since the last call."""
-        data = bytes(self._body_buffer)
-        self._body_buffer.clear()
-        return data
-
-
-class UpstreamConnection:
-    """Connection to an upstream for one request at a time."""
+class UpstreamConnection(HttpConnection):
+    """Connection to an upstream of a permit shard, which may be kept for reuse."""
 
     def __init__(self, shard: str, upstream: str, address: str, clock: Clock):
+        super().__init__(address, clock)
         self.shard = shard
         self.upstream = upstream
-        self.address = address
-        self.any_bytes_sent = False
-        self.request_sent = False
         self.reused = False
         self.idle_since_ms = 0.0
-        self._clock = clock
-        self._deadline_ms = 0.0
-        self._limit_ms: float | None = None
-        self._may_abandon: Callable[[], bool] = lambda: True
-        self._closed = False
-        self._sock = new_socket(address)
-
-    def start_request(
-        self,
-        deadline_ms: float,
-        limit_ms: float | None = None,
-        may_abandon: Callable[[], bool] = lambda: True,
-    ) -> None:
-        """Prepare for a request that must end by the deadline.
-
-        It times out at the earlier `limit_ms` if `may_abandon` returns true then.
-        """
-        self._deadline_ms = deadline_ms
-        self._limit_ms = limit_ms
-        self._may_abandon = may_abandon
-        self.any_bytes_sent = False
-        self.request_sent = False
-
-    def connect(self) -> None:
-        """Connect to the upstream; raises OSError."""
-        left_ms = min(self._remaining_ms(), _CONNECT_TIMEOUT_MS)
-        self._sock.settimeout(left_ms / 1000.0)
-        self._sock.connect(parse_address(self.address))
-        disable_nagle(self._sock)
-
-    def send(self, data: bytes) -> None:
-        """Send all data; `any_bytes_sent` is set once any byte left this process."""
-        view = memoryview(data)
-        while view:
-            self._sock.settimeout(self._remaining_ms() / 1000.0)
-            sent = self._sock.send(view)
-            self.any_bytes_sent = True
-            view = view[sent:]
-
-    def has_readable_data(self) -> bool:
-        """Return whether the upstream has sent data or closed the connection."""
-        poller = select.poll()
-        poller.register(self._sock.fileno(), select.POLLIN)
-        return bool(poller.poll(0))
-
-    def receive_into(self, parser: ResponseParser) -> int:
-        """Feed received bytes to the parser and return their number.
-
-        Raises OSError and HTTPParseError.
-        """
-        data = self._receive()
-        if not data:
-            return self._handle_eof(parser)
-        parser.feed_bounded(data)
-        return len(data)
-
-    def _receive(self) -> bytes:
-        """Return received bytes, empty at end of stream; raises OSError."""
-        while True:
-            self._sock.settimeout(self._remaining_ms() / 1000.0)
-            # After a timeout, `_remaining_ms` raises if the deadline or limit passed.
-            with contextlib.suppress(TimeoutError):
-                return self._sock.recv(_RECEIVE_BYTES)
-
-    def _handle_eof(self, parser: ResponseParser) -> int:
-        """Complete a response without framing; any other response is truncated."""
-        if not parser.head_is_final or parser.has_framing():
-            raise ConnectionResetError("the upstream closed the connection")
-        parser.ends_on_close = True
-        parser.message_complete = True
-        return 0
-
-    def abort(self) -> None:
-        """Reset the connection, so that data in flight takes no effect."""
-        with contextlib.suppress(OSError):
-            self._sock.setsockopt(
-                gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, _RESET_ON_CLOSE
-            )
-        self._closed = True
-        self._sock.close()
-
-    def is_usable(self) -> bool:
-        """Return whether an idle connection is open and without unread data."""
-        return not self._closed and peer_has_closed(self._sock) is False
-
-    def close(self) -> None:
-        """Close the connection; operations in progress fail."""
-        if self._closed:
-            return
-        self._closed = True
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(gevent.socket.SHUT_RDWR)
-        self._sock.close()
-
-    @property
-    def closed(self) -> bool:
-        """Whether this side has closed the connection."""
-        return self._closed
-
-    def _remaining_ms(self) -> float:
-        now_ms = self._clock.now_ms()
-        left_ms = self._deadline_ms - now_ms
-        if left_ms <= 0:
-            raise TimeoutError("the deadline has passed")
-        if self._limit_ms is None:
-            return left_ms
-        if now_ms < self._limit_ms:
-            return min(left_ms, self._limit_ms - now_ms)
-        if self._may_abandon():
-            raise TimeoutError("the attempt's limit has passed")
-        self._limit_ms = None
-        return left_ms
-
-
-def read_response_head(conn: UpstreamConnection, method: str) -> ResponseParser:
-    """Read up to the end of the final response's headers and return the parser."""
-    parser = ResponseParser(method)
-    while not parser.head_is_final:
-        conn.receive_into(parser)
-        if parser.status == 101:
-            raise HTTPParseError("the upstream switched protocols")
-    return parser
-
-
-def read_response_body(
-    conn: UpstreamConnection, parser: ResponseParser, max_bytes: int
-) -> bytes:
-    """Return the rest of a response's body.
-
-    Raises OSError, and HTTPParseError if the body is invalid or too large.
-    """
-    body = bytearray(parser.take_body())
-    while not parser.message_complete and len(body) <= max_bytes:
-        conn.receive_into(parser)
-        body += parser.take_body()
-    if len(body) > max_bytes:
-        raise HTTPParseError("the response body is too large")
-    return bytes(body)
 
 
 class UpstreamConnectionPool:
