Send the payload of pings again once its own reply is there

Cause: since pings do not wait for replies, the payload (rate tokens to lease, loads) went only with a ping that found no other in flight. With replies slower than the interval of 250 ms that is never the case, so entries got no tokens. Change: only a ping with a payload keeps the next payload back.

--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -196,7 +196,7 @@
         while client is self._client:
             self._ping_requested = False
             if pings.has_room():
-                has_payload = not pings
+                has_payload = not pings.has_payload()
                 pings.send(self._build_ping(has_payload), has_payload)
             self._handle_replies(client, pings)
             pings.check()
@@ -209,7 +209,7 @@
             for answer in pings.take_answered():
                 self._on_reply(client, answer)
             left_ms = due_ms - self._clock.now_ms()
-            if left_ms <= 0 or (self._ping_requested and not pings):
+            if left_ms <= 0 or (self._ping_requested and not pings.has_payload()):
                 return
             self._wake.wait(left_ms / 1000.0)
 
--- a/bergamotdrift/pings.py
+++ b/bergamotdrift/pings.py
@@ -46,13 +46,14 @@
         self._replied = replied
         self._sent: deque[_SentPing] = deque()
 
-    def __len__(self) -> int:
-        return len(self._sent)
-
     def has_room(self) -> bool:
         """Return whether another ping may be sent."""
         return len(self._sent) < MAX_PINGS_IN_FLIGHT
 
+    def has_payload(self) -> bool:
+        """Return whether the reply to a ping with a payload is outstanding."""
+        return any(ping.has_payload for ping in self._sent)
+
     def send(self, ping: Ping, has_payload: bool) -> None:
         """Send a ping; `replied` is set on its reply. Raises LeaderLostError."""
         now_ms = self._clock.now_ms()
--- a/bergamotdrift/tests/test_control_client.py
+++ b/bergamotdrift/tests/test_control_client.py
@@ -6,7 +6,7 @@
 from bergamotdrift import constants
 from bergamotdrift.clock import BootClock
 from bergamotdrift.control_client import ControlClient
-from bergamotdrift.messages import Hello, NodeRow, NotLeader, Ping, Pong, Role
+from bergamotdrift.messages import Hello, NodeRow, NotLeader, Ping, Pong, RateNeed, Role
 from bergamotdrift.pings import MAX_PINGS_IN_FLIGHT
 from bergamotdrift.tests.control_simulation import site
 from bergamotdrift.tests.entry_fakes import FakeControl
@@ -18,6 +18,25 @@
         pass
 
 
+class _Payload:
+    """Asks for one token with each ping."""
+
+    def __init__(self):
+        self.taken = []
+
+    def rate_needs(self):
+        return [RateNeed("w1", 1, 0, 0)]
+
+    def key_loads(self):
+        return []
+
+    def speeds(self):
+        return []
+
+    def take_rates(self, lots, asked_at_ms):
+        self.taken.append(asked_at_ms)
+
+
 def start_client(test, *addresses):
     """Return a started client that looks for the leader at the addresses."""
     hello = Hello("test", "n1", Role.ENTRY, "i")
@@ -104,6 +123,15 @@
         self.assertIs(self.client._client, stream)
         self.assertLess(oldest_ms, constants.SETTINGS_MAX_AGE_MS)
 
+    # Guards against tokens that are asked for only while no other ping is in flight,
+    # which is never the case if replies take longer than the interval of the pings.
+    def test_payload_is_sent_again_after_its_reply(self):
+        self.delay_replies(0.4)
+        payload = _Payload()
+        self.client._payload = payload
+        gevent.sleep(2.5)
+        self.assertIn(len(payload.taken), (4, 5, 6))
+
     def test_pings_in_flight_are_limited(self):
         self.delay_replies(1.9)
         self.control.received.clear()
