Lease rate tokens at a cost that does not grow with the number of entries

Cause: for each workspace in each ping, the leader summed the leases of all entries three times, and per ping it went through all workspaces twice. Change: a bucket keeps its leases in the order in which their entries were seen, with a running sum; only entries unseen for 0.5 s are looked at one by one. It is refilled at most every 20 ms, and the workspaces are read once for each settings object.

--- a/bergamotdrift/rate_buckets.py
+++ b/bergamotdrift/rate_buckets.py
@@ -4,6 +4,7 @@
 """
 
 import math
+from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -17,6 +18,8 @@
 RATE_LEASE_MS = 1500
 # Tokens in transit back at the end of their lease are still accepted.
 _RETURN_GRACE_MS = 300.0
+# A bucket is refilled at most this often, however many entries ask in between.
+_REFILL_INTERVAL_MS = 20.0
 # Minimum wait in a reply without tokens; the entry asks again with its next pings.
 _WAIT_MIN_MS = 50
 
@@ -55,6 +58,52 @@
         self.expires_ms = now_ms + RATE_LEASE_MS + _RETURN_GRACE_MS
 
 
+class _EntryLeases:
+    """Keep the leases of one bucket, those of the longest unseen entries first.
+
+    A call costs a step for each entry that has not been seen for 0.5 s, however many
+    others there are.
+    """
+
+    def __init__(self) -> None:
+        self._by_node: OrderedDict[str, _EntryLease] = OrderedDict()
+        # Tokens of leases that have not expired.
+        self.held_tokens = 0
+
+    def renew(self, node: str, held: int, granted: int, now_ms: float) -> _EntryLease:
+        """Renew an entry's lease and return it."""
+        lease = self._by_node.get(node)
+        if lease is None:
+            lease = self._by_node[node] = _EntryLease(seen_ms=now_ms - 1000.0)
+        self.held_tokens -= lease.tokens
+        lease.renew(held, granted, now_ms)
+        self.held_tokens += lease.tokens
+        self._by_node.move_to_end(node)
+        return lease
+
+    def standby_tokens(self, since_ms: float, now_ms: float) -> float:
+        """Return the standby tokens of all entries that accrue between two times."""
+        tokens = 0.0
+        for lease in self._by_node.values():
+            if lease.seen_ms + STANDBY_FROM_MS >= now_ms:
+                break
+            tokens += lease.standby_tokens(since_ms, now_ms)
+        return tokens
+
+    def expire(self, now_ms: float) -> None:
+        """Count the tokens of expired leases no longer, and drop lost entries."""
+        lost = []
+        for node, lease in self._by_node.items():
+            if lease.expires_ms > now_ms:
+                break
+            self.held_tokens -= lease.tokens
+            lease.tokens = 0
+            if lease.seen_ms <= now_ms - STANDBY_UNTIL_MS:
+                lost.append(node)
+        for node in lost:
+            del self._by_node[node]
+
+
 class RateBucket:
     """Lease the tokens of one workspace.
 
@@ -67,7 +116,7 @@
         self._limits = limits
         self._level = 0.0
         self._refilled_at_ms = now_ms
-        self._leases: dict[str, _EntryLease] = {}
+        self._leases = _EntryLeases()
 
     def configure(self, limits: WorkspaceSettings, now_ms: float) -> None:
         """Apply changed limits."""
@@ -82,10 +131,7 @@
         self._level += max(0, need.returned)
         tokens = max(0, min(need.wanted, int(self._level)))
         self._level -= tokens
-        entry_lease = self._leases.setdefault(
-            node, _EntryLease(seen_ms=now_ms - 1000.0)
-        )
-        entry_lease.renew(max(0, need.held), tokens, now_ms)
+        entry_lease = self._leases.renew(node, max(0, need.held), tokens, now_ms)
         missing = max(0, min(need.wanted, 1) - tokens)
         wait_ms = missing * max(_WAIT_MIN_MS, self._next_token_ms())
         standby = min(entry_lease.standby_per_s, self._limits.rate_per_s)
@@ -96,14 +142,14 @@
         return (1.0 - self._level) * 1000.0 / rate if rate > 0 else 1000.0
 
     def _refill(self, now_ms: float) -> None:
+        if now_ms - self._refilled_at_ms < _REFILL_INTERVAL_MS:
+            return
         since_ms, self._refilled_at_ms = self._refilled_at_ms, now_ms
-        standby = sum(h.standby_tokens(since_ms, now_ms) for h in self._leases.values())
-        oldest_ms = now_ms - STANDBY_UNTIL_MS
-        self._leases = {n: h for n, h in self._leases.items() if h.seen_ms > oldest_ms}
-        held = sum(h.tokens for h in self._leases.values() if h.expires_ms > now_ms)
+        standby = self._leases.standby_tokens(since_ms, now_ms)
+        self._leases.expire(now_ms)
         gained = self._limits.rate_per_s * (now_ms - since_ms) / 1000.0 - standby
         # A bucket can hold at least one token, even if the whole burst is leased.
-        capacity = max(1.0, float(self._limits.burst - held))
+        capacity = max(1.0, float(self._limits.burst - self._leases.held_tokens))
         self._level = min(self._level + gained, capacity)
 
 
@@ -112,6 +158,8 @@
 
     def __init__(self) -> None:
         self._buckets: dict[str, RateBucket] = {}
+        self._settings: SiteSettings | None = None
+        self._limits: dict[str, WorkspaceSettings] = {}
 
     def lease(
         self,
@@ -122,10 +170,9 @@
     ) -> list[RateLot]:
         """Return the tokens leased for each need; unknown workspaces are left out."""
         self.add_buckets(settings, now_ms)
-        limits = {item.name: item for item in settings.workspaces}
         lots = []
         for need in needs:
-            known = limits.get(need.workspace)
+            known = self._limits.get(need.workspace)
             if known is None:
                 continue
             bucket = self._buckets[need.workspace]
@@ -135,6 +182,10 @@
 
     def add_buckets(self, settings: SiteSettings | None, now_ms: float) -> None:
         """Add buckets for new workspaces; they fill from now on, not from first use."""
-        for limits in settings.workspaces if settings is not None else ():
+        if settings is None or settings is self._settings:
+            return
+        self._settings = settings
+        self._limits = {limits.name: limits for limits in settings.workspaces}
+        for limits in settings.workspaces:
             if limits.name not in self._buckets:
                 self._buckets[limits.name] = RateBucket(limits, now_ms)
--- a/bergamotdrift/tests/test_rate_buckets.py
+++ b/bergamotdrift/tests/test_rate_buckets.py
@@ -1,4 +1,5 @@
 import unittest
+from unittest import mock
 
 import gevent
 from hypothesis import given
@@ -11,7 +12,12 @@
     RateLot,
     RateNeed,
 )
-from bergamotdrift.rate_buckets import RATE_LEASE_MS, RateBucket, RateBuckets
+from bergamotdrift.rate_buckets import (
+    RATE_LEASE_MS,
+    RateBucket,
+    RateBuckets,
+    _EntryLease,
+)
 
 LIMITS = WorkspaceSettings("w", 20.0, 20, (), ())
 STEP = st.tuples(
@@ -69,6 +75,39 @@
             self.assertLessEqual(inside, 20 * 5 + 20 + 1 + 5)
 
 
+class CostTests(unittest.TestCase):
+    """Guards against a leader whose processor time goes to leasing rate tokens.
+
+    Its heartbeats are then late and its lease lapses.
+    """
+
+    def test_lease_looks_at_few_other_entries(self):
+        bucket = RateBucket(LIMITS, 0.0)
+        entries, rounds = 200, 8
+        steps = 0
+
+        def count(lease, since_ms, now_ms):
+            nonlocal steps
+            steps += 1
+            return 0.0
+
+        with mock.patch.object(_EntryLease, "standby_tokens", count):
+            for number in range(entries * rounds):
+                now_ms = number * 250.0 / entries
+                node = str(number % entries)
+                bucket.lease(node, RateNeed("w", 1, 0, 1), now_ms)
+        self.assertLess(steps, entries * rounds)
+
+    def test_expired_and_lost_entries_hold_nothing(self):
+        bucket = RateBucket(LIMITS, -5000.0)
+        for node in range(20):
+            bucket.lease(str(node), RateNeed("w", 1), node * 30.0)
+        self.assertEqual(bucket._leases.held_tokens, 20)
+        bucket.lease("other", RateNeed("w", 0), 10_000.0)
+        self.assertEqual(bucket._leases.held_tokens, 0)
+        self.assertEqual(list(bucket._leases._by_node), ["other"])
+
+
 class NewWorkspaceTests(unittest.TestCase):
     """Guards against refusing the first requests of workspaces new in the settings."""
 
