State no standby rate below one token in its two seconds

Cause: an entry named in each ping every workspace of which it had leased a token within some seconds, since a standby rate above 0.2 requests/s kept it in the list. An entry can use standby tokens for 2 s only, so a rate below 0.5 gives it none. Change: a lower rate is stated as 0 and not summed; the limit follows from the two times.

--- a/bergamotdrift/leader_token_client.py
+++ b/bergamotdrift/leader_token_client.py
@@ -26,8 +26,6 @@
 _RETRY_AFTER_MIN_MS = 100.0
 # Interval to check for standby tokens, which accrue while no leader answers.
 _RECHECK_MS = 50.0
-# Up to this standby rate, a workspace without tokens or demand isn't renewed.
-_STANDBY_MIN_PER_S = 0.2
 
 
 @dataclass
@@ -134,7 +132,7 @@
             target = int(prefetch) + tokens.waiting
             returned = tokens.return_tokens(held - target) if held > target else 0
             wanted = max(0, target - held)
-            if held or wanted or tokens.standby_per_s > _STANDBY_MIN_PER_S:
+            if held or wanted or tokens.standby_per_s:
                 needs.append(RateNeed(name, wanted, returned, held - returned))
         return needs
 
--- a/bergamotdrift/rate_buckets.py
+++ b/bergamotdrift/rate_buckets.py
@@ -27,6 +27,8 @@
 # An entry without a leader uses its standby rate in this time after its last ping.
 STANDBY_FROM_MS = 500.0
 STANDBY_UNTIL_MS = 2500.0
+# An entry with a lower standby rate does not get to a whole token in that time.
+_STANDBY_MIN_PER_S = 1000.0 / (STANDBY_UNTIL_MS - STANDBY_FROM_MS)
 # Time constant of the exponential smoothing of an entry's standby rate.
 _STANDBY_SMOOTHING_MS = 1500.0
 
@@ -38,7 +40,12 @@
     tokens: int = 0
     expires_ms: float = 0.0
     seen_ms: float = 0.0
-    standby_per_s: float = 0.0
+    granted_per_s: float = 0.0
+
+    @property
+    def standby_per_s(self) -> float:
+        """Return the rate at which standby tokens accrue, or 0 if it is too low."""
+        return self.granted_per_s if self.granted_per_s >= _STANDBY_MIN_PER_S else 0.0
 
     def standby_tokens(self, since_ms: float, now_ms: float) -> float:
         """Return the standby tokens that accrue between two times."""
@@ -50,8 +57,8 @@
         """Set the tokens that the entry reports to hold, plus those granted."""
         elapsed_ms = max(1.0, now_ms - self.seen_ms)
         decay = math.exp(-elapsed_ms / _STANDBY_SMOOTHING_MS)
-        self.standby_per_s = (
-            self.standby_per_s * decay + (1 - decay) * granted * 1000.0 / elapsed_ms
+        self.granted_per_s = (
+            self.granted_per_s * decay + (1 - decay) * granted * 1000.0 / elapsed_ms
         )
         self.tokens = held + granted
         self.seen_ms = now_ms
@@ -87,7 +94,8 @@
         for lease in self._by_node.values():
             if lease.seen_ms + STANDBY_FROM_MS >= now_ms:
                 break
-            tokens += lease.standby_tokens(since_ms, now_ms)
+            if lease.granted_per_s >= _STANDBY_MIN_PER_S:
+                tokens += lease.standby_tokens(since_ms, now_ms)
         return tokens
 
     def expire(self, now_ms: float) -> None:
--- a/bergamotdrift/tests/test_rate_buckets.py
+++ b/bergamotdrift/tests/test_rate_buckets.py
@@ -157,6 +157,19 @@
         _, _, used = self.lose_leader(2400)
         self.assertGreaterEqual(used, 0.8 * 2.4 * 12)
 
+    # Guards against pings that name each workspace an entry ever had a request of, each
+    # at a cost to the leader.
+    def test_rate_below_one_token_is_no_standby_rate(self):
+        bucket = RateBucket(LIMITS, -5000.0)
+        # One token every 3 s.
+        lots = [
+            bucket.lease("e1", RateNeed("w", int(step % 12 == 0)), step * 250.0)
+            for step in range(48)
+        ]
+        later = {lot.standby_per_s for n, lot in enumerate(lots) if n % 12 > 3}
+        self.assertEqual(later, {0.0})
+        self.assertEqual(bucket._leases.standby_tokens(12_000.0, 15_000.0), 0.0)
+
     def test_entry_stops_when_no_leader_comes(self):
         _, _, short = self.lose_leader(2600)
         _, _, long = self.lose_leader(9000)
