Serve download routes, and grant key ranges in replies to announcements

Change: download is an idempotent kind. Planner, log and lease accounting stay; RangeDelivery has two implementations, the calls and the replies to announcements. The log alone decides what a reply grants. Repeated or overtaken announcements, former processes and a leader without a lease renew nothing. A state of another type in a heartbeat is now refused instead of crashing.

--- /dev/null
+++ b/bergamotdrift/announced_leases.py
@@ -0,0 +1,87 @@
+"""Lease accounting for key ranges granted in the replies to announcements.
+
+A reply states all that an upstream is to hold, for a time that counts from when the
+announcement was sent, so never later than its arrival. An upstream sends its next
+announcement only after it has received or given up the last reply. A range that was
+left out of one reply is therefore not granted by any earlier reply that still arrives.
+"""
+
+from bergamotdrift.messages import Announcement, RangeRow
+from bergamotdrift.range_leases import (
+    LeaseTerms,
+    RangeLeases,
+    UpstreamProcess,
+    holder_of,
+)
+
+# Bears two lost announcements in a row; the third one comes in time.
+ANNOUNCED_HOLD_MS = 3000
+# Announcements come about once a second, and a retry at another replica takes as long.
+_SILENCE_IS_LOSS_MS = 2200.0
+
+ANNOUNCED_GRANTS = LeaseTerms(ANNOUNCED_HOLD_MS, 0.0, _SILENCE_IS_LOSS_MS)
+
+
+class AnnouncedLeases(RangeLeases):
+    """Track the grants of one leader term that replies to announcements renew."""
+
+    def __init__(self, opened_at_ms: float):
+        super().__init__(opened_at_ms, ANNOUNCED_GRANTS)
+        self._answered_sequence: dict[UpstreamProcess, int] = {}
+        # Ranges under release that a reply of this term left out, with the latest end
+        # of the grants in earlier replies.
+        self._left_out_until_ms: dict[RangeRow, float] = {}
+        self._confirmed: set[RangeRow] = set()
+
+    def begin_reply(self, process: UpstreamProcess, item: Announcement) -> bool:
+        """Return whether an announcement is newer than all that were replied to."""
+        if item.sequence <= self._answered_sequence.get(process, 0):
+            return False
+        self._answered_sequence[process] = item.sequence
+        return True
+
+    def renew(self, row: RangeRow, received_ms: float) -> bool:
+        """Count a grant from its announcement; return whether it may be replied."""
+        if not self.begin_grant(row):
+            return False
+        self.end_grant(row, True, True, received_ms)
+        return True
+
+    def leave_out(self, row: RangeRow) -> None:
+        """Record that the reply to an announcement leaves out a range under release."""
+        until_ms = self._until_ms.get(holder_of(row), self._earlier_grants_until_ms)
+        self._left_out_until_ms.setdefault(row, until_ms)
+
+    def report_released(self, row: RangeRow, handover: str) -> None:
+        """Record that an upstream states in an announcement that it released a range.
+
+        Only a range that this term has left out is certain to be released: the
+        announcement may have been delayed since before a grant by an earlier leader.
+        """
+        self.record_released(row, handover)
+        if row in self._left_out_until_ms:
+            self._confirmed.add(row)
+
+    def is_failing(
+        self, process: UpstreamProcess, seen_ms: float, now_ms: float
+    ) -> bool:
+        """Return whether an upstream has sent no announcement for too long."""
+        return now_ms - seen_ms >= self._terms.lost_after_ms
+
+    def ownership_ended(self, row: RangeRow, now_ms: float) -> bool:
+        """Return whether the last owner of a range can no longer act on it."""
+        if row in self._confirmed or super().ownership_ended(row, now_ms):
+            return True
+        # Other ranges of the same epoch are still renewed.
+        until_ms = self._left_out_until_ms.get(row)
+        return until_ms is not None and now_ms >= until_ms
+
+    def retain(self, rows: set[RangeRow], processes: set[UpstreamProcess]) -> None:
+        """Drop the state of ranges and upstream processes other than the given ones."""
+        super().retain(rows, processes)
+        self._confirmed &= rows
+        self._left_out_until_ms = {
+            row: until_ms
+            for row, until_ms in self._left_out_until_ms.items()
+            if row in rows
+        }
--- a/bergamotdrift/config/schema.py
+++ b/bergamotdrift/config/schema.py
@@ -201,6 +201,17 @@
     drain_s: float
 
 
+class RangeGrants(StrEnum):
+    """Name the ways in which key ranges are granted to upstreams.
+
+    CALLED: the control leader calls the upstreams. ANNOUNCED: the replies to their
+    announcements state what they hold.
+    """
+
+    CALLED = "called"
+    ANNOUNCED = "announced"
+
+
 class ControlSettings(NamedTuple):
     """Hold the process settings of a control replica.
 
@@ -220,3 +231,4 @@
     # Whether replicas that are listed neither in the site settings nor in `voters`
     # may join.
     open_group: bool = False
+    range_grants: RangeGrants = RangeGrants.CALLED
--- a/bergamotdrift/control_server.py
+++ b/bergamotdrift/control_server.py
@@ -89,7 +89,9 @@
         self._replica_messages = replica_messages
         # Set by programs that accept further external calls.
         self.leader_call_handler: LeaderCallHandler | None = None
-        self.node_streams = NodeStreams(state, replicator, clock, cfg.upstream_ttl_ms)
+        self.node_streams = NodeStreams(
+            state, replicator, clock, cfg.upstream_ttl_ms, cfg.range_grants
+        )
         self._operator_api = OperatorCallHandler(
             state,
             self.node_streams.leadership,
--- a/bergamotdrift/leader_state.py
+++ b/bergamotdrift/leader_state.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Sequence
 
+from bergamotdrift.announced_leases import AnnouncedLeases
+from bergamotdrift.config.schema import RangeGrants
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.feed_tables import PartitionId, UpstreamId
 from bergamotdrift.handover import Handover
@@ -18,12 +20,18 @@
 )
 from bergamotdrift.node_sessions import NodeSessions, PingResult
 from bergamotdrift.partition_planner import PartitionPlanner
+from bergamotdrift.range_leases import RangeLeases
 from bergamotdrift.range_planner import RangePlanner
 from bergamotdrift.rate_buckets import RateBuckets
 from bergamotdrift.shard_planner import ShardPlanner
 from bergamotdrift.shards import upstream_shard
 from bergamotdrift.upstream_sessions import UpstreamSessions
 
+_LEASES_BY_GRANTS: dict[RangeGrants, Callable[[float], RangeLeases]] = {
+    RangeGrants.CALLED: RangeLeases,
+    RangeGrants.ANNOUNCED: AnnouncedLeases,
+}
+
 
 def _no_yield() -> None:
     """Do nothing; for callers without an event loop."""
@@ -43,6 +51,7 @@
         opened_at_ms: float,
         yield_to_loop: Callable[[], None] = _no_yield,
         upstream_ttl_ms: float | None = None,
+        range_grants: RangeGrants = RangeGrants.CALLED,
     ):
         self._state = state
         self._handover = Handover(state, yield_to_loop)
@@ -50,7 +59,13 @@
         self.upstreams = UpstreamSessions(
             state, self._handover, opened_at_ms, upstream_ttl_ms
         )
-        self.ranges = RangePlanner(state, self.upstreams, opened_at_ms, yield_to_loop)
+        self.ranges = RangePlanner(
+            state,
+            self.upstreams,
+            opened_at_ms,
+            yield_to_loop,
+            _LEASES_BY_GRANTS[range_grants],
+        )
         self._rates = RateBuckets()
         self._rates.add_buckets(state.settings.current, opened_at_ms)
         self._partitions = PartitionPlanner(
--- a/bergamotdrift/leadership.py
+++ b/bergamotdrift/leadership.py
@@ -10,6 +10,7 @@
 from bergamotdrift import control_commands as cmd
 from bergamotdrift import messages
 from bergamotdrift.clock import Clock
+from bergamotdrift.config.schema import RangeGrants
 from bergamotdrift.control_log_events import PLANNING_TIME, log_command
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import CallError
@@ -58,12 +59,14 @@
         clock: Clock,
         observer: RoundObserver,
         upstream_ttl_ms: float | None = None,
+        range_grants: RangeGrants = RangeGrants.CALLED,
     ):
         self._state = state
         self._replicator = replicator
         self._clock = clock
         self._observer = observer
         self._upstream_ttl_ms = upstream_ttl_ms
+        self._range_grants = range_grants
         self._leader_state: LeaderState | None = None
         self._term = 0
         self._replica = ""
@@ -172,6 +175,7 @@
             self._clock.now_ms(),
             self._yield_to_loop,
             self._upstream_ttl_ms,
+            self._range_grants,
         )
         log_event("leadership_opened", term=self._term, replica=status.replica)
 
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -343,6 +343,28 @@
     epoch: int
 
 
+class HeldRange(NamedTuple):
+    """State that an upstream holds the keys `first` to `last`, or still works on them.
+
+    `epoch` is that of the grant.
+    """
+
+    first: int
+    last: int
+    epoch: int
+
+
+class ReleasedRange(NamedTuple):
+    """State that an upstream released the keys `first` to `last`.
+
+    `handover` is the state token for their next holder.
+    """
+
+    first: int
+    last: int
+    handover: str
+
+
 class Announcement(NamedTuple):
     """Describe an upstream as it announces itself."""
 
@@ -358,6 +380,9 @@
     # Increases with each announcement of a process, so that a late one is detected.
     sequence: int = 0
     cold_ms: int = 0
+    # Key ranges, if they are granted in the replies to announcements.
+    held_ranges: list[HeldRange] = []
+    released_ranges: list[ReleasedRange] = []
 
 
 class AnnouncementReply(NamedTuple):
--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from bergamotdrift.clock import Clock
+from bergamotdrift.config.schema import RangeGrants
 from bergamotdrift.constants import SESSION_TTL_MS
 from bergamotdrift.control_log_events import REFUSED_ANNOUNCEMENTS, update_gauges
 from bergamotdrift.control_state import ControlState
@@ -88,11 +89,14 @@
         replicator: Replicator,
         clock: Clock,
         upstream_ttl_ms: float | None = None,
+        range_grants: RangeGrants = RangeGrants.CALLED,
     ):
         self._state = state
         self._replicator = replicator
         self._clock = clock
-        self.leadership = Leadership(state, replicator, clock, self, upstream_ttl_ms)
+        self.leadership = Leadership(
+            state, replicator, clock, self, upstream_ttl_ms, range_grants
+        )
         self._positions: dict[Connection, FeedPosition] = {}
         self._leader_reachability = LeaderReachability()
         self._pending_pings: list[PendingPing] = []
--- a/bergamotdrift/platform/boot.py
+++ b/bergamotdrift/platform/boot.py
@@ -10,6 +10,7 @@
     Dispatch,
     EntrySettings,
     NodeSettings,
+    RangeGrants,
     ReplicaAddress,
 )
 from bergamotdrift.exceptions import ConfigurationError
@@ -47,6 +48,10 @@
 # Part of a bound on how soon a change is in force that is left for requests on their
 # way to an entry or to an upstream.
 _IN_FLIGHT_MARGIN_MS = 200
+_RANGE_GRANTS = {
+    "request": RangeGrants.CALLED,
+    "heartbeat": RangeGrants.ANNOUNCED,
+}
 _IN_FORCE_BOUNDS = ("config_apply", "drain", "evacuate", "revoke")
 
 
@@ -87,6 +92,7 @@
     max_fds: int
     data_folder: str
     bounds: Bounds
+    range_grants: RangeGrants = RangeGrants.CALLED
 
 
 def read_boot(path: str) -> Boot:
@@ -121,9 +127,20 @@
         max_fds=int(limits.get("max_fds") or 4096),
         data_folder=fields.get("data_dir") or "",
         bounds=_decode_bounds(fields.get("bounds") or {}),
+        range_grants=_decode_range_grants(fields.get("grants")),
     )
 
 
+def _decode_range_grants(value: Any) -> RangeGrants:
+    """Decode how ranges are granted; installations without ranges state nothing."""
+    if not value:
+        return RangeGrants.CALLED
+    grants = _RANGE_GRANTS.get(non_empty_string(value, "grants"))
+    if grants is None:
+        raise WireError(f"grants must be one of {', '.join(_RANGE_GRANTS)}")
+    return grants
+
+
 def _decode_bounds(fields: dict[str, Any]) -> Bounds:
     defaults = Bounds()
     grace = fields.get("grace")
@@ -184,6 +201,7 @@
         _SNAPSHOT_ENTRIES,
         _UPSTREAM_TTL_MS,
         True,
+        boot.range_grants,
     )
 
 
--- a/bergamotdrift/platform/control.py
+++ b/bergamotdrift/platform/control.py
@@ -2,7 +2,8 @@
 
 import sys
 
-from bergamotdrift.clock import BootClock
+from bergamotdrift.clock import BootClock, Clock
+from bergamotdrift.config.schema import RangeGrants
 from bergamotdrift.control_node import ControlNode, wait_for_shutdown
 from bergamotdrift.exceptions import StorageError
 from bergamotdrift.http_server import HttpServer
@@ -13,7 +14,9 @@
 from bergamotdrift.platform.leader_call_handler import PlatformCallHandler
 from bergamotdrift.platform.range_order_client import RangeOrderClient
 from bergamotdrift.platform.site_config import RateTolerance
+from bergamotdrift.range_delivery import RangeDelivery
 from bergamotdrift.range_orders import RangeOrderSender
+from bergamotdrift.range_replies import RangeReplies
 from bergamotdrift.shutdown import EXIT_FAILED, shutdown_event
 
 
@@ -24,6 +27,7 @@
     clock = BootClock()
     control = ControlNode(control_settings(boot), clock)
     nodes = control.server.node_streams
+    ranges = _range_delivery(boot, control, clock)
     control.server.leader_call_handler = PlatformCallHandler(
         control.state,
         nodes.leadership,
@@ -32,11 +36,9 @@
         boot.zones,
         boot.control,
         RateTolerance(boot.bounds.rate_overage, boot.bounds.rate_slack),
+        ranges,
     )
-    order_sender = RangeOrderSender(
-        nodes.leadership, control.state, clock, RangeOrderClient(clock)
-    )
-    nodes.on_changed = order_sender.wake
+    nodes.on_changed = ranges.wake
     forwarder = LeaderCallForwarder(control.server, control.replica)
     http = HttpServer(boot.control, control_app(forwarder))
 
@@ -49,14 +51,21 @@
     except StorageError as exc:
         log_event("start_refused", reason=str(exc))
         sys.exit(EXIT_FAILED)
-    order_sender.start()
+    ranges.start()
     http.start()
     if not wait_for_shutdown(stop, control.replica.failed):
         sys.exit(EXIT_FAILED)
-    order_sender.stop()
+    ranges.stop()
     control.stop()
     http.stop()
 
 
+def _range_delivery(boot: Boot, control: ControlNode, clock: Clock) -> RangeDelivery:
+    leadership = control.server.node_streams.leadership
+    if boot.range_grants is RangeGrants.ANNOUNCED:
+        return RangeReplies(leadership, control.state)
+    return RangeOrderSender(leadership, control.state, clock, RangeOrderClient(clock))
+
+
 if __name__ == "__main__":
     main()
--- a/bergamotdrift/platform/leader_call_handler.py
+++ b/bergamotdrift/platform/leader_call_handler.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable, Iterable
 from enum import StrEnum
+from typing import Any
 
 import gevent
 import msgspec
@@ -25,6 +26,7 @@
 from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer
 from bergamotdrift.platform import site_config
 from bergamotdrift.platform.decoding import WireError
+from bergamotdrift.range_delivery import HeldRanges, RangeDelivery
 
 # Upstreams count a heartbeat only if it is answered within 1 s.
 COMMIT_TIMEOUT_MS = 800.0
@@ -59,6 +61,7 @@
         zones: Iterable[str],
         heartbeat_address: str,
         tolerance: site_config.RateTolerance,
+        ranges: RangeDelivery,
     ):
         self._state = state
         self._leadership = leadership
@@ -67,6 +70,7 @@
         self._zones = frozenset(zones)
         self._heartbeat_address = heartbeat_address
         self._tolerance = tolerance
+        self._ranges = ranges
 
     def handle(self, call: LeaderCall) -> OperatorAnswer:
         """Handle a call; the answer is 503 unless this replica is the leader."""
@@ -159,7 +163,8 @@
     def _announce(
         self, leader_state: LeaderState, item: Announcement
     ) -> OperatorAnswer:
-        reply = leader_state.announce(item, self._clock.now_ms())
+        received_ms = self._clock.now_ms()
+        reply = leader_state.announce(item, received_ms)
         if reply.error:
             log_event(
                 "announcement_refused",
@@ -173,7 +178,8 @@
             self._leadership.wake()
         if not self._wait_until_committed(item):
             return _answer(UNAVAILABLE, "the announcement was not committed in time")
-        body = {"heartbeat_address": self._heartbeat_address}
+        held = self._ranges.reply(leader_state, item, received_ms)
+        body = {"heartbeat_address": self._heartbeat_address} | _held_fields(held)
         return OperatorAnswer(OK, msgspec.json.encode(body))
 
     def _wait_until_committed(self, item: Announcement) -> bool:
@@ -213,6 +219,13 @@
         return _answer(OK)
 
 
+def _held_fields(held: HeldRanges | None) -> dict[str, Any]:
+    """Return the fields of a reply that state what an upstream is to hold."""
+    if held is None:
+        return {}
+    return {"holds": held.grants, "hold_time": f"{held.hold_ms}ms"}
+
+
 def _matches_start(row: UpstreamRow, born_ms: int | None) -> bool:
     return born_ms is None or row.born_ms == born_ms
 
--- a/bergamotdrift/platform/site_config.py
+++ b/bergamotdrift/platform/site_config.py
@@ -31,7 +31,12 @@
 from bergamotdrift.stages.route import ALL_SERVICES
 
 _SECTIONS = ("routes", "services", "tenants")
-_IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False, "upload": False}
+_IDEMPOTENT_BY_KIND = {
+    "safe": True,
+    "unsafe": False,
+    "upload": False,
+    "download": True,
+}
 _SITE_NAME = "platform"
 # Deadlines of requests and timeouts of routes are shorter than this bound.
 _REQUEST_TIMEOUT_MS = 60_000
--- a/bergamotdrift/range_leases.py
+++ b/bergamotdrift/range_leases.py
@@ -68,9 +68,22 @@
     return UpstreamProcess(row.service, row.upstream, row.incarnation)
 
 
-def max_hold_ms() -> float:
-    """Return the longest time in ms that a grant may be valid after its call ended."""
-    return HOLD_MS * (1 + CLOCK_DRIFT) + HOLD_MARGIN_MS
+class LeaseTerms(NamedTuple):
+    """Hold the times in ms that depend on how grants are delivered.
+
+    `late_start_ms` is how long after its leader's last act a grant may begin.
+    """
+
+    hold_ms: float
+    late_start_ms: float
+    lost_after_ms: float
+
+    def max_hold_ms(self) -> float:
+        """Return the longest time in ms that a grant may be valid once it began."""
+        return self.hold_ms * (1 + CLOCK_DRIFT) + HOLD_MARGIN_MS
+
+
+CALLED_GRANTS = LeaseTerms(HOLD_MS, CALL_TIMEOUT_MS, LOST_AFTER_MS)
 
 
 class RangeLeases:
@@ -79,8 +92,11 @@
     It does no I/O and reads no clock; callers pass the time.
     """
 
-    def __init__(self, opened_at_ms: float):
-        self._earlier_grants_until_ms = opened_at_ms + CALL_TIMEOUT_MS + max_hold_ms()
+    def __init__(self, opened_at_ms: float, terms: LeaseTerms = CALLED_GRANTS):
+        self._terms = terms
+        self._earlier_grants_until_ms = (
+            opened_at_ms + terms.late_start_ms + terms.max_hold_ms()
+        )
         self._until_ms: dict[Holder, float] = {}
         # By holder, since a planner asks for each of up to a thousand ranges.
         self._calls_in_flight: dict[Holder, Counter[KeySpan]] = {}
@@ -108,7 +124,7 @@
         """
         holder, span = holder_of(row), span_of(row)
         self._forget_call(holder, span)
-        until_ms = now_ms + max_hold_ms()
+        until_ms = now_ms + self._terms.max_hold_ms()
         self._until_ms[holder] = until_ms
         if not (answered and unchanged):
             self._unsettled_until_ms.setdefault(holder, {})[span] = until_ms
@@ -161,7 +177,7 @@
         since_ms = self._failing_since_ms.get(process)
         if since_ms is None or seen_ms > since_ms:
             return False
-        return now_ms - since_ms >= LOST_AFTER_MS
+        return now_ms - since_ms >= self._terms.lost_after_ms
 
     def is_settled(self, row: RangeRow, now_ms: float) -> bool:
         """Return whether a release of a range is certain to end all its grants."""
--- a/bergamotdrift/range_orders.py
+++ b/bergamotdrift/range_orders.py
@@ -13,10 +13,12 @@
 from bergamotdrift.leader_state import LeaderState
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
+    Announcement,
     PartitionState,
     RangeRow,
     UpstreamRow,
 )
+from bergamotdrift.range_delivery import HeldRanges
 from bergamotdrift.range_leases import (
     CALL_TIMEOUT_MS,
     HOLD_MS,
@@ -128,6 +130,12 @@
         """Check immediately for orders that a change requires."""
         self._changed.set()
 
+    def reply(
+        self, leader_state: LeaderState, item: Announcement, received_ms: float
+    ) -> HeldRanges | None:
+        """Return None: upstreams hold what they are called with."""
+        return None
+
     def start(self) -> None:
         """Start the background loop that follows the leadership."""
         self._greenlet = gevent.spawn(self._run)
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -71,11 +71,12 @@
         presence: Presence,
         opened_at_ms: float,
         yield_to_loop: Callable[[], None] = lambda: None,
+        new_leases: Callable[[float], RangeLeases] = RangeLeases,
     ):
         self._state = state
         self._presence = presence
         self._yield_to_loop = yield_to_loop
-        self.leases = RangeLeases(opened_at_ms)
+        self.leases = new_leases(opened_at_ms)
         self._loads: dict[str, KeyLoads] = {}
         self._first_seen_ms: dict[str, float] = {}
         self._moved_at_ms: dict[_RangeStart, float] = {}
--- a/bergamotdrift/tests/test_platform_config.py
+++ b/bergamotdrift/tests/test_platform_config.py
@@ -1,7 +1,7 @@
 import json
 import unittest
 
-from bergamotdrift.config.schema import ServiceKind
+from bergamotdrift.config.schema import RangeGrants, ServiceKind
 from bergamotdrift.messages import UpstreamState
 from bergamotdrift.platform import site_config
 from bergamotdrift.platform.boot import control_settings, decode_boot, entry_settings
@@ -40,6 +40,8 @@
         self.assertNotIn("key-of-t1", repr(found))
 
     def test_upload_is_not_idempotent(self):
+        (route,) = settings(config_body(routes=[route_row(kind="download")])).routes
+        self.assertTrue(route.idempotent)
         (route,) = settings(config_body(routes=[route_row(kind="upload")])).routes
         self.assertFalse(route.idempotent)
 
@@ -161,22 +163,40 @@
         )
 
     def test_malformed_heartbeats_are_refused(self):
-        for changes in (
+        cases: tuple[dict, ...] = (
             {"state": "other"},
             {"state": None},
+            {"state": ["ready"]},
+            {"holds": {}},
+            {"holds": [5]},
+            {"holds": [[0, 9]]},
+            {"holds": [[0, 9, 0]]},
+            {"holds": [[9, 0, 5]]},
+            {"holds": [[0, 65536, 5]]},
+            {"holds": [[-1, 9, 5]]},
+            {"holds": [[0, 9, "5"]]},
+            {"released": [[0, 9, 7]]},
+            {"released": [[0, 9, None]]},
             {"slots": "2"},
             {"slots": 0},
             {"seq": -1},
             {"service": 5},
             {"warmup_left": 3},
             {"born": 1.5},
-        ):
+        )
+        for changes in cases:
             with self.subTest(changes), self.assertRaises(WireError):
                 decode_heartbeat("i1", encode_body(heartbeat_body(**changes)))
         for body in (b"", b"[]", b"\xff", b"{"):
             with self.assertRaises(WireError):
                 decode_heartbeat("i1", body)
 
+    def test_held_and_released_ranges_are_decoded(self):
+        fields = heartbeat_body(holds=[[0, 4095, 7]], released=[[4096, 8191, "t"]])
+        item = decode_heartbeat("i1", encode_body(fields))
+        self.assertEqual(item.held_ranges, [(0, 4095, 7)])
+        self.assertEqual(item.released_ranges, [(4096, 8191, "t")])
+
     def test_deregistration_may_state_the_start_time(self):
         self.assertIsNone(decode_deregistration(b""))
         self.assertEqual(decode_deregistration(b'{"born": 5}'), 5)
@@ -228,8 +248,26 @@
         without_bounds = entry_settings(decode_boot(self.fields))
         self.assertLess(without_bounds.settings_max_age_ms, 2000)
 
+    # Guards against orders that upstreams with grants by heartbeat do not know.
+    def test_way_of_granting_ranges(self):
+        cases = (
+            ("request", RangeGrants.CALLED),
+            ("heartbeat", RangeGrants.ANNOUNCED),
+            (None, RangeGrants.CALLED),
+        )
+        for stated, expected in cases:
+            boot = decode_boot(self.fields | {"grants": stated})
+            self.assertEqual(control_settings(boot).range_grants, expected)
+
     def test_invalid_settings_are_refused(self):
-        for changes in ({"ip": ""}, {"port_range": None}, {"node": 5}):
+        cases: tuple[dict, ...] = (
+            {"ip": ""},
+            {"port_range": None},
+            {"node": 5},
+            {"grants": "other"},
+            {"grants": ["request"]},
+        )
+        for changes in cases:
             with self.assertRaises(WireError):
                 decode_boot(self.fields | changes)
 
--- a/bergamotdrift/tests/test_platform_leader_call_handler.py
+++ b/bergamotdrift/tests/test_platform_leader_call_handler.py
@@ -1,3 +1,4 @@
+import itertools
 import json
 import unittest
 
@@ -5,9 +6,10 @@
 import msgspec
 
 from bergamotdrift.clock import BootClock
+from bergamotdrift.config.schema import RangeGrants
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.feed_tables import UpstreamId
-from bergamotdrift.messages import UpstreamState
+from bergamotdrift.messages import LAST_KEY, UpstreamState
 from bergamotdrift.node_streams import NodeStreams
 from bergamotdrift.operator_messages import LeaderCall
 from bergamotdrift.platform.heartbeats import decode_heartbeat
@@ -17,6 +19,7 @@
     encode_announcement,
 )
 from bergamotdrift.platform.site_config import NO_TOLERANCE
+from bergamotdrift.range_replies import RangeReplies
 from bergamotdrift.tests.fake_replicator import FakeLog, FakeReplicator
 from bergamotdrift.tests.platform_support import (
     ROUTE_COLUMNS,
@@ -33,7 +36,9 @@
     def __init__(self, log, name):
         self.state = ControlState()
         self.replicator = FakeReplicator(log, name, self.state)
-        self.nodes = NodeStreams(self.state, self.replicator, BootClock(), 30_000)
+        self.nodes = NodeStreams(
+            self.state, self.replicator, BootClock(), 30_000, RangeGrants.ANNOUNCED
+        )
         self.nodes.start()
         self.handler = PlatformCallHandler(
             self.state,
@@ -43,6 +48,7 @@
             ("a", "b"),
             "10.0.0.1:80",
             NO_TOLERANCE,
+            RangeReplies(self.nodes.leadership, self.state),
         )
 
     def become_leader(self):
@@ -226,7 +232,28 @@
         item = decode_heartbeat("i1", encode_body(heartbeat_body()))
         answer = self.first.call(LeaderAction.ANNOUNCE, "i1", encode_announcement(item))
         body = msgspec.json.decode(answer.body)
-        self.assertEqual(body, {"heartbeat_address": "10.0.0.1:80"})
+        self.assertEqual(body["heartbeat_address"], "10.0.0.1:80")
+        self.assertNotIn("holds", body)
+
+    # Guards against an answer without `holds`, which renews nothing.
+    def test_heartbeat_answer_states_what_the_upstream_is_to_hold(self):
+        with gevent.Timeout(5):
+            for sequence in itertools.count(1):
+                body = self.announce_ranged(sequence)
+                if body.get("holds"):
+                    break
+                gevent.sleep(0.1)
+        ((first, last, fence, handover),) = body["holds"]
+        self.assertEqual((first, last, handover), (0, LAST_KEY, ""))
+        self.assertGreater(fence, 0)
+        self.assertEqual(body["hold_time"], "3000ms")
+
+    def announce_ranged(self, sequence):
+        fields = heartbeat_body(service="s1", seq=sequence)
+        item = decode_heartbeat("i1", encode_body(fields))
+        answer = self.first.call(LeaderAction.ANNOUNCE, "i1", encode_announcement(item))
+        self.assertEqual(answer.status, 200)
+        return msgspec.json.decode(answer.body)
 
 
 if __name__ == "__main__":
