Push feed changes in shared frames, and count the bytes of streams

Cause: the leader sent each change of a range to every node in a frame of its own, and packed a further one for most pings, since each ping had another index. That grows with nodes times changes. A ping that comes between pushes is answered after the next one, so a pong still confirms only what was sent before it. Frames are compressed from 384 bytes on, and state tokens of last holders, which only the leader uses, are left out of the feed. A metric counts sent bytes by message and by own or other zone.

--- a/bergamotdrift/arbiter_server.py
+++ b/bergamotdrift/arbiter_server.py
@@ -66,7 +66,7 @@
         self._streams: dict[str, Connection] = {}
         self._greenlets: list[gevent.Greenlet] = []
         node = cfg.node
-        hello = Hello(node.cluster, node.node, Role.ARBITER, incarnation)
+        hello = Hello(node.cluster, node.node, Role.ARBITER, incarnation, node.zone)
         self._incarnation = incarnation
         self.server = StreamServer(cfg.listen, hello, self)
         self.control = ControlClient(node.control, hello, self._node_row, clock, self)
--- a/bergamotdrift/control_node.py
+++ b/bergamotdrift/control_node.py
@@ -32,7 +32,9 @@
         self.state = ControlState()
         address = _advertised_address(cfg)
         self.replica = Replica(cfg, self.state, clock, random.Random(), address)
-        hello = Hello(node.cluster, node.node, Role.CONTROL, secrets.token_hex(8))
+        hello = Hello(
+            node.cluster, node.node, Role.CONTROL, secrets.token_hex(8), node.zone
+        )
         self.server = ControlServer(
             cfg, hello, self.state, self.replica, clock, check_site, self.replica
         )
--- a/bergamotdrift/control_state.py
+++ b/bergamotdrift/control_state.py
@@ -86,7 +86,8 @@
             shards=rows.shards.rows_since(since),
             isolated=rows.isolated.rows_since(since),
             removed=[] if full else rows.removed_since(since),
-            ranges=rows.ranges.rows_since(since),
+            # Only the leader hands on the state tokens of last holders.
+            ranges=[row._replace(handover="") for row in rows.ranges.rows_since(since)],
             evacuated=sorted(self.evacuated)
             if full or self._evacuated_at > since
             else None,
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -61,7 +61,9 @@
         self._cfg = cfg
         self._dialect = dialect
         self._clock = clock
-        hello = Hello(cfg.node.cluster, cfg.node.node, Role.ENTRY, secrets.token_hex(8))
+        node = cfg.node
+        run = secrets.token_hex(8)
+        hello = Hello(node.cluster, node.node, Role.ENTRY, run, node.zone)
         self._hello = hello
         self._view: SettingsView | None = None
         self._splits = RouteSplits()
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -82,12 +82,13 @@
 
 @message
 class Hello(NamedTuple):
-    """Open a stream: cluster, sender and its incarnation."""
+    """Open a stream: cluster, sender, its incarnation and availability zone."""
 
     cluster: str
     node: str
     role: Role
     incarnation: str
+    zone: str = ""
 
 
 @message
--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, NamedTuple
+from typing import Any
 
 import gevent
 from gevent.event import Event
@@ -12,7 +12,8 @@
 from bergamotdrift.constants import SESSION_TTL_MS
 from bergamotdrift.control_log_events import REFUSED_ANNOUNCEMENTS, update_gauges
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.exceptions import ErrorKind, StreamClosedError
+from bergamotdrift.exceptions import ErrorKind
+from bergamotdrift.feed_streams import FeedStreams
 from bergamotdrift.leader_reachability import LeaderReachability
 from bergamotdrift.leader_state import LeaderState
 from bergamotdrift.leadership import Leadership
@@ -36,32 +37,12 @@
 )
 from bergamotdrift.node_sessions import PingResult
 from bergamotdrift.replication import Replicator
-from bergamotdrift.streams import Connection, pack_one_way
+from bergamotdrift.streams import Connection
 
-# An update that a node has not applied after this time is sent again.
-RESEND_AFTER_MS = 2000
 MAX_ANNOUNCEMENTS_PER_BATCH = 2000
-# The push loop yields after this many streams: packing a full update of 1,000 rows
-# takes up to 2 ms.
-_PUSHES_PER_YIELD = 16
 _ANNOUNCEMENTS_PER_YIELD = 64
 
 
-@dataclass
-class FeedPosition:
-    """Track the feed index up to which a stream was sent updates, and when."""
-
-    sent_index: int
-    sent_at_ms: float
-
-
-class PackedUpdate(NamedTuple):
-    """Describe a packed update and the feed index that it ends at."""
-
-    to_index: int
-    frame: bytes
-
-
 @dataclass
 class PendingPing:
     """Describe a ping that waits for the registration of its node, or for the lease."""
@@ -97,12 +78,12 @@
         self.leadership = Leadership(
             state, replicator, clock, self, upstream_ttl_ms, range_grants
         )
-        self._positions: dict[Connection, FeedPosition] = {}
+        self._feed = FeedStreams(state, clock)
         self._leader_reachability = LeaderReachability()
         self._pending_pings: list[PendingPing] = []
+        # Pings that the next push confirms, without their payload of reports.
+        self._awaiting_push: list[PendingPing] = []
         self._deferred: list[DeferredBatch] = []
-        self._packed_updates: dict[int, PackedUpdate] = {}
-        self._packed_at_index = -1
         self._changed = Event()
         self._pusher: gevent.Greenlet | None = None
         # Called after each round that changed the state.
@@ -152,7 +133,7 @@
 
     def on_close(self, conn: Connection) -> None:
         """Drop the feed position of a closed stream."""
-        self._positions.pop(conn, None)
+        self._feed.remove(conn)
 
     def on_round(self, changed: bool) -> None:
         """Push the changes of a round and answer the pings that waited for it."""
@@ -177,9 +158,10 @@
     def on_leadership_lost(self) -> None:
         """Redirect the pending requests, so that nodes look for the new leader."""
         update_gauges(self._state, False)
-        self._positions.clear()
+        self._feed.clear()
         self._answer_deferred(None)
-        pending, self._pending_pings = self._pending_pings, []
+        pending = [*self._pending_pings, *self._awaiting_push]
+        self._pending_pings, self._awaiting_push = [], []
         for item in pending:
             item.conn.reply(item.number, self._not_leader())
 
@@ -238,9 +220,22 @@
     ) -> None:
         if conn.closed:
             return
-        self._update_position(conn, msg.feed_index)
+        self._feed.set_applied_index(conn, msg.feed_index)
+        if self._feed.must_wait(conn):
+            waiting = msg._replace(loads=[], speeds=[], reports=[])
+            self._awaiting_push.append(PendingPing(conn, number, waiting))
+            self._changed.set()
+            return
         # Streams preserve order, so a node that received the pong received the update.
-        if not self._push(conn) or not number:
+        if self._feed.push(conn) and number:
+            self._send_pong(leader_state, conn, number, msg)
+
+    def _send_pong(
+        self, leader_state: LeaderState, conn: Connection, number: int, msg: Ping
+    ) -> None:
+        """Confirm the state that was sent last, which is as new as the ping."""
+        sent_index = self._feed.sent_index(conn)
+        if sent_index is None:
             return
         now_ms = self._clock.now_ms()
         rates = leader_state.lease_rate_tokens(msg.row.node, msg.rates, now_ms)
@@ -249,23 +244,12 @@
             Pong(
                 self.leadership.replica(),
                 self.leadership.term(),
-                self._positions[conn].sent_index,
+                sent_index,
                 SESSION_TTL_MS,
                 rates,
             ),
         )
 
-    def _update_position(self, conn: Connection, feed_index: int) -> None:
-        now_ms = self._clock.now_ms()
-        position = self._positions.get(conn)
-        if position is None:
-            self._positions[conn] = FeedPosition(feed_index, now_ms)
-        elif (
-            feed_index < position.sent_index
-            and now_ms - position.sent_at_ms > RESEND_AFTER_MS
-        ):
-            position.sent_index = feed_index
-
     def _on_farewell(
         self, leader_state: LeaderState, conn: Connection, number: int, msg: Farewell
     ) -> None:
@@ -375,40 +359,23 @@
         while True:
             self._changed.wait()
             self._changed.clear()
-            for count, conn in enumerate(list(self._positions), 1):
-                if self.leadership.leader_state() is None:
-                    break
-                self._push(conn)
-                if count % _PUSHES_PER_YIELD == 0:
-                    gevent.sleep(0)
-
-    def _push(self, conn: Connection) -> bool:
-        """Send a stream its missing updates; return whether it is still open."""
-        position = self._positions.get(conn)
-        if position is None or conn.closed:
-            return False
-        if position.sent_index >= self._state.feed_index:
-            return True
-        update = self._update_since(position.sent_index)
-        try:
-            conn.send_packed(update.frame)
-        except StreamClosedError:
-            return False
-        position.sent_index = update.to_index
-        position.sent_at_ms = self._clock.now_ms()
-        return True
+            waiting, self._awaiting_push = self._awaiting_push, []
+            self._feed.push_to_all(self._leads)
+            self._answer_pushed(waiting)
+            self._feed.sleep_until_next_push()
 
-    def _update_since(self, index: int) -> PackedUpdate:
-        # Most streams lack the same rows, so a packed update is shared.
-        if self._packed_at_index != self._state.feed_index:
-            self._packed_at_index = self._state.feed_index
-            self._packed_updates.clear()
-        if index not in self._packed_updates:
-            update = self._state.update_since(index)
-            self._packed_updates[index] = PackedUpdate(
-                update.to_index, pack_one_way(update)
-            )
-        return self._packed_updates[index]
+    def _leads(self) -> bool:
+        return self.leadership.leader_state() is not None
+
+    def _answer_pushed(self, pings: list[PendingPing]) -> None:
+        """Answer the pings that waited for a push."""
+        leader_state = self.leadership.leader_state()
+        for item in pings:
+            if leader_state is None:
+                # The lease has lapsed, or the lead was lost: the next round tells.
+                self._pending_pings.append(item)
+            elif item.number:
+                self._send_pong(leader_state, item.conn, item.number, item.ping)
 
 
 def _is_sender(conn: Connection, row: NodeRow) -> bool:
--- a/bergamotdrift/replica.py
+++ b/bergamotdrift/replica.py
@@ -107,7 +107,7 @@
             self._raft, names, self._address, self._cfg.open_group
         )
         node = self._cfg.node
-        hello = Hello(node.cluster, node.node, Role.CONTROL, self.replica)
+        hello = Hello(node.cluster, node.node, Role.CONTROL, self.replica, node.zone)
         self._peers = ReplicaPeers(hello, self._address, self.handle_message)
         self._joiner = GroupJoiner(
             self._cfg, self._raft, self._peers, self._address, self._clock, self
--- a/bergamotdrift/streams.py
+++ b/bergamotdrift/streams.py
@@ -16,7 +16,7 @@
 from gevent.event import AsyncResult
 from gevent.server import StreamServer as _GeventServer
 
-from bergamotdrift import constants, messages
+from bergamotdrift import constants, messages, stream_metrics
 from bergamotdrift.exceptions import (
     CallError,
     ProtocolError,
@@ -30,10 +30,11 @@
     Hello,
     Message,
 )
+from bergamotdrift.stream_metrics import PeerZone
 
 _RECEIVE_BYTES = 64 * 1024
 _MAX_BATCH_FRAMES = 256
-_COMPRESS_MIN_BYTES = 2048
+_COMPRESS_MIN_BYTES = 384
 _COMPRESSION_LEVEL = 1
 _BACKOFF_MIN_S = 0.05
 _BACKOFF_MAX_S = 1.0
@@ -111,6 +112,7 @@
             max_buffer_size=constants.STREAM_MAX_FRAME_BYTES
         )
         self.peer: Hello | None = None
+        self._zone_of_peer = PeerZone.UNKNOWN
         self.closed = False
         self.close_reason = ""
         self._sent_since_heartbeat = False
@@ -119,12 +121,13 @@
 
     def send(self, msg: Message) -> None:
         """Queue a one-way message, or raise StreamClosedError."""
-        self.send_packed(pack_one_way(msg))
+        self.send_packed(pack_one_way(msg), type(msg))
 
-    def send_packed(self, frame: bytes) -> None:
+    def send_packed(self, frame: bytes, kind: type) -> None:
         """Queue a frame from `pack_one_way`, or raise StreamClosedError."""
         if self.closed:
             raise StreamClosedError(self.close_reason)
+        stream_metrics.count_sent(kind.__name__, self._zone_of_peer, len(frame))
         self._sent_since_heartbeat = True
         if self._outgoing.empty() and not self._writer_busy:
             frame = self._send_now(frame)
@@ -135,7 +138,7 @@
         """Queue the reply to a request; it is dropped if the connection is closed."""
         if self.closed:
             return
-        self._enqueue(number, FrameFlag.REPLY, messages.pack_body(msg))
+        self._enqueue(number, FrameFlag.REPLY, msg)
 
     def request(self, msg: Message) -> AsyncResult:
         """Queue a request and return the future of its reply."""
@@ -144,7 +147,7 @@
         fut: AsyncResult = AsyncResult()
         self._pending_replies[number] = fut
         try:
-            self._enqueue(number, FrameFlag.REQUEST, messages.pack_body(msg))
+            self._enqueue(number, FrameFlag.REQUEST, msg)
         except StreamClosedError:
             self._pending_replies.pop(number, None)
             raise
@@ -202,8 +205,9 @@
         for fut in pending.values():
             fut.set_exception(StreamClosedError(reason))
 
-    def _enqueue(self, number: int, flag: FrameFlag, body: list[Any]) -> None:
-        self.send_packed(_pack_frame([number, int(flag), *body]))
+    def _enqueue(self, number: int, flag: FrameFlag, msg: Message) -> None:
+        frame = _pack_frame([number, int(flag), *messages.pack_body(msg)])
+        self.send_packed(frame, type(msg))
 
     def _send_now(self, data: bytes) -> bytes:
         """Write to the socket and return the unsent rest; an error closes the stream.
@@ -256,6 +260,9 @@
         if msg.cluster != self._hello.cluster:
             raise ProtocolError(f"the peer belongs to cluster {msg.cluster[:64]!r}")
         self.peer = msg
+        if self._hello.zone and msg.zone:
+            same = msg.zone == self._hello.zone
+            self._zone_of_peer = PeerZone.OWN if same else PeerZone.OTHER
 
     def _read_loop(self) -> None:
         for number, flag, msg in self._frames():
--- a/bergamotdrift/tests/test_control_server.py
+++ b/bergamotdrift/tests/test_control_server.py
@@ -6,7 +6,7 @@
 from geventhttpclient import HTTPClient
 from returns.result import Failure, Success
 
-from bergamotdrift import messages, node_streams
+from bergamotdrift import feed_streams, messages
 from bergamotdrift.clock import BootClock
 from bergamotdrift.config.schema import ControlSettings, NodeSettings
 from bergamotdrift.control_client import ControlClient
@@ -131,7 +131,7 @@
         self.wait_until(lambda: len(nodes) == len(clients))
         self.wait_until(lambda: all(c.session_is_valid() for c in clients))
         with mock.patch.object(
-            node_streams, "pack_one_way", wraps=node_streams.pack_one_way
+            feed_streams, "pack_one_way", wraps=feed_streams.pack_one_way
         ) as packed:
             self.assertEqual(self.apply(0, "r1")[0], 200)
             self.wait_until(lambda: all(c.tables.settings for c in clients))
@@ -157,7 +157,7 @@
         self.lead(1)
         self.apply(1, "r2")
         self.wait_until(lambda: client.tables.revision == 2)
-        self.assertEqual(self.replicas[0].server.node_streams._positions, {})
+        self.assertEqual(len(self.replicas[0].server.node_streams._feed), 0)
 
     def test_leader_without_quorum_confirms_and_pushes_nothing(self):
         client = self.client()
