Prefetch no first rate token where a burst is smaller than the fleet

Cause: an entry that saw one request of a workspace held a token for the next one. With 185 entries and a burst of a few requests, the prefetched tokens were the whole burst, and requests within the rate were refused. Change: where a workspace's burst gives an entry less than one token, only the demand beyond one request a second is prefetched. Result: LeaderTokenClientTests fails before.

--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -5,7 +5,11 @@
 
 from bergamotdrift.attempts import AttemptRegistry
 from bergamotdrift.clock import Clock
-from bergamotdrift.config.schema import EntrySettings, ServiceSettings
+from bergamotdrift.config.schema import (
+    EntrySettings,
+    ServiceSettings,
+    WorkspaceSettings,
+)
 from bergamotdrift.direct_permits import DirectPermits
 from bergamotdrift.direct_selection import DirectSelector
 from bergamotdrift.feed_tables import FeedTables
@@ -43,7 +47,7 @@
         rng = random.Random()
         self._selector = DirectSelector(cfg.node.node, cfg.node.zone, rng)
         self.permits = DirectPermits(tables, self._selector, registry, clock)
-        self.tokens = LeaderTokenClient(clock, self._rate_of)
+        self.tokens = LeaderTokenClient(clock, self._rate_of, self._burst_share_of)
         self._entries = 1
 
     def on_tables_changed(self, update: FeedUpdate) -> None:
@@ -88,6 +92,13 @@
         self.tokens.take_rates(lots, asked_at_ms)
 
     def _rate_of(self, workspace: str) -> float:
-        settings = self._tables().settings
-        found = settings.workspace(workspace) if settings is not None else None
+        found = self._workspace(workspace)
         return found.rate_per_s if found is not None else 0.0
+
+    def _burst_share_of(self, workspace: str) -> float:
+        found = self._workspace(workspace)
+        return found.burst / self._entries if found is not None else 0.0
+
+    def _workspace(self, name: str) -> WorkspaceSettings | None:
+        settings = self._tables().settings
+        return settings.workspace(name) if settings is not None else None
--- a/bergamotdrift/leader_token_client.py
+++ b/bergamotdrift/leader_token_client.py
@@ -94,9 +94,16 @@
 class LeaderTokenClient:
     """Hand out rate tokens, and tell what the next ping to the leader requests."""
 
-    def __init__(self, clock: Clock, rate_of: Callable[[str], float]):
+    def __init__(
+        self,
+        clock: Clock,
+        rate_of: Callable[[str], float],
+        burst_share_of: Callable[[str], float],
+    ):
         self._clock = clock
         self._rate_of = rate_of
+        # The part of a workspace's burst that falls to each entry.
+        self._burst_share_of = burst_share_of
         self._workspaces: dict[str, WorkspaceTokens] = {}
         # Set by the owner of the control session; sends a ping ahead of its interval.
         self.request_ping: Callable[[], None] = lambda: None
@@ -126,7 +133,11 @@
         needs = []
         for name, tokens in self._workspaces.items():
             held = tokens.held(now_ms)
-            prefetch = tokens.demand_per_s(now_ms) * _PREFETCH_MS / 1000.0
+            demand_per_s = tokens.demand_per_s(now_ms)
+            if self._burst_share_of(name) < 1.0:
+                # One token at each entry that saw one request would be the whole burst.
+                demand_per_s = max(0.0, demand_per_s - 1.0)
+            prefetch = demand_per_s * _PREFETCH_MS / 1000.0
             # Rounded up, the prefetched tokens of many entries would hold all of a
             # small burst.
             target = int(prefetch) + tokens.waiting
--- a/bergamotdrift/tests/test_rate_buckets.py
+++ b/bergamotdrift/tests/test_rate_buckets.py
@@ -135,7 +135,7 @@
         Returns the bucket, the time at the end and the tokens used without a leader.
         """
         clock = ManualClock(0.0)
-        allowance = LeaderTokenClient(clock, lambda name: 20.0)
+        allowance = LeaderTokenClient(clock, lambda name: 20.0, lambda name: 2.0)
         bucket = RateBucket(LIMITS, -5000.0)
         tokens = WorkspaceTokens()
         for _ in range(40):
@@ -189,7 +189,10 @@
 
     def setUp(self):
         self.clock = ManualClock(1000.0)
-        self.allowance = LeaderTokenClient(self.clock, lambda name: 20.0)
+        self.burst_share = 2.0
+        self.allowance = LeaderTokenClient(
+            self.clock, lambda name: 20.0, lambda name: self.burst_share
+        )
 
     def test_request_is_refused_at_once_when_the_leader_has_no_token(self):
         def ask():
@@ -206,7 +209,7 @@
         self.assertEqual(refusal.retry_after_s, 0.25)
 
     def test_unlimited_workspace_needs_no_token(self):
-        free = LeaderTokenClient(self.clock, lambda name: 0.0)
+        free = LeaderTokenClient(self.clock, lambda name: 0.0, lambda name: 2.0)
         self.assertIsNone(free.acquire("w", 2000.0).unwrap())
         self.assertEqual(free.rate_needs(), [])
 
@@ -215,6 +218,23 @@
         self.assertEqual(self.allowance.rate_needs(), [RateNeed("w", 0, 8, 0)])
         self.assertEqual(self.allowance.rate_needs(), [])
 
+    # Guards against refusals within the rate in a large fleet: if each entry that saw
+    # one request holds a token for the next, they hold the whole burst.
+    def test_entry_prefetches_no_first_token_of_a_small_burst(self):
+        for share, wanted in ((2.0, 1), (0.2, 0)):
+            self.burst_share = share
+            tokens = self.allowance._workspaces["w"] = WorkspaceTokens()
+            tokens.demand_at_ms.append(self.clock.now_ms())
+            needs = self.allowance.rate_needs()
+            self.assertEqual(sum(need.wanted for need in needs), wanted)
+
+    def test_busy_entry_prefetches_tokens_of_a_small_burst(self):
+        self.burst_share = 0.2
+        tokens = self.allowance._workspaces["w"] = WorkspaceTokens()
+        tokens.demand_at_ms.extend([self.clock.now_ms()] * 6)
+        (need,) = self.allowance.rate_needs()
+        self.assertEqual(need.wanted, 6)
+
     def test_token_is_not_used_after_its_lease(self):
         self.allowance.take_rates([RateLot("w", 8, 1500, 0)], 1000.0)
         self.clock.advance(1450)
