Balance a large service while a fifth as many ranges change

Cause: balancing waited while more than one range per 16 upstreams was changing. A release ends with the work that runs on its keys, which takes seconds on the large fleet, so 7 slow releases of 113 upstreams kept all other overloaded ones waiting. Change: services of 64 upstreams or more wait only above one per 5. Result: test with 8 releases that do not end fails before. Smaller services are as before.

--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -36,6 +36,10 @@
 # Balancing waits while more than one range per this many upstreams is changing: with
 # many upstreams some ranges always are. A small service waits for all changes.
 _UPSTREAMS_PER_CHANGE = 16
+# In a large service the moves of one time are a small part of the keys, and waiting
+# for the slowest of them leaves other upstreams overloaded for seconds.
+_LARGE_SERVICE = 64
+_UPSTREAMS_PER_CHANGE_LARGE = 5
 # Each range is renewed by a separate call, so their number is limited.
 MAX_RANGES_PER_UPSTREAM = 12
 # Announcements arrive about once per second, and may be late.
@@ -193,9 +197,8 @@
         `due_count` is the number of other changes in this round.
         """
         changing = sum(row.state is not PartitionState.OWNED for row in self._rows)
-        if (
-            not self._eligible
-            or changing + due_count > len(self._eligible) // _UPSTREAMS_PER_CHANGE
+        if not self._eligible or changing + due_count > _changes_allowed(
+            len(self._eligible)
         ):
             return []
         owned: dict[str, list[RowLoad]] = {name: [] for name in self._eligible}
@@ -367,6 +370,13 @@
         return self._now_ms - seen_ms < MAX_ANNOUNCEMENT_AGE_MS
 
 
+def _changes_allowed(upstreams: int) -> int:
+    """Return how many ranges may be changing when others begin to move."""
+    if upstreams >= _LARGE_SERVICE:
+        return upstreams // _UPSTREAMS_PER_CHANGE_LARGE
+    return upstreams // _UPSTREAMS_PER_CHANGE
+
+
 def _split_off(row: RangeRow, first: int, last: int) -> list[RangeRow]:
     """Split a range and return its parts, with `first` to `last` under release."""
     rows = [row._replace(first=first, last=last, state=PartitionState.RELEASING)]
--- a/bergamotdrift/tests/test_range_planner.py
+++ b/bergamotdrift/tests/test_range_planner.py
@@ -358,6 +358,20 @@
             sim.run(1000)
             self.assertGreater(self.moved(sim), first)
 
+    # Guards against overloaded upstreams that wait while others finish long requests.
+    def test_balancing_continues_while_several_releases_take_long(self):
+        sim = PlannerSimulation(8, self.COUNT)
+        sim.run(3000)
+        self.overload(sim, 8)
+        for number in range(8):
+            sim.upstreams[f"u{number}"].release = lambda *_: None
+        with mock.patch.object(sim.planner.leases, "record_released"):
+            sim.run(600)
+            first = self.moved(sim)
+            self.overload(sim, 20)
+            sim.run(1000)
+            self.assertGreater(self.moved(sim), first)
+
     def test_number_of_concurrent_moves_grows_with_the_service(self):
         sim = PlannerSimulation(7, self.COUNT)
         sim.run(3000)
