Refuse early what an overloaded upstream can't serve in a large fleet

Cause: 185 entries see a request for a hot key every few seconds, so none notices that its upstream is full. Change: the leader, which adds up the requests by key of all entries, tells them every half second which part an overloaded upstream can serve; the rest is refused before it is sent, with spread times to come back. Only with 24 entries or more; the most urgent requests are always sent.

--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -28,10 +28,12 @@
     Message,
     NodeRow,
     NotLeader,
+    Overloads,
     Ping,
     Pong,
     RateLot,
     RateNeed,
+    UpstreamOverload,
     UpstreamReport,
     UpstreamSpeed,
 )
@@ -81,6 +83,10 @@
         """Add leased rate tokens, whose lease starts at `asked_at_ms`."""
         ...
 
+    def take_overloads(self, items: list[UpstreamOverload]) -> None:
+        """Replace what is known of overloaded upstreams."""
+        ...
+
 
 class ControlClient:
     """Keep a node's session with the control leader.
@@ -174,9 +180,11 @@
         """Do nothing; the ping loop reconnects."""
 
     def on_message(self, conn: Connection, number: int, msg: Message) -> None:
-        """Apply a feed update and acknowledge it."""
+        """Apply a feed update and acknowledge it, or pass on overloads."""
         if isinstance(msg, FeedUpdate) and self._apply(msg):
             self._acknowledge(conn, msg)
+        elif isinstance(msg, Overloads) and self._payload is not None:
+            self._payload.take_overloads(msg.items)
 
     def _run(self) -> None:
         while True:
--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -20,6 +20,7 @@
     RateLot,
     RateNeed,
     Role,
+    UpstreamOverload,
     UpstreamReport,
     UpstreamSpeed,
 )
@@ -91,6 +92,10 @@
         """Add leased rate tokens."""
         self.tokens.take_rates(lots, asked_at_ms)
 
+    def take_overloads(self, items: list[UpstreamOverload]) -> None:
+        """Replace what is known of overloaded upstreams."""
+        self._selector.overloads.update(items, self._clock.now_ms())
+
     def _rate_of(self, workspace: str) -> float:
         found = self._workspace(workspace)
         return found.rate_per_s if found is not None else 0.0
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -46,6 +46,7 @@
 _ATTEMPT_LIMIT_MEANS = 5.0
 _ATTEMPT_LIMIT_RATIO = 0.45
 _DEFAULT_ATTEMPTS = 2
+MOST_URGENT_RANK = 0
 _MEAN_WEIGHT = 0.05
 _NO_RESPONSE = frozenset({AttemptOutcome.TIMEOUT, AttemptOutcome.CANCELLED})
 
@@ -87,6 +88,9 @@
         """Return a registered attempt, or a refusal (NO_UPSTREAM, QUEUE_FULL)."""
         if numbers.next() == 1 and routed.service.kind is ServiceKind.RANGED:
             self._key_counts[routed.service.name, int(routed.routing_key)] += 1
+            overloaded = self._overloaded(routed)
+            if overloaded is not None:
+                return Failure(overloaded)
         selection = self._select(routed, numbers.excluded)
         if isinstance(selection, Chosen) and not self._has_more_urgent_waiter(routed):
             return Success(
@@ -98,6 +102,17 @@
             return Failure(_refusal(selection, self._clock.now_ms()))
         return self._wait(routed, numbers)
 
+    def _overloaded(self, routed: RoutedRequest) -> Refusal | None:
+        """Return the refusal of a request that its key's upstream can't serve, or None.
+
+        The most urgent requests are always sent.
+        """
+        if rank_of(routed) == MOST_URGENT_RANK:
+            return None
+        now_ms = self._clock.now_ms()
+        blocked = self._selector.overloaded(routed, self._tables(), now_ms)
+        return None if blocked is None else _refusal(blocked, now_ms)
+
     def _is_hopeless(self, blocked: Blocked, routed: RoutedRequest) -> bool:
         """Return whether waiting can't help a request before its deadline."""
         free_at_ms = blocked.free_at_ms
@@ -292,7 +307,7 @@
 
 
 def rank_of(routed: RoutedRequest) -> int:
-    """Return the rank of a request; 0 is the most urgent."""
+    """Return the rank of a request; a lower one is more urgent."""
     if routed.rank is not None:
         return routed.rank
     return routed.route.rank
--- a/bergamotdrift/direct_selection.py
+++ b/bergamotdrift/direct_selection.py
@@ -16,6 +16,7 @@
     UpstreamSpeed,
     UpstreamState,
 )
+from bergamotdrift.overload import OVERLOAD_MIN_ENTRIES, OverloadGate
 from bergamotdrift.request import RoutedRequest
 from bergamotdrift.request_share import RequestShare
 from bergamotdrift.routing_key import key_number
@@ -68,6 +69,7 @@
         self._rng = rng
         self.cold_start_share = RequestShare(node, _COLD_START_WINDOW_MS)
         self.statements = UpstreamStatements(node, rng)
+        self.overloads = OverloadGate(rng)
         self.loads: dict[UpstreamId, DirectLoad] = {}
         self._by_service: dict[str, list[DirectLoad]] = {}
         self._entries = 1
@@ -161,6 +163,23 @@
             return self._select_key_owner(routed, tables, now_ms)
         return self._select_from_pool(routed, excluded, now_ms)
 
+    def overloaded(
+        self, routed: RoutedRequest, tables: FeedTables, now_ms: float
+    ) -> Blocked | None:
+        """Return why a new request for a key is refused at once, or None."""
+        if self._entries < OVERLOAD_MIN_ENTRIES:
+            return None
+        row = tables.range_of(routed.service.name, int(routed.routing_key))
+        if row is None or row.state is not PartitionState.OWNED:
+            return None
+        owner = UpstreamId(row.service, row.upstream)
+        if not self.overloads.refuses(owner, now_ms):
+            return None
+        left_ms = routed.deadline_ms - now_ms
+        free_at_ms = now_ms + 1000.0 * self.overloads.retry_after_s(left_ms)
+        reason = f"full: {row.upstream} is offered more than it can serve"
+        return Blocked(reason, QueueWait.NONE, free_at_ms)
+
     def _select_key_owner(
         self, routed: RoutedRequest, tables: FeedTables, now_ms: float
     ) -> Chosen | Blocked:
--- a/bergamotdrift/feed_streams.py
+++ b/bergamotdrift/feed_streams.py
@@ -1,6 +1,7 @@
-"""Delivery of the feed to the streams of nodes."""
+"""Delivery of the feed and of overloads to the streams of nodes."""
 
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -9,7 +10,7 @@
 from bergamotdrift.clock import Clock
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import StreamClosedError
-from bergamotdrift.messages import FeedUpdate
+from bergamotdrift.messages import FeedUpdate, Overloads, Role, UpstreamOverload
 from bergamotdrift.streams import Connection, pack_one_way
 
 # If a node's reported index stays behind for this long, its updates are sent again.
@@ -48,6 +49,7 @@
         self._packed_updates: dict[int, PackedUpdate] = {}
         self._packed_at_index = -1
         self._next_push_ms = 0.0
+        self._overload_known = False
 
     def __len__(self) -> int:
         return len(self._positions)
@@ -114,6 +116,21 @@
         position.sent_at_ms = self._clock.now_ms()
         return True
 
+    def send_overloads(self, items: Sequence[UpstreamOverload] | None) -> None:
+        """Tell all entries which upstreams are overloaded, and once that none is.
+
+        Nothing is sent for None, as long as it was not planned anew.
+        """
+        if items is None or not (items or self._overload_known):
+            return
+        self._overload_known = bool(items)
+        frame = pack_one_way(Overloads(list(items)))
+        for conn in list(self._positions):
+            if conn.peer is not None and conn.peer.role is Role.ENTRY:
+                # A closed stream is dropped by its handler.
+                with contextlib.suppress(StreamClosedError):
+                    conn.send_packed(frame, Overloads)
+
     def _update_since(self, index: int) -> PackedUpdate:
         # Most streams lack the same rows, so a packed update is shared.
         if self._packed_at_index != self._state.feed_index:
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -314,6 +314,21 @@
     rates: list[RateLot] = []
 
 
+class UpstreamOverload(NamedTuple):
+    """State which part of the requests for its keys an upstream can serve."""
+
+    service: str
+    upstream: str
+    admitted_permille: int
+
+
+@message
+class Overloads(NamedTuple):
+    """Tell an entry which upstreams are overloaded; it replaces the last message."""
+
+    items: list[UpstreamOverload]
+
+
 @message
 class NotLeader(NamedTuple):
     """Redirect to the leader's stream address, empty if unknown."""
--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -139,6 +139,8 @@
         """Push the changes of a round and answer the pings that waited for it."""
         leader_state = self.leadership.leader_state()
         update_gauges(self._state, leader_state is not None)
+        if leader_state is not None:
+            self._feed.send_overloads(leader_state.ranges.take_overloads())
         if changed:
             self._changed.set()
             self.on_changed()
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -16,9 +16,11 @@
     Message,
     PartitionState,
     RangeRow,
+    UpstreamOverload,
     UpstreamRow,
     UpstreamState,
 )
+from bergamotdrift.overload import overloads_of
 from bergamotdrift.range_balance import RowLoad, choose_range_moves, load_by_range
 from bergamotdrift.range_leases import RangeLeases, UpstreamProcess, owner_process
 from bergamotdrift.upstream_speeds import UpstreamSpeeds
@@ -87,6 +89,7 @@
         self._move_targets: dict[_RangeStart, str] = {}
         self.speeds = UpstreamSpeeds()
         self._balanced_at_ms = opened_at_ms
+        self._overloads: list[UpstreamOverload] | None = None
 
     def add_loads(self, loads: Sequence[KeyLoad], now_ms: float) -> None:
         """Add an entry's report of requests per key."""
@@ -94,18 +97,25 @@
             known = self._loads.setdefault(name, KeyLoads())
             known.add((item for item in loads if item.service == name), now_ms)
 
+    def take_overloads(self) -> list[UpstreamOverload] | None:
+        """Return the overloaded upstreams, or None if they were not planned anew."""
+        overloads, self._overloads = self._overloads, None
+        return overloads
+
     def commands(self, now_ms: float) -> list[Message]:
         """Return the range changes that are due."""
         commands: list[Message] = []
         is_balance_due = now_ms - self._balanced_at_ms >= BALANCE_INTERVAL_MS
         if is_balance_due:
             self._balanced_at_ms = now_ms
+            self._overloads = []
         for service in self._services():
             plan = _ServicePlan(self, service, now_ms)
             due = plan.due_changes()
             commands += due
-            if is_balance_due:
+            if self._overloads is not None and is_balance_due:
                 commands += plan.balancing_moves(len(due))
+                self._overloads += plan.overloads()
         self._prune(now_ms)
         return commands
 
@@ -227,6 +237,15 @@
             commands.append(self._replace(move.row, _split_off(move.row, *move[1:3])))
         return commands
 
+    def overloads(self) -> list[UpstreamOverload]:
+        """Return the upstreams that are offered more requests than they can serve."""
+        loads = dict.fromkeys(self._load_per_rps, 0.0)
+        for row in self._rows:
+            if row.upstream in loads and row.state is PartitionState.OWNED:
+                load = self._loads[row].per_s * self._load_per_rps[row.upstream]
+                loads[row.upstream] += load
+        return overloads_of(self._service, loads)
+
     def _next_owner(self, row: RangeRow) -> str:
         """Return the planned owner of a range under release, else the current owner."""
         if row.state is not PartitionState.RELEASING:
--- a/bergamotdrift/tests/test_feed_pushes.py
+++ b/bergamotdrift/tests/test_feed_pushes.py
@@ -12,9 +12,11 @@
     KeyLoad,
     NodeRow,
     NotLeader,
+    Overloads,
     Ping,
     Pong,
     Role,
+    UpstreamOverload,
     UpstreamRow,
     UpstreamState,
 )
@@ -128,5 +130,21 @@
         add_loads.assert_called_once()
 
 
+class OverloadTests(LargeFleetTestCase):
+    """Guards against overloads that entries don't hear of, or never hear the end of."""
+
+    def test_entries_hear_of_an_overload_and_of_its_end(self):
+        leader_state = self.nodes.leadership.leader_state()
+        assert leader_state is not None
+        planned = [[UpstreamOverload("cases", "u1", 300)], [], []]
+        with mock.patch.object(
+            leader_state.ranges,
+            "take_overloads",
+            lambda: planned.pop(0) if planned else None,
+        ):
+            self.wait_until(lambda: not planned)
+        self.assertEqual({conn.count(Overloads) for conn in self.conns}, {2})
+
+
 if __name__ == "__main__":
     unittest.main()
