Send changes of the settings to nodes as patches

Cause: each change sent the whole settings to every node. With 140 workspaces these are 13 KB compressed, as key digests hardly compress. Change: a node whose revision at its feed index is known gets the positions of the unchanged routes and workspaces and the new ones. One that has another base asks for everything.

--- a/bergamotdrift/control_state.py
+++ b/bergamotdrift/control_state.py
@@ -74,12 +74,14 @@
         rows, log = self.rows, self.settings
         full = index <= 0 or index < rows.tombstone_floor()
         since = 0 if full else index
+        is_changed = log.changed_at > since
+        patch = log.patch_since(since) if is_changed and not full else None
         return FeedUpdate(
             from_index=since,
             to_index=self.feed_index,
             full=full,
             revision=log.revision,
-            settings=log.current if log.changed_at > since else None,
+            settings=log.current if is_changed and patch is None else None,
             nodes=rows.nodes.rows_since(since),
             upstreams=rows.upstreams.rows_since(since),
             partitions=rows.partitions.rows_since(since),
@@ -91,6 +93,7 @@
             evacuated=sorted(self.evacuated)
             if full or self._evacuated_at > since
             else None,
+            patch=patch,
         )
 
     def service(self, name: str) -> ServiceSettings | None:
--- a/bergamotdrift/feed_tables.py
+++ b/bergamotdrift/feed_tables.py
@@ -17,6 +17,7 @@
     ShardRow,
     UpstreamRow,
 )
+from bergamotdrift.settings_patch import apply_patch
 
 
 class UpstreamId(NamedTuple):
@@ -69,6 +70,10 @@
             return False
         if not update.full and update.from_index > self.index:
             return False
+        if not self._knows_base(update):
+            # The leader sends everything to a node that has nothing.
+            self.index = 0
+            return False
         if update.full:
             self._clear_rows()
         self._apply_settings(update)
@@ -111,9 +116,22 @@
             table.clear()
 
     def _apply_settings(self, update: FeedUpdate) -> None:
-        if update.settings is not None and update.revision >= self.revision:
+        if update.revision < self.revision:
+            return
+        if update.settings is not None:
             self.settings = update.settings
             self.revision = update.revision
+        elif update.patch is not None and update.revision > self.revision:
+            assert self.settings is not None
+            self.settings = apply_patch(self.settings, update.patch)
+            self.revision = update.revision
+
+    def _knows_base(self, update: FeedUpdate) -> bool:
+        """Return whether a patch of the settings, if there is one, can be applied."""
+        patch = update.patch
+        if patch is None or update.revision <= self.revision:
+            return True
+        return self.settings is not None and patch.base_revision == self.revision
 
     def _apply_rows(self, update: FeedUpdate) -> None:
         for node in update.nodes:
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -9,6 +9,7 @@
 from bergamotdrift.config.schema import SiteSettings
 from bergamotdrift.constants import STREAM_MAX_FRAME_BYTES
 from bergamotdrift.exceptions import ErrorKind, ProtocolError
+from bergamotdrift.settings_patch import SettingsPatch
 
 Message = Any
 _M = TypeVar("_M", bound=type)
@@ -229,6 +230,8 @@
     removed: list[RemovedRow]
     ranges: list[RangeRow] = []
     evacuated: list[str] | None = None
+    # Replaces `settings` where the receiver is known to have an earlier revision.
+    patch: SettingsPatch | None = None
 
 
 # Nodes and control
--- a/bergamotdrift/settings_log.py
+++ b/bergamotdrift/settings_log.py
@@ -9,6 +9,7 @@
 from bergamotdrift.control_commands import ApplySettings, ChangeOutcome, RecordRefusal
 from bergamotdrift.exceptions import ErrorKind
 from bergamotdrift.settings_diff import summarize_change
+from bergamotdrift.settings_patch import SettingsPatch, make_patch
 
 # The audit trail keeps the numbers of older revisions, but not their content.
 MAX_RECENT_REVISIONS = 16
@@ -24,6 +25,8 @@
         self.current: SiteSettings | None = None
         self.mapping = b"null"
         self.recent_revisions: dict[int, SiteSettings] = {}
+        # Indexes at which recent revisions were applied here; unknown in a snapshot.
+        self._applied_at: dict[int, int] = {}
         self.audit = AuditTrail()
 
     def recorded_outcome(self, request: str, fingerprint: str) -> ChangeOutcome | None:
@@ -61,7 +64,7 @@
         self.changed_at = index
         self.current = command.settings
         self.mapping = command.mapping
-        self._keep_recent()
+        self._keep_recent(index)
         outcome = ChangeOutcome("", self.revision, self.author)
         self._record(command, outcome, changes)
         return outcome
@@ -91,15 +94,27 @@
             revision: msgspec.convert(fields, SiteSettings)
             for revision, fields in recent.items()
         }
+        self._applied_at = {self.revision: self.changed_at}
         self.current = self.recent_revisions.get(self.revision)
         self.audit = AuditTrail()
         self.audit.load(audit)
 
-    def _keep_recent(self) -> None:
+    def patch_since(self, index: int) -> SettingsPatch | None:
+        """Return the change since a log index, or None if that is not known."""
+        earlier = [r for r, applied in self._applied_at.items() if applied <= index]
+        old = self.recent_revisions.get(max(earlier, default=0))
+        if old is None or self.current is None:
+            return None
+        return make_patch(max(earlier), old, self.current)
+
+    def _keep_recent(self, index: int) -> None:
         assert self.current is not None
         self.recent_revisions[self.revision] = self.current
+        self._applied_at[self.revision] = index
         if len(self.recent_revisions) > MAX_RECENT_REVISIONS:
-            del self.recent_revisions[next(iter(self.recent_revisions))]
+            oldest = next(iter(self.recent_revisions))
+            del self.recent_revisions[oldest]
+            self._applied_at.pop(oldest, None)
 
     def _current_revision_text(self) -> str:
         if self.revision == 0:
