Put ranges under release when the reply to their owner is due

Cause: with ranges granted in replies, a planned move put its range under release at once. Change: a planned move waits until an announcement of its owner is waiting for its reply. The reply to an upstream that a range is about to come to waits up to 450 ms. A test of the moment of the release fails before.

--- a/bergamotdrift/announced_leases.py
+++ b/bergamotdrift/announced_leases.py
@@ -6,6 +6,8 @@
 left out of one reply is therefore not granted by any earlier reply that still arrives.
 """
 
+from typing import NamedTuple
+
 from bergamotdrift.messages import Announcement, RangeRow
 from bergamotdrift.range_leases import (
     LeaseTerms,
@@ -19,9 +21,32 @@
 # Announcements come about once a second, and a retry at another replica takes as long.
 _SILENCE_IS_LOSS_MS = 2200.0
 
+# Assumed until two announcements of an upstream have arrived.
+_USUAL_INTERVAL_MS = 900.0
+_INTERVAL_WEIGHT = 0.3
+# An upstream announces itself early while it releases ranges; this is no new interval.
+_EARLY_MS = 300.0
+
 ANNOUNCED_GRANTS = LeaseTerms(ANNOUNCED_HOLD_MS, 0.0, _SILENCE_IS_LOSS_MS)
 
 
+class _Arrivals(NamedTuple):
+    """Hold when announcements of a process arrive."""
+
+    last_ms: float
+    interval_ms: float = _USUAL_INTERVAL_MS
+
+
+def _next_arrivals(before: _Arrivals | None, now_ms: float) -> _Arrivals:
+    if before is None:
+        return _Arrivals(now_ms)
+    passed_ms = now_ms - before.last_ms
+    if not _EARLY_MS <= passed_ms <= 2 * _USUAL_INTERVAL_MS:
+        return before._replace(last_ms=now_ms)
+    change_ms = _INTERVAL_WEIGHT * (passed_ms - before.interval_ms)
+    return _Arrivals(now_ms, before.interval_ms + change_ms)
+
+
 class AnnouncedLeases(RangeLeases):
     """Track the grants of one leader term that replies to announcements renew."""
 
@@ -32,14 +57,50 @@
         # of the grants in earlier replies.
         self._left_out_until_ms: dict[RangeRow, float] = {}
         self._confirmed: set[RangeRow] = set()
+        self._arrivals: dict[UpstreamProcess, _Arrivals] = {}
+        # Processes whose announcement has no reply yet.
+        self._waiting: set[UpstreamProcess] = set()
 
-    def begin_reply(self, process: UpstreamProcess, item: Announcement) -> bool:
+    def begin_reply(
+        self, process: UpstreamProcess, item: Announcement, received_ms: float
+    ) -> bool:
         """Return whether an announcement is newer than all that were replied to."""
         if item.sequence <= self._answered_sequence.get(process, 0):
             return False
         self._answered_sequence[process] = item.sequence
+        self._waiting.add(process)
+        before = self._arrivals.get(process)
+        self._arrivals[process] = _next_arrivals(before, received_ms)
         return True
 
+    def end_reply(self, process: UpstreamProcess, item: Announcement) -> bool:
+        """Return whether no later announcement has arrived since `begin_reply`."""
+        if item.sequence != self._answered_sequence.get(process):
+            return False
+        self._waiting.discard(process)
+        return True
+
+    def due_in_ms(self, process: UpstreamProcess, now_ms: float) -> float:
+        """Return when a process is to announce itself next; 0 while one waits."""
+        if process in self._waiting:
+            return 0.0
+        arrivals = self._arrivals.get(process)
+        if arrivals is None:
+            return _USUAL_INTERVAL_MS
+        return max(0.0, arrivals.last_ms + arrivals.interval_ms - now_ms)
+
+    def is_told(self, row: RangeRow) -> bool:
+        """Return whether a reply has left out a range under release."""
+        return row in self._left_out_until_ms
+
+    def may_release(self, owner: UpstreamProcess) -> bool:
+        """Return whether the reply to an announcement of the owner is due.
+
+        A range that is put under release earlier gets no requests, although its owner
+        still holds it.
+        """
+        return owner in self._waiting
+
     def renew(self, row: RangeRow, received_ms: float) -> bool:
         """Count a grant from its announcement; return whether it may be replied."""
         if not self.begin_grant(row):
--- a/bergamotdrift/platform/control.py
+++ b/bergamotdrift/platform/control.py
@@ -63,7 +63,7 @@
 def _range_delivery(boot: Boot, control: ControlNode, clock: Clock) -> RangeDelivery:
     leadership = control.server.node_streams.leadership
     if boot.range_grants is RangeGrants.ANNOUNCED:
-        return RangeReplies(leadership, control.state)
+        return RangeReplies(leadership, control.state, clock)
     return RangeOrderSender(leadership, control.state, clock, RangeOrderClient(clock))
 
 
--- a/bergamotdrift/range_leases.py
+++ b/bergamotdrift/range_leases.py
@@ -195,6 +195,14 @@
         """Return whether all grants of earlier leaders have expired."""
         return now_ms >= self._earlier_grants_until_ms
 
+    def is_told(self, row: RangeRow) -> bool:
+        """Return whether the owner was told to release a range."""
+        return row in self._released
+
+    def may_release(self, owner: UpstreamProcess) -> bool:
+        """Return whether the owner can be told now to release a range."""
+        return True
+
     def ownership_ended(self, row: RangeRow, now_ms: float) -> bool:
         """Return whether the last owner of a range can no longer act on it."""
         if row in self._released and self.is_settled(row, now_ms):
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -21,7 +21,12 @@
     UpstreamState,
 )
 from bergamotdrift.overload import overloads_of
-from bergamotdrift.range_balance import RowLoad, choose_range_moves, load_by_range
+from bergamotdrift.range_balance import (
+    RangeMove,
+    RowLoad,
+    choose_range_moves,
+    load_by_range,
+)
 from bergamotdrift.range_leases import RangeLeases, UpstreamProcess, owner_process
 from bergamotdrift.upstream_speeds import UpstreamSpeeds
 
@@ -33,6 +38,9 @@
 # move it back.
 MOVE_COOLDOWN_MS = 2500.0
 MOVES_PER_BALANCE = 5
+# A planned release whose owner can't be told is dropped after this time, as the loads
+# have changed.
+PLAN_TTL_MS = 2500.0
 # A large service moves at most one range per this many upstreams at a time.
 _UPSTREAMS_PER_MOVE = 8
 # Balancing waits while more than one range per this many upstreams is changing: with
@@ -65,6 +73,13 @@
     first: int
 
 
+class _PlannedRelease(NamedTuple):
+    """Describe a move whose owner can't be told yet."""
+
+    move: RangeMove
+    planned_ms: float
+
+
 class RangePlanner:
     """Plan the next changes of all ranged services.
 
@@ -87,6 +102,7 @@
         self._first_seen_ms: dict[str, float] = {}
         self._moved_at_ms: dict[_RangeStart, float] = {}
         self._move_targets: dict[_RangeStart, str] = {}
+        self._planned: dict[str, list[_PlannedRelease]] = {}
         self.speeds = UpstreamSpeeds()
         self._balanced_at_ms = opened_at_ms
         self._overloads: list[UpstreamOverload] | None = None
@@ -135,6 +151,50 @@
             row if row is not None and row.incarnation == process.incarnation else None
         )
 
+    def must_release(self, process: UpstreamProcess, now_ms: float) -> bool:
+        """Return whether a process owns ranges that it is about to release."""
+        row = self.upstream_row(process)
+        if row is None or not self.leases.earlier_grants_expired(now_ms):
+            return False
+        owned = [
+            item
+            for item in self._state.rows.ranges_owned(*process)
+            if item.state is PartitionState.OWNED
+        ]
+        if self.must_drain(row):
+            return bool(owned)
+        planned = self._planned.get(process.service, ())
+        return any(
+            item.move.row in owned and self.leases.may_release(process)
+            for item in planned
+        )
+
+    def has_untold_release(self, process: UpstreamProcess) -> bool:
+        """Return whether a range is under release and its owner does not know it."""
+        return any(
+            row.state is PartitionState.RELEASING and not self.leases.is_told(row)
+            for row in self._state.rows.ranges_owned(*process)
+        )
+
+    def owners_before(self, process: UpstreamProcess) -> list[UpstreamProcess]:
+        """Return the owners of the ranges that are about to move to a process."""
+        rows = [
+            item.move.row
+            for item in self._planned.get(process.service, ())
+            if item.move.target == process.upstream
+        ]
+        for row in self._state.rows.ranges_of(process.service):
+            if row.state is PartitionState.RELEASING:
+                key = _RangeStart(row.service, row.first)
+                if self._move_targets.get(key) == process.upstream:
+                    rows.append(row)
+        return [owner_process(row) for row in rows]
+
+    def must_drain(self, row: UpstreamRow) -> bool:
+        """Return whether an upstream must give up all its ranges."""
+        leaving = row.state is UpstreamState.LEAVING
+        return leaving or row.zone in self._state.evacuated
+
     def was_replaced(self, process: UpstreamProcess) -> bool:
         """Return whether another process of the same upstream is registered."""
         key = UpstreamId(process.service, process.upstream)
@@ -194,7 +254,7 @@
             return []
         if not self._rows:
             return self._initial_placement()
-        commands: list[Message] = []
+        commands = self._planned_releases()
         for count, row in enumerate(self._rows, 1):
             commands += self._next_changes(row)
             if count % _RANGES_PER_YIELD == 0:
@@ -206,7 +266,9 @@
 
         `due_count` is the number of other changes in this round.
         """
+        planned = self._planner._planned.setdefault(self._service, [])
         changing = sum(row.state is not PartitionState.OWNED for row in self._rows)
+        changing += len(planned)
         if not self._eligible or changing + due_count > _changes_allowed(
             len(self._eligible)
         ):
@@ -218,10 +280,12 @@
                 owned[owner].append(self._loads[row])
         moved = self._planner._moved_at_ms
         leases = self._planner.leases
+        planned_rows = {item.move.row for item in planned}
         pinned = frozenset(
             row
             for row in self._rows
-            if row.state is not PartitionState.OWNED
+            if row in planned_rows
+            or row.state is not PartitionState.OWNED
             or _RangeStart(row.service, row.first) in moved
             or leases.is_reassigning(row)
             or not leases.is_settled(row, self._now_ms)
@@ -229,12 +293,27 @@
         free_ranges = MAX_RANGES_PER_UPSTREAM * len(self._eligible) - len(self._rows)
         max_moves = max(MOVES_PER_BALANCE, len(self._eligible) // _UPSTREAMS_PER_MOVE)
         limit = min(max_moves, free_ranges // 2)
-        commands: list[Message] = []
         for move in choose_range_moves(owned, self._load_per_rps, limit, pinned):
+            planned.append(_PlannedRelease(move, self._now_ms))
+        return self._planned_releases()
+
+    def _planned_releases(self) -> list[Message]:
+        """Return the releases of planned moves whose owners can be told now."""
+        commands: list[Message] = []
+        waiting = []
+        current = set(self._rows)
+        for item in self._planner._planned.get(self._service, ()):
+            move, age_ms = item.move, self._now_ms - item.planned_ms
+            if move.row not in current or age_ms >= PLAN_TTL_MS:
+                continue
+            if not self._planner.leases.may_release(owner_process(move.row)):
+                waiting.append(item)
+                continue
             key = _RangeStart(self._service, move.first)
             self._planner._move_targets[key] = move.target
             self._planner._moved_at_ms[key] = self._now_ms
             commands.append(self._replace(move.row, _split_off(move.row, *move[1:3])))
+        self._planner._planned[self._service] = waiting
         return commands
 
     def overloads(self) -> list[UpstreamOverload]:
@@ -289,8 +368,10 @@
             return [self._replace(row, [row._replace(state=PartitionState.OWNED)])]
         # Keys that are released earlier would have no owner until the grants of earlier
         # leaders expire.
-        if self._must_drain(owner) and planner.leases.earlier_grants_expired(
-            self._now_ms
+        if (
+            planner.must_drain(owner)
+            and planner.leases.earlier_grants_expired(self._now_ms)
+            and planner.leases.may_release(owner_process(row))
         ):
             return [self._replace(row, self._split_for_release(row))]
         return []
@@ -361,10 +442,6 @@
             handover,
         )
 
-    def _must_drain(self, owner: UpstreamRow) -> bool:
-        leaving = owner.state is UpstreamState.LEAVING
-        return leaving or owner.zone in self._state.evacuated
-
     def _eligible_upstreams(self) -> dict[str, UpstreamRow]:
         """Return the upstreams that may be assigned keys.
 
@@ -374,7 +451,7 @@
             row
             for row in self._state.rows.upstreams.rows()
             if row.service == self._service
-            and not self._must_drain(row)
+            and not self._planner.must_drain(row)
             and not self._planner.is_lost(
                 UpstreamProcess(row.service, row.upstream, row.incarnation),
                 self._now_ms,
--- a/bergamotdrift/range_replies.py
+++ b/bergamotdrift/range_replies.py
@@ -1,9 +1,12 @@
 """Grants of key ranges in the replies to announcements."""
 
 from collections.abc import Iterable, Sequence
-from typing import Protocol
+from typing import NamedTuple, Protocol
+
+import gevent
 
 from bergamotdrift.announced_leases import ANNOUNCED_HOLD_MS, AnnouncedLeases
+from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import ServiceKind
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.leader_state import LeaderState
@@ -18,6 +21,10 @@
 from bergamotdrift.range_delivery import HeldRanges, RangeGrant
 from bergamotdrift.range_leases import UpstreamProcess
 
+# A reply waits at most this long for a range that is about to move. Upstreams count an
+# announcement only if it is answered within a second.
+REPLY_WAIT_MAX_MS = 450.0
+_POLL_INTERVAL_S = 0.005
 # Upstreams ignore a reply above 4 KiB, and a grant with a state token takes about 45
 # bytes. The ranges above this number are not renewed until others were merged.
 GRANTS_PER_REPLY_MAX = 80
@@ -35,15 +42,41 @@
         ...
 
 
+class PendingReply(NamedTuple):
+    """Hold an announcement that has no reply yet."""
+
+    leader_state: LeaderState
+    leases: AnnouncedLeases
+    process: UpstreamProcess
+    item: Announcement
+    received_ms: float
+
+    def must_wait(self, now_ms: float) -> bool:
+        """Return whether a range is about to move from or to the upstream."""
+        left_ms = self.received_ms + REPLY_WAIT_MAX_MS - now_ms
+        if left_ms <= 0.0:
+            return False
+        ranges = self.leader_state.ranges
+        if ranges.has_untold_release(self.process):
+            return False
+        if ranges.must_release(self.process, now_ms):
+            return True
+        return any(
+            self.leases.due_in_ms(owner, now_ms) <= left_ms
+            for owner in ranges.owners_before(self.process)
+        )
+
+
 class RangeReplies:
     """Grant and renew ranges in replies, and take the reports of released ones.
 
     The log decides what an upstream holds; what it states itself is only compared.
     """
 
-    def __init__(self, leader: Leader, state: ControlState):
+    def __init__(self, leader: Leader, state: ControlState, clock: Clock):
         self._leader = leader
         self._state = state
+        self._clock = clock
 
     def start(self) -> None:
         """Do nothing: announcements arrive without a request."""
@@ -57,20 +90,31 @@
     def reply(
         self, leader_state: LeaderState, item: Announcement, received_ms: float
     ) -> HeldRanges | None:
-        """Return what an upstream is to hold; None if the reply must not renew it."""
+        """Return what an upstream is to hold; None if the reply must not renew it.
+
+        The reply waits for a short time if a range is about to move from or to it.
+        """
+        pending = self.open(leader_state, item, received_ms)
+        if pending is None:
+            return None
+        while pending.must_wait(self._clock.now_ms()):
+            gevent.sleep(_POLL_INTERVAL_S)
+        return self.close(pending)
+
+    def open(
+        self, leader_state: LeaderState, item: Announcement, received_ms: float
+    ) -> PendingReply | None:
+        """Take what an announcement states, or return None if it renews nothing."""
         process = UpstreamProcess(item.service, item.upstream, item.incarnation)
         leases = leader_state.ranges.leases
         service = self._state.service(item.service)
         is_ranged = service is not None and service.kind is ServiceKind.RANGED
         if not is_ranged or not isinstance(leases, AnnouncedLeases):
             return None
-        # A leader whose lease lapsed while the announcement was handled may have been
-        # replaced by one that grants the ranges to others.
-        if self._leader.leader_state() is not leader_state:
-            return None
-        if leader_state.ranges.upstream_row(process) is None:
+        pending = PendingReply(leader_state, leases, process, item, received_ms)
+        if not self._may_reply(leader_state, process):
             return None
-        if not leases.begin_reply(process, item):
+        if not leases.begin_reply(process, item, received_ms):
             log_event(
                 "announcement_outdated",
                 service=item.service,
@@ -80,9 +124,29 @@
             return None
         rows = self._state.rows.ranges_owned(*process)
         self._take_releases(leases, rows, item)
-        granted = self._renew(leases, rows, item, received_ms)
+        if pending.must_wait(received_ms):
+            self._leader.wake()
+        return pending
+
+    def close(self, pending: PendingReply) -> HeldRanges | None:
+        """Return what the upstream is to hold now, or None if it must not be renewed.
+
+        A leader whose lease lapsed while the announcement was handled may have been
+        replaced by one that grants the ranges to others.
+        """
+        is_latest = pending.leases.end_reply(pending.process, pending.item)
+        if not is_latest or not self._may_reply(pending.leader_state, pending.process):
+            return None
+        rows = self._state.rows.ranges_owned(*pending.process)
+        granted = self._renew(pending.leases, rows, pending.item, pending.received_ms)
         return HeldRanges(granted, ANNOUNCED_HOLD_MS)
 
+    def _may_reply(self, leader_state: LeaderState, process: UpstreamProcess) -> bool:
+        """Return whether this replica leads and the process is the registered one."""
+        if self._leader.leader_state() is not leader_state:
+            return False
+        return leader_state.ranges.upstream_row(process) is not None
+
     def _take_releases(
         self, leases: AnnouncedLeases, rows: Sequence[RangeRow], item: Announcement
     ) -> None:
--- a/bergamotdrift/tests/announced_simulation.py
+++ b/bergamotdrift/tests/announced_simulation.py
@@ -4,6 +4,7 @@
 import random
 from typing import NamedTuple
 
+from bergamotdrift.clock import ManualClock
 from bergamotdrift.config.schema import RangeGrants
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.leader_state import LeaderState
@@ -153,6 +154,7 @@
         self.state.settings.current = SETTINGS
         self.index = 1
         self.events = []
+        self.reply_waits_ms: list[float] = []
         self.numbers = itertools.count()
         self.past: list[AnnouncingUpstream] = []
         self.upstreams = {}
@@ -173,7 +175,7 @@
         self.leader = LeaderState(
             self.state, self.now, range_grants=RangeGrants.ANNOUNCED
         )
-        self.replies = RangeReplies(self, self.state)
+        self.replies = RangeReplies(self, self.state, ManualClock(0.0))
         self.proposed, self.committed_at = [], 0.0
         self.has_leader = True
 
@@ -205,8 +207,12 @@
         if error:
             return
 
-        def reply():
-            held = self.replies.reply(leader, item, received)
+        def poll(pending):
+            if pending is not None and pending.must_wait(self.now):
+                self.at(self.now + STEP_MS, lambda: poll(pending))
+                return
+            held = None if pending is None else self.replies.close(pending)
+            self.reply_waits_ms.append(self.now - received - self.commit_ms - 20)
             lost = not upstream.reachable or self.rng.random() < self.faults.reply_lost
             if not lost:
                 late = self.rng.random() < self.faults.late
@@ -217,7 +223,10 @@
                 )
 
         # The handler waits until the announcement is committed.
-        self.at(self.now + self.commit_ms + 20, reply)
+        self.at(
+            self.now + self.commit_ms + 20,
+            lambda: poll(self.replies.open(leader, item, received)),
+        )
 
     def run(self, ms):
         end = self.now + ms
--- a/bergamotdrift/tests/test_announced_ranges.py
+++ b/bergamotdrift/tests/test_announced_ranges.py
@@ -4,6 +4,7 @@
 
 from bergamotdrift import control_commands as cmd
 from bergamotdrift.announced_leases import ANNOUNCED_HOLD_MS, AnnouncedLeases
+from bergamotdrift.clock import ManualClock
 from bergamotdrift.config.schema import RangeGrants
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.leader_state import LeaderState
@@ -18,9 +19,14 @@
     UpstreamRow,
     UpstreamState,
 )
-from bergamotdrift.range_replies import GRANTS_PER_REPLY_MAX, RangeReplies
+from bergamotdrift.range_replies import (
+    GRANTS_PER_REPLY_MAX,
+    REPLY_WAIT_MAX_MS,
+    RangeReplies,
+)
 from bergamotdrift.tests.announced_simulation import (
     INTERVAL_MS,
+    STEP_MS,
     AnnouncedSimulation,
     Faults,
 )
@@ -71,7 +77,7 @@
 
     def open_term(self, now_ms):
         self.term = LeaderState(self.state, now_ms, range_grants=RangeGrants.ANNOUNCED)
-        self.replies = RangeReplies(self, self.state)
+        self.replies = RangeReplies(self, self.state, ManualClock(0.0))
 
     def leader_state(self):
         return self.term if self.has_lease else None
@@ -281,6 +287,39 @@
         tokens = [row.handover for row in sim.rows()]
         self.assertTrue(any(token.startswith("u1-") for token in tokens), tokens)
 
+    # Guards against keys that get no requests, since they are put under release long
+    # before their owner announces itself and learns of it.
+    def test_range_is_put_under_release_only_when_its_owner_is_told(self):
+        sim = AnnouncedSimulation(6)
+        sim.run(5000)
+        sim.upstreams["u1"].due = sim.now + 600.0
+        hot = next(r for r in sim.rows() if r.upstream == "u1").first
+        for _ in range(5):
+            loads = [KeyLoad("cases", hot + n, 9) for n in range(0, 400, 10)]
+            sim.leader.ranges.add_loads(loads, sim.now)
+            sim.run(100)
+        self.assertEqual({r.state for r in sim.rows()}, {PartitionState.OWNED})
+        states = set()
+        for _ in range(30):
+            sim.run(10)
+            states |= {r.state for r in sim.rows()}
+        self.assertIn(PartitionState.RELEASING, states)
+
+    # Guards against keys without a holder until the next announcement of their owner.
+    def test_reply_waits_for_a_range_that_is_about_to_come(self):
+        waited = []
+        for seed in range(8):
+            sim = AnnouncedSimulation(seed, count=12)
+            sim.run(5000)
+            for step in range(100):
+                first = (step // 25) * 15_000 + 3000
+                loads = [KeyLoad("cases", first + n, 6) for n in range(0, 400, 10)]
+                sim.leader.ranges.add_loads(loads, sim.now)
+                sim.run(250)
+            waited += sim.reply_waits_ms
+        self.assertGreater(sum(ms > 50.0 for ms in waited), 8)
+        self.assertLessEqual(max(waited), REPLY_WAIT_MAX_MS + STEP_MS)
+
     def test_ranges_are_kept_over_a_change_of_the_leader(self):
         sim = AnnouncedSimulation(5)
         sim.run(5000)
--- a/bergamotdrift/tests/test_platform_leader_call_handler.py
+++ b/bergamotdrift/tests/test_platform_leader_call_handler.py
@@ -48,7 +48,7 @@
             ("a", "b"),
             "10.0.0.1:80",
             NO_TOLERANCE,
-            RangeReplies(self.nodes.leadership, self.state),
+            RangeReplies(self.nodes.leadership, self.state, BootClock()),
         )
 
     def become_leader(self):
