Split the planned moves of ranges off the planner

Change: PlannedMoves holds them; no logic changes, but that nothing is collected in rounds without a planned move. Result: tests of the planner and of announced ranges pass as before.

--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from functools import cached_property
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from bergamotdrift import control_commands as cmd
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
@@ -21,8 +21,8 @@
     UpstreamState,
 )
 from bergamotdrift.overload import overloads_of
+from bergamotdrift.planned_moves import PlannedMoves
 from bergamotdrift.range_balance import (
-    RangeMove,
     RowLoad,
     choose_range_moves,
     load_by_range,
@@ -34,13 +34,7 @@
 # keys.
 FIRST_PLACEMENT_DELAY_MS = 1500.0
 BALANCE_INTERVAL_MS = 500.0
-# A moved range does not move again for this long, so that noise in the load does not
-# move it back.
-MOVE_COOLDOWN_MS = 2500.0
 MOVES_PER_BALANCE = 5
-# A planned release whose owner can't be told is dropped after this time, as the loads
-# have changed.
-PLAN_TTL_MS = 2500.0
 # A large service moves at most one range per this many upstreams at a time.
 _UPSTREAMS_PER_MOVE = 8
 # Balancing waits while more than one range per this many upstreams is changing: with
@@ -70,18 +64,6 @@
         ...
 
 
-class _RangeStart(NamedTuple):
-    service: str
-    first: int
-
-
-class _PlannedRelease(NamedTuple):
-    """Describe a move whose owner can't be told yet."""
-
-    move: RangeMove
-    planned_ms: float
-
-
 class RangePlanner:
     """Plan the next changes of all ranged services.
 
@@ -102,9 +84,7 @@
         self.leases = new_leases(opened_at_ms)
         self._loads: dict[str, KeyLoads] = {}
         self._first_seen_ms: dict[str, float] = {}
-        self._moved_at_ms: dict[_RangeStart, float] = {}
-        self._move_targets: dict[_RangeStart, str] = {}
-        self._planned: dict[str, list[_PlannedRelease]] = {}
+        self._moves = PlannedMoves()
         self.speeds = UpstreamSpeeds()
         self._balanced_at_ms = opened_at_ms
         self._overloads: list[UpstreamOverload] | None = None
@@ -158,18 +138,15 @@
         row = self.upstream_row(process)
         if row is None or not self.leases.earlier_grants_expired(now_ms):
             return False
-        owned = [
+        owned = {
             item
             for item in self._state.rows.ranges_owned(*process)
             if item.state is PartitionState.OWNED
-        ]
+        }
         if self.must_drain(row):
             return bool(owned)
-        planned = self._planned.get(process.service, ())
-        return any(
-            item.move.row in owned and self.leases.may_release(process)
-            for item in planned
-        )
+        planned = self._moves.rows(process.service)
+        return bool(owned & planned) and self.leases.may_release(process)
 
     def has_untold_release(self, process: UpstreamProcess) -> bool:
         """Return whether a range is under release and its owner does not know it."""
@@ -180,17 +157,12 @@
 
     def owners_before(self, process: UpstreamProcess) -> list[UpstreamProcess]:
         """Return the owners of the ranges that are about to move to a process."""
-        rows = [
-            item.move.row
-            for item in self._planned.get(process.service, ())
-            if item.move.target == process.upstream
+        releasing = [
+            row
+            for row in self._state.rows.ranges_of(process.service)
+            if row.state is PartitionState.RELEASING
         ]
-        for row in self._state.rows.ranges_of(process.service):
-            if row.state is PartitionState.RELEASING:
-                key = _RangeStart(row.service, row.first)
-                if self._move_targets.get(key) == process.upstream:
-                    rows.append(row)
-        return [owner_process(row) for row in rows]
+        return self._moves.owners_before(process, releasing)
 
     def must_drain(self, row: UpstreamRow) -> bool:
         """Return whether an upstream must give up all its ranges."""
@@ -212,11 +184,7 @@
         rows = set(self._state.rows.ranges.rows())
         self.leases.retain(rows, {owner_process(row) for row in rows})
         self.speeds.retain(set(self._state.rows.upstreams.list_keys()))
-        self._moved_at_ms = {
-            key: at
-            for key, at in self._moved_at_ms.items()
-            if now_ms - at < MOVE_COOLDOWN_MS
-        }
+        self._moves.prune(now_ms)
 
 
 class _ServicePlan:
@@ -268,7 +236,8 @@
 
         `due_count` is the number of other changes in this round.
         """
-        planned = self._planner._planned.setdefault(self._service, [])
+        moves = self._planner._moves
+        planned = moves.rows(self._service)
         changing = sum(row.state is not PartitionState.OWNED for row in self._rows)
         changing += len(planned)
         if not self._eligible or changing + due_count > _changes_allowed(
@@ -280,15 +249,13 @@
             owner = self._next_owner(row)
             if owner in owned:
                 owned[owner].append(self._loads[row])
-        moved = self._planner._moved_at_ms
         leases = self._planner.leases
-        planned_rows = {item.move.row for item in planned}
         pinned = frozenset(
             row
             for row in self._rows
-            if row in planned_rows
+            if row in planned
             or row.state is not PartitionState.OWNED
-            or _RangeStart(row.service, row.first) in moved
+            or moves.moved_recently(row)
             or leases.is_reassigning(row)
             or not leases.is_settled(row, self._now_ms)
         )
@@ -297,29 +264,26 @@
         limit = min(max_moves, free_ranges // 2)
         is_large = len(self._eligible) >= _LARGE_SERVICE
         margin = _NOISE_MARGIN_LARGE if is_large else 0.0
-        moves = choose_range_moves(owned, self._load_per_rps, limit, pinned, margin)
-        for move in moves:
-            planned.append(_PlannedRelease(move, self._now_ms))
+        found = choose_range_moves(owned, self._load_per_rps, limit, pinned, margin)
+        for move in found:
+            moves.add(move, self._now_ms)
         return self._planned_releases()
 
     def _planned_releases(self) -> list[Message]:
         """Return the releases of planned moves whose owners can be told now."""
-        commands: list[Message] = []
-        waiting = []
-        current = set(self._rows)
-        for item in self._planner._planned.get(self._service, ()):
-            move, age_ms = item.move, self._now_ms - item.planned_ms
-            if move.row not in current or age_ms >= PLAN_TTL_MS:
-                continue
-            if not self._planner.leases.may_release(owner_process(move.row)):
-                waiting.append(item)
-                continue
-            key = _RangeStart(self._service, move.first)
-            self._planner._move_targets[key] = move.target
-            self._planner._moved_at_ms[key] = self._now_ms
-            commands.append(self._replace(move.row, _split_off(move.row, *move[1:3])))
-        self._planner._planned[self._service] = waiting
-        return commands
+        moves = self._planner._moves
+        if not moves.rows(self._service):
+            return []
+        due = moves.take_due(
+            self._service,
+            set(self._rows),
+            self._planner.leases.may_release,
+            self._now_ms,
+        )
+        return [
+            self._replace(move.row, _split_off(move.row, move.first, move.last))
+            for move in due
+        ]
 
     def overloads(self) -> list[UpstreamOverload]:
         """Return the upstreams that are offered more requests than they can serve."""
@@ -334,8 +298,7 @@
         """Return the planned owner of a range under release, else the current owner."""
         if row.state is not PartitionState.RELEASING:
             return row.upstream
-        key = _RangeStart(row.service, row.first)
-        return self._planner._move_targets.get(key, row.upstream)
+        return self._planner._moves.target_of(row) or row.upstream
 
     def _initial_placement(self) -> list[Message]:
         first_ms = self._planner._first_seen_ms.setdefault(self._service, self._now_ms)
@@ -388,10 +351,11 @@
         return self._planner.leases.ownership_ended(row, self._now_ms)
 
     def _assign(self, row: RangeRow, handover: str) -> Message:
-        key = _RangeStart(row.service, row.first)
-        planned = self._planner._move_targets.pop(key, "")
-        owner = self._eligible.get(planned) or self._least_loaded()
-        self._planner._moved_at_ms[key] = self._now_ms
+        moves = self._planner._moves
+        owner = self._eligible.get(moves.take_target(row) or "")
+        if owner is None:
+            owner = self._least_loaded()
+        moves.record_moved(row, self._now_ms)
         self._ranking.add(owner.upstream, self._load_of(row, owner.upstream))
         return self._replace(
             row, [self._assigned_row(row.first, row.last, owner, handover)]
