Test large answers beside small requests, and ones that break off

Change: three tests with answers of 24 MB: slow readers beside small requests, a caller that leaves midway, and an answer that breaks off.

--- a/bergamotdrift/tests/test_platform_forwarding.py
+++ b/bergamotdrift/tests/test_platform_forwarding.py
@@ -15,7 +15,7 @@
     SENT_MAX_BYTES,
     EndlessAnswer,
 )
-from bergamotdrift.tests.entry_fakes import KEY, OK_BODY, entry_settings
+from bergamotdrift.tests.entry_fakes import KEY, OK_BODY, Caller, entry_settings
 
 
 class UpstreamRequestTests(DirectEntryTestCase):
@@ -203,6 +203,61 @@
         self.assertEqual([load.in_flight for load in loads], [0] * len(loads))
 
 
+class LargeAnswerTests(DirectEntryTestCase):
+    """Guards small requests, and the upstreams, against large answers."""
+
+    SIZE = 24 * 1024 * 1024
+
+    def setUp(self):
+        super().setUp()
+        self.set_response_script(self.respond)
+
+    def respond(self, data):
+        if b"/look/large" not in data:
+            return OK
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {self.SIZE}\r\n\r\n"
+        part = b"x" * 65536
+        return [head.encode(), *[part] * (self.SIZE // len(part))]
+
+    def start_large(self):
+        caller = Caller(self.entry.server.address)
+        self.addCleanup(caller.sock.close)
+        caller.send("GET", "/look/large", [("Deadline-Ms", "5000")])
+        return caller
+
+    # Guards against small requests that wait behind callers that read slowly.
+    def test_small_requests_are_answered_beside_slow_readers_of_large_answers(self):
+        callers = [self.start_large() for _ in range(2)]
+        gevent.sleep(0.3)
+        for _ in range(20):
+            started = time.monotonic()
+            self.assertEqual(self.ask("/look/small").body, OK_BODY)
+            self.assertLess(time.monotonic() - started, 0.5)
+        for caller in callers:
+            caller.sock.close()
+
+    # Guards against upstreams that work on for a caller that has left.
+    def test_upstream_is_disconnected_when_the_caller_leaves_midway(self):
+        caller = self.start_large()
+        caller.sock.recv(65536)
+        caller.sock.close()
+        with gevent.Timeout(3):
+            while not any(upstream.closed for upstream in self.upstreams):
+                gevent.sleep(0.02)
+
+    # Guards against an answer that is put together from two upstreams.
+    def test_answer_that_breaks_off_midway_is_not_continued_by_another(self):
+        def respond(data):
+            head = f"HTTP/1.1 200 OK\r\nX-Close: 1\r\nContent-Length: {self.SIZE}"
+            return [head.encode() + b"\r\n\r\n" + b"x" * 200_000]
+
+        self.set_response_script(respond)
+        answer = self.start_large().read()
+        self.assertFalse(answer.complete)
+        self.assertEqual(len(self.requests()), 1)
+        self.assertLessEqual(len(answer.body), 200_000)
+
+
 class StaleSettingsTests(DirectEntryTestCase):
     """Guards against acting on a state that a change replaced over 2 s ago."""
 
