Break off no answer for a retry once a part of it was passed on

Cause: an attempt of an idempotent request has a limit of its own, after which it is given up and repeated elsewhere. The limit also held while an answer above 64 KiB was passed on to the caller as it arrived, so a download that took longer than 0.45 of the time left, or five times the mean, was broken off midway, where nothing can be repeated. Found by reading. Change: an answer that is passed on may take until the request's deadline. Result: a test with an answer that pauses for 0.6 s of 0.9 s got half of it before (failed), and gets all of it now.

--- a/bergamotdrift/http_connection.py
+++ b/bergamotdrift/http_connection.py
@@ -109,6 +109,10 @@
         self.any_bytes_sent = False
         self.request_sent = False
 
+    def drop_limit(self) -> None:
+        """Let the request take until its deadline, as it can't be repeated any more."""
+        self._limit_ms = None
+
     def connect(self) -> None:
         """Connect to the server; raises OSError."""
         left_ms = min(self._remaining_ms(), _CONNECT_TIMEOUT_MS)
--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -98,6 +98,14 @@
         """Return True if the whole response has been received."""
         return self._parser.message_complete
 
+    def pass_on(self) -> Iterator[bytes]:
+        """Yield the body in chunks to the caller, until the request's deadline.
+
+        Raises TruncatedAnswerError if it ends early.
+        """
+        self._conn.drop_limit()
+        return self.iter_body()
+
     def iter_body(self) -> Iterator[bytes]:
         """Yield the body in chunks; raises TruncatedAnswerError if it ends early."""
         try:
--- a/bergamotdrift/stages/reply.py
+++ b/bergamotdrift/stages/reply.py
@@ -69,7 +69,7 @@
 def streamed_reply(response: UpstreamResponse, request_id: str) -> Reply:
     """Return a reply that streams the body as it arrives."""
     headers = caller_headers(response, request_id)
-    return Reply(response.status, headers, response.iter_body(), response.abandon)
+    return Reply(response.status, headers, response.pass_on(), response.abandon)
 
 
 def buffered_reply(response: UpstreamResponse, request_id: str, body: bytes) -> Reply:
--- a/bergamotdrift/tests/test_platform_forwarding.py
+++ b/bergamotdrift/tests/test_platform_forwarding.py
@@ -245,6 +245,23 @@
             while not any(upstream.closed for upstream in self.upstreams):
                 gevent.sleep(0.02)
 
+    # Guards against answers that are broken off for a retry, although a part of them
+    # was passed on already.
+    def test_answer_that_is_passed_on_is_not_abandoned_for_a_retry(self):
+        part = b"x" * 100_000
+
+        def serve(sock, _address):
+            sock.recv(65536)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + part)
+            # Longer than an attempt may take before it is repeated elsewhere.
+            gevent.sleep(0.6)
+            sock.sendall(part)
+
+        for upstream in self.upstreams:
+            upstream.server.set_handle(serve)
+        answer = self.ask("/look/large")
+        self.assertEqual((answer.complete, len(answer.body)), (True, 200_000))
+
     # Guards against an answer that is put together from two upstreams.
     def test_answer_that_breaks_off_midway_is_not_continued_by_another(self):
         def respond(data):
