Replace a weak test of the moment of a release, which finds a fault

Change: the test now checks, whenever a range comes under release, that a reply to its owner is waiting. It fails: the reply stops waiting when the release is proposed, before it is committed. Programs are unchanged.

--- a/bergamotdrift/tests/test_announced_ranges.py
+++ b/bergamotdrift/tests/test_announced_ranges.py
@@ -19,6 +19,7 @@
     UpstreamRow,
     UpstreamState,
 )
+from bergamotdrift.range_leases import owner_process
 from bergamotdrift.range_replies import (
     GRANTS_PER_REPLY_MAX,
     REPLY_WAIT_MAX_MS,
@@ -292,18 +293,20 @@
     def test_range_is_put_under_release_only_when_its_owner_is_told(self):
         sim = AnnouncedSimulation(6)
         sim.run(5000)
-        sim.upstreams["u1"].due = sim.now + 600.0
+        leases = sim.leader.ranges.leases
+        assert isinstance(leases, AnnouncedLeases)
         hot = next(r for r in sim.rows() if r.upstream == "u1").first
-        for _ in range(5):
-            loads = [KeyLoad("cases", hot + n, 9) for n in range(0, 400, 10)]
-            sim.leader.ranges.add_loads(loads, sim.now)
-            sim.run(100)
-        self.assertEqual({r.state for r in sim.rows()}, {PartitionState.OWNED})
-        states = set()
-        for _ in range(30):
+        seen: set[RangeRow] = set()
+        for step in range(400):
+            if step % 10 == 0:
+                loads = [KeyLoad("cases", hot + n, 9) for n in range(0, 400, 10)]
+                sim.leader.ranges.add_loads(loads, sim.now)
             sim.run(10)
-            states |= {r.state for r in sim.rows()}
-        self.assertIn(PartitionState.RELEASING, states)
+            releasing = {r for r in sim.rows() if r.state is PartitionState.RELEASING}
+            for row in releasing - seen:
+                self.assertIn(owner_process(row), leases._waiting)
+            seen |= releasing
+        self.assertTrue(seen)
 
     # Guards against keys without a holder until the next announcement of their owner.
     def test_reply_waits_for_a_range_that_is_about_to_come(self):
