--- /dev/null
+++ b/review/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of clients, backends and operators for the cases of the review."""
