Add a case: an upload is refused as not run, and has run

Cause: an entry tells answers apart by the Attempt-Id only. After a rejection it sends the same request again, which may be on the same connection; a late copy of the rejection then passes for the answer to the second send.

A script that fails by itself now exits with 2. Nothing outside review/ changes.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -176,8 +176,8 @@
     try:
         findings = run(deployment, os.environ.get("TROUBLE") != "0")
         return 1 if findings else 0
-    except CannotRunError as exc:
-        findings = [f"could not run: {exc}"]
+    except Exception as exc:
+        findings = [f"could not run: {exc!r}"]
         return 2
     finally:
         deployment.write_record(FOLDER / "record.txt", *findings)
--- a/review/stand_ins/backend.py
+++ b/review/stand_ins/backend.py
@@ -138,6 +138,7 @@
         finally:
             self.running -= 1
             self.running_keys.remove(key)
+            self.log("ran", attempt=attempt, key=key)
         body = f"{self.args.id} {attempt}".encode()
         headers = {"Attempt-Id": attempt, "Response-Seal": f"seal-{attempt}"}
         return Answer(200, headers | self._load(), body)
