--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,168 +1,129 @@
-"""OWNER: the answer to a grant comes twice, the second time while a release waits."""
+"""DRAIN: a backend that restarted behind a cut leaves as soon as the cut has healed."""
 
 import os
-import random
 import signal
 import sys
 import threading
 import time
-from itertools import count
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from stand_ins.deployment import (
-    ZONES,
-    BackendSpec,
-    Deployment,
-    service_row,
-    wait_until,
-)
+from stand_ins.deployment import BackendSpec, Deployment, service_row, wait_until
 
 FOLDER = Path(__file__).resolve().parent
-SERVICE = "casetrack"
-BACKENDS = 10
-# The share of the backends that send extra answers, and of their answers.
-GARBLING = 6
-EXTRA_SHARE = "0.03"
-EXTRA_LATE_S = "1.0"
-EVACUATIONS = 16
-EVACUATED_S = 3.5
-PAUSE_S = 0.5
-# The site has requests of up to 1,600 ms.
-WORK_MS = "600"
-CLIENTS = 30
-ALL_KEYS = range(500, 65536, 2048)
-
-
-class Work(NamedTuple):
-    """Describe work on a key at a backend that held it until `hold_until_s`."""
-
-    backend: str
-    attempt: str
-    key: int
-    from_s: float
-    until_s: float
-    hold_until_s: float
-
-
-def send_requests(deployment: Deployment, stop: threading.Event, client: int) -> None:
-    """Send requests, one after the other."""
-    rng = random.Random(client)
+SERVICE = "filedesk"
+# The leaving backend is the only one of its zone, so the entry there prefers it.
+BACKEND_ZONES = ("bp-north",) + 4 * ("bp-south",) + 3 * ("godollo",)
+ENTRIES = 3
+LEAVING = "i-case0"
+ROUNDS = 6
+CALM_S = 4.5
+# For how long the backend can't reach the core, and its restart after the cut began.
+CUT_S = 5.0
+DOWN_AFTER_S = 1.0
+DOWN_S = 0.3
+# When its planned stop begins, before the cut heals.
+STOP_BEFORE_S = 0.5
+# How long the backend serves on after the confirmation: `drain` and a little longer.
+DRAIN_S = 2.0
+SERVE_ON_S = 6.0
+# Each entry gets a submission as often as this, as at night.
+INTERVAL_S = 5.0
+
+
+def send_requests(deployment: Deployment, stop: threading.Event, entry: int) -> None:
+    """Send a submission to an entry now and then."""
     number = 0
-    while not stop.is_set():
+    while not stop.wait(INTERVAL_S):
         number += 1
-        attempt = f"c{client}-{number}"
-        deployment.request(SERVICE, attempt, rng.choice(ALL_KEYS), number % 2)
+        deployment.request(SERVICE, f"c{entry}-{number}", None, entry, "POST")
 
 
-def work_of(events: list[dict[str, Any]]) -> list[Work]:
-    """Return the work of a backend, and until when it held the key of each."""
-    grants: list[tuple[int, int, float]] = []
-    begun: dict[str, list[tuple[float, float]]] = {}
-    done = []
+def late_requests(deployment: Deployment) -> list[str]:
+    """Return the requests that reached the backend too late."""
+    events = deployment.events(LEAVING)
+    acked: dict[int, float] = {}
     for line in events:
-        if line["event"] == "grant" and line["status"] == 200:
-            grants.append((line["first"], line["last"], line["at"] + line["hold_s"]))
-        elif line["event"] == "run":
-            until_s = next(
-                until_s
-                for first, last, until_s in reversed(grants)
-                if first <= line["key"] <= last
-            )
-            begun.setdefault(line["attempt"], []).append((line["at"], until_s))
-        elif line["event"] == "ran":
-            from_s, hold_until_s = begun[line["attempt"]].pop(0)
-            done.append(
-                Work(
-                    line["id"],
-                    line["attempt"],
-                    line["key"],
-                    from_s,
-                    line["at"],
-                    hold_until_s,
-                )
-            )
-    return done
-
-
-def early_grants(deployment: Deployment) -> list[str]:
-    """Return the grants of keys on which another backend was still at work."""
-    events = {name: deployment.events(name) for name in deployment.backends}
-    work: dict[int, list[Work]] = {}
-    for lines in events.values():
-        for item in work_of(lines):
-            work.setdefault(item.key, []).append(item)
-    start_s = deployment.record[0]["at"]
+        if line["event"] == "heartbeat_acked" and line["state"] == "draining":
+            acked.setdefault(line["born"], line["at"])
     return [
-        f"{line['id']} was given keys {line['first']} to {line['last']} at"
-        f" second {line['at'] - start_s:.3f}, while {item.backend} was at work"
-        f" on key {item.key} ({item.attempt}) until {item.until_s - start_s:.3f}"
-        f" and would have held it until {item.hold_until_s - start_s:.3f}"
-        for lines in events.values()
-        for line in lines
-        if line["event"] == "grant" and line["status"] == 200
-        for key, items in work.items()
-        if line["first"] <= key <= line["last"]
-        for item in items
-        if item.backend != line["id"]
-        and item.from_s < line["at"] < min(item.until_s, item.hold_until_s)
+        _finding(deployment, line, line["at"] - acked[line["born"]])
+        for line in events
+        if line["event"] == "run"
+        and line["at"] > acked.get(line["born"], 1e12) + DRAIN_S
     ]
 
 
+def _finding(deployment: Deployment, line: dict[str, Any], late_s: float) -> str:
+    at_s = line["at"] - deployment.record[0]["at"]
+    return (
+        f"request {line['attempt']} reached {LEAVING} (born {line['born']}) at second"
+        f" {at_s:.2f}, {late_s:.2f} s after the confirmation that it leaves"
+    )
+
+
 def run(deployment: Deployment, trouble: bool) -> list[str]:
     """Play the case and return what broke the rule."""
     deployment.start()
-    deployment.send_first_config([service_row(SERVICE, sharded=True)])
-    for number in range(BACKENDS):
-        zone = ZONES[number % len(ZONES)]
-        options = ("--extra-share", EXTRA_SHARE, "--work-ms", WORK_MS)
-        options += ("--extra-late-s", EXTRA_LATE_S)
-        spec = BackendSpec(f"i-case{number}", SERVICE, zone, True, options)
-        deployment.add_backend(spec)
-    numbers = count()
-
-    def all_served() -> bool:
-        answers = [
-            deployment.request(SERVICE, f"w{next(numbers)}", key).status
-            for key in ALL_KEYS
-        ]
-        return all(status == 200 for status in answers)
-
-    wait_until(all_served, 40.0, "all keys are served")
+    deployment.send_first_config([service_row(SERVICE, sharded=False, kind="unsafe")])
+    # Stands for the path between the backend and the core, which is cut for a while.
+    relays = [deployment.start_relay(number, 0.0) for number in range(3)]
+    for number, zone in enumerate(BACKEND_ZONES):
+        options = ("--serve-on-s", str(SERVE_ON_S))
+        spec = BackendSpec(f"i-case{number}", SERVICE, zone, False, options)
+        deployment.add_backend(spec, relays if spec.id == LEAVING else None)
+
+    def serves() -> bool:
+        for number in range(ENTRIES):
+            attempt = f"w{time.monotonic()}"
+            deployment.request(SERVICE, attempt, None, number)
+        return any(line["event"] == "run" for line in deployment.events(LEAVING))
+
+    wait_until(serves, 30.0, "the backend serves requests")
     stop = threading.Event()
     clients = [
-        threading.Thread(target=send_requests, args=(deployment, stop, n))
-        for n in range(CLIENTS)
+        threading.Thread(target=send_requests, args=(deployment, stop, entry))
+        for entry in range(ENTRIES)
     ]
     for client in clients:
         client.start()
-    garbling = list(deployment.backends)[:GARBLING]
     try:
-        for number in range(EVACUATIONS):
-            zone = ZONES[number % len(ZONES)]
-            if trouble:
-                for backend in garbling:
-                    deployment.signal(backend, signal.SIGUSR1)
-            time.sleep(PAUSE_S)
-            deployment.operator("POST", f"/-/evacuation/{zone}/start")
-            time.sleep(EVACUATED_S)
+        for number in range(ROUNDS):
+            if number:
+                deployment.start_backend(LEAVING, controls=relays)
+            time.sleep(CALM_S)
             if trouble:
-                for backend in garbling:
-                    deployment.signal(backend, signal.SIGUSR2)
-            deployment.operator("POST", f"/-/evacuation/{zone}/stop")
-            time.sleep(PAUSE_S)
+                cut(deployment, relays)
+            else:
+                deployment.signal(LEAVING, signal.SIGTERM)
+            deployment.processes.pop(LEAVING).wait(SERVE_ON_S + 10.0)
     finally:
         stop.set()
         for client in clients:
             client.join()
-    return early_grants(deployment)
+    return late_requests(deployment)
+
+
+def cut(deployment: Deployment, relays: list[str]) -> None:
+    """Cut the backend off the core, restart it behind the cut, and stop it."""
+    for number in range(len(relays)):
+        deployment.signal(f"relay-{number}", signal.SIGUSR1)
+    time.sleep(DOWN_AFTER_S)
+    deployment.kill(LEAVING)
+    time.sleep(DOWN_S)
+    deployment.start_backend(LEAVING, controls=relays)
+    time.sleep(CUT_S - DOWN_AFTER_S - DOWN_S - STOP_BEFORE_S)
+    deployment.signal(LEAVING, signal.SIGTERM)
+    time.sleep(STOP_BEFORE_S)
+    for number in range(len(relays)):
+        deployment.signal(f"relay-{number}", signal.SIGUSR2)
 
 
 def main() -> int:
     """Run the case; return 1 if the rule was broken, 0 if not, 2 if it couldn't run."""
-    deployment = Deployment()
+    deployment = Deployment(entries=ENTRIES)
     findings: list[str] = []
     try:
         findings = run(deployment, os.environ.get("TROUBLE") != "0")
