--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -321,7 +321,7 @@
         headers = {"Content-Type": "application/json"}
         reply = Reply(0, {}, b"")
         for address in self.controls:
-            reply = call(address, method, path, data, headers, timeout_s=2.0)
+            reply = call(address, method, path, data, headers, timeout_s=1.0)
             if reply.status and reply.status < 500:
                 break
         self.note("operator", call=path, status=reply.status)
