Keep only cases in folders below review/

Cause: the folder of the stand-ins stood among the folders of the cases.

Change: the stand-ins and the deployment lie in review/ itself; nothing in them changes but paths and imports.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from stand_ins.deployment import (
+from deployment import (
     ZONES,
     BackendSpec,
     Deployment,
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from stand_ins.deployment import (
+from deployment import (
     ZONES,
     BackendSpec,
     Deployment,
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from stand_ins.deployment import BackendSpec, Deployment, service_row, wait_until
+from deployment import BackendSpec, Deployment, service_row, wait_until
 
 FOLDER = Path(__file__).resolve().parent
 SERVICE = "filedesk"
--- a/review/stand_ins/deployment.py
+++ b/review/deployment.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 ZONES = ("bp-north", "bp-south", "godollo")
 HOST = "cases.example"
 API_KEY = "key-of-the-review"
@@ -238,7 +238,7 @@
         """Start a relay to a control replica that delays calls; return its address."""
         target = self.controls[control]
         address = f"{self._backend_net}.{150 + control}:{self._ports['control']}"
-        script = ROOT / "review" / "stand_ins" / "relay.py"
+        script = ROOT / "review" / "relay.py"
         words = [sys.executable, str(script), "--listen", address]
         words += ["--target", target, "--delay-s", str(delay_s)]
         self._spawn(f"relay-{control}", words)
@@ -253,7 +253,7 @@
         """
         spec = self.backends[backend]
         ip, _, port = self.backend_address(backend).partition(":")
-        script = ROOT / "review" / "stand_ins" / "backend.py"
+        script = ROOT / "review" / "backend.py"
         words = [sys.executable, str(script), "--id", backend, "--ip", ip]
         words += ["--port", port, "--zone", spec.zone, "--service", spec.service]
         words += ["--control", ",".join(controls or self.controls)]
--- a/review/stand_ins/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins of clients, backends and operators for the cases of the review."""
