Wait for grants that reached a restarted upstream

Cause: the planner took the grants of a replaced process as ended with it. A grant by call names an upstream and goes to its address, which a restarted process keeps, so renewals sent before its registration are held by the new process until they expire.

Change: LeaseTerms.ends_with_process says whether a grant can reach a later process; by call it can, so keys wait for the expiry of the grants, unless they go to the new process itself. Grants in replies to heartbeats reach only their sender and still end with it.

--- a/bergamotdrift/announced_leases.py
+++ b/bergamotdrift/announced_leases.py
@@ -27,7 +27,8 @@
 # An upstream announces itself early while it releases ranges; this is no new interval.
 _EARLY_MS = 300.0
 
-ANNOUNCED_GRANTS = LeaseTerms(ANNOUNCED_HOLD_MS, 0.0, _SILENCE_IS_LOSS_MS)
+# A reply reaches only the process that sent the announcement.
+ANNOUNCED_GRANTS = LeaseTerms(ANNOUNCED_HOLD_MS, 0.0, _SILENCE_IS_LOSS_MS, True)
 
 
 class _Arrivals(NamedTuple):
--- a/bergamotdrift/range_leases.py
+++ b/bergamotdrift/range_leases.py
@@ -69,21 +69,25 @@
 
 
 class LeaseTerms(NamedTuple):
-    """Hold the times in ms that depend on how grants are delivered.
+    """Hold what depends on how grants are delivered; times are in ms.
 
     `late_start_ms` is how long after its leader's last act a grant may begin.
+    `ends_with_process` means that a grant never reaches a later process of its
+    upstream.
     """
 
     hold_ms: float
     late_start_ms: float
     lost_after_ms: float
+    ends_with_process: bool
 
     def max_hold_ms(self) -> float:
         """Return the longest time in ms that a grant may be valid once it began."""
         return self.hold_ms * (1 + CLOCK_DRIFT) + HOLD_MARGIN_MS
 
 
-CALLED_GRANTS = LeaseTerms(HOLD_MS, CALL_TIMEOUT_MS, LOST_AFTER_MS)
+# A call goes to an address and an upstream's name, which a restarted process keeps.
+CALLED_GRANTS = LeaseTerms(HOLD_MS, CALL_TIMEOUT_MS, LOST_AFTER_MS, False)
 
 
 class RangeLeases:
@@ -106,6 +110,11 @@
         self._reassigning: set[RangeRow] = set()
         self._failing_since_ms: dict[UpstreamProcess, float] = {}
 
+    @property
+    def end_with_process(self) -> bool:
+        """Return whether a grant never reaches a later process of its upstream."""
+        return self._terms.ends_with_process
+
     def begin_grant(self, row: RangeRow) -> bool:
         """Record a grant before it is sent; return whether it may be sent."""
         if row in self._reassigning:
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -326,10 +326,7 @@
             return []
         owner = planner.upstream_row(owner_process(row))
         if owner is None or planner.is_lost(owner_process(row), self._now_ms):
-            if not self._ownership_ended(row):
-                return []
-            planner.leases.mark_reassigning(row)
-            return [self._assign(row, "")]
+            return self._reassign_lost(row)
         if row.state is PartitionState.VACANT:
             if not planner.leases.is_accepted(row):
                 return []
@@ -344,18 +341,38 @@
             return [self._replace(row, self._split_for_release(row))]
         return []
 
+    def _reassign_lost(self, row: RangeRow) -> list[Message]:
+        if self._ownership_ended(row):
+            self._planner.leases.mark_reassigning(row)
+            return [self._assign(row, "")]
+        successor = self._successor_of(row)
+        return [self._assign_to(row, successor, "")] if successor is not None else []
+
+    def _successor_of(self, row: RangeRow) -> UpstreamRow | None:
+        """Return the restarted process of a lost owner, or None.
+
+        No other upstream can hold the keys, so it need not wait for grants to expire.
+        """
+        replaced = self._planner.was_replaced(owner_process(row))
+        if not replaced or not self._planner.leases.is_settled(row, self._now_ms):
+            return None
+        return self._eligible.get(row.upstream)
+
     def _ownership_ended(self, row: RangeRow) -> bool:
-        if self._planner.was_replaced(owner_process(row)):
-            # The earlier process has exited, and its grants have ended with it.
+        leases = self._planner.leases
+        replaced = self._planner.was_replaced(owner_process(row))
+        # Until a restarted process registers, it may be granted its predecessor's keys.
+        if replaced and leases.end_with_process:
             return True
-        return self._planner.leases.ownership_ended(row, self._now_ms)
+        return leases.ownership_ended(row, self._now_ms)
 
     def _assign(self, row: RangeRow, handover: str) -> Message:
         moves = self._planner._moves
         owner = self._eligible.get(moves.take_target(row) or "")
-        if owner is None:
-            owner = self._least_loaded()
-        moves.record_moved(row, self._now_ms)
+        return self._assign_to(row, owner or self._least_loaded(), handover)
+
+    def _assign_to(self, row: RangeRow, owner: UpstreamRow, handover: str) -> Message:
+        self._planner._moves.record_moved(row, self._now_ms)
         self._ranking.add(owner.upstream, self._load_of(row, owner.upstream))
         return self._replace(
             row, [self._assigned_row(row.first, row.last, owner, handover)]
--- a/bergamotdrift/tests/test_range_planner.py
+++ b/bergamotdrift/tests/test_range_planner.py
@@ -116,11 +116,14 @@
         return self.state.apply_command(self.index, command)
 
     def start_upstream(self, name, state=UpstreamState.READY):
+        self.restart_unannounced(name)
+        self.announce(name, state)
+
+    def restart_unannounced(self, name):
         born = int(self.now) + 1
         self.upstreams[name] = FakeUpstream(
             name, born, self.rng.choice((0.0, CLOCK_DRIFT))
         )
-        self.announce(name, state)
 
     def announce(self, name, state):
         born = self.upstreams[name].born
@@ -267,6 +270,20 @@
             if held.upstream == "u1":
                 self.assertGreater(held.epoch, max(before.values()))
 
+    # Guards against assigning the keys of a restarted upstream elsewhere while its new
+    # process holds them by a renewal that was meant for the earlier process.
+    def test_keys_wait_for_grants_that_reached_a_restarted_upstream(self):
+        sim = PlannerSimulation(6)
+        sim.run(3000)
+        sim.restart_unannounced("u1")
+        sim.run(1500)
+        self.assertTrue(sim.upstreams["u1"].keys(sim.now))
+        sim.announce("u1", UpstreamState.COLD)
+        sim.run(HOLD_MS + 1500)
+        self.assertEqual(sim.owned_keys(), LAST_KEY + 1)
+        owners = {r.upstream for r in sim.state.rows.ranges_of("cases")}
+        self.assertNotIn("u1", owners)
+
     @given(st.integers(0, 10_000))
     def test_no_key_has_two_owners_under_random_faults(self, seed):
         self.run_random_faults(PlannerSimulation(seed))
@@ -302,9 +319,22 @@
         sim.run(2500)
         for _ in range(4):
             name = sim.rng.choice(list(sim.upstreams))
-            fault = sim.rng.choice(("kill", "cut", "heal", "leave", "leader", "load"))
+            fault = sim.rng.choice((
+                "kill",
+                "restart",
+                "announce",
+                "cut",
+                "heal",
+                "leave",
+                "leader",
+                "load",
+            ))
             if fault == "kill":
                 sim.upstreams[name].alive = False
+            elif fault == "restart":
+                sim.restart_unannounced(name)
+            elif fault == "announce" and sim.upstreams[name].alive:
+                sim.announce(name, UpstreamState.READY)
             elif fault == "cut":
                 sim.upstreams[name].reachable = False
             elif fault == "heal":
