Count grants of key ranges by upstream and keys

Cause: grants were counted by process and epoch. A restarted process that is given its predecessor's keys may be lost before its own grant is sent, and still hold them by a grant to the predecessor; nothing counted that grant any more, so its keys would have been assigned elsewhere at once.

Change: GrantExpiries keeps the ends of grants by upstream and finds them by the keys they cover, through restarts, splits and joins of ranges. Renewals of other keys of the same epoch no longer delay a range.

--- a/bergamotdrift/announced_leases.py
+++ b/bergamotdrift/announced_leases.py
@@ -13,7 +13,6 @@
     LeaseTerms,
     RangeLeases,
     UpstreamProcess,
-    holder_of,
 )
 
 # Bears two lost announcements in a row; the third one comes in time.
@@ -111,8 +110,7 @@
 
     def leave_out(self, row: RangeRow) -> None:
         """Record that the reply to an announcement leaves out a range under release."""
-        until_ms = self._until_ms.get(holder_of(row), self._earlier_grants_until_ms)
-        self._left_out_until_ms.setdefault(row, until_ms)
+        self._left_out_until_ms.setdefault(row, self._expires_ms(row))
 
     def report_released(self, row: RangeRow, handover: str) -> None:
         """Record that an upstream states in an announcement that it released a range.
--- a/bergamotdrift/range_leases.py
+++ b/bergamotdrift/range_leases.py
@@ -12,6 +12,13 @@
 from collections import Counter
 from typing import NamedTuple
 
+from bergamotdrift.feed_tables import UpstreamId
+from bergamotdrift.grant_expiries import (
+    Grant,
+    GrantExpiries,
+    grant_of,
+    upstream_of,
+)
 from bergamotdrift.messages import RangeRow
 
 # The keys of a lost upstream can't be reassigned for this long. A new leader must renew
@@ -29,22 +36,6 @@
 LOST_AFTER_MS = 800.0
 
 
-class Holder(NamedTuple):
-    """Identify an upstream process and the epoch of its grant."""
-
-    service: str
-    upstream: str
-    incarnation: str
-    epoch: int
-
-
-class KeySpan(NamedTuple):
-    """Identify the keys that a grant covers."""
-
-    first: int
-    last: int
-
-
 class UpstreamProcess(NamedTuple):
     """Identify an upstream process: an upstream and its incarnation."""
 
@@ -53,16 +44,6 @@
     incarnation: str
 
 
-def holder_of(row: RangeRow) -> Holder:
-    """Return the holder of an owned range."""
-    return Holder(row.service, row.upstream, row.incarnation, row.epoch)
-
-
-def span_of(row: RangeRow) -> KeySpan:
-    """Return the keys of a range."""
-    return KeySpan(row.first, row.last)
-
-
 def owner_process(row: RangeRow) -> UpstreamProcess:
     """Return the upstream process that owns a range."""
     return UpstreamProcess(row.service, row.upstream, row.incarnation)
@@ -101,10 +82,11 @@
         self._earlier_grants_until_ms = (
             opened_at_ms + terms.late_start_ms + terms.max_hold_ms()
         )
-        self._until_ms: dict[Holder, float] = {}
-        # By holder, since a planner asks for each of up to a thousand ranges.
-        self._calls_in_flight: dict[Holder, Counter[KeySpan]] = {}
-        self._unsettled_until_ms: dict[Holder, dict[KeySpan, float]] = {}
+        self._expiries = GrantExpiries()
+        # Grants that may be applied after a later release of the same keys.
+        self._unsettled = GrantExpiries()
+        # By upstream, since a planner asks for each of up to a thousand ranges.
+        self._calls_in_flight: dict[UpstreamId, Counter[Grant]] = {}
         self._released: dict[RangeRow, str] = {}
         self._accepted: set[RangeRow] = set()
         self._reassigning: set[RangeRow] = set()
@@ -119,8 +101,8 @@
         """Record a grant before it is sent; return whether it may be sent."""
         if row in self._reassigning:
             return False
-        calls = self._calls_in_flight.setdefault(holder_of(row), Counter())
-        calls[span_of(row)] += 1
+        calls = self._calls_in_flight.setdefault(upstream_of(row), Counter())
+        calls[grant_of(row)] += 1
         return True
 
     def end_grant(
@@ -131,25 +113,33 @@
         `unchanged` means that the range did not change during the call. A grant that
         was answered concurrently with a release may have been applied after it.
         """
-        holder, span = holder_of(row), span_of(row)
-        self._forget_call(holder, span)
+        self._forget_call(upstream_of(row), grant_of(row))
         until_ms = now_ms + self._terms.max_hold_ms()
-        self._until_ms[holder] = until_ms
+        self._expiries.record(row, until_ms, now_ms)
         if not (answered and unchanged):
-            self._unsettled_until_ms.setdefault(holder, {})[span] = until_ms
+            self._unsettled.record(row, until_ms, now_ms)
         process = owner_process(row)
         if answered:
             self._failing_since_ms.pop(process, None)
         else:
             self._failing_since_ms.setdefault(process, now_ms)
 
-    def _forget_call(self, holder: Holder, span: KeySpan) -> None:
-        calls = self._calls_in_flight[holder]
-        calls[span] -= 1
-        if not calls[span]:
-            del calls[span]
+    def _forget_call(self, upstream: UpstreamId, grant: Grant) -> None:
+        calls = self._calls_in_flight[upstream]
+        calls[grant] -= 1
+        if not calls[grant]:
+            del calls[grant]
         if not calls:
-            del self._calls_in_flight[holder]
+            del self._calls_in_flight[upstream]
+
+    def _has_call_in_flight(self, row: RangeRow) -> bool:
+        calls = self._calls_in_flight.get(upstream_of(row), ())
+        return any(grant.overlaps(row) for grant in calls)
+
+    def _expires_ms(self, row: RangeRow) -> float:
+        """Return when the last grant of a range's keys to its owner has expired."""
+        until_ms = self._expiries.latest_ms(row)
+        return until_ms if until_ms is not None else self._earlier_grants_until_ms
 
     def mark_reassigning(self, row: RangeRow) -> None:
         """Refuse further grants of a range whose previous grants have expired.
@@ -190,15 +180,10 @@
 
     def is_settled(self, row: RangeRow, now_ms: float) -> bool:
         """Return whether a release of a range is certain to end all its grants."""
-        if now_ms < self._earlier_grants_until_ms:
-            return False
-        holder = holder_of(row)
-        if any(_overlaps(span, row) for span in self._calls_in_flight.get(holder, ())):
+        if now_ms < self._earlier_grants_until_ms or self._has_call_in_flight(row):
             return False
-        return not any(
-            now_ms < until_ms and _overlaps(span, row)
-            for span, until_ms in self._unsettled_until_ms.get(holder, {}).items()
-        )
+        unsettled_until_ms = self._unsettled.latest_ms(row)
+        return unsettled_until_ms is None or now_ms >= unsettled_until_ms
 
     def earlier_grants_expired(self, now_ms: float) -> bool:
         """Return whether all grants of earlier leaders have expired."""
@@ -216,29 +201,18 @@
         """Return whether the last owner of a range can no longer act on it."""
         if row in self._released and self.is_settled(row, now_ms):
             return True
-        holder = holder_of(row)
-        if holder in self._calls_in_flight:
-            return False
-        return now_ms >= self._until_ms.get(holder, self._earlier_grants_until_ms)
+        return not self._has_call_in_flight(row) and now_ms >= self._expires_ms(row)
 
     def retain(self, rows: set[RangeRow], processes: set[UpstreamProcess]) -> None:
         """Drop the state of ranges and upstream processes other than the given ones."""
         self._released = {r: h for r, h in self._released.items() if r in rows}
         self._accepted &= rows
         self._reassigning &= rows
-        holders = {holder_of(row) for row in rows}
-        self._until_ms = {h: t for h, t in self._until_ms.items() if h in holders}
-        self._unsettled_until_ms = {
-            holder: spans
-            for holder, spans in self._unsettled_until_ms.items()
-            if holder in holders
-        }
+        upstreams = {upstream_of(row) for row in rows}
+        self._expiries.retain(upstreams)
+        self._unsettled.retain(upstreams)
         self._failing_since_ms = {
             process: since
             for process, since in self._failing_since_ms.items()
             if process in processes
         }
-
-
-def _overlaps(span: KeySpan, row: RangeRow) -> bool:
-    return span.first <= row.last and row.first <= span.last
--- a/bergamotdrift/tests/test_range_planner.py
+++ b/bergamotdrift/tests/test_range_planner.py
@@ -490,6 +490,18 @@
         self.assertFalse(leases.ownership_ended(row(), last_ms))
         self.assertTrue(leases.ownership_ended(row(), last_ms + 151))
 
+    # Guards against taking keys from a restarted upstream that was granted them as its
+    # earlier process and has not been sent its own grant.
+    def test_keys_wait_for_a_grant_to_the_earlier_process_of_their_owner(self):
+        leases = RangeLeases(0.0)
+        leases.begin_grant(row())
+        leases.end_grant(row(), True, True, 10_000.0)
+        restarted = row(epoch=9)._replace(incarnation="2")
+        leases.retain({restarted}, {owner_process(restarted)})
+        self.assertFalse(leases.ownership_ended(restarted, 10_000.0 + HOLD_MS))
+        end_ms = 10_000.0 + HOLD_MS * 1.02 + 151
+        self.assertTrue(leases.ownership_ended(restarted, end_ms))
+
     def test_announcement_after_a_failed_grant_shows_that_the_upstream_is_live(self):
         leases = RangeLeases(0.0)
         leases.begin_grant(row())
