Send no attempt on a connection of an earlier attempt of its request

Cause: answers on a connection are told apart by the request's id, which both attempts of a request share. A late second copy of a rejection, which the upstream sent for the first attempt, passed for the answer to the second one on the same connection.

Change: the connections that carried earlier attempts of a request are avoided by its next ones, and stay idle for other requests.

--- a/bergamotdrift/attempts.py
+++ b/bergamotdrift/attempts.py
@@ -1,6 +1,6 @@
 """Registry of the permits in use and their attempts."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from bergamotdrift.arbiter_messages import RunningPermit
 from bergamotdrift.dialect import UpstreamStatement
@@ -15,6 +15,9 @@
         self.permit = permit
         self.workspace = workspace
         self.conn: UpstreamConnection | None = None
+        # Connections that carried earlier attempts of the same request. A late second
+        # answer to one of them would have the id of this attempt.
+        self.earlier_conns: Sequence[UpstreamConnection] = ()
         self.cancel_reason = ""
         # Time at which the attempt is abandoned for a retry; None for the request's
         # deadline.
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -249,9 +249,10 @@
             self._stages.forward.release_unused(running)
             return Failure((StageRefusal("permit", refusal), None))
         running.may_abandon = partial(self._reserve_retry, routed, body, history)
+        running.earlier_conns = history.conns
         result = self._stages.forward.attempt(routed, running, body)
         if running.conn is not None and running.conn.any_bytes_sent:
-            history.sent += 1
+            history.conns.append(running.conn)
         if isinstance(result, Success):
             self._stages.permits.record_outcome(routed, running, fenced=False)
             result = self._receive(routed, result.unwrap())
--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -265,7 +265,7 @@
         permit = running.permit
         while True:
             conn = self._connections.acquire(
-                permit.shard, permit.upstream, permit.address
+                permit.shard, permit.upstream, permit.address, running.earlier_conns
             )
             running.conn = conn
             conn.start_request(
--- a/bergamotdrift/stages/permit.py
+++ b/bergamotdrift/stages/permit.py
@@ -30,6 +30,7 @@
 from bergamotdrift.messages import PartitionState
 from bergamotdrift.request import Permit, RoutedRequest
 from bergamotdrift.shards import pool_shard, upstream_shard
+from bergamotdrift.upstream_connections import UpstreamConnection
 
 # A refusal for a stale epoch or a lost arbiter is resolved by a feed update. Without an
 # update, the permit is requested again after this pause.
@@ -235,14 +236,19 @@
 
     def __init__(self) -> None:
         self.last = 0
-        # Number of attempts of which an upstream may have received data.
-        self.sent = 0
+        # Connections of the attempts of which an upstream may have received data.
+        self.conns: list[UpstreamConnection] = []
         # The upstream of the last attempt.
         self.upstream = ""
         self.excluded: list[str] = []
         # True if a retry was reserved from the budget before the attempt failed.
         self.retry_reserved = False
 
+    @property
+    def sent(self) -> int:
+        """Return the number of attempts of which an upstream may have received data."""
+        return len(self.conns)
+
     def next(self) -> int:
         """Advance to the next permit request and return its number."""
         self.last += 1
--- a/bergamotdrift/tests/test_platform_forwarding.py
+++ b/bergamotdrift/tests/test_platform_forwarding.py
@@ -15,7 +15,13 @@
     SENT_MAX_BYTES,
     EndlessAnswer,
 )
-from bergamotdrift.tests.entry_fakes import KEY, OK_BODY, Caller, entry_settings
+from bergamotdrift.tests.entry_fakes import (
+    KEY,
+    OK_BODY,
+    Caller,
+    entry_settings,
+    read_message,
+)
 
 
 class UpstreamRequestTests(DirectEntryTestCase):
@@ -185,6 +191,28 @@
         for _ in range(4):
             self.assertEqual(self.ask("/look/1").body, OK_BODY)
 
+    # Guards against "not run" for a request that runs: the late second copy of a
+    # rejection has the id of the request that is sent once more.
+    def test_late_copy_of_a_rejection_does_not_answer_the_next_attempt(self):
+        rejection = BUSY.replace(b"Not-Executed", b"Attempt-Id: a1\r\nNot-Executed")
+        sends = []
+
+        def serve(sock, _address):
+            while read_message(sock):
+                sends.append(sock)
+                if len(sends) == 1:
+                    sock.sendall(rejection)
+                    continue
+                gevent.sleep(0.1)
+                sends[0].sendall(rejection)
+                gevent.sleep(0.1)
+                sock.sendall(OK.replace(b"Backend-Load", b"Attempt-Id: a1\r\nX-Load"))
+
+        self.upstreams[0].server.set_handle(serve)
+        answer = self.ask("/keys/1", "POST", [("Shard-Key", "7")], b"x")
+        self.assertEqual((answer.status, answer.body), (200, OK_BODY))
+        self.assertEqual(len(sends), 2)
+
     def test_valid_load_is_parsed_and_malformed_load_is_ignored(self):
         self.assertEqual(parse_load("3,1,2,250"), AnswerLoad(3, 1, 2, 2.5))
         self.assertEqual(parse_load("3,1,2"), AnswerLoad(3, 1, 2, 1.0))
--- a/bergamotdrift/tests/test_upstream_connections.py
+++ b/bergamotdrift/tests/test_upstream_connections.py
@@ -34,6 +34,17 @@
         self.assertIs(self.open(), conn)
         self.assertEqual(self.pool.idle_counts("s"), [])
 
+    # Guards against a retry on a connection where a late answer has its request id.
+    def test_avoided_connection_is_not_used_and_stays_idle(self):
+        first, second = self.open(), self.open()
+        self.pool.put_idle(first)
+        self.pool.put_idle(second)
+        address = self.upstream.address
+        self.assertIs(self.pool.acquire("s", "u1", address, [second]), first)
+        found = self.pool.acquire("s", "u1", address, [second])
+        self.assertFalse(found.reused)
+        self.assertIs(self.open(), second)
+
     def test_expired_connections_are_closed_and_reported_as_dropped(self):
         first, second = self.open(), self.open()
         self.pool.put_idle(first)
--- a/bergamotdrift/upstream_connections.py
+++ b/bergamotdrift/upstream_connections.py
@@ -1,6 +1,6 @@
 """Upstream connections and their keep-alive pool; requests are never resent."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from bergamotdrift.arbiter_messages import KeptConnections
 from bergamotdrift.clock import Clock
@@ -29,18 +29,31 @@
         self._on_dropped = on_dropped
         self._idle: dict[tuple[str, str], list[UpstreamConnection]] = {}
 
-    def acquire(self, shard: str, upstream: str, address: str) -> UpstreamConnection:
-        """Return a usable idle connection, or a new unconnected one."""
+    def acquire(
+        self,
+        shard: str,
+        upstream: str,
+        address: str,
+        avoided: Collection[UpstreamConnection] = (),
+    ) -> UpstreamConnection:
+        """Return a usable idle connection, or a new unconnected one.
+
+        Connections in `avoided` stay idle.
+        """
         idle = self._idle.get((shard, upstream), [])
+        kept: list[UpstreamConnection] = []
         dropped = 0
         found = None
         while idle and found is None:
             conn = idle.pop()
-            if conn.address == address and self._is_fresh(conn) and conn.is_usable():
+            if conn in avoided:
+                kept.append(conn)
+            elif conn.address == address and self._is_fresh(conn) and conn.is_usable():
                 found = conn
             else:
                 conn.close()
                 dropped += 1
+        idle.extend(reversed(kept))
         self._report_dropped(shard, upstream, dropped)
         if found is None:
             return UpstreamConnection(shard, upstream, address, self._clock)
