Let the drain of a restarted upstream replace its earlier process

Cause: a process that leaves before it was registered was confirmed without a change, also where an earlier process of the same upstream was registered. The row of that one stayed ready, and requests to it reach the same address.

Change: a draining process replaces the row of an earlier one, the heartbeat is confirmed only once that is committed, and a deregistration also ends the earlier processes of its upstream.

--- a/bergamotdrift/platform/leader_call_handler.py
+++ b/bergamotdrift/platform/leader_call_handler.py
@@ -201,9 +201,12 @@
         key = UpstreamId(item.service, item.upstream)
         row = self._state.rows.upstreams.get(key)
         leaving = item.state is UpstreamState.LEAVING
-        if row is None or row.incarnation != item.incarnation:
+        if row is None:
             # An upstream that leaves before it was registered gets no requests anyway.
             return leaving
+        if row.incarnation != item.incarnation:
+            # Requests to the earlier incarnation reach this one, at the same address.
+            return False
         return row.state is UpstreamState.LEAVING or not leaving
 
     def _deregister(self, upstream: str, body: bytes) -> OperatorAnswer:
@@ -211,7 +214,7 @@
         rows = [
             row._replace(state=UpstreamState.LEAVING)
             for row in self._state.rows.upstreams.rows()
-            if row.upstream == upstream and _matches_start(row, born_ms)
+            if row.upstream == upstream and _has_ended(row, born_ms)
         ]
         if rows:
             self._leadership.propose(cmd.PutUpstreams(rows))
@@ -226,8 +229,9 @@
     return {"holds": held.grants, "hold_time": f"{held.hold_ms}ms"}
 
 
-def _matches_start(row: UpstreamRow, born_ms: int | None) -> bool:
-    return born_ms is None or row.born_ms == born_ms
+def _has_ended(row: UpstreamRow, born_ms: int | None) -> bool:
+    """Return whether an upstream's process ends with the one that started at a time."""
+    return born_ms is None or row.born_ms <= born_ms
 
 
 def encode_announcement(item: Announcement) -> bytes:
--- a/bergamotdrift/tests/test_platform_leader_call_handler.py
+++ b/bergamotdrift/tests/test_platform_leader_call_handler.py
@@ -198,6 +198,24 @@
         self.assertEqual(self.announce(born=2000, seq=1), 200)
         self.assertEqual(self.row().born_ms, 2000)
 
+    # Guards against requests to an upstream whose drain was confirmed: it restarted out
+    # of contact, and the row of its earlier incarnation stayed ready.
+    def test_drain_of_the_next_incarnation_ends_requests_to_the_earlier_one(self):
+        self.announce(born=1000, seq=50)
+        self.assertEqual(self.announce(born=2000, seq=1, state="draining"), 200)
+        self.assertEqual(self.row().state, UpstreamState.LEAVING)
+        self.assertEqual(self.row().born_ms, 2000)
+
+    def test_unregistered_upstream_that_drains_is_confirmed_and_not_registered(self):
+        self.assertEqual(self.announce(state="draining"), 200)
+        self.assertIsNone(self.row())
+
+    # Guards against the same when the next incarnation deregisters at once.
+    def test_deregistration_of_the_next_incarnation_ends_requests_to_both(self):
+        self.announce(born=1000)
+        self.assertEqual(self.first.call(LeaderAction.LEAVE, "i1", b"2000").status, 200)
+        self.assertEqual(self.row().state, UpstreamState.LEAVING)
+
     def test_address_belongs_to_the_upstream_started_last(self):
         self.announce("i1", born=1000)
         self.assertEqual(self.announce("i2", born=2000), 200)
--- a/bergamotdrift/upstream_sessions.py
+++ b/bergamotdrift/upstream_sessions.py
@@ -70,6 +70,11 @@
             return _reply_without_grants(announcement)
         self._record_cold_start(announcement, now_ms)
         row = self._state.rows.upstreams.get(key)
+        if row is None and announcement.state is UpstreamState.LEAVING:
+            # It was never sent requests, so there is nothing to end.
+            return AnnouncementReply(
+                announcement.service, announcement.upstream, 0, [], []
+            )
         if row is None:
             return self._register(key, announcement, now_ms)
         if row.incarnation != announcement.incarnation:
@@ -141,10 +146,6 @@
     def _register(
         self, key: UpstreamId, announcement: Announcement, now_ms: float
     ) -> AnnouncementReply:
-        if announcement.state is UpstreamState.LEAVING:
-            return AnnouncementReply(
-                announcement.service, announcement.upstream, 0, [], []
-            )
         registered = self._state.rows.upstreams.list_keys()
         if (
             sum(k.service == key.service for k in registered)
