Send releases of key ranges over connections of their own

Cause: answers to orders bear no id, and releases shared kept connections with grants. A late second answer to a grant passed for the answer to a release.

Change: each release has a new connection. Grants still share one.

Result: the new test of RangeOrderClientTests failed before and passes.

--- a/bergamotdrift/platform/range_order_client.py
+++ b/bergamotdrift/platform/range_order_client.py
@@ -23,14 +23,23 @@
 
 
 class _Answer(NamedTuple):
-    """Hold the status and the state token of an upstream's answer."""
+    """Hold the status and the state token of an upstream's answer.
+
+    `may_reuse` tells whether its connection may carry another order.
+    """
 
     status: int
     token: str
+    may_reuse: bool
 
 
 class RangeOrderClient:
-    """Send grants and releases to upstreams over persistent HTTP connections."""
+    """Send grants over persistent HTTP connections, and releases over separate ones.
+
+    Answers to orders bear no id, and an upstream may send a late second copy of one. On
+    a connection that carried a grant, such a copy would pass for the answer to a
+    release, and the keys would be granted on while their owner is at work.
+    """
 
     def __init__(self, clock: Clock):
         self._clock = clock
@@ -48,9 +57,12 @@
         }
         if order.handover:
             body["handover"] = order.handover
-        answer = self._call(upstream, names.GRANT, body, timeout_ms)
+        conn = self._connections.acquire(_POOL, upstream.upstream, upstream.address)
+        answer = self._call(conn, upstream, names.GRANT, body, timeout_ms)
         if answer is None:
             return GrantResult.NO_ANSWER
+        if not (answer.may_reuse and self._connections.put_idle(conn)):
+            conn.close()
         return _RESULT_BY_STATUS.get(answer.status, GrantResult.REFUSED)
 
     def release(
@@ -58,7 +70,13 @@
     ) -> str | None:
         """Send a release; return the state token, or None without an answer of 200."""
         body = {"from": order.first, "target": order.last, "fence": order.epoch}
-        answer = self._call(upstream, names.RELEASE, body, timeout_ms)
+        conn = UpstreamConnection(
+            _POOL, upstream.upstream, upstream.address, self._clock
+        )
+        try:
+            answer = self._call(conn, upstream, names.RELEASE, body, timeout_ms)
+        finally:
+            conn.close()
         return answer.token if answer is not None and answer.status == 200 else None
 
     def disconnect(self, upstream: str) -> None:
@@ -66,15 +84,19 @@
         self._connections.close_idle(_POOL, upstream)
 
     def _call(
-        self, upstream: UpstreamRow, path: str, body: dict[str, Any], timeout_ms: float
+        self,
+        conn: UpstreamConnection,
+        upstream: UpstreamRow,
+        path: str,
+        body: dict[str, Any],
+        timeout_ms: float,
     ) -> _Answer | None:
-        conn = self._connections.acquire(_POOL, upstream.upstream, upstream.address)
         conn.start_request(self._clock.now_ms() + timeout_ms)
         try:
             if not conn.reused:
                 conn.connect()
             conn.send(_request(upstream, path, json.dumps(body).encode()))
-            return self._receive(conn)
+            return _receive(conn)
         except (OSError, HTTPParseError):
             conn.abort()
             return None
@@ -85,14 +107,13 @@
             conn.abort()
             raise
 
-    def _receive(self, conn: UpstreamConnection) -> _Answer:
-        parser = read_response_head(conn, "POST")
-        read_response_body(conn, parser, _BODY_MAX_BYTES)
-        token = header_of(parser)(names.STATE_TOKEN) or ""
-        reusable = not (parser.should_close() or parser.extra_data)
-        if not (reusable and self._connections.put_idle(conn)):
-            conn.close()
-        return _Answer(parser.status, token)
+
+def _receive(conn: UpstreamConnection) -> _Answer:
+    parser = read_response_head(conn, "POST")
+    read_response_body(conn, parser, _BODY_MAX_BYTES)
+    token = header_of(parser)(names.STATE_TOKEN) or ""
+    may_reuse = not (parser.should_close() or parser.extra_data)
+    return _Answer(parser.status, token, may_reuse)
 
 
 def _request(upstream: UpstreamRow, path: str, body: bytes) -> bytes:
--- a/bergamotdrift/tests/test_platform_range_order_client.py
+++ b/bergamotdrift/tests/test_platform_range_order_client.py
@@ -81,6 +81,36 @@
         peer.sendall(b"HTTP/1.1 200 OK\r\nHandover: abc\r\nContent-Length: 0\r\n\r\n")
         self.assertEqual(worker.get(timeout=5), "abc")
 
+    # Guards against keys that are granted on while their last owner is at work: a late
+    # second answer to a grant passes for the answer to a release.
+    def test_late_copy_of_the_answer_to_a_grant_does_not_answer_a_release(self):
+        accepted = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        worker = gevent.spawn(self.client.grant, self.upstream, ORDER, 5000.0)
+        first, _ = self.accept()
+        first.sendall(accepted)
+        self.assertIs(worker.get(timeout=5), GrantResult.ACCEPTED)
+        order = ReleaseOrder(4, 9, 12)
+        release = gevent.spawn(self.client.release, self.upstream, order, 5000.0)
+        peer, request = self.accept()
+        self.assertIn(b"/-/release", request)
+        first.sendall(accepted)
+        gevent.sleep(0.05)
+        self.assertFalse(release.ready())
+        peer.sendall(b"HTTP/1.1 200 OK\r\nHandover: abc\r\nContent-Length: 0\r\n\r\n")
+        self.assertEqual(release.get(timeout=5), "abc")
+
+    # Guards against a connection for each renewal.
+    def test_grants_share_a_connection(self):
+        worker = gevent.spawn(self.client.grant, self.upstream, ORDER, 5000.0)
+        peer, _ = self.accept()
+        for _ in range(2):
+            peer.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            self.assertIs(worker.get(timeout=5), GrantResult.ACCEPTED)
+            worker = gevent.spawn(self.client.grant, self.upstream, ORDER, 5000.0)
+            with gevent.Timeout(5):
+                self.assertIn(b"/-/grant", peer.recv(65536))
+        worker.kill()
+
     # Guards against memory that grows until the timeout while an upstream sends without
     # end.
     def test_endless_answers_are_abandoned(self):
