Split the limits of range moves off the planner

Change: the limits that depend on the size of a service are in range_move_limits, split_off stands beside the other splits in range_layout. No logic changes.

--- a/bergamotdrift/range_layout.py
+++ b/bergamotdrift/range_layout.py
@@ -58,6 +58,16 @@
     ]
 
 
+def split_off(row: RangeRow, first: int, last: int) -> list[RangeRow]:
+    """Split a range and return its parts, with `first` to `last` under release."""
+    rows = [row._replace(first=first, last=last, state=PartitionState.RELEASING)]
+    if row.first < first:
+        rows.append(row._replace(last=first - 1))
+    if last < row.last:
+        rows.append(row._replace(first=last + 1))
+    return rows
+
+
 def joinable_ranges(
     rows: Iterable[RangeRow], is_free: Callable[[RangeRow], bool]
 ) -> list[list[RangeRow]]:
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -35,26 +35,16 @@
     joinable_ranges,
     max_ranges,
     split_by_load,
+    split_off,
 )
 from bergamotdrift.range_leases import RangeLeases, UpstreamProcess, owner_process
+from bergamotdrift.range_move_limits import changes_allowed, max_moves, noise_margin
 from bergamotdrift.upstream_speeds import UpstreamSpeeds
 
 # Waits for upstreams that start together, so that the first one is not assigned all
 # keys.
 FIRST_PLACEMENT_DELAY_MS = 1500.0
 BALANCE_INTERVAL_MS = 500.0
-MOVES_PER_BALANCE = 5
-# A large service moves at most one range per this many upstreams at a time.
-_UPSTREAMS_PER_MOVE = 8
-# Balancing waits while more than one range per this many upstreams is changing: with
-# many upstreams some ranges always are. A small service waits for all changes.
-_UPSTREAMS_PER_CHANGE = 16
-# In a large service the moves of one time are a small part of the keys, and waiting
-# for the slowest of them leaves other upstreams overloaded for seconds.
-_LARGE_SERVICE = 64
-_UPSTREAMS_PER_CHANGE_LARGE = 5
-# With few requests for each of many upstreams, some always look overloaded by chance.
-_NOISE_MARGIN_LARGE = 1.5
 # Announcements arrive about once per second, and may be late.
 MAX_ANNOUNCEMENT_AGE_MS = 4000.0
 # Planning yields to the event loop after this many ranges, about 1 ms of work.
@@ -252,9 +242,8 @@
         planned = moves.rows(self._service)
         changing = sum(row.state is not PartitionState.OWNED for row in self._rows)
         changing += len(planned)
-        if not self._eligible or changing + due_count > _changes_allowed(
-            len(self._eligible)
-        ):
+        allowed = changes_allowed(len(self._eligible))
+        if not self._eligible or changing + due_count > allowed:
             return []
         pinned = self._pinned_ranges(planned)
         groups = joinable_ranges(self._rows, lambda row: row not in pinned)
@@ -285,18 +274,21 @@
             owner = self._next_owner(row)
             if owner in owned:
                 owned[owner].append(self._loads[row])
-        max_moves = max(MOVES_PER_BALANCE, len(self._eligible) // _UPSTREAMS_PER_MOVE)
-        limit = min(max_moves, self._free_ranges // 2)
-        is_large = len(self._eligible) >= _LARGE_SERVICE
-        margin = _NOISE_MARGIN_LARGE if is_large else 0.0
-        found = choose_range_moves(owned, self._load_per_rps, limit, pinned, margin)
+        count = len(self._eligible)
+        found = choose_range_moves(
+            owned,
+            self._load_per_rps,
+            min(max_moves(count), self._free_ranges // 2),
+            pinned,
+            noise_margin(count),
+        )
         if found:
             return found
         return choose_compacting_moves(
             self._rows,
             self._loads,
             self._load_per_rps,
-            max_moves,
+            max_moves(count),
             lambda row: row not in pinned,
         )
 
@@ -312,7 +304,7 @@
             self._now_ms,
         )
         return [
-            self._replace(move.row, _split_off(move.row, move.first, move.last))
+            self._replace(move.row, split_off(move.row, move.first, move.last))
             for move in due
         ]
 
@@ -473,20 +465,3 @@
     def _is_recent(self, row: UpstreamRow) -> bool:
         seen_ms = self._planner._presence.last_seen_ms(row)
         return self._now_ms - seen_ms < MAX_ANNOUNCEMENT_AGE_MS
-
-
-def _changes_allowed(upstreams: int) -> int:
-    """Return how many ranges may be changing when others begin to move."""
-    if upstreams >= _LARGE_SERVICE:
-        return upstreams // _UPSTREAMS_PER_CHANGE_LARGE
-    return upstreams // _UPSTREAMS_PER_CHANGE
-
-
-def _split_off(row: RangeRow, first: int, last: int) -> list[RangeRow]:
-    """Split a range and return its parts, with `first` to `last` under release."""
-    rows = [row._replace(first=first, last=last, state=PartitionState.RELEASING)]
-    if row.first < first:
-        rows.append(row._replace(last=first - 1))
-    if last < row.last:
-        rows.append(row._replace(first=last + 1))
-    return rows
