Open the routes of a configuration without tenants

Change: the adapter opens all routes if the section is absent. An empty section, or one that an update has emptied, keeps them closed. A request whose route becomes open while it waits is refused as not run (503) instead of 401.

--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -287,8 +287,12 @@
             return result.failure()
         # An open route would still admit a request whose key was revoked, but as
         # anonymous; the request was sent under its workspace, so it is refused.
-        same = result.unwrap().workspace == routed.workspace
-        return None if same else Refusal(ErrorKind.UNAUTHENTICATED)
+        if result.unwrap().workspace == routed.workspace:
+            return None
+        # A route that has become open needs no key, so the caller may come back.
+        if result.unwrap().route.open and not routed.route.open:
+            return Refusal(ErrorKind.SETTINGS_STALE, "the route became open")
+        return Refusal(ErrorKind.UNAUTHENTICATED)
 
     def _receive(
         self, routed: RoutedRequest, response: UpstreamResponse
--- a/bergamotdrift/platform/site_config.py
+++ b/bergamotdrift/platform/site_config.py
@@ -51,12 +51,17 @@
 
 
 class WireConfig(NamedTuple):
-    """Hold a complete configuration, with the items of each section by name."""
+    """Hold a complete configuration, with the items of each section by name.
+
+    `has_tenants` is False if the configuration has no section of tenants. A section
+    without items is not the same: it has lost its last tenant.
+    """
 
     version: int
     base_version: int
     sections: dict[str, dict[str, Fields]]
     limits: Fields
+    has_tenants: bool = True
 
 
 class WirePatch(NamedTuple):
@@ -87,7 +92,13 @@
     limits = fields.get("limits")
     if not isinstance(limits, dict) or not sections["routes"]:
         raise WireError("routes and limits are required")
-    return WireConfig(_version(fields), _base_version(fields), sections, limits)
+    return WireConfig(
+        _version(fields),
+        _base_version(fields),
+        sections,
+        limits,
+        fields.get("tenants") is not None,
+    )
 
 
 def decode_patch(body: bytes) -> WirePatch:
@@ -114,7 +125,8 @@
         kept = {n: item for n, item in items.items() if n not in dropped}
         sections[name] = kept | patch.put[name]
     limits = current.limits if patch.limits is None else patch.limits
-    return WireConfig(patch.version, patch.base_version, sections, limits)
+    has_tenants = current.has_tenants or bool(sections["tenants"])
+    return WireConfig(patch.version, patch.base_version, sections, limits, has_tenants)
 
 
 def dump(config: WireConfig) -> bytes:
@@ -130,7 +142,11 @@
 def encode_config(config: WireConfig) -> bytes:
     """Encode a configuration in the operators' wire format."""
     body: Fields = {"version": config.version}
-    body |= {name: _encode_section(items) for name, items in config.sections.items()}
+    body |= {
+        name: _encode_section(items)
+        for name, items in config.sections.items()
+        if name != "tenants" or config.has_tenants
+    }
     body["limits"] = config.limits
     return msgspec.json.encode(body)
 
@@ -160,7 +176,7 @@
     limits = _caller_limits(config.limits)
     service_names = {service.name for service in services}
     routes = [
-        _route_settings(item, service_names, limits)
+        _route_settings(item, service_names, limits, not config.has_tenants)
         for item in config.sections["routes"].values()
     ]
     _check_paths(routes)
@@ -242,7 +258,7 @@
 
 
 def _route_settings(
-    item: Fields, service_names: set[str], limits: CallerLimits
+    item: Fields, service_names: set[str], limits: CallerLimits, all_open: bool
 ) -> RouteSettings:
     name = non_empty_string(item.get("name"), "name")
     kind = item.get("kind")
@@ -261,7 +277,7 @@
         methods=_METHODS,
         service=split[0].service,
         key="",
-        open=boolean(item.get("public"), "public"),
+        open=boolean(item.get("public"), "public") or all_open,
         urgent=rank == 0,
         idempotent=_IDEMPOTENT_BY_KIND[kind],
         max_body_bytes=limits.max_body_bytes,
--- a/bergamotdrift/tests/test_platform_config.py
+++ b/bergamotdrift/tests/test_platform_config.py
@@ -1,5 +1,6 @@
 import json
 import unittest
+from typing import ClassVar
 
 from bergamotdrift.config.schema import RangeGrants, ServiceKind
 from bergamotdrift.messages import UpstreamState
@@ -21,6 +22,18 @@
     return site_config.to_settings(site_config.decode_config(encode_body(body)), ["a"])
 
 
+def updated_settings(config, **changes):
+    patch = {"version": 9, "base_version": 7, **changes}
+    decoded = site_config.decode_patch(encode_body(patch))
+    return site_config.to_settings(site_config.apply_patch(config, decoded), ["a"])
+
+
+def without_tenants():
+    body = config_body()
+    del body["tenants"]
+    return body
+
+
 def split(*parts):
     return [{"service": s, "weight": w} for s, w in parts]
 
@@ -142,6 +155,49 @@
                 duration_ms(value)
 
 
+class TenantsTests(unittest.TestCase):
+    """Guards against 401 for callers that have no key, and against an opened site."""
+
+    TENANTS: ClassVar[dict[str, list]] = {
+        "columns": ["name", "api_keys"],
+        "rows": [["t1", ["key-of-t1"]]],
+    }
+
+    def test_configuration_without_tenants_opens_all_routes(self):
+        for body in (without_tenants(), config_body(tenants=None)):
+            (route,) = settings(body).routes
+            self.assertTrue(route.open)
+
+    def test_removing_the_last_tenant_opens_no_route(self):
+        empty = config_body(tenants={"columns": ["name"], "rows": []})
+        (route,) = settings(empty).routes
+        self.assertFalse(route.open)
+        config = site_config.decode_config(encode_body(config_body()))
+        (route,) = updated_settings(config, remove={"tenants": ["t1"]}).routes
+        self.assertFalse(route.open)
+
+    def test_first_tenant_closes_the_routes(self):
+        config = site_config.decode_config(encode_body(without_tenants()))
+        (route,) = updated_settings(config, upsert={"tenants": self.TENANTS}).routes
+        self.assertFalse(route.open)
+
+    def test_update_of_another_section_leaves_the_routes_open(self):
+        config = site_config.decode_config(encode_body(without_tenants()))
+        columns = {"columns": ROUTE_COLUMNS, "rows": [route_row(timeout="900ms")]}
+        (route,) = updated_settings(config, upsert={"routes": columns}).routes
+        self.assertTrue(route.open)
+
+    def test_absent_and_empty_tenants_read_back_as_they_were_sent(self):
+        # Otherwise a configuration that is read and sent again would close the site.
+        for body, is_stated in (
+            (without_tenants(), False),
+            (config_body(tenants={"columns": ["name"], "rows": []}), True),
+        ):
+            stored = site_config.dump(site_config.decode_config(encode_body(body)))
+            read = json.loads(site_config.encode_config(site_config.load(stored)))
+            self.assertEqual("tenants" in read, is_stated)
+
+
 class HeartbeatTests(unittest.TestCase):
     """Guards against malformed heartbeats that register an upstream."""
 
--- a/bergamotdrift/tests/test_platform_forwarding.py
+++ b/bergamotdrift/tests/test_platform_forwarding.py
@@ -9,7 +9,13 @@
 from bergamotdrift.dialect import AnswerLoad
 from bergamotdrift.messages import PartitionState, RangeRow, UpstreamState
 from bergamotdrift.platform.wire_dialect import parse_load
-from bergamotdrift.tests.direct_entry import BUSY, OK, WRONG, DirectEntryTestCase
+from bergamotdrift.tests.direct_entry import (
+    BUSY,
+    OK,
+    SETTINGS,
+    WRONG,
+    DirectEntryTestCase,
+)
 from bergamotdrift.tests.endless_server import (
     ENDLESS_ANSWERS,
     SENT_MAX_BYTES,
@@ -342,6 +348,62 @@
         self.assertEqual(self.requests(), [])
 
 
+class AnonymousSiteTests(DirectEntryTestCase):
+    """Guards against 401 where no key can exist, in each order of the changes."""
+
+    OPEN = SETTINGS._replace(
+        routes=tuple(r._replace(open=True) for r in SETTINGS.routes), workspaces=()
+    )
+    OWNED = RangeRow("keys", 0, 999, "k0", "1", 4, PartitionState.OWNED)
+
+    def ask_key(self, key):
+        return self.ask("/keys/1", headers=[("Shard-Key", "7")], key=key)
+
+    def change_while_waiting(self, before, after, key):
+        """Return the answer to a request that waits while the settings change."""
+        releasing = self.OWNED._replace(state=PartitionState.RELEASING)
+        self.push(settings=before, ranges=[releasing])
+        gevent.sleep(0.05)
+        request = gevent.spawn(self.ask_key, key)
+        gevent.sleep(0.1)
+        self.push(settings=after, ranges=[self.OWNED._replace(epoch=5)], revision=2)
+        return request.get(timeout=2)
+
+    def test_requests_run_without_a_key_and_without_a_workspace(self):
+        self.push(settings=self.OPEN, revision=2)
+        gevent.sleep(0.05)
+        for target in ("/look/1", "/order/1"):
+            self.assertEqual(self.ask(target, key="").status, 200)
+        for data in self.requests():
+            self.assertNotIn(b"tenant-id", data.lower())
+
+    def test_key_of_a_caller_is_not_forwarded(self):
+        self.push(settings=self.OPEN, revision=2)
+        gevent.sleep(0.05)
+        self.assertEqual(self.ask("/look/1", key=KEY).status, 200)
+        self.assertNotIn(KEY.encode(), self.requests()[0])
+
+    def test_stale_settings_refuse_requests(self):
+        # Guards against an owner or a route that a change replaced.
+        self.push(settings=self.OPEN, revision=2)
+        gevent.sleep(0.05)
+        self.control.silent = True
+        gevent.sleep(2.0)
+        answer = self.ask("/look/1", key="")
+        self.assertEqual((answer.status, answer.kind), (503, "settings_stale"))
+
+    def test_waiting_request_is_refused_once_there_is_a_workspace(self):
+        answer = self.change_while_waiting(self.OPEN, SETTINGS, key="")
+        self.assertEqual(answer.status, 401)
+        self.assertEqual(self.requests(), [])
+
+    def test_waiting_request_may_come_back_once_there_is_no_workspace(self):
+        answer = self.change_while_waiting(SETTINGS, self.OPEN, key=KEY)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(self.requests(), [])
+        self.assertEqual(self.ask_key("").status, 200)
+
+
 class KeyOwnershipTests(DirectEntryTestCase):
     """Guards requests for keys whose owner changes, leaves or refuses them."""
 
