Lease requests to cold upstreams from the control leader

Cause: all entries together may send a cold upstream `warmup_per_s` requests a second. Each entry had a fixed part of that rate, which is zero for most of 28 to 86 entries, so most requests for its keys were refused while the parts of others went unused.

Change: the control leader holds a token bucket for each cold upstream that entries ask for. An entry asks for the tokens of its waiting requests in a ping, which it may send early, 25 ms after the last one at the earliest. `pace.py` replaces `cold_start.py` and sets the rate of the bucket. Rate and burst follow from `warmup_overage` and `warmup_slack` of the process settings. The leases by entry and the tokens that an entry holds are shared with the rate tokens of workspaces. A missing response now lowers the ramp of an arbiter's upstream as a shed does, while it lasts.

--- a/bergamotdrift/config/schema.py
+++ b/bergamotdrift/config/schema.py
@@ -47,6 +47,20 @@
     per_s: float = 0.0
 
 
+class ColdBound(NamedTuple):
+    """Bound what all entries together send a cold upstream in any second.
+
+    It is `per_s` of the service's cold start x `overage` + `slack` requests.
+    """
+
+    overage: float = 1.0
+    slack: float = 0.0
+
+
+# The bound if the process settings state none.
+STATED_RATE = ColdBound()
+
+
 class ServiceSettings(NamedTuple):
     """Describe a service; timeouts are in milliseconds, limits apply per upstream."""
 
@@ -190,6 +204,7 @@
     retry_ratio: float = 0.1
     retry_fleet_per_s: float = 3.0
     settings_max_age_ms: int = SETTINGS_MAX_AGE_MS
+    cold_bound: ColdBound = STATED_RATE
 
 
 class ArbiterSettings(NamedTuple):
@@ -232,3 +247,4 @@
     # may join.
     open_group: bool = False
     range_grants: RangeGrants = RangeGrants.CALLED
+    cold_bound: ColdBound = STATED_RATE
--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -29,6 +29,8 @@
     NodeRow,
     NotLeader,
     Overloads,
+    PaceLot,
+    PaceNeed,
     Ping,
     Pong,
     RateLot,
@@ -50,6 +52,10 @@
 # Two ping intervals: a slower reply delays the next ping.
 _SLOW_PING_MS = 2 * constants.PING_INTERVAL_MS
 _LOGGED_AGE_MAX_MS = 1e9
+# A requested ping is sent this long after the last one at the earliest. Together with a
+# round trip, it is less than the time that the most urgent requests wait for a token,
+# about 60 ms.
+EARLY_PING_INTERVAL_MS = 25
 
 
 class SessionObserver(Protocol):
@@ -67,6 +73,10 @@
         """Return the rate tokens to request and to give back."""
         ...
 
+    def pace_needs(self) -> list[PaceNeed]:
+        """Return the tokens for cold upstreams to request and to give back."""
+        ...
+
     def key_loads(self) -> list[KeyLoad]:
         """Return the request counts by key since the last call."""
         ...
@@ -83,6 +93,10 @@
         """Add leased rate tokens, whose lease starts at `asked_at_ms`."""
         ...
 
+    def take_paces(self, lots: list[PaceLot], asked_at_ms: float) -> None:
+        """Add leased tokens for cold upstreams."""
+        ...
+
     def take_overloads(self, items: list[UpstreamOverload]) -> None:
         """Replace what is known of overloaded upstreams."""
         ...
@@ -219,13 +233,16 @@
 
     def _handle_replies(self, client: StreamClient, pings: PingsInFlight) -> None:
         """Handle replies until the next ping is due; raises LeaderLostError."""
-        due_ms = self._clock.now_ms() + constants.PING_INTERVAL_MS
+        sent_at_ms = self._clock.now_ms()
+        due_ms = sent_at_ms + constants.PING_INTERVAL_MS
         while client is self._client:
             self._wake.clear()
             for answer in pings.take_answered():
                 self._on_reply(client, answer)
+            if self._ping_requested and not pings.has_payload():
+                due_ms = min(due_ms, sent_at_ms + EARLY_PING_INTERVAL_MS)
             left_ms = due_ms - self._clock.now_ms()
-            if left_ms <= 0 or (self._ping_requested and not pings.has_payload()):
+            if left_ms <= 0:
                 return
             self._wake.wait(left_ms / 1000.0)
 
@@ -241,6 +258,7 @@
         self._renew_session(reply, answer.sent_at_ms)
         if self._payload is not None and answer.has_payload:
             self._payload.take_rates(reply.rates, answer.sent_at_ms)
+            self._payload.take_paces(reply.paces, answer.sent_at_ms)
 
     def _leave(self, client: StreamClient, exc: LeaderLostError) -> bool:
         """Close the stream; return whether one to the hinted leader replaces it."""
@@ -299,6 +317,7 @@
             loads=self._payload.key_loads(),
             speeds=self._payload.speeds(),
             reports=self._payload.reports(),
+            paces=self._payload.pace_needs(),
         )
 
     def _renew_session(self, pong: Pong, sent_at_ms: float) -> None:
--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -13,10 +13,13 @@
 from bergamotdrift.direct_permits import DirectPermits
 from bergamotdrift.direct_selection import DirectSelector
 from bergamotdrift.feed_tables import FeedTables
+from bergamotdrift.leader_pace_client import LeaderPaceClient
 from bergamotdrift.leader_token_client import LeaderTokenClient
 from bergamotdrift.messages import (
     FeedUpdate,
     KeyLoad,
+    PaceLot,
+    PaceNeed,
     RateLot,
     RateNeed,
     Role,
@@ -46,7 +49,8 @@
         self._tables = tables
         self._clock = clock
         rng = random.Random()
-        self._selector = DirectSelector(cfg.node.node, cfg.node.zone, rng)
+        self.paces = LeaderPaceClient(clock, cfg.node.node, cfg.cold_bound)
+        self._selector = DirectSelector(cfg.node.node, cfg.node.zone, rng, self.paces)
         self.permits = DirectPermits(tables, self._selector, registry, clock)
         self.tokens = LeaderTokenClient(clock, self._rate_of, self._burst_share_of)
         self._entries = 1
@@ -76,6 +80,10 @@
         """Return the rate tokens to request or to return."""
         return self.tokens.rate_needs()
 
+    def pace_needs(self) -> list[PaceNeed]:
+        """Return the tokens for cold upstreams to request or to return."""
+        return self.paces.pace_needs()
+
     def key_loads(self) -> list[KeyLoad]:
         """Return the request counts by key since the last call."""
         return self.permits.key_loads()
@@ -92,6 +100,13 @@
         """Add leased rate tokens."""
         self.tokens.take_rates(lots, asked_at_ms)
 
+    def take_paces(self, lots: list[PaceLot], asked_at_ms: float) -> None:
+        """Add leased tokens for cold upstreams and serve the requests that wait."""
+        self.paces.take_paces(lots, asked_at_ms)
+        if lots:
+            self.permits.notify()
+            self.paces.wake()
+
     def take_overloads(self, items: list[UpstreamOverload]) -> None:
         """Replace what is known of overloaded upstreams."""
         self._selector.overloads.update(items, self._clock.now_ms())
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -17,7 +17,7 @@
 from bergamotdrift.attempts import AttemptRegistry, RunningAttempt
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import ServiceKind
-from bergamotdrift.dialect import UpstreamStatement
+from bergamotdrift.dialect import AnswerLoad, UpstreamStatement
 from bergamotdrift.direct_load import DirectLoad
 from bergamotdrift.direct_selection import (
     Blocked,
@@ -25,10 +25,13 @@
     DirectSelector,
     QueueWait,
     cold_start_ms,
+    is_paced,
+    key_of,
 )
 from bergamotdrift.exceptions import ErrorKind, Refusal
 from bergamotdrift.feed_tables import FeedTables, PartitionId, UpstreamId
 from bergamotdrift.fence_guard import FenceGuard
+from bergamotdrift.leader_pace_client import Response
 from bergamotdrift.messages import KeyLoad
 from bergamotdrift.request import Permit, RoutedRequest
 from bergamotdrift.shards import pool_shard, upstream_shard
@@ -40,6 +43,8 @@
 # Part of the remaining time that a request may be queued, so that its caller can still
 # retry. Conditions that may last cause an early refusal with a longer Retry-After.
 _MAX_WAIT_RATIO = {QueueWait.NONE: 0.0, QueueWait.SHORT: 0.04, QueueWait.LONG: 0.4}
+# Part of its target that a request may wait for a token of a cold upstream.
+_PACE_WAIT_RATIO = 0.2
 _RETRY_AFTER_S = {QueueWait.NONE: 0.5, QueueWait.SHORT: 0.5, QueueWait.LONG: 0.1}
 # An attempt is abandoned for another upstream after the larger of this multiple of the
 # mean latency and this part of the remaining time.
@@ -194,6 +199,7 @@
             raise
         finally:
             self._waiters.remove(waiter)
+            self._selector.paces.end_wait(waiter)
         if blocked is None:
             return Success(self._with_attempt_limit(waiter.fut.get(), routed, numbers))
         now_ms = self._clock.now_ms()
@@ -210,11 +216,15 @@
             if isinstance(selection, Chosen):
                 # An upstream has room, but more urgent requests go first.
                 selection = Blocked("full")
-            end_ms = _wait_end_ms(waiter.routed, selection.queue_wait, started_ms)
+            end_ms = _wait_end_ms(waiter.routed, selection, started_ms)
             left_ms = end_ms - self._clock.now_ms()
             if left_ms <= 0 or self._is_hopeless(selection, waiter.routed):
                 return selection
-            waiter.fut.wait(min(left_ms, _RECHECK_MS) / 1000.0)
+            timeout_ms = min(left_ms, _RECHECK_MS)
+            if selection.cold is None:
+                waiter.fut.wait(timeout_ms / 1000.0)
+            else:
+                self._selector.paces.wait(waiter, selection.cold, end_ms, timeout_ms)
 
     def _with_attempt_limit(
         self, running: RunningAttempt, routed: RoutedRequest, numbers: AttemptHistory
@@ -248,8 +258,8 @@
         load, key_range = selection
         now_ms = self._clock.now_ms()
         load.in_flight += 1
-        if load.is_cold(now_ms):
-            self._selector.cold_start_share.record_sent(load.row.upstream, now_ms)
+        if is_paced(load, routed.service, now_ms):
+            self._selector.paces.take(key_of(load))
         if load.limit_per_s is not None:
             self._selector.statements.record_sent(load, now_ms)
         service = routed.service.name
@@ -292,6 +302,8 @@
         reported = statement.load if statement is not None else None
         if reported is not None:
             load.record_load(reported, now_ms)
+        if is_paced(load, routed.service, now_ms):
+            self._record_pace(load, routed, reported, msg)
         load.record_outcome(msg.outcome, cold_start_ms(routed.service), now_ms)
         if msg.outcome in _NO_RESPONSE:
             load.record_no_response(msg.latency_ms)
@@ -305,6 +317,20 @@
         if reported is None or not reported.waiting:
             load.record_latency(msg.latency_ms, mean)
 
+    def _record_pace(
+        self,
+        load: DirectLoad,
+        routed: RoutedRequest,
+        reported: AnswerLoad | None,
+        msg: PermitRelease,
+    ) -> None:
+        """Tell the leader how a cold upstream responded."""
+        usual_ms = self._route_means_ms.get(_route_name(routed), msg.latency_ms)
+        ratio = msg.latency_ms / max(1.0, usual_ms)
+        waiting = reported.waiting if reported is not None else 0
+        response = Response(msg.outcome, ratio, waiting, load.slots)
+        self._selector.paces.record(key_of(load), response)
+
 
 def rank_of(routed: RoutedRequest) -> int:
     """Return the rank of a request; a lower one is more urgent."""
@@ -317,11 +343,18 @@
     return routed.route.name or routed.route.path
 
 
-def _wait_end_ms(
-    routed: RoutedRequest, queue_wait: QueueWait, started_ms: float
-) -> float:
-    """Return until when a request queued at `started_ms` may wait."""
-    return started_ms + _MAX_WAIT_RATIO[queue_wait] * (routed.deadline_ms - started_ms)
+def _wait_end_ms(routed: RoutedRequest, blocked: Blocked, started_ms: float) -> float:
+    """Return until when a request queued at `started_ms` may wait.
+
+    A request with a target waits for a token only if the leader may have one by then.
+    """
+    ratio = _MAX_WAIT_RATIO[blocked.queue_wait]
+    end_ms = started_ms + ratio * (routed.deadline_ms - started_ms)
+    if blocked.cold is None or not routed.route.target_ms:
+        return end_ms
+    end_ms = min(end_ms, started_ms + _PACE_WAIT_RATIO * routed.route.target_ms)
+    is_late = blocked.free_at_ms is not None and blocked.free_at_ms > end_ms
+    return started_ms if is_late else end_ms
 
 
 def _refusal(blocked: Blocked, now_ms: float, suffix: str = "") -> Refusal:
--- a/bergamotdrift/direct_selection.py
+++ b/bergamotdrift/direct_selection.py
@@ -8,6 +8,7 @@
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.direct_load import DirectLoad
 from bergamotdrift.feed_tables import FeedTables, UpstreamId
+from bergamotdrift.leader_pace_client import LeaderPaceClient
 from bergamotdrift.messages import (
     PartitionState,
     RangeRow,
@@ -18,7 +19,6 @@
 )
 from bergamotdrift.overload import OVERLOAD_MIN_ENTRIES, OverloadGate
 from bergamotdrift.request import RoutedRequest
-from bergamotdrift.request_share import RequestShare
 from bergamotdrift.routing_key import key_number
 from bergamotdrift.upstream_statements import UpstreamStatements
 
@@ -30,7 +30,6 @@
 CHUNKED_BODY_BYTES = 64 * 1024
 _JITTER = 0.05
 _TYPICAL_HANDOVER_MS = 400.0
-_COLD_START_WINDOW_MS = 1000.0
 # Relative change of an upstream's response time that is reported.
 _MIN_SPEED_CHANGE = 0.25
 
@@ -52,6 +51,8 @@
     queue_wait: QueueWait = QueueWait.LONG
     # Before this time no request is sent, or None if that is not known.
     free_at_ms: float | None = None
+    # The cold upstream that a token of the control leader is missing for.
+    cold: UpstreamId | None = None
 
 
 class Chosen(NamedTuple):
@@ -64,10 +65,12 @@
 class DirectSelector:
     """Select upstreams according to the tables of the feed."""
 
-    def __init__(self, node: str, zone: str, rng: random.Random):
+    def __init__(
+        self, node: str, zone: str, rng: random.Random, paces: LeaderPaceClient
+    ):
         self._zone = zone
         self._rng = rng
-        self.cold_start_share = RequestShare(node, _COLD_START_WINDOW_MS)
+        self.paces = paces
         self.statements = UpstreamStatements(node, rng)
         self.overloads = OverloadGate(rng)
         self.loads: dict[UpstreamId, DirectLoad] = {}
@@ -88,7 +91,6 @@
         self._entries = max(1, len(entries))
         self._zone_entries = max(1, in_zone)
         members = frozenset(row.node for row in entries)
-        self.cold_start_share.set_members(members)
         self.statements.share.set_members(members)
         self._update_upstreams(tables, now_ms)
         self._update_evacuations(tables, now_ms)
@@ -101,8 +103,8 @@
             for key, speed in self._reported_speeds.items()
             if key in self.loads
         }
+        self.paces.update(members, set(self.loads))
         upstreams = {key.upstream for key in self.loads}
-        self.cold_start_share.retain(upstreams)
         self.statements.share.retain(upstreams)
         self._handover_since_ms = {
             row: self._handover_since_ms.get(row, now_ms)
@@ -195,6 +197,8 @@
         if not reason:
             return Chosen(load, row)
         blocked = _blocked_by_all({reason}, [load])
+        if reason == "cold":
+            blocked = self._with_pace(blocked, load)
         return blocked._replace(reason=f"{reason} at {load.describe(now_ms)}")
 
     def _blocked_by_handover(self, row: RangeRow, now_ms: float) -> Blocked:
@@ -213,15 +217,30 @@
         others = [load for load in known if load.row.upstream not in excluded]
         reasons: set[str] = set()
         free = []
+        cold = []
         for load in others or known:
             reason = self._blocking_reason(load, routed.service, now_ms)
-            if reason:
-                reasons.add(reason)
-            else:
+            if not reason:
                 free.append(load)
+                continue
+            reasons.add(reason)
+            if reason == "cold":
+                cold.append(load)
+        cost = self._cost(routed, now_ms)
         if not free:
-            return _blocked_by_all(reasons, others or known)
-        return Chosen(min(free, key=self._cost(routed, now_ms)))
+            blocked = _blocked_by_all(reasons, others or known)
+            return self._with_pace(blocked, min(cold, key=cost)) if cold else blocked
+        best = min([*free, *cold], key=cost)
+        if best in free:
+            return Chosen(best)
+        # The next request may find a token there.
+        self.paces.note_demand(key_of(best))
+        return Chosen(min(free, key=cost))
+
+    def _with_pace(self, blocked: Blocked, load: DirectLoad) -> Blocked:
+        """Add when a token for a cold upstream may be available."""
+        key = key_of(load)
+        return blocked._replace(free_at_ms=self.paces.free_at_ms(key), cold=key)
 
     def has_upstream_in_zone(
         self, service: ServiceSettings, routing_key: str, tables: FeedTables
@@ -283,10 +302,10 @@
             return "paused"
         if not load.has_room(self._sharing_entries(load, service), now_ms):
             return "down" if load.is_down else "full"
-        if load.is_cold(now_ms) and service.cold_start.per_s > 0:
-            per_s = int(service.cold_start.per_s)
-            if not self.cold_start_share.has_room(load.row.upstream, per_s, now_ms):
-                return "cold"
+        if is_paced(load, service, now_ms) and not self.paces.has_token(
+            key_of(load), service
+        ):
+            return "cold"
         if not self.statements.has_room(load, now_ms):
             return "limited"
         return ""
@@ -323,6 +342,16 @@
     return Blocked("; ".join(sorted(reasons)), queue_wait)
 
 
+def key_of(load: DirectLoad) -> UpstreamId:
+    """Return the key of an upstream in the tables."""
+    return UpstreamId(load.row.service, load.row.upstream)
+
+
+def is_paced(load: DirectLoad, service: ServiceSettings, now_ms: float) -> bool:
+    """Return whether each request to an upstream needs a token."""
+    return service.cold_start.per_s > 0 and load.is_cold(now_ms)
+
+
 def cold_start_ms(service: ServiceSettings) -> float:
     """Return the cold start duration of a service's upstreams, in milliseconds."""
     return service.cold_start.ramp_s * 1000.0
--- a/bergamotdrift/leader_state.py
+++ b/bergamotdrift/leader_state.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 
 from bergamotdrift.announced_leases import AnnouncedLeases
-from bergamotdrift.config.schema import RangeGrants
+from bergamotdrift.config.schema import STATED_RATE, ColdBound, RangeGrants
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.feed_tables import PartitionId, UpstreamId
 from bergamotdrift.handover import Handover
@@ -13,12 +13,16 @@
     LoadReport,
     Message,
     NodeRow,
+    PaceLot,
+    PaceNeed,
     PartitionRef,
     PartitionState,
     RateLot,
     RateNeed,
 )
 from bergamotdrift.node_sessions import NodeSessions, PingResult
+from bergamotdrift.pace_buckets import PaceBuckets
+from bergamotdrift.pace_metrics import record_fall
 from bergamotdrift.partition_planner import PartitionPlanner
 from bergamotdrift.range_leases import RangeLeases
 from bergamotdrift.range_planner import RangePlanner
@@ -52,6 +56,7 @@
         yield_to_loop: Callable[[], None] = _no_yield,
         upstream_ttl_ms: float | None = None,
         range_grants: RangeGrants = RangeGrants.CALLED,
+        cold_bound: ColdBound = STATED_RATE,
     ):
         self._state = state
         self._handover = Handover(state, yield_to_loop)
@@ -68,6 +73,8 @@
         )
         self._rates = RateBuckets()
         self._rates.add_buckets(state.settings.current, opened_at_ms)
+        self._paces = PaceBuckets(cold_bound, opened_at_ms)
+        self._paces.on_fall = record_fall
         self._partitions = PartitionPlanner(
             state, self.upstreams, self._handover, opened_at_ms, yield_to_loop
         )
@@ -115,6 +122,19 @@
             return []
         return self._rates.lease(node, needs, settings, now_ms)
 
+    def lease_pace_tokens(
+        self, node: str, needs: Sequence[PaceNeed], now_ms: float
+    ) -> list[PaceLot]:
+        """Lease tokens for requests to cold upstreams to an entry."""
+        settings = self._state.settings.current
+        if settings is None or not needs:
+            return []
+        return self._paces.lease(node, needs, settings, self._incarnation_of, now_ms)
+
+    def _incarnation_of(self, upstream: UpstreamId) -> str:
+        row = self._state.rows.upstreams.get(upstream)
+        return row.incarnation if row is not None else ""
+
     def session_commands(self, now_ms: float) -> list[Message]:
         """Return the commands for nodes and upstreams that came, changed or expired."""
         return [*self.nodes.commands(now_ms), *self.upstreams.commands(now_ms)]
--- a/bergamotdrift/leader_token_client.py
+++ b/bergamotdrift/leader_token_client.py
@@ -9,12 +9,13 @@
 
 from bergamotdrift.clock import Clock
 from bergamotdrift.constants import DRIFT_MARGIN_MS
+from bergamotdrift.entry_leases import STANDBY_FROM_MS, STANDBY_UNTIL_MS
 from bergamotdrift.exceptions import ErrorKind, Refusal
+from bergamotdrift.held_tokens import HeldTokens, TokenLease
 from bergamotdrift.messages import (
     RateLot,
     RateNeed,
 )
-from bergamotdrift.rate_buckets import STANDBY_FROM_MS, STANDBY_UNTIL_MS
 
 # An entry holds tokens for this much time of its recent demand, so that the election
 # of a new leader doesn't stop it.
@@ -29,16 +30,9 @@
 
 
 @dataclass
-class _TokenLease:
-    expires_ms: float
-    tokens: int
-
-
-@dataclass
-class WorkspaceTokens:
+class WorkspaceTokens(HeldTokens):
     """Hold the tokens and recent demand of one workspace at this entry."""
 
-    leases: deque[_TokenLease] = field(default_factory=deque)
     demand_at_ms: deque[float] = field(default_factory=deque)
     waiting: int = 0
     wait_ms: float = 0.0
@@ -48,21 +42,9 @@
     asked_at_ms: float = float("-inf")
     changed: Event = field(default_factory=Event)
 
-    def held(self, now_ms: float) -> int:
-        """Return the number of unexpired tokens."""
-        while self.leases and self.leases[0].expires_ms <= now_ms:
-            self.leases.popleft()
-        return sum(lease.tokens for lease in self.leases)
-
     def take(self, now_ms: float) -> bool:
         """Consume a token and return whether there was one."""
-        if not self.held(now_ms):
-            return self._take_standby(now_ms)
-        for lease in self.leases:
-            if lease.tokens:
-                lease.tokens -= 1
-                break
-        return True
+        return self.take_leased(now_ms) or self._take_standby(now_ms)
 
     def _take_standby(self, now_ms: float) -> bool:
         """Consume a standby token while no leader answers, if one has accrued."""
@@ -75,15 +57,6 @@
         self.standby_tokens_used += 1
         return True
 
-    def return_tokens(self, count: int) -> int:
-        """Remove up to `count` tokens, the latest lease first, and return how many."""
-        remaining = count
-        for lease in reversed(self.leases):
-            taken = min(remaining, lease.tokens)
-            lease.tokens -= taken
-            remaining -= taken
-        return count - remaining
-
     def demand_per_s(self, now_ms: float) -> float:
         """Return the requests per second that needed a token in the last second."""
         while self.demand_at_ms and self.demand_at_ms[0] <= now_ms - _DEMAND_WINDOW_MS:
@@ -157,7 +130,7 @@
             tokens.asked_at_ms = asked_at_ms
             if item.tokens:
                 ends_ms = asked_at_ms + item.lease_ms - DRIFT_MARGIN_MS
-                tokens.leases.append(_TokenLease(ends_ms, item.tokens))
+                tokens.leases.append(TokenLease(ends_ms, item.tokens))
             changed, tokens.changed = tokens.changed, Event()
             changed.set()
 
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -263,6 +263,41 @@
     standby_per_s: float = 0.0
 
 
+class PaceNeed(NamedTuple):
+    """Request tokens for requests to a cold upstream, and return unused ones.
+
+    `held` counts the tokens that the entry keeps, without `wanted` and `returned`. Its
+    requests wait for `wait_ms` at most. `sound`, `shed`, `failed` and `late` count the
+    responses since the last need. Needs are sent in the order of `asked_ms`, the time
+    at the entry's clock.
+    """
+
+    service: str
+    upstream: str
+    wanted: int
+    returned: int = 0
+    held: int = 0
+    wait_ms: int = 0
+    sound: int = 0
+    shed: int = 0
+    failed: int = 0
+    late: int = 0
+    asked_ms: int = 0
+
+
+class PaceLot(NamedTuple):
+    """Lease tokens for requests to a cold upstream.
+
+    `wait_ms` is the time until the next one is available, 0 if none is missing.
+    """
+
+    service: str
+    upstream: str
+    tokens: int
+    lease_ms: int
+    wait_ms: int = 0
+
+
 class UpstreamSpeed(NamedTuple):
     """Report how long a request occupies a slot of an upstream, in milliseconds."""
 
@@ -304,6 +339,7 @@
     loads: list[KeyLoad] = []
     speeds: list[UpstreamSpeed] = []
     reports: list[UpstreamReport] = []
+    paces: list[PaceNeed] = []
 
 
 @message
@@ -315,6 +351,7 @@
     feed_index: int
     ttl_ms: int
     rates: list[RateLot] = []
+    paces: list[PaceLot] = []
 
 
 class UpstreamOverload(NamedTuple):
--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -8,7 +8,7 @@
 from gevent.event import Event
 
 from bergamotdrift.clock import Clock
-from bergamotdrift.config.schema import RangeGrants
+from bergamotdrift.config.schema import STATED_RATE, ColdBound, RangeGrants
 from bergamotdrift.constants import SESSION_TTL_MS
 from bergamotdrift.control_log_events import REFUSED_ANNOUNCEMENTS, update_gauges
 from bergamotdrift.control_state import ControlState
@@ -36,6 +36,7 @@
     Role,
 )
 from bergamotdrift.node_sessions import PingResult
+from bergamotdrift.pace_metrics import count_leased
 from bergamotdrift.replication import Replicator
 from bergamotdrift.streams import Connection
 
@@ -71,12 +72,13 @@
         clock: Clock,
         upstream_ttl_ms: float | None = None,
         range_grants: RangeGrants = RangeGrants.CALLED,
+        cold_bound: ColdBound = STATED_RATE,
     ):
         self._state = state
         self._replicator = replicator
         self._clock = clock
         self.leadership = Leadership(
-            state, replicator, clock, self, upstream_ttl_ms, range_grants
+            state, replicator, clock, self, upstream_ttl_ms, range_grants, cold_bound
         )
         self._feed = FeedStreams(state, clock)
         self._leader_reachability = LeaderReachability()
@@ -241,6 +243,8 @@
             return
         now_ms = self._clock.now_ms()
         rates = leader_state.lease_rate_tokens(msg.row.node, msg.rates, now_ms)
+        paces = leader_state.lease_pace_tokens(msg.row.node, msg.paces, now_ms)
+        count_leased(msg.paces, paces)
         conn.reply(
             number,
             Pong(
@@ -249,6 +253,7 @@
                 sent_index,
                 SESSION_TTL_MS,
                 rates,
+                paces,
             ),
         )
 
--- a/bergamotdrift/platform/boot.py
+++ b/bergamotdrift/platform/boot.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple
 
 from bergamotdrift.config.schema import (
+    ColdBound,
     ControlSettings,
     Dispatch,
     EntrySettings,
@@ -71,6 +72,7 @@
     rate_overage: float = 0.0
     rate_slack: float = 0.0
     in_force_ms: float = 2000.0
+    cold: ColdBound = ColdBound()
 
 
 class Boot(NamedTuple):
@@ -162,6 +164,10 @@
             ),
             default=defaults.in_force_ms,
         ),
+        ColdBound(
+            float(fields.get("warmup_overage", defaults.cold.overage)),
+            float(fields.get("warmup_slack", defaults.cold.slack)),
+        ),
     )
 
 
@@ -182,6 +188,7 @@
         bounds.retry_ratio * _RETRY_RATIO_FRACTION,
         bounds.retry_slack / bounds.retry_window_s * _RETRY_SLACK_FRACTION,
         round(bounds.in_force_ms - _IN_FLIGHT_MARGIN_MS),
+        bounds.cold,
     )
 
 
@@ -204,6 +211,7 @@
         _UPSTREAM_TTL_MS,
         True,
         boot.range_grants,
+        boot.bounds.cold,
     )
 
 
--- a/bergamotdrift/tests/test_arbitration.py
+++ b/bergamotdrift/tests/test_arbitration.py
@@ -2,7 +2,7 @@
 from unittest import mock
 
 from bergamotdrift.arbitration import Arbitration
-from bergamotdrift.cold_start import ColdStart
+from bergamotdrift.pace import Pace
 from bergamotdrift.takeover import TakeoverGate
 from bergamotdrift.tests.arbiter_schedule import Schedule
 
@@ -56,7 +56,7 @@
             self.assertGreater(self.count_violations(), 0)
 
     def test_schedules_find_an_upstream_that_starts_without_ramp(self):
-        with mock.patch.object(ColdStart, "allowed", lambda ramp, now_ms: 4):
+        with mock.patch.object(Pace, "allowed", lambda ramp, now_ms: 4):
             found = self.count_violations(ramp_s=2.0, upstreams=1, slots=4)
             self.assertGreater(found, 0)
 
--- a/bergamotdrift/tests/test_control_client.py
+++ b/bergamotdrift/tests/test_control_client.py
@@ -37,9 +37,15 @@
     def reports(self):
         return []
 
+    def pace_needs(self):
+        return []
+
     def take_rates(self, lots, asked_at_ms):
         self.taken.append(asked_at_ms)
 
+    def take_paces(self, lots, asked_at_ms):
+        pass
+
 
 def start_client(test, *addresses):
     """Return a started client that looks for the leader at the addresses."""
--- a/bergamotdrift/tests/test_direct_selection.py
+++ b/bergamotdrift/tests/test_direct_selection.py
@@ -2,7 +2,9 @@
 import unittest
 from types import SimpleNamespace
 
+from bergamotdrift.clock import ManualClock
 from bergamotdrift.config.schema import (
+    STATED_RATE,
     ColdStartSettings,
     Fencing,
     ServiceKind,
@@ -13,6 +15,7 @@
 )
 from bergamotdrift.direct_selection import Blocked, Chosen, DirectSelector
 from bergamotdrift.feed_tables import FeedTables, UpstreamId
+from bergamotdrift.leader_pace_client import LeaderPaceClient
 from bergamotdrift.messages import (
     FeedUpdate,
     NodeRow,
@@ -66,7 +69,8 @@
             FeedUpdate(0, 1, True, 1, SETTINGS, entries, rows, [], [], [], [], [], [])
         )
         self.tables = tables
-        self.selector = DirectSelector("e1", "a", random.Random(1))
+        paces = LeaderPaceClient(ManualClock(NOW_MS), "e1", STATED_RATE)
+        self.selector = DirectSelector("e1", "a", random.Random(1), paces)
         self.selector.update(tables, NOW_MS)
 
     def load(self, name):
--- a/bergamotdrift/tests/test_rate_buckets.py
+++ b/bergamotdrift/tests/test_rate_buckets.py
@@ -7,6 +7,7 @@
 
 from bergamotdrift.clock import ManualClock
 from bergamotdrift.config.schema import SiteSettings, WorkspaceSettings
+from bergamotdrift.entry_leases import EntryLease
 from bergamotdrift.leader_token_client import LeaderTokenClient, WorkspaceTokens
 from bergamotdrift.messages import (
     RateLot,
@@ -16,7 +17,6 @@
     RATE_LEASE_MS,
     RateBucket,
     RateBuckets,
-    _EntryLease,
 )
 
 LIMITS = WorkspaceSettings("w", 20.0, 20, (), ())
@@ -91,7 +91,7 @@
             steps += 1
             return 0.0
 
-        with mock.patch.object(_EntryLease, "standby_tokens", count):
+        with mock.patch.object(EntryLease, "standby_tokens", count):
             for number in range(entries * rounds):
                 now_ms = number * 250.0 / entries
                 node = str(number % entries)
--- a/bergamotdrift/upstream_load.py
+++ b/bergamotdrift/upstream_load.py
@@ -1,7 +1,8 @@
 """Load and health of one upstream as tracked by its arbiter."""
 
+import math
+
 from bergamotdrift.arbiter_messages import AttemptOutcome
-from bergamotdrift.cold_start import ColdStart
 from bergamotdrift.config.schema import ServiceSettings
 from bergamotdrift.connection_count import ConnectionCount
 from bergamotdrift.messages import (
@@ -9,6 +10,7 @@
     UpstreamState,
 )
 from bergamotdrift.observations import LoadHint, Observations
+from bergamotdrift.pace import Pace, PaceRange
 from bergamotdrift.probe_backoff import ProbeBackoff
 
 # A single timeout may be due to the request; two in a row mark the upstream as down.
@@ -37,7 +39,7 @@
 
     def __init__(self, row: UpstreamRow, service: ServiceSettings, since_ms: float):
         self.row = row
-        self.ramp = ColdStart(service, since_ms)
+        self.ramp = Pace(in_flight_range(service), since_ms)
         self.connections = ConnectionCount(service)
         self.observed = Observations()
         self.in_flight = 0
@@ -71,7 +73,7 @@
 
     def configure(self, service: ServiceSettings, now_ms: float) -> None:
         """Apply changed service settings."""
-        self.ramp.configure(service, now_ms)
+        self.ramp.configure(in_flight_range(service), now_ms)
         self.connections.configure(service)
 
     def free_slots(self, now_ms: float) -> int:
@@ -94,11 +96,13 @@
             return
         if outcome is AttemptOutcome.SHED:
             self._on_response(now_ms)
-            self.ramp.on_shed(now_ms)
+            self.ramp.on_unsound(now_ms)
         elif outcome in _UNREACHABLE:
             self._may_have_restarted = True
             self._pause.mark_down(now_ms)
         elif outcome in _NO_RESPONSE:
+            if not self.ramp.has_ended(now_ms):
+                self.ramp.on_unsound(now_ms)
             self._failures += 1
             if self._failures >= _FAILURES_UNTIL_DOWN:
                 self._pause.mark_down(now_ms)
@@ -135,3 +139,12 @@
         self._failures = 0
         self._may_have_restarted = False
         self._pause.mark_up()
+
+
+def in_flight_range(service: ServiceSettings) -> PaceRange:
+    """Return the bounds of the requests in flight at an upstream that is warming up."""
+    cold, slots = service.cold_start, float(service.slots)
+    rise = math.inf
+    if cold.ramp_s > 0:
+        rise = max(1.0, slots - cold.initial_slots) / (cold.ramp_s * 1000.0)
+    return PaceRange(1.0, float(cold.initial_slots), slots, rise)
