Keep cold upstreams within their bound while entries or the leader fail

Cause: tokens that were leased when a lease ended accrued anew for the time in which they could still be used, and tokens that were kept for a pool's next request expired unused.

Change: nothing accrues above the burst while tokens are leased. An entry returns all unused tokens with each ping and asks for those that it needs now, so a need states no held tokens; one that is older than the last of the same entry leases nothing. While the feed changes, the leader sends tokens ahead of the pong, which waits for the next push. A fall of the pace also withholds ready tokens.

--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -30,6 +30,7 @@
     NotLeader,
     Overloads,
     PaceLot,
+    PaceLots,
     PaceNeed,
     Ping,
     Pong,
@@ -195,11 +196,13 @@
         """Do nothing; the ping loop reconnects."""
 
     def on_message(self, conn: Connection, number: int, msg: Message) -> None:
-        """Apply a feed update and acknowledge it, or pass on overloads."""
+        """Apply a feed update and acknowledge it, or pass on what is not a reply."""
         if isinstance(msg, FeedUpdate) and self._apply(msg):
             self._acknowledge(conn, msg)
         elif isinstance(msg, Overloads) and self._payload is not None:
             self._payload.take_overloads(msg.items)
+        elif isinstance(msg, PaceLots) and self._payload is not None:
+            self._payload.take_paces(msg.items, float(msg.asked_ms))
 
     def _run(self) -> None:
         while True:
--- a/bergamotdrift/leader_pace_client.py
+++ b/bergamotdrift/leader_pace_client.py
@@ -32,7 +32,8 @@
 # the response counts as late.
 _LATE_QUEUE_SLOTS = 2.0
 _LATE_LATENCY_RATIO = 3.0
-_SHARE_WINDOW_MS = 1000.0
+# Requests that are sent in more than a second may arrive within one.
+_SHARE_WINDOW_MS = 1150.0
 
 _FAILED = frozenset({
     AttemptOutcome.TIMEOUT,
@@ -69,7 +70,7 @@
     # Before this time the leader has no token for this entry.
     free_at_ms: float = 0.0
     demand_until_ms: float = float("-inf")
-    # Whether the leader counts tokens as held here.
+    # Whether the leader counts tokens as leased to this entry.
     counted: bool = False
     sound: int = 0
     shed: int = 0
@@ -92,14 +93,13 @@
     def take_need(
         self, key: UpstreamId, tokens: int, wait_ms: float, now_ms: float
     ) -> PaceNeed | None:
-        """Return what to tell the leader, for a total of `tokens`, or None."""
-        held = self.held(now_ms)
-        returned = self.return_tokens(held - tokens) if held > tokens else 0
+        """Return what to tell the leader, or None; `tokens` are needed in all."""
+        # Tokens that are kept for longer would expire unused.
+        returned = self.return_tokens(self.held(now_ms))
         need = PaceNeed(
             *key,
-            max(0, tokens - held),
+            tokens,
             returned,
-            held - returned,
             round(wait_ms),
             self.sound,
             self.shed,
@@ -108,7 +108,7 @@
         )
         is_empty = not any(need[2:]) and not self.counted
         need = need._replace(asked_ms=int(now_ms))
-        self.counted = need.held > 0
+        self.counted = False
         self.sound = self.shed = self.failed = self.late = 0
         return None if is_empty else need
 
@@ -220,7 +220,7 @@
     def take_paces(self, lots: Sequence[PaceLot], asked_at_ms: float) -> None:
         """Add leased tokens; the caller then serves the requests that wait."""
         now_ms = self._clock.now_ms()
-        self._answered_at_ms = asked_at_ms
+        self._answered_at_ms = max(self._answered_at_ms, asked_at_ms)
         for lot in lots:
             key = UpstreamId(lot.service, lot.upstream)
             found = self._upstreams.setdefault(key, _ColdUpstream())
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -264,19 +264,17 @@
 
 
 class PaceNeed(NamedTuple):
-    """Request tokens for requests to a cold upstream, and return unused ones.
+    """Request tokens for requests to a cold upstream, and return all unused ones.
 
-    `held` counts the tokens that the entry keeps, without `wanted` and `returned`. Its
-    requests wait for `wait_ms` at most. `sound`, `shed`, `failed` and `late` count the
-    responses since the last need. Needs are sent in the order of `asked_ms`, the time
-    at the entry's clock.
+    The requests wait for `wait_ms` at most. `sound`, `shed`, `failed` and `late` count
+    the responses since the last need. Needs are sent in the order of `asked_ms`, the
+    time at the entry's clock.
     """
 
     service: str
     upstream: str
     wanted: int
     returned: int = 0
-    held: int = 0
     wait_ms: int = 0
     sound: int = 0
     shed: int = 0
@@ -354,6 +352,17 @@
     paces: list[PaceLot] = []
 
 
+@message
+class PaceLots(NamedTuple):
+    """Lease tokens ahead of the pong, which waits for the next push of the feed.
+
+    `asked_ms` is that of the needs, at the entry's clock.
+    """
+
+    items: list[PaceLot]
+    asked_ms: int
+
+
 class UpstreamOverload(NamedTuple):
     """State which part of the requests for its keys an upstream can serve."""
 
--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -36,7 +36,7 @@
     Role,
 )
 from bergamotdrift.node_sessions import PingResult
-from bergamotdrift.pace_metrics import count_leased
+from bergamotdrift.pace_replies import lease_paces, send_paces_early
 from bergamotdrift.replication import Replicator
 from bergamotdrift.streams import Connection
 
@@ -226,7 +226,9 @@
             return
         self._feed.set_applied_index(conn, msg.feed_index)
         if self._feed.must_wait(conn):
-            waiting = msg._replace(loads=[], speeds=[], reports=[])
+            if number:
+                send_paces_early(leader_state, conn, msg, self._clock.now_ms())
+            waiting = msg._replace(loads=[], speeds=[], reports=[], paces=[])
             self._awaiting_push.append(PendingPing(conn, number, waiting))
             self._changed.set()
             return
@@ -243,8 +245,7 @@
             return
         now_ms = self._clock.now_ms()
         rates = leader_state.lease_rate_tokens(msg.row.node, msg.rates, now_ms)
-        paces = leader_state.lease_pace_tokens(msg.row.node, msg.paces, now_ms)
-        count_leased(msg.paces, paces)
+        paces = lease_paces(leader_state, msg, now_ms)
         conn.reply(
             number,
             Pong(
--- a/bergamotdrift/pace_buckets.py
+++ b/bergamotdrift/pace_buckets.py
@@ -12,7 +12,7 @@
 from bergamotdrift.entry_leases import EntryLeases
 from bergamotdrift.feed_tables import UpstreamId
 from bergamotdrift.messages import PaceLot, PaceNeed
-from bergamotdrift.pace import LATE_FALL, Pace
+from bergamotdrift.pace import FALL, LATE_FALL, Pace
 from bergamotdrift.pace_limits import PaceLimits, pace_limits
 
 # Two ping intervals: an entry states what it used, and returns the rest, before then.
@@ -74,14 +74,17 @@
 
     def record(self, need: PaceNeed, now_ms: float) -> str:
         """Let the pace follow the responses; return why it fell, or an empty text."""
+        reason, remaining = "", FALL
         if need.shed or need.failed:
             reason = "shed" if need.shed else "failed"
-            return reason if self.pace.on_unsound(now_ms) else ""
-        if need.late:
-            return "late" if self.pace.on_unsound(now_ms, LATE_FALL) else ""
-        if need.sound:
+        elif need.late:
+            reason, remaining = "late", LATE_FALL
+        elif need.sound:
             self.pace.on_sound(now_ms)
-        return ""
+        if not reason or not self.pace.on_unsound(now_ms, remaining):
+            return ""
+        self._level *= remaining
+        return reason
 
     def lease(self, node: str, need: PaceNeed, now_ms: float) -> PaceLot:
         """Credit returned tokens and lease up to the wanted number."""
@@ -92,13 +95,12 @@
             return PaceLot(need.service, need.upstream, 0, PACE_LEASE_MS)
         # Tokens whose lease has ended here are no longer counted and not credited.
         returned = max(0, min(need.returned, self._leases.tokens_of(node)))
-        lease = self._leases.renew(node, max(0, need.held), 0, now_ms)
-        lease.asked_ms = need.asked_ms
+        self._leases.renew(node, 0, 0, now_ms)
         self._level = self._capped(self._level + returned)
         ahead = self._tokens_ahead(node, now_ms)
         tokens = max(0, min(need.wanted, int(self._level - ahead)))
         self._level -= tokens
-        self._leases.renew(node, max(0, need.held) + tokens, 0, now_ms)
+        self._leases.renew(node, tokens, 0, now_ms).asked_ms = need.asked_ms
         wait_ms = self._keep_place(node, need, need.wanted - tokens, ahead, now_ms)
         return PaceLot(
             need.service, need.upstream, tokens, PACE_LEASE_MS, math.ceil(wait_ms)
@@ -141,12 +143,12 @@
         return max(0.0, min(level, self._limits.burst - self._leases.held_tokens))
 
     def _refill(self, now_ms: float) -> None:
+        if now_ms > self._refilled_at_ms:
+            since_ms, self._refilled_at_ms = self._refilled_at_ms, now_ms
+            gained = self.pace.level(now_ms) * (now_ms - since_ms) / 1000.0
+            # Leases that end now held the level down until now.
+            self._level = self._capped(self._level + gained)
         self._leases.expire(now_ms)
-        if now_ms <= self._refilled_at_ms:
-            return
-        since_ms, self._refilled_at_ms = self._refilled_at_ms, now_ms
-        gained = self.pace.level(now_ms) * (now_ms - since_ms) / 1000.0
-        self._level = self._capped(self._level + gained)
 
 
 class PaceBuckets:
--- a/bergamotdrift/pace_limits.py
+++ b/bergamotdrift/pace_limits.py
@@ -16,7 +16,7 @@
 _RATE_PART = 0.65
 # Tokens that were used count as leased until the entry says so in its next ping. A
 # burst below this time of the rate, plus two, would hold back the rate itself.
-_BURST_S = 0.25
+_BURST_S = 0.4
 _BURST_MIN = 2.0
 # The pace falls no further than this part of the stated rate.
 _FLOOR_PART = 0.125
--- a/bergamotdrift/tests/test_feed_pushes.py
+++ b/bergamotdrift/tests/test_feed_pushes.py
@@ -13,6 +13,7 @@
     NodeRow,
     NotLeader,
     Overloads,
+    PaceNeed,
     Ping,
     Pong,
     Role,
@@ -21,6 +22,7 @@
     UpstreamState,
 )
 from bergamotdrift.node_streams import NodeStreams
+from bergamotdrift.pace_buckets import PACE_LEASE_MS
 from bergamotdrift.tests.fake_replicator import FakeLog, FakeReplicator
 from bergamotdrift.tests.test_range_planner import SETTINGS
 
@@ -40,6 +42,9 @@
     def send_packed(self, frame, kind):
         self.sent.append(kind)
 
+    def send(self, msg):
+        self.sent.append(msg)
+
     def reply(self, number, msg):
         self.sent.append(msg)
 
@@ -110,6 +115,28 @@
         self.assertEqual(conn.pongs()[0].feed_index, index)
         self.assertEqual(conn.sent[:last], [FeedUpdate])
 
+    # Guards against refusals while many upstreams start: a push takes longer than a
+    # request may wait for a token.
+    def test_tokens_for_cold_upstreams_do_not_wait_for_the_next_push(self):
+        conn = self.conns[0]
+        self.change_upstreams(3)
+        conn.sent.clear()
+        need = PaceNeed("cases", "u0", 1, wait_ms=60, asked_ms=123)
+        self.ping(conn, paces=[need])
+        (lots,) = conn.sent
+        self.assertEqual(lots.asked_ms, 123)
+        self.assertEqual([lot.upstream for lot in lots.items], ["u0"])
+        self.wait_until(conn.pongs)
+        self.assertEqual(conn.pongs()[0].paces, [])
+
+    def test_tokens_for_cold_upstreams_come_with_the_pong(self):
+        conn = self.conns[0]
+        gevent.sleep(PACE_LEASE_MS / 1000.0)
+        conn.sent.clear()
+        self.ping(conn, paces=[PaceNeed("cases", "u0", 1, wait_ms=60)])
+        (pong,) = conn.sent
+        self.assertEqual([lot.tokens for lot in pong.paces], [1])
+
     def test_waiting_ping_is_redirected_when_the_lead_is_lost(self):
         conn = self.conns[0]
         self.change_upstreams(3)
--- a/bergamotdrift/tests/test_platform_config.py
+++ b/bergamotdrift/tests/test_platform_config.py
@@ -2,7 +2,7 @@
 import unittest
 from typing import ClassVar
 
-from bergamotdrift.config.schema import RangeGrants, ServiceKind
+from bergamotdrift.config.schema import STATED_RATE, ColdBound, RangeGrants, ServiceKind
 from bergamotdrift.messages import UpstreamState
 from bergamotdrift.platform import site_config
 from bergamotdrift.platform.boot import control_settings, decode_boot, entry_settings
@@ -314,6 +314,16 @@
         without_bounds = entry_settings(decode_boot(self.fields))
         self.assertLess(without_bounds.settings_max_age_ms, 2000)
 
+    # Guards against entries and a leader that together exceed the bound of a cold
+    # upstream, or that use only a part of it.
+    def test_bound_of_cold_upstreams(self):
+        bounds = {"warmup_overage": 1.5, "warmup_slack": 8}
+        boot = decode_boot(self.fields | {"bounds": bounds})
+        self.assertEqual(entry_settings(boot).cold_bound, ColdBound(1.5, 8.0))
+        self.assertEqual(control_settings(boot).cold_bound, ColdBound(1.5, 8.0))
+        without_bounds = decode_boot(self.fields)
+        self.assertEqual(entry_settings(without_bounds).cold_bound, STATED_RATE)
+
     # Guards against orders that upstreams with grants by heartbeat do not know.
     def test_way_of_granting_ranges(self):
         cases = (
