Wait for the first token of a pool, and send nothing on an expired one

Cause: in a pool whose upstreams are partly full and partly cold, a request was refused as if it could only wait for a token. A request whose token was taken could be sent after the end of the lease, if the entry was frozen or the connection slow to open.

Change: only a request that all upstreams refuse as cold is refused at the time that the leader states; it asks the upstream that has a token first. An attempt is cancelled as not run if it would be sent after its token has expired.

--- a/bergamotdrift/attempts.py
+++ b/bergamotdrift/attempts.py
@@ -24,6 +24,8 @@
         # Time at which the attempt is abandoned for a retry; None for the request's
         # deadline.
         self.attempt_deadline_ms: float | None = None
+        # Time after which the first byte may no longer be sent.
+        self.send_by_ms = float("inf")
         # Called at the limit; the attempt continues if it returns False.
         self.may_abandon: Callable[[], bool] = lambda: True
         # What the upstream said of itself in its response, or None without one.
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -1,6 +1,7 @@
 """Permits issued by an entry itself, within its share of each upstream's limits."""
 
 import itertools
+import math
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
@@ -42,10 +43,20 @@
 _RECHECK_MS = 40.0
 # Part of the remaining time that a request may be queued, so that its caller can still
 # retry. Conditions that may last cause an early refusal with a longer Retry-After.
-_MAX_WAIT_RATIO = {QueueWait.NONE: 0.0, QueueWait.SHORT: 0.04, QueueWait.LONG: 0.4}
+_MAX_WAIT_RATIO = {
+    QueueWait.NONE: 0.0,
+    QueueWait.SHORT: 0.04,
+    QueueWait.LONG: 0.4,
+    QueueWait.PACE: 0.4,
+}
 # Part of its target that a request may wait for a token of a cold upstream.
 _PACE_WAIT_RATIO = 0.2
-_RETRY_AFTER_S = {QueueWait.NONE: 0.5, QueueWait.SHORT: 0.5, QueueWait.LONG: 0.1}
+_RETRY_AFTER_S = {
+    QueueWait.NONE: 0.5,
+    QueueWait.SHORT: 0.5,
+    QueueWait.LONG: 0.1,
+    QueueWait.PACE: 0.1,
+}
 # An attempt is abandoned for another upstream after the larger of this multiple of the
 # mean latency and this part of the remaining time.
 _ATTEMPT_LIMIT_MEANS = 5.0
@@ -258,8 +269,9 @@
         load, key_range = selection
         now_ms = self._clock.now_ms()
         load.in_flight += 1
+        send_by_ms = math.inf
         if is_paced(load, routed.service, now_ms):
-            self._selector.paces.take(key_of(load))
+            send_by_ms = self._selector.paces.take(key_of(load))
         if load.limit_per_s is not None:
             self._selector.statements.record_sent(load, now_ms)
         service = routed.service.name
@@ -278,6 +290,7 @@
         )
         self._running[name] = routed
         running = self._registry.add(permit, routed.workspace)
+        running.send_by_ms = send_by_ms
         running.on_statement = partial(
             self._record_statement, load, load.row.incarnation
         )
@@ -350,7 +363,7 @@
     """
     ratio = _MAX_WAIT_RATIO[blocked.queue_wait]
     end_ms = started_ms + ratio * (routed.deadline_ms - started_ms)
-    if blocked.cold is None or not routed.route.target_ms:
+    if blocked.queue_wait is not QueueWait.PACE or not routed.route.target_ms:
         return end_ms
     end_ms = min(end_ms, started_ms + _PACE_WAIT_RATIO * routed.route.target_ms)
     is_late = blocked.free_at_ms is not None and blocked.free_at_ms > end_ms
--- a/bergamotdrift/direct_selection.py
+++ b/bergamotdrift/direct_selection.py
@@ -42,6 +42,8 @@
     SHORT = "short"
     # The condition clears soon.
     LONG = "long"
+    # The control leader says when it may clear, within a round trip.
+    PACE = "pace"
 
 
 class Blocked(NamedTuple):
@@ -197,8 +199,7 @@
         if not reason:
             return Chosen(load, row)
         blocked = _blocked_by_all({reason}, [load])
-        if reason == "cold":
-            blocked = self._with_pace(blocked, load)
+        blocked = self._with_pace(blocked, [load] if reason == "cold" else [])
         return blocked._replace(reason=f"{reason} at {load.describe(now_ms)}")
 
     def _blocked_by_handover(self, row: RangeRow, now_ms: float) -> Blocked:
@@ -228,8 +229,7 @@
                 cold.append(load)
         cost = self._cost(routed, now_ms)
         if not free:
-            blocked = _blocked_by_all(reasons, others or known)
-            return self._with_pace(blocked, min(cold, key=cost)) if cold else blocked
+            return self._with_pace(_blocked_by_all(reasons, others or known), cold)
         best = min([*free, *cold], key=cost)
         if best in free:
             return Chosen(best)
@@ -237,10 +237,16 @@
         self.paces.note_demand(key_of(best))
         return Chosen(min(free, key=cost))
 
-    def _with_pace(self, blocked: Blocked, load: DirectLoad) -> Blocked:
-        """Add when a token for a cold upstream may be available."""
-        key = key_of(load)
-        return blocked._replace(free_at_ms=self.paces.free_at_ms(key), cold=key)
+    def _with_pace(self, blocked: Blocked, cold: Collection[DirectLoad]) -> Blocked:
+        """Add the upstream to ask a token for, and when there may be one."""
+        if not cold:
+            return blocked
+        times = {key_of(load): self.paces.free_at_ms(key_of(load)) for load in cold}
+        first = min(times, key=lambda key: times[key] or 0.0)
+        if blocked.queue_wait is not QueueWait.PACE:
+            # A full upstream may have room before then.
+            return blocked._replace(cold=first)
+        return blocked._replace(free_at_ms=times[first], cold=first)
 
     def has_upstream_in_zone(
         self, service: ServiceSettings, routing_key: str, tables: FeedTables
@@ -339,6 +345,8 @@
     queue_wait = QueueWait.LONG if passing else QueueWait.SHORT
     if reasons == {"limited"}:
         queue_wait = QueueWait.NONE
+    elif reasons == {"cold"}:
+        queue_wait = QueueWait.PACE
     return Blocked("; ".join(sorted(reasons)), queue_wait)
 
 
--- a/bergamotdrift/held_tokens.py
+++ b/bergamotdrift/held_tokens.py
@@ -24,15 +24,13 @@
             self.leases.popleft()
         return sum(lease.tokens for lease in self.leases)
 
-    def take_leased(self, now_ms: float) -> bool:
-        """Consume a leased token and return whether there was one."""
+    def take_leased(self, now_ms: float) -> TokenLease | None:
+        """Consume a token and return its lease, or None if there is no token."""
         if not self.held(now_ms):
-            return False
-        for lease in self.leases:
-            if lease.tokens:
-                lease.tokens -= 1
-                break
-        return True
+            return None
+        lease = next(lease for lease in self.leases if lease.tokens)
+        lease.tokens -= 1
+        return lease
 
     def return_tokens(self, count: int) -> int:
         """Remove up to `count` tokens, the latest lease first, and return how many."""
--- a/bergamotdrift/leader_pace_client.py
+++ b/bergamotdrift/leader_pace_client.py
@@ -34,6 +34,7 @@
 _LATE_LATENCY_RATIO = 3.0
 # Requests that are sent in more than a second may arrive within one.
 _SHARE_WINDOW_MS = 1150.0
+_SEND_WITHIN_MS = 100.0
 
 _FAILED = frozenset({
     AttemptOutcome.TIMEOUT,
@@ -151,12 +152,15 @@
         unleased = pace_limits(service.cold_start, self._bound).unleased
         return unleased > 0 and self.share.has_room(key.upstream, unleased, now_ms)
 
-    def take(self, key: UpstreamId) -> None:
-        """Count a request that is sent to a cold upstream now."""
+    def take(self, key: UpstreamId) -> float:
+        """Count a request to a cold upstream; return until when it may be sent."""
         now_ms = self._clock.now_ms()
         found = self._upstreams.get(key)
-        if found is None or not found.take_leased(now_ms):
-            self.share.record_sent(key.upstream, now_ms)
+        lease = found.take_leased(now_ms) if found is not None else None
+        if lease is not None:
+            return lease.expires_ms
+        self.share.record_sent(key.upstream, now_ms)
+        return now_ms + _SEND_WITHIN_MS
 
     def note_demand(self, key: UpstreamId) -> None:
         """Ask for a token with the next ping, for the next request of a pool."""
--- a/bergamotdrift/leader_token_client.py
+++ b/bergamotdrift/leader_token_client.py
@@ -44,7 +44,9 @@
 
     def take(self, now_ms: float) -> bool:
         """Consume a token and return whether there was one."""
-        return self.take_leased(now_ms) or self._take_standby(now_ms)
+        if self.take_leased(now_ms) is not None:
+            return True
+        return self._take_standby(now_ms)
 
     def _take_standby(self, now_ms: float) -> bool:
         """Consume a standby token while no leader answers, if one has accrued."""
--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -299,10 +299,14 @@
     def _check_permit(self, running: RunningAttempt) -> None:
         """Abort the attempt if its permit may have been granted to another entry.
 
+        The entry may also have been frozen, or the connection slow to open.
+
         Raises ConnectionAbortedError.
         """
         if not self._may_send(running.permit.shard):
             running.cancel("the entry lost its session")
+        elif self._clock.now_ms() > running.send_by_ms:
+            running.cancel("the token for a cold upstream has expired")
         if running.cancel_reason:
             raise ConnectionAbortedError(running.cancel_reason)
 
--- a/bergamotdrift/tests/test_cold_dispatch.py
+++ b/bergamotdrift/tests/test_cold_dispatch.py
@@ -1,9 +1,11 @@
 import unittest
+from unittest import mock
 
 import gevent
 
 from bergamotdrift.constants import PING_INTERVAL_MS
 from bergamotdrift.control_client import EARLY_PING_INTERVAL_MS
+from bergamotdrift.leader_pace_client import LeaderPaceClient
 from bergamotdrift.messages import Ping, UpstreamState
 from bergamotdrift.tests.direct_entry import BUSY, SETTINGS, DirectEntryTestCase
 
@@ -69,6 +71,13 @@
         (need,) = [need for need in self.needs() if need.wanted]
         self.assertEqual((need.service, need.wanted), ("pool", 1))
 
+    # An entry that was frozen after it took the token would exceed the bound.
+    def test_request_is_not_sent_after_its_token_has_expired(self):
+        past_ms = self.entry.control._clock.now_ms() - 1.0
+        with mock.patch.object(LeaderPaceClient, "take", return_value=past_ms):
+            self.assertEqual(self.ask_key().status, 503)
+        self.assertEqual(self.requests(), [])
+
     def test_responses_are_reported(self):
         self.ask_key()
         self.set_response_script(lambda data: BUSY)
--- a/bergamotdrift/tests/test_direct_selection.py
+++ b/bergamotdrift/tests/test_direct_selection.py
@@ -13,12 +13,18 @@
     ZoneSettings,
     ZoneState,
 )
-from bergamotdrift.direct_selection import Blocked, Chosen, DirectSelector
+from bergamotdrift.direct_selection import (
+    Blocked,
+    Chosen,
+    DirectSelector,
+    QueueWait,
+)
 from bergamotdrift.feed_tables import FeedTables, UpstreamId
 from bergamotdrift.leader_pace_client import LeaderPaceClient
 from bergamotdrift.messages import (
     FeedUpdate,
     NodeRow,
+    PaceLot,
     Role,
     UpstreamRow,
     UpstreamState,
@@ -69,8 +75,8 @@
             FeedUpdate(0, 1, True, 1, SETTINGS, entries, rows, [], [], [], [], [], [])
         )
         self.tables = tables
-        paces = LeaderPaceClient(ManualClock(NOW_MS), "e1", STATED_RATE)
-        self.selector = DirectSelector("e1", "a", random.Random(1), paces)
+        self.paces = LeaderPaceClient(ManualClock(NOW_MS), "e1", STATED_RATE)
+        self.selector = DirectSelector("e1", "a", random.Random(1), self.paces)
         self.selector.update(tables, NOW_MS)
 
     def load(self, name):
@@ -107,5 +113,51 @@
         self.assertEqual(self.select(None).load.row.upstream, "near")
 
 
+class ColdPoolTests(DirectSelectorTestCase):
+    """Guards upstreams of a pool that start against a flood and against idleness."""
+
+    def set_cold(self, *names):
+        for name in names:
+            self.load(name).mark_maybe_cold(3000.0, NOW_MS)
+
+    def take_lot(self, name, tokens, wait_ms=0):
+        self.paces.take_paces([PaceLot("pool", name, tokens, 500, wait_ms)], NOW_MS)
+
+    def test_cold_upstream_gets_no_request_without_a_token_but_the_need_is_noted(self):
+        self.set_cold("near")
+        self.assertEqual(self.select().load.row.upstream, "far")
+        (need,) = self.paces.pace_needs()
+        self.assertEqual((need.upstream, need.wanted), ("near", 1))
+
+    def test_cold_upstream_gets_the_request_with_a_token(self):
+        self.set_cold("near")
+        self.take_lot("near", 1)
+        self.assertEqual(self.select().load.row.upstream, "near")
+
+    def test_upstream_that_is_not_the_best_is_asked_no_token(self):
+        self.set_cold("far")
+        self.assertEqual(self.select().load.row.upstream, "near")
+        self.assertEqual(self.paces.pace_needs(), [])
+
+    def test_request_waits_for_the_first_token_of_any_cold_upstream(self):
+        self.set_cold("near", "far")
+        self.take_lot("near", 0, 900)
+        self.take_lot("far", 0, 200)
+        found = self.select()
+        self.assertEqual(found.queue_wait, QueueWait.PACE)
+        self.assertEqual(found.cold, UpstreamId("pool", "far"))
+        self.assertEqual(found.free_at_ms, NOW_MS + 200)
+
+    # It may get room before the leader has a token.
+    def test_full_upstream_is_waited_for_as_well(self):
+        self.set_cold("far")
+        self.load("near").in_flight = 100
+        self.take_lot("far", 0, 900)
+        found = self.select()
+        self.assertEqual(found.queue_wait, QueueWait.LONG)
+        self.assertEqual(found.cold, UpstreamId("pool", "far"))
+        self.assertIsNone(found.free_at_ms)
+
+
 if __name__ == "__main__":
     unittest.main()
