Serve urgent requests first at a cold upstream, and log its pace

Cause: a less urgent kind may wait for longer and took the tokens of a more urgent one, which was refused meanwhile. An upstream that is always slower than others counted as late.

Change: a need states the rank of its most urgent request, and the leader gives tokens by rank, then by the order of the needs. Latency lowers the pace only if it rises against the upstream's own usual one. Each start and fall of a pace has a log line and a counter with its reason.

--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -12,6 +12,7 @@
 )
 from bergamotdrift.direct_permits import DirectPermits
 from bergamotdrift.direct_selection import DirectSelector
+from bergamotdrift.entry_metrics import PACE_TOKENS
 from bergamotdrift.feed_tables import FeedTables
 from bergamotdrift.leader_pace_client import LeaderPaceClient
 from bergamotdrift.leader_token_client import LeaderTokenClient
@@ -82,7 +83,11 @@
 
     def pace_needs(self) -> list[PaceNeed]:
         """Return the tokens for cold upstreams to request or to return."""
-        return self.paces.pace_needs()
+        needs = self.paces.pace_needs()
+        if needs:
+            PACE_TOKENS.labels("wanted").inc(sum(need.wanted for need in needs))
+            PACE_TOKENS.labels("returned").inc(sum(need.returned for need in needs))
+        return needs
 
     def key_loads(self) -> list[KeyLoad]:
         """Return the request counts by key since the last call."""
@@ -104,6 +109,7 @@
         """Add leased tokens for cold upstreams and serve the requests that wait."""
         self.paces.take_paces(lots, asked_at_ms)
         if lots:
+            PACE_TOKENS.labels("leased").inc(sum(lot.tokens for lot in lots))
             self.permits.notify()
             self.paces.wake()
 
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -235,7 +235,9 @@
             if selection.cold is None:
                 waiter.fut.wait(timeout_ms / 1000.0)
             else:
-                self._selector.paces.wait(waiter, selection.cold, end_ms, timeout_ms)
+                self._selector.paces.wait(
+                    waiter, selection.cold, end_ms, waiter.order[0], timeout_ms
+                )
 
     def _with_attempt_limit(
         self, running: RunningAttempt, routed: RoutedRequest, numbers: AttemptHistory
--- a/bergamotdrift/entry_metrics.py
+++ b/bergamotdrift/entry_metrics.py
@@ -29,6 +29,13 @@
 )
 
 
+PACE_TOKENS = Counter(
+    "bergamotdrift_entry_pace_tokens_total",
+    "Tokens of cold upstreams by what became of them",
+    ("result",),
+)
+
+
 @lru_cache(maxsize=1024)
 def _requests(service: str, stage: str, kind: str) -> Counter:
     return REQUESTS.labels(service, stage, kind)
--- a/bergamotdrift/leader_pace_client.py
+++ b/bergamotdrift/leader_pace_client.py
@@ -28,19 +28,18 @@
 # A token is kept for the next request of a pool for this time after a request for
 # which a cold upstream would have been the best one.
 _DEMAND_MS = 400.0
-# At a longer queue, or at more than this multiple of the usual latency of the route,
-# the response counts as late.
-_LATE_QUEUE_SLOTS = 2.0
-_LATE_LATENCY_RATIO = 3.0
+# At a longer queue for each slot, a response counts as late.
+_LATE_QUEUE_PER_SLOT = 2.0
 # Requests that are sent in more than a second may arrive within one.
 _SHARE_WINDOW_MS = 1150.0
 _SEND_WITHIN_MS = 100.0
+# A token that no request waits for goes to entries whose requests wait first.
+_NO_REQUEST_RANK = 1_000_000
 
 _FAILED = frozenset({
     AttemptOutcome.TIMEOUT,
     AttemptOutcome.BROKEN,
     AttemptOutcome.CONNECT_FAILED,
-    AttemptOutcome.SERVER_ERROR,
 })
 
 
@@ -57,11 +56,8 @@
 
     @property
     def is_late(self) -> bool:
-        """Whether the upstream's queue is long, or the response took long."""
-        return (
-            self.waiting > _LATE_QUEUE_SLOTS * self.slots
-            or self.latency_ratio > _LATE_LATENCY_RATIO
-        )
+        """Whether the upstream's queue is long."""
+        return self.waiting > _LATE_QUEUE_PER_SLOT * self.slots
 
 
 @dataclass
@@ -77,6 +73,8 @@
     shed: int = 0
     failed: int = 0
     late: int = 0
+    # Sum of the relative latencies of sound and late responses.
+    latency: float = 0.0
 
     def record(self, response: Response) -> None:
         """Count a response for the next ping."""
@@ -84,12 +82,12 @@
             self.shed += 1
         elif response.outcome in _FAILED:
             self.failed += 1
-        elif response.outcome is not AttemptOutcome.ANSWERED:
-            return
-        elif response.is_late:
-            self.late += 1
-        else:
-            self.sound += 1
+        elif response.outcome is AttemptOutcome.ANSWERED:
+            self.latency += response.latency_ratio
+            if response.is_late:
+                self.late += 1
+            else:
+                self.sound += 1
 
     def take_need(
         self, key: UpstreamId, tokens: int, wait_ms: float, now_ms: float
@@ -106,11 +104,12 @@
             self.shed,
             self.failed,
             self.late,
+            round(100.0 * self.latency / max(1, self.sound + self.late)),
         )
         is_empty = not any(need[2:]) and not self.counted
-        need = need._replace(asked_ms=int(now_ms))
         self.counted = False
         self.sound = self.shed = self.failed = self.late = 0
+        self.latency = 0.0
         return None if is_empty else need
 
 
@@ -119,6 +118,7 @@
 
     upstream: UpstreamId
     end_ms: float
+    rank: int
 
 
 class LeaderPaceClient:
@@ -175,20 +175,27 @@
         return found.free_at_ms
 
     def wait(
-        self, request: Any, key: UpstreamId, end_ms: float, timeout_ms: float
+        self,
+        request: Any,
+        key: UpstreamId,
+        end_ms: float,
+        rank: int,
+        timeout_ms: float,
     ) -> None:
         """Wait for a reply of the leader on behalf of a request, or until a timeout."""
-        free_at_ms = self.start_wait(request, key, end_ms)
+        free_at_ms = self.start_wait(request, key, end_ms, rank)
         if free_at_ms is not None:
             timeout_ms = min(timeout_ms, free_at_ms - self._clock.now_ms())
         gevent.wait([request.fut, self._changed], timeout_ms / 1000.0, 1)
 
-    def start_wait(self, request: Any, key: UpstreamId, end_ms: float) -> float | None:
+    def start_wait(
+        self, request: Any, key: UpstreamId, end_ms: float, rank: int
+    ) -> float | None:
         """Count a request as one that needs a token, until `end_wait`.
 
         Returns when to ask again if the leader has no token, or None if it is asked.
         """
-        self._waiting[request] = _Waiting(key, end_ms)
+        self._waiting[request] = _Waiting(key, end_ms, rank)
         free_at_ms = self.free_at_ms(key)
         if free_at_ms is None:
             self.request_ping()
@@ -205,20 +212,21 @@
     def pace_needs(self) -> list[PaceNeed]:
         """Return the tokens to request and to return, and how upstreams responded."""
         now_ms = self._clock.now_ms()
-        waiting: dict[UpstreamId, list[float]] = {}
+        waiting: dict[UpstreamId, list[_Waiting]] = {}
         for item in self._waiting.values():
-            waiting.setdefault(item.upstream, []).append(item.end_ms)
+            waiting.setdefault(item.upstream, []).append(item)
         for key in waiting:
             self._upstreams.setdefault(key, _ColdUpstream())
         needs = []
         for key, found in self._upstreams.items():
-            ends_ms = waiting.get(key, [])
-            is_needed = not ends_ms and found.demand_until_ms > now_ms
-            tokens = len(ends_ms) + int(is_needed)
-            wait_ms = max(0.0, max(ends_ms, default=0.0) - now_ms)
-            need = found.take_need(key, tokens, wait_ms, now_ms)
+            items = waiting.get(key, [])
+            is_needed = not items and found.demand_until_ms > now_ms
+            tokens = len(items) + int(is_needed)
+            wait_ms = max((item.end_ms - now_ms for item in items), default=0.0)
+            need = found.take_need(key, tokens, max(0.0, wait_ms), now_ms)
             if need is not None:
-                needs.append(need)
+                rank = min((item.rank for item in items), default=_NO_REQUEST_RANK)
+                needs.append(need._replace(rank=rank, asked_ms=int(now_ms)))
         return needs
 
     def take_paces(self, lots: Sequence[PaceLot], asked_at_ms: float) -> None:
--- a/bergamotdrift/leader_state.py
+++ b/bergamotdrift/leader_state.py
@@ -22,7 +22,7 @@
 )
 from bergamotdrift.node_sessions import NodeSessions, PingResult
 from bergamotdrift.pace_buckets import PaceBuckets
-from bergamotdrift.pace_metrics import record_fall
+from bergamotdrift.pace_metrics import record_change
 from bergamotdrift.partition_planner import PartitionPlanner
 from bergamotdrift.range_leases import RangeLeases
 from bergamotdrift.range_planner import RangePlanner
@@ -74,7 +74,7 @@
         self._rates = RateBuckets()
         self._rates.add_buckets(state.settings.current, opened_at_ms)
         self._paces = PaceBuckets(cold_bound, opened_at_ms)
-        self._paces.on_fall = record_fall
+        self._paces.on_change = record_change
         self._partitions = PartitionPlanner(
             state, self.upstreams, self._handover, opened_at_ms, yield_to_loop
         )
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -266,9 +266,11 @@
 class PaceNeed(NamedTuple):
     """Request tokens for requests to a cold upstream, and return all unused ones.
 
-    The requests wait for `wait_ms` at most. `sound`, `shed`, `failed` and `late` count
-    the responses since the last need. Needs are sent in the order of `asked_ms`, the
-    time at the entry's clock.
+    The requests wait for `wait_ms` at most; `rank` is that of the most urgent one.
+    `sound`, `shed`, `failed` and `late` count the responses since the last need, and
+    `latency_percent` is the mean latency of the first and last of these, relative to
+    that of their routes. Needs are sent in the order of `asked_ms`, the time at the
+    entry's clock.
     """
 
     service: str
@@ -280,6 +282,8 @@
     shed: int = 0
     failed: int = 0
     late: int = 0
+    latency_percent: int = 0
+    rank: int = 0
     asked_ms: int = 0
 
 
--- a/bergamotdrift/pace_buckets.py
+++ b/bergamotdrift/pace_buckets.py
@@ -11,6 +11,7 @@
 from bergamotdrift.config.schema import ColdBound, SiteSettings
 from bergamotdrift.entry_leases import EntryLeases
 from bergamotdrift.feed_tables import UpstreamId
+from bergamotdrift.latency_trend import LatencyTrend
 from bergamotdrift.messages import PaceLot, PaceNeed
 from bergamotdrift.pace import FALL, LATE_FALL, Pace
 from bergamotdrift.pace_limits import PaceLimits, pace_limits
@@ -29,8 +30,12 @@
 _WAIT_MAX_MS = 10_000.0
 
 
-class PaceFall(NamedTuple):
-    """Describe why the pace of an upstream was lowered, for the log."""
+STARTED = "started"
+NEW_PROCESS = "new_process"
+
+
+class PaceChange(NamedTuple):
+    """Describe why the pace of an upstream was lowered or set anew, for the log."""
 
     upstream: UpstreamId
     reason: str
@@ -43,6 +48,7 @@
 
     tokens: int
     until_ms: float
+    rank: int
 
 
 class PaceBucket:
@@ -62,6 +68,7 @@
         self._level = min(limits.burst, limits.rates.start * filling_s)
         self._refilled_at_ms = max(now_ms, opens_at_ms)
         self._leases = EntryLeases(PACE_LEASE_MS)
+        self._latency = LatencyTrend()
         # Entries that wait for tokens, in the order in which they came.
         self._places: dict[str, _Place] = {}
 
@@ -72,12 +79,19 @@
             self._limits = limits
             self.pace.configure(limits.rates, now_ms)
 
+    def restart(self, now_ms: float) -> None:
+        """Begin anew with another process of the upstream."""
+        self.pace.restart(now_ms)
+        self._latency = LatencyTrend()
+
     def record(self, need: PaceNeed, now_ms: float) -> str:
         """Let the pace follow the responses; return why it fell, or an empty text."""
+        if need.latency_percent:
+            self._latency.add(need.latency_percent)
         reason, remaining = "", FALL
         if need.shed or need.failed:
             reason = "shed" if need.shed else "failed"
-        elif need.late:
+        elif need.late or (need.sound and self._latency.has_risen()):
             reason, remaining = "late", LATE_FALL
         elif need.sound:
             self.pace.on_sound(now_ms)
@@ -97,7 +111,7 @@
         returned = max(0, min(need.returned, self._leases.tokens_of(node)))
         self._leases.renew(node, 0, 0, now_ms)
         self._level = self._capped(self._level + returned)
-        ahead = self._tokens_ahead(node, now_ms)
+        ahead = self._tokens_ahead(node, need.rank, now_ms)
         tokens = max(0, min(need.wanted, int(self._level - ahead)))
         self._level -= tokens
         self._leases.renew(node, tokens, 0, now_ms).asked_ms = need.asked_ms
@@ -119,24 +133,29 @@
         wait_ms = min(max(wait_ms, _WAIT_MIN_MS), _WAIT_MAX_MS)
         if wait_ms <= need.wait_ms:
             until_ms = now_ms + wait_ms + _ASK_GRACE_MS
-            self._places[node] = _Place(missing, until_ms)
+            self._places[node] = _Place(missing, until_ms, need.rank)
         else:
             self._places.pop(node, None)
         return wait_ms
 
-    def _tokens_ahead(self, node: str, now_ms: float) -> int:
-        """Return how many tokens entries wait for that came before this one."""
+    def _tokens_ahead(self, node: str, rank: int, now_ms: float) -> int:
+        """Return how many tokens are for entries that come before this one.
+
+        These are entries with more urgent requests, and with equally urgent ones that
+        have waited for longer.
+        """
+        self._places = {
+            name: place
+            for name, place in self._places.items()
+            if place.until_ms > now_ms
+        }
         ahead = 0
-        lapsed = []
+        is_later = False
         for name, place in self._places.items():
             if name == node:
-                break
-            if place.until_ms <= now_ms:
-                lapsed.append(name)
-            else:
+                is_later = True
+            elif place.rank < rank or (place.rank == rank and not is_later):
                 ahead += place.tokens
-        for name in lapsed:
-            del self._places[name]
         return ahead
 
     def _capped(self, level: float) -> float:
@@ -166,8 +185,8 @@
         self._settings: SiteSettings | None = None
         self._limits: dict[str, PaceLimits] = {}
         self._swept_at_ms = opened_at_ms
-        # Called for each fall of a pace.
-        self.on_fall: Callable[[PaceFall], None] = lambda fall: None
+        # Called for each change other than a rise.
+        self.on_change: Callable[[PaceChange], None] = lambda change: None
 
     def lease(
         self,
@@ -202,7 +221,7 @@
         before = bucket.pace.level(now_ms)
         reason = bucket.record(need, now_ms)
         if reason:
-            self.on_fall(PaceFall(key, reason, before, bucket.pace.level(now_ms)))
+            self.on_change(PaceChange(key, reason, before, bucket.pace.level(now_ms)))
 
     def _bucket(
         self, key: UpstreamId, limits: PaceLimits, incarnation: str, now_ms: float
@@ -211,11 +230,16 @@
         if bucket is None:
             bucket = self._buckets[key] = PaceBucket(limits, self._opens_at_ms, now_ms)
             bucket.incarnation = incarnation
+            start = bucket.pace.level(now_ms)
+            self.on_change(PaceChange(key, STARTED, start, start))
         bucket.configure(limits, now_ms)
         if incarnation != bucket.incarnation:
             # Tokens leased for the process before it may still be used for this one.
             bucket.incarnation = incarnation
-            bucket.pace.restart(now_ms)
+            before = bucket.pace.level(now_ms)
+            bucket.restart(now_ms)
+            start = bucket.pace.level(now_ms)
+            self.on_change(PaceChange(key, NEW_PROCESS, before, start))
         return bucket
 
     def _apply(self, settings: SiteSettings) -> None:
--- a/bergamotdrift/pace_metrics.py
+++ b/bergamotdrift/pace_metrics.py
@@ -4,11 +4,11 @@
 
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import PaceLot, PaceNeed
-from bergamotdrift.pace_buckets import PaceFall
+from bergamotdrift.pace_buckets import NEW_PROCESS, STARTED, PaceChange
 
-FALLS = Counter(
-    "bergamotdrift_control_pace_falls_total",
-    "Times that the pace of a cold upstream was lowered, by reason",
+CHANGES = Counter(
+    "bergamotdrift_control_pace_changes_total",
+    "Times that the pace of a cold upstream was lowered or set anew, by reason",
     ("reason",),
 )
 LEASED = Counter(
@@ -18,17 +18,20 @@
 )
 
 
-def record_fall(fall: PaceFall) -> None:
-    """Count and log that the pace of an upstream was lowered."""
-    FALLS.labels(fall.reason).inc()
-    log_event(
-        "pace_lowered",
-        service=fall.upstream.service,
-        upstream=fall.upstream.upstream,
-        reason=fall.reason,
-        before_per_s=round(fall.before_per_s, 2),
-        per_s=round(fall.per_s, 2),
-    )
+def record_change(change: PaceChange) -> None:
+    """Count and log that the pace of an upstream was lowered or set anew."""
+    CHANGES.labels(change.reason).inc()
+    fields = {
+        "service": change.upstream.service,
+        "upstream": change.upstream.upstream,
+        "reason": change.reason,
+        "before_per_s": round(change.before_per_s, 2),
+        "per_s": round(change.per_s, 2),
+    }
+    if change.reason in {STARTED, NEW_PROCESS}:
+        log_event("pace_started", **fields)
+    else:
+        log_event("pace_lowered", **fields)
 
 
 def count_leased(needs: list[PaceNeed], lots: list[PaceLot]) -> None:
