--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -1,6 +1,7 @@
 """Session of a node with the control leader: pings, the feed and requests."""
 
 import contextlib
+import math
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -53,10 +54,6 @@
 # Two ping intervals: a slower reply delays the next ping.
 _SLOW_PING_MS = 2 * constants.PING_INTERVAL_MS
 _LOGGED_AGE_MAX_MS = 1e9
-# A requested ping is sent this long after the last one at the earliest. Together with a
-# round trip, it is less than the time that the most urgent requests wait for a token,
-# about 60 ms.
-EARLY_PING_INTERVAL_MS = 25
 
 
 class SessionObserver(Protocol):
@@ -125,7 +122,9 @@
         self._clock = clock
         self._observer = observer
         self._payload = payload
-        self._ping_requested = False
+        # Time of the next ping ahead of its interval, if it was requested.
+        self._early_ping_at_ms = math.inf
+        self._pinged_at_ms = -math.inf
         self._wake = Event()
         self._client: StreamClient | None = None
         self._replica_cursor = 0
@@ -164,7 +163,12 @@
 
     def ping_now(self) -> None:
         """Send the next ping without waiting for the interval."""
-        self._ping_requested = True
+        self.ping_after(0.0)
+
+    def ping_after(self, interval_ms: float) -> None:
+        """Send the next ping this long after the last one, if that is early."""
+        due_ms = self._pinged_at_ms + interval_ms
+        self._early_ping_at_ms = min(self._early_ping_at_ms, due_ms)
         self._wake.set()
 
     def call(self, msg: Message, timeout_ms: float = _CALL_TIMEOUT_MS) -> Message:
@@ -227,7 +231,8 @@
             ) from exc
         pings = PingsInFlight(conn, self._clock, self._wake)
         while client is self._client:
-            self._ping_requested = False
+            self._early_ping_at_ms = math.inf
+            self._pinged_at_ms = self._clock.now_ms()
             if pings.has_room():
                 has_payload = not pings.has_payload()
                 pings.send(self._build_ping(has_payload), has_payload)
@@ -236,14 +241,14 @@
 
     def _handle_replies(self, client: StreamClient, pings: PingsInFlight) -> None:
         """Handle replies until the next ping is due; raises LeaderLostError."""
-        sent_at_ms = self._clock.now_ms()
-        due_ms = sent_at_ms + constants.PING_INTERVAL_MS
+        interval_ends_ms = self._clock.now_ms() + constants.PING_INTERVAL_MS
         while client is self._client:
             self._wake.clear()
             for answer in pings.take_answered():
                 self._on_reply(client, answer)
-            if self._ping_requested and not pings.has_payload():
-                due_ms = min(due_ms, sent_at_ms + EARLY_PING_INTERVAL_MS)
+            due_ms = interval_ends_ms
+            if not pings.has_payload():
+                due_ms = min(due_ms, self._early_ping_at_ms)
             left_ms = due_ms - self._clock.now_ms()
             if left_ms <= 0:
                 return
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -235,7 +235,7 @@
         )
         if self._direct is not None:
             self._direct.tokens.request_ping = self.control.ping_now
-            self._direct.paces.request_ping = self.control.ping_now
+            self._direct.paces.request_ping = self.control.ping_after
             return Stages(
                 self._direct.tokens, NoClaims(), self._direct.permits, forward
             )
--- a/bergamotdrift/leader_pace_client.py
+++ b/bergamotdrift/leader_pace_client.py
@@ -5,7 +5,7 @@
 token it needs next: tokens are requested for the requests that wait.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
@@ -43,6 +43,15 @@
 })
 
 
+# A ping for tokens is sent this long after the last ping at the earliest. Together with
+# a round trip, it is less than the time that the most urgent requests wait for a token,
+# about 60 ms.
+EARLY_PING_INTERVAL_MS = 25.0
+# In a large fleet the interval is longer, so that the leader gets about 6,700 pings a
+# second at most, half of what it can answer.
+_EARLY_PING_PER_ENTRY_MS = 0.15
+
+
 class Response(NamedTuple):
     """Describe how an attempt at a cold upstream ended.
 
@@ -132,12 +141,17 @@
         self._waiting: dict[Any, _Waiting] = {}
         self._answered_at_ms = clock.now_ms()
         self._changed = Event()
-        # Set by the owner of the control session; sends a ping ahead of its interval.
-        self.request_ping = lambda: None
+        # Set by the owner of the control session; sends a ping ahead of its interval,
+        # the given time after the last one.
+        self.request_ping: Callable[[float], None] = lambda interval_ms: None
+        self._ping_interval_ms = EARLY_PING_INTERVAL_MS
 
     def update(self, members: frozenset[str], upstreams: set[UpstreamId]) -> None:
         """Apply the entries and upstreams that exist."""
         self.share.set_members(members)
+        self._ping_interval_ms = max(
+            EARLY_PING_INTERVAL_MS, _EARLY_PING_PER_ENTRY_MS * len(members)
+        )
         self.share.retain({key.upstream for key in upstreams})
         self._upstreams = {k: u for k, u in self._upstreams.items() if k in upstreams}
 
@@ -198,7 +212,7 @@
         self._waiting[request] = _Waiting(key, end_ms, rank)
         free_at_ms = self.free_at_ms(key)
         if free_at_ms is None:
-            self.request_ping()
+            self.request_ping(self._ping_interval_ms)
         return free_at_ms
 
     def end_wait(self, request: Any) -> None:
--- a/bergamotdrift/tests/pace_simulation.py
+++ b/bergamotdrift/tests/pace_simulation.py
@@ -19,9 +19,12 @@
     SiteSettings,
 )
 from bergamotdrift.constants import PING_INTERVAL_MS
-from bergamotdrift.control_client import EARLY_PING_INTERVAL_MS
 from bergamotdrift.feed_tables import UpstreamId
-from bergamotdrift.leader_pace_client import LeaderPaceClient, Response
+from bergamotdrift.leader_pace_client import (
+    EARLY_PING_INTERVAL_MS,
+    LeaderPaceClient,
+    Response,
+)
 from bergamotdrift.pace_buckets import PaceBuckets
 
 PER_S = 8.3
@@ -82,10 +85,10 @@
             self.ping()
         self.sim.after(PING_INTERVAL_MS, self.on_interval, self)
 
-    def ping_early(self):
+    def ping_early(self, interval_ms=EARLY_PING_INTERVAL_MS):
         if not self.early_due:
             self.early_due = True
-            left_ms = self.pinged_at_ms + EARLY_PING_INTERVAL_MS - self.sim.now
+            left_ms = self.pinged_at_ms + interval_ms - self.sim.now
             self.sim.after(max(0.0, left_ms), self.on_early, self)
 
     def on_early(self):
--- a/bergamotdrift/tests/test_cold_dispatch.py
+++ b/bergamotdrift/tests/test_cold_dispatch.py
@@ -4,8 +4,7 @@
 import gevent
 
 from bergamotdrift.constants import PING_INTERVAL_MS
-from bergamotdrift.control_client import EARLY_PING_INTERVAL_MS
-from bergamotdrift.leader_pace_client import LeaderPaceClient
+from bergamotdrift.leader_pace_client import EARLY_PING_INTERVAL_MS, LeaderPaceClient
 from bergamotdrift.messages import Ping, UpstreamState
 from bergamotdrift.tests.direct_entry import BUSY, SETTINGS, DirectEntryTestCase
 
--- a/bergamotdrift/tests/test_leader_pace_client.py
+++ b/bergamotdrift/tests/test_leader_pace_client.py
@@ -26,10 +26,12 @@
         self.client = LeaderPaceClient(self.clock, "e1", self.bound)
         self.client.update(frozenset({"e1"}), {KEY})
         self.pings = 0
+        self.interval_ms = 0.0
         self.client.request_ping = self.count_ping
 
-    def count_ping(self):
+    def count_ping(self, interval_ms):
         self.pings += 1
+        self.interval_ms = interval_ms
 
     def take_lot(self, tokens, wait_ms=0, asked_ms=None):
         asked_ms = self.clock.now_ms() if asked_ms is None else asked_ms
@@ -77,6 +79,14 @@
         self.assertIsNone(self.client.start_wait("r", KEY, NOW_MS + 60, 0))
         self.assertEqual(self.pings, 1)
 
+    # The leader can answer about 13,000 pings a second.
+    def test_pings_of_a_large_fleet_are_rarer(self):
+        for entries, interval_ms in ((54, 25.0), (86, 25.0), (830, 124.5)):
+            members = frozenset(f"e{number}" for number in range(entries))
+            self.client.update(members, {KEY})
+            self.client.start_wait("r", KEY, NOW_MS + 60, 0)
+            self.assertEqual(self.interval_ms, interval_ms)
+
     def test_unused_tokens_are_returned_and_use_is_stated_once(self):
         self.take_lot(2)
         self.client.take(KEY)
