--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -233,6 +233,7 @@
                 return selection
             timeout_ms = min(left_ms, _RECHECK_MS)
             if selection.cold is None:
+                self._selector.paces.end_wait(waiter)
                 waiter.fut.wait(timeout_ms / 1000.0)
             else:
                 self._selector.paces.wait(
