Wait with the first placement until no further upstream joins

Cause: the keys of a ranged service were assigned 1.5 s after its first upstream had registered. Upstreams that start together register over 1.8 s, so 4 of 13 got no keys at first, and the others carried their load until handovers had moved it. Change: the placement waits until no upstream has joined for 1 s, 3 s at most. The decision has a module of its own.

--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -8,6 +8,7 @@
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.feed_tables import UpstreamId
+from bergamotdrift.first_placement import FirstPlacement
 from bergamotdrift.key_loads import KeyLoads
 from bergamotdrift.load_ranking import LoadRanking
 from bergamotdrift.messages import (
@@ -41,9 +42,6 @@
 from bergamotdrift.range_move_limits import changes_allowed, max_moves, noise_margin
 from bergamotdrift.upstream_speeds import UpstreamSpeeds
 
-# Waits for upstreams that start together, so that the first one is not assigned all
-# keys.
-FIRST_PLACEMENT_DELAY_MS = 1500.0
 BALANCE_INTERVAL_MS = 500.0
 # Announcements arrive about once per second, and may be late.
 MAX_ANNOUNCEMENT_AGE_MS = 4000.0
@@ -78,7 +76,7 @@
         self._yield_to_loop = yield_to_loop
         self.leases = new_leases(opened_at_ms)
         self._loads: dict[str, KeyLoads] = {}
-        self._first_seen_ms: dict[str, float] = {}
+        self._first_placements: dict[str, FirstPlacement] = {}
         self._moves = PlannedMoves()
         self.speeds = UpstreamSpeeds()
         self._balanced_at_ms = opened_at_ms
@@ -324,8 +322,10 @@
         return self._planner._moves.target_of(row) or row.upstream
 
     def _initial_placement(self) -> list[Message]:
-        first_ms = self._planner._first_seen_ms.setdefault(self._service, self._now_ms)
-        if self._now_ms - first_ms < FIRST_PLACEMENT_DELAY_MS:
+        placement = self._planner._first_placements.setdefault(
+            self._service, FirstPlacement(self._now_ms)
+        )
+        if not placement.is_due(self._eligible, self._now_ms):
             return []
         rows = []
         count = len(self._eligible)
