Run pipelined idempotent requests concurrently

A second request on a caller's connection was read only after the first answer, so callers that pipeline waited for one request at a time.

Requests behind an idempotent one without a body are now read ahead and run in greenlets of their own, up to 4 per connection. Their answers wait in buffers of 128 KiB per connection until their turn, and go straight to the socket from then on. read_ahead.py decides what may be read, from the route's setting. One watch per connection replaces one per request; it ends all requests in progress when the caller leaves, also while unread data hides the end of the stream.

--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -90,7 +90,7 @@
         )
         self._tokens = TokenClient(self.arbiters, clock, self._rate_of)
         self._pipeline = self._new_pipeline()
-        self.app = EntryApp(self._pipeline, clock, dialect)
+        self.app = EntryApp(self._pipeline, clock, dialect, self._current_view)
         limits = HttpLimits(
             cfg.header_timeout_s,
             cfg.body_timeout_s,
@@ -98,7 +98,7 @@
             cfg.max_connections,
             idle_margin_s=_IDLE_MARGIN_S,
         )
-        self.server = HttpServer(cfg.listen, self.app, limits)
+        self.server = HttpServer(cfg.listen, self.app, limits, self.app.is_idempotent)
         self.admin = HttpServer(cfg.node.admin_listen, admin_app(self.is_ready))
         self._greenlets: list[gevent.Greenlet] = []
 
--- a/bergamotdrift/entry_server.py
+++ b/bergamotdrift/entry_server.py
@@ -12,12 +12,13 @@
     CallerGoneError,
     ErrorKind,
     Refusal,
+    RequestDroppedError,
     RequestError,
     TruncatedAnswerError,
 )
 from bergamotdrift.http_input import RequestHead
 from bergamotdrift.log import log_event
-from bergamotdrift.pipeline import Pipeline
+from bergamotdrift.pipeline import Pipeline, SettingsView
 from bergamotdrift.refusals import status_line
 from bergamotdrift.request import IncomingRequest, Reply
 from bergamotdrift.stages.reply import refusal_reply
@@ -31,10 +32,17 @@
 class EntryApp:
     """Handle HTTP requests through the pipeline and count those in flight."""
 
-    def __init__(self, pipeline: Pipeline, clock: Clock, dialect: Dialect = NATIVE):
+    def __init__(
+        self,
+        pipeline: Pipeline,
+        clock: Clock,
+        dialect: Dialect = NATIVE,
+        view: Callable[[], SettingsView | None] = lambda: None,
+    ):
         self._pipeline = pipeline
         self._clock = clock
         self._dialect = dialect
+        self._view = view
         self._open: set[_ReplyBody] = set()
 
     @property
@@ -42,6 +50,15 @@
         """Number of requests that are read or answered."""
         return len(self._open)
 
+    def is_idempotent(self, head: RequestHead) -> bool:
+        """Return whether the current settings mark the route of a request as such."""
+        view = self._view()
+        if view is None:
+            return False
+        host = head.fields.get("host", [""])[0]
+        match = view.routes.match(head.method, head.target, host)
+        return match.map(lambda found: found.route.idempotent).value_or(False)
+
     def add(self, body: "_ReplyBody") -> None:
         """Count a request as running."""
         self._open.add(body)
@@ -58,8 +75,7 @@
         for body in list(self._open):
             log_event(
                 "request_unfinished",
-                request=body.environ.get(_REQUEST_ID_KEY, ""),
-                path=body.environ["PATH_INFO"][:_LOGGED_PATH_CHARS],
+                **_names(body.environ),
                 after_ms=round(now_ms - body.started_ms),
                 answering=body.reply is not None,
             )
@@ -68,7 +84,7 @@
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> "_ReplyBody":
         """Serve one request as a WSGI application."""
-        watch = DisconnectWatch(environ["bergamotdrift.socket"])
+        watch = DisconnectWatch(environ["bergamotdrift.caller_watch"])
         body = _ReplyBody(self, watch, environ, self._clock.now_ms())
         try:
             body.reply = self._reply(environ, watch)
@@ -76,13 +92,10 @@
             start_response(status_line(reply.status), reply.headers)
         except BaseException as exc:
             body.close()
-            if isinstance(exc, CallerGoneError):
-                log_event(
-                    "caller_gone",
-                    request=environ.get(_REQUEST_ID_KEY, ""),
-                    path=environ["PATH_INFO"][:_LOGGED_PATH_CHARS],
-                    running=self.running,
-                )
+            if isinstance(exc, RequestDroppedError):
+                log_event("request_dropped", reason=str(exc), **_names(environ))
+            elif isinstance(exc, CallerGoneError):
+                log_event("caller_gone", **_names(environ), running=self.running)
             raise
         return body
 
@@ -120,6 +133,14 @@
         return secrets.token_hex(_REQUEST_ID_BYTES)
 
 
+def _names(environ: dict[str, Any]) -> dict[str, str]:
+    """Return the fields that name a request in log lines."""
+    return {
+        "request": environ.get(_REQUEST_ID_KEY, ""),
+        "path": environ["PATH_INFO"][:_LOGGED_PATH_CHARS],
+    }
+
+
 class _ReplyBody:
     """Iterate over a reply's body and release its resources at the end."""
 
--- a/bergamotdrift/exceptions.py
+++ b/bergamotdrift/exceptions.py
@@ -158,6 +158,10 @@
     """Report that the caller closed its connection before the answer was sent."""
 
 
+class RequestDroppedError(CallerGoneError):
+    """Report that a request read ahead is dropped, as its connection ends before it."""
+
+
 class TruncatedAnswerError(BergamotdriftError):
     """Report an upstream answer that ended early.
 
--- a/bergamotdrift/http_handler.py
+++ b/bergamotdrift/http_handler.py
@@ -1,46 +1,43 @@
-"""Connection handler for gevent's pywsgi that enforces time and size limits."""
+"""Handler of a caller's connection that enforces time and size limits."""
 
 import contextlib
-import io
 import socket
 import struct
 import time
 from typing import Any
 
-import gevent
-from gevent import pywsgi
-
+from bergamotdrift.answer_buffer import AnswerBuffer
+from bergamotdrift.caller import CallerWatch
 from bergamotdrift.connection_ends import (
     ConnectionEnd,
     EndedConnection,
     record_end,
 )
-from bergamotdrift.exceptions import (
-    ERROR_ANSWERS,
-    CallerGoneError,
-    ErrorKind,
-    Refusal,
-    RequestError,
-    TruncatedAnswerError,
-)
+from bergamotdrift.exceptions import CallerGoneError, RequestError
+from bergamotdrift.http_exchange import HttpExchange, send_refusal
 from bergamotdrift.http_input import (
     BodyReader,
-    HeaderLine,
     HttpLimits,
     RequestHead,
     SocketReader,
-    count_unread,
     parse_head,
     peer_has_closed,
 )
 from bergamotdrift.log import log_event
-from bergamotdrift.refusals import refusal_body, refusal_headers, status_line
+from bergamotdrift.read_ahead import (
+    RequestTraits,
+    StopReason,
+    has_body,
+    stop_before,
+    stop_behind,
+)
+from bergamotdrift.read_ahead_metrics import STOPS
 from bergamotdrift.request_wait import RequestWait
+from bergamotdrift.requests_ahead import RequestsAhead
+from bergamotdrift.socket_state import count_unread
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-# After a refusal, bodies up to this size are read to the end to keep the connection
-# alive.
-_MAX_DISCARD_BYTES = 64 * 1024
+_DISCARD_BYTES = 64 * 1024
 # A connection lingers while its caller sends at least `_LINGER_MIN_BYTES` in this time.
 LINGER_TIMEOUT_S = 0.5
 _LINGER_MIN_BYTES = 1024
@@ -49,26 +46,27 @@
 _ARRIVED_TIMEOUT_S = 1.0
 # Time that the first request of a new connection has at a stop.
 _FIRST_REQUEST_S = 0.2
-_BODY_KEY = "bergamotdrift.body"
 _LINGERING_ENDS = frozenset({ConnectionEnd.ANSWERED, ConnectionEnd.REFUSED})
+_ANSWER_CLOSES = "answer_closes"
 
 
-class LimitedHandler(pywsgi.WSGIHandler):
-    """Serve the requests of one connection within the server's limits."""
+class LimitedHandler:
+    """Serve the requests of one connection within the server's limits.
 
-    server: Any
-    socket: Any
-    environ: Any
-    provided_content_length: str | None
-    _head: RequestHead
-    _body: BodyReader
+    Requests run one at a time in the greenlet of the connection, and those read ahead
+    of their turn in greenlets of their own.
+    """
 
     def __init__(self, sock: Any, address: Any, server: Any):
-        super().__init__(sock, address, server, rfile=io.BytesIO())
+        self.server = server
+        self.client_address = address
+        self.watch = CallerWatch(sock, self._on_data)
+        self._socket = sock
         self._reader = SocketReader(sock)
         self._request_wait = RequestWait(sock)
-        self._aborted = False
-        self._caller_has_left = False
+        self._ahead = RequestsAhead(server.held_answers)
+        self._current: HttpExchange | None = None
+        self._logged_stops: frozenset[StopReason] = frozenset()
         self._answers = 0
         self._idle_since_s = time.monotonic()
         self._idle_timeout_s = 0.0
@@ -77,7 +75,8 @@
 
     @property
     def _limits(self) -> HttpLimits:
-        return self.server.limits
+        limits: HttpLimits = self.server.limits
+        return limits
 
     def handle(self) -> None:
         """Serve requests until the connection ends."""
@@ -87,22 +86,40 @@
         except (OSError, CallerGoneError) as exc:
             end, detail = ConnectionEnd.CALLER_LOST, str(exc)
         finally:
+            self._log_dropped(self._ahead.drop_all(end.value), end.value)
             self._close(end)
             self._record_end(end, detail)
 
+    def has_request_behind(self, exchange: HttpExchange) -> bool:
+        """Return whether another request has arrived behind that of an exchange."""
+        if not exchange.body_at_end:
+            return False
+        if self._ahead.last not in {None, exchange}:
+            return True
+        return self._reader.has_data or peer_has_closed(self._socket) is None
+
+    def on_closing(self, exchange: HttpExchange) -> None:
+        """Drop the requests behind an exchange whose response ends the connection."""
+        if exchange is self._current:
+            count = self._ahead.drop_all(_ANSWER_CLOSES)
+        else:
+            count = self._ahead.drop_behind(exchange, _ANSWER_CLOSES)
+        self._log_dropped(count, _ANSWER_CLOSES)
+
     def _serve_requests(self) -> ConnectionEnd:
         """Serve requests and return why the connection ends; raises CallerGoneError."""
         while (end := self._wait_for_request()) is None:
             end = self._serve_one()
             if end is not None:
                 return end
+            self._current = None
             self._idle_since_s = time.monotonic()
             self._idle_timeout_s = 0.0
         return end
 
     def _wait_for_request(self) -> ConnectionEnd | None:
         """Wait for data and return None, or why the connection ends without any."""
-        if self._reader.has_data:
+        if self._ahead or self._reader.has_data:
             return None
         waits = self.server.request_waits
         waits.add(self._request_wait)
@@ -130,190 +147,133 @@
         return self._idle_since_s + self._idle_timeout_s + self._limits.idle_margin_s
 
     def _serve_one(self) -> ConnectionEnd | None:
-        """Serve a request; return why the connection ends, or None to keep it."""
+        """Answer a request; return why the connection ends, or None to keep it."""
+        ahead = self._ahead.take()
+        if ahead is not None:
+            exchange = self._current = ahead.exchange
+            self._read_ahead()
+            self.watch.resume()
+            self._socket.settimeout(self._limits.body_timeout_s)
+            ahead.deliver(self._socket)
+            return self._end_after(exchange)
         try:
-            data = self._reader.read_head(self._limits)
-            self._head = parse_head(data, self._limits)
+            head = parse_head(self._reader.read_head(self._limits), self._limits)
         except RequestError as exc:
-            self._refuse(exc.refusal)
+            send_refusal(self._socket, exc.refusal)
             return ConnectionEnd.REFUSED
-        self._apply_head(self._head)
-        self.environ = self.get_environ()
-        self.application = self.server.application
-        self.socket.settimeout(self._limits.body_timeout_s)
-        self.handle_one_response()
-        # Idle connections should not hold buffers.
-        self.environ = None
-        if self._aborted:
+        exchange = self._current = self._new_exchange(head, self._socket)
+        if self._reader.has_data:
+            self._read_ahead()
+        self._socket.settimeout(self._limits.body_timeout_s)
+        exchange.handle_one_response()
+        return self._end_after(exchange)
+
+    def _end_after(self, exchange: HttpExchange) -> ConnectionEnd | None:
+        if exchange.aborted:
             return ConnectionEnd.ANSWER_ABORTED
-        if self._caller_has_left:
+        if exchange.caller_has_left:
             return ConnectionEnd.CALLER_LOST
         self._answers += 1
-        if self.close_connection or not self._discard_body():
+        if exchange.close_connection or not exchange.discard_body():
             return ConnectionEnd.ANSWERED
         return None
 
-    def _apply_head(self, head: RequestHead) -> None:
-        self.command = head.method
-        self.path = head.target
-        self.request_version = f"HTTP/1.{head.minor_version}"
-        self.close_connection = not head.keep_alive
-        self.content_length = head.length
-        self._body = BodyReader(
-            self._reader, head, self.socket, self._limits.body_timeout_s
-        )
-
-    def get_environ(self) -> dict[str, Any]:
-        """Return the WSGI environ of the current request."""
-        env = self.server.get_environ()
-        path, _, query = self.path.partition("?")
-        env["REQUEST_METHOD"] = self.command
-        env["SCRIPT_NAME"] = ""
-        env["PATH_INFO"] = pywsgi.unquote_latin1(path)
-        env["RAW_URI"] = self.path
-        env["QUERY_STRING"] = query
-        env["SERVER_PROTOCOL"] = self.request_version
-        env["REMOTE_ADDR"] = str(self.client_address[0])
-        env["bergamotdrift.head"] = self._head
-        env["bergamotdrift.socket"] = self.socket
-        env[_BODY_KEY] = self._body
-        env["wsgi.input"] = io.BufferedReader(self._body)
-        env["wsgi.input_terminated"] = True
-        for line in self._head.headers:
-            _add_header(env, line)
-        return env
-
-    def start_response(
-        self, status: str, headers: list[tuple[str, str]], exc_info: Any = None
-    ) -> Any:
-        """Start the response; disable keep-alive if the body can't be discarded."""
-        is_last = self.server.draining and not self._next_request_has_arrived()
-        if is_last or not self._body_can_be_discarded():
-            self.close_connection = True
-        writer = super().start_response(status, headers, exc_info)
-        if self.close_connection and not self._has_connection_header():
-            self.response_headers.append((b"Connection", b"close"))
-        return writer
-
-    def finalize_headers(self) -> None:
-        """Complete the headers; a response to HEAD gets no framing headers added."""
-        if self.command == "HEAD" and self.provided_content_length is None:
-            self.provided_content_length = "unstated"
-        super().finalize_headers()
-        unframed = self.provided_content_length is None and not (
-            self.response_use_chunked or hasattr(self.result, "__len__")
-        )
-        if unframed and self.code not in {204, 304}:
-            self.close_connection = True
-        timeout_s = int(self._limits.idle_timeout_s)
-        if timeout_s and not self.close_connection:
-            stated = b"timeout=%d" % timeout_s
-            self.response_headers.append((b"Keep-Alive", stated))
-
-    def _write_with_headers(self, data: Any) -> None:
-        """Send the headers and the first part of the body in a single write."""
-        sock, writer = self.socket, _WriteBuffer()
-        self.socket = writer
-        try:
-            super()._write_with_headers(data)
-        finally:
-            self.socket = sock
-        self.socket.sendall(bytes(writer.data))
-
-    def _write(self, data: Any, _bytearray: Any = bytearray) -> None:
-        if self.command != "HEAD":
-            super()._write(data)
-
-    def process_result(self) -> None:
-        """Send the response; exceptions of the result may abort the connection."""
-        try:
-            super().process_result()
-        except (CallerGoneError, TruncatedAnswerError) as exc:
-            log_event("answer_aborted", reason=str(exc))
-            self._abort()
-
-    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
-        """Log an error without traceback locals and respond with 500 if possible."""
-        if issubclass(t, CallerGoneError):
-            self._caller_has_left = True
-        else:
-            log_event("http_error", error=f"{t.__name__}: {v}"[:200])
-        self.close_connection = True
-        if issubclass(t, OSError) or self.headers_sent:
-            self._abort()
-        else:
-            self._refuse(Refusal(ErrorKind.INTERNAL))
-
-    def handle_one_response(self) -> None:
-        """Run the application for the current request."""
-        self.time_start = time.time()
-        self.status = None
-        self.headers_sent = False
-        self.result = None
-        self.response_use_chunked = False
-        self.response_length = 0
-        try:
-            self.run_application()
-        except gevent.GreenletExit:
-            raise
-        except Exception as exc:
-            self.handle_error(type(exc), exc, None)
+    def _new_exchange(self, head: RequestHead, output: Any) -> HttpExchange:
+        timeout_s = self._limits.body_timeout_s
+        body = BodyReader(self._reader, head, self._socket, timeout_s)
+        return HttpExchange(self, head, body, output)
 
-    def _has_connection_header(self) -> bool:
-        return any(name.lower() == b"connection" for name, _ in self.response_headers)
-
-    def _next_request_has_arrived(self) -> bool:
-        if not self._body.at_end:
+    def _on_data(self) -> bool:
+        """Read ahead what has arrived; return whether to read more."""
+        stop = self._stop_behind()
+        if stop is not None:
+            self._count_stop(stop)
             return False
-        return self._reader.has_data or peer_has_closed(self.socket) is None
-
-    def _body_can_be_discarded(self) -> bool:
-        if self._body.at_end:
-            return True
-        left = self._body.remaining_bytes
-        small = left is not None and left <= _MAX_DISCARD_BYTES
-        return small and not (self._body.needs_continue or self._body.failed)
+        self._reader.receive_arrived()
+        return self._read_ahead()
+
+    def _read_ahead(self) -> bool:
+        """Start the received requests that may run now; return whether to read more."""
+        while self._reader.has_data:
+            found = self._peek_next()
+            if found is None:
+                return True
+            if isinstance(found, StopReason):
+                self._count_stop(found)
+                return False
+            self._reader.read_head(self._limits)
+            buffer = AnswerBuffer(self._ahead.held, self._limits.max_ahead_bytes)
+            self._ahead.start(self._new_exchange(found, buffer), buffer)
+        return True
 
-    def _discard_body(self) -> bool:
+    def _peek_next(self) -> RequestHead | StopReason | None:
+        """Return the next head if it may run now, else why not; None if incomplete."""
+        stop = self._stop_behind()
+        if stop is not None:
+            return stop
         try:
-            while not self._body.at_end:
-                self._body.readinto(bytearray(_MAX_DISCARD_BYTES))
-        except (RequestError, CallerGoneError):
-            return False
-        return True
+            data = self._reader.peek_head(self._limits)
+            if data is None:
+                return None
+            head = parse_head(data, self._limits)
+        except RequestError:
+            # It is refused in its turn.
+            return StopReason.INVALID
+        traits = RequestTraits(self.server.is_idempotent(head), has_body(head))
+        return stop_before(traits) or head
+
+    def _stop_behind(self) -> StopReason | None:
+        last = self._ahead.last or self._current
+        if last is None:
+            return None
+        return stop_behind(last.traits, self._ahead.load, self._limits)
+
+    def _count_stop(self, reason: StopReason) -> None:
+        STOPS.labels(reason.value).inc()
+        # A caller that pipelines all the time would write a line for each request.
+        if reason in self._logged_stops:
+            return
+        self._logged_stops |= {reason}
+        load = self._ahead.load
+        log_event(
+            "read_ahead_stopped",
+            caller=self._caller,
+            reason=reason.value,
+            requests=load.requests,
+            held_bytes=load.held_bytes,
+        )
 
-    def _refuse(self, refusal: Refusal) -> None:
-        """Send a refusal and close the connection; raises OSError."""
-        body = refusal_body(refusal, "")
-        headers = [*refusal_headers(refusal, body, ""), ("Connection", "close")]
-        lines = [f"HTTP/1.1 {status_line(ERROR_ANSWERS[refusal.kind].status)}"]
-        lines += [f"{name}: {value}" for name, value in headers]
-        data = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
-        self.close_connection = True
-        self.socket.settimeout(LINGER_TIMEOUT_S)
-        self.socket.sendall(data)
+    def _log_dropped(self, count: int, reason: str) -> None:
+        if count:
+            log_event(
+                "requests_dropped", caller=self._caller, reason=reason, requests=count
+            )
 
-    def _abort(self) -> None:
-        """Reset the connection, so that the caller detects the truncated response."""
-        self.close_connection = True
-        self._aborted = True
-        with contextlib.suppress(OSError):
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    @property
+    def _caller(self) -> str:
+        return f"{self.client_address[0]}:{self.client_address[1]}"
 
     def _close(self, end: ConnectionEnd) -> None:
+        self._current = None
+        self.watch.close()
         self._request_wait.close()
         # Elsewhere no answer is on its way that a reset could destroy, and the reset
         # tells the caller that its next request was not read.
         if end in _LINGERING_ENDS:
-            self._discarded_bytes = lingering_close(self.socket)
-        self._unread_bytes = count_unread(self.socket)
+            self._discarded_bytes = lingering_close(self._socket)
+        self._unread_bytes = count_unread(self._socket)
         with contextlib.suppress(OSError):
-            self.socket.close()
+            if end is ConnectionEnd.ANSWER_ABORTED:
+                # The caller detects the truncated response by the reset.
+                self._socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+            self._socket.close()
 
     def _record_end(self, end: ConnectionEnd, detail: str) -> None:
         idle_s = time.monotonic() - self._idle_since_s
         ended = EndedConnection(
-            f"{self.client_address[0]}:{self.client_address[1]}",
+            self._caller,
             self._answers,
             round(idle_s * 1000.0),
             self._discarded_bytes,
@@ -336,7 +296,7 @@
         sock.shutdown(socket.SHUT_WR)
         while (left_s := min(end_s, pause_end_s) - time.monotonic()) > 0:
             sock.settimeout(left_s)
-            data = sock.recv(_MAX_DISCARD_BYTES)
+            data = sock.recv(_DISCARD_BYTES)
             if not data:
                 break
             discarded += len(data)
@@ -344,27 +304,3 @@
             if recent >= _LINGER_MIN_BYTES:
                 recent, pause_end_s = 0, time.monotonic() + LINGER_TIMEOUT_S
     return discarded
-
-
-class _WriteBuffer:
-    """Stand in for a socket and buffer what pywsgi sends."""
-
-    def __init__(self) -> None:
-        self.data = bytearray()
-
-    def sendall(self, data: bytes) -> None:
-        """Append data to the buffer."""
-        self.data += data
-
-
-def _add_header(env: dict[str, Any], line: HeaderLine) -> None:
-    if "_" in line.name:
-        return
-    key = line.name.upper().replace("-", "_")
-    if key not in {"CONTENT_TYPE", "CONTENT_LENGTH"}:
-        key = "HTTP_" + key
-    if key in env:
-        separator = "; " if key == "HTTP_COOKIE" else ","
-        env[key] += separator + line.value
-    else:
-        env[key] = line.value
--- a/bergamotdrift/http_input.py
+++ b/bergamotdrift/http_input.py
@@ -1,12 +1,10 @@
 """Reading of HTTP/1.1 requests from a socket within time and size limits."""
 
-import fcntl
+import contextlib
 import io
 import re
 import socket
-import termios
 import time
-from array import array
 from typing import Any, NamedTuple
 
 from gevent import get_hub
@@ -32,6 +30,9 @@
     """Limits of a server; times are in seconds.
 
     Answers state `idle_timeout_s`, and a connection is closed `idle_margin_s` later.
+    Behind the request that is answered, a connection runs up to `max_ahead_requests`
+    more. It starts none while their answers hold `max_ahead_bytes`, or those of all
+    connections `max_ahead_total_bytes`.
     """
 
     header_timeout_s: float = 5.0
@@ -41,6 +42,11 @@
     max_header_bytes: int = 16 * 1024
     max_headers: int = 100
     idle_margin_s: float = 0.0
+    max_ahead_requests: int = 4
+    # Two answers of the largest size that is received whole before it is passed on.
+    max_ahead_bytes: int = 128 * 1024
+    # About 5 % of the memory of the smallest entry, 152 MB.
+    max_ahead_total_bytes: int = 8 * 1024 * 1024
 
 
 class HeaderLine(NamedTuple):
@@ -96,6 +102,26 @@
         self._buf += data
         return bool(data)
 
+    def receive_arrived(self) -> None:
+        """Receive data that has arrived, without waiting.
+
+        A lost connection is left to the next read or write.
+        """
+        with contextlib.suppress(OSError):
+            self._buf += socket.socket.recv(
+                self._sock._sock, _RECEIVE_BYTES, socket.MSG_DONTWAIT
+            )
+
+    def peek_head(self, limits: HttpLimits) -> bytes | None:
+        """Return the bytes before the empty line if they have arrived, else None.
+
+        They remain to be read. Raises RequestError.
+        """
+        end = self._buf.find(_HEAD_END)
+        if (len(self._buf) if end < 0 else end) > limits.max_header_bytes:
+            raise RequestError(ErrorKind.HEADERS_TOO_LARGE)
+        return None if end < 0 else bytes(self._buf[:end])
+
     def read_head(self, limits: HttpLimits) -> bytes:
         """Return the bytes before the empty line.
 
@@ -337,16 +363,6 @@
     return None if data else True
 
 
-def count_unread(sock: Any) -> int:
-    """Return the number of received bytes that were not read."""
-    size = array("i", [0])
-    try:
-        fcntl.ioctl(sock.fileno(), termios.FIONREAD, size)
-    except OSError:  # the socket is closed
-        return 0
-    return size[0]
-
-
 def read_watcher(sock: Any) -> Any:
     """Return a stopped watcher of the event loop for a readable socket."""
     return get_hub().loop.io(sock.fileno(), _READ_EVENT)
--- a/bergamotdrift/http_server.py
+++ b/bergamotdrift/http_server.py
@@ -9,6 +9,7 @@
 import gevent
 from gevent import pywsgi
 
+from bergamotdrift.answer_buffer import HeldTotal
 from bergamotdrift.connection_ends import (
     ConnectionEnd,
     EndedConnection,
@@ -20,12 +21,13 @@
     LimitedHandler,
     lingering_close,
 )
-from bergamotdrift.http_input import HttpLimits, count_unread
+from bergamotdrift.http_input import HttpLimits, RequestHead
 from bergamotdrift.idle_timeouts import IdleTimeouts
 from bergamotdrift.log import log_event
 from bergamotdrift.metrics import MetricsResource
 from bergamotdrift.refusals import refusal_body
 from bergamotdrift.request_wait import RequestWait
+from bergamotdrift.socket_state import count_unread
 from bergamotdrift.streams import parse_address
 
 # Refused connections beyond this number are closed without lingering.
@@ -42,10 +44,23 @@
 )
 
 
+def _never_idempotent(_: RequestHead) -> bool:
+    return False
+
+
 class _LimitedServer(pywsgi.WSGIServer):
-    """WSGI server that refuses connections above a limit."""
+    """WSGI server that refuses connections above a limit.
+
+    `is_idempotent` tells which requests may run beside others of their connection.
+    """
 
-    def __init__(self, listen: str, app: Callable[..., Any], limits: HttpLimits):
+    def __init__(
+        self,
+        listen: str,
+        app: Callable[..., Any],
+        limits: HttpLimits,
+        is_idempotent: Callable[[RequestHead], bool],
+    ):
         super().__init__(
             parse_address(listen),
             app,
@@ -54,10 +69,12 @@
             handler_class=LimitedHandler,
         )
         self.limits = limits
+        self.is_idempotent = is_idempotent
         self.idle_timeouts = IdleTimeouts(limits.idle_timeout_s)
         self.draining = False
         self.stopping = False
         self.open_connections = 0
+        self.held_answers = HeldTotal()
         self.request_waits: set[RequestWait] = set()
         self._refused = 0
 
@@ -101,15 +118,22 @@
 
 
 class HttpServer:
-    """Serve a WSGI application on an address, within limits."""
+    """Serve a WSGI application on an address, within limits.
+
+    Pipelined requests run concurrently if `is_idempotent` allows it, which is called in
+    the hub too and must not block.
+    """
 
     def __init__(
         self,
         listen: str,
         app: Callable[..., Any],
         limits: HttpLimits | None = None,
+        is_idempotent: Callable[[RequestHead], bool] = _never_idempotent,
     ):
-        self._server = _LimitedServer(listen, app, limits or HttpLimits())
+        self._server = _LimitedServer(
+            listen, app, limits or HttpLimits(), is_idempotent
+        )
 
     @property
     def address(self) -> str:
