--- a/bergamotdrift/tests/test_pipelining.py
+++ b/bergamotdrift/tests/test_pipelining.py
@@ -2,6 +2,7 @@
 import unittest
 
 import gevent
+from gevent.event import Event
 
 from bergamotdrift.arbiter_messages import PermitRequest
 from bergamotdrift.read_ahead_metrics import DROPPED, STARTED
@@ -127,6 +128,22 @@
         bodies = [found.body for found in caller.read_all(20)]
         self.assertEqual(bodies, [name.encode() for name in names])
 
+    def test_reading_goes_on_when_an_answer_makes_room(self):
+        names = ["a", "b", "c", "d", "e"]
+        self.assertEqual(len(names), 1 + MAX_AHEAD)
+        last = Event()
+        self.scripts["b"] = lambda: last.wait() and answer(b"b")
+        self.held.add("a")
+        caller = self.pipeline(*reads(*names))
+        self.wait_for(*names)
+        caller.send(*reads("f"))
+        self.assert_never_run("f")
+        self.release.set()
+        self.wait_for(*names, "f")
+        last.set()
+        bodies = [found.body for found in caller.read_all(6)]
+        self.assertEqual(bodies, [b"a", b"b", b"c", b"d", b"e", b"f"])
+
     def test_malformed_request_is_refused_after_the_answers_before_it(self):
         self.held.add("a")
         caller = self.pipeline(*reads("a"), b"G@T / HTTP/1.1\r\n\r\n", *reads("c"))
@@ -193,6 +210,18 @@
         with gevent.Timeout(1):
             self.assert_all_ended()
 
+    def test_requests_end_when_the_head_of_the_answer_tells_of_the_close(self):
+        # The answer to `a` goes on for as long as its deadline allows.
+        old = request(READ + "a", "Connection: keep-alive", version="1.0")
+        self.held.add("a")
+        self.scripts["a"] = lambda: chunked()[:-100]
+        self.scripts["b"] = lambda: gevent.sleep(5)
+        self.pipeline(old, *reads("b"))
+        self.wait_for("a", "b")
+        self.release.set()
+        self.wait_until(lambda: self.entry.app.running == 1, 1.0)
+        self.wait_until(lambda: not self.entry.app.running)
+
     def test_nothing_runs_behind_the_last_answer_of_a_drain(self):
         # The answer to `c` is ready and states the close before `d` arrives.
         self.held.add("a")
