Reset the connection if a request read ahead ends without an answer

Its greenlet could end without a response, for instance when it is killed; the next answer would then have been taken for its own. Such a request now counts as an aborted answer. Answers that were not sent whole are counted as failed instead of answered, and the log lines have tests.

--- a/bergamotdrift/read_ahead_metrics.py
+++ b/bergamotdrift/read_ahead_metrics.py
@@ -4,6 +4,7 @@
 
 STARTED = "started"
 ANSWERED = "answered"
+FAILED = "failed"
 DROPPED = "dropped"
 
 REQUESTS = Counter(
--- a/bergamotdrift/requests_ahead.py
+++ b/bergamotdrift/requests_ahead.py
@@ -9,7 +9,13 @@
 from bergamotdrift.exceptions import CallerGoneError, RequestDroppedError
 from bergamotdrift.http_exchange import HttpExchange
 from bergamotdrift.read_ahead import AheadLoad
-from bergamotdrift.read_ahead_metrics import ANSWERED, DROPPED, REQUESTS, STARTED
+from bergamotdrift.read_ahead_metrics import (
+    ANSWERED,
+    DROPPED,
+    FAILED,
+    REQUESTS,
+    STARTED,
+)
 from bergamotdrift.socket_state import count_unsent
 
 # Time for earlier answers to arrive before the connection is reset, which discards what
@@ -33,15 +39,17 @@
         None of an answer that has failed already is sent.
         """
         try:
-            if not (self.exchange.aborted or self.exchange.caller_has_left):
+            if not self._has_failed:
                 self._buffer.open(sock)
             elif self.exchange.aborted:
                 _wait_until_sent(sock)
             self._greenlet.join()
         except BaseException:
+            REQUESTS.labels(FAILED).inc()
             self.drop("the connection ended")
             raise
         self._buffer.discard()
+        REQUESTS.labels(FAILED if self._has_failed else ANSWERED).inc()
 
     def drop(self, reason: str) -> None:
         """End the request; if it has not started, it never runs."""
@@ -51,12 +59,20 @@
             self._greenlet.kill(block=False)
         self._buffer.discard()
 
+    @property
+    def _has_failed(self) -> bool:
+        return self.exchange.aborted or self.exchange.caller_has_left
+
     def _run(self) -> None:
         self._is_running = True
         try:
             self.exchange.handle_one_response()
         except (OSError, CallerGoneError):
             self.exchange.caller_has_left = True
+        except BaseException:
+            # Without an answer, the next one would be taken for it.
+            self.exchange.aborted = True
+            raise
 
 
 class RequestsAhead:
@@ -87,10 +103,7 @@
 
     def take(self) -> RequestAhead | None:
         """Remove and return the first request, whose turn it is; None without any."""
-        if not self._queue:
-            return None
-        REQUESTS.labels(ANSWERED).inc()
-        return self._queue.pop(0)
+        return self._queue.pop(0) if self._queue else None
 
     def drop_behind(self, exchange: HttpExchange, reason: str) -> int:
         """End the requests behind an exchange in the queue; return their number."""
--- a/bergamotdrift/tests/test_pipelining.py
+++ b/bergamotdrift/tests/test_pipelining.py
@@ -7,6 +7,7 @@
 from bergamotdrift.arbiter_messages import PermitRequest
 from bergamotdrift.read_ahead_metrics import DROPPED, STARTED
 from bergamotdrift.tests.direct_entry import DirectEntryTestCase
+from bergamotdrift.tests.log_capture import capture_log
 from bergamotdrift.tests.pipelining_support import (
     AUTHORIZED,
     CHANGE,
@@ -120,6 +121,7 @@
     def test_number_of_requests_is_bounded(self):
         names = [f"n{n}" for n in range(20)]
         self.held |= set(names)
+        log = capture_log(self)
         caller = self.pipeline(*reads(*names))
         self.wait_until(lambda: len(self.seen()) == 1 + MAX_AHEAD)
         gevent.sleep(0.2)
@@ -127,6 +129,9 @@
         self.release.set()
         bodies = [found.body for found in caller.read_all(20)]
         self.assertEqual(bodies, [name.encode() for name in names])
+        # One line for the connection, not one for each request that waited.
+        (line,) = log.of_event("read_ahead_stopped")
+        self.assertIn("reason=too_many_requests", line)
 
     def test_reading_goes_on_when_an_answer_makes_room(self):
         names = ["a", "b", "c", "d", "e"]
@@ -190,10 +195,14 @@
         caller = self.pipeline(old, *reads("b"))
         self.wait_until(lambda: len(waiting) == 2)
         dropped = count_of(DROPPED)
+        log = capture_log(self)
         self.release.set()
         self.close_with_unframed_answer(caller)
         self.wait_until(lambda: not self.entry.app.running)
         self.assertEqual(count_of(DROPPED), dropped + 1)
+        (line,) = log.of_event("requests_dropped")
+        self.assertIn("reason=answer_closes requests=1", line)
+        self.assertEqual(len(log.of_event("request_dropped")), 1)
         self.arbiter.reply_for = lambda msg: None
         self.assert_never_run("b")
         self.assert_all_ended()
--- a/bergamotdrift/tests/test_pipelining_failures.py
+++ b/bergamotdrift/tests/test_pipelining_failures.py
@@ -161,6 +161,8 @@
             gevent.sleep(0.1)
         if path == "/b":
             raise ValueError("test")
+        if path == "/killed":
+            raise gevent.GreenletExit
         start_response("200 OK", [("Content-Length", "2")])
         return [path.encode()]
 
@@ -172,6 +174,11 @@
         self.assertIn(b"Connection: close", rest)
         self.assertNotIn(b"/c", rest)
 
+    def test_request_that_ends_without_an_answer_ends_the_connection(self):
+        # Otherwise the next answer would be taken for its own.
+        with self.assertRaises(ConnectionResetError):
+            self.exchange(b"".join(request(path) for path in ("/a", "/killed", "/c")))
+
 
 class StopTests(PipeliningTestCase):
     """Guards against a stop that cuts off requests that were read ahead."""
