Admit requests by when they would be answered in sites without workspaces

Cause: waiting requests were held for 0.4 of their time, longer than the target of the most urgent kind; nothing predicted whether an answer could be on time; and requests for overloaded upstreams were refused by a new draw for each attempt, never at rank 0.

Change: finish_time.py predicts the answer from the stated load, its age, the speed of the upstream and the entry's own requests; deadline_admission.py decides, and refusals come at once with a jittered Retry-After (retry_times.py). A request is held for at most 0.15 of its target, in the order of rank and remaining time (waiting_order.py). Requests without an answer after several times the prediction are repeated where that is safe. The leader's overloads carry a salt, and refusals follow from a hash of caller, key and salt. Refused repetitions are not counted as load. Sites with workspaces are served as before.

--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -83,7 +83,7 @@
         """Add leased rate tokens, whose lease starts at `asked_at_ms`."""
         ...
 
-    def take_overloads(self, items: list[UpstreamOverload]) -> None:
+    def take_overloads(self, items: list[UpstreamOverload], salt: int) -> None:
         """Replace what is known of overloaded upstreams."""
         ...
 
@@ -185,7 +185,7 @@
         if isinstance(msg, FeedUpdate) and self._apply(msg):
             self._acknowledge(conn, msg)
         elif isinstance(msg, Overloads) and self._payload is not None:
-            self._payload.take_overloads(msg.items)
+            self._payload.take_overloads(msg.items, msg.salt)
 
     def _run(self) -> None:
         while True:
--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -92,9 +92,9 @@
         """Add leased rate tokens."""
         self.tokens.take_rates(lots, asked_at_ms)
 
-    def take_overloads(self, items: list[UpstreamOverload]) -> None:
+    def take_overloads(self, items: list[UpstreamOverload], salt: int) -> None:
         """Replace what is known of overloaded upstreams."""
-        self._selector.overloads.update(items, self._clock.now_ms())
+        self._selector.overloads.update(items, self._clock.now_ms(), salt)
 
     def _rate_of(self, workspace: str) -> float:
         found = self._workspace(workspace)
--- a/bergamotdrift/direct_load.py
+++ b/bergamotdrift/direct_load.py
@@ -5,10 +5,12 @@
 
 from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.dialect import AnswerLoad
+from bergamotdrift.finish_time import Speed, UpstreamView
 from bergamotdrift.messages import (
     UpstreamRow,
     UpstreamState,
 )
+from bergamotdrift.own_requests import OwnRequests
 from bergamotdrift.probe_backoff import ProbeBackoff
 
 # A load report is outdated after this time; its weight decays at this rate.
@@ -49,6 +51,9 @@
         self.row = row
         self.slots = max(1, row.slots or slots)
         self.in_flight = 0
+        # Requests in flight whose silence is watched.
+        self.own = OwnRequests()
+        self.speed = Speed()
         # Requests per second that the upstream takes from all entries, by its last
         # answer to this entry or by its row, whichever came later; None for no limit.
         self.limit_per_s = row.limit_per_s
@@ -114,6 +119,58 @@
             share += max(0, load.slots - load.running - load.waiting)
         return self.in_flight < share
 
+    def may_take(self, entries: int, now_ms: float) -> bool:
+        """Return whether the upstream may be sent one more request of this entry.
+
+        Used instead of `has_room` where requests are admitted by deadline; the queue
+        is then judged with the request. Without any report, the fixed share applies.
+        After a request that the upstream ignored, one at a time is sent until the next
+        answer.
+        """
+        if now_ms < self._shed_until_ms:
+            return False
+        own = self._answerable(now_ms)
+        if self.is_down:
+            return own < 1 and self._probe_backoff.may_probe(now_ms)
+        if self.own.is_suspect(now_ms):
+            return own < 1
+        if self._reported is None:
+            return self.has_room(entries, now_ms)
+        return own < max(_MIN_SHARE, self.slots)
+
+    def view(self, now_ms: float) -> UpstreamView:
+        """Return what is known of the upstream's load now."""
+        reported = self._reported
+        weight = 0.0
+        if reported is not None:
+            weight = math.exp((reported.at_ms - now_ms) / _LOAD_DECAY_MS)
+        return UpstreamView(
+            self.slots,
+            self._answerable(now_ms),
+            self.other_requests(now_ms),
+            self.own.oldest_ms(now_ms),
+            self.speed.estimate(self.last_slowness, weight),
+            self.busy_ms,
+        )
+
+    @property
+    def last_slowness(self) -> float:
+        """Return the slowness that the upstream stated last, or 1.0."""
+        return 1.0 if self._reported is None else self._reported.load.slowness
+
+    def has_free_slot(self, now_ms: float) -> bool:
+        """Return whether a recent report shows a free slot and no queue."""
+        reported = self._reported
+        if reported is None or now_ms - reported.at_ms >= _LOAD_DECAY_MS:
+            return False
+        load = reported.load
+        own_since = max(0, self._answerable(now_ms) - reported.own_in_flight)
+        return not load.waiting and load.running + own_since < load.slots
+
+    def _answerable(self, now_ms: float) -> int:
+        """Return this entry's requests in flight that may still be answered."""
+        return max(0, self.in_flight - self.own.silent(now_ms))
+
     def other_requests(self, now_ms: float) -> float:
         """Return the estimated number of requests from other entries."""
         reported = self._reported
@@ -145,7 +202,7 @@
 
     def record_load(self, load: AnswerLoad, now_ms: float) -> None:
         """Record the load report of a response."""
-        self._reported = ReportedLoad(load, now_ms, self.in_flight)
+        self._reported = ReportedLoad(load, now_ms, self._answerable(now_ms))
         if load.slots > 0:
             self.slots = load.slots
 
@@ -157,17 +214,17 @@
     def record_busy_time(self, latency_ms: float) -> None:
         """Record the latency of a response, whether or not it was queued."""
         weight = _BUSY_WEIGHT if self.busy_ms else 1.0
-        self.busy_ms += weight * (self._without_queue(latency_ms) - self.busy_ms)
+        self.busy_ms += weight * (self.without_queue(latency_ms) - self.busy_ms)
 
     def record_no_response(self, waited_ms: float) -> None:
         """Record an attempt that ended without a response after `waited_ms`.
 
         Without it, an upstream so slow that callers give up would never appear slow.
         """
-        if self.busy_ms and self._without_queue(waited_ms) > self.busy_ms:
+        if self.busy_ms and self.without_queue(waited_ms) > self.busy_ms:
             self.record_busy_time(waited_ms)
 
-    def _without_queue(self, latency_ms: float) -> float:
+    def without_queue(self, latency_ms: float) -> float:
         """Return a latency with the share of the reported queue removed."""
         if self._reported is None:
             return latency_ms
@@ -181,6 +238,7 @@
         if outcome is not AttemptOutcome.CANCELLED:
             self._error_rate += _ERROR_WEIGHT * (float(failed) - self._error_rate)
         if outcome in {AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR}:
+            self.own.record_answer(now_ms)
             self._mark_up()
         elif outcome is AttemptOutcome.SHED:
             self._mark_up()
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -1,12 +1,12 @@
 """Permits issued by an entry itself, within its share of each upstream's limits."""
 
 import itertools
+import random
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
 
 import gevent
-from gevent.event import AsyncResult
 from returns.result import Failure, Result, Success
 
 from bergamotdrift.arbiter_messages import (
@@ -18,6 +18,13 @@
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import ServiceKind
 from bergamotdrift.dialect import UpstreamStatement
+from bergamotdrift.direct_admission import (
+    DirectAdmission,
+    hold_end_ms,
+    may_repeat,
+    rank_of,
+    route_name,
+)
 from bergamotdrift.direct_load import DirectLoad
 from bergamotdrift.direct_selection import (
     Blocked,
@@ -26,6 +33,7 @@
     QueueWait,
     cold_start_ms,
 )
+from bergamotdrift.direct_waiters import Waiter, Waiters
 from bergamotdrift.exceptions import ErrorKind, Refusal
 from bergamotdrift.feed_tables import FeedTables, PartitionId, UpstreamId
 from bergamotdrift.fence_guard import FenceGuard
@@ -51,16 +59,6 @@
 _NO_RESPONSE = frozenset({AttemptOutcome.TIMEOUT, AttemptOutcome.CANCELLED})
 
 
-class _Waiter:
-    """Queued request, ordered by rank and arrival."""
-
-    def __init__(self, rank: int, number: int, routed: RoutedRequest, excluded):
-        self.order = (rank, number)
-        self.routed = routed
-        self.excluded = excluded
-        self.fut: AsyncResult = AsyncResult()
-
-
 class DirectPermits:
     """Select an upstream for each attempt and record the result."""
 
@@ -77,42 +75,58 @@
         self._clock = clock
         self._fence_guard = FenceGuard()
         self._numbers = itertools.count(1)
-        self._waiters: list[_Waiter] = []
+        self._waiters = Waiters()
         self._route_means_ms: dict[str, float] = {}
         self._running: dict[str, RoutedRequest] = {}
         self._key_counts: Counter[tuple[str, int]] = Counter()
+        self._admission = DirectAdmission(choice, random.Random())
 
     def acquire(
         self, routed: RoutedRequest, numbers: AttemptHistory
     ) -> Result[RunningAttempt, Refusal]:
         """Return a registered attempt, or a refusal (NO_UPSTREAM, QUEUE_FULL)."""
         if numbers.next() == 1 and routed.service.kind is ServiceKind.RANGED:
-            self._key_counts[routed.service.name, int(routed.routing_key)] += 1
             overloaded = self._overloaded(routed)
             if overloaded is not None:
                 return Failure(overloaded)
         selection = self._select(routed, numbers.excluded)
-        if isinstance(selection, Chosen) and not self._has_more_urgent_waiter(routed):
+        if isinstance(selection, Chosen) and not self._waiters.has_more_urgent(routed):
             return Success(
                 self._with_attempt_limit(
                     self._start(routed, selection), routed, numbers
                 )
             )
         if isinstance(selection, Blocked) and self._is_hopeless(selection, routed):
-            return Failure(_refusal(selection, self._clock.now_ms()))
+            return Failure(self._refusal(routed, selection))
         return self._wait(routed, numbers)
 
     def _overloaded(self, routed: RoutedRequest) -> Refusal | None:
-        """Return the refusal of a request that its key's upstream can't serve, or None.
+        """Count a request for a key; return its refusal if the upstream is overloaded.
 
-        The most urgent requests are always sent.
+        Without admission control, the most urgent requests are always sent.
         """
+        now_ms = self._clock.now_ms()
+        key = (routed.service.name, int(routed.routing_key))
+        if self._selector.uses_admission:
+            blocked, counted = self._admission.gate(routed, self._tables(), now_ms)
+            if counted:
+                self._key_counts[key] += counted
+            return None if blocked is None else self._refusal(routed, blocked)
+        self._key_counts[key] += 1
         if rank_of(routed) == MOST_URGENT_RANK:
             return None
-        now_ms = self._clock.now_ms()
         blocked = self._selector.overloaded(routed, self._tables(), now_ms)
         return None if blocked is None else _refusal(blocked, now_ms)
 
+    def _refusal(
+        self, routed: RoutedRequest, blocked: Blocked, held_ms: float | None = None
+    ) -> Refusal:
+        now_ms = self._clock.now_ms()
+        if self._selector.uses_admission:
+            return self._admission.refusal(routed, blocked, held_ms, now_ms)
+        suffix = "" if held_ms is None else f" for {held_ms:.0f} ms"
+        return _refusal(blocked, now_ms, suffix)
+
     def _is_hopeless(self, blocked: Blocked, routed: RoutedRequest) -> bool:
         """Return whether waiting can't help a request before its deadline."""
         free_at_ms = blocked.free_at_ms
@@ -130,7 +144,8 @@
         load = self._selector.loads.get(key)
         if load is not None:
             load.in_flight = max(0, load.in_flight - 1)
-            self._record_result(load, routed, running, msg)
+            was_silent = load.own.remove(permit.permit, self._clock.now_ms())
+            self._record_result(load, routed, running, msg, was_silent)
         self.notify()
 
     def record_outcome(
@@ -149,27 +164,27 @@
 
     def notify(self) -> None:
         """Grant permits to queued requests where possible, the most urgent first."""
-        for waiter in sorted(self._waiters, key=lambda w: w.order):
+        for waiter in self._waiters_in_turn():
             if waiter.fut.ready():
                 continue
             selection = self._select(waiter.routed, waiter.excluded)
             if isinstance(selection, Chosen):
                 waiter.fut.set(self._start(waiter.routed, selection))
+                self._waiters.record_sent(waiter)
+
+    def _waiters_in_turn(self) -> list[Waiter]:
+        if not self._selector.uses_admission:
+            return self._waiters.by_arrival()
+        now_ms = self._clock.now_ms()
+        return self._waiters.by_deadline(
+            lambda routed: self._admission.is_late(routed, now_ms)
+        )
 
     def key_loads(self) -> list[KeyLoad]:
         """Return the request counts by key since the last call."""
         keys, self._key_counts = self._key_counts, Counter()
         return [KeyLoad(service, key, n) for (service, key), n in keys.items()]
 
-    def _has_more_urgent_waiter(self, routed: RoutedRequest) -> bool:
-        """Return whether a more urgent request is queued for the same service."""
-        rank = rank_of(routed)
-        return any(
-            w.order[0] < rank and w.routed.service.name == routed.service.name
-            for w in self._waiters
-            if not w.fut.ready()
-        )
-
     def _select(self, routed: RoutedRequest, excluded: list[str]) -> Chosen | Blocked:
         now_ms = self._clock.now_ms()
         selection = self._selector.select(routed, self._tables(), excluded, now_ms)
@@ -179,14 +194,16 @@
                 partition, selection.key_range.epoch, now_ms
             ):
                 return Blocked("the upstream does not know its grant yet")
+        if isinstance(selection, Chosen) and self._selector.uses_admission:
+            blocked = self._admission.check(routed, selection.load, now_ms)
+            return selection if blocked is None else blocked
         return selection
 
     def _wait(
         self, routed: RoutedRequest, numbers: AttemptHistory
     ) -> Result[RunningAttempt, Refusal]:
         started_ms = self._clock.now_ms()
-        waiter = _Waiter(rank_of(routed), next(self._numbers), routed, numbers.excluded)
-        self._waiters.append(waiter)
+        waiter = self._waiters.add(routed, numbers.excluded)
         try:
             blocked = self._wait_for_permit(waiter, started_ms)
         except BaseException:
@@ -196,11 +213,10 @@
             self._waiters.remove(waiter)
         if blocked is None:
             return Success(self._with_attempt_limit(waiter.fut.get(), routed, numbers))
-        now_ms = self._clock.now_ms()
-        suffix = f" for {now_ms - started_ms:.0f} ms"
-        return Failure(_refusal(blocked, now_ms, suffix))
+        held_ms = self._clock.now_ms() - started_ms
+        return Failure(self._refusal(routed, blocked, held_ms))
 
-    def _wait_for_permit(self, waiter: _Waiter, started_ms: float) -> Blocked | None:
+    def _wait_for_permit(self, waiter: Waiter, started_ms: float) -> Blocked | None:
         """Wait for a permit; return None, or the reason once the wait is over."""
         while True:
             self.notify()
@@ -210,32 +226,61 @@
             if isinstance(selection, Chosen):
                 # An upstream has room, but more urgent requests go first.
                 selection = Blocked("full")
-            end_ms = _wait_end_ms(waiter.routed, selection.queue_wait, started_ms)
+            end_ms = self._wait_end_ms(waiter.routed, selection.queue_wait, started_ms)
             left_ms = end_ms - self._clock.now_ms()
             if left_ms <= 0 or self._is_hopeless(selection, waiter.routed):
                 return selection
             waiter.fut.wait(min(left_ms, _RECHECK_MS) / 1000.0)
 
+    def _wait_end_ms(
+        self, routed: RoutedRequest, queue_wait: QueueWait, started_ms: float
+    ) -> float:
+        """Return until when a request queued at `started_ms` may wait."""
+        part = _MAX_WAIT_RATIO[queue_wait]
+        end_ms = started_ms + part * (routed.deadline_ms - started_ms)
+        if self._selector.uses_admission:
+            return min(end_ms, hold_end_ms(routed, started_ms))
+        return end_ms
+
     def _with_attempt_limit(
         self, running: RunningAttempt, routed: RoutedRequest, numbers: AttemptHistory
     ) -> RunningAttempt:
         """Set a time limit on an attempt that can be retried at another upstream."""
         is_last = numbers.sent + 1 >= (routed.route.attempts or _DEFAULT_ATTEMPTS)
-        if is_last or routed.is_keyed or not routed.route.idempotent:
+        if is_last or not routed.route.idempotent:
             return running
-        if not self._selector.has_alternative(
+        has_other = not routed.is_keyed and self._selector.has_alternative(
             routed.service.name, running.permit.upstream
-        ):
+        )
+        if self._has_silence_limit(running, routed, has_other) or not has_other:
             return running
         now_ms = self._clock.now_ms()
-        mean_ms = self._route_means_ms.get(_route_name(routed), 0.0)
+        mean_ms = self._route_means_ms.get(route_name(routed), 0.0)
         left_ms = routed.deadline_ms - now_ms
         limit_ms = max(_ATTEMPT_LIMIT_MEANS * mean_ms, _ATTEMPT_LIMIT_RATIO * left_ms)
         if limit_ms < left_ms:
             running.attempt_deadline_ms = now_ms + limit_ms
         return running
 
-    def _release_unclaimed(self, waiter: _Waiter) -> None:
+    def _has_silence_limit(
+        self, running: RunningAttempt, routed: RoutedRequest, has_other: bool
+    ) -> bool:
+        """Set the limit after which the upstream counts as silent; return if it is."""
+        permit = running.permit
+        load = self._selector.loads.get(
+            UpstreamId(routed.service.name, permit.upstream)
+        )
+        silent_ms = None if load is None else load.own.silent_after_ms(permit.permit)
+        if silent_ms is None:
+            return False
+        now_ms = self._clock.now_ms()
+        left_ms = routed.deadline_ms - now_ms
+        if not may_repeat(routed, silent_ms, left_ms, has_other):
+            return False
+        running.attempt_deadline_ms = now_ms + silent_ms
+        return True
+
+    def _release_unclaimed(self, waiter: Waiter) -> None:
         """Release a permit granted to a caller that has left in the meantime."""
         if waiter.fut.ready():
             running = waiter.fut.get()
@@ -267,6 +312,8 @@
             0 if key_range is None else key_range.epoch,
         )
         self._running[name] = routed
+        if self._selector.uses_admission:
+            self._admission.record_sent(routed, load, name, now_ms)
         running = self._registry.add(permit, routed.workspace)
         running.on_statement = partial(
             self._record_statement, load, load.row.incarnation
@@ -286,44 +333,31 @@
         routed: RoutedRequest,
         running: RunningAttempt,
         msg: PermitRelease,
+        was_silent: bool,
     ) -> None:
         now_ms = self._clock.now_ms()
         statement = running.statement
         reported = statement.load if statement is not None else None
         if reported is not None:
             load.record_load(reported, now_ms)
-        load.record_outcome(msg.outcome, cold_start_ms(routed.service), now_ms)
-        if msg.outcome in _NO_RESPONSE:
+        # A request that was not queued says nothing of a restart, nor of the speed.
+        is_ignored = was_silent and msg.outcome is AttemptOutcome.TIMEOUT
+        cold_ms = 0.0 if is_ignored else cold_start_ms(routed.service)
+        load.record_outcome(msg.outcome, cold_ms, now_ms)
+        if msg.outcome in _NO_RESPONSE and not was_silent:
             load.record_no_response(msg.latency_ms)
         if msg.outcome is not AttemptOutcome.ANSWERED:
             return
-        name = _route_name(routed)
+        name = route_name(routed)
         mean = self._route_means_ms.get(name, msg.latency_ms)
         self._route_means_ms[name] = mean + _MEAN_WEIGHT * (msg.latency_ms - mean)
         load.record_busy_time(msg.latency_ms)
+        self._admission.record_answer(routed, load, msg.latency_ms, now_ms)
         # Queueing time says nothing about the speed of the upstream.
         if reported is None or not reported.waiting:
             load.record_latency(msg.latency_ms, mean)
 
 
-def rank_of(routed: RoutedRequest) -> int:
-    """Return the rank of a request; a lower one is more urgent."""
-    if routed.rank is not None:
-        return routed.rank
-    return routed.route.rank
-
-
-def _route_name(routed: RoutedRequest) -> str:
-    return routed.route.name or routed.route.path
-
-
-def _wait_end_ms(
-    routed: RoutedRequest, queue_wait: QueueWait, started_ms: float
-) -> float:
-    """Return until when a request queued at `started_ms` may wait."""
-    return started_ms + _MAX_WAIT_RATIO[queue_wait] * (routed.deadline_ms - started_ms)
-
-
 def _refusal(blocked: Blocked, now_ms: float, suffix: str = "") -> Refusal:
     kind = ErrorKind.QUEUE_FULL if "full" in blocked.reason else ErrorKind.NO_UPSTREAM
     retry_after_s = _RETRY_AFTER_S[blocked.queue_wait]
--- a/bergamotdrift/direct_selection.py
+++ b/bergamotdrift/direct_selection.py
@@ -1,11 +1,12 @@
 """Upstream selection by one entry, based on its local view of the upstreams."""
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from enum import StrEnum
 from typing import NamedTuple
 
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
+from bergamotdrift.deadline_admission import Reason
 from bergamotdrift.direct_load import DirectLoad
 from bergamotdrift.feed_tables import FeedTables, UpstreamId
 from bergamotdrift.messages import (
@@ -16,7 +17,12 @@
     UpstreamSpeed,
     UpstreamState,
 )
-from bergamotdrift.overload import OVERLOAD_MIN_ENTRIES, OverloadGate
+from bergamotdrift.overload import (
+    OVERLOAD_MIN_ENTRIES,
+    Draw,
+    GateDecision,
+    OverloadGate,
+)
 from bergamotdrift.request import RoutedRequest
 from bergamotdrift.request_share import RequestShare
 from bergamotdrift.routing_key import key_number
@@ -52,6 +58,8 @@
     queue_wait: QueueWait = QueueWait.LONG
     # Before this time no request is sent, or None if that is not known.
     free_at_ms: float | None = None
+    # Set if the request is refused by the admission control.
+    cause: Reason | None = None
 
 
 class Chosen(NamedTuple):
@@ -79,6 +87,8 @@
         # Ranges that are being handed over, and when this entry first saw that.
         self._handover_since_ms: dict[RangeRow, float] = {}
         self._ranged_services: frozenset[str] = frozenset()
+        # Whether requests are admitted by deadline: in sites without workspaces.
+        self.uses_admission = False
         self._reported_speeds: dict[UpstreamId, float] = {}
 
     def update(self, tables: FeedTables, now_ms: float) -> None:
@@ -92,6 +102,9 @@
         self.statements.share.set_members(members)
         self._update_upstreams(tables, now_ms)
         self._update_evacuations(tables, now_ms)
+        self.uses_admission = (
+            tables.settings is not None and not tables.settings.workspaces
+        )
         services = tables.settings.services if tables.settings else ()
         self._ranged_services = frozenset(
             s.name for s in services if s.kind is ServiceKind.RANGED
@@ -180,6 +193,29 @@
         reason = f"full: {row.upstream} is offered more than it can serve"
         return Blocked(reason, QueueWait.NONE, free_at_ms)
 
+    def gate(
+        self,
+        routed: RoutedRequest,
+        draw: Draw,
+        mix: Mapping[int, float],
+        tables: FeedTables,
+        now_ms: float,
+    ) -> tuple[str, GateDecision]:
+        """Return a key's upstream, and whether a new request for it may be sent.
+
+        An upstream that was just seen idle is never held to be overloaded.
+        """
+        row = tables.range_of(routed.service.name, int(routed.routing_key))
+        is_owned = row is not None and row.state is PartitionState.OWNED
+        if row is None or not is_owned or self._entries < OVERLOAD_MIN_ENTRIES:
+            return "", GateDecision(True)
+        owner = UpstreamId(row.service, row.upstream)
+        decision = self.overloads.decide(owner, draw, mix, now_ms)
+        load = self.loads.get(owner)
+        if not decision.admitted and load is not None and load.has_free_slot(now_ms):
+            return row.upstream, decision._replace(admitted=True)
+        return row.upstream, decision
+
     def _select_key_owner(
         self, routed: RoutedRequest, tables: FeedTables, now_ms: float
     ) -> Chosen | Blocked:
@@ -281,7 +317,8 @@
             return "evacuated"
         if now_ms < load.paused_until_ms:
             return "paused"
-        if not load.has_room(self._sharing_entries(load, service), now_ms):
+        has_room = load.may_take if self.uses_admission else load.has_room
+        if not has_room(self._sharing_entries(load, service), now_ms):
             return "down" if load.is_down else "full"
         if load.is_cold(now_ms) and service.cold_start.per_s > 0:
             per_s = int(service.cold_start.per_s)
--- a/bergamotdrift/entry_metrics.py
+++ b/bergamotdrift/entry_metrics.py
@@ -21,6 +21,11 @@
     "Repeated attempts by service and outcome of the failed one",
     ("service", "outcome"),
 )
+ADMISSIONS = Counter(
+    "bergamotdrift_entry_admission_total",
+    "Attempts sent or refused by the admission control, by service and reason",
+    ("service", "reason"),
+)
 LATENCY = Histogram(
     "bergamotdrift_entry_latency_seconds",
     "Time from the request's head to the start of the answer",
@@ -39,6 +44,16 @@
     return LATENCY.labels(service)
 
 
+@lru_cache(maxsize=1024)
+def _admissions(service: str, reason: str) -> Counter:
+    return ADMISSIONS.labels(service, reason)
+
+
+def count_admission(service: str, reason: str) -> None:
+    """Count an attempt that was sent or refused by the admission control."""
+    _admissions(service, reason).inc()
+
+
 def count_answered(service: str, latency_s: float) -> None:
     """Count a request that got a response from an upstream."""
     _requests(service, "answer", ANSWERED).inc()
--- a/bergamotdrift/feed_streams.py
+++ b/bergamotdrift/feed_streams.py
@@ -11,6 +11,7 @@
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import StreamClosedError
 from bergamotdrift.messages import FeedUpdate, Overloads, Role, UpstreamOverload
+from bergamotdrift.overload import salt_at
 from bergamotdrift.streams import Connection, pack_one_way
 
 # If a node's reported index stays behind for this long, its updates are sent again.
@@ -124,7 +125,8 @@
         if items is None or not (items or self._overload_known):
             return
         self._overload_known = bool(items)
-        frame = pack_one_way(Overloads(list(items)))
+        salt = salt_at(self._clock.now_ms())
+        frame = pack_one_way(Overloads(list(items), salt))
         for conn in list(self._positions):
             if conn.peer is not None and conn.peer.role is Role.ENTRY:
                 # A closed stream is dropped by its handler.
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -318,18 +318,26 @@
 
 
 class UpstreamOverload(NamedTuple):
-    """State which part of the requests for its keys an upstream can serve."""
+    """State which part of the requests for its keys an upstream can serve.
+
+    `hot_key` is a key with a large part of these requests, or -1.
+    """
 
     service: str
     upstream: str
     admitted_permille: int
+    hot_key: int = -1
 
 
 @message
 class Overloads(NamedTuple):
-    """Tell an entry which upstreams are overloaded; it replaces the last message."""
+    """Tell an entry which upstreams are overloaded; it replaces the last message.
+
+    `salt` changes from time to time, and with it which callers are refused.
+    """
 
     items: list[UpstreamOverload]
+    salt: int = 0
 
 
 @message
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -8,7 +8,7 @@
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.feed_tables import UpstreamId
-from bergamotdrift.key_loads import KeyLoads
+from bergamotdrift.key_loads import KeyLoads, KeyRate
 from bergamotdrift.load_ranking import LoadRanking
 from bergamotdrift.messages import (
     LAST_KEY,
@@ -20,7 +20,7 @@
     UpstreamRow,
     UpstreamState,
 )
-from bergamotdrift.overload import overloads_of
+from bergamotdrift.overload import HOT_KEY_PART, OPEN_SITE_LIMITS, overloads_of
 from bergamotdrift.planned_moves import PlannedMoves
 from bergamotdrift.range_balance import (
     RangeMove,
@@ -315,7 +315,28 @@
             if row.upstream in loads and row.state is PartitionState.OWNED:
                 load = self._loads[row].per_s * self._load_per_rps[row.upstream]
                 loads[row.upstream] += load
-        return overloads_of(self._service, loads)
+        settings = self._state.settings.current
+        if settings is None or settings.workspaces:
+            return overloads_of(self._service, loads)
+        hot_keys = self._hot_keys()
+        return overloads_of(self._service, loads, OPEN_SITE_LIMITS, hot_keys)
+
+    def _hot_keys(self) -> dict[str, int]:
+        """Return the keys that have a large part of their upstream's requests."""
+        per_s: dict[str, float] = {}
+        hottest: dict[str, KeyRate] = {}
+        for row in self._rows:
+            known_per_s = per_s.get(row.upstream, 0.0)
+            per_s[row.upstream] = known_per_s + self._loads[row].per_s
+            for rate in self._loads[row].rates:
+                known = hottest.get(row.upstream)
+                if known is None or rate.per_s > known.per_s:
+                    hottest[row.upstream] = rate
+        return {
+            name: rate.key
+            for name, rate in hottest.items()
+            if rate.per_s >= HOT_KEY_PART * per_s[name]
+        }
 
     def _next_owner(self, row: RangeRow) -> str:
         """Return the planned owner of a range under release, else the current owner."""
--- /dev/null
+++ b/bergamotdrift/waiting_order.py
@@ -0,0 +1,58 @@
+"""Order in which an entry sends requests that wait for an upstream.
+
+Load: requests of several ranks wait at once and each may be held only briefly. A caller
+that was refused and came back has less time left than others, and a request that is
+already late can lose less than one that can still be on time.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import NamedTuple, TypeVar
+
+# After this many more urgent requests in a row, a less urgent one that waits is sent.
+URGENT_RUN = 3
+
+
+class WaitingRequest(NamedTuple):
+    """Describe a waiting request; `is_late` if it can't be on time any more."""
+
+    rank: int
+    is_late: bool
+    deadline_ms: float
+    number: int
+
+
+_T = TypeVar("_T")
+
+
+class WaitingOrder:
+    """Order waiting requests of one service, with a share for less urgent ones."""
+
+    def __init__(self) -> None:
+        self._runs: Counter[str] = Counter()
+
+    def sorted(
+        self, service: str, items: Iterable[tuple[WaitingRequest, _T]]
+    ) -> list[_T]:
+        """Return the items in the order in which they are to be sent."""
+        found = sorted(items, key=lambda item: _order(item[0]))
+        if self._runs[service] >= URGENT_RUN and found:
+            first_rank = found[0][0].rank
+            turn = next((i for i in found if i[0].rank > first_rank), None)
+            if turn is not None:
+                found.remove(turn)
+                found.insert(0, turn)
+        return [item for _, item in found]
+
+    def record_sent(
+        self, service: str, rank: int, waiting_ranks: Iterable[int]
+    ) -> None:
+        """Count a request that was sent while requests of other ranks waited."""
+        if any(other > rank for other in waiting_ranks):
+            self._runs[service] += 1
+        else:
+            self._runs[service] = 0
+
+
+def _order(item: WaitingRequest) -> tuple[int, bool, float, int]:
+    return item.rank, item.is_late, item.deadline_ms, item.number
