--- a/bergamotdrift/direct_load.py
+++ b/bergamotdrift/direct_load.py
@@ -110,22 +110,30 @@
             return False
         if self._probe_backoff.is_down:
             return self.in_flight == 0 and self._probe_backoff.may_probe(now_ms)
+        fresh = self._fresh_load(now_ms)
+        if fresh is not None and fresh.waiting >= _LONG_QUEUE:
+            return self.in_flight < 1
+        return self.in_flight < self._share(entries, fresh)
+
+    def _share(self, entries: int, fresh: AnswerLoad | None) -> int:
         share = max(_MIN_SHARE, (self.slots + SHARED_QUEUE_DEPTH) // max(1, entries))
+        if fresh is not None:
+            share += max(0, fresh.slots - fresh.running - fresh.waiting)
+        return share
+
+    def _fresh_load(self, now_ms: float) -> AnswerLoad | None:
+        """Return the last load report unless it is outdated."""
         reported = self._reported
-        if reported is not None and now_ms - reported.at_ms < _LOAD_DECAY_MS:
-            load = reported.load
-            if load.waiting >= _LONG_QUEUE:
-                return self.in_flight < 1
-            share += max(0, load.slots - load.running - load.waiting)
-        return self.in_flight < share
+        if reported is None or now_ms - reported.at_ms >= _LOAD_DECAY_MS:
+            return None
+        return reported.load
 
     def may_take(self, entries: int, now_ms: float) -> bool:
         """Return whether the upstream may be sent one more request of this entry.
 
         Used instead of `has_room` where requests are admitted by deadline; the queue
-        is then judged with the request. Without any report, the fixed share applies.
-        After a request that the upstream ignored, one at a time is sent until the next
-        answer.
+        is then judged with the request. After a request that the upstream ignored, one
+        at a time is sent until the next answer.
         """
         if now_ms < self._shed_until_ms:
             return False
@@ -134,9 +142,7 @@
             return own < 1 and self._probe_backoff.may_probe(now_ms)
         if self.own.is_suspect(now_ms):
             return own < 1
-        if self._reported is None:
-            return self.has_room(entries, now_ms)
-        return own < max(_MIN_SHARE, self.slots)
+        return own < self._share(entries, self._fresh_load(now_ms))
 
     def view(self, now_ms: float) -> UpstreamView:
         """Return what is known of the upstream's load now."""
@@ -160,12 +166,11 @@
 
     def has_free_slot(self, now_ms: float) -> bool:
         """Return whether a recent report shows a free slot and no queue."""
-        reported = self._reported
-        if reported is None or now_ms - reported.at_ms >= _LOAD_DECAY_MS:
+        fresh, reported = self._fresh_load(now_ms), self._reported
+        if fresh is None or reported is None:
             return False
-        load = reported.load
         own_since = max(0, self._answerable(now_ms) - reported.own_in_flight)
-        return not load.waiting and load.running + own_since < load.slots
+        return not fresh.waiting and fresh.running + own_since < fresh.slots
 
     def _answerable(self, now_ms: float) -> int:
         """Return this entry's requests in flight that may still be answered."""
--- a/bergamotdrift/key_loads.py
+++ b/bergamotdrift/key_loads.py
@@ -29,7 +29,8 @@
     known keys.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, smoothing_ms: float = SMOOTHING_MS) -> None:
+        self._smoothing_ms = smoothing_ms
         self._counts: dict[int, float] = {}
         self._base_ms = 0.0
 
@@ -43,16 +44,16 @@
 
     def rates(self, now_ms: float) -> list[KeyRate]:
         """Return the rates of all known keys, sorted by key."""
-        scale = self._decay_factor(now_ms) * 1000.0 / SMOOTHING_MS
+        scale = self._decay_factor(now_ms) * 1000.0 / self._smoothing_ms
         return [KeyRate(key, self._counts[key] * scale) for key in sorted(self._counts)]
 
     def _decay_factor(self, now_ms: float) -> float:
         """Return the decay since the base time, after rebasing if that is long ago."""
         elapsed_ms = max(0.0, now_ms - self._base_ms)
-        factor = math.exp(-elapsed_ms / SMOOTHING_MS)
+        factor = math.exp(-elapsed_ms / self._smoothing_ms)
         if elapsed_ms <= _REBASE_INTERVAL_MS:
             return factor
-        min_count = _MIN_PER_S * SMOOTHING_MS / 1000.0
+        min_count = _MIN_PER_S * self._smoothing_ms / 1000.0
         self._base_ms = now_ms
         self._counts = {
             key: count * factor
--- a/bergamotdrift/overload.py
+++ b/bergamotdrift/overload.py
@@ -30,7 +30,10 @@
 NO_HOT_KEY = -1
 # The leader changes the salt of the hash this often, so that a refused caller that
 # comes back as asked is not refused for the same reason all its time.
-SALT_PERIOD_MS = 1000.0
+SALT_PERIOD_MS = 2000.0
+# Time constant of the rates by which an overload is recognized. With the longer one of
+# the balance of ranges, it is seen too late and stated for too long afterwards.
+OVERLOAD_SMOOTHING_MS = 700.0
 # Part of the admitted load that each rank gets in proportion to its requests.
 RANK_FLOOR = 0.25
 # An entry that hears no more of an overload ignores it after this time.
--- a/bergamotdrift/range_balance.py
+++ b/bergamotdrift/range_balance.py
@@ -10,6 +10,7 @@
 
 from bergamotdrift.key_loads import SMOOTHING_MS, KeyRate
 from bergamotdrift.messages import RangeRow
+from bergamotdrift.overload import HOT_KEY_PART
 
 # An upstream is overloaded above this multiple of the mean load.
 OVERLOAD_RATIO = 1.3
@@ -64,6 +65,23 @@
     }
 
 
+def hot_keys(loads: Mapping[RangeRow, RowLoad]) -> dict[str, int]:
+    """Return the keys that have a large part of their upstream's requests."""
+    per_s: dict[str, float] = {}
+    hottest: dict[str, KeyRate] = {}
+    for row, load in loads.items():
+        per_s[row.upstream] = per_s.get(row.upstream, 0.0) + load.per_s
+        for rate in load.rates:
+            known = hottest.get(row.upstream)
+            if known is None or rate.per_s > known.per_s:
+                hottest[row.upstream] = rate
+    return {
+        name: rate.key
+        for name, rate in hottest.items()
+        if rate.per_s >= HOT_KEY_PART * per_s[name]
+    }
+
+
 def choose_range_moves(
     owned: Mapping[str, Sequence[RowLoad]],
     load_per_rps: Mapping[str, float],
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -8,7 +8,7 @@
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.feed_tables import UpstreamId
-from bergamotdrift.key_loads import KeyLoads, KeyRate
+from bergamotdrift.key_loads import KeyLoads
 from bergamotdrift.load_ranking import LoadRanking
 from bergamotdrift.messages import (
     LAST_KEY,
@@ -20,12 +20,17 @@
     UpstreamRow,
     UpstreamState,
 )
-from bergamotdrift.overload import HOT_KEY_PART, OPEN_SITE_LIMITS, overloads_of
+from bergamotdrift.overload import (
+    OPEN_SITE_LIMITS,
+    OVERLOAD_SMOOTHING_MS,
+    overloads_of,
+)
 from bergamotdrift.planned_moves import PlannedMoves
 from bergamotdrift.range_balance import (
     RangeMove,
     RowLoad,
     choose_range_moves,
+    hot_keys,
     load_by_range,
 )
 from bergamotdrift.range_layout import (
@@ -78,6 +83,8 @@
         self._yield_to_loop = yield_to_loop
         self.leases = new_leases(opened_at_ms)
         self._loads: dict[str, KeyLoads] = {}
+        # The same with a shorter memory, for sites without workspaces.
+        self._recent_loads: dict[str, KeyLoads] = {}
         self._first_seen_ms: dict[str, float] = {}
         self._moves = PlannedMoves()
         self.speeds = UpstreamSpeeds()
@@ -89,6 +96,17 @@
         for name in {item.service for item in loads}:
             known = self._loads.setdefault(name, KeyLoads())
             known.add((item for item in loads if item.service == name), now_ms)
+            if self.admits_by_deadline:
+                recent = self._recent_loads.setdefault(
+                    name, KeyLoads(OVERLOAD_SMOOTHING_MS)
+                )
+                recent.add((item for item in loads if item.service == name), now_ms)
+
+    @property
+    def admits_by_deadline(self) -> bool:
+        """Whether entries admit requests by deadline: in sites without workspaces."""
+        current = self._state.settings.current
+        return current is not None and not current.workspaces
 
     def take_overloads(self) -> list[UpstreamOverload] | None:
         """Return the overloaded upstreams, or None if they were not planned anew."""
@@ -310,33 +328,20 @@
 
     def overloads(self) -> list[UpstreamOverload]:
         """Return the upstreams that are offered more requests than they can serve."""
+        if not self._planner.admits_by_deadline:
+            return overloads_of(self._service, self._upstream_loads(self._loads))
+        recent = self._planner._recent_loads.get(self._service, KeyLoads())
+        by_row = load_by_range(self._rows, recent.rates(self._now_ms))
+        loads = self._upstream_loads(by_row)
+        return overloads_of(self._service, loads, OPEN_SITE_LIMITS, hot_keys(by_row))
+
+    def _upstream_loads(self, by_row: Mapping[RangeRow, RowLoad]) -> dict[str, float]:
         loads = dict.fromkeys(self._load_per_rps, 0.0)
         for row in self._rows:
             if row.upstream in loads and row.state is PartitionState.OWNED:
-                load = self._loads[row].per_s * self._load_per_rps[row.upstream]
+                load = by_row[row].per_s * self._load_per_rps[row.upstream]
                 loads[row.upstream] += load
-        settings = self._state.settings.current
-        if settings is None or settings.workspaces:
-            return overloads_of(self._service, loads)
-        hot_keys = self._hot_keys()
-        return overloads_of(self._service, loads, OPEN_SITE_LIMITS, hot_keys)
-
-    def _hot_keys(self) -> dict[str, int]:
-        """Return the keys that have a large part of their upstream's requests."""
-        per_s: dict[str, float] = {}
-        hottest: dict[str, KeyRate] = {}
-        for row in self._rows:
-            known_per_s = per_s.get(row.upstream, 0.0)
-            per_s[row.upstream] = known_per_s + self._loads[row].per_s
-            for rate in self._loads[row].rates:
-                known = hottest.get(row.upstream)
-                if known is None or rate.per_s > known.per_s:
-                    hottest[row.upstream] = rate
-        return {
-            name: rate.key
-            for name, rate in hottest.items()
-            if rate.per_s >= HOT_KEY_PART * per_s[name]
-        }
+        return loads
 
     def _next_owner(self, row: RangeRow) -> str:
         """Return the planned owner of a range under release, else the current owner."""
