Predict an attempt by the requests before it, and test the entry's decisions

Cause: the record of a sent attempt counted the attempt itself as one ahead of it, so its reason was wrong (on_time for idle) and its limit for silence too long; the metrics test found it.

Change: the prediction is made before the attempt is counted.

--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -292,13 +292,16 @@
     def _start(self, routed: RoutedRequest, selection: Chosen) -> RunningAttempt:
         load, key_range = selection
         now_ms = self._clock.now_ms()
+        name = f"{next(self._numbers):x}"
+        if self._selector.uses_admission:
+            # The prediction counts the requests before this one.
+            self._admission.record_sent(routed, load, name, now_ms)
         load.in_flight += 1
         if load.is_cold(now_ms):
             self._selector.cold_start_share.record_sent(load.row.upstream, now_ms)
         if load.limit_per_s is not None:
             self._selector.statements.record_sent(load, now_ms)
         service = routed.service.name
-        name = f"{next(self._numbers):x}"
         shard = pool_shard(service)
         if key_range is not None:
             shard = upstream_shard(service, load.row.upstream)
@@ -312,8 +315,6 @@
             0 if key_range is None else key_range.epoch,
         )
         self._running[name] = routed
-        if self._selector.uses_admission:
-            self._admission.record_sent(routed, load, name, now_ms)
         running = self._registry.add(permit, routed.workspace)
         running.on_statement = partial(
             self._record_statement, load, load.row.incarnation
--- a/bergamotdrift/tests/admission_fakes.py
+++ b/bergamotdrift/tests/admission_fakes.py
@@ -204,8 +204,8 @@
             self.come_back(now, call, refusal.retry_after_s * 1000.0, deadline_ms)
             return
         permit = str(next(self.permits))
-        entry.load.in_flight += 1
         entry.admission.record_sent(routed, entry.load, permit, now)
+        entry.load.in_flight += 1
         self.arrive(now, (call, entry, routed, permit, now))
 
     def come_back(self, now, call, retry_ms, deadline_ms):
--- a/bergamotdrift/tests/test_direct_admission.py
+++ b/bergamotdrift/tests/test_direct_admission.py
@@ -4,7 +4,9 @@
 
 import gevent
 
-from bergamotdrift.messages import Ping
+from bergamotdrift.entry_metrics import ADMISSIONS
+from bergamotdrift.messages import NodeRow, Overloads, Ping, Role, UpstreamOverload
+from bergamotdrift.overload import OVERLOAD_MIN_ENTRIES, OVERLOAD_TTL_MS
 from bergamotdrift.tests.direct_entry import OK, SETTINGS, DirectEntryTestCase
 from bergamotdrift.tests.entry_fakes import KEY, Caller
 from bergamotdrift.tests.log_capture import capture_log
@@ -111,6 +113,84 @@
             self.assertEqual(self.ask_key().status, 200)
 
 
+class SettingsChangeTests(AdmissionTestCase):
+    """Guards against a site whose admission does not follow its workspaces."""
+
+    def test_first_workspace_ends_the_admission_by_deadline(self):
+        self.learn(stated(2, 16))
+        self.assertEqual(self.ask_key().status, 503)
+        with_workspace = self.settings._replace(workspaces=SETTINGS.workspaces)
+        self.push(settings=with_workspace, revision=2)
+        gevent.sleep(0.1)
+        self.assertEqual(self.ask_key().status, 200)
+
+
+class MetricsTests(AdmissionTestCase):
+    """Guards against decisions that operators can't see."""
+
+    def counted(self, reason):
+        return ADMISSIONS.labels("keys", reason)._value.get()
+
+    def test_decisions_are_counted_by_reason(self):
+        before = {name: self.counted(name) for name in ("idle", "unknown", "queue")}
+        self.learn(stated(2, 16))
+        self.ask_key()
+        after = {name: self.counted(name) for name in before}
+        added = {name: after[name] - before[name] for name in before}
+        self.assertEqual(added, {"unknown": 1.0, "idle": 2.0, "queue": 1.0})
+
+
+class LeaderOverloadTests(AdmissionTestCase):
+    """Guards against an overload statement that callers get around by repeating.
+
+    Load: the leader states that an upstream is offered more than it can serve.
+    """
+
+    def setUp(self):
+        super().setUp()
+        nodes = [
+            NodeRow(f"e{n}", Role.ENTRY, "i", f"vm{n}", "a", "")
+            for n in range(OVERLOAD_MIN_ENTRIES)
+        ]
+        self.push(nodes=nodes)
+        gevent.sleep(0.1)
+
+    def tell(self, permille, salt=1):
+        items = [UpstreamOverload("keys", "k0", permille)]
+        for conn in self.control.server.connections:
+            conn.send(Overloads(items, salt))
+        gevent.sleep(0.05)
+
+    def test_same_keys_are_refused_again_until_the_salt_changes(self):
+        # An upstream that states a free slot would be sent all requests.
+        self.set_response_script(lambda data: stated(2, 0))
+        self.tell(400)
+        first = [self.ask_key(key).status for key in range(40)]
+        again = [self.ask_key(key).status for key in range(40)]
+        self.assertEqual(first, again)
+        self.assertEqual(set(first), {200, 503})
+        self.assertIn("reason=overload", self.log.of_event("admission_refused")[0])
+        self.tell(400, salt=2)
+        other = [self.ask_key(key).status for key in range(40)]
+        self.assertNotEqual(first, other)
+
+    def test_callers_refused_together_return_spread_out(self):
+        self.tell(0)
+        times = []
+        for key in range(20):
+            answer = self.ask_key(key)
+            self.assertEqual(answer.status, 503)
+            times.append(float(answer.headers["retry-after"]))
+        self.assertGreater(max(times) - min(times), 0.05)
+        self.assertLessEqual(max(times), DEADLINE_MS / 3000.0)
+
+    def test_overload_that_is_not_stated_again_ends(self):
+        self.tell(0)
+        self.assertEqual(self.ask_key().status, 503)
+        gevent.sleep(OVERLOAD_TTL_MS / 1000.0)
+        self.assertEqual(self.ask_key().status, 200)
+
+
 class HoldTests(AdmissionTestCase):
     """Guards against requests that are held for longer than their target allows."""
 
