Refuse a flood of returning callers before the upstreams ignore them

Cause: when all callers return at once, each entry sent every upstream two requests before the first answer stated a load: 108 from 54 entries for 15 places. The rest was never answered.

Change: an entry takes its own requests in flight for those of each entry, and refuses while they are more than the upstreams can hold and no recent answer states a low load (request_flood.py, reason "flood"). The fake has several upstreams.

--- a/bergamotdrift/deadline_admission.py
+++ b/bergamotdrift/deadline_admission.py
@@ -29,6 +29,7 @@
     # Refused.
     DEADLINE = "deadline"
     QUEUE = "queue"
+    FLOOD = "flood"
     LATE = "late"
     LESS_URGENT = "less_urgent"
     OVERLOAD = "overload"
--- a/bergamotdrift/direct_admission.py
+++ b/bergamotdrift/direct_admission.py
@@ -28,6 +28,7 @@
 from bergamotdrift.overload import Draw
 from bergamotdrift.rank_mix import RankMix
 from bergamotdrift.request import RoutedRequest
+from bergamotdrift.request_flood import RequestFlood
 from bergamotdrift.retry_times import retry_after_ms
 
 # Part of its target, or of its time if it has no target, for which a request is held.
@@ -48,6 +49,7 @@
         self._kinds = RecentKinds()
         self._share = LessUrgentShare()
         self._mix = RankMix()
+        self._flood = RequestFlood()
 
     def gate(
         self, routed: RoutedRequest, tables: FeedTables, now_ms: float
@@ -80,7 +82,9 @@
             f"full: {decision.reason}, {finish.wait_ms:.0f} ms to wait and"
             f" {finish.work_ms:.0f} ms of work at {load.describe(now_ms)}"
         )
-        room_ms = now_ms + decision.room_in_ms
+        # A flood ends when its requests have been served, which no entry can foresee.
+        is_flood = decision.reason is Reason.FLOOD
+        room_ms = None if is_flood else now_ms + decision.room_in_ms
         return Blocked(reason, QueueWait.NONE, room_ms, decision.reason)
 
     def record_sent(
@@ -118,6 +122,8 @@
         name, work_ms = route_name(routed), load.without_queue(latency_ms)
         slowness = load.last_slowness
         self._work.record(name, work_ms / slowness, now_ms)
+        if load.stated_requests is not None:
+            self._flood.record_answer(routed.service.name, load.stated_requests, now_ms)
         load.speed.record(work_ms, slowness, self._work.mean_ms(name, now_ms))
 
     def is_late(self, routed: RoutedRequest, now_ms: float) -> bool:
@@ -181,6 +187,10 @@
         finish = predict(view, work_ms)
         if not has_place(view):
             return finish, Decision(False, Reason.QUEUE, finish.wait_ms)
+        own = self._selector.own_requests(service, now_ms)
+        ratio = self._selector.entries_per_upstream(service)
+        if self._flood.is_flooded(service, own, ratio, load.slots, now_ms):
+            return finish, Decision(False, Reason.FLOOD)
         if not work_ms:
             return finish, Decision(True, Reason.UNKNOWN)
         target_left_ms = routed.req.received_ms + target_ms - now_ms
--- a/bergamotdrift/direct_load.py
+++ b/bergamotdrift/direct_load.py
@@ -137,7 +137,7 @@
         """
         if now_ms < self._shed_until_ms:
             return False
-        own = self._answerable(now_ms)
+        own = self.answerable(now_ms)
         if self.is_down:
             return own < 1 and self._probe_backoff.may_probe(now_ms)
         if self.own.is_suspect(now_ms):
@@ -152,7 +152,7 @@
             weight = math.exp((reported.at_ms - now_ms) / _LOAD_DECAY_MS)
         return UpstreamView(
             self.slots,
-            self._answerable(now_ms),
+            self.answerable(now_ms),
             self.other_requests(now_ms),
             self.own.oldest_ms(now_ms),
             self.speed.estimate(self.last_slowness, weight),
@@ -164,15 +164,22 @@
         """Return the slowness that the upstream stated last, or 1.0."""
         return 1.0 if self._reported is None else self._reported.load.slowness
 
+    @property
+    def stated_requests(self) -> int | None:
+        """Return the requests that the upstream stated last, or None."""
+        if self._reported is None:
+            return None
+        return self._reported.load.running + self._reported.load.waiting
+
     def has_free_slot(self, now_ms: float) -> bool:
         """Return whether a recent report shows a free slot and no queue."""
         fresh, reported = self._fresh_load(now_ms), self._reported
         if fresh is None or reported is None:
             return False
-        own_since = max(0, self._answerable(now_ms) - reported.own_in_flight)
+        own_since = max(0, self.answerable(now_ms) - reported.own_in_flight)
         return not fresh.waiting and fresh.running + own_since < fresh.slots
 
-    def _answerable(self, now_ms: float) -> int:
+    def answerable(self, now_ms: float) -> int:
         """Return this entry's requests in flight that may still be answered."""
         return max(0, self.in_flight - self.own.silent(now_ms))
 
@@ -207,7 +214,7 @@
 
     def record_load(self, load: AnswerLoad, now_ms: float) -> None:
         """Record the load report of a response."""
-        self._reported = ReportedLoad(load, now_ms, self._answerable(now_ms))
+        self._reported = ReportedLoad(load, now_ms, self.answerable(now_ms))
         if load.slots > 0:
             self.slots = load.slots
 
--- a/bergamotdrift/direct_selection.py
+++ b/bergamotdrift/direct_selection.py
@@ -216,6 +216,17 @@
             return row.upstream, decision._replace(admitted=True)
         return row.upstream, decision
 
+    def own_requests(self, service: str, now_ms: float) -> int:
+        """Return this entry's requests in flight that may still be answered."""
+        loads = self._by_service.get(service, ())
+        return sum(load.answerable(now_ms) for load in loads if load.in_flight)
+
+    def entries_per_upstream(self, service: str) -> float:
+        """Return how many entries there are for each upstream, 0 for a small fleet."""
+        if self._entries < OVERLOAD_MIN_ENTRIES:
+            return 0.0
+        return self._entries / max(1, len(self._by_service.get(service, ())))
+
     def _select_key_owner(
         self, routed: RoutedRequest, tables: FeedTables, now_ms: float
     ) -> Chosen | Blocked:
--- a/bergamotdrift/tests/admission_fakes.py
+++ b/bergamotdrift/tests/admission_fakes.py
@@ -1,4 +1,4 @@
-"""One upstream with a queue, its callers, and the admission of many entries."""
+"""Upstreams with a queue, their callers, and the admission of many entries."""
 
 import heapq
 import itertools
@@ -68,17 +68,24 @@
     )
 
 
-def tables_of(entries, slots):
+def tables_of(entries, slots, upstreams):
     service = keyed_service(slots)
     zones = (ZoneSettings("a", ZoneState.IN),)
     settings = SiteSettings("s", zones, (service,), (), ())
     nodes = [
         NodeRow(f"e{n}", Role.ENTRY, "i", f"vm{n}", "a", "") for n in range(entries)
     ]
+    names = [f"u{n}" for n in range(1, upstreams + 1)]
     rows = [
-        UpstreamRow("keys", "u1", "10.0.0.1:1", "a", "1", UpstreamState.READY, slots)
+        UpstreamRow("keys", name, "10.0.0.1:1", "a", "1", UpstreamState.READY, slots)
+        for name in names
+    ]
+    ranges = [
+        RangeRow(
+            "keys", n * KEYS, (n + 1) * KEYS - 1, name, "1", 4, PartitionState.OWNED
+        )
+        for n, name in enumerate(names)
     ]
-    ranges = [RangeRow("keys", 0, KEYS, "u1", "1", 4, PartitionState.OWNED)]
     tables = FeedTables()
     tables.apply(
         FeedUpdate(0, 1, True, 1, settings, nodes, rows, [], [], [], [], ranges, [])
@@ -111,7 +118,9 @@
         self.selector.update(tables, 0.0)
         self.admission = DirectAdmission(self.selector, rng)
         self.counts: Counter[int] = Counter()
-        self.load = self.selector.loads[OWNER]
+
+    def load_of(self, upstream):
+        return self.selector.loads[UpstreamId("keys", upstream.name)]
 
     def refused(self, routed, now_ms):
         """Return the reason of a refusal, or None once the request was sent."""
@@ -143,17 +152,24 @@
         self.answered_ms = None
 
 
+class UpstreamQueue:
+    """An upstream that ignores what it can't queue."""
+
+    def __init__(self, name):
+        self.name = name
+        self.running = 0
+        self.queue: deque = deque()
+
+
 class QueueModel:
-    """One upstream that ignores what it can't queue, behind many entries."""
+    """One or more upstreams behind many entries."""
 
-    def __init__(self, seed, entries=54, slots=3, queue=12):
+    def __init__(self, seed, entries=54, slots=3, queue=12, upstreams=1):
         self.rng = random.Random(seed)
-        self.tables = tables_of(entries, slots)
+        self.tables = tables_of(entries, slots, upstreams)
+        self.upstreams = [UpstreamQueue(f"u{n + 1}") for n in range(upstreams)]
         self.entries = [Entry(n, self.tables, self.rng) for n in range(entries)]
         self.slots, self.places = slots, queue
-        self.running = 0
-        self.queue: deque = deque()
-        self.is_up = True
         self.slowness = 1.0
         self.tells = True
         self.ignored = 0
@@ -180,13 +196,14 @@
         """Let callers begin calls of a kind at random times."""
         at_ms = from_ms
         while True:
-            at_ms += self.rng.expovariate(kind.per_s * factor / 1000.0)
+            per_s = kind.per_s * factor * len(self.upstreams)
+            at_ms += self.rng.expovariate(per_s / 1000.0)
             if at_ms >= until_ms:
                 return
             self.offer_one(kind, at_ms, repeats, key)
 
     def offer_one(self, kind, at_ms, repeats=0, key=None):
-        chosen = self.rng.randrange(KEYS) if key is None else key
+        chosen = self.rng.randrange(KEYS * len(self.upstreams)) if key is None else key
         call = Call(kind, chosen, f"10.0.0.{len(self.calls) % 250}", at_ms, repeats)
         self.calls.append(call)
         self.push(at_ms, self.attempt, call)
@@ -204,9 +221,11 @@
             self.come_back(now, call, refusal.retry_after_s * 1000.0, deadline_ms)
             return
         permit = str(next(self.permits))
-        entry.admission.record_sent(routed, entry.load, permit, now)
-        entry.load.in_flight += 1
-        self.arrive(now, (call, entry, routed, permit, now))
+        upstream = self.upstreams[call.key // KEYS]
+        load = entry.load_of(upstream)
+        entry.admission.record_sent(routed, load, permit, now)
+        load.in_flight += 1
+        self.arrive(now, upstream, (call, entry, routed, permit, now))
 
     def come_back(self, now, call, retry_ms, deadline_ms):
         assert 0.0 < retry_ms <= (deadline_ms - now) / 3.0 + 1.0
@@ -217,58 +236,68 @@
         if now + pause_ms < deadline_ms:
             self.push(now + pause_ms, self.attempt, call)
 
-    def arrive(self, now, item):
-        if not self.is_up or len(self.queue) >= self.places:
+    def arrive(self, now, upstream, item):
+        if len(upstream.queue) >= self.places:
             self.ignored += 1
-            call, _, _, _, _ = item
+            call = item[0]
             # The caller waits until the end of its time.
-            self.push(call.at_ms + call.kind.time_ms, self.end_ignored, item)
+            end_ms = call.at_ms + call.kind.time_ms
+            self.push(end_ms, self.end_ignored, upstream, item)
             return
-        self.queue.append(item)
-        self.begin(now)
+        upstream.queue.append(item)
+        self.begin(now, upstream)
 
-    def begin(self, now):
-        while self.queue and self.running < self.slots:
-            self.running += 1
-            item = self.queue.popleft()
+    def begin(self, now, upstream):
+        while upstream.queue and upstream.running < self.slots:
+            upstream.running += 1
+            item = upstream.queue.popleft()
             usual_ms = item[0].kind.work_ms * self.slowness
             work_ms = usual_ms * self.rng.uniform(0.6, 1.4)
-            self.push(now + work_ms, self.end, item)
+            self.push(now + work_ms, self.end, upstream, item)
 
-    def end(self, now, item):
+    def end(self, now, upstream, item):
         call, entry, routed, permit, sent_ms = item
-        self.running -= 1
+        upstream.running -= 1
         call.answered_ms = now - call.at_ms
-        load = entry.load
+        load = entry.load_of(upstream)
         load.in_flight -= 1
         load.own.remove(permit, now)
-        load.record_load(self.stated(), now)
+        load.record_load(self.stated(upstream), now)
         load.record_outcome(AttemptOutcome.ANSWERED, 3000.0, now)
         load.record_busy_time(now - sent_ms)
         entry.admission.record_answer(routed, load, now - sent_ms, now)
-        self.begin(now)
+        self.begin(now, upstream)
 
-    def stated(self):
-        return AnswerLoad(self.running, len(self.queue), self.slots, self.slowness)
+    def stated(self, upstream):
+        waiting = len(upstream.queue)
+        return AnswerLoad(upstream.running, waiting, self.slots, self.slowness)
 
-    def end_ignored(self, now, item):
+    def end_ignored(self, now, upstream, item):
         _, entry, _, permit, _ = item
-        entry.load.in_flight -= 1
-        entry.load.own.remove(permit, now)
-        entry.load.record_outcome(AttemptOutcome.TIMEOUT, 0.0, now)
+        load = entry.load_of(upstream)
+        load.in_flight -= 1
+        load.own.remove(permit, now)
+        load.record_outcome(AttemptOutcome.TIMEOUT, 0.0, now)
 
     def report(self, now):
         for entry in self.entries:
             self.loads.add(entry.take_counts(), now)
 
     def tell(self, now):
-        """Let the leader state the overload, as the range planner does."""
-        busy = sorted(e.load.busy_ms for e in self.entries if e.load.busy_ms)
-        if not (busy and self.tells):
+        """Let the leader state the overloads, as the range planner does."""
+        if not self.tells:
             return
-        per_s = sum(rate.per_s for rate in self.loads.rates(now))
-        load = per_s * busy[(len(busy) - 1) // 2] / 1000.0 / self.slots
-        items = overloads_of("keys", {"u1": load}, OPEN_SITE_LIMITS)
+        per_s = dict.fromkeys((upstream.name for upstream in self.upstreams), 0.0)
+        for rate in self.loads.rates(now):
+            per_s[self.upstreams[rate.key // KEYS].name] += rate.per_s
+        loads = {}
+        for upstream in self.upstreams:
+            known = [entry.load_of(upstream).busy_ms for entry in self.entries]
+            busy = sorted(busy_ms for busy_ms in known if busy_ms)
+            if busy:
+                busy_s = busy[(len(busy) - 1) // 2] / 1000.0
+                loads[upstream.name] = per_s[upstream.name] * busy_s / self.slots
+        items = overloads_of("keys", loads, OPEN_SITE_LIMITS)
         for entry in self.entries:
             entry.selector.overloads.update(items, now, salt_at(now))
 
--- a/bergamotdrift/tests/test_overload_admission.py
+++ b/bergamotdrift/tests/test_overload_admission.py
@@ -209,7 +209,8 @@
         routed = routed_of(LOOKUP, "10.0.0.1", 5, 100.0, 2000.0)
         blocked, counted = entry.admission.gate(routed, model.tables, 100.0)
         self.assertIsNotNone(blocked)
-        entry.load.record_load(model.stated(), 90.0)
+        (upstream,) = model.upstreams
+        entry.load_of(upstream).record_load(model.stated(upstream), 90.0)
         blocked, counted = entry.admission.gate(routed, model.tables, 100.0)
         self.assertIsNone(blocked)
         # The request passed outside the admitted part, so it stands for no other.
@@ -302,6 +303,20 @@
                 self.assertGreater(on_time(model.of_time(8000, 10_000)), 0.85)
                 self.assertGreater(on_time(model.of_time(10_000, 18_000)), 0.95)
 
+    # Guards against callers that wait in vain for upstreams that ignore them.
+    def test_most_callers_are_refused_instead_of_ignored(self):
+        model = QueueModel(1, upstreams=55)
+        for kind in (LOOKUP, CAB):
+            model.offer(kind, 0, 2000)
+        for _ in range(60 * 55):
+            model.offer_one(LOOKUP, 3000 + 300 * model.rng.random())
+        model.run(6000)
+        self.assertEqual(on_time(model.of_time(0, 2000)), 1.0)
+        returned = model.of_time(3000, 3300)
+        # Without the recognition of floods, 1,599 are ignored and 0.49 are served.
+        self.assertLess(model.ignored, 1100)
+        self.assertGreater(served(returned), 0.55)
+
 
 class LostLeaderTests(OverloadTestCase):
     """Guards against an overload that lasts if the leader is lost.
