--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -83,13 +83,13 @@
         self._yield_to_loop = yield_to_loop
         self.leases = new_leases(opened_at_ms)
         self._loads: dict[str, KeyLoads] = {}
-        # The same with a shorter memory, for sites without workspaces.
-        self._recent_loads: dict[str, KeyLoads] = {}
         self._first_seen_ms: dict[str, float] = {}
         self._moves = PlannedMoves()
         self.speeds = UpstreamSpeeds()
         self._balanced_at_ms = opened_at_ms
         self._overloads: list[UpstreamOverload] | None = None
+        # As `_loads`, with a shorter memory, for sites without workspaces.
+        self._recent_loads: dict[str, KeyLoads] = {}
 
     def add_loads(self, loads: Sequence[KeyLoad], now_ms: float) -> None:
         """Add an entry's report of requests per key."""
