--- a/bergamotdrift/direct_load.py
+++ b/bergamotdrift/direct_load.py
@@ -5,10 +5,12 @@
 
 from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.dialect import AnswerLoad
+from bergamotdrift.finish_time import Speed, UpstreamView
 from bergamotdrift.messages import (
     UpstreamRow,
     UpstreamState,
 )
+from bergamotdrift.own_requests import OwnRequests
 from bergamotdrift.probe_backoff import ProbeBackoff
 
 # A load report is outdated after this time; its weight decays at this rate.
@@ -49,6 +51,9 @@
         self.row = row
         self.slots = max(1, row.slots or slots)
         self.in_flight = 0
+        # Requests in flight whose silence is watched.
+        self.own = OwnRequests()
+        self.speed = Speed()
         # Requests per second that the upstream takes from all entries, by its last
         # answer to this entry or by its row, whichever came later; None for no limit.
         self.limit_per_s = row.limit_per_s
@@ -105,14 +110,78 @@
             return False
         if self._probe_backoff.is_down:
             return self.in_flight == 0 and self._probe_backoff.may_probe(now_ms)
+        fresh = self._fresh_load(now_ms)
+        if fresh is not None and fresh.waiting >= _LONG_QUEUE:
+            return self.in_flight < 1
+        return self.in_flight < self._share(entries, fresh)
+
+    def _share(self, entries: int, fresh: AnswerLoad | None) -> int:
         share = max(_MIN_SHARE, (self.slots + SHARED_QUEUE_DEPTH) // max(1, entries))
+        if fresh is not None:
+            share += max(0, fresh.slots - fresh.running - fresh.waiting)
+        return share
+
+    def _fresh_load(self, now_ms: float) -> AnswerLoad | None:
+        """Return the last load report unless it is outdated."""
+        reported = self._reported
+        if reported is None or now_ms - reported.at_ms >= _LOAD_DECAY_MS:
+            return None
+        return reported.load
+
+    def may_take(self, entries: int, now_ms: float) -> bool:
+        """Return whether the upstream may be sent one more request of this entry.
+
+        Used instead of `has_room` where requests are admitted by deadline; the queue
+        is then judged with the request. After a request that the upstream ignored, one
+        at a time is sent until the next answer.
+        """
+        if now_ms < self._shed_until_ms:
+            return False
+        own = self.answerable(now_ms)
+        if self.is_down:
+            return own < 1 and self._probe_backoff.may_probe(now_ms)
+        if self.own.is_suspect(now_ms):
+            return own < 1
+        return own < self._share(entries, self._fresh_load(now_ms))
+
+    def view(self, now_ms: float) -> UpstreamView:
+        """Return what is known of the upstream's load now."""
         reported = self._reported
-        if reported is not None and now_ms - reported.at_ms < _LOAD_DECAY_MS:
-            load = reported.load
-            if load.waiting >= _LONG_QUEUE:
-                return self.in_flight < 1
-            share += max(0, load.slots - load.running - load.waiting)
-        return self.in_flight < share
+        weight = 0.0
+        if reported is not None:
+            weight = math.exp((reported.at_ms - now_ms) / _LOAD_DECAY_MS)
+        return UpstreamView(
+            self.slots,
+            self.answerable(now_ms),
+            self.other_requests(now_ms),
+            self.own.oldest_ms(now_ms),
+            self.speed.estimate(self.last_slowness, weight),
+            self.busy_ms,
+        )
+
+    @property
+    def last_slowness(self) -> float:
+        """Return the slowness that the upstream stated last, or 1.0."""
+        return 1.0 if self._reported is None else self._reported.load.slowness
+
+    @property
+    def stated_requests(self) -> int | None:
+        """Return the requests that the upstream stated last, or None."""
+        if self._reported is None:
+            return None
+        return self._reported.load.running + self._reported.load.waiting
+
+    def has_free_slot(self, now_ms: float) -> bool:
+        """Return whether a recent report shows a free slot and no queue."""
+        fresh, reported = self._fresh_load(now_ms), self._reported
+        if fresh is None or reported is None:
+            return False
+        own_since = max(0, self.answerable(now_ms) - reported.own_in_flight)
+        return not fresh.waiting and fresh.running + own_since < fresh.slots
+
+    def answerable(self, now_ms: float) -> int:
+        """Return this entry's requests in flight that may still be answered."""
+        return max(0, self.in_flight - self.own.silent(now_ms))
 
     def other_requests(self, now_ms: float) -> float:
         """Return the estimated number of requests from other entries."""
@@ -145,7 +214,7 @@
 
     def record_load(self, load: AnswerLoad, now_ms: float) -> None:
         """Record the load report of a response."""
-        self._reported = ReportedLoad(load, now_ms, self.in_flight)
+        self._reported = ReportedLoad(load, now_ms, self.answerable(now_ms))
         if load.slots > 0:
             self.slots = load.slots
 
@@ -157,17 +226,17 @@
     def record_busy_time(self, latency_ms: float) -> None:
         """Record the latency of a response, whether or not it was queued."""
         weight = _BUSY_WEIGHT if self.busy_ms else 1.0
-        self.busy_ms += weight * (self._without_queue(latency_ms) - self.busy_ms)
+        self.busy_ms += weight * (self.without_queue(latency_ms) - self.busy_ms)
 
     def record_no_response(self, waited_ms: float) -> None:
         """Record an attempt that ended without a response after `waited_ms`.
 
         Without it, an upstream so slow that callers give up would never appear slow.
         """
-        if self.busy_ms and self._without_queue(waited_ms) > self.busy_ms:
+        if self.busy_ms and self.without_queue(waited_ms) > self.busy_ms:
             self.record_busy_time(waited_ms)
 
-    def _without_queue(self, latency_ms: float) -> float:
+    def without_queue(self, latency_ms: float) -> float:
         """Return a latency with the share of the reported queue removed."""
         if self._reported is None:
             return latency_ms
@@ -181,6 +250,7 @@
         if outcome is not AttemptOutcome.CANCELLED:
             self._error_rate += _ERROR_WEIGHT * (float(failed) - self._error_rate)
         if outcome in {AttemptOutcome.ANSWERED, AttemptOutcome.SERVER_ERROR}:
+            self.own.record_answer(now_ms)
             self._mark_up()
         elif outcome is AttemptOutcome.SHED:
             self._mark_up()
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -21,12 +21,17 @@
     UpstreamRow,
     UpstreamState,
 )
-from bergamotdrift.overload import overloads_of
+from bergamotdrift.overload import (
+    OPEN_SITE_LIMITS,
+    OVERLOAD_SMOOTHING_MS,
+    overloads_of,
+)
 from bergamotdrift.planned_moves import PlannedMoves
 from bergamotdrift.range_balance import (
     RangeMove,
     RowLoad,
     choose_range_moves,
+    hot_keys,
     load_by_range,
 )
 from bergamotdrift.range_layout import (
@@ -81,12 +86,25 @@
         self.speeds = UpstreamSpeeds()
         self._balanced_at_ms = opened_at_ms
         self._overloads: list[UpstreamOverload] | None = None
+        # As `_loads`, with a shorter memory, for sites without workspaces.
+        self._recent_loads: dict[str, KeyLoads] = {}
 
     def add_loads(self, loads: Sequence[KeyLoad], now_ms: float) -> None:
         """Add an entry's report of requests per key."""
         for name in {item.service for item in loads}:
             known = self._loads.setdefault(name, KeyLoads())
             known.add((item for item in loads if item.service == name), now_ms)
+            if self.admits_by_deadline:
+                recent = self._recent_loads.setdefault(
+                    name, KeyLoads(OVERLOAD_SMOOTHING_MS)
+                )
+                recent.add((item for item in loads if item.service == name), now_ms)
+
+    @property
+    def admits_by_deadline(self) -> bool:
+        """Whether entries admit requests by deadline: in sites without workspaces."""
+        current = self._state.settings.current
+        return current is not None and not current.workspaces
 
     def take_overloads(self) -> list[UpstreamOverload] | None:
         """Return the overloaded upstreams, or None if they were not planned anew."""
@@ -308,12 +326,20 @@
 
     def overloads(self) -> list[UpstreamOverload]:
         """Return the upstreams that are offered more requests than they can serve."""
+        if not self._planner.admits_by_deadline:
+            return overloads_of(self._service, self._upstream_loads(self._loads))
+        recent = self._planner._recent_loads.get(self._service, KeyLoads())
+        by_row = load_by_range(self._rows, recent.rates(self._now_ms))
+        loads = self._upstream_loads(by_row)
+        return overloads_of(self._service, loads, OPEN_SITE_LIMITS, hot_keys(by_row))
+
+    def _upstream_loads(self, by_row: Mapping[RangeRow, RowLoad]) -> dict[str, float]:
         loads = dict.fromkeys(self._load_per_rps, 0.0)
         for row in self._rows:
             if row.upstream in loads and row.state is PartitionState.OWNED:
-                load = self._loads[row].per_s * self._load_per_rps[row.upstream]
+                load = by_row[row].per_s * self._load_per_rps[row.upstream]
                 loads[row.upstream] += load
-        return overloads_of(self._service, loads)
+        return loads
 
     def _next_owner(self, row: RangeRow) -> str:
         """Return the planned owner of a range under release, else the current owner."""
