--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -95,7 +95,7 @@
         """Add leased tokens for cold upstreams."""
         ...
 
-    def take_overloads(self, items: list[UpstreamOverload]) -> None:
+    def take_overloads(self, items: list[UpstreamOverload], salt: int) -> None:
         """Replace what is known of overloaded upstreams."""
         ...
 
@@ -204,7 +204,7 @@
         if isinstance(msg, FeedUpdate) and self._apply(msg):
             self._acknowledge(conn, msg)
         elif isinstance(msg, Overloads) and self._payload is not None:
-            self._payload.take_overloads(msg.items)
+            self._payload.take_overloads(msg.items, msg.salt)
         elif isinstance(msg, PaceLots) and self._payload is not None:
             self._payload.take_paces(msg.items, float(msg.asked_ms))
 
--- a/bergamotdrift/direct_selection.py
+++ b/bergamotdrift/direct_selection.py
@@ -1,11 +1,12 @@
 """Upstream selection by one entry, based on its local view of the upstreams."""
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from enum import StrEnum
 from typing import NamedTuple
 
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
+from bergamotdrift.deadline_admission import Reason
 from bergamotdrift.direct_load import DirectLoad
 from bergamotdrift.feed_tables import FeedTables, UpstreamId
 from bergamotdrift.leader_pace_client import LeaderPaceClient
@@ -17,7 +18,12 @@
     UpstreamSpeed,
     UpstreamState,
 )
-from bergamotdrift.overload import OVERLOAD_MIN_ENTRIES, OverloadGate
+from bergamotdrift.overload import (
+    OVERLOAD_MIN_ENTRIES,
+    Draw,
+    GateDecision,
+    OverloadGate,
+)
 from bergamotdrift.request import RoutedRequest
 from bergamotdrift.routing_key import key_number
 from bergamotdrift.upstream_statements import UpstreamStatements
@@ -53,6 +59,8 @@
     queue_wait: QueueWait = QueueWait.LONG
     # Before this time no request is sent, or None if that is not known.
     free_at_ms: float | None = None
+    # Set if the request is refused by the admission control.
+    cause: Reason | None = None
     # The cold upstream that a token of the control leader is missing for.
     cold: UpstreamId | None = None
 
@@ -84,6 +92,8 @@
         # Ranges that are being handed over, and when this entry first saw that.
         self._handover_since_ms: dict[RangeRow, float] = {}
         self._ranged_services: frozenset[str] = frozenset()
+        # Whether requests are admitted by deadline: in sites without workspaces.
+        self.uses_admission = False
         self._reported_speeds: dict[UpstreamId, float] = {}
 
     def update(self, tables: FeedTables, now_ms: float) -> None:
@@ -96,6 +106,9 @@
         self.statements.share.set_members(members)
         self._update_upstreams(tables, now_ms)
         self._update_evacuations(tables, now_ms)
+        self.uses_admission = (
+            tables.settings is not None and not tables.settings.workspaces
+        )
         services = tables.settings.services if tables.settings else ()
         self._ranged_services = frozenset(
             s.name for s in services if s.kind is ServiceKind.RANGED
@@ -184,6 +197,40 @@
         reason = f"full: {row.upstream} is offered more than it can serve"
         return Blocked(reason, QueueWait.NONE, free_at_ms)
 
+    def gate(
+        self,
+        routed: RoutedRequest,
+        draw: Draw,
+        mix: Mapping[int, float],
+        tables: FeedTables,
+        now_ms: float,
+    ) -> tuple[str, GateDecision]:
+        """Return a key's upstream, and whether a new request for it may be sent.
+
+        An upstream that was just seen idle is never held to be overloaded.
+        """
+        row = tables.range_of(routed.service.name, int(routed.routing_key))
+        is_owned = row is not None and row.state is PartitionState.OWNED
+        if row is None or not is_owned or self._entries < OVERLOAD_MIN_ENTRIES:
+            return "", GateDecision(True)
+        owner = UpstreamId(row.service, row.upstream)
+        decision = self.overloads.decide(owner, draw, mix, now_ms)
+        load = self.loads.get(owner)
+        if not decision.admitted and load is not None and load.has_free_slot(now_ms):
+            return row.upstream, decision._replace(admitted=True)
+        return row.upstream, decision
+
+    def own_requests(self, service: str, now_ms: float) -> int:
+        """Return this entry's requests in flight that may still be answered."""
+        loads = self._by_service.get(service, ())
+        return sum(load.answerable(now_ms) for load in loads if load.in_flight)
+
+    def entries_per_upstream(self, service: str) -> float:
+        """Return how many entries there are for each upstream, 0 for a small fleet."""
+        if self._entries < OVERLOAD_MIN_ENTRIES:
+            return 0.0
+        return self._entries / max(1, len(self._by_service.get(service, ())))
+
     def _select_key_owner(
         self, routed: RoutedRequest, tables: FeedTables, now_ms: float
     ) -> Chosen | Blocked:
@@ -306,7 +353,8 @@
             return "evacuated"
         if now_ms < load.paused_until_ms:
             return "paused"
-        if not load.has_room(self._sharing_entries(load, service), now_ms):
+        has_room = load.may_take if self.uses_admission else load.has_room
+        if not has_room(self._sharing_entries(load, service), now_ms):
             return "down" if load.is_down else "full"
         if is_paced(load, service, now_ms) and not self.paces.has_token(
             key_of(load), service
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -8,6 +8,7 @@
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.feed_tables import UpstreamId
+from bergamotdrift.first_placement import FirstPlacement
 from bergamotdrift.key_loads import KeyLoads
 from bergamotdrift.load_ranking import LoadRanking
 from bergamotdrift.messages import (
@@ -20,12 +21,17 @@
     UpstreamRow,
     UpstreamState,
 )
-from bergamotdrift.overload import overloads_of
+from bergamotdrift.overload import (
+    OPEN_SITE_LIMITS,
+    OVERLOAD_SMOOTHING_MS,
+    overloads_of,
+)
 from bergamotdrift.planned_moves import PlannedMoves
 from bergamotdrift.range_balance import (
     RangeMove,
     RowLoad,
     choose_range_moves,
+    hot_keys,
     load_by_range,
 )
 from bergamotdrift.range_layout import (
@@ -41,9 +47,6 @@
 from bergamotdrift.range_move_limits import changes_allowed, max_moves, noise_margin
 from bergamotdrift.upstream_speeds import UpstreamSpeeds
 
-# Waits for upstreams that start together, so that the first one is not assigned all
-# keys.
-FIRST_PLACEMENT_DELAY_MS = 1500.0
 BALANCE_INTERVAL_MS = 500.0
 # Announcements arrive about once per second, and may be late.
 MAX_ANNOUNCEMENT_AGE_MS = 4000.0
@@ -78,17 +81,30 @@
         self._yield_to_loop = yield_to_loop
         self.leases = new_leases(opened_at_ms)
         self._loads: dict[str, KeyLoads] = {}
-        self._first_seen_ms: dict[str, float] = {}
+        self._first_placements: dict[str, FirstPlacement] = {}
         self._moves = PlannedMoves()
         self.speeds = UpstreamSpeeds()
         self._balanced_at_ms = opened_at_ms
         self._overloads: list[UpstreamOverload] | None = None
+        # As `_loads`, with a shorter memory, for sites without workspaces.
+        self._recent_loads: dict[str, KeyLoads] = {}
 
     def add_loads(self, loads: Sequence[KeyLoad], now_ms: float) -> None:
         """Add an entry's report of requests per key."""
         for name in {item.service for item in loads}:
             known = self._loads.setdefault(name, KeyLoads())
             known.add((item for item in loads if item.service == name), now_ms)
+            if self.admits_by_deadline:
+                recent = self._recent_loads.setdefault(
+                    name, KeyLoads(OVERLOAD_SMOOTHING_MS)
+                )
+                recent.add((item for item in loads if item.service == name), now_ms)
+
+    @property
+    def admits_by_deadline(self) -> bool:
+        """Whether entries admit requests by deadline: in sites without workspaces."""
+        current = self._state.settings.current
+        return current is not None and not current.workspaces
 
     def take_overloads(self) -> list[UpstreamOverload] | None:
         """Return the overloaded upstreams, or None if they were not planned anew."""
@@ -310,12 +326,20 @@
 
     def overloads(self) -> list[UpstreamOverload]:
         """Return the upstreams that are offered more requests than they can serve."""
+        if not self._planner.admits_by_deadline:
+            return overloads_of(self._service, self._upstream_loads(self._loads))
+        recent = self._planner._recent_loads.get(self._service, KeyLoads())
+        by_row = load_by_range(self._rows, recent.rates(self._now_ms))
+        loads = self._upstream_loads(by_row)
+        return overloads_of(self._service, loads, OPEN_SITE_LIMITS, hot_keys(by_row))
+
+    def _upstream_loads(self, by_row: Mapping[RangeRow, RowLoad]) -> dict[str, float]:
         loads = dict.fromkeys(self._load_per_rps, 0.0)
         for row in self._rows:
             if row.upstream in loads and row.state is PartitionState.OWNED:
-                load = self._loads[row].per_s * self._load_per_rps[row.upstream]
+                load = by_row[row].per_s * self._load_per_rps[row.upstream]
                 loads[row.upstream] += load
-        return overloads_of(self._service, loads)
+        return loads
 
     def _next_owner(self, row: RangeRow) -> str:
         """Return the planned owner of a range under release, else the current owner."""
@@ -324,8 +348,10 @@
         return self._planner._moves.target_of(row) or row.upstream
 
     def _initial_placement(self) -> list[Message]:
-        first_ms = self._planner._first_seen_ms.setdefault(self._service, self._now_ms)
-        if self._now_ms - first_ms < FIRST_PLACEMENT_DELAY_MS:
+        placement = self._planner._first_placements.setdefault(
+            self._service, FirstPlacement(self._now_ms)
+        )
+        if not placement.is_due(self._eligible, self._now_ms):
             return []
         rows = []
         count = len(self._eligible)
