Treat a response without a length as truncated after a failed send

Cause: an upstream may answer a long upload early and reset the connection while the upload is written. The kernel reports a reset once. ForwardStage._send_rest drops that report when a send gets it, and the end of the received data then looks like an orderly close: a part of a body without a length was passed on as a complete 200.

Change: a connection remembers that a send failed, and the end of its data then ends no response without a length. A response with a length, or a chunked one, that arrived whole before the reset is passed on as before. All clients of HttpConnection share the rule; load_poller, operator_client and range_order_client don't read on after a failed send.

--- a/bergamotdrift/http_connection.py
+++ b/bergamotdrift/http_connection.py
@@ -96,6 +96,7 @@
         self._limit_ms: float | None = None
         self._may_abandon: Callable[[], bool] = lambda: True
         self._closed = False
+        self._send_error = ""
         self._sock = new_socket(address)
 
     def start_request(
@@ -126,11 +127,18 @@
         disable_nagle(self._sock)
 
     def send(self, data: bytes) -> None:
-        """Send all data; `any_bytes_sent` is set once any byte left this process."""
+        """Send all data; `any_bytes_sent` is set once any byte left this process.
+
+        Raises OSError. What was received before a reset can still be read then.
+        """
         view = memoryview(data)
         while view:
             self._sock.settimeout(self._remaining_ms() / 1000.0)
-            sent = self._sock.send(view)
+            try:
+                sent = self._sock.send(view)
+            except OSError as exc:
+                self._send_error = str(exc)
+                raise
             self.any_bytes_sent = True
             view = view[sent:]
 
@@ -160,7 +168,13 @@
                 return self._sock.recv(_RECEIVE_BYTES)
 
     def _handle_eof(self, parser: ResponseParser) -> int:
-        """Complete a response without framing; any other response is truncated."""
+        """Complete a response without framing; any other response is truncated.
+
+        The kernel reports a reset once. If a send took that report, the end of the
+        received data looks like an orderly close.
+        """
+        if self._send_error:
+            raise ConnectionResetError(f"reset during the request: {self._send_error}")
         if not parser.head_is_final or parser.has_framing():
             raise ConnectionResetError("the server closed the connection")
         parser.ends_on_close = True
