Reject responses with a status outside 100 to 599

Cause: the parser accepts any three digits. 000 to 099 counted as an interim response and 600 to 999 as a final one, in entries, load polls, range orders and operator calls.

Change: ResponseParser.feed_bounded raises HTTPParseError, also for responses to HEAD, where the parser drops errors, and after an interim response.

--- a/bergamotdrift/http_connection.py
+++ b/bergamotdrift/http_connection.py
@@ -17,6 +17,8 @@
 _CONNECT_TIMEOUT_MS = 500
 # Bytes of headers, trailers and chunk sizes that may arrive without any of the body.
 _MAX_OVERHEAD_BYTES = 64 * 1024
+# The parser accepts all numbers of three digits.
+_VALID_STATUSES = range(100, 600)
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -31,6 +33,7 @@
         self.ends_on_close = False
         self._overhead_bytes = 0
         self._has_new_body = False
+        self._invalid_status = ""
 
     def _on_message_begin(self) -> None:
         if self.message_complete and self.status >= 200:
@@ -41,6 +44,8 @@
     def _on_headers_complete(self) -> Any:
         result = super()._on_headers_complete()
         self.status = self.get_code()
+        if self.status not in _VALID_STATUSES:
+            self._invalid_status = f"{self.status:03}"
         return result
 
     def _on_body(self, buf: bytearray) -> None:
@@ -55,6 +60,9 @@
         except HTTPParseError:
             if not self.extra_data:
                 raise
+        # Not raised while parsing, since an error in a response to HEAD is dropped.
+        if self._invalid_status:
+            raise HTTPParseError(f"the status {self._invalid_status} is invalid")
         self._overhead_bytes = (
             0 if self._has_new_body else self._overhead_bytes + len(data)
         )
