Split the pipeline and the forward stage by responsibility

Behavior is unchanged. A test that patched ForwardStage._head patches its new place, RequestHeads.build.

--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -35,12 +35,14 @@
     NodeRow,
     Role,
 )
-from bergamotdrift.pipeline import Pipeline, SettingsView, Stages
+from bergamotdrift.pipeline import Pipeline
 from bergamotdrift.route_split import RouteSplits
+from bergamotdrift.settings_view import SettingsView
 from bergamotdrift.shard_view import is_workspace_shard
 from bergamotdrift.stages.claim import ClaimStage, NoClaims
 from bergamotdrift.stages.forward import ForwardStage
 from bergamotdrift.stages.permit import PermitStage
+from bergamotdrift.stages.stages import Stages
 from bergamotdrift.token_cache import spent_window_ms
 from bergamotdrift.token_client import TokenClient
 from bergamotdrift.upstream_connections import UpstreamConnectionPool
--- a/bergamotdrift/http_connection.py
+++ b/bergamotdrift/http_connection.py
@@ -74,6 +74,11 @@
         """Whether the headers of the final (non-1xx) response are complete."""
         return self.headers_complete and self.status >= 200
 
+    def first_header(self, name: str) -> str | None:
+        """Return the first value of a header, or None."""
+        found = self.get(name)
+        return found[0] if isinstance(found, list) else found
+
     def has_framing(self) -> bool:
         """Return whether the end of the body can be told from a lost connection."""
         if self.method == "HEAD" or self.status in {204, 304}:
--- a/bergamotdrift/platform/range_order_client.py
+++ b/bergamotdrift/platform/range_order_client.py
@@ -10,7 +10,6 @@
 from bergamotdrift.messages import UpstreamRow
 from bergamotdrift.platform import names
 from bergamotdrift.range_orders import GrantOrder, GrantResult, ReleaseOrder
-from bergamotdrift.stages.forward import header_of
 from bergamotdrift.upstream_connections import (
     UpstreamConnection,
     UpstreamConnectionPool,
@@ -111,7 +110,7 @@
 def _receive(conn: UpstreamConnection) -> _Answer:
     parser = read_response_head(conn, "POST")
     read_response_body(conn, parser, _BODY_MAX_BYTES)
-    token = header_of(parser)(names.STATE_TOKEN) or ""
+    token = parser.first_header(names.STATE_TOKEN) or ""
     may_reuse = not (parser.should_close() or parser.extra_data)
     return _Answer(parser.status, token, may_reuse)
 
--- a/bergamotdrift/stages/reply.py
+++ b/bergamotdrift/stages/reply.py
@@ -9,10 +9,8 @@
 from bergamotdrift.http_input import connection_tokens
 from bergamotdrift.refusals import refusal_body, refusal_headers
 from bergamotdrift.request import Reply
-from bergamotdrift.stages.forward import (
-    HOP_BY_HOP,
-    UpstreamResponse,
-)
+from bergamotdrift.stages.request_head import HOP_BY_HOP
+from bergamotdrift.stages.upstream_response import UpstreamResponse
 
 # Responses up to this size are buffered before they are forwarded, so that a truncated
 # one can still be retried or refused.
--- a/bergamotdrift/tests/test_forward.py
+++ b/bergamotdrift/tests/test_forward.py
@@ -6,7 +6,7 @@
 
 from bergamotdrift.arbiter_messages import PermitRelease
 from bergamotdrift.http_input import HeaderLine, connection_tokens
-from bergamotdrift.stages.forward import end_to_end
+from bergamotdrift.stages.request_head import end_to_end
 from bergamotdrift.tests.endless_server import (
     ENDLESS_ANSWERS,
     SENT_MAX_BYTES,
--- a/bergamotdrift/tests/test_pipeline.py
+++ b/bergamotdrift/tests/test_pipeline.py
@@ -190,7 +190,7 @@
 
     def test_internal_error_is_reported_and_releases_the_permit(self):
         forward = self.entry.app._pipeline._stages.forward
-        with mock.patch.object(forward, "_head", side_effect=KeyError("fault")):
+        with mock.patch.object(forward._heads, "build", side_effect=KeyError("fault")):
             answer = self.ask("POST", "/cases/1")
         self.assertEqual((answer.status, answer.kind), (500, "internal"))
         self.assertFalse(json.loads(answer.body)["not_run"])
