--- a/bergamotdrift/entry_metrics.py
+++ b/bergamotdrift/entry_metrics.py
@@ -21,6 +21,11 @@
     "Repeated attempts by service and outcome of the failed one",
     ("service", "outcome"),
 )
+BROKEN_RESPONSES = Counter(
+    "bergamotdrift_entry_broken_responses_total",
+    "Responses of upstreams that were not accepted, by reason",
+    ("reason",),
+)
 LATENCY = Histogram(
     "bergamotdrift_entry_latency_seconds",
     "Time from the request's head to the start of the answer",
--- a/bergamotdrift/http_connection.py
+++ b/bergamotdrift/http_connection.py
@@ -4,6 +4,7 @@
 import select
 import struct
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Any
 
 import gevent.socket
@@ -22,6 +23,34 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+class BrokenReason(StrEnum):
+    """List the reasons for which a response is not accepted."""
+
+    CLOSED = "closed"
+    RESET_DURING_REQUEST = "reset_during_request"
+    INVALID_STATUS = "invalid_status"
+    MALFORMED = "malformed"
+
+
+class ResetDuringRequestError(ConnectionResetError):
+    """The connection was reset while the request was sent."""
+
+
+class InvalidStatusError(HTTPParseError):
+    """The response has a status that HTTP does not define."""
+
+
+def broken_reason(exc: OSError | HTTPParseError) -> BrokenReason:
+    """Return the reason why a response ended with an error."""
+    if isinstance(exc, ResetDuringRequestError):
+        return BrokenReason.RESET_DURING_REQUEST
+    if isinstance(exc, InvalidStatusError):
+        return BrokenReason.INVALID_STATUS
+    if isinstance(exc, HTTPParseError):
+        return BrokenReason.MALFORMED
+    return BrokenReason.CLOSED
+
+
 class ResponseParser(HTTPResponse):
     """Parser of a single response; sets `extra_data` if more data follows it."""
 
@@ -62,7 +91,7 @@
                 raise
         # Not raised while parsing, since an error in a response to HEAD is dropped.
         if self._invalid_status:
-            raise HTTPParseError(f"the status {self._invalid_status} is invalid")
+            raise InvalidStatusError(f"the status {self._invalid_status} is invalid")
         self._overhead_bytes = (
             0 if self._has_new_body else self._overhead_bytes + len(data)
         )
@@ -187,7 +216,9 @@
         received data looks like an orderly close.
         """
         if self._send_error:
-            raise ConnectionResetError(f"reset during the request: {self._send_error}")
+            raise ResetDuringRequestError(
+                f"reset during the request: {self._send_error}"
+            )
         if not parser.head_is_final or parser.has_framing():
             raise ConnectionResetError("the server closed the connection")
         parser.ends_on_close = True
--- a/bergamotdrift/stages/attempt_failure.py
+++ b/bergamotdrift/stages/attempt_failure.py
@@ -4,6 +4,7 @@
 
 from geventhttpclient.response import HTTPParseError
 
+from bergamotdrift import entry_metrics
 from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.attempts import RunningAttempt
 from bergamotdrift.exceptions import (
@@ -12,6 +13,7 @@
     Refusal,
     RequestError,
 )
+from bergamotdrift.http_connection import broken_reason
 
 
 class AttemptFailure(NamedTuple):
@@ -43,6 +45,7 @@
         refusal = Refusal(ErrorKind.UPSTREAM_TIMEOUT)
         return AttemptFailure(refusal, AttemptOutcome.TIMEOUT, False)
     if isinstance(exc, (OSError, HTTPParseError)):
+        entry_metrics.BROKEN_RESPONSES.labels(broken_reason(exc)).inc()
         refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, f"the connection broke: {exc}")
         return AttemptFailure(refusal, AttemptOutcome.BROKEN, False)
     refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, "the request was interrupted")
--- a/bergamotdrift/stages/upstream_response.py
+++ b/bergamotdrift/stages/upstream_response.py
@@ -4,9 +4,10 @@
 
 from geventhttpclient.response import HTTPParseError
 
+from bergamotdrift import entry_metrics
 from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.exceptions import TruncatedAnswerError
-from bergamotdrift.http_connection import ResponseParser
+from bergamotdrift.http_connection import ResponseParser, broken_reason
 from bergamotdrift.upstream_connections import UpstreamConnection
 
 _SERVER_ERROR_STATUS_MIN = 500
@@ -107,6 +108,7 @@
             self.end(AttemptOutcome.TIMEOUT, may_reuse=False)
             raise TruncatedAnswerError("the deadline passed") from exc
         except (OSError, HTTPParseError) as exc:
+            entry_metrics.BROKEN_RESPONSES.labels(broken_reason(exc)).inc()
             self.end(AttemptOutcome.BROKEN, may_reuse=False)
             raise TruncatedAnswerError(str(exc)) from exc
 
--- a/bergamotdrift/tests/test_upload_resets.py
+++ b/bergamotdrift/tests/test_upload_resets.py
@@ -6,7 +6,8 @@
 import gevent
 import gevent.event
 
-from bergamotdrift import http_connection
+from bergamotdrift import entry_metrics, http_connection
+from bergamotdrift.http_connection import BrokenReason
 from bergamotdrift.streams import new_socket
 from bergamotdrift.tests.direct_entry import DirectEntryTestCase
 from bergamotdrift.tests.entry_fakes import OK_ANSWER, OK_BODY, Caller
@@ -96,7 +97,11 @@
         self.assert_outcome_unknown(self.upload(UNFRAMED, 0))
 
     def test_reset_that_a_later_send_reports(self):
+        reason = BrokenReason.RESET_DURING_REQUEST
+        count = entry_metrics.BROKEN_RESPONSES.labels(reason)
+        before = count._value.get()
         self.assert_outcome_unknown(self.upload(UNFRAMED, 1))
+        self.assertEqual(count._value.get() - before, 1)
 
     def test_reset_while_a_send_waits(self):
         self.assert_outcome_unknown(self.upload_whole(UNFRAMED, LENGTH))
