Bound the bytes that an entry holds, and disconnect callers that don't read

Cause: bodies kept for retries (64 KB), buffered responses (64 KB, 4 MB without a length) and parts of 64 KB were bounded for a request only, and an entry may have 1,000 connections. A caller that did not read was disconnected after body_timeout_s (10 s) for a part, with a line http_error; a caller that read slowly likewise.

Change: byte_budget counts these bytes in one place and bounds them to 32 MB in all and about 4 MB for a request. Without room, requests buffer less and read parts of 4 KB, so the kernel's flow control slows the sender down and nothing waits for room. caller_writes disconnects a caller that took less than 1 KB in 5 s (or body_timeout_s if that is shorter), judged by what it acknowledged. A whole response is sent in parts, so that at most 64 KB of it are copied.

http_handler.py: two calls of send_to_caller.

--- a/bergamotdrift/attempt_loop.py
+++ b/bergamotdrift/attempt_loop.py
@@ -8,7 +8,9 @@
 from bergamotdrift import entry_metrics
 from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.body_source import BodySource
+from bergamotdrift.byte_budget import Pressure
 from bergamotdrift.clock import Clock
+from bergamotdrift.constants import CLOSE_DELIMITED_MAX_BYTES
 from bergamotdrift.exceptions import (
     ErrorKind,
     Refusal,
@@ -139,15 +141,24 @@
     ) -> Result[Reply, AttemptFailure]:
         request_id = routed.req.request_id
         try:
-            if not replies.should_buffer(response):
+            if not _may_buffer(routed, response):
                 return Success(replies.streamed_reply(response, request_id))
-            body = response.read_body(replies.CLOSE_DELIMITED_MAX_BYTES)
+            body = response.read_body(CLOSE_DELIMITED_MAX_BYTES)
         except TruncatedAnswerError as exc:
             refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, str(exc))
             return Failure(AttemptFailure(refusal, AttemptOutcome.BROKEN, False))
         return Success(replies.buffered_reply(response, request_id, body))
 
 
+def _may_buffer(routed: RoutedRequest, response: UpstreamResponse) -> bool:
+    """Return True if a response is received whole; takes the room for it."""
+    if not replies.should_buffer(response):
+        return False
+    if response.is_complete or response.length is None:
+        return True
+    return routed.held.take(response.length, Pressure.RESPONSE_NOT_BUFFERED)
+
+
 def _attempts_exhausted(routed: RoutedRequest, history: AttemptHistory) -> bool:
     """Return True if the route's maximum number of attempts has been sent."""
     return 0 < routed.route.attempts <= history.sent
--- a/bergamotdrift/body_source.py
+++ b/bergamotdrift/body_source.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from bergamotdrift.byte_budget import HeldBytes, Pressure
 from bergamotdrift.constants import RETRY_BODY_BYTES
 from bergamotdrift.exceptions import ErrorKind, RequestError
 from bergamotdrift.request import RequestBody
@@ -40,13 +41,16 @@
         return data
 
 
-def open_body(body: RequestBody, max_bytes: int) -> BodySource:
-    """Return a body, fully buffered if it is small.
+def open_body(body: RequestBody, max_bytes: int, held: HeldBytes) -> BodySource:
+    """Return a body, fully buffered if it is small and there is room for it.
 
     Raises RequestError and CallerGoneError.
     """
     if body.length is not None and body.length > RETRY_BODY_BYTES:
         return BodySource(b"", body.length, body.read)
+    size = RETRY_BODY_BYTES if body.length is None else body.length
+    if size and not held.take(size, Pressure.REQUEST_NOT_BUFFERED):
+        return BodySource(b"", body.length, _LimitedReader(body, max_bytes).read)
     reader = _LimitedReader(body, max_bytes)
     buffered = bytearray()
     while len(buffered) < RETRY_BODY_BYTES or body.length is not None:
--- a/bergamotdrift/constants.py
+++ b/bergamotdrift/constants.py
@@ -25,6 +25,9 @@
 ZONE_OUT_GRACE_MS = 3000
 
 RETRY_BODY_BYTES = 64 * 1024
+# Responses that end with the connection are buffered whole up to this size, and refused
+# above it.
+CLOSE_DELIMITED_MAX_BYTES = 4 * 1024 * 1024
 RETRY_BUDGET_RATIO = 0.1
 RETRY_BUDGET_MIN_PER_S = 3.0
 
--- a/bergamotdrift/http_connection.py
+++ b/bergamotdrift/http_connection.py
@@ -119,6 +119,11 @@
         """Whether body bytes were parsed since the last call of `take_body`."""
         return bool(self._body_buffer)
 
+    @property
+    def body_bytes(self) -> int:
+        """Number of body bytes parsed since the last call of `take_body`."""
+        return len(self._body_buffer)
+
     def take_body(self) -> bytes:
         """Return the body bytes parsed since the last call."""
         data = bytes(self._body_buffer)
@@ -190,24 +195,26 @@
         poller.register(self._sock.fileno(), select.POLLIN)
         return bool(poller.poll(0))
 
-    def receive_into(self, parser: ResponseParser) -> int:
-        """Feed received bytes to the parser and return their number.
+    def receive_into(
+        self, parser: ResponseParser, max_bytes: int = _RECEIVE_BYTES
+    ) -> int:
+        """Feed up to `max_bytes` received bytes to the parser; return their number.
 
         Raises OSError and HTTPParseError.
         """
-        data = self._receive()
+        data = self._receive(max_bytes)
         if not data:
             return self._handle_eof(parser)
         parser.feed_bounded(data)
         return len(data)
 
-    def _receive(self) -> bytes:
+    def _receive(self, max_bytes: int) -> bytes:
         """Return received bytes, empty at end of stream; raises OSError."""
         while True:
             self._sock.settimeout(self._remaining_ms() / 1000.0)
             # After a timeout, `_remaining_ms` raises if the deadline or limit passed.
             with contextlib.suppress(TimeoutError):
-                return self._sock.recv(_RECEIVE_BYTES)
+                return self._sock.recv(max_bytes)
 
     def _handle_eof(self, parser: ResponseParser) -> int:
         """Complete a response without framing; any other response is truncated.
@@ -273,7 +280,10 @@
 
 
 def read_response_head(
-    conn: HttpConnection, method: str, parser: ResponseParser | None = None
+    conn: HttpConnection,
+    method: str,
+    parser: ResponseParser | None = None,
+    max_bytes: int = _RECEIVE_BYTES,
 ) -> ResponseParser:
     """Read up to the end of the final response's headers and return the parser.
 
@@ -281,7 +291,7 @@
     """
     parser = ResponseParser(method) if parser is None else parser
     while not parser.head_is_final:
-        _receive_head_part(conn, parser)
+        _receive_head_part(conn, parser, max_bytes)
     return parser
 
 
@@ -295,8 +305,10 @@
     return parser.head_is_final
 
 
-def _receive_head_part(conn: HttpConnection, parser: ResponseParser) -> None:
-    conn.receive_into(parser)
+def _receive_head_part(
+    conn: HttpConnection, parser: ResponseParser, max_bytes: int = _RECEIVE_BYTES
+) -> None:
+    conn.receive_into(parser, max_bytes)
     if parser.status == 101:
         raise HTTPParseError("the server switched protocols")
 
--- a/bergamotdrift/http_handler.py
+++ b/bergamotdrift/http_handler.py
@@ -10,6 +10,7 @@
 import gevent
 from gevent import pywsgi
 
+from bergamotdrift.caller_writes import send_to_caller
 from bergamotdrift.connection_ends import (
     ConnectionEnd,
     EndedConnection,
@@ -218,7 +219,14 @@
             super()._write_with_headers(data)
         finally:
             self.socket = sock
-        self.socket.sendall(bytes(writer.data))
+        send_to_caller(self.socket, writer.data, self._limits.body_timeout_s)
+
+    def _sendall(self, data: Any) -> None:
+        if isinstance(self.socket, _WriteBuffer):
+            self.socket.sendall(data)
+        else:
+            send_to_caller(self.socket, data, self._limits.body_timeout_s)
+        self.response_length += len(data)
 
     def _write(self, data: Any, _bytearray: Any = bytearray) -> None:
         if self.command != "HEAD":
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -8,8 +8,10 @@
 from bergamotdrift.admission import Admission
 from bergamotdrift.attempt_loop import AttemptLoop
 from bergamotdrift.body_source import BodySource, open_body
+from bergamotdrift.byte_budget import ByteBudget, HeldBytes
 from bergamotdrift.clock import Clock
 from bergamotdrift.dialect import NATIVE, Dialect
+from bergamotdrift.entry_memory import new_budget as new_byte_budget
 from bergamotdrift.exceptions import (
     ERROR_ANSWERS,
     ErrorKind,
@@ -46,6 +48,7 @@
         clock: Clock,
         new_budget: Callable[[], Budget] | None = None,
         dialect: Dialect = NATIVE,
+        budget: ByteBudget | None = None,
     ):
         self._stages = stages
         self._admission = admission
@@ -53,6 +56,7 @@
         self._settings_age_ms = settings_age_ms
         self._clock = clock
         self._dialect = dialect
+        self._budget = new_byte_budget() if budget is None else budget
         self._waits = RefusableWaits()
         retries = Retries(admission, clock, new_budget)
         self._attempts = AttemptLoop(stages, view, feed, clock, self._waits, retries)
@@ -66,7 +70,22 @@
 
         Raises CallerGoneError and TruncatedAnswerError.
         """
-        result = self._admit(req)
+        held = self._budget.open()
+        try:
+            reply = self._handle(req, held)
+        except BaseException:
+            held.close()
+            raise
+        on_close = reply.on_close
+
+        def close() -> None:
+            held.close()
+            on_close()
+
+        return reply._replace(on_close=close)
+
+    def _handle(self, req: IncomingRequest, held: HeldBytes) -> Reply:
+        result = self._admit(req).map(lambda routed: routed._replace(held=held))
         service = entry_metrics.UNROUTED
         routed = result.value_or(None)
         if routed is not None:
@@ -121,7 +140,7 @@
         if isinstance(admitted, Failure):
             return Failure(StageRefusal("rate", admitted.failure()))
         try:
-            body = open_body(routed.req.body, routed.route.max_body_bytes)
+            body = open_body(routed.req.body, routed.route.max_body_bytes, routed.held)
         except RequestError as exc:
             return Failure(StageRefusal("body", exc.refusal))
         claimed = self._waits.run(lambda: self._stages.claims.begin(routed, body))
--- a/bergamotdrift/request.py
+++ b/bergamotdrift/request.py
@@ -1,9 +1,11 @@
 """Request and reply types of the entry's pipeline."""
 
+import sys
 from collections.abc import Callable, Iterator
 from typing import NamedTuple, Protocol
 
 from bergamotdrift.arbiter_messages import NO_PARTITION
+from bergamotdrift.byte_budget import ByteBudget, HeldBytes
 from bergamotdrift.config.schema import (
     RouteSettings,
     ServiceKind,
@@ -12,6 +14,7 @@
 from bergamotdrift.http_input import HeaderLine
 
 ANONYMOUS = ""
+_UNBOUNDED = ByteBudget(sys.maxsize, sys.maxsize).open()
 
 
 class RequestBody(Protocol):
@@ -50,7 +53,7 @@
     """Represent a request with its workspace, route, routing key and deadline.
 
     `revision` is the settings revision under which it was admitted. `rank` is the
-    priority of its workspace, or None to use the route's.
+    priority of its workspace, or None to use the route's. `held` counts its buffers.
     """
 
     req: IncomingRequest
@@ -61,6 +64,7 @@
     deadline_ms: float
     revision: int = 0
     rank: int | None = None
+    held: HeldBytes = _UNBOUNDED
 
     @property
     def is_keyed(self) -> bool:
--- a/bergamotdrift/stages/forward.py
+++ b/bergamotdrift/stages/forward.py
@@ -11,6 +11,7 @@
 )
 from bergamotdrift.attempts import RunningAttempt
 from bergamotdrift.body_source import BodySource
+from bergamotdrift.byte_budget import HeldBytes
 from bergamotdrift.clock import Clock
 from bergamotdrift.dialect import NATIVE, Dialect
 from bergamotdrift.exceptions import (
@@ -34,7 +35,6 @@
     UpstreamConnectionPool,
 )
 
-_READ_BYTES = 64 * 1024
 _RESETS = (BrokenPipeError, ConnectionResetError)
 
 
@@ -83,7 +83,7 @@
                 return Failure(failure)
             raise
         assert running.conn is not None
-        response = UpstreamResponse(parser, running.conn, on_end)
+        response = UpstreamResponse(parser, running.conn, on_end, routed.held)
         return _check_not_run(response, parser, self._dialect)
 
     def release_unused(self, running: RunningAttempt) -> None:
@@ -99,8 +99,10 @@
         conn = self._send_first(routed, running, first, body.can_be_resent)
         parser = ResponseParser(routed.req.method)
         if body.read is not None and not conn.send_failed:
-            self._send_rest(conn, body, parser)
-        read_response_head(conn, routed.req.method, parser)
+            self._send_rest(conn, body, parser, routed.held)
+        size = routed.held.chunk_size()
+        read_response_head(conn, routed.req.method, parser, size)
+        routed.held.set_chunk(parser.body_bytes)
         self._check_response(routed, parser)
         self._read_statement(running, parser)
         return parser
@@ -175,13 +177,17 @@
             raise ConnectionAbortedError(running.cancel_reason)
 
     def _send_rest(
-        self, conn: UpstreamConnection, body: BodySource, parser: ResponseParser
+        self,
+        conn: UpstreamConnection,
+        body: BodySource,
+        parser: ResponseParser,
+        held: HeldBytes,
     ) -> None:
         assert body.read is not None
         # An upstream may respond before it has read the whole body.
         while not final_response_has_arrived(conn, parser):
             try:
-                data = body.read(_READ_BYTES)
+                data = body.read(held.next_chunk())
             except RequestError:
                 # A caller may stop sending because it waits for that response.
                 if final_response_has_arrived(conn, parser):
--- a/bergamotdrift/stages/reply.py
+++ b/bergamotdrift/stages/reply.py
@@ -1,9 +1,12 @@
 """Build the reply to the caller from an upstream response or a refusal."""
 
+from collections.abc import Iterator
+
 from bergamotdrift.arbiter_messages import (
     Header,
     SavedAnswer,
 )
+from bergamotdrift.byte_budget import CHUNK_BYTES
 from bergamotdrift.dialect import NATIVE, Dialect
 from bergamotdrift.exceptions import ERROR_ANSWERS, Refusal
 from bergamotdrift.http_input import connection_tokens
@@ -15,9 +18,6 @@
 # Responses up to this size are buffered before they are forwarded, so that a truncated
 # one can still be retried or refused.
 BUFFERED_RESPONSE_BYTES = 64 * 1024
-# Responses that end with the connection are buffered whole up to this size, and refused
-# above it.
-CLOSE_DELIMITED_MAX_BYTES = 4 * 1024 * 1024
 SAVED_RESPONSE_BYTES = 16 * 1024
 _OWN_HEADERS = frozenset({"x-error-kind", "x-not-run", "x-request-id"})
 _BODILESS_STATUSES = frozenset({204, 304})
@@ -80,7 +80,13 @@
     stated = any(name.lower() == "content-length" for name, _ in headers)
     if body and not stated:
         headers.append(("Content-Length", str(len(body))))
-    return Reply(response.status, headers, iter((body,)), buffered_body=body)
+    return Reply(response.status, headers, _slices(body), buffered_body=body)
+
+
+def _slices(body: bytes) -> Iterator[bytes]:
+    """Yield a body in parts, since each part is copied while it is sent."""
+    for start in range(0, len(body) or 1, CHUNK_BYTES):
+        yield body[start : start + CHUNK_BYTES]
 
 
 def saved_response(reply: Reply, body: bytes) -> SavedAnswer | None:
--- a/bergamotdrift/stages/upstream_response.py
+++ b/bergamotdrift/stages/upstream_response.py
@@ -6,6 +6,7 @@
 
 from bergamotdrift import entry_metrics
 from bergamotdrift.arbiter_messages import AttemptOutcome
+from bergamotdrift.byte_budget import HeldBytes, Pressure
 from bergamotdrift.exceptions import TruncatedAnswerError
 from bergamotdrift.http_connection import ResponseParser, broken_reason
 from bergamotdrift.upstream_connections import UpstreamConnection
@@ -21,12 +22,14 @@
         parser: ResponseParser,
         conn: UpstreamConnection,
         on_end: Callable[[AttemptOutcome, bool], None],
+        held: HeldBytes,
     ):
         self.status = parser.status
         self.headers = list(parser.items())
         self._parser = parser
         self._conn = conn
         self._on_end = on_end
+        self._held = held
         self._ended = False
 
     @property
@@ -74,18 +77,26 @@
             self.abandon()
 
     def read_body(self, max_bytes: int) -> bytes:
-        """Return the whole body.
+        """Return the whole body; room for it was taken unless its length is not known.
 
         Raises TruncatedAnswerError if it ends early or is too large.
         """
         body = bytearray()
         for data in self.iter_body():
+            if not self._take_room(len(data)):
+                self.end(AttemptOutcome.BROKEN, may_reuse=False)
+                raise TruncatedAnswerError("no memory is left for the response body")
             body += data
             if len(body) > max_bytes:
                 self.end(AttemptOutcome.BROKEN, may_reuse=False)
                 raise TruncatedAnswerError("the response body is too large")
         return bytes(body)
 
+    def _take_room(self, size: int) -> bool:
+        if not self.is_close_delimited:
+            return True
+        return self._held.take(size, Pressure.RESPONSE_TOO_LARGE)
+
     def abandon(self) -> None:
         """Release the permit as cancelled unless the response has ended."""
         self.end(AttemptOutcome.CANCELLED, may_reuse=False)
@@ -103,7 +114,8 @@
 
     def _receive(self) -> None:
         try:
-            self._conn.receive_into(self._parser)
+            size = self._held.chunk_size()
+            self._held.set_chunk(self._conn.receive_into(self._parser, size))
         except TimeoutError as exc:
             self.end(AttemptOutcome.TIMEOUT, may_reuse=False)
             raise TruncatedAnswerError("the deadline passed") from exc
