Serve metrics and health checks without falcon

Cause: an entry imported falcon, and with it asyncio, for three GET resources.

Change: admin_apps.py serves them as a WSGI application of its own; other programs use it too.

--- a/bergamotdrift/arbiter_server.py
+++ b/bergamotdrift/arbiter_server.py
@@ -7,6 +7,7 @@
 import gevent
 
 from bergamotdrift import arbiter_metrics
+from bergamotdrift.admin_apps import admin_app
 from bergamotdrift.announcements import AnnouncementRelay, announce_app
 from bergamotdrift.arbiter_messages import RecordMirror
 from bergamotdrift.clock import Clock
@@ -14,7 +15,7 @@
 from bergamotdrift.constants import DRIFT_MARGIN_MS, SESSION_TTL_MS
 from bergamotdrift.control_client import ControlClient
 from bergamotdrift.exceptions import CallError, ProtocolError, StreamClosedError
-from bergamotdrift.http_server import HttpServer, admin_app
+from bergamotdrift.http_server import HttpServer
 from bergamotdrift.load_poller import LoadPoller, PollTarget
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
--- a/bergamotdrift/control_node.py
+++ b/bergamotdrift/control_node.py
@@ -6,12 +6,13 @@
 import gevent
 from gevent.event import Event
 
+from bergamotdrift.admin_apps import admin_app
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.check import check_site
 from bergamotdrift.config.schema import ControlSettings
 from bergamotdrift.control_server import ControlServer
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.http_server import HttpServer, admin_app
+from bergamotdrift.http_server import HttpServer
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
     Hello,
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from bergamotdrift.admin_apps import admin_app
 from bergamotdrift.admission import Admission
 from bergamotdrift.arbiter_client import ArbiterClient
 from bergamotdrift.arbiter_messages import (
@@ -26,7 +27,7 @@
 from bergamotdrift.feed_signal import FeedSignal
 from bergamotdrift.feed_tables import FeedTables
 from bergamotdrift.http_input import HttpLimits
-from bergamotdrift.http_server import HttpServer, admin_app
+from bergamotdrift.http_server import HttpServer
 from bergamotdrift.local_records import LocalRecords
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
--- a/bergamotdrift/http_server.py
+++ b/bergamotdrift/http_server.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import falcon
 import gevent
 from gevent import pywsgi
 
@@ -23,7 +22,6 @@
 from bergamotdrift.http_input import HttpLimits, count_unread
 from bergamotdrift.idle_timeouts import IdleTimeouts
 from bergamotdrift.log import log_event
-from bergamotdrift.metrics import MetricsResource
 from bergamotdrift.refusals import refusal_body
 from bergamotdrift.request_wait import RequestWait
 from bergamotdrift.streams import parse_address
@@ -177,40 +175,3 @@
     def _interrupt_waits(self) -> None:
         for wait in self._server.request_waits:
             wait.interrupt()
-
-
-class LivenessResource:
-    """Liveness check."""
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Respond with 200 while the event loop serves requests."""
-        resp.media = {"live": True}
-
-
-class ReadinessResource:
-    """Readiness check for load balancers."""
-
-    def __init__(self, is_ready: Callable[[], bool]):
-        self._is_ready = is_ready
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Respond with 200 when ready, else 503."""
-        ready = self._is_ready()
-        resp.status = falcon.HTTP_200 if ready else falcon.HTTP_503
-        resp.media = {"ready": ready}
-
-
-def readiness_app(path: str, is_ready: Callable[[], bool]) -> falcon.App:
-    """Return an application that serves only the readiness check at `path`."""
-    app = falcon.App()
-    app.add_route(path, ReadinessResource(is_ready))
-    return app
-
-
-def admin_app(is_ready: Callable[[], bool]) -> falcon.App:
-    """Return an application with `/metrics`, `/live` and `/ready`."""
-    app = falcon.App()
-    app.add_route("/metrics", MetricsResource())
-    app.add_route("/live", LivenessResource())
-    app.add_route("/ready", ReadinessResource(is_ready))
-    return app
--- a/bergamotdrift/metrics.py
+++ b/bergamotdrift/metrics.py
@@ -1,13 +1,6 @@
-"""Prometheus endpoint, and the metrics that all programs share."""
+"""Metrics that all programs share."""
 
-import falcon
-from prometheus_client import (
-    CONTENT_TYPE_LATEST,
-    REGISTRY,
-    Counter,
-    Gauge,
-    generate_latest,
-)
+from prometheus_client import Counter, Gauge
 
 EVENTS = Counter("bergamotdrift_events", "Log events by name.", ["event"])
 LOG_LINES_DROPPED = Counter(
@@ -26,12 +19,3 @@
     "bergamotdrift_upstream_statements_invalid",
     "Answers whose headers state a limit that can't be read.",
 )
-
-
-class MetricsResource:
-    """Serve the metrics of this process."""
-
-    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Respond with all metrics of the default registry in the text format."""
-        resp.content_type = CONTENT_TYPE_LATEST
-        resp.data = generate_latest(REGISTRY)
--- a/bergamotdrift/platform/entry.py
+++ b/bergamotdrift/platform/entry.py
@@ -1,8 +1,9 @@
 """Entry that uses the platform's header names and readiness route."""
 
+from bergamotdrift.admin_apps import readiness_app
 from bergamotdrift.clock import BootClock
 from bergamotdrift.entry_node import EntryNode
-from bergamotdrift.http_server import HttpServer, readiness_app
+from bergamotdrift.http_server import HttpServer
 from bergamotdrift.platform import names, startup
 from bergamotdrift.platform.boot import Boot, entry_settings, stream_addresses
 from bergamotdrift.platform.wire_dialect import PLATFORM_DIALECT
