--- a/bergamotdrift/entry_metrics.py
+++ b/bergamotdrift/entry_metrics.py
@@ -21,6 +21,11 @@
     "Repeated attempts by service and outcome of the failed one",
     ("service", "outcome"),
 )
+BROKEN_RESPONSES = Counter(
+    "bergamotdrift_entry_broken_responses_total",
+    "Responses of upstreams that were not accepted, by reason",
+    ("reason",),
+)
 ADMISSIONS = Counter(
     "bergamotdrift_entry_admission_total",
     "Attempts sent or refused by the admission control, by service and reason",
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from bergamotdrift.admin_apps import admin_app
 from bergamotdrift.admission import Admission
 from bergamotdrift.arbiter_client import ArbiterClient
 from bergamotdrift.arbiter_messages import (
@@ -26,7 +27,7 @@
 from bergamotdrift.feed_signal import FeedSignal
 from bergamotdrift.feed_tables import FeedTables
 from bergamotdrift.http_input import HttpLimits
-from bergamotdrift.http_server import HttpServer, admin_app
+from bergamotdrift.http_server import HttpServer
 from bergamotdrift.local_records import LocalRecords
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
@@ -35,12 +36,14 @@
     NodeRow,
     Role,
 )
-from bergamotdrift.pipeline import Pipeline, SettingsView, Stages
+from bergamotdrift.pipeline import Pipeline
 from bergamotdrift.route_split import RouteSplits
+from bergamotdrift.settings_view import SettingsView
 from bergamotdrift.shard_view import is_workspace_shard
 from bergamotdrift.stages.claim import ClaimStage, NoClaims
 from bergamotdrift.stages.forward import ForwardStage
 from bergamotdrift.stages.permit import PermitStage
+from bergamotdrift.stages.stages import Stages
 from bergamotdrift.token_cache import spent_window_ms
 from bergamotdrift.token_client import TokenClient
 from bergamotdrift.upstream_connections import UpstreamConnectionPool
--- a/bergamotdrift/http_connection.py
+++ b/bergamotdrift/http_connection.py
@@ -4,6 +4,7 @@
 import select
 import struct
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Any
 
 import gevent.socket
@@ -17,9 +18,39 @@
 _CONNECT_TIMEOUT_MS = 500
 # Bytes of headers, trailers and chunk sizes that may arrive without any of the body.
 _MAX_OVERHEAD_BYTES = 64 * 1024
+# The parser accepts all numbers of three digits.
+_VALID_STATUSES = range(100, 600)
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+class BrokenReason(StrEnum):
+    """List the reasons for which a response is not accepted."""
+
+    CLOSED = "closed"
+    RESET_DURING_REQUEST = "reset_during_request"
+    INVALID_STATUS = "invalid_status"
+    MALFORMED = "malformed"
+
+
+class ResetDuringRequestError(ConnectionResetError):
+    """The connection was reset while the request was sent."""
+
+
+class InvalidStatusError(HTTPParseError):
+    """The response has a status that HTTP does not define."""
+
+
+def broken_reason(exc: OSError | HTTPParseError) -> BrokenReason:
+    """Return the reason why a response ended with an error."""
+    if isinstance(exc, ResetDuringRequestError):
+        return BrokenReason.RESET_DURING_REQUEST
+    if isinstance(exc, InvalidStatusError):
+        return BrokenReason.INVALID_STATUS
+    if isinstance(exc, HTTPParseError):
+        return BrokenReason.MALFORMED
+    return BrokenReason.CLOSED
+
+
 class ResponseParser(HTTPResponse):
     """Parser of a single response; sets `extra_data` if more data follows it."""
 
@@ -31,6 +62,7 @@
         self.ends_on_close = False
         self._overhead_bytes = 0
         self._has_new_body = False
+        self._invalid_status = ""
 
     def _on_message_begin(self) -> None:
         if self.message_complete and self.status >= 200:
@@ -41,6 +73,8 @@
     def _on_headers_complete(self) -> Any:
         result = super()._on_headers_complete()
         self.status = self.get_code()
+        if self.status not in _VALID_STATUSES:
+            self._invalid_status = f"{self.status:03}"
         return result
 
     def _on_body(self, buf: bytearray) -> None:
@@ -55,6 +89,9 @@
         except HTTPParseError:
             if not self.extra_data:
                 raise
+        # Not raised while parsing, since an error in a response to HEAD is dropped.
+        if self._invalid_status:
+            raise InvalidStatusError(f"the status {self._invalid_status} is invalid")
         self._overhead_bytes = (
             0 if self._has_new_body else self._overhead_bytes + len(data)
         )
@@ -66,6 +103,11 @@
         """Whether the headers of the final (non-1xx) response are complete."""
         return self.headers_complete and self.status >= 200
 
+    def first_header(self, name: str) -> str | None:
+        """Return the first value of a header, or None."""
+        found = self.get(name)
+        return found[0] if isinstance(found, list) else found
+
     def has_framing(self) -> bool:
         """Return whether the end of the body can be told from a lost connection."""
         if self.method == "HEAD" or self.status in {204, 304}:
@@ -77,6 +119,11 @@
         """Whether body bytes were parsed since the last call of `take_body`."""
         return bool(self._body_buffer)
 
+    @property
+    def body_bytes(self) -> int:
+        """Number of body bytes parsed since the last call of `take_body`."""
+        return len(self._body_buffer)
+
     def take_body(self) -> bytes:
         """Return the body bytes parsed since the last call."""
         data = bytes(self._body_buffer)
@@ -96,6 +143,7 @@
         self._limit_ms: float | None = None
         self._may_abandon: Callable[[], bool] = lambda: True
         self._closed = False
+        self._send_error = ""
         self._sock = new_socket(address)
 
     def start_request(
@@ -126,11 +174,18 @@
         disable_nagle(self._sock)
 
     def send(self, data: bytes) -> None:
-        """Send all data; `any_bytes_sent` is set once any byte left this process."""
+        """Send all data; `any_bytes_sent` is set once any byte left this process.
+
+        Raises OSError. What was received before a reset can still be read then.
+        """
         view = memoryview(data)
         while view:
             self._sock.settimeout(self._remaining_ms() / 1000.0)
-            sent = self._sock.send(view)
+            try:
+                sent = self._sock.send(view)
+            except OSError as exc:
+                self._send_error = str(exc)
+                raise
             self.any_bytes_sent = True
             view = view[sent:]
 
@@ -140,27 +195,37 @@
         poller.register(self._sock.fileno(), select.POLLIN)
         return bool(poller.poll(0))
 
-    def receive_into(self, parser: ResponseParser) -> int:
-        """Feed received bytes to the parser and return their number.
+    def receive_into(
+        self, parser: ResponseParser, max_bytes: int = _RECEIVE_BYTES
+    ) -> int:
+        """Feed up to `max_bytes` received bytes to the parser; return their number.
 
         Raises OSError and HTTPParseError.
         """
-        data = self._receive()
+        data = self._receive(max_bytes)
         if not data:
             return self._handle_eof(parser)
         parser.feed_bounded(data)
         return len(data)
 
-    def _receive(self) -> bytes:
+    def _receive(self, max_bytes: int) -> bytes:
         """Return received bytes, empty at end of stream; raises OSError."""
         while True:
             self._sock.settimeout(self._remaining_ms() / 1000.0)
             # After a timeout, `_remaining_ms` raises if the deadline or limit passed.
             with contextlib.suppress(TimeoutError):
-                return self._sock.recv(_RECEIVE_BYTES)
+                return self._sock.recv(max_bytes)
 
     def _handle_eof(self, parser: ResponseParser) -> int:
-        """Complete a response without framing; any other response is truncated."""
+        """Complete a response without framing; any other response is truncated.
+
+        The kernel reports a reset once. If a send took that report, the end of the
+        received data looks like an orderly close.
+        """
+        if self._send_error:
+            raise ResetDuringRequestError(
+                f"reset during the request: {self._send_error}"
+            )
         if not parser.head_is_final or parser.has_framing():
             raise ConnectionResetError("the server closed the connection")
         parser.ends_on_close = True
@@ -189,6 +254,11 @@
             self._sock.shutdown(gevent.socket.SHUT_RDWR)
         self._sock.close()
 
+    @property
+    def send_failed(self) -> bool:
+        """Whether a send of this connection failed."""
+        return bool(self._send_error)
+
     @property
     def closed(self) -> bool:
         """Whether this side has closed the connection."""
@@ -210,7 +280,10 @@
 
 
 def read_response_head(
-    conn: HttpConnection, method: str, parser: ResponseParser | None = None
+    conn: HttpConnection,
+    method: str,
+    parser: ResponseParser | None = None,
+    max_bytes: int = _RECEIVE_BYTES,
 ) -> ResponseParser:
     """Read up to the end of the final response's headers and return the parser.
 
@@ -218,7 +291,7 @@
     """
     parser = ResponseParser(method) if parser is None else parser
     while not parser.head_is_final:
-        _receive_head_part(conn, parser)
+        _receive_head_part(conn, parser, max_bytes)
     return parser
 
 
@@ -232,8 +305,10 @@
     return parser.head_is_final
 
 
-def _receive_head_part(conn: HttpConnection, parser: ResponseParser) -> None:
-    conn.receive_into(parser)
+def _receive_head_part(
+    conn: HttpConnection, parser: ResponseParser, max_bytes: int = _RECEIVE_BYTES
+) -> None:
+    conn.receive_into(parser, max_bytes)
     if parser.status == 101:
         raise HTTPParseError("the server switched protocols")
 
--- a/bergamotdrift/http_exchange.py
+++ b/bergamotdrift/http_exchange.py
@@ -150,7 +150,7 @@
             super()._write_with_headers(data)
         finally:
             self.socket = sock
-        self.socket.sendall(bytes(writer.data))
+        self.socket.sendall(writer.data)
 
     def _write(self, data: Any, _bytearray: Any = bytearray) -> None:
         if self.command != "HEAD":
--- a/bergamotdrift/http_handler.py
+++ b/bergamotdrift/http_handler.py
@@ -8,6 +8,7 @@
 
 from bergamotdrift.answer_buffer import AnswerBuffer
 from bergamotdrift.caller import CallerWatch
+from bergamotdrift.caller_output import CallerOutput
 from bergamotdrift.connection_ends import (
     ConnectionEnd,
     EndedConnection,
@@ -62,6 +63,7 @@
         self.client_address = address
         self.watch = CallerWatch(sock, self._on_data)
         self._socket = sock
+        self._output = CallerOutput(sock)
         self._reader = SocketReader(sock)
         self._request_wait = RequestWait(sock)
         self._ahead = RequestsAhead(server.held_answers)
@@ -153,18 +155,18 @@
             exchange = self._current = ahead.exchange
             self._read_ahead()
             self.watch.resume()
-            self._socket.settimeout(self._limits.body_timeout_s)
-            ahead.deliver(self._socket)
+            self._output.settimeout(self._limits.body_timeout_s)
+            ahead.deliver(self._output)
             return self._end_after(exchange)
         try:
             head = parse_head(self._reader.read_head(self._limits), self._limits)
         except RequestError as exc:
             send_refusal(self._socket, exc.refusal)
             return ConnectionEnd.REFUSED
-        exchange = self._current = self._new_exchange(head, self._socket)
+        exchange = self._current = self._new_exchange(head, self._output)
         if self._reader.has_data:
             self._read_ahead()
-        self._socket.settimeout(self._limits.body_timeout_s)
+        self._output.settimeout(self._limits.body_timeout_s)
         exchange.handle_one_response()
         return self._end_after(exchange)
 
