Add rollouts of upstream versions: state, share, steps and calls

A bad version got as many requests as any other, since versions were unknown. Orders now start a replicated rollout; entries give the new version a share and report counts by version, and the leader steps up, completes or rolls back.

--- a/bergamotdrift/config/schema.py
+++ b/bergamotdrift/config/schema.py
@@ -212,6 +212,18 @@
     ANNOUNCED = "announced"
 
 
+class RolloutBounds(NamedTuple):
+    """Hold the bounds of rollouts.
+
+    A bad version gets at most `exposure_share` of a service's requests plus
+    `exposure_slack`, and none later than `rollback_ms` after its 50th bad response.
+    """
+
+    exposure_share: float
+    exposure_slack: float
+    rollback_ms: float
+
+
 class ControlSettings(NamedTuple):
     """Hold the process settings of a control replica.
 
@@ -232,3 +244,5 @@
     # may join.
     open_group: bool = False
     range_grants: RangeGrants = RangeGrants.CALLED
+    # None if no rollouts can be started.
+    rollout: RolloutBounds | None = None
--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -36,6 +36,7 @@
     UpstreamOverload,
     UpstreamReport,
     UpstreamSpeed,
+    VersionResult,
 )
 from bergamotdrift.pings import AnsweredPing, PingsInFlight
 from bergamotdrift.streams import Connection, StreamClient
@@ -79,6 +80,10 @@
         """Return what upstreams have stated since the last report."""
         ...
 
+    def version_results(self) -> list[VersionResult]:
+        """Return the counts of requests by version of all running rollouts."""
+        ...
+
     def take_rates(self, lots: list[RateLot], asked_at_ms: float) -> None:
         """Add leased rate tokens, whose lease starts at `asked_at_ms`."""
         ...
@@ -299,6 +304,7 @@
             loads=self._payload.key_loads(),
             speeds=self._payload.speeds(),
             reports=self._payload.reports(),
+            version_results=self._payload.version_results(),
         )
 
     def _renew_session(self, pong: Pong, sent_at_ms: float) -> None:
--- a/bergamotdrift/control_commands.py
+++ b/bergamotdrift/control_commands.py
@@ -9,6 +9,7 @@
     NodeRow,
     PartitionRef,
     RangeRow,
+    RolloutState,
     UpstreamRow,
     message,
 )
@@ -105,6 +106,31 @@
     replacement: list[RangeRow]
 
 
+@message
+class StartRollout(NamedTuple):
+    """Start a rollout of a version of a service; `at_ms` is Unix time."""
+
+    service: str
+    target: str
+    duration_ms: int
+    at_ms: int
+    share_permille: int
+
+
+@message
+class StepRollout(NamedTuple):
+    """Change the share or the state of a running rollout.
+
+    Has no effect unless `number` is that of the service's running rollout.
+    """
+
+    service: str
+    number: int
+    state: RolloutState
+    share_permille: int
+    reason: str
+
+
 @message
 class RecordRefusal(NamedTuple):
     """Record a change that failed the leader's validation; `at_ms` is Unix time."""
@@ -199,6 +225,22 @@
     changed: int
 
 
+class OrderResult(StrEnum):
+    """List the results of an order to start a rollout."""
+
+    STARTED = "started"
+    REPEATED = "repeated"
+    CONFLICT = "conflict"
+    UNKNOWN_SERVICE = "unknown_service"
+
+
+@message
+class RolloutOutcome(NamedTuple):
+    """Report the result of an order to start a rollout."""
+
+    result: OrderResult
+
+
 @message
 class ChangeOutcome(NamedTuple):
     """Report the outcome of a settings change; `kind` is empty if it was accepted.
--- a/bergamotdrift/control_log_events.py
+++ b/bergamotdrift/control_log_events.py
@@ -33,6 +33,21 @@
     "Settings changes by outcome",
     ["outcome"],
 )
+ROLLOUT_SHARE = Gauge(
+    "bergamotdrift_control_rollout_share",
+    "Part of a service's requests that the version being rolled out may get",
+    ["service"],
+)
+ROLLOUT_ORDERS = Counter(
+    "bergamotdrift_control_rollout_orders_total",
+    "Orders to start a rollout by result",
+    ["result"],
+)
+ROLLOUT_STEPS = Counter(
+    "bergamotdrift_control_rollout_steps_total",
+    "Changes of rollouts by state and reason",
+    ["state", "reason"],
+)
 PLANNING_TIME = Histogram(
     "bergamotdrift_control_planning_seconds",
     "Time to plan the commands of a round of the leader",
@@ -50,11 +65,17 @@
     UPSTREAMS.set(len(state.rows.upstreams))
     UNOWNED_PARTITIONS.set(len(state.rows.unowned))
     SETTINGS_REVISION.set(state.settings.revision)
+    for row in state.rows.rollouts.rows():
+        ROLLOUT_SHARE.labels(service=row.service).set(row.share_permille / 1000.0)
 
 
 def log_command(command: Message, outcome: Message) -> None:
     """Log the changes that a command made and update the counters."""
     name = _EVENT_NAMES.get(type(command))
+    if isinstance(outcome, cmd.RolloutOutcome):
+        ROLLOUT_ORDERS.labels(result=outcome.result.value).inc()
+        log_event("rollout_ordered", result=outcome.result.value, **_fields(command))
+        return
     if isinstance(outcome, cmd.ChangeOutcome):
         _log_settings_change(command, outcome)
     elif name is not None and outcome.changed:
@@ -81,6 +102,10 @@
 def _count_assignments(command: Message, changed: int) -> None:
     if isinstance(command, cmd.AssignPartitions):
         PARTITION_ASSIGNMENTS.inc(changed)
+    if isinstance(command, cmd.StepRollout):
+        ROLLOUT_STEPS.labels(
+            state=command.state.value, reason=command.reason.partition(":")[0]
+        ).inc(changed)
     if isinstance(command, cmd.AssignShards):
         SHARD_ASSIGNMENTS.inc(changed)
 
@@ -109,4 +134,5 @@
     cmd.RestoreKey: "key_restored",
     cmd.SetEvacuation: "zone_evacuation_changed",
     cmd.ReplaceRanges: "ranges_changed",
+    cmd.StepRollout: "rollout_step",
 }
--- a/bergamotdrift/control_rows.py
+++ b/bergamotdrift/control_rows.py
@@ -13,6 +13,8 @@
     RangeRow,
     RemovedRow,
     Role,
+    RolloutRow,
+    RolloutState,
     ShardRow,
     UpstreamRow,
     UpstreamState,
@@ -21,6 +23,7 @@
 
 MAX_INCARNATIONS_PER_UPSTREAM = 8
 MAX_INCARNATION_LISTS = 10_000
+_ROLLOUTS_TABLE = 6
 
 
 class _SortedRanges(NamedTuple):
@@ -47,6 +50,9 @@
             "isolated", _tuple_key_fields
         )
         self.ranges: RowTable[RangeId, RangeRow] = RowTable("ranges", _tuple_key_fields)
+        self.rollouts: RowTable[str, RolloutRow] = RowTable(
+            "rollouts", _string_key_fields
+        )
         # Partitions in state VACANT or RELEASING.
         self.unowned: set[PartitionId] = set()
         # Condition for reassigning each vacant partition; absent means Hold.NONE.
@@ -188,6 +194,9 @@
         self.shards.load(tables[3], str, _decode_shard_row)
         self.isolated.load(tables[4], _decode_isolated_key_id, _decode_isolated_key_row)
         self.ranges.load(tables[5], _decode_range_key, _decode_range_row)
+        # Snapshots of earlier releases have no rollouts.
+        if len(tables) > _ROLLOUTS_TABLE:
+            self.rollouts.load(tables[_ROLLOUTS_TABLE], str, _decode_rollout_row)
         self.reassignment_waits = {
             PartitionId(*key): ReassignmentWait(wait) for key, wait in waits
         }
@@ -224,6 +233,7 @@
             self.shards,
             self.isolated,
             self.ranges,
+            self.rollouts,
         )
 
 
@@ -297,6 +307,11 @@
     return IsolatedKeyRow(*fields)
 
 
+def _decode_rollout_row(fields: list[Any]) -> RolloutRow:
+    service, number, target, state, *rest = fields
+    return RolloutRow(service, number, target, RolloutState(state), *rest)
+
+
 def _incarnation_key(row: RangeRow | UpstreamRow) -> tuple[str, str, str]:
     return row.service, row.upstream, row.incarnation
 
--- a/bergamotdrift/control_server.py
+++ b/bergamotdrift/control_server.py
@@ -90,7 +90,12 @@
         # Set by programs that accept further external calls.
         self.leader_call_handler: LeaderCallHandler | None = None
         self.node_streams = NodeStreams(
-            state, replicator, clock, cfg.upstream_ttl_ms, cfg.range_grants
+            state,
+            replicator,
+            clock,
+            cfg.upstream_ttl_ms,
+            cfg.range_grants,
+            cfg.rollout,
         )
         self._operator_api = OperatorCallHandler(
             state,
--- a/bergamotdrift/control_state.py
+++ b/bergamotdrift/control_state.py
@@ -6,7 +6,7 @@
 import msgpack
 
 from bergamotdrift import control_commands as cmd
-from bergamotdrift import messages
+from bergamotdrift import messages, rollout_orders
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.control_commands import Applied, ChangeOutcome, ReassignmentWait
 from bergamotdrift.control_rows import ControlRows
@@ -94,6 +94,7 @@
             if full or self._evacuated_at > since
             else None,
             patch=patch,
+            rollouts=rows.rollouts.rows_since(since),
         )
 
     def service(self, name: str) -> ServiceSettings | None:
@@ -161,6 +162,7 @@
                 state=registered.state if leaves else row.state,
                 slots=row.slots,
                 limit_per_s=row.limit_per_s,
+                version=row.version,
             )
             return self.rows.put_upstream(index, changed)
         if row.born_ms < registered.born_ms:
@@ -196,6 +198,20 @@
         done = self.rows.replace_ranges(index, command.expected, command.replacement)
         return self._record_changes(index, len(command.replacement) if done else 0)
 
+    def _start_rollout(
+        self, index: int, command: cmd.StartRollout
+    ) -> cmd.RolloutOutcome:
+        if self.service(command.service) is None:
+            return cmd.RolloutOutcome(cmd.OrderResult.UNKNOWN_SERVICE)
+        result = rollout_orders.start(self.rows, index, command)
+        if result is cmd.OrderResult.STARTED:
+            self.feed_index = index
+        return cmd.RolloutOutcome(result)
+
+    def _step_rollout(self, index: int, command: cmd.StepRollout) -> Applied:
+        changed = rollout_orders.step(self.rows, index, command)
+        return self._record_changes(index, int(changed))
+
     def _expire_upstreams(self, index: int, command: cmd.ExpireUpstreams) -> Applied:
         changed = 0
         for item in command.items:
@@ -305,6 +321,8 @@
         new = {service.name: service for service in after}
         for name, service in old.items():
             current_service = new.get(name)
+            if current_service is None:
+                self.rows.rollouts.remove(name, index)
             if current_service is None or current_service.kind is not service.kind:
                 self._drop_upstreams(index, name)
             if current_service is None or _partitioning_differs(
@@ -404,4 +422,6 @@
     cmd.RestoreKey: ControlState._restore_key,
     cmd.SetEvacuation: ControlState._set_evacuation,
     cmd.ReplaceRanges: ControlState._replace_ranges,
+    cmd.StartRollout: ControlState._start_rollout,
+    cmd.StepRollout: ControlState._step_rollout,
 }
--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -14,6 +14,7 @@
 from bergamotdrift.direct_selection import DirectSelector
 from bergamotdrift.feed_tables import FeedTables
 from bergamotdrift.leader_token_client import LeaderTokenClient
+from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
     FeedUpdate,
     KeyLoad,
@@ -23,6 +24,7 @@
     UpstreamOverload,
     UpstreamReport,
     UpstreamSpeed,
+    VersionResult,
 )
 from bergamotdrift.retry_policy import SharedRetryBudget
 
@@ -41,12 +43,14 @@
         tables: Callable[[], FeedTables],
         registry: AttemptRegistry,
         clock: Clock,
+        control_age_ms: Callable[[], float] = lambda: 0.0,
     ):
         self._cfg = cfg
         self._tables = tables
         self._clock = clock
         rng = random.Random()
         self._selector = DirectSelector(cfg.node.node, cfg.node.zone, rng)
+        self._selector.versions.control_age_ms = control_age_ms
         self.permits = DirectPermits(tables, self._selector, registry, clock)
         self.tokens = LeaderTokenClient(clock, self._rate_of, self._burst_share_of)
         self._entries = 1
@@ -56,6 +60,15 @@
         tables = self._tables()
         self._entries = max(1, len(list(tables.nodes_of(Role.ENTRY))))
         self._selector.update(tables, self._clock.now_ms())
+        for row in self._selector.versions.update(tables.rollouts):
+            log_event(
+                "rollout_applied",
+                service=row.service,
+                target=row.target,
+                state=row.state.value,
+                share_permille=row.share_permille,
+                index=tables.index,
+            )
         self.permits.notify()
 
     def is_near(self, service: ServiceSettings, routing_key: str) -> bool:
@@ -88,6 +101,10 @@
         """Return what upstreams have stated since the last report."""
         return self._selector.due_reports(self._clock.now_ms())
 
+    def version_results(self) -> list[VersionResult]:
+        """Return the counts of requests by version of all running rollouts."""
+        return self._selector.versions.results()
+
     def take_rates(self, lots: list[RateLot], asked_at_ms: float) -> None:
         """Add leased rate tokens."""
         self.tokens.take_rates(lots, asked_at_ms)
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -126,6 +126,10 @@
         routed = self._running.pop(permit.permit, None)
         if routed is None:
             return
+        reported = running.statement.load if running.statement is not None else None
+        self._selector.versions.record_end(
+            permit.permit, msg.outcome, msg.latency_ms, reported
+        )
         key = UpstreamId(routed.service.name, permit.upstream)
         load = self._selector.loads.get(key)
         if load is not None:
@@ -267,6 +271,9 @@
             0 if key_range is None else key_range.epoch,
         )
         self._running[name] = routed
+        self._selector.versions.record_sent(
+            name, service, _route_name(routed), load.row.version
+        )
         running = self._registry.add(permit, routed.workspace)
         running.on_statement = partial(
             self._record_statement, load, load.row.incarnation
--- a/bergamotdrift/direct_selection.py
+++ b/bergamotdrift/direct_selection.py
@@ -1,7 +1,7 @@
 """Upstream selection by one entry, based on its local view of the upstreams."""
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -21,6 +21,7 @@
 from bergamotdrift.request_share import RequestShare
 from bergamotdrift.routing_key import key_number
 from bergamotdrift.upstream_statements import UpstreamStatements
+from bergamotdrift.version_share import VersionShare
 
 # Cost of an upstream in another availability zone, as a multiple of the usual
 # response time.
@@ -70,6 +71,7 @@
         self.cold_start_share = RequestShare(node, _COLD_START_WINDOW_MS)
         self.statements = UpstreamStatements(node, rng)
         self.overloads = OverloadGate(rng)
+        self.versions = VersionShare(node)
         self.loads: dict[UpstreamId, DirectLoad] = {}
         self._by_service: dict[str, list[DirectLoad]] = {}
         self._entries = 1
@@ -191,6 +193,8 @@
         load = self.loads.get(UpstreamId(row.service, row.upstream))
         if load is None or load.row.incarnation != row.incarnation:
             return Blocked("the upstream that holds the key is gone", QueueWait.SHORT)
+        if self.versions.bars_owner(load.row.service, load.row.version):
+            return Blocked("the upstream that holds the key is of a barred version")
         reason = self._blocking_reason(load, routed.service, now_ms)
         if not reason:
             return Chosen(load, row)
@@ -210,6 +214,24 @@
         known = self._by_service.get(routed.service.name, [])
         if not known:
             return Blocked("no upstream is known", QueueWait.NONE)
+        *preferred, last = self.versions.groups(routed.service.name, known)
+        for group in preferred:
+            others = [load for load in group if load.row.upstream not in excluded]
+            found = self._select_among(others, routed, (), now_ms)
+            if isinstance(found, Chosen):
+                return found
+        return self._select_among(last, routed, excluded, now_ms)
+
+    def _select_among(
+        self,
+        known: Sequence[DirectLoad],
+        routed: RoutedRequest,
+        excluded: Collection[str],
+        now_ms: float,
+    ) -> Chosen | Blocked:
+        """Select from the upstreams that a request may go to, as of their version."""
+        if not known:
+            return Blocked("no upstream of a version in use", QueueWait.SHORT)
         others = [load for load in known if load.row.upstream not in excluded]
         reasons: set[str] = set()
         free = []
@@ -246,12 +268,13 @@
 
     def has_alternative(self, service: str, upstream: str) -> bool:
         """Return whether a pool has another upstream that can serve requests."""
+        *_, usable = self.versions.groups(service, self._by_service.get(service, ()))
         return any(
             load.row.upstream != upstream
             and not load.is_down
             and not _is_leaving(load)
             and load.row.zone not in self._evacuated
-            for load in self._by_service.get(service, ())
+            for load in usable
         )
 
     def _cost(
--- a/bergamotdrift/entry_metrics.py
+++ b/bergamotdrift/entry_metrics.py
@@ -21,6 +21,11 @@
     "Repeated attempts by service and outcome of the failed one",
     ("service", "outcome"),
 )
+VERSION_REQUESTS = Counter(
+    "bergamotdrift_entry_rollout_requests_total",
+    "Attempts during rollouts by service and version (target or other)",
+    ("service", "version"),
+)
 LATENCY = Histogram(
     "bergamotdrift_entry_latency_seconds",
     "Time from the request's head to the start of the answer",
@@ -45,6 +50,11 @@
     _latency(service).observe(latency_s)
 
 
+def count_version(service: str, is_target: bool) -> None:
+    """Count an attempt that was sent during a rollout."""
+    VERSION_REQUESTS.labels(service, "target" if is_target else "other").inc()
+
+
 def count_refused(service: str, stage: str, kind: str) -> None:
     """Count a request that a stage refused."""
     _requests(service, stage, kind).inc()
--- a/bergamotdrift/entry_node.py
+++ b/bergamotdrift/entry_node.py
@@ -79,7 +79,11 @@
         self._direct: DirectDispatch | None = None
         if cfg.dispatch is Dispatch.DIRECT:
             self._direct = DirectDispatch(
-                cfg, lambda: self.control.tables, self.registry, clock
+                cfg,
+                lambda: self.control.tables,
+                self.registry,
+                clock,
+                lambda: self.control.settings_age_ms(),
             )
             self._splits = RouteSplits(self._direct)
         self.control = ControlClient(
--- a/bergamotdrift/feed_tables.py
+++ b/bergamotdrift/feed_tables.py
@@ -14,6 +14,7 @@
     RangeRow,
     RemovedRow,
     Role,
+    RolloutRow,
     ShardRow,
     UpstreamRow,
 )
@@ -61,6 +62,7 @@
         self.shards: dict[str, ShardRow] = {}
         self.isolated: dict[IsolatedKeyId, IsolatedKeyRow] = {}
         self.ranges: dict[RangeId, RangeRow] = {}
+        self.rollouts: dict[str, RolloutRow] = {}
         self.evacuated: frozenset[str] = frozenset()
         self._range_starts: dict[str, list[int]] = {}
 
@@ -146,6 +148,8 @@
             self.shards[shard.shard] = shard
         for key in update.isolated:
             self.isolated[IsolatedKeyId(key.service, key.key_hash)] = key
+        for rollout in update.rollouts:
+            self.rollouts[rollout.service] = rollout
 
     def _apply_ranges(self, update: FeedUpdate) -> None:
         for row in update.ranges:
@@ -170,6 +174,7 @@
             "shards": self.shards,
             "isolated": self.isolated,
             "ranges": self.ranges,
+            "rollouts": self.rollouts,
         }
 
 
--- a/bergamotdrift/leader_state.py
+++ b/bergamotdrift/leader_state.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 
 from bergamotdrift.announced_leases import AnnouncedLeases
-from bergamotdrift.config.schema import RangeGrants
+from bergamotdrift.config.schema import RangeGrants, RolloutBounds
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.feed_tables import PartitionId, UpstreamId
 from bergamotdrift.handover import Handover
@@ -23,6 +23,7 @@
 from bergamotdrift.range_leases import RangeLeases
 from bergamotdrift.range_planner import RangePlanner
 from bergamotdrift.rate_buckets import RateBuckets
+from bergamotdrift.rollout_plan import RolloutPlanner
 from bergamotdrift.shard_planner import ShardPlanner
 from bergamotdrift.shards import upstream_shard
 from bergamotdrift.upstream_sessions import UpstreamSessions
@@ -52,6 +53,8 @@
         yield_to_loop: Callable[[], None] = _no_yield,
         upstream_ttl_ms: float | None = None,
         range_grants: RangeGrants = RangeGrants.CALLED,
+        rollout: RolloutBounds | None = None,
+        unix_offset_ms: float = 0.0,
     ):
         self._state = state
         self._handover = Handover(state, yield_to_loop)
@@ -66,6 +69,7 @@
             yield_to_loop,
             _LEASES_BY_GRANTS[range_grants],
         )
+        self.rollouts = RolloutPlanner(state, rollout, unix_offset_ms)
         self._rates = RateBuckets()
         self._rates.add_buckets(state.settings.current, opened_at_ms)
         self._partitions = PartitionPlanner(
@@ -125,5 +129,7 @@
             *self.session_commands(now_ms),
             *self._partitions.commands(self.nodes.acknowledged(), now_ms),
             *self._shards.commands(now_ms),
+            # Before the ranges, which follow the shares.
+            *self.rollouts.commands(now_ms),
             *self.ranges.commands(now_ms),
         ]
--- a/bergamotdrift/leadership.py
+++ b/bergamotdrift/leadership.py
@@ -1,5 +1,6 @@
 """The control leader's loop, which runs while this replica leads."""
 
+import time
 from collections import Counter
 from collections.abc import Sequence
 from typing import Protocol
@@ -10,7 +11,7 @@
 from bergamotdrift import control_commands as cmd
 from bergamotdrift import messages
 from bergamotdrift.clock import Clock
-from bergamotdrift.config.schema import RangeGrants
+from bergamotdrift.config.schema import RangeGrants, RolloutBounds
 from bergamotdrift.control_log_events import PLANNING_TIME, log_command
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import CallError
@@ -60,6 +61,7 @@
         observer: RoundObserver,
         upstream_ttl_ms: float | None = None,
         range_grants: RangeGrants = RangeGrants.CALLED,
+        rollout: RolloutBounds | None = None,
     ):
         self._state = state
         self._replicator = replicator
@@ -67,6 +69,7 @@
         self._observer = observer
         self._upstream_ttl_ms = upstream_ttl_ms
         self._range_grants = range_grants
+        self._rollout = rollout
         self._leader_state: LeaderState | None = None
         self._term = 0
         self._replica = ""
@@ -176,6 +179,8 @@
             self._yield_to_loop,
             self._upstream_ttl_ms,
             self._range_grants,
+            self._rollout,
+            time.time() * 1000.0 - self._clock.now_ms(),
         )
         log_event("leadership_opened", term=self._term, replica=status.replica)
 
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -158,6 +158,8 @@
     # Requests per second that the upstream takes from all entries together, as it
     # states in its answers, or None if it states no limit.
     limit_per_s: float | None = None
+    # Version of the software that the upstream runs, empty if it states none.
+    version: str = ""
 
 
 class PartitionRow(NamedTuple):
@@ -206,6 +208,35 @@
     handover: str = ""
 
 
+class RolloutState(StrEnum):
+    """List the states of a rollout of a version."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+
+FULL_SHARE_PERMILLE = 1000
+
+
+class RolloutRow(NamedTuple):
+    """Describe the last rollout of a service.
+
+    `number` is the log index of its order. `started_ms` is Unix time. The upstreams of
+    version `target` get at most `share_permille` of the requests of a pool. The share
+    is `FULL_SHARE_PERMILLE` once the other versions get no further requests.
+    """
+
+    service: str
+    number: int
+    target: str
+    state: RolloutState
+    old_versions: list[str]
+    started_ms: int
+    duration_ms: int
+    share_permille: int
+
+
 class RemovedRow(NamedTuple):
     """Identify a deleted row; `key` contains its key fields as text."""
 
@@ -232,6 +263,7 @@
     evacuated: list[str] | None = None
     # Replaces `settings` where the receiver is known to have an earlier revision.
     patch: SettingsPatch | None = None
+    rollouts: list[RolloutRow] = []
 
 
 # Nodes and control
@@ -293,6 +325,26 @@
     requests: int
 
 
+class VersionResult(NamedTuple):
+    """Count an entry's requests to upstreams of a version on a route in a rollout.
+
+    `rollout` is the number of the rollout. All counts but `running` include everything
+    since the entry learned of the rollout, so that a lost report loses nothing.
+    `failures` are server errors and `lost` are attempts without a whole response.
+    `latencies` counts responses by latency, see `version_results.py`.
+    """
+
+    service: str
+    rollout: int
+    version: str
+    route: str
+    running: int = 0
+    sent: int = 0
+    failures: int = 0
+    lost: int = 0
+    latencies: list[int] = []
+
+
 @message
 class Ping(NamedTuple):
     """Renew a node's session; `unreachable` is a leader that does not respond to it."""
@@ -304,6 +356,7 @@
     loads: list[KeyLoad] = []
     speeds: list[UpstreamSpeed] = []
     reports: list[UpstreamReport] = []
+    version_results: list[VersionResult] = []
 
 
 @message
@@ -402,6 +455,7 @@
     # Key ranges, if they are granted in the replies to announcements.
     held_ranges: list[HeldRange] = []
     released_ranges: list[ReleasedRange] = []
+    version: str = ""
 
 
 class AnnouncementReply(NamedTuple):
--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -8,7 +8,7 @@
 from gevent.event import Event
 
 from bergamotdrift.clock import Clock
-from bergamotdrift.config.schema import RangeGrants
+from bergamotdrift.config.schema import RangeGrants, RolloutBounds
 from bergamotdrift.constants import SESSION_TTL_MS
 from bergamotdrift.control_log_events import REFUSED_ANNOUNCEMENTS, update_gauges
 from bergamotdrift.control_state import ControlState
@@ -71,12 +71,13 @@
         clock: Clock,
         upstream_ttl_ms: float | None = None,
         range_grants: RangeGrants = RangeGrants.CALLED,
+        rollout: RolloutBounds | None = None,
     ):
         self._state = state
         self._replicator = replicator
         self._clock = clock
         self.leadership = Leadership(
-            state, replicator, clock, self, upstream_ttl_ms, range_grants
+            state, replicator, clock, self, upstream_ttl_ms, range_grants, rollout
         )
         self._feed = FeedStreams(state, clock)
         self._leader_reachability = LeaderReachability()
@@ -198,6 +199,10 @@
             leader_state.ranges.speeds.add(msg.row.node, msg.speeds)
         if msg.reports:
             leader_state.upstreams.record_reports(msg.reports, self._clock.now_ms())
+        if msg.version_results:
+            leader_state.rollouts.add_results(
+                msg.row.node, msg.feed_index, msg.version_results
+            )
         if msg.feed_index > self._state.feed_index:
             # Possible only after the cluster lost data, so the node must not continue.
             detail = "the node has applied a later feed index than this cluster has"
@@ -260,6 +265,7 @@
             msg.incarnation,
         ):
             leader_state.nodes.end_session(msg.node, msg.incarnation)
+            leader_state.rollouts.record_left(msg.node)
             self.leadership.wake()
         conn.reply(number, Done())
 
--- a/bergamotdrift/operator_views.py
+++ b/bergamotdrift/operator_views.py
@@ -40,6 +40,7 @@
     services: list[dict[str, Any]]
     shards: list[dict[str, Any]]
     isolated_keys: list[dict[str, Any]]
+    rollouts: list[dict[str, Any]]
 
 
 def settings_view(log: SettingsLog) -> SettingsView:
@@ -68,6 +69,7 @@
         services=_service_views(state),
         shards=[plain(row) for row in rows.shards.rows()],
         isolated_keys=[plain(row) for row in rows.isolated.rows()],
+        rollouts=[plain(row) for row in rows.rollouts.rows()],
     )
 
 
--- a/bergamotdrift/platform/boot.py
+++ b/bergamotdrift/platform/boot.py
@@ -12,6 +12,7 @@
     NodeSettings,
     RangeGrants,
     ReplicaAddress,
+    RolloutBounds,
 )
 from bergamotdrift.exceptions import ConfigurationError
 from bergamotdrift.platform.decoding import (
@@ -19,6 +20,7 @@
     duration_ms,
     integer,
     non_empty_string,
+    non_negative_number,
 )
 
 CLUSTER_NAME = "platform"
@@ -54,6 +56,7 @@
     "request": RangeGrants.CALLED,
     "heartbeat": RangeGrants.ANNOUNCED,
 }
+_ROLLOUT_BOUNDS = ("exposure_share", "exposure_slack", "rollback")
 _IN_FORCE_BOUNDS = ("config_apply", "drain", "evacuate", "revoke")
 
 
@@ -71,6 +74,8 @@
     rate_overage: float = 0.0
     rate_slack: float = 0.0
     in_force_ms: float = 2000.0
+    # None if the platform does no rollouts.
+    rollout: RolloutBounds | None = None
 
 
 class Boot(NamedTuple):
@@ -162,9 +167,31 @@
             ),
             default=defaults.in_force_ms,
         ),
+        _decode_rollout_bounds(fields),
     )
 
 
+def _decode_rollout_bounds(fields: dict[str, Any]) -> RolloutBounds | None:
+    """Decode the bounds of rollouts, None if not all of them are stated."""
+    if any(fields.get(name) is None for name in _ROLLOUT_BOUNDS):
+        return None
+    share = non_negative_number(fields["exposure_share"], "exposure_share")
+    if share > 1.0:
+        raise WireError("exposure_share must be at most 1")
+    return RolloutBounds(
+        share,
+        non_negative_number(fields["exposure_slack"], "exposure_slack"),
+        _milliseconds(fields["rollback"]),
+    )
+
+
+def _milliseconds(value: Any) -> float:
+    """Decode a duration, or a number of milliseconds."""
+    if isinstance(value, str):
+        return duration_ms(value)
+    return non_negative_number(value, "rollback")
+
+
 def entry_settings(boot: Boot) -> EntrySettings:
     """Build the settings of an entry."""
     bounds = boot.bounds
@@ -204,6 +231,7 @@
         _UPSTREAM_TTL_MS,
         True,
         boot.range_grants,
+        boot.bounds.rollout,
     )
 
 
--- a/bergamotdrift/platform/control.py
+++ b/bergamotdrift/platform/control.py
@@ -37,6 +37,7 @@
         boot.control,
         RateTolerance(boot.bounds.rate_overage, boot.bounds.rate_slack),
         ranges,
+        boot.bounds.rollout,
     )
     nodes.on_changed = ranges.wake
     forwarder = LeaderCallForwarder(control.server, control.replica)
--- a/bergamotdrift/platform/control_api.py
+++ b/bergamotdrift/platform/control_api.py
@@ -74,6 +74,33 @@
         self._forwarder.forward(resp, self._action, zone)
 
 
+class RolloutStartResource:
+    """Accept orders to start a rollout."""
+
+    def __init__(self, forwarder: LeaderCallForwarder):
+        self._forwarder = forwarder
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Forward the order; respond with 400 to a truncated or oversized body."""
+        try:
+            self._forwarder.forward(
+                resp, LeaderAction.START_ROLLOUT, body=read_body(req)
+            )
+        except WireError as exc:
+            respond_invalid(req, resp, exc)
+
+
+class RolloutReadResource:
+    """Serve the state of a service's last rollout."""
+
+    def __init__(self, forwarder: LeaderCallForwarder):
+        self._forwarder = forwarder
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response, service: str) -> None:
+        """Respond with the state and the target; 503 unless a leader confirms it."""
+        self._forwarder.forward(resp, LeaderAction.READ_ROLLOUT, service)
+
+
 class HeartbeatResource:
     """Accept the heartbeats of upstreams."""
 
@@ -128,6 +155,8 @@
         names.EVACUATION_STOP,
         EvacuationResource(forwarder, LeaderAction.END_EVACUATION),
     )
+    app.add_route(names.ROLLOUT_START, RolloutStartResource(forwarder))
+    app.add_route(names.ROLLOUT_READ, RolloutReadResource(forwarder))
     return app
 
 
--- a/bergamotdrift/platform/decoding.py
+++ b/bergamotdrift/platform/decoding.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 _DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_VERSION_MAX_CHARS = 128
 _MS_PER_UNIT = {"ms": 1.0, "s": 1000.0}
 
 
@@ -40,6 +41,14 @@
     return float(value)
 
 
+def version_text(value: Any, name: str) -> str:
+    """Return the value if it is a short printable text, or raise WireError."""
+    text = non_empty_string(value, name)
+    if len(text) > _VERSION_MAX_CHARS or not text.isprintable():
+        raise WireError(f"{name} must be at most {_VERSION_MAX_CHARS} printable chars")
+    return text
+
+
 def boolean(value: Any, name: str) -> bool:
     """Return a boolean, False for null, or raise WireError."""
     if value is None:
--- a/bergamotdrift/platform/heartbeats.py
+++ b/bergamotdrift/platform/heartbeats.py
@@ -14,6 +14,7 @@
     duration_ms,
     integer,
     non_empty_string,
+    version_text,
 )
 from bergamotdrift.platform.site_config import parse_json
 
@@ -50,9 +51,15 @@
             ReleasedRange(*_key_span(row), _state_token(row[2]))
             for row in _rows_of_three(fields, "released")
         ],
+        version=_version(fields),
     )
 
 
+def _version(fields: dict[str, Any]) -> str:
+    value = fields.get("version")
+    return "" if value is None or value == "" else version_text(value, "version")
+
+
 def _rows_of_three(fields: dict[str, Any], name: str) -> list[list[Any]]:
     rows = fields.get(name)
     if rows is None:
--- a/bergamotdrift/platform/leader_call_handler.py
+++ b/bergamotdrift/platform/leader_call_handler.py
@@ -12,6 +12,7 @@
 from bergamotdrift import control_commands as cmd
 from bergamotdrift import messages
 from bergamotdrift.clock import Clock
+from bergamotdrift.config.schema import RolloutBounds
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import CallError, ErrorKind
 from bergamotdrift.feed_tables import UpstreamId
@@ -26,7 +27,9 @@
 from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer
 from bergamotdrift.platform import site_config
 from bergamotdrift.platform.decoding import WireError
+from bergamotdrift.platform.rollouts import decode_order
 from bergamotdrift.range_delivery import HeldRanges, RangeDelivery
+from bergamotdrift.rollout_schedule import initial_share
 
 # Upstreams count a heartbeat only if it is answered within 1 s.
 COMMIT_TIMEOUT_MS = 800.0
@@ -35,6 +38,13 @@
 _ANNOUNCEMENT = msgspec.msgpack.Decoder(Announcement)
 
 OK, INVALID, CONFLICT, UNAVAILABLE = 200, 400, 412, 503
+NOT_FOUND, ROLLOUT_CONFLICT = 404, 409
+_ORDER_STATUS = {
+    cmd.OrderResult.STARTED: OK,
+    cmd.OrderResult.REPEATED: OK,
+    cmd.OrderResult.CONFLICT: ROLLOUT_CONFLICT,
+    cmd.OrderResult.UNKNOWN_SERVICE: NOT_FOUND,
+}
 
 
 class LeaderAction(StrEnum):
@@ -47,6 +57,8 @@
     END_EVACUATION = "take_back"
     ANNOUNCE = "announce"
     LEAVE = "leave"
+    START_ROLLOUT = "start_rollout"
+    READ_ROLLOUT = "read_rollout"
 
 
 class PlatformCallHandler:
@@ -62,6 +74,7 @@
         heartbeat_address: str,
         tolerance: site_config.RateTolerance,
         ranges: RangeDelivery,
+        rollout: RolloutBounds | None = None,
     ):
         self._state = state
         self._leadership = leadership
@@ -71,6 +84,7 @@
         self._heartbeat_address = heartbeat_address
         self._tolerance = tolerance
         self._ranges = ranges
+        self._rollout = rollout
 
     def handle(self, call: LeaderCall) -> OperatorAnswer:
         """Handle a call; the answer is 503 unless this replica is the leader."""
@@ -93,6 +107,10 @@
             return self._deregister(call.subject, call.body)
         if action is LeaderAction.READ:
             return self._read_config()
+        if action is LeaderAction.START_ROLLOUT:
+            return self._start_rollout(call.body)
+        if action is LeaderAction.READ_ROLLOUT:
+            return self._read_rollout(call.subject)
         if action in {LeaderAction.EVACUATE, LeaderAction.END_EVACUATION}:
             return self._evacuate(call.subject, action is LeaderAction.EVACUATE)
         return self._change_config(action, call.body)
@@ -151,6 +169,32 @@
             OK, site_config.encode_config(site_config.load(log.mapping))
         )
 
+    # Rollouts
+
+    def _start_rollout(self, body: bytes) -> OperatorAnswer:
+        order = decode_order(body)
+        if self._rollout is None:
+            return _answer(INVALID, "the settings state no bounds of rollouts")
+        outcome = self._leadership.propose(
+            cmd.StartRollout(
+                order.service,
+                order.target,
+                order.duration_ms,
+                int(time.time() * 1000),
+                initial_share(self._rollout),
+            )
+        )
+        self._on_change()
+        status = _ORDER_STATUS[outcome.result]
+        return _answer(status, "" if status == OK else outcome.result.value)
+
+    def _read_rollout(self, service: str) -> OperatorAnswer:
+        row = self._state.rows.rollouts.get(service)
+        if row is None:
+            return _answer(NOT_FOUND, "there was no rollout of the service")
+        body = {"state": row.state.value, "target": row.target}
+        return OperatorAnswer(OK, msgspec.json.encode(body))
+
     # Zones and upstreams
 
     def _evacuate(self, zone: str, evacuated: bool) -> OperatorAnswer:
--- a/bergamotdrift/range_balance.py
+++ b/bergamotdrift/range_balance.py
@@ -32,7 +32,7 @@
     target: str
 
 
-class _Candidate(NamedTuple):
+class Candidate(NamedTuple):
     """Describe a possible move and the requests per second that it transfers."""
 
     move: RangeMove
@@ -121,7 +121,7 @@
     source: str,
     loads: Mapping[str, float],
     load_per_rps: Mapping[str, float],
-) -> _Candidate | None:
+) -> Candidate | None:
     """Return a move of the hottest key, which can't be split, to a faster upstream."""
     candidates = [
         (rate.per_s, rate.key, item.row) for item in rows for rate in item.rates
@@ -137,14 +137,14 @@
         or load_per_rps[target] >= load_per_rps[source]
     ):
         return None
-    return _Candidate(RangeMove(row, key, key, target), per_s)
+    return Candidate(RangeMove(row, key, key, target), per_s)
 
 
 def _best_window(
     rows: Sequence[RowLoad], wanted_per_s: float, gap: float, target: str
-) -> _Candidate | None:
+) -> Candidate | None:
     """Return the move of the narrowest key window that has about the wanted load."""
-    best: _Candidate | None = None
+    best: Candidate | None = None
     best_rank = (0, 0)
     for item in rows:
         for first, last, per_s in _windows(item.rates, wanted_per_s):
@@ -154,11 +154,18 @@
             shortfall = int(4 * abs(wanted_per_s - per_s) / max(wanted_per_s, 0.001))
             rank = (shortfall, last - first)
             if best is None or rank < best_rank:
-                best = _Candidate(RangeMove(item.row, first, last, target), per_s)
+                best = Candidate(RangeMove(item.row, first, last, target), per_s)
                 best_rank = rank
     return best
 
 
+def choose_window(
+    rows: Sequence[RowLoad], max_per_s: float, target: str
+) -> Candidate | None:
+    """Return the move of the keys whose load comes close to a limit, or None."""
+    return _best_window(rows, max_per_s, max_per_s * (1.0 + 1e-9), target)
+
+
 def _windows(
     rates: Sequence[KeyRate], wanted_per_s: float
 ) -> list[tuple[int, int, float]]:
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -16,6 +16,7 @@
     Message,
     PartitionState,
     RangeRow,
+    RolloutRow,
     UpstreamOverload,
     UpstreamRow,
     UpstreamState,
@@ -39,6 +40,12 @@
 )
 from bergamotdrift.range_leases import RangeLeases, UpstreamProcess, owner_process
 from bergamotdrift.range_move_limits import changes_allowed, max_moves, noise_margin
+from bergamotdrift.rollout_orders import is_barred
+from bergamotdrift.rollout_ranges import (
+    choose_trial_moves,
+    is_in_trial,
+    may_be_balanced,
+)
 from bergamotdrift.upstream_speeds import UpstreamSpeeds
 
 # Waits for upstreams that start together, so that the first one is not assigned all
@@ -162,7 +169,12 @@
     def must_drain(self, row: UpstreamRow) -> bool:
         """Return whether an upstream must give up all its ranges."""
         leaving = row.state is UpstreamState.LEAVING
-        return leaving or row.zone in self._state.evacuated
+        barred = is_barred(self.rollout(row.service), row.version)
+        return leaving or barred or row.zone in self._state.evacuated
+
+    def rollout(self, service: str) -> RolloutRow | None:
+        """Return the last rollout of a service, or None."""
+        return self._state.rows.rollouts.get(service)
 
     def was_replaced(self, process: UpstreamProcess) -> bool:
         """Return whether another process of the same upstream is registered."""
@@ -191,6 +203,9 @@
         self._service = service.name
         self._now_ms = now_ms
         self._rows = self._state.rows.ranges_of(service.name)
+        self._rollout = planner.rollout(self._service)
+        # Upstreams of a version that is on trial get their keys only as its share.
+        self._on_trial: dict[str, UpstreamRow] = {}
         self._eligible = self._eligible_upstreams()
         self._free_ranges = max_ranges(len(self._eligible)) - len(self._rows)
 
@@ -251,7 +266,8 @@
             cmd.ReplaceRanges(self._service, group, [join_ranges(group)])
             for group in groups
         ]
-        for move in self._choose_moves(pinned.union(*groups)):
+        pinned = pinned.union(*groups)
+        for move in self._trial_moves(pinned) or self._choose_moves(pinned):
             moves.add(move, self._now_ms)
         return joins + self._planned_releases()
 
@@ -268,6 +284,20 @@
             or not leases.is_settled(row, self._now_ms)
         )
 
+    def _trial_moves(self, pinned: frozenset[RangeRow]) -> list[RangeMove]:
+        """Return the moves that give a version on trial its share of the keys."""
+        if self._rollout is None or not is_in_trial(self._rollout):
+            return []
+        return choose_trial_moves(
+            self._rollout,
+            self._rows,
+            self._loads,
+            {row: self._next_owner(row) for row in self._rows},
+            self._on_trial,
+            pinned,
+            len(self._eligible),
+        )
+
     def _choose_moves(self, pinned: frozenset[RangeRow]) -> list[RangeMove]:
         owned: dict[str, list[RowLoad]] = {name: [] for name in self._eligible}
         for row in self._rows:
@@ -391,12 +421,14 @@
 
     def _assign(self, row: RangeRow, handover: str) -> Message:
         moves = self._planner._moves
-        owner = self._eligible.get(moves.take_target(row) or "")
+        target = moves.take_target(row) or ""
+        owner = self._eligible.get(target) or self._on_trial.get(target)
         return self._assign_to(row, owner or self._least_loaded(), handover)
 
     def _assign_to(self, row: RangeRow, owner: UpstreamRow, handover: str) -> Message:
         self._planner._moves.record_moved(row, self._now_ms)
-        self._ranking.add(owner.upstream, self._load_of(row, owner.upstream))
+        if owner.upstream in self._eligible:
+            self._ranking.add(owner.upstream, self._load_of(row, owner.upstream))
         return self._replace(
             row, [self._assigned_row(row.first, row.last, owner, handover)]
         )
@@ -459,6 +491,13 @@
             )
             and self._is_recent(row)
         ]
+        self._on_trial = {
+            row.upstream: row
+            for row in rows
+            if row.state is UpstreamState.READY
+            and not may_be_balanced(self._rollout, row)
+        }
+        rows = [row for row in rows if may_be_balanced(self._rollout, row)]
         warm = [row for row in rows if row.state is UpstreamState.READY]
         return {row.upstream: row for row in sorted(warm or rows)}
 
--- /dev/null
+++ b/bergamotdrift/rollout_orders.py
@@ -0,0 +1,81 @@
+"""Changes of the replicated rows of rollouts by commands of the control log."""
+
+from bergamotdrift import control_commands as cmd
+from bergamotdrift.control_rows import ControlRows
+from bergamotdrift.messages import (
+    FULL_SHARE_PERMILLE,
+    RolloutRow,
+    RolloutState,
+)
+
+# An order that got no clear response is sent again, even after its rollout has ended.
+# Later, the same order starts another rollout.
+REPEAT_WINDOW_MS = 600_000
+
+
+def start(rows: ControlRows, index: int, order: cmd.StartRollout) -> cmd.OrderResult:
+    """Start a rollout of a known service unless another one is running."""
+    row = rows.rollouts.get(order.service)
+    if row is not None and _is_repeated(row, order):
+        return cmd.OrderResult.REPEATED
+    if row is not None and row.state is RolloutState.RUNNING:
+        return cmd.OrderResult.CONFLICT
+    started = RolloutRow(
+        order.service,
+        index,
+        order.target,
+        RolloutState.RUNNING,
+        _other_versions(rows, order.service, order.target),
+        order.at_ms,
+        order.duration_ms,
+        order.share_permille,
+    )
+    rows.rollouts.put(order.service, started, index)
+    return cmd.OrderResult.STARTED
+
+
+def step(rows: ControlRows, index: int, command: cmd.StepRollout) -> bool:
+    """Change the share or the state of a running rollout; return whether it did."""
+    row = rows.rollouts.get(command.service)
+    if row is None or row.number != command.number:
+        return False
+    if row.state is not RolloutState.RUNNING:
+        return False
+    old = set(row.old_versions) | set(_other_versions(rows, row.service, row.target))
+    changed = row._replace(
+        state=command.state,
+        share_permille=command.share_permille,
+        old_versions=sorted(old),
+    )
+    return rows.rollouts.put(row.service, changed, index)
+
+
+def is_barred(row: RolloutRow | None, version: str) -> bool:
+    """Return whether upstreams of a version get no requests under a rollout."""
+    if row is None:
+        return False
+    is_new = version == row.target
+    if row.state is RolloutState.ROLLED_BACK:
+        return is_new
+    if row.state is RolloutState.COMPLETED:
+        return version in row.old_versions
+    if row.share_permille >= FULL_SHARE_PERMILLE:
+        return not is_new
+    return is_new and row.share_permille <= 0
+
+
+def _is_repeated(row: RolloutRow, order: cmd.StartRollout) -> bool:
+    if (row.target, row.duration_ms) != (order.target, order.duration_ms):
+        return False
+    if row.state is RolloutState.RUNNING:
+        return True
+    return order.at_ms - row.started_ms < REPEAT_WINDOW_MS
+
+
+def _other_versions(rows: ControlRows, service: str, target: str) -> list[str]:
+    found = {
+        row.version
+        for row in rows.upstreams.rows()
+        if row.service == service and row.version != target
+    }
+    return sorted(found)
--- a/bergamotdrift/tests/test_control_client.py
+++ b/bergamotdrift/tests/test_control_client.py
@@ -37,6 +37,9 @@
     def reports(self):
         return []
 
+    def version_results(self):
+        return []
+
     def take_rates(self, lots, asked_at_ms):
         self.taken.append(asked_at_ms)
 
--- a/bergamotdrift/upstream_sessions.py
+++ b/bergamotdrift/upstream_sessions.py
@@ -295,6 +295,7 @@
         announcement.state,
         announcement.slots,
         announcement.born_ms,
+        version=announcement.version,
     )
 
 
