--- a/bergamotdrift/load_ranking.py
+++ b/bergamotdrift/load_ranking.py
@@ -22,6 +22,10 @@
             heappop(self._heap)
         return self._heap[0][1]
 
+    def by_load(self) -> list[str]:
+        """Return all upstreams, the least loaded first."""
+        return sorted(self._loads, key=lambda name: (self._loads[name], name))
+
     def add(self, upstream: str, load: float) -> None:
         """Add load to an upstream."""
         self._loads[upstream] += load
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -42,6 +42,7 @@
 from bergamotdrift.range_move_limits import changes_allowed, max_moves, noise_margin
 from bergamotdrift.rollout_orders import is_barred
 from bergamotdrift.rollout_ranges import (
+    choose_returning_moves,
     choose_trial_moves,
     is_in_trial,
     may_be_balanced,
@@ -288,14 +289,11 @@
         """Return the moves that give a version on trial its share of the keys."""
         if self._rollout is None or not is_in_trial(self._rollout):
             return []
-        return choose_trial_moves(
-            self._rollout,
-            self._rows,
-            self._loads,
-            {row: self._next_owner(row) for row in self._rows},
-            self._on_trial,
-            pinned,
-            len(self._eligible),
+        owners = {row: self._next_owner(row) for row in self._rows}
+        known = self._rollout, self._rows, self._loads, owners, self._on_trial, pinned
+        others = self._ranking.by_load() if self._eligible else []
+        return choose_returning_moves(*known, others) or choose_trial_moves(
+            *known, len(self._eligible)
         )
 
     def _choose_moves(self, pinned: frozenset[RangeRow]) -> list[RangeMove]:
--- a/bergamotdrift/rollout_plan.py
+++ b/bergamotdrift/rollout_plan.py
@@ -7,7 +7,7 @@
 """
 
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from bergamotdrift import control_commands as cmd
@@ -46,8 +46,8 @@
 DEFAULT_BOUNDS = RolloutBounds(0.1, 50.0, 5000.0)
 # Counts are also compared over the last seconds alone, since a version may become bad
 # after many good responses.
-_SAMPLE_INTERVAL_MS = 500.0
-_RECENT_SAMPLES = 6
+_SAMPLE_INTERVAL_MS = 1000.0
+_RECENT_SAMPLES = 3
 # Change of a share that is worth a command.
 _MIN_SHARE_CHANGE = 0.2
 # Adding up the reports of 86 entries takes about 2 ms.
@@ -66,6 +66,8 @@
     row: NodeRow | None
     feed_index: int
     results: Sequence[VersionResult]
+    # Whether the entry ended all its requests and its session.
+    has_left: bool = False
 
 
 class _Sums(NamedTuple):
@@ -156,8 +158,7 @@
         for watch in self._watches.values():
             report = watch.reports.get(node)
             if report is not None:
-                kept = [item._replace(running=0) for item in report.results]
-                watch.reports[node] = report._replace(results=kept)
+                watch.reports[node] = report._replace(has_left=True)
 
     def commands(self, now_ms: float) -> list[Message]:
         """Return the steps that are due."""
@@ -234,12 +235,12 @@
         return self._step_before_full()
 
     def _fault(self) -> Fault | None:
-        fault = find_fault(*self._sums)
-        if fault is None and self._watch.samples:
-            # The old version is compared over the whole time, since all of it counts.
-            recent = self._sums.since(self._watch.samples[0][1])
-            fault = find_fault(recent.new, self._sums.old)
-        return fault
+        # The old version is compared over the whole time, since all of it counts.
+        new, old = self._sums
+        samples = self._watch.samples
+        periods = [new] + [self._sums.since(item).new for _, item in samples]
+        faults = (find_fault(period, old) for period in periods)
+        return next((fault for fault in faults if fault is not None), None)
 
     def _step_before_full(self) -> cmd.StepRollout | None:
         if self._is_ranged and self._elapsed_ms >= self._schedule.load_at_ms:
@@ -283,25 +284,34 @@
         """
         if self._is_ranged:
             return True
+        part = permille / FULL_SHARE_PERMILLE
+        if self._target_slots() >= part * self._slots(self._is_usable_old):
+            return True
         demand = self._demand()
         per_ms = demand.sent / max(1.0, self._elapsed_ms)
         old, new = self._sums.old.values(), self._sums.new.values()
         mean_ms = mean_latency_ms(total(old)) or mean_latency_ms(total(new))
-        needed = per_ms * mean_ms * permille / FULL_SHARE_PERMILLE
-        return self._target_slots() >= needed
+        return self._target_slots() >= per_ms * mean_ms * part
 
     def _target_slots(self) -> int:
         """Return the slots of the new version's warm upstreams."""
+        return self._slots(
+            lambda row: row.version == self._row.target and self._is_usable(row)
+        )
+
+    def _slots(self, is_counted: Callable[[UpstreamRow], bool]) -> int:
         return sum(
             row.slots or self._service.slots
             for row in self._state.rows.upstreams.rows()
-            if row.service == self._row.service and self._is_usable(row)
+            if row.service == self._row.service and is_counted(row)
         )
 
     def _is_usable(self, row: UpstreamRow) -> bool:
         is_warm = row.state is UpstreamState.READY
-        is_target = row.version == self._row.target
-        return is_target and is_warm and row.zone not in self._state.evacuated
+        return is_warm and row.zone not in self._state.evacuated
+
+    def _is_usable_old(self, row: UpstreamRow) -> bool:
+        return row.version != self._row.target and self._is_usable(row)
 
     # Completion
 
@@ -368,7 +378,7 @@
         running = sum(
             item.running for item in report.results if item.version != self._row.target
         )
-        return report.feed_index >= index and not running
+        return report.has_left or (report.feed_index >= index and not running)
 
     def _has_waited(
         self, node: str, report: _Report, entries: Mapping[str, NodeRow]
--- a/bergamotdrift/rollout_ranges.py
+++ b/bergamotdrift/rollout_ranges.py
@@ -62,6 +62,8 @@
     if not targets or not upstreams:
         return []
     total = sum(load.per_s for load in loads.values())
+    if total <= 0.0:
+        return []
     wanted = _FILL_RATIO * total * rollout.share_permille / FULL_SHARE_PERMILLE
     held = dict.fromkeys(sorted(targets), 0.0)
     for row in rows:
@@ -90,3 +92,35 @@
         used.add(found.move.row)
         held[target] += found.per_s
     return moves
+
+
+def choose_returning_moves(
+    rollout: RolloutRow,
+    rows: Sequence[RangeRow],
+    loads: Mapping[RangeRow, RowLoad],
+    owners: Mapping[RangeRow, str],
+    targets: Collection[str],
+    pinned: Collection[RangeRow],
+    others: Sequence[str],
+) -> list[RangeMove]:
+    """Return the moves of ranges that the new version holds above its share.
+
+    Its upstreams may have got them before the rollout was ordered. `others` are the
+    upstreams to which they go, the least loaded first.
+    """
+    if not others:
+        return []
+    total = sum(load.per_s for load in loads.values())
+    allowed = total * rollout.share_permille / FULL_SHARE_PERMILLE
+    mine = [row for row in rows if owners[row] in targets]
+    excess = sum(loads[row].per_s for row in mine) - allowed
+    moves: list[RangeMove] = []
+    for row in sorted(mine, key=lambda row: -loads[row].per_s):
+        if excess <= 0.0:
+            break
+        excess -= loads[row].per_s
+        if row in pinned or row.state is not PartitionState.OWNED:
+            continue
+        target = others[len(moves) % len(others)]
+        moves.append(RangeMove(row, row.first, row.last, target))
+    return moves
--- a/bergamotdrift/rollout_schedule.py
+++ b/bergamotdrift/rollout_schedule.py
@@ -22,10 +22,13 @@
 # all entries have stopped.
 _SMALL_SHARE_OF_BOUND = 0.8
 _SMALL_COUNT_OF_BOUND = 0.35
-_LOAD_COUNT_OF_BOUND = 0.7
+_LOAD_COUNT_OF_BOUND = 0.6
 # Where the slack exceeds the share, the small share may be larger.
 _SMALL_SHARE_MAX = 0.3
 _LOAD_SHARE = 0.25
+# The small share no longer changes this long before the larger one: what little is left
+# of its count would make it jump.
+_SETTLED_MS = 2000.0
 # Reports of the first second show how many requests there are.
 _DEMAND_KNOWN_MS = 1500.0
 
@@ -65,7 +68,7 @@
     if is_ranged:
         lead_ms = min(0.6 * duration_ms, max(5000.0, min(0.35 * duration_ms, 10_000.0)))
     else:
-        lead_ms = min(0.5 * duration_ms, max(2500.0, min(0.2 * duration_ms, 6000.0)))
+        lead_ms = min(0.5 * duration_ms, max(2200.0, min(0.18 * duration_ms, 6000.0)))
     full_at_ms = duration_ms - lead_ms
     load_ms = max(600.0, min(0.08 * duration_ms, 3000.0))
     return RolloutSchedule(
@@ -87,6 +90,8 @@
     """Return the share in permille that is due, or None while that is not known."""
     if elapsed_ms < _DEMAND_KNOWN_MS or not demand.sent:
         return None
+    if times.load_at_ms - _SETTLED_MS < elapsed_ms < times.load_at_ms:
+        return None
     per_ms = demand.sent / elapsed_ms
     bound = bounds.exposure_share * per_ms * times.end_ms + bounds.exposure_slack
     if elapsed_ms < times.load_at_ms:
