--- a/bergamotdrift/tests/test_platform_control_api.py
+++ b/bergamotdrift/tests/test_platform_control_api.py
@@ -53,6 +53,7 @@
             (names.DEREGISTER, b"", LeaderAction.LEAVE, "i-1"),
             (names.EVACUATION_START, b"", LeaderAction.EVACUATE, "a"),
             (names.EVACUATION_STOP, b"", LeaderAction.END_EVACUATION, "a"),
+            (names.ROLLOUT_START, full_config, LeaderAction.START_ROLLOUT, ""),
         ]
         for path, body, action, subject in expected:
             with self.subTest(path=path):
@@ -65,6 +66,14 @@
         self.assertEqual(self.client.simulate_get(names.CONFIG_READ).status_code, 200)
         self.assertEqual(len(self.server.calls), 1)
 
+    def test_read_of_a_rollout_reaches_the_leader(self):
+        path = names.ROLLOUT_READ.replace("{service}", "s-1")
+        self.assertEqual(self.client.simulate_get(path).status_code, 200)
+        (call,) = self.server.calls
+        self.assertEqual(
+            (call.action, call.subject), (LeaderAction.READ_ROLLOUT, "s-1")
+        )
+
 
 class InvalidBodyTests(ControlApiTestCase):
     """Guards against malformed bodies that are accepted, or refused without a log."""
--- a/bergamotdrift/tests/test_rollout_ranges.py
+++ b/bergamotdrift/tests/test_rollout_ranges.py
@@ -4,12 +4,17 @@
 from bergamotdrift.messages import (
     LAST_KEY,
     KeyLoad,
+    NodeRow,
     PartitionState,
+    Role,
     RolloutState,
     UpstreamRow,
     UpstreamState,
+    VersionResult,
 )
+from bergamotdrift.rollout_plan import RolloutPlanner
 from bergamotdrift.tests.test_range_planner import FakeUpstream, PlannerSimulation
+from bergamotdrift.version_results import latency_bucket
 
 OLD, NEW = 8, 8
 SHARE_PERMILLE = 50
@@ -164,5 +169,85 @@
         self.assertEqual(sim.part_of("v2"), 1.0)
 
 
+class RangeCompletionTests(unittest.TestCase):
+    """Guards against a completion while the old version has keys or requests."""
+
+    def setUp(self):
+        self.sim = RangeRolloutSimulation(1)
+        self.sim.run(6000)
+        rows = [NodeRow(f"e{n}", Role.ENTRY, "i", f"vm{n}", "a", "") for n in (1, 2)]
+        self.sim.apply(cmd.RegisterNodes(rows))
+        self.sim.order()
+        self.ordered_ms = self.sim.now
+        for number in range(NEW):
+            self.sim.start(f"u{OLD + number}", "v2")
+        self.rollouts = RolloutPlanner(self.sim.state, None, -self.ordered_ms)
+        self.failures = self.old_running = 0
+        self.sent = {"v1": 0.0, "v2": 0.0}
+
+    def run_for(self, ms):
+        """Report each 250 ms what entries would count by the owners of the keys."""
+        end_ms = self.sim.now + ms
+        while self.sim.now < end_ms:
+            self.sim.run(250)
+            for version in self.sent:
+                part = self.sim.part_of(version)
+                self.sent[version] += REQUESTS_PER_S / 4 * part
+            self.report("e1", self.results())
+            self.report("e2", [self.result("v2", "")])
+            for step in self.rollouts.commands(self.sim.now):
+                self.sim.apply(step)
+
+    def report(self, node, results):
+        self.rollouts.add_results(node, self.sim.state.feed_index, results)
+
+    def results(self):
+        counts = [0] * latency_bucket(50.0)
+        old, new = (round(self.sent[v]) for v in ("v1", "v2"))
+        failed = min(new, self.failures)
+        return [
+            self.result("v2", ""),
+            self.result("v1", "")._replace(running=self.old_running),
+            self.result("v1", "r")._replace(sent=old, latencies=[*counts, old]),
+            self.result("v2", "r")._replace(
+                sent=new, failures=failed, latencies=[*counts, new - failed]
+            ),
+        ]
+
+    def result(self, version, route):
+        return VersionResult("cases", self.row().number, version, route)
+
+    def row(self):
+        return self.sim.state.rows.rollouts.get("cases")
+
+    def elapsed_ms(self):
+        return self.sim.now - self.ordered_ms
+
+    def test_good_version_completes_with_all_keys(self):
+        while self.row().state is RolloutState.RUNNING and self.elapsed_ms() < 12_000:
+            self.run_for(250)
+        self.assertIs(self.row().state, RolloutState.COMPLETED)
+        self.assertEqual(self.sim.part_of("v2"), 1.0)
+        self.assertTrue(self.sim.all_owned())
+
+    def test_completion_waits_for_running_requests(self):
+        self.old_running = 1
+        self.run_for(13_000)
+        self.assertIs(self.row().state, RolloutState.RUNNING)
+        self.assertEqual(self.sim.part_of("v2"), 1.0)
+        self.old_running = 0
+        self.run_for(500)
+        self.assertIs(self.row().state, RolloutState.COMPLETED)
+
+    def test_bad_version_loses_its_keys(self):
+        self.run_for(4000)
+        self.assertGreater(self.sim.part_of("v2"), 0.01)
+        self.failures = 20
+        self.run_for(500)
+        self.assertIs(self.row().state, RolloutState.ROLLED_BACK)
+        self.run_for(3000)
+        self.assertEqual(self.sim.part_of("v2"), 0.0)
+
+
 if __name__ == "__main__":
     unittest.main()
