--- a/bergamotdrift/rollout_schedule.py
+++ b/bergamotdrift/rollout_schedule.py
@@ -66,7 +66,7 @@
     or two under load. Ranges also need two or three announcements of their upstreams.
     """
     if is_ranged:
-        lead_ms = min(0.6 * duration_ms, max(5000.0, min(0.35 * duration_ms, 10_000.0)))
+        lead_ms = min(0.6 * duration_ms, max(4500.0, min(0.35 * duration_ms, 10_000.0)))
     else:
         lead_ms = min(0.5 * duration_ms, max(2200.0, min(0.18 * duration_ms, 6000.0)))
     full_at_ms = duration_ms - lead_ms
