Test rollouts at a running entry and from pings to the leader's steps

The same order starts a new rollout 30 s after the end of the first one, not 10 minutes after its start: operators send an unclear order again within seconds.

--- a/bergamotdrift/rollout_orders.py
+++ b/bergamotdrift/rollout_orders.py
@@ -8,9 +8,9 @@
     RolloutState,
 )
 
-# An order that got no clear response is sent again, even after its rollout has ended.
-# Later, the same order starts another rollout.
-REPEAT_WINDOW_MS = 600_000
+# An order that got no clear response is sent again, maybe after its rollout has ended.
+# This long after its duration, the same order starts another rollout.
+REPEAT_MARGIN_MS = 30_000
 
 
 def start(rows: ControlRows, index: int, order: cmd.StartRollout) -> cmd.OrderResult:
@@ -69,7 +69,7 @@
         return False
     if row.state is RolloutState.RUNNING:
         return True
-    return order.at_ms - row.started_ms < REPEAT_WINDOW_MS
+    return order.at_ms - row.started_ms < row.duration_ms + REPEAT_MARGIN_MS
 
 
 def _other_versions(rows: ControlRows, service: str, target: str) -> list[str]:
--- a/bergamotdrift/tests/test_platform_rollouts.py
+++ b/bergamotdrift/tests/test_platform_rollouts.py
@@ -1,9 +1,18 @@
 import json
 import unittest
 
+import gevent
+
 from bergamotdrift.config.schema import RolloutBounds
 from bergamotdrift.control_state import ControlState
-from bergamotdrift.messages import RolloutState
+from bergamotdrift.messages import (
+    Hello,
+    NodeRow,
+    Ping,
+    Role,
+    RolloutState,
+    VersionResult,
+)
 from bergamotdrift.operator_views import status_view
 from bergamotdrift.platform.boot import control_settings, decode_boot
 from bergamotdrift.platform.decoding import WireError
@@ -24,9 +33,7 @@
 SERVICE = heartbeat_body()["service"]
 
 
-class RolloutCallTests(CallHandlerTestCase):
-    """Guards the orders of operators, and what they read of a rollout."""
-
+class RolloutTestCase(CallHandlerTestCase):
     def setUp(self):
         super().setUp()
         for replica in (self.first, self.second):
@@ -43,6 +50,13 @@
         answer = (replica or self.first).call(LeaderAction.READ_ROLLOUT, service)
         return answer.status, json.loads(answer.body)
 
+    def row(self):
+        return self.first.state.rows.rollouts.get(SERVICE)
+
+
+class RolloutCallTests(RolloutTestCase):
+    """Guards the orders of operators, and what they read of a rollout."""
+
     def test_order_is_confirmed_and_read(self):
         self.assertEqual(self.read()[0], 404)
         self.assertEqual(self.order(), 200)
@@ -100,9 +114,6 @@
         self.order()
         self.assertEqual(self.row().old_versions, ["v1"])
 
-    def row(self):
-        return self.first.state.rows.rollouts.get(SERVICE)
-
     def test_status_shows_the_rollout(self):
         self.order()
         status = self.first.replicator.status()
@@ -118,6 +129,54 @@
         self.assertEqual(copy.update_since(0).rollouts, [self.row()])
 
 
+class _Stream:
+    """Stream of an entry that only takes replies."""
+
+    closed = False
+
+    def __init__(self, row):
+        self.peer = Hello("test", row.node, row.role, row.incarnation)
+        self.replies = []
+
+    def reply(self, number, msg):
+        self.replies.append(msg)
+
+    def send(self, msg):
+        pass
+
+    def send_packed(self, *_):
+        pass
+
+
+class LeaderRoundTests(RolloutTestCase):
+    """Guards the way from the pings of entries to the steps of the leader."""
+
+    entry = NodeRow("e1", Role.ENTRY, "i", "vm1", "a", "")
+
+    def ping(self, stream, results):
+        index = self.first.state.feed_index
+        msg = Ping(self.entry, index, version_results=results)
+        self.first.nodes.on_message(stream, 1, msg)
+
+    def test_failures_in_a_ping_roll_back(self):
+        self.order()
+        number = self.row().number
+        old = VersionResult(SERVICE, number, "v1", "r", 0, 500, 0, 0, [500])
+        new = VersionResult(SERVICE, number, "v2", "r", 0, 20, 10, 0, [10])
+        self.ping(_Stream(self.entry), [old, new])
+        with gevent.Timeout(3):
+            while self.read()[1]["state"] == "running":
+                gevent.sleep(0.01)
+        self.assertEqual(self.read()[1], {"state": "rolled_back", "target": "v2"})
+
+    def test_results_of_another_rollout_are_ignored(self):
+        self.order()
+        new = VersionResult(SERVICE, 1, "v2", "r", 0, 20, 10, 0, [10])
+        self.ping(_Stream(self.entry), [new])
+        gevent.sleep(0.4)
+        self.assertEqual(self.read()[1]["state"], "running")
+
+
 class DecodingTests(unittest.TestCase):
     """Guards against versions and bounds that are read wrongly."""
 
--- a/bergamotdrift/tests/test_rollout_plan.py
+++ b/bergamotdrift/tests/test_rollout_plan.py
@@ -4,6 +4,7 @@
 from bergamotdrift import control_commands as cmd
 from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.messages import RolloutState, UpstreamState
+from bergamotdrift.rollout_orders import REPEAT_MARGIN_MS
 from bergamotdrift.rollout_plan import RolloutPlanner
 from bergamotdrift.tests.rollout_simulation import (
     BOUNDS,
@@ -289,6 +290,14 @@
         self.assertEqual(sim.order(), cmd.OrderResult.REPEATED)
         self.assertIs(sim.rollout().state, RolloutState.ROLLED_BACK)
 
+    def test_same_order_starts_another_rollout_later(self):
+        sim = self.small(fault=bad(0.5))
+        sim.run_until(ORDERED_MS + 4000)
+        first = sim.rollout()
+        sim.now = END_MS + REPEAT_MARGIN_MS
+        self.assertEqual(sim.order(), cmd.OrderResult.STARTED)
+        self.assertGreater(sim.rollout().number, first.number)
+
     def test_other_order_of_the_same_service_is_refused(self):
         sim = self.small()
         self.assertEqual(sim.order(target="v3"), cmd.OrderResult.CONFLICT)
--- a/bergamotdrift/tests/test_rollout_ranges.py
+++ b/bergamotdrift/tests/test_rollout_ranges.py
@@ -60,8 +60,9 @@
         assert self.apply(order).result is cmd.OrderResult.STARTED
 
     def step(self, state, permille):
-        number = self.state.rows.rollouts.get("cases").number
-        self.apply(cmd.StepRollout("cases", number, state, permille, "test"))
+        row = self.state.rows.rollouts.get("cases")
+        assert row is not None
+        self.apply(cmd.StepRollout("cases", row.number, state, permille, "test"))
 
     def part_of(self, version):
         """Return the part of the keys that a version owns, in any state."""
--- a/bergamotdrift/tests/test_version_results.py
+++ b/bergamotdrift/tests/test_version_results.py
@@ -41,12 +41,15 @@
         new = {"r1": tally(200), "r2": tally(3, 5)}
         old = {"r1": tally(2000), "r2": tally(200)}
         found = find_fault(new, old)
+        assert found is not None
         self.assertEqual((found.kind, found.route), ("failures", "r2"))
 
     def test_failures_spread_over_routes(self):
         new = {f"r{n}": tally(10, 1) for n in range(10)}
         old = {f"r{n}": tally(300) for n in range(10)}
-        self.assertEqual(find_fault(new, old).route, "")
+        found = find_fault(new, old)
+        assert found is not None
+        self.assertEqual(found.route, "")
 
     def test_requests_of_one_lost_upstream(self):
         self.assertIsNone(self.fault(tally(100, lost=9), tally(1000)))
