Leave responses of announced cold starts out of the evidence

Any version is slow while it is cold, and a flooded upstream answers nothing, so a good version could have been rolled back. Only its server errors count then.

--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -271,9 +271,7 @@
             0 if key_range is None else key_range.epoch,
         )
         self._running[name] = routed
-        self._selector.versions.record_sent(
-            name, service, _route_name(routed), load.row.version
-        )
+        self._selector.versions.record_sent(name, _route_name(routed), load.row)
         running = self._registry.add(permit, routed.workspace)
         running.on_statement = partial(
             self._record_statement, load, load.row.incarnation
--- a/bergamotdrift/tests/test_rollout_plan.py
+++ b/bergamotdrift/tests/test_rollout_plan.py
@@ -125,6 +125,21 @@
             sim.noise = 0.03
             self.check_completed(sim)
 
+    def test_upstreams_that_are_slow_while_cold(self):
+        def fault(sim, route, upstream):
+            cold = upstream.row.state is UpstreamState.COLD
+            return AttemptOutcome.ANSWERED, 5.0 if cold else 1.0
+
+        sim = self.small(fault=fault)
+        sim.run_until(ORDERED_MS + 350)
+        for number in range(31):
+            sim.set_state(f"new{number}", UpstreamState.COLD)
+        sim.run_until(ORDERED_MS + 3350)
+        for number in range(31):
+            sim.set_state(f"new{number}", UpstreamState.READY)
+        self.assertGreater(len(sim.bad_at_ms), 5)
+        self.check_completed(sim)
+
     def test_share_stays_small_for_most_of_the_time(self):
         sim = self.ordered(**DEPLOYMENT_1)
         sim.run_until(ORDERED_MS + 8000)
--- a/bergamotdrift/version_share.py
+++ b/bergamotdrift/version_share.py
@@ -20,6 +20,8 @@
     FULL_SHARE_PERMILLE,
     RolloutRow,
     RolloutState,
+    UpstreamRow,
+    UpstreamState,
     VersionResult,
 )
 from bergamotdrift.rollout_orders import is_barred
@@ -40,6 +42,8 @@
     service: str
     version: str
     route: str
+    # Whether its upstream announced a cold start, in which any version is slow.
+    is_cold: bool
 
 
 class _Counts:
@@ -145,9 +149,11 @@
             return True
         return is_barred(row, version)
 
-    def record_sent(self, attempt: str, service: str, route: str, version: str) -> None:
-        """Record the start of an attempt, in any state of the service."""
-        self._attempts[attempt] = _Attempt(service, version, route)
+    def record_sent(self, attempt: str, route: str, upstream: UpstreamRow) -> None:
+        """Record the start of an attempt, in any state of its service."""
+        service, version = upstream.service, upstream.version
+        is_cold = upstream.state is UpstreamState.COLD
+        self._attempts[attempt] = _Attempt(service, version, route, is_cold)
         self._attempt_counts[service, version] += 1
         running = self._running.get(service)
         if running is not None:
@@ -177,6 +183,8 @@
         counts = running.counts.get((found.version, found.route))
         if counts is None:
             return
+        if found.is_cold and outcome is not AttemptOutcome.SERVER_ERROR:
+            return
         if reported is not None:
             latency_ms /= 1.0 + max(0, reported.waiting) / max(1, reported.slots)
         counts.record_end(outcome, latency_ms)
