Compare versions within the same period as well

A second in which 90% of both versions' responses failed (simulation) rolled a good version back, as its last second was compared with the old one's whole time. The new test fails without the change.

--- a/bergamotdrift/rollout_plan.py
+++ b/bergamotdrift/rollout_plan.py
@@ -235,13 +235,22 @@
         return self._step_before_full()
 
     def _fault(self) -> Fault | None:
-        # The old version is compared over the whole time, since all of it counts.
-        new, old = self._sums
         samples = self._watch.samples
-        periods = [new] + [self._sums.since(item).new for _, item in samples]
-        faults = (find_fault(period, old) for period in periods)
+        periods = [self._sums] + [self._sums.since(item) for _, item in samples]
+        faults = (self._fault_in(period) for period in periods)
         return next((fault for fault in faults if fault is not None), None)
 
+    def _fault_in(self, period: _Sums) -> Fault | None:
+        """Return how the new version was worse in a period, or None.
+
+        The old version is compared over the whole time, since all of it counts, and in
+        the period if it served any: an overload makes both versions worse.
+        """
+        fault = find_fault(period.new, self._sums.old)
+        if fault is None or total(period.old.values()).ended < MIN_RESPONSES:
+            return fault
+        return find_fault(period.new, period.old)
+
     def _step_before_full(self) -> cmd.StepRollout | None:
         if self._is_ranged and self._elapsed_ms >= self._schedule.load_at_ms:
             # Ranges that begin to move now arrive after everything moves.
--- a/bergamotdrift/tests/test_rollout_plan.py
+++ b/bergamotdrift/tests/test_rollout_plan.py
@@ -125,6 +125,15 @@
             sim.noise = 0.03
             self.check_completed(sim)
 
+    def test_failures_of_both_versions_at_the_same_time(self):
+        for seed in range(3):
+            sim = self.small(seed)
+            sim.run_until(ORDERED_MS + 7000)
+            sim.noise = 0.9
+            sim.run_until(ORDERED_MS + 8000)
+            sim.noise = 0.0
+            self.check_completed(sim)
+
     def test_upstreams_that_are_slow_while_cold(self):
         def fault(sim, route, upstream):
             cold = upstream.row.state is UpstreamState.COLD
