--- a/bergamotdrift/control_client.py
+++ b/bergamotdrift/control_client.py
@@ -40,6 +40,7 @@
     UpstreamOverload,
     UpstreamReport,
     UpstreamSpeed,
+    VersionResult,
 )
 from bergamotdrift.pings import AnsweredPing, PingsInFlight
 from bergamotdrift.streams import Connection, StreamClient
@@ -87,6 +88,10 @@
         """Return what upstreams have stated since the last report."""
         ...
 
+    def version_results(self) -> list[VersionResult]:
+        """Return the counts of requests by version of all running rollouts."""
+        ...
+
     def take_rates(self, lots: list[RateLot], asked_at_ms: float) -> None:
         """Add leased rate tokens, whose lease starts at `asked_at_ms`."""
         ...
@@ -326,6 +331,7 @@
             speeds=self._payload.speeds(),
             reports=self._payload.reports(),
             paces=self._payload.pace_needs(),
+            version_results=self._payload.version_results(),
         )
 
     def _renew_session(self, pong: Pong, sent_at_ms: float) -> None:
--- a/bergamotdrift/control_server.py
+++ b/bergamotdrift/control_server.py
@@ -96,6 +96,7 @@
             cfg.upstream_ttl_ms,
             cfg.range_grants,
             cfg.cold_bound,
+            cfg.rollout,
         )
         self._operator_api = OperatorCallHandler(
             state,
--- a/bergamotdrift/direct_dispatch.py
+++ b/bergamotdrift/direct_dispatch.py
@@ -16,6 +16,7 @@
 from bergamotdrift.feed_tables import FeedTables
 from bergamotdrift.leader_pace_client import LeaderPaceClient
 from bergamotdrift.leader_token_client import LeaderTokenClient
+from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
     FeedUpdate,
     KeyLoad,
@@ -27,6 +28,7 @@
     UpstreamOverload,
     UpstreamReport,
     UpstreamSpeed,
+    VersionResult,
 )
 from bergamotdrift.retry_policy import SharedRetryBudget
 
@@ -45,6 +47,7 @@
         tables: Callable[[], FeedTables],
         registry: AttemptRegistry,
         clock: Clock,
+        control_age_ms: Callable[[], float] = lambda: 0.0,
     ):
         self._cfg = cfg
         self._tables = tables
@@ -52,6 +55,7 @@
         rng = random.Random()
         self.paces = LeaderPaceClient(clock, cfg.node.node, cfg.cold_bound)
         self._selector = DirectSelector(cfg.node.node, cfg.node.zone, rng, self.paces)
+        self._selector.versions.control_age_ms = control_age_ms
         self.permits = DirectPermits(tables, self._selector, registry, clock)
         self.tokens = LeaderTokenClient(clock, self._rate_of, self._burst_share_of)
         self._entries = 1
@@ -61,6 +65,15 @@
         tables = self._tables()
         self._entries = max(1, len(list(tables.nodes_of(Role.ENTRY))))
         self._selector.update(tables, self._clock.now_ms())
+        for row in self._selector.versions.update(tables.rollouts):
+            log_event(
+                "rollout_applied",
+                service=row.service,
+                target=row.target,
+                state=row.state.value,
+                share_permille=row.share_permille,
+                index=tables.index,
+            )
         self.permits.notify()
 
     def is_near(self, service: ServiceSettings, routing_key: str) -> bool:
@@ -101,6 +114,10 @@
         """Return what upstreams have stated since the last report."""
         return self._selector.due_reports(self._clock.now_ms())
 
+    def version_results(self) -> list[VersionResult]:
+        """Return the counts of requests by version of all running rollouts."""
+        return self._selector.versions.results()
+
     def take_rates(self, lots: list[RateLot], asked_at_ms: float) -> None:
         """Add leased rate tokens."""
         self.tokens.take_rates(lots, asked_at_ms)
--- a/bergamotdrift/direct_permits.py
+++ b/bergamotdrift/direct_permits.py
@@ -156,6 +156,10 @@
         routed = self._running.pop(permit.permit, None)
         if routed is None:
             return
+        reported = running.statement.load if running.statement is not None else None
+        self._selector.versions.record_end(
+            permit.permit, msg.outcome, msg.latency_ms, reported
+        )
         key = UpstreamId(routed.service.name, permit.upstream)
         load = self._selector.loads.get(key)
         if load is not None:
@@ -349,6 +353,7 @@
             0 if key_range is None else key_range.epoch,
         )
         self._running[name] = routed
+        self._selector.versions.record_sent(name, route_name(routed), load.row)
         running = self._registry.add(permit, routed.workspace)
         running.send_by_ms = send_by_ms
         running.on_statement = partial(
--- a/bergamotdrift/leader_state.py
+++ b/bergamotdrift/leader_state.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable, Sequence
 
 from bergamotdrift.announced_leases import AnnouncedLeases
-from bergamotdrift.config.schema import STATED_RATE, ColdBound, RangeGrants
+from bergamotdrift.config.schema import (
+    STATED_RATE,
+    ColdBound,
+    RangeGrants,
+    RolloutBounds,
+)
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.feed_tables import PartitionId, UpstreamId
 from bergamotdrift.handover import Handover
@@ -27,6 +32,7 @@
 from bergamotdrift.range_leases import RangeLeases
 from bergamotdrift.range_planner import RangePlanner
 from bergamotdrift.rate_buckets import RateBuckets
+from bergamotdrift.rollout_plan import RolloutPlanner
 from bergamotdrift.shard_planner import ShardPlanner
 from bergamotdrift.shards import upstream_shard
 from bergamotdrift.upstream_sessions import UpstreamSessions
@@ -57,6 +63,8 @@
         upstream_ttl_ms: float | None = None,
         range_grants: RangeGrants = RangeGrants.CALLED,
         cold_bound: ColdBound = STATED_RATE,
+        rollout: RolloutBounds | None = None,
+        unix_offset_ms: float = 0.0,
     ):
         self._state = state
         self._handover = Handover(state, yield_to_loop)
@@ -71,6 +79,7 @@
             yield_to_loop,
             _LEASES_BY_GRANTS[range_grants],
         )
+        self.rollouts = RolloutPlanner(state, rollout, unix_offset_ms)
         self._rates = RateBuckets()
         self._rates.add_buckets(state.settings.current, opened_at_ms)
         self._paces = PaceBuckets(cold_bound, opened_at_ms)
@@ -145,5 +154,7 @@
             *self.session_commands(now_ms),
             *self._partitions.commands(self.nodes.acknowledged(), now_ms),
             *self._shards.commands(now_ms),
+            # Before the ranges, which follow the shares.
+            *self.rollouts.commands(now_ms),
             *self.ranges.commands(now_ms),
         ]
--- a/bergamotdrift/leadership.py
+++ b/bergamotdrift/leadership.py
@@ -1,5 +1,6 @@
 """The control leader's loop, which runs while this replica leads."""
 
+import time
 from collections import Counter
 from collections.abc import Sequence
 from typing import Protocol
@@ -10,7 +11,12 @@
 from bergamotdrift import control_commands as cmd
 from bergamotdrift import messages
 from bergamotdrift.clock import Clock
-from bergamotdrift.config.schema import STATED_RATE, ColdBound, RangeGrants
+from bergamotdrift.config.schema import (
+    STATED_RATE,
+    ColdBound,
+    RangeGrants,
+    RolloutBounds,
+)
 from bergamotdrift.control_log_events import PLANNING_TIME, log_command
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.exceptions import CallError
@@ -61,6 +67,7 @@
         upstream_ttl_ms: float | None = None,
         range_grants: RangeGrants = RangeGrants.CALLED,
         cold_bound: ColdBound = STATED_RATE,
+        rollout: RolloutBounds | None = None,
     ):
         self._state = state
         self._replicator = replicator
@@ -69,6 +76,7 @@
         self._upstream_ttl_ms = upstream_ttl_ms
         self._range_grants = range_grants
         self._cold_bound = cold_bound
+        self._rollout = rollout
         self._leader_state: LeaderState | None = None
         self._term = 0
         self._replica = ""
@@ -179,6 +187,8 @@
             self._upstream_ttl_ms,
             self._range_grants,
             self._cold_bound,
+            self._rollout,
+            time.time() * 1000.0 - self._clock.now_ms(),
         )
         log_event("leadership_opened", term=self._term, replica=status.replica)
 
--- a/bergamotdrift/platform/boot.py
+++ b/bergamotdrift/platform/boot.py
@@ -13,6 +13,7 @@
     NodeSettings,
     RangeGrants,
     ReplicaAddress,
+    RolloutBounds,
 )
 from bergamotdrift.exceptions import ConfigurationError
 from bergamotdrift.platform.decoding import (
@@ -20,6 +21,7 @@
     duration_ms,
     integer,
     non_empty_string,
+    non_negative_number,
 )
 
 CLUSTER_NAME = "platform"
@@ -55,6 +57,7 @@
     "request": RangeGrants.CALLED,
     "heartbeat": RangeGrants.ANNOUNCED,
 }
+_ROLLOUT_BOUNDS = ("exposure_share", "exposure_slack", "rollback")
 _IN_FORCE_BOUNDS = ("config_apply", "drain", "evacuate", "revoke")
 
 
@@ -73,6 +76,8 @@
     rate_slack: float = 0.0
     in_force_ms: float = 2000.0
     cold: ColdBound = ColdBound()
+    # None if the platform does no rollouts.
+    rollout: RolloutBounds | None = None
 
 
 class Boot(NamedTuple):
@@ -168,9 +173,31 @@
             float(fields.get("warmup_overage", defaults.cold.overage)),
             float(fields.get("warmup_slack", defaults.cold.slack)),
         ),
+        _decode_rollout_bounds(fields),
     )
 
 
+def _decode_rollout_bounds(fields: dict[str, Any]) -> RolloutBounds | None:
+    """Decode the bounds of rollouts, None if not all of them are stated."""
+    if any(fields.get(name) is None for name in _ROLLOUT_BOUNDS):
+        return None
+    share = non_negative_number(fields["exposure_share"], "exposure_share")
+    if share > 1.0:
+        raise WireError("exposure_share must be at most 1")
+    return RolloutBounds(
+        share,
+        non_negative_number(fields["exposure_slack"], "exposure_slack"),
+        _milliseconds(fields["rollback"]),
+    )
+
+
+def _milliseconds(value: Any) -> float:
+    """Decode a duration, or a number of milliseconds."""
+    if isinstance(value, str):
+        return duration_ms(value)
+    return non_negative_number(value, "rollback")
+
+
 def entry_settings(boot: Boot) -> EntrySettings:
     """Build the settings of an entry."""
     bounds = boot.bounds
@@ -212,6 +239,7 @@
         True,
         boot.range_grants,
         boot.bounds.cold,
+        boot.bounds.rollout,
     )
 
 
--- a/bergamotdrift/tests/test_control_client.py
+++ b/bergamotdrift/tests/test_control_client.py
@@ -40,6 +40,9 @@
     def pace_needs(self):
         return []
 
+    def version_results(self):
+        return []
+
     def take_rates(self, lots, asked_at_ms):
         self.taken.append(asked_at_ms)
 
