Register the shared metrics with the application that serves them

Cause: the application that serves metrics did not import the module that declares those of all programs. Change: the module of the metrics renders them.

--- a/bergamotdrift/admin_apps.py
+++ b/bergamotdrift/admin_apps.py
@@ -8,8 +8,9 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
-from prometheus_client import CONTENT_TYPE_LATEST, REGISTRY, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST
 
+from bergamotdrift import metrics
 from bergamotdrift.refusals import status_line
 
 _JSON = "application/json"
@@ -66,7 +67,7 @@
 
 
 def _metrics() -> AdminAnswer:
-    return AdminAnswer(200, CONTENT_TYPE_LATEST, generate_latest(REGISTRY))
+    return AdminAnswer(200, CONTENT_TYPE_LATEST, metrics.render())
 
 
 def _readiness(is_ready: bool) -> AdminAnswer:
--- a/bergamotdrift/metrics.py
+++ b/bergamotdrift/metrics.py
@@ -1,6 +1,6 @@
 """Metrics that all programs share."""
 
-from prometheus_client import Counter, Gauge
+from prometheus_client import REGISTRY, Counter, Gauge, generate_latest
 
 EVENTS = Counter("bergamotdrift_events", "Log events by name.", ["event"])
 LOG_LINES_DROPPED = Counter(
@@ -13,9 +13,12 @@
     "bergamotdrift_event_loop_delay_seconds",
     "Delay of the last timer of the event loop; high when the process is overloaded.",
 )
-
-
 INVALID_STATEMENTS = Counter(
     "bergamotdrift_upstream_statements_invalid",
     "Answers whose headers state a limit that can't be read.",
 )
+
+
+def render() -> bytes:
+    """Return all metrics of this process in the text format of Prometheus."""
+    return generate_latest(REGISTRY)
