Serve a service of which only the target version is left during a rollout

Cause, found in review: with only upstreams of the target version registered, a pool got 5 requests in 9 s, and a keyed service had no eligible owner. Lost entries were waited for one after the other, only from the end of the rollout, so the loss of three ended it 24 s after the order instead of 10.6 s. A ping that waited for the feed kept old counts. Change: an order for the only version in use is completed at once; if no other version is left, everything moves at once; lost entries are marked in each round.

--- a/bergamotdrift/node_streams.py
+++ b/bergamotdrift/node_streams.py
@@ -245,7 +245,9 @@
         if self._feed.must_wait(conn):
             if number:
                 send_paces_early(leader_state, conn, msg, self._clock.now_ms())
-            waiting = msg._replace(loads=[], speeds=[], reports=[], paces=[])
+            waiting = msg._replace(
+                loads=[], speeds=[], reports=[], paces=[], version_results=[]
+            )
             self._awaiting_push.append(PendingPing(conn, number, waiting))
             self._changed.set()
             return
--- a/bergamotdrift/rollout_orders.py
+++ b/bergamotdrift/rollout_orders.py
@@ -6,6 +6,7 @@
     FULL_SHARE_PERMILLE,
     RolloutRow,
     RolloutState,
+    UpstreamState,
 )
 
 # An order that got no clear response is sent again, maybe after its rollout has ended.
@@ -14,21 +15,25 @@
 
 
 def start(rows: ControlRows, index: int, order: cmd.StartRollout) -> cmd.OrderResult:
-    """Start a rollout of a known service unless another one is running."""
+    """Start a rollout of a service unless another one of it is running.
+
+    It has completed already if no upstream of another version is in use.
+    """
     row = rows.rollouts.get(order.service)
     if row is not None and _is_repeated(row, order):
         return cmd.OrderResult.REPEATED
     if row is not None and row.state is RolloutState.RUNNING:
         return cmd.OrderResult.CONFLICT
+    is_alone = versions_in_use(rows, order.service) == {order.target}
     started = RolloutRow(
         order.service,
         index,
         order.target,
-        RolloutState.RUNNING,
+        RolloutState.COMPLETED if is_alone else RolloutState.RUNNING,
         _other_versions(rows, order.service, order.target),
         order.at_ms,
         order.duration_ms,
-        order.share_permille,
+        FULL_SHARE_PERMILLE if is_alone else order.share_permille,
     )
     rows.rollouts.put(order.service, started, index)
     return cmd.OrderResult.STARTED
@@ -50,6 +55,15 @@
     return rows.rollouts.put(row.service, changed, index)
 
 
+def versions_in_use(rows: ControlRows, service: str) -> set[str]:
+    """Return the versions of a service's upstreams that are not about to leave."""
+    return {
+        row.version
+        for row in rows.upstreams.rows()
+        if row.service == service and row.state is not UpstreamState.LEAVING
+    }
+
+
 def is_barred(row: RolloutRow | None, version: str) -> bool:
     """Return whether upstreams of a version get no requests under a rollout."""
     if row is None:
--- a/bergamotdrift/rollout_plan.py
+++ b/bergamotdrift/rollout_plan.py
@@ -23,6 +23,7 @@
     UpstreamState,
     VersionResult,
 )
+from bergamotdrift.rollout_orders import versions_in_use
 from bergamotdrift.rollout_reports import Report, Sums, Watch
 from bergamotdrift.rollout_schedule import (
     END_RESERVE_MS,
@@ -158,14 +159,32 @@
         self._watch.add_sample(self._sums, self._now_ms)
         if fault is not None:
             return self._roll_back(_describe(fault))
+        self._mark_lost_entries()
         if self._is_full:
             return self._step_when_full()
+        if not self._has_other_version() and self._target_slots():
+            # Nothing else can serve the requests.
+            return self._share(FULL_SHARE_PERMILLE, "no other version is left")
         if self._elapsed_ms >= self._row.duration_ms - END_RESERVE_MS:
             return self._roll_back(f"not_ready:{self._why_not_full()}")
         if self._elapsed_ms >= self._schedule.full_at_ms and not self._why_not_full():
             return self._share(FULL_SHARE_PERMILLE, "moved")
         return self._step_before_full()
 
+    def _mark_lost_entries(self) -> None:
+        """Record since when entries that reported are not registered any more."""
+        registered = {row.node for row in self._state.rows.nodes.rows()}
+        lost_at_ms = self._watch.lost_at_ms
+        for node in self._watch.reports:
+            if node in registered:
+                lost_at_ms.pop(node, None)
+            else:
+                lost_at_ms.setdefault(node, self._now_ms)
+
+    def _has_other_version(self) -> bool:
+        in_use = versions_in_use(self._state.rows, self._row.service)
+        return bool(in_use - {self._row.target})
+
     def _fault(self) -> Fault | None:
         samples = self._watch.samples
         periods = [self._sums] + [self._sums.since(item) for _, item in samples]
@@ -330,7 +349,7 @@
         off may go on until the requests that it sent have timed out.
         """
         vm = report.row.vm if report.row is not None else ""
-        if any(row.vm == vm for row in entries.values()):
+        if vm and any(row.vm == vm for row in entries.values()):
             return True
         lost_ms = self._watch.lost_at_ms.setdefault(node, self._now_ms)
         return self._now_ms - lost_ms >= self._longest_ms() + _STALE_SENDER_MS
--- a/bergamotdrift/tests/test_rollout_plan.py
+++ b/bergamotdrift/tests/test_rollout_plan.py
@@ -208,6 +208,16 @@
         sim.apply(cmd.RegisterNodes([entry.row]))
         self.check_completed(sim)
 
+    def test_entries_that_are_lost_together_are_waited_for_once(self):
+        # Guards against waits one after the other for the entries of a lost zone.
+        sim = self.small()
+        sim.run_until(ORDERED_MS + 3000)
+        for _ in range(4):
+            lost = sim.entries.pop(0)
+            item = cmd.NodeIncarnation(lost.row.node, lost.row.incarnation)
+            sim.apply(cmd.ExpireNodes([item]))
+        self.check_completed(sim)
+
     def test_entry_that_stopped_is_not_waited_for(self):
         sim = self.small()
         sim.run_until(ORDERED_MS + 9300)
@@ -297,6 +307,19 @@
         self.check_rolled_back(sim)
 
 
+class StoppedVersionTests(RolloutPlanTestCase):
+    """Guards against a service that is cut off as its old upstreams stop early."""
+
+    def test_requests_move_once_all_old_upstreams_leave(self):
+        sim = self.small()
+        sim.run_until(ORDERED_MS + 4000)
+        before = sim.sent["v2"]
+        for number in range(31):
+            sim.set_state(f"old{number}", UpstreamState.LEAVING)
+        sim.run_until(ORDERED_MS + 6000)
+        self.assertGreater(sim.sent["v2"] - before, 200)
+
+
 class OrderTests(RolloutPlanTestCase):
     """Guards against orders that run twice or disturb each other."""
 
@@ -327,6 +350,16 @@
         self.assertEqual(sim.order(target="v3"), cmd.OrderResult.CONFLICT)
         self.assertEqual(sim.order(5000), cmd.OrderResult.CONFLICT)
 
+    def test_order_of_the_only_version_is_completed_at_once(self):
+        # Guards against a service that is cut off while its only version is on trial.
+        sim = RolloutSimulation(1, entries=12, old=0)
+        sim.run_until(ORDERED_MS + 1000)
+        self.assertEqual(sim.order(DURATION_MS), cmd.OrderResult.STARTED)
+        self.assertIs(sim.rollout().state, RolloutState.COMPLETED)
+        before = sim.sent["v2"]
+        sim.run_until(ORDERED_MS + 3000)
+        self.assertGreater(sim.sent["v2"] - before, 200)
+
     def test_order_of_an_unknown_service_is_refused(self):
         sim = self.small()
         self.assertEqual(sim.order(name="x"), cmd.OrderResult.UNKNOWN_SERVICE)
