Treat a connection that the kernel gave up as broken

Cause, found in review: ETIMEDOUT is reported once and was taken for a timeout of the socket; the next read then looks like an orderly close, so a part of a response without a length could count as whole. Seen with a fake socket only. Change: a timeout with an error number is raised. Result: tests of uploads and responses pass; it has no test of its own yet (aarch64).

--- a/bergamotdrift/http_connection.py
+++ b/bergamotdrift/http_connection.py
@@ -212,9 +212,14 @@
         """Return received bytes, empty at end of stream; raises OSError."""
         while True:
             self._sock.settimeout(self._remaining_ms() / 1000.0)
-            # After a timeout, `_remaining_ms` raises if the deadline or limit passed.
-            with contextlib.suppress(TimeoutError):
+            try:
                 return self._sock.recv(max_bytes)
+            except TimeoutError as exc:
+                # The kernel reports a lost connection once, with an error number; the
+                # next read would look like an orderly close. After a timeout of the
+                # socket, `_remaining_ms` raises if the deadline or limit passed.
+                if exc.errno is not None:
+                    raise
 
     def _handle_eof(self, parser: ResponseParser) -> int:
         """Complete a response without framing; any other response is truncated.
