End the silence of an upstream that sheds a request or restarts

Cause, found in review: only a full answer ended the state in which an entry sends an upstream one request at a time. Change: a shed request and a new incarnation end it too. Result: test_direct_load passes with two new tests (aarch64).

--- a/bergamotdrift/direct_load.py
+++ b/bergamotdrift/direct_load.py
@@ -88,6 +88,7 @@
         if row.incarnation != before.incarnation:
             self._mark_up()
             self._reported = None
+            self.own.record_answer(now_ms)
             self.leaves_since_ms = None
             self.paused_until_ms = 0.0
             self.mark_maybe_cold(cold_ms, now_ms)
@@ -253,6 +254,7 @@
             self.own.record_answer(now_ms)
             self._mark_up()
         elif outcome is AttemptOutcome.SHED:
+            self.own.record_answer(now_ms)
             self._mark_up()
             self._shed_until_ms = now_ms + _SHED_PAUSE_MS
         elif outcome is AttemptOutcome.CONNECT_FAILED:
--- a/bergamotdrift/tests/test_direct_load.py
+++ b/bergamotdrift/tests/test_direct_load.py
@@ -1,5 +1,6 @@
 import unittest
 
+from bergamotdrift.arbiter_messages import AttemptOutcome
 from bergamotdrift.dialect import AnswerLoad
 from bergamotdrift.direct_load import DirectLoad
 from bergamotdrift.messages import UpstreamRow, UpstreamState
@@ -41,5 +42,25 @@
         self.assertEqual(self.load.busy_ms, USUAL_MS)
 
 
+class SilenceTests(unittest.TestCase):
+    """Guards against an upstream that counts as silent after it has answered."""
+
+    def setUp(self):
+        row = UpstreamRow("s", "u", "10.0.0.1:1", "a", "1", UpstreamState.READY, 2, 1)
+        self.load = DirectLoad(row, 2)
+        self.load.own.add("p1", 0.0, 100.0)
+        self.load.own.remove("p1", 200.0)
+        self.assertTrue(self.load.own.is_suspect(200.0))
+
+    def test_upstream_that_sheds_a_request_is_not_silent(self):
+        self.load.record_outcome(AttemptOutcome.SHED, 0.0, 250.0)
+        self.assertFalse(self.load.own.is_suspect(300.0))
+
+    def test_restarted_upstream_is_not_silent(self):
+        changed = self.load.row._replace(incarnation="2")
+        self.load.replace_row(changed, 0.0, 250.0)
+        self.assertFalse(self.load.own.is_suspect(300.0))
+
+
 if __name__ == "__main__":
     unittest.main()
