Check the bound of cold upstreams in the process settings

Cause, found in review: a warmup_overage of 0 raised in the leader for each request that waited for a token. Change: settings with an overage of 0 or a negative slack are refused.

--- a/bergamotdrift/platform/boot.py
+++ b/bergamotdrift/platform/boot.py
@@ -169,14 +169,23 @@
             ),
             default=defaults.in_force_ms,
         ),
-        ColdBound(
-            float(fields.get("warmup_overage", defaults.cold.overage)),
-            float(fields.get("warmup_slack", defaults.cold.slack)),
-        ),
+        _decode_cold_bound(fields, defaults.cold),
         _decode_rollout_bounds(fields),
     )
 
 
+def _decode_cold_bound(fields: dict[str, Any], default: ColdBound) -> ColdBound:
+    overage = non_negative_number(
+        fields.get("warmup_overage", default.overage), "warmup_overage"
+    )
+    if not overage:
+        raise WireError("warmup_overage must be above 0")
+    slack = non_negative_number(
+        fields.get("warmup_slack", default.slack), "warmup_slack"
+    )
+    return ColdBound(overage, slack)
+
+
 def _decode_rollout_bounds(fields: dict[str, Any]) -> RolloutBounds | None:
     """Decode the bounds of rollouts, None if not all of them are stated."""
     if any(fields.get(name) is None for name in _ROLLOUT_BOUNDS):
--- a/bergamotdrift/tests/test_platform_config.py
+++ b/bergamotdrift/tests/test_platform_config.py
@@ -274,6 +274,13 @@
         "bounds": {"grace": "6s", "retry_budget_slack": 58, "budget_window": "10s"},
     }
 
+    def test_bound_of_cold_upstreams_without_a_rate_is_refused(self):
+        # Guards against a division by zero at the leader.
+        for name, value in (("warmup_overage", 0), ("warmup_slack", -1)):
+            bounds = {"bounds": {name: value}}
+            with self.subTest(name), self.assertRaises(WireError):
+                decode_boot(self.fields | bounds)
+
     def test_seeds_are_voters_only_on_the_first_start(self):
         cfg = control_settings(decode_boot(self.fields))
         self.assertIn(cfg.node.node, [voter.replica for voter in cfg.voters])
