Count and return the bytes of bodies exactly

Cause, found in review: without room for its body, the same request with an idempotency key had another fingerprint; a chunked body could hold twice the counted bytes; what a failed attempt had buffered was kept, so a retry of a 3 MB response was refused. Change: a body that is compared is buffered in any case, reads stop at the counted size, and a failed attempt returns its room.

--- a/bergamotdrift/attempt_loop.py
+++ b/bergamotdrift/attempt_loop.py
@@ -140,11 +140,14 @@
         self, routed: RoutedRequest, response: UpstreamResponse
     ) -> Result[Reply, AttemptFailure]:
         request_id = routed.req.request_id
+        buffered = routed.held.buffered
         try:
             if not _may_buffer(routed, response):
                 return Success(replies.streamed_reply(response, request_id))
             body = response.read_body(CLOSE_DELIMITED_MAX_BYTES)
         except TruncatedAnswerError as exc:
+            # The next attempt needs the room.
+            routed.held.return_to(buffered)
             refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, str(exc))
             return Failure(AttemptFailure(refusal, AttemptOutcome.BROKEN, False))
         return Success(replies.buffered_reply(response, request_id, body))
--- a/bergamotdrift/body_source.py
+++ b/bergamotdrift/body_source.py
@@ -41,20 +41,25 @@
         return data
 
 
-def open_body(body: RequestBody, max_bytes: int, held: HeldBytes) -> BodySource:
+def open_body(
+    body: RequestBody, max_bytes: int, held: HeldBytes, needs_whole: bool = False
+) -> BodySource:
     """Return a body, fully buffered if it is small and there is room for it.
 
-    Raises RequestError and CallerGoneError.
+    A small body that `needs_whole` is buffered without room too: it is compared with
+    that of a repeated request. Raises RequestError and CallerGoneError.
     """
     if body.length is not None and body.length > RETRY_BODY_BYTES:
         return BodySource(b"", body.length, body.read)
     size = RETRY_BODY_BYTES if body.length is None else body.length
     if size and not held.take(size, Pressure.REQUEST_NOT_BUFFERED):
-        return BodySource(b"", body.length, _LimitedReader(body, max_bytes).read)
+        if not needs_whole:
+            return BodySource(b"", body.length, _LimitedReader(body, max_bytes).read)
+        held.hold(size)
     reader = _LimitedReader(body, max_bytes)
     buffered = bytearray()
     while len(buffered) < RETRY_BODY_BYTES or body.length is not None:
-        data = reader.read(RETRY_BODY_BYTES)
+        data = reader.read(max(1, RETRY_BODY_BYTES - len(buffered)))
         if not data:
             return BodySource(bytes(buffered), len(buffered), None)
         buffered += data
--- a/bergamotdrift/byte_budget.py
+++ b/bergamotdrift/byte_budget.py
@@ -64,10 +64,26 @@
         if not self._has_room(size):
             self._budget.on_pressure(pressure)
             return False
-        self._buffered += size
-        self._budget.add(size)
+        self.hold(size)
         return True
 
+    def hold(self, size: int) -> None:
+        """Count bytes that are buffered, whether or not there is room for them."""
+        if not self._closed:
+            self._buffered += size
+            self._budget.add(size)
+
+    @property
+    def buffered(self) -> int:
+        """Bytes that are buffered, without the part that was read last."""
+        return self._buffered
+
+    def return_to(self, buffered: int) -> None:
+        """Return what was buffered beyond an earlier value of `buffered`."""
+        excess = max(0, self._buffered - buffered)
+        self._buffered -= excess
+        self._budget.add(-excess)
+
     def next_chunk(self) -> int:
         """Count the next part, whose buffer is held while it is read.
 
--- a/bergamotdrift/pipeline.py
+++ b/bergamotdrift/pipeline.py
@@ -27,7 +27,7 @@
 from bergamotdrift.settings_view import SettingsView
 from bergamotdrift.stages import reply as replies
 from bergamotdrift.stages.authenticate import authenticate
-from bergamotdrift.stages.claim import Claim
+from bergamotdrift.stages.claim import IDEMPOTENCY_HEADER, Claim
 from bergamotdrift.stages.rate import take_rate_token
 from bergamotdrift.stages.route import route
 from bergamotdrift.stages.stages import StageRefusal, Stages
@@ -140,7 +140,12 @@
         if isinstance(admitted, Failure):
             return Failure(StageRefusal("rate", admitted.failure()))
         try:
-            body = open_body(routed.req.body, routed.route.max_body_bytes, routed.held)
+            body = open_body(
+                routed.req.body,
+                routed.route.max_body_bytes,
+                routed.held,
+                needs_whole=routed.req.header(IDEMPOTENCY_HEADER.lower()) is not None,
+            )
         except RequestError as exc:
             return Failure(StageRefusal("body", exc.refusal))
         claimed = self._waits.run(lambda: self._stages.claims.begin(routed, body))
--- a/bergamotdrift/tests/test_byte_budget.py
+++ b/bergamotdrift/tests/test_byte_budget.py
@@ -53,6 +53,15 @@
         held.set_chunk(20)
         self.assertEqual(self.budget.held_bytes, 20)
 
+    def test_failed_attempt_leaves_room_for_the_next_one(self):
+        held = self.budget.open()
+        held.take(50_000, BUFFERED)
+        before = held.buffered
+        for _ in range(3):
+            self.assertTrue(held.take(150_000, Pressure.RESPONSE_TOO_LARGE))
+            held.return_to(before)
+        self.assertEqual(self.budget.held_bytes, 50_000)
+
     def test_closed_account_holds_nothing(self):
         held = self.budget.open()
         held.take(10, BUFFERED)
