Rename what stopped a reader, and check two waits closer

Cause: reviews of the whole change found a fraction named as an interval, two classes of one name, a bool named as a list, and tests with bounds above their targets. A run of the tests of answer buffers before those of pipelining failed, as held bytes were left over. Change: new names; the hold and the pace limits are checked against the stated values; the buffers' tests reset the gauge.

--- a/bergamotdrift/answer_buffer.py
+++ b/bergamotdrift/answer_buffer.py
@@ -14,7 +14,7 @@
         self.count = 0
 
 
-class HeldBytes:
+class AheadBytes:
     """Count the bytes that the answers of one connection hold until their turn."""
 
     def __init__(self, total: HeldTotal) -> None:
@@ -51,7 +51,7 @@
     as held meanwhile, so that nothing more is read ahead.
     """
 
-    def __init__(self, held: HeldBytes, max_bytes: int):
+    def __init__(self, held: AheadBytes, max_bytes: int):
         self._held = held
         self._max_bytes = max_bytes
         self._data = bytearray()
--- a/bergamotdrift/caller_output.py
+++ b/bergamotdrift/caller_output.py
@@ -17,7 +17,7 @@
 STALL_TIMEOUT_S = 5.0
 # Part of the timeout. A send that is repeated fills the kernel's buffer further than
 # one that waits for room, so it should be rare.
-_CHECK_INTERVAL = 0.25
+_CHECK_PART = 0.25
 # A caller that reads single bytes does not hold its connection open.
 _MIN_READ_BYTES = 1024
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -66,7 +66,7 @@
     def sendall(self, data: bytes | bytearray) -> None:
         """Send all data; raises OSError, and CallerGoneError if it is not read."""
         before_s = self._sock.gettimeout()
-        self._sock.settimeout(self._timeout_s * _CHECK_INTERVAL)
+        self._sock.settimeout(self._timeout_s * _CHECK_PART)
         try:
             self._send(memoryview(data))
         finally:
--- a/bergamotdrift/requests_ahead.py
+++ b/bergamotdrift/requests_ahead.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from bergamotdrift.answer_buffer import AnswerBuffer, HeldBytes, HeldTotal
+from bergamotdrift.answer_buffer import AheadBytes, AnswerBuffer, HeldTotal
 from bergamotdrift.exceptions import CallerGoneError, RequestDroppedError
 from bergamotdrift.http_exchange import HttpExchange
 from bergamotdrift.read_ahead import AheadLoad
@@ -79,7 +79,7 @@
     """Hold the requests behind the one that is being answered, in their order."""
 
     def __init__(self, total: HeldTotal) -> None:
-        self.held = HeldBytes(total)
+        self.held = AheadBytes(total)
         self._queue: list[RequestAhead] = []
 
     def __len__(self) -> int:
--- a/bergamotdrift/rollout_plan.py
+++ b/bergamotdrift/rollout_plan.py
@@ -42,7 +42,7 @@
 
 DEFAULT_BOUNDS = RolloutBounds(0.1, 50.0, 5000.0)
 # Change of a share that is worth a command.
-_MIN_SHARE_CHANGE = 0.2
+_MIN_RELATIVE_SHARE_CHANGE = 0.2
 # Planning one rollout with the reports of 86 entries took 1.3 ms on aarch64.
 PLAN_INTERVAL_MS = 150.0
 # Each change of the share is a command and an update of every entry.
@@ -216,7 +216,7 @@
         current = self._row.share_permille
         if permille > current and not self._has_room(permille):
             return None
-        if abs(permille - current) <= _MIN_SHARE_CHANGE * current:
+        if abs(permille - current) <= _MIN_RELATIVE_SHARE_CHANGE * current:
             return None
         return self._share(permille, "share")
 
@@ -279,7 +279,7 @@
         watch = self._watch
         if watch.full_since_ms is None:
             watch.full_since_ms = self._now_ms
-        if not self._target_slots() and not self._cold_targets():
+        if not self._target_slots() and not self._has_registered_target():
             return self._roll_back("not_ready:no upstream of the version is left")
         if watch.moved_index is None and self._has_moved():
             watch.moved_index = self._moved_index()
@@ -290,8 +290,8 @@
             return None
         return self._step(RolloutState.COMPLETED, FULL_SHARE_PERMILLE, "completed")
 
-    def _cold_targets(self) -> bool:
-        """Return whether upstreams of the new version are there, if only cold ones."""
+    def _has_registered_target(self) -> bool:
+        """Return whether upstreams of the new version are registered, warm or cold."""
         return any(
             row.service == self._row.service
             and row.version == self._row.target
--- a/bergamotdrift/tests/test_answer_buffer.py
+++ b/bergamotdrift/tests/test_answer_buffer.py
@@ -2,7 +2,8 @@
 
 import gevent
 
-from bergamotdrift.answer_buffer import AnswerBuffer, HeldBytes, HeldTotal
+from bergamotdrift.answer_buffer import AheadBytes, AnswerBuffer, HeldTotal
+from bergamotdrift.read_ahead_metrics import HELD_BYTES
 
 
 class FakeSocket:
@@ -21,8 +22,10 @@
     """Guards against answers that take unbounded memory, are lost or out of order."""
 
     def setUp(self):
+        # Other modules of the same run expect that nothing is held.
+        self.addCleanup(HELD_BYTES.set, 0)
         self.total = HeldTotal()
-        self.held = HeldBytes(self.total)
+        self.held = AheadBytes(self.total)
         self.sock = FakeSocket()
 
     def buffer(self):
--- a/bergamotdrift/tests/test_direct_admission.py
+++ b/bergamotdrift/tests/test_direct_admission.py
@@ -202,12 +202,12 @@
         answer = self.ask_key(9)
         held_s = time.monotonic() - started
         self.assertEqual(answer.status, 503)
-        self.assertLess(held_s, 0.5 * TARGET_MS / 1000.0)
+        self.assertLess(held_s, 0.35 * TARGET_MS / 1000.0)
         gevent.joinall(jobs, timeout=3)
         line = self.log.of_event("admission_refused")[-1]
         self.assertIn("reason=held", line)
         (held_ms,) = re.findall(r"held_ms=(\d+)", line)
-        self.assertLess(int(held_ms), 0.5 * TARGET_MS)
+        self.assertLess(int(held_ms), 0.25 * TARGET_MS)
 
 
 class SilentUpstreamTests(AdmissionTestCase):
--- a/bergamotdrift/tests/test_pace.py
+++ b/bergamotdrift/tests/test_pace.py
@@ -111,7 +111,8 @@
             with self.subTest(per_s=per_s, bound=bound):
                 limits = pace_limits(ColdStartSettings(1, 3.0, per_s), bound)
                 most = math.floor(per_s * bound.overage + bound.slack)
-                used = limits.burst + limits.rates.ceiling + limits.unleased
+                # Requests that are sent within 1.15 s may arrive within one.
+                used = limits.burst + 1.15 * limits.rates.ceiling + limits.unleased
                 self.assertLess(used, most + 1)
                 # A request needs a whole token.
                 self.assertGreaterEqual(limits.burst, 1.0)
