End what a review script started when it takes too long

Cause: a script that ran out of time left its processes running, and an error of the script itself would have exited with the status of a broken rule. Change: both exit with status 2, after the processes have been ended.

--- a/review/fleet.py
+++ b/review/fleet.py
@@ -567,11 +567,13 @@
     """
     record = Record(folder / "record.txt")
     fleets: list[Fleet] = []
+    # `timeout` sends it; the processes have to be ended then, too.
+    signal.signal(signal.SIGTERM, _give_up)
     try:
         held = case(record, fleets)
         record.add("result", rule="held" if held else "broken", trouble=has_trouble())
         status = HELD if held else BROKEN
-    except (CaseError, OSError) as exc:
+    except Exception as exc:
         record.add("result", rule="not judged", reason=repr(exc))
         status = COULD_NOT_RUN
     finally:
@@ -581,6 +583,10 @@
     os._exit(status)
 
 
+def _give_up(number: int, frame: Any) -> None:
+    raise CaseError("the case took too long")
+
+
 def _deploy_roles() -> dict[str, str]:
     """Return the commands of the deploy file by class of machines."""
     fields = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
