Remove the case of SIGHUP, whose ends the rule excuses

Cause: the rule on processes that end by themselves excuses those that end during an impairment or within a second of it; SIGHUP and restarts are named among the impairments, so the check was stricter than the rule.

--- a/review/fleet.py
+++ b/review/fleet.py
@@ -347,16 +347,6 @@
             self.start(name)
         self.bootstrap = False
 
-    def change_seeds(self, name: str) -> None:
-        """Name the same seeds in another order in a machine's settings file."""
-        settings = self._settings(name)
-        settings["seeds"] = settings["seeds"][::-1]
-        path = self.folder / name / "settings.json"
-        temporary = path.with_suffix(".new")
-        temporary.write_text(json.dumps(settings))
-        temporary.rename(path)
-        self.record.add("settings_changed", machine=name)
-
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to the process of a machine."""
         self.record.add("signal", machine=name, signal=number.name)
