--- a/bergamotdrift/raft_log.py
+++ b/bergamotdrift/raft_log.py
@@ -83,6 +83,7 @@
         self._log_fd = -1
         self._log_bytes = 0
         self._next_sequence = 0
+        self._unfinished: RecoveredState | None = None
         self.replica = ""
 
     def open(self) -> RecoveredState:
@@ -107,6 +108,7 @@
         """Append a batch to the log, or save its snapshot and rewrite the log."""
         try:
             if batch.snapshot is None:
+                self._finish_rewrite()
                 self._append(batch.hard_state, batch.entries)
             else:
                 self._write_snapshot(batch.snapshot)
@@ -188,7 +190,10 @@
         self._open_log(scanned.end, len(data), len(scanned.payloads))
         os.fsync(self._log_fd)
         _fsync_directory(self._folder)
-        return _replay(header, snapshot, batches, path)
+        recovered = _replay(header, snapshot, batches, path)
+        if header.snapshot_index < snapshot.log_index:
+            self._unfinished = recovered
+        return recovered
 
     def _load_snapshot(self) -> Snapshot:
         path = self._folder / _SNAPSHOT_FILE
@@ -222,6 +227,16 @@
         payload = msgspec.msgpack.encode(snapshot)
         self._replace_file(_SNAPSHOT_FILE, raft_records.frame(0, payload))
 
+    def _finish_rewrite(self) -> None:
+        """Rewrite a log that is older than its snapshot, so that it can be continued.
+
+        A crash between saving the snapshot and rewriting the log leaves such a pair.
+        The log may end before the snapshot, or conflict with it. This waits for the
+        next write, so that a replica can start while its disk is full.
+        """
+        if self._unfinished is not None:
+            self._rewrite_log(*self._unfinished)
+
     def _rewrite_log(
         self, hard_state: HardState, snapshot: Snapshot, entries: list[Entry]
     ) -> None:
@@ -238,6 +253,7 @@
         self._replace_file(_LOG_FILE, data)
         os.close(self._log_fd)
         self._open_log(len(data), len(data), len(records))
+        self._unfinished = None
 
     def _replace_file(self, name: str, data: bytes) -> None:
         """Replace a file atomically."""
--- a/bergamotdrift/tests/test_raft_log.py
+++ b/bergamotdrift/tests/test_raft_log.py
@@ -185,6 +185,32 @@
                 self.assertEqual(self.load().entries, [*last.entries, entry(index, 9)])
 
 
+class SnapshotAfterLogPowerLossTests(PowerLossTests):
+    """Guard against a gap in the log after a snapshot that lies beyond its end."""
+
+    SNAPSHOT = Snapshot(7, 2, [Member("c1-1", "c1", "a", True)], b"state")
+    BATCHES = (
+        batch([entry(1), entry(2)], 1),
+        batch([], 2, "c2-1"),
+        batch([], 2, "c2-1", SNAPSHOT),
+        batch([entry(8, 2)], 2, "c2-1"),
+        batch([entry(8, 3), entry(9, 3)], 3),
+    )
+
+
+class ConflictingSnapshotPowerLossTests(PowerLossTests):
+    """Guard against the loss of entries after a snapshot that replaced others."""
+
+    SNAPSHOT = Snapshot(2, 2, [Member("c1-1", "c1", "a", True)], b"state")
+    BATCHES = (
+        batch([entry(1), entry(2), entry(3)], 1),
+        batch([], 2, "c2-1"),
+        batch([], 2, "c2-1", SNAPSHOT),
+        batch([entry(3, 2)], 2, "c2-1"),
+        batch([entry(4, 3), entry(5, 3)], 3),
+    )
+
+
 class FullDiskTests(StorageTestCase):
     """Guard against a partial record in the log after a write on a full disk."""
 
@@ -231,6 +257,24 @@
         loaded = self.load()
         self.assertEqual((loaded.snapshot, loaded.entries), (snapshot, [entry(3)]))
 
+    def test_interrupted_snapshot_is_finished_once_the_disk_has_room(self):
+        # The process must start on the full disk, as the others need its replies.
+        snapshot = Snapshot(5, 2, [Member("c1-1", "c1", "a", True)], b"state")
+        self.write(batch([entry(1), entry(2)]))
+        old_log = (self.folder / "log").read_bytes()
+        self.write(batch([], 2, snapshot=snapshot))
+        (self.folder / "log").write_bytes(old_log)
+        log = RaftLog(self.folder, "c1")
+        with self.limit_free_bytes(0):
+            self.assertEqual(log.open().snapshot, snapshot)
+        for free_bytes in (0, 5, 100):
+            with self.limit_free_bytes(free_bytes), self.assertRaises(DiskFullError):
+                log.write(batch([entry(6, 2)], 2))
+        log.write(batch([entry(6, 2)], 2))
+        log.close()
+        loaded = self.load()
+        self.assertEqual((loaded.snapshot, loaded.entries), (snapshot, [entry(6, 2)]))
+
     def test_other_write_errors_are_not_reported_as_a_full_disk(self):
         log = RaftLog(self.folder, "c1")
         log.open()
