Refuse a late copy of an order that a newer one has replaced

Cause: an order on a zone has neither version nor sequence number. A replica that woke from a freeze read the order to end an earlier evacuation, which its caller had given up and repeated elsewhere, and forwarded it; the leader applied it whatever had been ordered since. The stream to the leader and the leader itself can delay a copy as well.

Change: each accepted order on a zone is recorded with its log index, also one that changes nothing. A replica asks the leader for that number, then checks that the caller still waits (connection open, at most 1 s), and forwards the order with the number; the state machine refuses it once a newer order was accepted. A caller that waits has sent no newer order, so this holds wherever the copy is delayed afterwards. Related path with the same cause: orders to start a rollout, changed in the same way. Evacuations stand in a module of their own. Control replicas must be replaced together.

--- a/bergamotdrift/caller.py
+++ b/bergamotdrift/caller.py
@@ -49,6 +49,11 @@
         if not self._greenlets:
             self._pause()
 
+    def caller_has_left(self) -> bool:
+        """Return whether the caller has closed its side of the connection."""
+        closed = peer_has_closed(self._sock)
+        return peer_has_left(self._sock) if closed is None else closed
+
     def resume(self) -> None:
         """Call `on_data` again for data that arrives or has arrived."""
         if not self._greenlets:
--- a/bergamotdrift/control_commands.py
+++ b/bergamotdrift/control_commands.py
@@ -86,11 +86,13 @@
 class SetEvacuation(NamedTuple):
     """Start or end the evacuation of an availability zone.
 
-    The upstreams of an evacuated zone get no traffic.
+    The upstreams of an evacuated zone get no traffic. `previous_order` is as in
+    StartRollout.
     """
 
     zone: str
     evacuated: bool
+    previous_order: int | None = None
 
 
 @message
@@ -108,13 +110,18 @@
 
 @message
 class StartRollout(NamedTuple):
-    """Start a rollout of a version of a service; `at_ms` is Unix time."""
+    """Start a rollout of a version of a service; `at_ms` is Unix time.
+
+    It is refused unless the last order on the service that was accepted is the one at
+    the log index `previous_order` (0 if there was none); None allows any.
+    """
 
     service: str
     target: str
     duration_ms: int
     at_ms: int
     share_permille: int
+    previous_order: int | None = None
 
 
 @message
@@ -232,6 +239,15 @@
     REPEATED = "repeated"
     CONFLICT = "conflict"
     UNKNOWN_SERVICE = "unknown_service"
+    SUPERSEDED = "superseded"
+
+
+@message
+class EvacuationOutcome(NamedTuple):
+    """Report whether an order on a zone was accepted, and how many rows changed."""
+
+    accepted: bool
+    changed: int
 
 
 @message
--- a/bergamotdrift/control_state.py
+++ b/bergamotdrift/control_state.py
@@ -24,6 +24,7 @@
     UpstreamState,
 )
 from bergamotdrift.settings_log import SettingsLog
+from bergamotdrift.zone_evacuations import ZoneEvacuations
 
 MAX_ISOLATED_KEYS_PER_SERVICE = 64
 
@@ -36,8 +37,7 @@
         self.feed_index = 0
         self.settings = SettingsLog()
         self.rows = ControlRows()
-        self.evacuated: set[str] = set()
-        self._evacuated_at = 0
+        self.evacuations = ZoneEvacuations()
 
     def apply(self, index: int, command: bytes) -> bytes:
         """Apply the command at a log index and return its encoded outcome."""
@@ -56,16 +56,14 @@
             self.feed_index,
             self.settings.dump(),
             self.rows.dump(),
-            sorted(self.evacuated),
-            self._evacuated_at,
+            *self.evacuations.dump(),
         ])
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state with that of a snapshot."""
         fields = msgpack.unpackb(data, strict_map_key=False)
         self.applied_index, self.feed_index, settings, rows, *evacuation = fields
-        evacuated, self._evacuated_at = evacuation or ([], 0)
-        self.evacuated = set(evacuated)
+        self.evacuations.load(evacuation)
         self.settings.load(settings)
         self.rows.load(rows)
 
@@ -90,8 +88,8 @@
             removed=[] if full else rows.removed_since(since),
             # Only the leader hands on the state tokens of last holders.
             ranges=[row._replace(handover="") for row in rows.ranges.rows_since(since)],
-            evacuated=sorted(self.evacuated)
-            if full or self._evacuated_at > since
+            evacuated=sorted(self.evacuations.zones)
+            if full or self.evacuations.changed_at > since
             else None,
             patch=patch,
             rollouts=rows.rollouts.rows_since(since),
@@ -184,13 +182,13 @@
                 self.rows.free_ranges(index, other)
                 self.rows.upstreams.remove(key, index)
 
-    def _set_evacuation(self, index: int, command: cmd.SetEvacuation) -> Applied:
-        if command.evacuated == (command.zone in self.evacuated):
-            return Applied(0)
-        change = self.evacuated.add if command.evacuated else self.evacuated.discard
-        change(command.zone)
-        self._evacuated_at = index
-        return self._record_changes(index, 1)
+    def _set_evacuation(
+        self, index: int, command: cmd.SetEvacuation
+    ) -> cmd.EvacuationOutcome:
+        outcome = self.evacuations.apply(index, command)
+        if outcome.changed:
+            self.feed_index = index
+        return outcome
 
     def _replace_ranges(self, index: int, command: cmd.ReplaceRanges) -> Applied:
         if self.service(command.service) is None or not _covers_same_keys(command):
--- a/bergamotdrift/http_exchange.py
+++ b/bergamotdrift/http_exchange.py
@@ -38,6 +38,7 @@
     server: Any
     client_address: Any
     watch: CallerWatch
+    caller_waits_since_s: float
 
     def has_request_behind(self, exchange: "HttpExchange") -> bool:
         """Return whether another request has arrived behind that of an exchange."""
@@ -106,6 +107,7 @@
         env["REMOTE_ADDR"] = str(self.client_address[0])
         env["bergamotdrift.head"] = self._head
         env["bergamotdrift.caller_watch"] = self._owner.watch
+        env["bergamotdrift.caller_waits_since_s"] = self._owner.caller_waits_since_s
         env[_BODY_KEY] = self._body
         env["wsgi.input"] = io.BufferedReader(self._body)
         env["wsgi.input_terminated"] = True
--- a/bergamotdrift/http_handler.py
+++ b/bergamotdrift/http_handler.py
@@ -71,6 +71,9 @@
         self._logged_stops: frozenset[StopReason] = frozenset()
         self._answers = 0
         self._idle_since_s = time.monotonic()
+        # How long a caller has waited for its first answer is known only from the start
+        # of the connection, as its request may have been held up on the way.
+        self.caller_waits_since_s = self._idle_since_s
         self._idle_timeout_s = 0.0
         self._discarded_bytes = 0
         self._unread_bytes = 0
@@ -163,6 +166,8 @@
         except RequestError as exc:
             send_refusal(self._socket, exc.refusal)
             return ConnectionEnd.REFUSED
+        if self._answers:
+            self.caller_waits_since_s = time.monotonic()
         exchange = self._current = self._new_exchange(head, self._output)
         if self._reader.has_data:
             self._read_ahead()
--- a/bergamotdrift/operator_messages.py
+++ b/bergamotdrift/operator_messages.py
@@ -35,8 +35,12 @@
 
 @message
 class LeaderCall(NamedTuple):
-    """Forward a call of another API from any control replica to the leader."""
+    """Forward a call of another API from any control replica to the leader.
+
+    `previous_order` is that of an order's command.
+    """
 
     action: str
     subject: str = ""
     body: bytes = b""
+    previous_order: int | None = None
--- a/bergamotdrift/platform/control_api.py
+++ b/bergamotdrift/platform/control_api.py
@@ -1,7 +1,11 @@
 """HTTP API of control replicas for the platform's operators and upstreams."""
 
+import time
+
 import falcon
+import msgspec
 
+from bergamotdrift.caller import CallerWatch
 from bergamotdrift.control_server import ControlServer, LeaderClient
 from bergamotdrift.log import log_event
 from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer
@@ -10,10 +14,16 @@
 from bergamotdrift.platform.heartbeats import decode_deregistration, decode_heartbeat
 from bergamotdrift.platform.leader_call_handler import (
     INVALID,
+    OK,
+    UNAVAILABLE,
     LeaderAction,
+    OrderNumber,
     encode_announcement,
 )
+from bergamotdrift.platform.rollouts import decode_order
 
+# Operators turn to another replica after this time without a response.
+CALLER_TIMEOUT_S = 1.0
 _BODY_MAX_BYTES = 16 * 1024 * 1024
 
 
@@ -32,7 +42,33 @@
         body: bytes = b"",
     ) -> None:
         """Forward a call and respond with the leader's answer."""
-        call = LeaderCall(action, subject, body)
+        self._call(resp, LeaderCall(action, subject, body))
+
+    def forward_order(
+        self,
+        req: falcon.Request,
+        resp: falcon.Response,
+        call: LeaderCall,
+    ) -> None:
+        """Forward an order; respond with 503 if its caller has given it up.
+
+        A caller that gave up may have repeated the order elsewhere and sent newer
+        ones. So the order is tied to the last one on its subject before the caller is
+        checked, and has no effect once a newer one was accepted.
+        """
+        query = LeaderCall(LeaderAction.LAST_ORDER, call.subject, call.action.encode())
+        answer = self._server.call_leader(query, self._leader)
+        if answer.status != OK:
+            _set_response(resp, answer)
+            return
+        if _caller_has_given_up(req):
+            log_event("order_given_up", action=call.action, subject=call.subject)
+            resp.status = falcon.code_to_http_status(UNAVAILABLE)
+            return
+        number = msgspec.json.decode(answer.body, type=OrderNumber).number
+        self._call(resp, call._replace(previous_order=number))
+
+    def _call(self, resp: falcon.Response, call: LeaderCall) -> None:
         _set_response(resp, self._server.call_leader(call, self._leader))
 
 
@@ -70,8 +106,8 @@
         self._action = action
 
     def on_post(self, req: falcon.Request, resp: falcon.Response, zone: str) -> None:
-        """Forward the call."""
-        self._forwarder.forward(resp, self._action, zone)
+        """Forward the order."""
+        self._forwarder.forward_order(req, resp, LeaderCall(self._action, zone))
 
 
 class RolloutStartResource:
@@ -81,13 +117,15 @@
         self._forwarder = forwarder
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
-        """Forward the order; respond with 400 to a truncated or oversized body."""
+        """Forward the order; respond with 400 to a malformed one."""
         try:
-            self._forwarder.forward(
-                resp, LeaderAction.START_ROLLOUT, body=read_body(req)
-            )
+            body = read_body(req)
+            service = decode_order(body).service
         except WireError as exc:
             respond_invalid(req, resp, exc)
+            return
+        call = LeaderCall(LeaderAction.START_ROLLOUT, service, body)
+        self._forwarder.forward_order(req, resp, call)
 
 
 class RolloutReadResource:
@@ -177,6 +215,12 @@
     resp.media = {"error": str(exc)}
 
 
+def _caller_has_given_up(req: falcon.Request) -> bool:
+    watch: CallerWatch = req.env["bergamotdrift.caller_watch"]
+    waited_s = time.monotonic() - req.env["bergamotdrift.caller_waits_since_s"]
+    return waited_s >= CALLER_TIMEOUT_S or watch.caller_has_left()
+
+
 def _set_response(resp: falcon.Response, answer: OperatorAnswer) -> None:
     resp.status = falcon.code_to_http_status(answer.status)
     resp.content_type = falcon.MEDIA_JSON
--- a/bergamotdrift/platform/leader_call_handler.py
+++ b/bergamotdrift/platform/leader_call_handler.py
@@ -4,13 +4,13 @@
 import time
 from collections.abc import Callable, Iterable
 from enum import StrEnum
-from typing import Any
+from typing import Any, NamedTuple
 
 import gevent
 import msgspec
 
 from bergamotdrift import control_commands as cmd
-from bergamotdrift import messages
+from bergamotdrift import messages, rollout_orders
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import RolloutBounds
 from bergamotdrift.control_state import ControlState
@@ -44,6 +44,8 @@
     cmd.OrderResult.REPEATED: OK,
     cmd.OrderResult.CONFLICT: ROLLOUT_CONFLICT,
     cmd.OrderResult.UNKNOWN_SERVICE: NOT_FOUND,
+    # The order may have been accepted before, so it must not be refused for good.
+    cmd.OrderResult.SUPERSEDED: UNAVAILABLE,
 }
 
 
@@ -59,6 +61,13 @@
     LEAVE = "leave"
     START_ROLLOUT = "start_rollout"
     READ_ROLLOUT = "read_rollout"
+    LAST_ORDER = "last_order"
+
+
+class OrderNumber(NamedTuple):
+    """Hold the log index of the last accepted order on a subject, or 0."""
+
+    number: int
 
 
 class PlatformCallHandler:
@@ -107,12 +116,14 @@
             return self._deregister(call.subject, call.body)
         if action is LeaderAction.READ:
             return self._read_config()
+        if action is LeaderAction.LAST_ORDER:
+            return self._last_order(LeaderAction(call.body.decode()), call.subject)
         if action is LeaderAction.START_ROLLOUT:
-            return self._start_rollout(call.body)
+            return self._start_rollout(call)
         if action is LeaderAction.READ_ROLLOUT:
             return self._read_rollout(call.subject)
         if action in {LeaderAction.EVACUATE, LeaderAction.END_EVACUATION}:
-            return self._evacuate(call.subject, action is LeaderAction.EVACUATE)
+            return self._evacuate(call, action is LeaderAction.EVACUATE)
         return self._change_config(action, call.body)
 
     # Configuration
@@ -169,10 +180,17 @@
             OK, site_config.encode_config(site_config.load(log.mapping))
         )
 
+    def _last_order(self, action: LeaderAction, subject: str) -> OperatorAnswer:
+        if action is LeaderAction.START_ROLLOUT:
+            number = rollout_orders.last_order(self._state.rows, subject)
+        else:
+            number = self._state.evacuations.last_order(subject)
+        return OperatorAnswer(OK, msgspec.json.encode(OrderNumber(number)))
+
     # Rollouts
 
-    def _start_rollout(self, body: bytes) -> OperatorAnswer:
-        order = decode_order(body)
+    def _start_rollout(self, call: LeaderCall) -> OperatorAnswer:
+        order = decode_order(call.body)
         if self._rollout is None:
             return _answer(INVALID, "the settings state no bounds of rollouts")
         outcome = self._leadership.propose(
@@ -182,6 +200,7 @@
                 order.duration_ms,
                 int(time.time() * 1000),
                 initial_share(self._rollout),
+                call.previous_order,
             )
         )
         self._on_change()
@@ -197,10 +216,15 @@
 
     # Zones and upstreams
 
-    def _evacuate(self, zone: str, evacuated: bool) -> OperatorAnswer:
+    def _evacuate(self, call: LeaderCall, evacuated: bool) -> OperatorAnswer:
+        zone = call.subject
         if zone not in self._zones:
             return _answer(INVALID, "unknown zone")
-        self._leadership.propose(cmd.SetEvacuation(zone, evacuated))
+        order = cmd.SetEvacuation(zone, evacuated, call.previous_order)
+        outcome = self._leadership.propose(order)
+        if not outcome.accepted:
+            log_event("evacuation_superseded", **order._asdict())
+            return _answer(UNAVAILABLE, "a newer order on the zone was accepted")
         self._on_change()
         return _answer(OK)
 
--- a/bergamotdrift/range_planner.py
+++ b/bergamotdrift/range_planner.py
@@ -187,7 +187,7 @@
         """Return whether an upstream must give up all its ranges."""
         leaving = row.state is UpstreamState.LEAVING
         barred = is_barred(self.rollout(row.service), row.version)
-        return leaving or barred or row.zone in self._state.evacuated
+        return leaving or barred or row.zone in self._state.evacuations.zones
 
     def rollout(self, service: str) -> RolloutRow | None:
         """Return the last rollout of a service, or None."""
--- a/bergamotdrift/rollout_orders.py
+++ b/bergamotdrift/rollout_orders.py
@@ -22,6 +22,8 @@
     row = rows.rollouts.get(order.service)
     if row is not None and _is_repeated(row, order):
         return cmd.OrderResult.REPEATED
+    if order.previous_order not in {None, last_order(rows, order.service)}:
+        return cmd.OrderResult.SUPERSEDED
     if row is not None and row.state is RolloutState.RUNNING:
         return cmd.OrderResult.CONFLICT
     is_alone = versions_in_use(rows, order.service) == {order.target}
@@ -39,6 +41,12 @@
     return cmd.OrderResult.STARTED
 
 
+def last_order(rows: ControlRows, service: str) -> int:
+    """Return the log index of the order that started the last rollout, or 0."""
+    row = rows.rollouts.get(service)
+    return row.number if row is not None else 0
+
+
 def step(rows: ControlRows, index: int, command: cmd.StepRollout) -> bool:
     """Change the share or the state of a running rollout; return whether it did."""
     row = rows.rollouts.get(command.service)
--- a/bergamotdrift/rollout_plan.py
+++ b/bergamotdrift/rollout_plan.py
@@ -268,7 +268,7 @@
 
     def _is_usable(self, row: UpstreamRow) -> bool:
         is_warm = row.state is UpstreamState.READY
-        return is_warm and row.zone not in self._state.evacuated
+        return is_warm and row.zone not in self._state.evacuations.zones
 
     def _is_usable_old(self, row: UpstreamRow) -> bool:
         return row.version != self._row.target and self._is_usable(row)
--- a/bergamotdrift/tests/rollout_simulation.py
+++ b/bergamotdrift/tests/rollout_simulation.py
@@ -182,7 +182,7 @@
         up.row = up.row._replace(state=state)
         self.apply(cmd.PutUpstreams([up.row]))
 
-    def order(self, duration_ms=12_000, target="v2", name="s"):
+    def order(self, duration_ms=12_000, target="v2", name="s", previous=None):
         return self.apply(
             cmd.StartRollout(
                 name,
@@ -190,6 +190,7 @@
                 duration_ms,
                 int(self.now + UNIX_OFFSET_MS),
                 initial_share(BOUNDS),
+                previous,
             )
         ).result
 
--- a/bergamotdrift/tests/test_platform_control_api.py
+++ b/bergamotdrift/tests/test_platform_control_api.py
@@ -1,43 +1,73 @@
 import json
+import time
 import unittest
 from typing import Any
 from unittest import mock
 
+import gevent.socket
+import msgspec
 from falcon import testing
+from gevent.event import Event
 
+from bergamotdrift.http_server import HttpServer
 from bergamotdrift.operator_messages import OperatorAnswer
 from bergamotdrift.platform import control_api, names
 from bergamotdrift.platform.control_api import LeaderCallForwarder, control_app
-from bergamotdrift.platform.leader_call_handler import INVALID, LeaderAction
+from bergamotdrift.platform.leader_call_handler import (
+    INVALID,
+    LeaderAction,
+    OrderNumber,
+)
+from bergamotdrift.streams import parse_address
 from bergamotdrift.tests.platform_support import (
     config_body,
     encode_body,
     heartbeat_body,
 )
 
+ROLLOUT = encode_body({"service": "s1", "target": "v2", "duration": "10s"})
+
 
 class FakeServer:
-    """Records the calls to the leader and gives the same answer to each."""
+    """Records the calls to the leader and accepts each.
+
+    `on_query` is called when the number of the last order is asked for.
+    """
 
     def __init__(self):
         self.calls = []
+        self.on_query = lambda: None
 
     def call_leader(self, call, leader):
         self.calls.append(call)
-        return OperatorAnswer(200, b"{}")
+        if call.action != LeaderAction.LAST_ORDER:
+            return OperatorAnswer(200, b"{}")
+        self.on_query()
+        return OperatorAnswer(200, msgspec.json.encode(OrderNumber(17)))
 
 
 def make_client(server: Any, leader: Any) -> testing.TestClient:
     return testing.TestClient(control_app(LeaderCallForwarder(server, leader)))
 
 
+def waiting_caller():
+    """Return the fields of a caller that has just sent its call and waits."""
+    return {
+        "bergamotdrift.caller_watch": mock.Mock(caller_has_left=lambda: False),
+        "bergamotdrift.caller_waits_since_s": time.monotonic(),
+    }
+
+
 class ControlApiTestCase(unittest.TestCase):
     def setUp(self):
         self.server = FakeServer()
         self.client = make_client(self.server, None)
 
     def post(self, path, body=b"", **headers):
-        return self.client.simulate_post(path, body=body, headers=headers).status_code
+        answer = self.client.simulate_post(
+            path, body=body, headers=headers, extras=waiting_caller()
+        )
+        return answer.status_code
 
 
 class RoutingTests(ControlApiTestCase):
@@ -53,7 +83,7 @@
             (names.DEREGISTER, b"", LeaderAction.LEAVE, "i-1"),
             (names.EVACUATION_START, b"", LeaderAction.EVACUATE, "a"),
             (names.EVACUATION_STOP, b"", LeaderAction.END_EVACUATION, "a"),
-            (names.ROLLOUT_START, full_config, LeaderAction.START_ROLLOUT, ""),
+            (names.ROLLOUT_START, ROLLOUT, LeaderAction.START_ROLLOUT, "s1"),
         ]
         for path, body, action, subject in expected:
             with self.subTest(path=path):
@@ -75,6 +105,81 @@
         )
 
 
+class GivenUpOrderTests(unittest.TestCase):
+    """Guards against an order that is forwarded after its caller gave it up.
+
+    It may undo a newer order, which the caller sent to another replica.
+    """
+
+    ORDERS = (
+        (names.EVACUATION_START.replace("{zone}", "a"), b""),
+        (names.EVACUATION_STOP.replace("{zone}", "a"), b""),
+        (names.ROLLOUT_START, ROLLOUT),
+    )
+
+    def setUp(self):
+        self.server = FakeServer()
+        server: Any = self.server
+        leader: Any = None
+        app = control_app(LeaderCallForwarder(server, leader))
+        self.http = HttpServer("127.0.0.1:0", app)
+        self.http.start()
+        self.addCleanup(self.http.stop)
+
+    def connect(self):
+        address = parse_address(self.http.address)
+        sock = gevent.socket.create_connection(address, timeout=5)
+        self.addCleanup(sock.close)
+        return sock
+
+    def send(self, sock, path, body):
+        head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}"
+        sock.sendall(head.encode() + b"\r\n\r\n" + body)
+
+    def status(self, sock):
+        return int(sock.recv(4096).split()[1])
+
+    def forwarded(self):
+        return [c for c in self.server.calls if c.action != LeaderAction.LAST_ORDER]
+
+    def test_order_of_a_waiting_caller_is_tied_to_the_last_one(self):
+        for path, body in self.ORDERS:
+            with self.subTest(path=path):
+                sock = self.connect()
+                for _ in range(2):
+                    self.send(sock, path, body)
+                    self.assertEqual(self.status(sock), 200)
+                    self.assertEqual(self.forwarded()[-1].previous_order, 17)
+
+    def test_order_of_a_caller_that_left_is_not_forwarded(self):
+        for path, body in self.ORDERS:
+            with self.subTest(path=path):
+                self.server.calls.clear()
+                # As after a freeze: when the order is read, the caller has left.
+                asked = Event()
+                self.server.on_query = asked.set
+                sock = self.connect()
+                self.send(sock, path, body)
+                sock.close()
+                self.assertTrue(asked.wait(3))
+                gevent.sleep(0.1)
+                self.assertEqual(self.forwarded(), [])
+
+    def test_order_is_not_forwarded_once_its_caller_must_have_left(self):
+        self.server.on_query = lambda: gevent.sleep(control_api.CALLER_TIMEOUT_S)
+        sock = self.connect()
+        self.send(sock, *self.ORDERS[0])
+        self.assertEqual(self.status(sock), 503)
+        self.assertEqual(self.forwarded(), [])
+
+    def test_order_that_was_held_up_on_its_way_is_not_forwarded(self):
+        sock = self.connect()
+        gevent.sleep(control_api.CALLER_TIMEOUT_S)
+        self.send(sock, *self.ORDERS[0])
+        self.assertEqual(self.status(sock), 503)
+        self.assertEqual(self.forwarded(), [])
+
+
 class InvalidBodyTests(ControlApiTestCase):
     """Guards against malformed bodies that are accepted, or refused without a log."""
 
--- a/bergamotdrift/tests/test_platform_leader_call_handler.py
+++ b/bergamotdrift/tests/test_platform_leader_call_handler.py
@@ -15,6 +15,7 @@
 from bergamotdrift.platform.heartbeats import decode_heartbeat
 from bergamotdrift.platform.leader_call_handler import (
     LeaderAction,
+    OrderNumber,
     PlatformCallHandler,
     encode_announcement,
 )
@@ -155,6 +156,65 @@
         self.assertEqual(self.first.state.settings.revision, 7)
 
 
+class LateOrderTests(CallHandlerTestCase):
+    """Guards against a late copy of an order that takes back a newer confirmed one.
+
+    The copy waited in a replica that did not run while its caller repeated the order
+    elsewhere and sent newer ones.
+    """
+
+    def last_order(self, action, subject):
+        answer = self.first.call(LeaderAction.LAST_ORDER, subject, action.encode())
+        return msgspec.json.decode(answer.body, type=OrderNumber).number
+
+    def order(self, action, subject="a", previous=None, body=b""):
+        if previous is None:
+            previous = self.last_order(action, subject)
+        return self.first.handler.handle(
+            LeaderCall(action, subject, body, previous)
+        ).status
+
+    def test_late_end_does_not_undo_a_newer_evacuation(self):
+        self.order(LeaderAction.EVACUATE)
+        late = self.last_order(LeaderAction.END_EVACUATION, "a")
+        self.assertEqual(self.order(LeaderAction.END_EVACUATION), 200)
+        self.assertEqual(self.order(LeaderAction.EVACUATE), 200)
+        self.assertEqual(self.order(LeaderAction.END_EVACUATION, previous=late), 503)
+        self.assertEqual(self.first.state.evacuations.zones, {"a"})
+
+    def test_late_start_does_not_undo_a_newer_end(self):
+        late = self.last_order(LeaderAction.EVACUATE, "a")
+        self.order(LeaderAction.EVACUATE)
+        self.assertEqual(self.order(LeaderAction.END_EVACUATION), 200)
+        self.assertEqual(self.order(LeaderAction.EVACUATE, previous=late), 503)
+        self.assertEqual(self.first.state.evacuations.zones, set())
+
+    def test_late_end_does_not_undo_a_confirmed_order_that_changed_nothing(self):
+        self.order(LeaderAction.EVACUATE)
+        late = self.last_order(LeaderAction.END_EVACUATION, "a")
+        self.assertEqual(self.order(LeaderAction.EVACUATE), 200)
+        self.assertEqual(self.order(LeaderAction.END_EVACUATION, previous=late), 503)
+        self.assertEqual(self.first.state.evacuations.zones, {"a"})
+
+    def test_repeated_order_is_confirmed_however_late_it_is(self):
+        first = self.last_order(LeaderAction.EVACUATE, "a")
+        for _ in range(2):
+            self.assertEqual(self.order(LeaderAction.EVACUATE, previous=first), 200)
+
+    def test_orders_on_other_zones_do_not_conflict(self):
+        first = self.last_order(LeaderAction.EVACUATE, "b")
+        self.order(LeaderAction.EVACUATE, "a")
+        self.assertEqual(self.order(LeaderAction.EVACUATE, "b", first), 200)
+        self.assertEqual(self.first.state.evacuations.zones, {"a", "b"})
+
+    def test_late_order_is_recognised_after_a_restart_from_a_snapshot(self):
+        self.order(LeaderAction.EVACUATE)
+        late = self.last_order(LeaderAction.END_EVACUATION, "a")
+        self.order(LeaderAction.EVACUATE)
+        self.first.state.restore(self.first.state.snapshot())
+        self.assertEqual(self.order(LeaderAction.END_EVACUATION, previous=late), 503)
+
+
 class UpstreamLifecycleTests(CallHandlerTestCase):
     """Guards against late heartbeats of earlier incarnations, and false confirmations.
 
@@ -243,7 +303,7 @@
     def test_repeated_evacuation_is_confirmed(self):
         for _ in range(2):
             self.assertEqual(self.first.call(LeaderAction.EVACUATE, "a").status, 200)
-        self.assertEqual(self.first.state.evacuated, {"a"})
+        self.assertEqual(self.first.state.evacuations.zones, {"a"})
         self.assertEqual(self.first.call(LeaderAction.EVACUATE, "nowhere").status, 400)
 
     def test_heartbeat_answer_states_the_address_of_the_leader(self):
--- a/bergamotdrift/tests/test_rollout_plan.py
+++ b/bergamotdrift/tests/test_rollout_plan.py
@@ -350,6 +350,19 @@
         self.assertEqual(sim.order(target="v3"), cmd.OrderResult.CONFLICT)
         self.assertEqual(sim.order(5000), cmd.OrderResult.CONFLICT)
 
+    # Guards against a late copy of an order: its caller repeated it elsewhere and
+    # then ordered another version.
+    def test_late_order_does_not_follow_a_newer_one(self):
+        sim = RolloutSimulation(1, entries=12, old=0)
+        previous = 0
+        for target in ("v2", "v3"):
+            result = sim.order(target=target, previous=previous)
+            self.assertEqual(result, cmd.OrderResult.STARTED)
+            previous = sim.rollout().number
+            sim.apply(cmd.StepRollout("s", previous, RolloutState.COMPLETED, 1000, ""))
+        self.assertEqual(sim.order(previous=0), cmd.OrderResult.SUPERSEDED)
+        self.assertEqual(sim.rollout().target, "v3")
+
     def test_order_of_the_only_version_is_completed_at_once(self):
         # Guards against a service that is cut off while its only version is on trial.
         sim = RolloutSimulation(1, entries=12, old=0)
