Record the end of an upstream so that no late heartbeat undoes it

Cause: the end of an upstream stood only in its row. Without a row (before the registration, after it expired, or while it is proposed) a drain or deregistration was confirmed without a trace, and an older heartbeat registered the process afterwards. Sequence numbers don't help: a deregistration has none, and a new leader doesn't know them.

Change: EndUpstreams records id and start time in the replicated state, lets rows leave, and bars this process and earlier ones of its id from registering, in the leader and in the state machine. A drain or deregistration is confirmed once that is committed. Processes that state no start time are not recorded. Control replicas must be replaced together.

--- a/bergamotdrift/control_commands.py
+++ b/bergamotdrift/control_commands.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from bergamotdrift.config.schema import SiteSettings
+from bergamotdrift.ended_upstreams import EndedUpstream
 from bergamotdrift.exceptions import ErrorKind
 from bergamotdrift.messages import (
     NodeRow,
@@ -172,6 +173,13 @@
     rows: list[UpstreamRow]
 
 
+@message
+class EndUpstreams(NamedTuple):
+    """End processes of upstreams: they get no new requests and can't register again."""
+
+    items: list[EndedUpstream]
+
+
 @message
 class ExpireUpstreams(NamedTuple):
     """Remove upstreams whose lease has ended and vacate their partitions."""
--- a/bergamotdrift/control_log_events.py
+++ b/bergamotdrift/control_log_events.py
@@ -125,6 +125,7 @@
     cmd.RegisterNodes: "node_registered",
     cmd.ExpireNodes: "node_expired",
     cmd.PutUpstreams: "upstream_registered",
+    cmd.EndUpstreams: "upstream_ended",
     cmd.ExpireUpstreams: "upstream_expired",
     cmd.ReleasePartitions: "partition_releasing",
     cmd.AssignPartitions: "partition_assigned",
--- a/bergamotdrift/control_rows.py
+++ b/bergamotdrift/control_rows.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 
 from bergamotdrift.control_commands import ReassignmentWait
+from bergamotdrift.ended_upstreams import EndedUpstreams
 from bergamotdrift.feed_tables import IsolatedKeyId, PartitionId, RangeId, UpstreamId
 from bergamotdrift.messages import (
     IsolatedKeyRow,
@@ -62,6 +63,7 @@
         self.next_isolated_partition: dict[str, int] = {}
         # Incarnations of each upstream in order of first registration.
         self._incarnations: dict[UpstreamId, list[str]] = {}
+        self.ended = EndedUpstreams()
         self._owned: dict[UpstreamId, set[PartitionId]] = {}
         self._sorted_ranges = _sort_ranges(self.ranges)
 
@@ -177,6 +179,7 @@
             self.last_used_epochs,
             self.next_isolated_partition,
             list(self._incarnations.items()),
+            self.ended.dump(),
         ]
 
     def load(self, data: list[Any]) -> None:
@@ -187,6 +190,7 @@
             self.last_used_epochs,
             self.next_isolated_partition,
             incarnations,
+            *ended,
         ) = data
         self.nodes.load(tables[0], str, _decode_node_row)
         self.upstreams.load(tables[1], _decode_upstream_key, _decode_upstream_row)
@@ -194,13 +198,14 @@
         self.shards.load(tables[3], str, _decode_shard_row)
         self.isolated.load(tables[4], _decode_isolated_key_id, _decode_isolated_key_row)
         self.ranges.load(tables[5], _decode_range_key, _decode_range_row)
-        # Snapshots of earlier releases have no rollouts.
+        # Snapshots of earlier releases have no rollouts and no ended upstreams.
         if len(tables) > _ROLLOUTS_TABLE:
             self.rollouts.load(tables[_ROLLOUTS_TABLE], str, _decode_rollout_row)
         self.reassignment_waits = {
             PartitionId(*key): ReassignmentWait(wait) for key, wait in waits
         }
         self._incarnations = {UpstreamId(*key): names for key, names in incarnations}
+        self.ended.load(ended[0] if ended else [])
         self._owned = {}
         self.unowned = set()
         for row in self.partitions.rows():
--- a/bergamotdrift/control_state.py
+++ b/bergamotdrift/control_state.py
@@ -10,6 +10,7 @@
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.control_commands import Applied, ChangeOutcome, ReassignmentWait
 from bergamotdrift.control_rows import ControlRows
+from bergamotdrift.ended_upstreams import EndedUpstream
 from bergamotdrift.feed_tables import IsolatedKeyId, PartitionId, UpstreamId
 from bergamotdrift.hashing import partition_of_hash
 from bergamotdrift.messages import (
@@ -148,6 +149,9 @@
         if service is None or self.rows.is_superseded(key, row.incarnation):
             return False
         registered = self.rows.upstreams.get(key)
+        is_known = registered is not None and registered.incarnation == row.incarnation
+        if not is_known and self._may_not_register(row):
+            return False
         if row.born_ms:
             self._remove_predecessors(index, row)
         if registered is None:
@@ -170,6 +174,30 @@
             return False
         return self.rows.put_upstream(index, row)
 
+    def _may_not_register(self, row: UpstreamRow) -> bool:
+        ended = self.rows.ended.includes(row.upstream, row.incarnation, row.born_ms)
+        return ended and row.state is not UpstreamState.LEAVING
+
+    def _end_upstreams(self, index: int, command: cmd.EndUpstreams) -> Applied:
+        added = sum(self.rows.ended.add(item) for item in command.items)
+        changed = sum(self._mark_leaving(index, item) for item in command.items)
+        self._record_changes(index, changed)
+        return Applied(added + changed)
+
+    def _mark_leaving(self, index: int, item: EndedUpstream) -> int:
+        """Let an upstream's rows leave that belong to an ended process."""
+        rows = [
+            row
+            for row in self.rows.upstreams.rows()
+            if row.upstream == item.upstream
+            and item.includes(row.incarnation, row.born_ms)
+            and row.state is not UpstreamState.LEAVING
+        ]
+        for row in rows:
+            leaving = row._replace(state=UpstreamState.LEAVING)
+            self.rows.put_upstream(index, leaving)
+        return len(rows)
+
     def _remove_predecessors(self, index: int, row: UpstreamRow) -> None:
         """Remove earlier upstreams at an address that a later process now uses."""
         for other in list(self.rows.upstreams.rows()):
@@ -411,6 +439,7 @@
     cmd.RegisterNodes: ControlState._register_nodes,
     cmd.ExpireNodes: ControlState._expire_nodes,
     cmd.PutUpstreams: ControlState._put_upstreams,
+    cmd.EndUpstreams: ControlState._end_upstreams,
     cmd.ExpireUpstreams: ControlState._expire_upstreams,
     cmd.ReleasePartitions: ControlState._release_partitions,
     cmd.AssignPartitions: ControlState._assign_partitions,
--- a/bergamotdrift/messages.py
+++ b/bergamotdrift/messages.py
@@ -140,6 +140,10 @@
     address: str
 
 
+# Start time of an upstream that states none: its processes can't be told apart.
+UNSTATED_BORN_MS = 1
+
+
 class UpstreamRow(NamedTuple):
     """Describe a live upstream; `address` is the host:port of its HTTP server.
 
--- a/bergamotdrift/platform/heartbeats.py
+++ b/bergamotdrift/platform/heartbeats.py
@@ -4,6 +4,7 @@
 
 from bergamotdrift.messages import (
     LAST_KEY,
+    UNSTATED_BORN_MS,
     Announcement,
     HeldRange,
     ReleasedRange,
@@ -93,5 +94,4 @@
 
 
 def _born_ms(fields: dict[str, Any]) -> int:
-    # Without a start time, incarnations under the same id can't be distinguished.
-    return integer(fields.get("born", 1), "born", 1)
+    return integer(fields.get("born", UNSTATED_BORN_MS), "born", 1)
--- a/bergamotdrift/platform/leader_call_handler.py
+++ b/bergamotdrift/platform/leader_call_handler.py
@@ -14,6 +14,7 @@
 from bergamotdrift.clock import Clock
 from bergamotdrift.config.schema import RolloutBounds
 from bergamotdrift.control_state import ControlState
+from bergamotdrift.ended_upstreams import EndedUpstream
 from bergamotdrift.exceptions import CallError, ErrorKind
 from bergamotdrift.feed_tables import UpstreamId
 from bergamotdrift.leader_state import LeaderState
@@ -21,7 +22,6 @@
 from bergamotdrift.log import log_event
 from bergamotdrift.messages import (
     Announcement,
-    UpstreamRow,
     UpstreamState,
 )
 from bergamotdrift.operator_messages import LeaderCall, OperatorAnswer
@@ -30,6 +30,7 @@
 from bergamotdrift.platform.rollouts import decode_order
 from bergamotdrift.range_delivery import HeldRanges, RangeDelivery
 from bergamotdrift.rollout_schedule import initial_share
+from bergamotdrift.upstream_sessions import end_of
 
 # Upstreams count a heartbeat only if it is answered within 1 s.
 COMMIT_TIMEOUT_MS = 800.0
@@ -266,11 +267,14 @@
         return True
 
     def _is_committed(self, item: Announcement) -> bool:
-        key = UpstreamId(item.service, item.upstream)
-        row = self._state.rows.upstreams.get(key)
-        leaving = item.state is UpstreamState.LEAVING
+        rows = self._state.rows
+        row = rows.upstreams.get(UpstreamId(item.service, item.upstream))
+        end = end_of(item)
+        leaving = end is not None
+        if end is not None and rows.ended.lacks(end):
+            # A late heartbeat could register it still.
+            return False
         if row is None:
-            # An upstream that leaves before it was registered gets no requests anyway.
             return leaving
         if row.incarnation != item.incarnation:
             # Requests to the earlier incarnation reach this one, at the same address.
@@ -278,14 +282,17 @@
         return row.state is UpstreamState.LEAVING or not leaving
 
     def _deregister(self, upstream: str, body: bytes) -> OperatorAnswer:
-        born_ms = int(body) if body else None
-        rows = [
-            row._replace(state=UpstreamState.LEAVING)
-            for row in self._state.rows.upstreams.rows()
-            if row.upstream == upstream and _has_ended(row, born_ms)
-        ]
-        if rows:
-            self._leadership.propose(cmd.PutUpstreams(rows))
+        if body:
+            items = [EndedUpstream(upstream, "", int(body))]
+        else:
+            items = [
+                EndedUpstream(upstream, row.incarnation, row.born_ms)
+                for row in self._state.rows.upstreams.rows()
+                if row.upstream == upstream
+            ]
+        # It may have been confirmed before, but then it changes nothing.
+        if items:
+            self._leadership.propose(cmd.EndUpstreams(items))
             self._on_change()
         return _answer(OK)
 
@@ -297,11 +304,6 @@
     return {"holds": held.grants, "hold_time": f"{held.hold_ms}ms"}
 
 
-def _has_ended(row: UpstreamRow, born_ms: int | None) -> bool:
-    """Return whether an upstream's process ends with the one that started at a time."""
-    return born_ms is None or row.born_ms <= born_ms
-
-
 def encode_announcement(item: Announcement) -> bytes:
     """Encode an announcement as the body of a call to the leader."""
     return messages.encode_unnamed(item)
--- a/bergamotdrift/tests/test_platform_leader_call_handler.py
+++ b/bergamotdrift/tests/test_platform_leader_call_handler.py
@@ -5,11 +5,12 @@
 import gevent
 import msgspec
 
+from bergamotdrift import control_commands as cmd
 from bergamotdrift.clock import BootClock
 from bergamotdrift.config.schema import RangeGrants
 from bergamotdrift.control_state import ControlState
 from bergamotdrift.feed_tables import UpstreamId
-from bergamotdrift.messages import LAST_KEY, UpstreamState
+from bergamotdrift.messages import LAST_KEY, UNSTATED_BORN_MS, UpstreamState
 from bergamotdrift.node_streams import NodeStreams
 from bergamotdrift.operator_messages import LeaderCall
 from bergamotdrift.platform.heartbeats import decode_heartbeat
@@ -276,6 +277,59 @@
         self.assertEqual(self.first.call(LeaderAction.LEAVE, "i1", b"2000").status, 200)
         self.assertEqual(self.row().state, UpstreamState.LEAVING)
 
+    # Guards against requests to an upstream whose deregistration was confirmed: a late
+    # heartbeat registered it.
+    def test_late_heartbeat_does_not_undo_a_deregistration(self):
+        self.assertEqual(self.deregister(1000), 200)
+        self.assertEqual(self.announce(born=1000, seq=1), 400)
+        self.assertIsNone(self.row())
+        self.assertEqual(self.announce(born=2000, seq=1), 200)
+        self.assertEqual(self.row().state, UpstreamState.READY)
+
+    def test_late_heartbeat_of_the_next_incarnation_does_not_undo_its_end(self):
+        self.announce(born=1000, seq=50)
+        self.deregister(2000)
+        self.assertEqual(self.announce(born=2000, seq=1), 400)
+        self.assertEqual(self.row().state, UpstreamState.LEAVING)
+
+    def test_late_heartbeat_does_not_undo_a_drain_at_another_leader(self):
+        self.assertEqual(self.announce(born=1000, seq=9, state="draining"), 200)
+        self.transfer_leadership()
+        self.assertEqual(self.announce(replica=self.second, born=1000, seq=6), 400)
+        self.assertIsNone(self.row())
+
+    def test_late_heartbeat_does_not_undo_an_end_whose_row_has_expired(self):
+        self.announce(born=1000)
+        self.deregister(1000)
+        run = cmd.UpstreamIncarnation("s2", "i1", "1000")
+        self.first.nodes.leadership.propose(cmd.ExpireUpstreams([run]))
+        self.assertEqual(self.announce(born=1000, seq=60), 400)
+        self.assertIsNone(self.row())
+
+    def test_deregistration_ends_a_registration_that_is_not_logged_yet(self):
+        beat = gevent.spawn(self.announce, born=1000)
+        gevent.sleep(0)
+        self.assertIsNone(self.row())
+        self.assertEqual(self.deregister(1000), 200)
+        beat.join()
+        row = self.row()
+        self.assertTrue(row is None or row.state is UpstreamState.LEAVING, row)
+
+    def test_unstated_start_does_not_bar_the_next_process_of_the_same_id(self):
+        for _ in range(2):
+            self.assertEqual(self.announce(born=UNSTATED_BORN_MS), 200)
+            self.assertEqual(self.row().state, UpstreamState.READY)
+            self.assertEqual(self.first.call(LeaderAction.LEAVE, "i1").status, 200)
+            self.assertEqual(self.row().state, UpstreamState.LEAVING)
+            run = cmd.UpstreamIncarnation("s2", "i1", str(UNSTATED_BORN_MS))
+            self.first.nodes.leadership.propose(cmd.ExpireUpstreams([run]))
+            self.transfer_leadership()
+            self.first, self.second = self.second, self.first
+
+    def deregister(self, born_ms, replica=None):
+        body = str(born_ms).encode()
+        return (replica or self.first).call(LeaderAction.LEAVE, "i1", body).status
+
     def test_address_belongs_to_the_upstream_started_last(self):
         self.announce("i1", born=1000)
         self.assertEqual(self.announce("i2", born=2000), 200)
@@ -334,5 +388,65 @@
         return msgspec.json.decode(answer.body)
 
 
+class LifecycleOrderTests(CallHandlerTestCase):
+    """Guards against an ended upstream that gets requests, whatever arrives late.
+
+    The calls of two processes with the same id arrive in any order, with a restart of
+    control at any place.
+    """
+
+    CALLS = (
+        ("ready", 1000, 1),
+        ("draining", 1000, 2),
+        ("deregister", 1000, 3),
+        ("ready", 2000, 1),
+    )
+    RESTART = ("restart", 0, 0)
+
+    def test_every_order_of_calls_with_a_restart_of_control(self):
+        self.replace_config(config_body())
+        names = (f"i{number}" for number in itertools.count())
+        for order in itertools.permutations((*self.CALLS, self.RESTART)):
+            with self.subTest(order=order):
+                self.check(next(names), order)
+
+    def check(self, upstream, order):
+        has_ended = has_started = False
+        for what, born_ms, sequence in order:
+            status = self.send(upstream, what, born_ms, sequence)
+            if born_ms == 1000 and what != "ready" and status == 200:
+                has_ended = True
+            has_started |= born_ms == 2000
+            row = self.first.state.rows.upstreams.get(UpstreamId("s2", upstream))
+            takes_work = row is not None and row.state is UpstreamState.READY
+            if has_started:
+                self.assertEqual((takes_work, row and row.born_ms), (True, 2000))
+            elif has_ended:
+                self.assertFalse(takes_work, row)
+
+    def send(self, upstream, what, born_ms, sequence):
+        if what == "restart":
+            self.restart()
+            return 0
+        if what == "deregister":
+            call = LeaderCall(LeaderAction.LEAVE, upstream, str(born_ms).encode())
+        else:
+            # Each upstream has an address of its own, as long as its last process runs.
+            address = f"10.0.1.{upstream[1:]}:8080"
+            fields = heartbeat_body(
+                state=what, born=born_ms, seq=sequence, address=address
+            )
+            item = decode_heartbeat(upstream, encode_body(fields))
+            body = encode_announcement(item)
+            call = LeaderCall(LeaderAction.ANNOUNCE, upstream, body)
+        return self.first.handler.handle(call).status
+
+    def restart(self):
+        """Let the other replica lead, from a snapshot."""
+        self.second.state.restore(self.first.state.snapshot())
+        self.transfer_leadership()
+        self.first, self.second = self.second, self.first
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/bergamotdrift/upstream_sessions.py
+++ b/bergamotdrift/upstream_sessions.py
@@ -7,6 +7,7 @@
 from bergamotdrift.config.schema import ServiceKind
 from bergamotdrift.constants import DRIFT_MARGIN_MS, SESSION_TTL_MS
 from bergamotdrift.control_state import ControlState
+from bergamotdrift.ended_upstreams import EndedUpstream
 from bergamotdrift.feed_tables import UpstreamId
 from bergamotdrift.handover import Handover
 from bergamotdrift.messages import (
@@ -49,6 +50,7 @@
         self._handover = handover
         self._contacts: SessionLeases[UpstreamId] = SessionLeases(opened_at_ms, ttl_ms)
         self._pending_rows: dict[UpstreamId, UpstreamRow] = {}
+        self._pending_ends: dict[str, EndedUpstream] = {}
         self._sequences: dict[cmd.UpstreamIncarnation, int] = {}
         self._cold_until_ms: dict[cmd.UpstreamIncarnation, float] = {}
         self._opened_at_ms = opened_at_ms
@@ -68,10 +70,18 @@
             )
         if self._is_outdated(announcement):
             return _reply_without_grants(announcement)
+        reply = self._accept(key, announcement, now_ms)
+        if not reply.error:
+            self._record_end(announcement)
+        return reply
+
+    def _accept(
+        self, key: UpstreamId, announcement: Announcement, now_ms: float
+    ) -> AnnouncementReply:
         self._record_cold_start(announcement, now_ms)
         row = self._state.rows.upstreams.get(key)
         if row is None and announcement.state is UpstreamState.LEAVING:
-            # It was never sent requests, so there is nothing to end.
+            # It has no row that could get requests.
             return AnnouncementReply(
                 announcement.service, announcement.upstream, 0, [], []
             )
@@ -106,8 +116,8 @@
                 self._pending_rows[key] = planned._replace(state=UpstreamState.LEAVING)
 
     def has_changes(self) -> bool:
-        """Return whether a registration or state change is waiting to be logged."""
-        return bool(self._pending_rows)
+        """Return whether a registration, state change or end waits to be logged."""
+        return bool(self._pending_rows or self._pending_ends)
 
     def accepts_work(self, row: UpstreamRow) -> bool:
         """Return whether an upstream may keep partitions."""
@@ -141,6 +151,9 @@
         if self._pending_rows:
             commands.append(cmd.PutUpstreams(list(self._pending_rows.values())))
             self._pending_rows.clear()
+        if self._pending_ends:
+            commands.append(cmd.EndUpstreams(list(self._pending_ends.values())))
+            self._pending_ends.clear()
         return commands
 
     def _register(
@@ -157,10 +170,24 @@
             return _refusal(
                 announcement, f"{other.incarnation} is registering under this name"
             )
+        if announcement.state is not UpstreamState.LEAVING and self._has_ended(
+            announcement
+        ):
+            return _refusal(announcement, "this incarnation has ended")
         self._pending_rows[key] = _row_from(announcement)
         self._contacts.register(key, announcement.incarnation, now_ms)
         return _reply_without_grants(announcement)
 
+    def _has_ended(self, announcement: Announcement) -> bool:
+        return self._state.rows.ended.includes(
+            announcement.upstream, announcement.incarnation, announcement.born_ms
+        )
+
+    def _record_end(self, announcement: Announcement) -> None:
+        item = end_of(announcement)
+        if item is not None and self._state.rows.ended.lacks(item):
+            self._pending_ends[item.upstream] = item
+
     def _replace(
         self,
         key: UpstreamId,
@@ -285,6 +312,15 @@
         return row is not None and row.incarnation == incarnation
 
 
+def end_of(announcement: Announcement) -> EndedUpstream | None:
+    """Return the end that an announcement states, or None if it states none."""
+    if announcement.state is not UpstreamState.LEAVING:
+        return None
+    return EndedUpstream(
+        announcement.upstream, announcement.incarnation, announcement.born_ms
+    )
+
+
 def _row_from(announcement: Announcement) -> UpstreamRow:
     return UpstreamRow(
         announcement.service,
