Remove scheme and host only from the start of a request target

A URL in the path could select another route.

Cause: the expression for targets in absolute form was not anchored and was applied with `sub`, which removes the first match anywhere. It stood twice, in the head of the request and in the choice of routes.

Change: `request_target.origin_form` looks at the start of the target; both places use it. An absolute form without a path becomes `/?query`, as RFC 9112 asks; before it was sent as `?query`.

--- a/bergamotdrift/stages/request_head.py
+++ b/bergamotdrift/stages/request_head.py
@@ -1,7 +1,5 @@
 """Build the head of a request to an upstream and frame its body."""
 
-import re
-
 from bergamotdrift.arbiter_messages import NO_PARTITION
 from bergamotdrift.attempts import RunningAttempt
 from bergamotdrift.body_source import BodySource
@@ -9,6 +7,7 @@
 from bergamotdrift.dialect import NATIVE, Dialect
 from bergamotdrift.http_input import HeaderLine, connection_tokens
 from bergamotdrift.request import IncomingRequest, RoutedRequest
+from bergamotdrift.request_target import origin_form
 
 HOP_BY_HOP = frozenset({
     "connection",
@@ -31,7 +30,6 @@
     "x-forwarded-for",
 })
 NATIVE_STRIPPED_HEADERS = HOP_BY_HOP | _OWN_HEADERS | NATIVE.own_headers()
-_ABSOLUTE_FORM = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
 
 
 class RequestHeads:
@@ -48,8 +46,7 @@
     ) -> bytes:
         """Return the bytes before the body, with the empty line."""
         req = routed.req
-        target = _ABSOLUTE_FORM.sub("", req.target, count=1) or "/"
-        lines = [f"{req.method} {target} HTTP/1.1"]
+        lines = [f"{req.method} {origin_form(req.target)} HTTP/1.1"]
         connection_options = connection_tokens(req.fields)
         lines += end_to_end(req.headers, connection_options, self._stripped_headers)
         lines += self._own_headers(routed, running)
--- a/bergamotdrift/stages/route.py
+++ b/bergamotdrift/stages/route.py
@@ -16,13 +16,13 @@
 from bergamotdrift.dialect import NATIVE, Dialect
 from bergamotdrift.exceptions import ErrorKind, Refusal
 from bergamotdrift.request import ANONYMOUS, IncomingRequest, RoutedRequest
+from bergamotdrift.request_target import origin_form
 from bergamotdrift.route_split import RouteSplits
 from bergamotdrift.routing_key import key_number
 
 _BAD_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
 # Fast path: most paths need no decoding and no safety checks.
 _PLAIN_PATH = re.compile(r"(?:/[A-Za-z0-9_~-][A-Za-z0-9._~-]*)+")
-_ABSOLUTE_FORM = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
 _DEADLINE = re.compile(r"[0-9]{1,9}")
 _WILDCARD = "*"
 # In the services of a workspace, allows all services.
@@ -71,7 +71,7 @@
     """Return the decoded path segments of a request target, or None if unsafe."""
     if _PLAIN_PATH.fullmatch(target):
         return target[1:].split("/")
-    path = _ABSOLUTE_FORM.sub("", target, count=1).partition("?")[0] or "/"
+    path = origin_form(target).partition("?")[0]
     if not path.startswith("/") or "#" in path or _BAD_ESCAPE.search(path):
         return None
     segments = []
@@ -182,7 +182,7 @@
         """Return the route of a host and request target, or None."""
         if not self._routes:
             return None
-        path = _ABSOLUTE_FORM.sub("", target, count=1).partition("?")[0]
+        path = origin_form(target).partition("?")[0]
         name = host.partition(":")[0].lower()
         end = path.rfind("/")
         while end >= 0:
--- a/bergamotdrift/tests/test_forward.py
+++ b/bergamotdrift/tests/test_forward.py
@@ -54,6 +54,31 @@
         self.assertEqual(len(self.upstream.requests), 2)
 
 
+class RequestTargetTests(EntryTestCase):
+    """Guards against a target that reaches the upstream changed."""
+
+    def target_at_upstream(self, target):
+        self.upstream.requests.clear()
+        self.assertEqual(self.ask("GET", target).status, 200)
+        (data,) = self.upstream.requests
+        return bytes(data).split(b" ")[1].decode()
+
+    def test_url_within_a_target_is_kept(self):
+        for target in (
+            "/cases/1?source=http://desk.example/x&page=2",
+            "/cases/1?next=HTTPS://desk.example",
+            "/cases/1?a=http://x/y&b=http://z/",
+        ):
+            with self.subTest(target=target):
+                self.assertEqual(self.target_at_upstream(target), target)
+
+    def test_absolute_form_loses_only_its_own_scheme_and_host(self):
+        for target in ("/cases/1", "/cases/1?from=http://other.example/y"):
+            with self.subTest(target=target):
+                full = "http://desk.example" + target
+                self.assertEqual(self.target_at_upstream(full), target)
+
+
 class TruncatedResponseTests(EntryTestCase):
     def assert_not_complete(self, answer):
         self.assertFalse(answer.complete and answer.status == 200)
--- a/bergamotdrift/tests/test_platform_forwarding.py
+++ b/bergamotdrift/tests/test_platform_forwarding.py
@@ -65,6 +65,24 @@
         self.assertEqual(self.requests(), [])
 
 
+class TargetTests(DirectEntryTestCase):
+    """Guards against a changed target, at the upstream or in the choice of routes."""
+
+    def test_url_within_a_target_is_kept(self):
+        for target in (
+            "/look/x?source=http://desk.example/order/1&page=2",
+            "/look/http://desk.example/order/1",
+            "/look/deep/https://desk.example?b=http://c",
+        ):
+            with self.subTest(target=target):
+                sent = len(self.requests())
+                named = [("Shard-Key", "1")]
+                self.assertEqual(self.ask(target, headers=named).status, 200)
+                self.assertEqual(len(self.requests()), sent + 1)
+                found = [bytes(data).split(b" ")[1] for data in self.requests()]
+                self.assertIn(target.encode(), found)
+
+
 class RetryTests(DirectEntryTestCase):
     """Guards against requests that run twice, and against false refusals."""
 
--- a/bergamotdrift/tests/test_route.py
+++ b/bergamotdrift/tests/test_route.py
@@ -47,6 +47,14 @@
         for target in ("/cases/a%20b", "/cases/%61%20b?x=1", "http://h/cases/a%20b"):
             self.assertEqual(routed("GET", target).unwrap().routing_key, "a b")
 
+    # Guards against a route that is selected by a changed path.
+    def test_url_within_a_path_belongs_to_it(self):
+        self.assertEqual(
+            split_path("/files/http://h/cases/1"),
+            ["files", "http:", "", "h", "cases", "1"],
+        )
+        self.assertEqual(split_path("http://h?x=/a"), [""])
+
     def test_kinds_of_refusals(self):
         self.assert_kind(routed("GET", "/none"), ErrorKind.NO_ROUTE)
         self.assert_kind(routed("GET", "/cases/1/2"), ErrorKind.NO_ROUTE)
