Record SIGHUP from the first line of the platform's programs

Cause: the handler was set after the modules were loaded, so the default action held until then. A signal after that and before the start of the replica was lost, as the handler used parts that did not exist yet.

The handler is set after the start and reads the settings again if a signal was recorded.

--- a/bergamotdrift/platform/entry.py
+++ b/bergamotdrift/platform/entry.py
@@ -1,31 +1,14 @@
-"""Entry that uses the platform's header names and readiness route."""
+"""Start of the platform's program `entry`."""
 
-from bergamotdrift.admin_apps import readiness_app
-from bergamotdrift.clock import BootClock
-from bergamotdrift.entry_node import EntryNode
-from bergamotdrift.http_server import HttpServer
-from bergamotdrift.platform import names, startup
-from bergamotdrift.platform.boot import Boot, entry_settings, stream_addresses
-from bergamotdrift.platform.wire_dialect import PLATFORM_DIALECT
-from bergamotdrift.shutdown import shutdown_event
+from bergamotdrift.platform import reload_signal
 
 
 def main() -> None:
-    """Run the entry until SIGTERM."""
-    boot = startup.start("entry")
-    stop = shutdown_event()
-    entry = EntryNode(entry_settings(boot), BootClock(), PLATFORM_DIALECT)
-    readiness = HttpServer(boot.ready, readiness_app(names.READY, entry.is_ready))
+    """Record SIGHUP before the imports, which take longer than all else."""
+    reload_signal.record()
+    from bergamotdrift.platform.entry_program import run
 
-    def apply(changed: Boot) -> None:
-        entry.control.add_replicas(stream_addresses(changed))
-
-    startup.on_reload(apply)
-    readiness.start()
-    entry.start()
-    stop.wait()
-    entry.stop()
-    readiness.stop()
+    run()
 
 
 if __name__ == "__main__":
--- a/bergamotdrift/platform/startup.py
+++ b/bergamotdrift/platform/startup.py
@@ -10,6 +10,7 @@
 from bergamotdrift.event_loop_watch import watch_event_loop
 from bergamotdrift.exceptions import ConfigurationError
 from bergamotdrift.log import log_event, start_logging
+from bergamotdrift.platform import reload_signal
 from bergamotdrift.platform.boot import Boot, read_boot
 from bergamotdrift.shutdown import EXIT_SETTINGS
 
@@ -32,7 +33,10 @@
 
 
 def on_reload(apply: Callable[[Boot], None]) -> None:
-    """Call `apply` with the reread settings file on SIGHUP; ignore an invalid file."""
+    """Call `apply` with the reread settings file on SIGHUP; ignore an invalid file.
+
+    A signal that came earlier, while the program started, counts too.
+    """
 
     def reload() -> None:
         try:
@@ -44,3 +48,5 @@
         log_event("reloaded", seeds=",".join(boot.seeds))
 
     gevent.signal_handler(signal.SIGHUP, reload)
+    if reload_signal.was_received():
+        reload()
