Move the changes of partitions out of the control state machine

Cause: control_state.py had grown to 450 lines with handlers of eight subjects. Change: creating, releasing, assigning, isolating and dropping partitions stand in partition_changes.py, as functions on the rows like rollout_orders.py. No change of behaviour.

--- a/bergamotdrift/control_state.py
+++ b/bergamotdrift/control_state.py
@@ -6,19 +6,15 @@
 import msgpack
 
 from bergamotdrift import control_commands as cmd
-from bergamotdrift import messages, rollout_orders
+from bergamotdrift import messages, partition_changes, rollout_orders
 from bergamotdrift.config.schema import ServiceKind, ServiceSettings
 from bergamotdrift.control_commands import Applied, ChangeOutcome, ReassignmentWait
 from bergamotdrift.control_rows import ControlRows
 from bergamotdrift.ended_upstreams import EndedUpstream
-from bergamotdrift.feed_tables import IsolatedKeyId, PartitionId, UpstreamId
-from bergamotdrift.hashing import partition_of_hash
+from bergamotdrift.feed_tables import PartitionId, UpstreamId
 from bergamotdrift.messages import (
     FeedUpdate,
-    IsolatedKeyRow,
     Message,
-    PartitionRow,
-    PartitionState,
     RangeRow,
     ShardRow,
     UpstreamRow,
@@ -27,8 +23,6 @@
 from bergamotdrift.settings_log import SettingsLog
 from bergamotdrift.zone_evacuations import ZoneEvacuations
 
-MAX_ISOLATED_KEYS_PER_SERVICE = 64
-
 
 class ControlState:
     """Settings and tables; `feed_index` is the log index of the last change."""
@@ -252,35 +246,16 @@
     def _release_partitions(
         self, index: int, command: cmd.ReleasePartitions
     ) -> Applied:
-        changed = 0
-        for item in command.items:
-            row = self.rows.partitions.get(PartitionId(item.service, item.partition))
-            if row is None or row.epoch != item.epoch:
-                continue
-            if row.state is PartitionState.OWNED:
-                releasing = row._replace(state=PartitionState.RELEASING)
-                changed += self.rows.put_partition(index, releasing)
+        changed = sum(
+            partition_changes.release(self.rows, index, item) for item in command.items
+        )
         return self._record_changes(index, changed)
 
     def _assign_partitions(self, index: int, command: cmd.AssignPartitions) -> Applied:
-        changed = sum(self._assign_partition(index, item) for item in command.items)
-        return self._record_changes(index, changed)
-
-    def _assign_partition(self, index: int, item: cmd.PartitionAssignment) -> bool:
-        key = PartitionId(item.service, item.partition)
-        row = self.rows.partitions.get(key)
-        if row is None or row.epoch != item.epoch or row.state is PartitionState.OWNED:
-            return False
-        if not item.upstream:
-            return self.rows.vacate(index, key, ReassignmentWait.NONE)
-        upstream = self.rows.upstreams.get(UpstreamId(item.service, item.upstream))
-        if upstream is None or upstream.incarnation != item.incarnation:
-            return False
-        self.rows.reassignment_waits.pop(key, None)
-        owned = row._replace(
-            upstream=item.upstream, epoch=row.epoch + 1, state=PartitionState.OWNED
+        changed = sum(
+            partition_changes.assign(self.rows, index, item) for item in command.items
         )
-        return self.rows.put_partition(index, owned)
+        return self._record_changes(index, changed)
 
     def _assign_shards(self, index: int, command: cmd.AssignShards) -> Applied:
         shards, changed = self.rows.shards, 0
@@ -302,40 +277,16 @@
 
     def _isolate_key(self, index: int, command: cmd.IsolateKey) -> Applied:
         service = self.service(command.service)
-        key = IsolatedKeyId(command.service, command.key_hash)
-        if service is None or service.kind is not ServiceKind.KEYED:
+        if service is None:
             return Applied(0)
-        isolated_count = sum(
-            row.service == service.name for row in self.rows.isolated.rows()
+        changed = partition_changes.isolate_key(
+            self.rows, index, service, command.key_hash
         )
-        if key in self.rows.isolated or isolated_count >= MAX_ISOLATED_KEYS_PER_SERVICE:
-            return Applied(0)
-        parent = self.rows.partitions.get(parent_partition(service, command.key_hash))
-        if parent is None or parent.state is not PartitionState.OWNED:
-            return Applied(0)
-        number = self.rows.next_isolated_partition[service.name]
-        self.rows.next_isolated_partition[service.name] = number + 1
-        last_used_epoch = self.rows.last_used_epochs.get(service.name, 0)
-        epoch = max(parent.epoch, last_used_epoch) + 1
-        self.rows.put_partition(index, parent._replace(partition=number, epoch=epoch))
-        row = IsolatedKeyRow(service.name, command.key_hash, number)
-        self.rows.isolated.put(key, row, index)
-        return self._record_changes(index, 1)
+        return self._record_changes(index, int(changed))
 
     def _restore_key(self, index: int, command: cmd.RestoreKey) -> Applied:
-        key = IsolatedKeyId(command.service, command.key_hash)
-        partition = PartitionId(command.service, command.partition)
-        isolated = self.rows.isolated.get(key)
-        row = self.rows.partitions.get(partition)
-        if isolated is None or isolated.partition != command.partition:
-            return Applied(0)
-        if row is None or row.epoch != command.epoch:
-            return Applied(0)
-        if row.state is PartitionState.OWNED:
-            return Applied(0)
-        self.rows.isolated.remove(key, index)
-        self.rows.remove_partition(index, partition)
-        return self._record_changes(index, 1)
+        changed = partition_changes.restore_key(self.rows, index, command)
+        return self._record_changes(index, int(changed))
 
     def _reconcile_services(
         self,
@@ -351,39 +302,14 @@
                 self.rows.rollouts.remove(name, index)
             if current_service is None or current_service.kind is not service.kind:
                 self._drop_upstreams(index, name)
-            if current_service is None or _partitioning_differs(
+            if current_service is None or partition_changes.differs(
                 service, current_service
             ):
-                self._drop_partitions(index, name)
+                partition_changes.drop(self.rows, index, name)
         for name, service in new.items():
             previous = old.get(name)
-            if previous is None or _partitioning_differs(previous, service):
-                self._create_partitions(index, service)
-
-    def _create_partitions(self, index: int, service: ServiceSettings) -> None:
-        if service.kind is not ServiceKind.KEYED:
-            return
-        last_used_epoch = self.rows.last_used_epochs.get(service.name, 0)
-        self.rows.next_isolated_partition[service.name] = service.partitions
-        for number in range(service.partitions):
-            row = PartitionRow(
-                service.name, number, "", last_used_epoch, PartitionState.VACANT
-            )
-            self.rows.put_partition(index, row)
-            if last_used_epoch:
-                # Upstreams may still hold leases on the earlier partitions.
-                self.rows.reassignment_waits[PartitionId(service.name, number)] = (
-                    ReassignmentWait.LEASE
-                )
-
-    def _drop_partitions(self, index: int, service: str) -> None:
-        rows = self.rows
-        for isolated in rows.isolated.list_keys():
-            if isolated.service == service:
-                rows.isolated.remove(isolated, index)
-        for partition in rows.partitions.list_keys():
-            if partition.service == service:
-                rows.remove_partition(index, partition)
+            if previous is None or partition_changes.differs(previous, service):
+                partition_changes.create(self.rows, index, service)
 
     def _drop_upstreams(self, index: int, service: str) -> None:
         for key in self.rows.upstreams.list_keys():
@@ -403,12 +329,6 @@
         return Applied(changed)
 
 
-def parent_partition(service: ServiceSettings, key_hash: int) -> PartitionId:
-    """Return the hash partition of a key, regardless of key isolation."""
-    number = partition_of_hash(key_hash, service.partitions)
-    return PartitionId(service.name, number)
-
-
 def _covers_same_keys(command: cmd.ReplaceRanges) -> bool:
     """Return whether the replacement covers the same keys without gap or overlap."""
     if any(row.service != command.service for row in command.replacement):
@@ -428,10 +348,6 @@
     return spans
 
 
-def _partitioning_differs(before: ServiceSettings, after: ServiceSettings) -> bool:
-    return (before.kind, before.partitions) != (after.kind, after.partitions)
-
-
 _HANDLERS: dict[type, Callable[[ControlState, int, Any], Message]] = {
     cmd.OpenTerm: ControlState._open_term,
     cmd.ApplySettings: ControlState._apply_settings,
--- a/bergamotdrift/handover.py
+++ b/bergamotdrift/handover.py
@@ -6,13 +6,14 @@
 from bergamotdrift.config.schema import Fencing, SiteSettings
 from bergamotdrift.constants import SESSION_TTL_MS
 from bergamotdrift.control_commands import ReassignmentWait
-from bergamotdrift.control_state import ControlState, parent_partition
+from bergamotdrift.control_state import ControlState
 from bergamotdrift.feed_tables import IsolatedKeyId, PartitionId
 from bergamotdrift.messages import (
     PartitionRef,
     PartitionRow,
     PartitionState,
 )
+from bergamotdrift.partition_changes import parent_partition
 
 # A fencing upstream that reported a release no longer serves the partition. The drain
 # report only confirms that its responses have passed, so losing that report must not
--- a/bergamotdrift/partition_planner.py
+++ b/bergamotdrift/partition_planner.py
@@ -5,7 +5,7 @@
 
 from bergamotdrift import control_commands as cmd
 from bergamotdrift.config.schema import Fencing, ServiceKind, ServiceSettings
-from bergamotdrift.control_state import MAX_ISOLATED_KEYS_PER_SERVICE, ControlState
+from bergamotdrift.control_state import ControlState
 from bergamotdrift.feed_tables import PartitionId, UpstreamId
 from bergamotdrift.handover import Acknowledged, Handover
 from bergamotdrift.messages import (
@@ -18,6 +18,7 @@
     UpstreamRow,
     UpstreamState,
 )
+from bergamotdrift.partition_changes import MAX_ISOLATED_KEYS_PER_SERVICE
 from bergamotdrift.partition_loads import PartitionLoads
 from bergamotdrift.placement import Candidate, WeightedPartition, choose_moves, place
 from bergamotdrift.reply_gate import ReplyGate
