--- a/review/harness3.py
+++ b/review/harness3.py
@@ -551,6 +551,8 @@
     """Run a script: exit with 0 if the rule held, 1 if not, 2 if it could not run."""
     record = Record(Path(script).resolve().parent / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # The script ends its processes also if it is ended itself.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         held = asyncio.run(_limited(main(record, trouble)))
     except Exception as exc:
